--- /dev/null
+++ b/Source/Control/wgControlNode.cxx
@@ -0,0 +1,624 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgControlNode.h"
+
+#include <algorithm>
+#include <utility>
+
+#include <nlohmann/json.hpp>
+
+#include "absl/random/distributions.h"
+#include "absl/strings/str_cat.h"
+
+#include "wgConfigText.h"
+#include "wgLog.h"
+
+namespace wg {
+namespace {
+
+constexpr absl::Duration LoopWait = absl::Milliseconds(10);
+constexpr absl::Duration CallTimeout = absl::Seconds(2);
+constexpr absl::Duration SnapshotTimeout = absl::Seconds(10);
+constexpr absl::Duration JoinPeriod = absl::Milliseconds(500);
+constexpr absl::Duration MaxFollowWait = absl::Seconds(10);
+constexpr std::size_t MaxMail = 20000;
+constexpr std::size_t MaxFollowers = 10000;
+constexpr std::uint64_t RetainedEntries = 500;
+
+template <class... Handlers>
+struct Overloaded : Handlers...
+{
+  using Handlers::operator()...;
+};
+template <class... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+std::string Answer(wire::ChangeResult::Verdict verdict,
+                   const std::string& message, const std::string& leader)
+{
+  wire::ChangeResult result;
+  result.set_verdict(verdict);
+  result.set_message(message);
+  result.set_leader(leader);
+  return result.SerializeAsString();
+}
+
+absl::string_view Name(ReplicaRole role)
+{
+  switch (role) {
+    case ReplicaRole::Leader:
+      return "leader";
+    case ReplicaRole::Candidate:
+    case ReplicaRole::PreCandidate:
+      return "candidate";
+    case ReplicaRole::Follower:
+      break;
+  }
+  return "follower";
+}
+
+nlohmann::json DescribeVoters(
+  const google::protobuf::RepeatedPtrField<wire::Voter>& voters)
+{
+  nlohmann::json list = nlohmann::json::array();
+  for (const wire::Voter& voter : voters) {
+    list.push_back({ { "id", absl::StrCat(absl::Hex(voter.id())) },
+                     { "box", voter.box() },
+                     { "address", voter.address() } });
+  }
+  return list;
+}
+
+} // namespace
+
+ControlNode::ControlNode(ControlSettings settings, Counters& counters)
+  : settings_(std::move(settings))
+  , counters_(counters)
+{
+}
+
+ControlNode::~ControlNode()
+{
+  Stop();
+}
+
+Outcome<Done> ControlNode::Start()
+{
+  replica_.self.set_box(settings_.box);
+  replica_.self.set_address(settings_.listen);
+  const auto identity =
+    absl::Uniform<std::uint64_t>(absl::IntervalClosed, random_, 1, UINT64_MAX);
+  auto opened = ReplicaStore::Open(SystemFileOperations(),
+                                   settings_.dataFolder, identity, replica_);
+  if (!Succeeded(opened)) {
+    return Error{ Message(opened) };
+  }
+  store_ = std::move(Value(opened));
+  if (store_->State() == FolderState::Damaged) {
+    LogChange("storage",
+              absl::StrCat("damaged, new identity: ", store_->Damage()));
+  }
+  if (!replica_.snapshot.state().empty()) {
+    InstallState();
+  }
+  StartReplica(replica_, ElapsedNow(), random_);
+  Outcome<SocketAddress> address = ParseSocketAddress(settings_.listen);
+  if (!Succeeded(address)) {
+    return Error{ Message(address) };
+  }
+  client_ = std::make_unique<PeerClient>(settings_.keys[std::string(PeerName)],
+                                         PeerName);
+  server_ = std::make_unique<PeerServer>(
+    settings_.keys,
+    [this](PeerRequest request, Respond respond) {
+      HandlePeer(std::move(request), std::move(respond));
+    },
+    counters_);
+  if (auto started = server_->Start(Value(address)); !Succeeded(started)) {
+    return started;
+  }
+  thread_ = std::thread([this] { Run(); });
+  return Done{};
+}
+
+void ControlNode::Stop()
+{
+  stopping_ = true;
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+  server_.reset();
+  client_.reset();
+}
+
+void ControlNode::HandlePeer(PeerRequest request, Respond respond)
+{
+  const bool isPeer = request.who == PeerName;
+  bool sound = true;
+  if (request.path == "/change") {
+    HandleChange(request, std::move(respond));
+  } else if (request.path == "/status") {
+    Post(StatusCall{ std::move(respond) });
+  } else if (request.path == "/found") {
+    Post(FoundRequest{ std::move(respond) });
+  } else if (isPeer && request.path == "/agreement") {
+    wire::AgreementBatch batch;
+    sound = batch.ParseFromString(request.body);
+    respond("");
+    Post(std::move(batch));
+  } else if (isPeer && request.path == "/follow") {
+    FollowWaiter waiter{ {}, {}, std::move(respond) };
+    sound = waiter.request.ParseFromString(request.body);
+    Post(std::move(waiter));
+  } else if (isPeer && request.path == "/join") {
+    JoinCall call{ {}, std::move(respond) };
+    sound = call.request.ParseFromString(request.body);
+    Post(std::move(call));
+  } else {
+    sound = false;
+    respond("");
+  }
+  if (!sound) {
+    counters_.Add(Event::PeerRejected);
+  }
+}
+
+/** Claims are for entries alone; an operator's change bears its name. */
+void ControlNode::HandleChange(const PeerRequest& request, Respond respond)
+{
+  ChangeRequest call{ {}, std::move(respond) };
+  const bool parsed = call.change.ParseFromString(request.body);
+  const bool isClaim =
+    call.change.has_take_claim() || call.change.has_end_claim();
+  if (!parsed || (isClaim && request.who != PeerName)) {
+    counters_.Add(Event::PeerRejected);
+    call.respond(Answer(wire::ChangeResult::REJECTED,
+                        "The change can't be read, or is not for operators.",
+                        ""));
+    return;
+  }
+  call.change.set_author(request.who);
+  Post(std::move(call));
+}
+
+void ControlNode::Post(Mail mail)
+{
+  absl::MutexLock lock(&mutex_);
+  if (mail_.size() >= MaxMail) {
+    counters_.Add(Event::PeerRejected);
+    return;
+  }
+  mail_.push_back(std::move(mail));
+}
+
+std::vector<ControlNode::Mail> ControlNode::TakeMail()
+{
+  absl::MutexLock lock(&mutex_);
+  mutex_.AwaitWithTimeout(
+    absl::Condition(
+      +[](std::vector<Mail>* mail) { return !mail->empty(); }, &mail_),
+    LoopWait);
+  return std::exchange(mail_, {});
+}
+
+void ControlNode::Run()
+{
+  while (!stopping_) {
+    for (Mail& mail : TakeMail()) {
+      Handle(std::move(mail));
+    }
+    TickReplica();
+    CarryOutActions();
+    ApplyCommitted();
+    AnswerFollowers();
+    CompactIfDue();
+    NoteRole();
+  }
+}
+
+void ControlNode::Handle(Mail mail)
+{
+  std::visit(
+    Overloaded{ [this](wire::AgreementBatch& batch) {
+                 if (writeFailed_) {
+                   return; // silent until the disk takes what is pending
+                 }
+                 for (const auto& message : batch.messages()) {
+                   addresses_[message.from()] = message.from_address();
+                   OnMessage(replica_, message, ElapsedNow(), random_);
+                 }
+               },
+                [this](FoundRequest& request) { OnFound(request); },
+                [this](ChangeRequest& request) { OnChange(request); },
+                [this](FollowWaiter& waiter) { OnFollow(std::move(waiter)); },
+                [this](JoinCall& call) { OnJoin(call); },
+                [this](StatusCall& call) { OnStatus(call); },
+                [this](JoinAnswer& answer) { OnJoinAnswer(answer); } },
+    mail);
+}
+
+void ControlNode::OnFound(FoundRequest& request)
+{
+  if (!replica_.cluster.empty()) {
+    request.respond(Answer(wire::ChangeResult::REJECTED,
+                           "This box already belongs to a cluster.",
+                           LeaderAddress()));
+    return;
+  }
+  replica_.cluster = MakeChangeId();
+  if (auto saved = store_->SetCluster(replica_); !Succeeded(saved)) {
+    replica_.cluster.clear();
+    request.respond(Answer(wire::ChangeResult::REJECTED, Message(saved), ""));
+    return;
+  }
+  FoundCluster(replica_, ElapsedNow());
+  LogChange("cluster", "founded");
+  request.respond(Answer(wire::ChangeResult::ACCEPTED, "", ""));
+}
+
+void ControlNode::OnChange(ChangeRequest& request)
+{
+  const Elapsed now = ElapsedNow();
+  const bool leads = replica_.role == ReplicaRole::Leader && !writeFailed_;
+  if (!leads) {
+    request.respond(Answer(wire::ChangeResult::NOT_LEADER,
+                           "This control box does not lead.",
+                           LeaderAddress()));
+    return;
+  }
+  if (request.change.has_take_claim()) {
+    request.change.mutable_take_claim()->set_now_ms(
+      clockAtLead_ + absl::ToInt64Milliseconds(now - leadSince_));
+  }
+  const auto index =
+    Propose(replica_, request.change.SerializeAsString(), now);
+  waiters_[*index] = { replica_.hard.term(), std::move(request.respond) };
+}
+
+void ControlNode::OnFollow(FollowWaiter waiter)
+{
+  boxes_[waiter.request.box()] = { waiter.request.hall(),
+                                   waiter.request.have_revision(),
+                                   ElapsedNow() };
+  const absl::Duration wait = std::min(
+    absl::Milliseconds(std::max<std::int64_t>(waiter.request.wait_ms(), 0)),
+    MaxFollowWait);
+  waiter.until = ElapsedNow() + wait;
+  const bool answered = AnswerFollower(waiter);
+  if (!answered && followers_.size() < MaxFollowers) {
+    followers_.push_back(std::move(waiter));
+  }
+}
+
+/** Answers when there is something newer, or the wait is over. */
+bool ControlNode::AnswerFollower(const FollowWaiter& waiter)
+{
+  const std::uint64_t have = waiter.request.have_revision();
+  const bool newer = state_.config.revision > have;
+  if (!newer && ElapsedNow() < waiter.until) {
+    return false;
+  }
+  wire::FollowReply reply;
+  reply.set_revision(state_.config.revision);
+  reply.set_known(state_.config.revision > 0);
+  reply.set_age_ms(absl::ToInt64Milliseconds(ElapsedNow() - leaderHeard_));
+  if (newer && !ChangesSince(state_, have, reply)) {
+    reply.set_toml(PrintConfig(state_.config));
+  }
+  waiter.respond(reply.SerializeAsString());
+  return true;
+}
+
+void ControlNode::AnswerFollowers()
+{
+  followers_.erase(std::remove_if(followers_.begin(), followers_.end(),
+                                  [this](const FollowWaiter& waiter) {
+                                    return AnswerFollower(waiter);
+                                  }),
+                   followers_.end());
+}
+
+void ControlNode::OnJoin(JoinCall& call)
+{
+  wire::JoinReply reply;
+  reply.set_cluster(replica_.cluster);
+  reply.set_leader(LeaderAddress());
+  const std::uint64_t id = call.request.who().id();
+  reply.set_member(IsVoter(replica_.voters, id) ||
+                   IsLearner(replica_.voters, id));
+  joining_[id] = { call.request.who(), ElapsedNow() };
+  call.respond(reply.SerializeAsString());
+}
+
+/** Takes the cluster's name from the first box that has one. */
+void ControlNode::OnJoinAnswer(const JoinAnswer& answer)
+{
+  if (!replica_.cluster.empty() || answer.reply.cluster().empty()) {
+    return;
+  }
+  replica_.cluster = answer.reply.cluster();
+  if (auto saved = store_->SetCluster(replica_); !Succeeded(saved)) {
+    replica_.cluster.clear();
+    LogChange("storage", Message(saved));
+    return;
+  }
+  LogChange("cluster", "joining as a replica without a vote");
+}
+
+void ControlNode::OnStatus(StatusCall& call)
+{
+  const Elapsed now = ElapsedNow();
+  nlohmann::json status{
+    { "role", "control" },
+    { "box", settings_.box },
+    { "hall", settings_.hall },
+    { "replica", std::string(Name(replica_.role)) },
+    { "id", absl::StrCat(absl::Hex(replica_.self.id())) },
+    { "cluster", replica_.cluster },
+    { "term", replica_.hard.term() },
+    { "last_index", replica_.log.LastIndex() },
+    { "commit", replica_.commit },
+    { "revision", state_.config.revision },
+    { "leader", LeaderAddress() },
+    { "claims", state_.claims.size() },
+    { "storage", writeFailed_ ? "failing" : "sound" },
+    { "age_ms", absl::ToInt64Milliseconds(now - leaderHeard_) },
+    { "lease", HoldsLease(replica_, now) },
+    { "voters", DescribeVoters(replica_.voters.voters()) },
+    { "learners", DescribeVoters(replica_.voters.learners()) }
+  };
+  nlohmann::json boxes = nlohmann::json::array();
+  for (const auto& [box, follower] : boxes_) {
+    boxes.push_back(
+      { { "box", box },
+        { "hall", follower.hall },
+        { "revision", follower.revision },
+        { "age_ms", absl::ToInt64Milliseconds(now - follower.heard) } });
+  }
+  status["boxes"] = std::move(boxes);
+  Config shown = state_.config;
+  for (AccountConfig& account : shown.accounts) {
+    account.key = account.key.empty() ? "" : "(hidden)";
+  }
+  status["config"] = PrintConfig(shown);
+  wire::StatusReply reply;
+  reply.set_json(status.dump());
+  call.respond(reply.SerializeAsString());
+}
+
+/** Asks the other control boxes to be taken in, while not a member. */
+void ControlNode::AskToJoin()
+{
+  const Elapsed now = ElapsedNow();
+  if (now < nextJoinAsk_) {
+    return;
+  }
+  nextJoinAsk_ = now + JoinPeriod;
+  wire::JoinRequest request;
+  *request.mutable_who() = replica_.self;
+  request.set_cluster(replica_.cluster);
+  for (const std::string& address : settings_.controls) {
+    if (address == settings_.listen) {
+      continue;
+    }
+    client_->Call(address, "/join", request.SerializeAsString(), CallTimeout,
+                  [this](Outcome<std::string> reply) {
+                    JoinAnswer answer;
+                    if (Succeeded(reply) &&
+                        answer.reply.ParseFromString(Value(reply))) {
+                      Post(std::move(answer));
+                    }
+                  });
+  }
+}
+
+void ControlNode::TickReplica()
+{
+  if (!IsVoter(replica_.voters, replica_.self.id())) {
+    AskToJoin();
+  }
+  if (replica_.cluster.empty() || writeFailed_) {
+    return;
+  }
+  OnTick(replica_, ElapsedNow(), random_);
+  StartRepairStep();
+}
+
+void ControlNode::StartRepairStep()
+{
+  if (replica_.role != ReplicaRole::Leader) {
+    return;
+  }
+  std::vector<JoiningReplica> joining;
+  for (const auto& [id, joiner] : joining_) {
+    joining.push_back(joiner);
+  }
+  const Elapsed now = ElapsedNow();
+  const auto step =
+    NextRepairStep(replica_, joining, settings_.wantedVoters, now);
+  if (step && ProposeVoters(replica_, *step, now)) {
+    LogChange("voters",
+              absl::StrCat(step->voters_size(), " voters, ",
+                           step->learners_size(), " without a vote"));
+  }
+}
+
+/** Writes, syncs and sends, in the order that ReplicaActions states. */
+void ControlNode::CarryOutActions()
+{
+  if (!writeFailed_) {
+    pending_ = TakeActions(replica_);
+  }
+  SendMessages(false);
+  if (!WritePending()) {
+    return;
+  }
+  if (pending_.install) {
+    InstallState();
+  }
+  SendMessages(true);
+  pending_ = {};
+  OnSynced(replica_);
+}
+
+bool ControlNode::WritePending()
+{
+  if (!pending_.NeedsSync()) {
+    return true;
+  }
+  Outcome<Done> written = store_->Write(replica_, pending_);
+  const bool failed = !Succeeded(written);
+  if (failed != writeFailed_) {
+    LogChange("storage", failed ? Message(written) : "writes again");
+  }
+  writeFailed_ = failed;
+  if (failed) {
+    FailWaiters();
+  }
+  return !failed;
+}
+
+void ControlNode::SendMessages(bool afterSync)
+{
+  std::map<std::string, wire::AgreementBatch> batches;
+  bool hasSnapshot = false;
+  for (OutgoingMessage& outgoing : pending_.messages) {
+    if (outgoing.afterSync != afterSync) {
+      continue;
+    }
+    const std::string address = AddressOf(outgoing.message.to());
+    if (address.empty()) {
+      continue;
+    }
+    outgoing.message.set_from_address(settings_.listen);
+    hasSnapshot |= outgoing.message.has_snapshot();
+    *batches[address].add_messages() = std::move(outgoing.message);
+  }
+  for (const auto& [address, batch] : batches) {
+    client_->Call(address, "/agreement", batch.SerializeAsString(),
+                  hasSnapshot ? SnapshotTimeout : CallTimeout,
+                  [](const Outcome<std::string>&) {});
+  }
+  if (!afterSync) {
+    auto& messages = pending_.messages;
+    messages.erase(std::remove_if(messages.begin(), messages.end(),
+                                  [](const OutgoingMessage& outgoing) {
+                                    return !outgoing.afterSync;
+                                  }),
+                   messages.end());
+  }
+}
+
+/** From the voter set, or where the replica was last heard from; empty when
+ * neither is known.
+ */
+std::string ControlNode::AddressOf(std::uint64_t id) const
+{
+  if (id == replica_.self.id()) {
+    return settings_.listen;
+  }
+  for (const auto* list :
+       { &replica_.voters.voters(), &replica_.voters.learners() }) {
+    for (const wire::Voter& voter : *list) {
+      if (voter.id() == id) {
+        return voter.address();
+      }
+    }
+  }
+  auto found = addresses_.find(id);
+  return found == addresses_.end() ? std::string() : found->second;
+}
+
+void ControlNode::InstallState()
+{
+  Outcome<ServiceState> loaded = LoadState(replica_.snapshot.state());
+  if (Succeeded(loaded)) {
+    state_ = std::move(Value(loaded));
+  } else {
+    LogChange("snapshot", Message(loaded));
+  }
+}
+
+void ControlNode::ApplyCommitted()
+{
+  if (replica_.applied < replica_.snapshot.index()) {
+    replica_.applied = replica_.snapshot.index();
+  }
+  while (const wire::LogEntry* entry = NextCommitted(replica_)) {
+    wire::ChangeResult result;
+    if (entry->kind() == wire::LogEntry::CHANGE) {
+      wire::Change change;
+      if (change.ParseFromString(entry->change())) {
+        result = ApplyChange(state_, change);
+      }
+    }
+    auto waiter = waiters_.extract(entry->index());
+    if (!waiter.empty()) {
+      const bool same = waiter.mapped().term == entry->term();
+      waiter.mapped().respond(
+        same ? result.SerializeAsString()
+             : Answer(wire::ChangeResult::UNAVAILABLE,
+                      "Another leader took over; the change was not made.",
+                      LeaderAddress()));
+    }
+    Applied(replica_, entry->index());
+  }
+  if (replica_.role != ReplicaRole::Leader && !waiters_.empty()) {
+    FailWaiters();
+  }
+}
+
+void ControlNode::FailWaiters()
+{
+  for (auto& [index, waiter] : waiters_) {
+    waiter.respond(Answer(
+      wire::ChangeResult::UNAVAILABLE,
+      "No quorum answered; the change may yet be made. Send it again with "
+      "the same id.",
+      LeaderAddress()));
+  }
+  waiters_.clear();
+}
+
+void ControlNode::CompactIfDue()
+{
+  const bool due =
+    replica_.applied >= replica_.snapshot.index() + settings_.compactAfter;
+  if (!due || writeFailed_) {
+    return;
+  }
+  Compact(replica_, SaveState(state_), RetainedEntries);
+  if (auto saved = store_->SaveSnapshot(replica_); !Succeeded(saved)) {
+    LogChange("storage", Message(saved));
+  }
+}
+
+std::string ControlNode::LeaderAddress() const
+{
+  return replica_.leader == 0 ? std::string() : AddressOf(replica_.leader);
+}
+
+void ControlNode::NoteRole()
+{
+  const Elapsed now = ElapsedNow();
+  const bool hears = replica_.role == ReplicaRole::Leader
+                       ? HoldsLease(replica_, now)
+                       : replica_.leader != 0;
+  if (hears) {
+    leaderHeard_ = now;
+  }
+  if (replica_.role == loggedRole_) {
+    return;
+  }
+  const bool changedLead =
+    replica_.role == ReplicaRole::Leader || loggedRole_ == ReplicaRole::Leader;
+  loggedRole_ = replica_.role;
+  if (!changedLead) {
+    return;
+  }
+  clockAtLead_ = state_.clockMs;
+  leadSince_ = now;
+  LogChange("replica", absl::StrCat(Name(replica_.role), " in term ",
+                                    replica_.hard.term()));
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Control/wgServiceState.cxx
@@ -0,0 +1,278 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgServiceState.h"
+
+#include <algorithm>
+#include <optional>
+
+#include "absl/random/random.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/time/clock.h"
+
+#include "wgChange.h"
+#include "wgConfigText.h"
+
+namespace wg {
+namespace {
+
+constexpr std::size_t MaxRemembered = 10000;
+constexpr std::size_t MaxRecent = 1000;
+/** One change may move the clock on by this much, whatever it says. */
+constexpr std::int64_t MaxClockStepMs = 60 * 1000;
+
+using Result = wire::ChangeResult;
+
+Result Refused(std::uint64_t revision, std::string message)
+{
+  Result result;
+  result.set_verdict(Result::REJECTED);
+  result.set_revision(revision);
+  result.set_message(std::move(message));
+  return result;
+}
+
+Result Accepted(std::uint64_t revision)
+{
+  Result result;
+  result.set_verdict(Result::ACCEPTED);
+  result.set_revision(revision);
+  return result;
+}
+
+std::optional<ChangeId> ParseChangeId(const std::string& text)
+{
+  const std::size_t dash = text.find('-');
+  ChangeId id;
+  id.text = text;
+  const bool sound =
+    dash != std::string::npos && dash + 1 < text.size() &&
+    absl::SimpleAtoi(absl::string_view(text).substr(0, dash), &id.ms);
+  return sound ? std::optional<ChangeId>(id) : std::nullopt;
+}
+
+/** Forgets the earliest ids, by the time in them, not by their arrival: an
+ * author's wrong clock then harms no other's.
+ */
+void Remember(ServiceState& state, const ChangeId& id, const Result& result)
+{
+  state.remembered[id] = result;
+  while (state.remembered.size() > MaxRemembered) {
+    auto first = state.remembered.begin();
+    state.forgottenMs = std::max(state.forgottenMs, first->first.ms);
+    state.remembered.erase(first);
+  }
+}
+
+Result ApplyRevised(ServiceState& state, const wire::Change& change)
+{
+  const std::uint64_t now = state.config.revision;
+  if (change.base_revision() != 0 && change.base_revision() != now) {
+    return Refused(now, absl::StrCat("The change was based on revision ",
+                                     change.base_revision(), ", but revision ",
+                                     now, " by ",
+                                     state.recent.empty()
+                                       ? std::string("another")
+                                       : state.recent.back().change.author(),
+                                     " came first; look at it and send the "
+                                     "change again."));
+  }
+  Outcome<Config> next = ApplyConfigChange(state.config, change);
+  if (!Succeeded(next)) {
+    return Refused(now, Message(next));
+  }
+  state.config = std::move(Value(next));
+  state.recent.push_back({ state.config.revision, change });
+  if (state.recent.size() > MaxRecent) {
+    state.recent.pop_front();
+  }
+  return Accepted(state.config.revision);
+}
+
+void ExpireClaims(ServiceState& state)
+{
+  const std::int64_t before = state.clockMs - ClaimMemoryMs;
+  while (!state.claimAges.empty() && state.claimAges.begin()->first < before) {
+    state.claims.erase(state.claimAges.begin()->second);
+    state.claimAges.erase(state.claimAges.begin());
+  }
+}
+
+Result ApplyTakeClaim(ServiceState& state, const wire::TakeClaim& take)
+{
+  const std::int64_t step = take.now_ms() - state.clockMs;
+  state.clockMs += std::clamp<std::int64_t>(step, 0, MaxClockStepMs);
+  ExpireClaims(state);
+  const ClaimKey key{ take.account(), take.key() };
+  auto [found, isNew] = state.claims.try_emplace(
+    key, ClaimHolder{ take.request(), state.clockMs, false });
+  if (isNew) {
+    state.claimAges.emplace(state.clockMs, key);
+    return Accepted(state.config.revision);
+  }
+  if (found->second.request == take.request()) {
+    return Accepted(state.config.revision); // the same one, sent again
+  }
+  Result result =
+    Refused(state.config.revision, absl::StrCat("The key was used by request ",
+                                                found->second.request, "."));
+  result.set_claim_ended(found->second.ended);
+  return result;
+}
+
+Result ApplyEndClaim(ServiceState& state, const wire::EndClaim& end)
+{
+  const ClaimKey key{ end.account(), end.key() };
+  auto found = state.claims.find(key);
+  if (found == state.claims.end() || found->second.request != end.request()) {
+    return Refused(state.config.revision,
+                   "The request does not hold this key.");
+  }
+  if (end.not_run()) {
+    state.claimAges.erase({ found->second.takenMs, key });
+    state.claims.erase(found);
+  } else {
+    found->second.ended = true;
+  }
+  return Accepted(state.config.revision);
+}
+
+Result ApplyRaiseFence(ServiceState& state, const wire::RaiseFence& raise)
+{
+  if (FindEndpoint(state.config, raise.endpoint()) == nullptr) {
+    return Refused(state.config.revision,
+                   absl::StrCat("There is no endpoint \"", raise.endpoint(),
+                                "\"; \"show endpoints\" lists them."));
+  }
+  Result result = Accepted(state.config.revision);
+  result.set_fence(++state.fences[raise.endpoint()]);
+  return result;
+}
+
+/** Changes by operators: each id runs once and gets one answer. */
+Result ApplyOnce(ServiceState& state, const wire::Change& change)
+{
+  const std::optional<ChangeId> id = ParseChangeId(change.id());
+  if (!id) {
+    return Refused(state.config.revision,
+                   "The change has no id of the form <ms>-<text>.");
+  }
+  auto found = state.remembered.find(*id);
+  if (found != state.remembered.end()) {
+    return found->second;
+  }
+  if (id->ms <= state.forgottenMs) {
+    return Refused(state.config.revision,
+                   "The change's id is older than what is remembered, so it "
+                   "may have run; look at the state and make it anew.");
+  }
+  const Result result = change.has_raise_fence()
+                          ? ApplyRaiseFence(state, change.raise_fence())
+                          : ApplyRevised(state, change);
+  Remember(state, *id, result);
+  return result;
+}
+
+} // namespace
+
+std::string MakeChangeId()
+{
+  absl::BitGen random;
+  return absl::StrFormat("%d-%016x", absl::ToUnixMillis(absl::Now()),
+                         absl::Uniform<std::uint64_t>(random));
+}
+
+wire::ChangeResult ApplyChange(ServiceState& state, const wire::Change& change)
+{
+  if (change.has_take_claim()) {
+    return ApplyTakeClaim(state, change.take_claim());
+  }
+  if (change.has_end_claim()) {
+    return ApplyEndClaim(state, change.end_claim());
+  }
+  return ApplyOnce(state, change);
+}
+
+bool ChangesSince(const ServiceState& state, std::uint64_t revision,
+                  wire::FollowReply& reply)
+{
+  const bool reachable = revision != 0 && !state.recent.empty() &&
+                         state.recent.front().revision <= revision + 1;
+  if (!reachable) {
+    return false;
+  }
+  for (const RevisedChange& revised : state.recent) {
+    if (revised.revision > revision) {
+      *reply.add_changes() = revised.change;
+    }
+  }
+  return true;
+}
+
+std::string SaveState(const ServiceState& state)
+{
+  wire::StateImage image;
+  image.set_toml(PrintConfig(state.config));
+  image.set_revision(state.config.revision);
+  image.set_clock_ms(state.clockMs);
+  image.set_forgotten_ms(state.forgottenMs);
+  for (const auto& [id, result] : state.remembered) {
+    wire::RememberedChange& out = *image.add_remembered();
+    out.set_id_ms(id.ms);
+    out.set_id(id.text);
+    *out.mutable_result() = result;
+  }
+  for (const RevisedChange& revised : state.recent) {
+    wire::RevisedChange& out = *image.add_recent();
+    out.set_revision(revised.revision);
+    *out.mutable_change() = revised.change;
+  }
+  for (const auto& [key, holder] : state.claims) {
+    wire::Claim& out = *image.add_claims();
+    out.set_account(key.account);
+    out.set_key(key.key);
+    out.set_request(holder.request);
+    out.set_taken_ms(holder.takenMs);
+    out.set_ended(holder.ended);
+  }
+  for (const auto& [endpoint, value] : state.fences) {
+    wire::Fence& out = *image.add_fences();
+    out.set_endpoint(endpoint);
+    out.set_value(value);
+  }
+  return image.SerializeAsString();
+}
+
+Outcome<ServiceState> LoadState(absl::string_view bytes)
+{
+  wire::StateImage image;
+  if (!image.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+    return Error{ "The snapshot's state can't be parsed." };
+  }
+  Outcome<Config> config = ReadConfig(image.toml());
+  if (!Succeeded(config)) {
+    return Error{ Message(config) };
+  }
+  ServiceState state;
+  state.config = std::move(Value(config));
+  state.config.revision = image.revision();
+  state.clockMs = image.clock_ms();
+  state.forgottenMs = image.forgotten_ms();
+  for (const wire::RememberedChange& in : image.remembered()) {
+    state.remembered[{ in.id_ms(), in.id() }] = in.result();
+  }
+  for (const wire::RevisedChange& in : image.recent()) {
+    state.recent.push_back({ in.revision(), in.change() });
+  }
+  for (const wire::Claim& in : image.claims()) {
+    const ClaimKey key{ in.account(), in.key() };
+    state.claims[key] = { in.request(), in.taken_ms(), in.ended() };
+    state.claimAges.emplace(in.taken_ms(), key);
+  }
+  for (const wire::Fence& in : image.fences()) {
+    state.fences[in.endpoint()] = in.value();
+  }
+  return state;
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Decision/wgAdmission.cxx
@@ -0,0 +1,90 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgAdmission.h"
+
+#include <algorithm>
+
+#include "absl/random/distributions.h"
+
+namespace wg {
+namespace {
+
+constexpr absl::Duration ShortestRetryAfter = absl::Milliseconds(200);
+constexpr absl::Duration NoEndpointRetryAfter = absl::Seconds(2);
+constexpr double BurstSeconds = 1.0;
+
+} // namespace
+
+double ExpectedRequestSeconds(absl::Span<const StageOutlook> stages)
+{
+  double at = 0.0;
+  for (const StageOutlook& stage : stages) {
+    const double places = std::max(stage.places, 0.1);
+    const double clear = stage.ahead * stage.serviceSeconds / places;
+    // What is ahead drains while the request passes the earlier stages. A
+    // place becomes free when all but `places` of it are done.
+    const double start = std::max(at, clear - stage.serviceSeconds);
+    at = start + stage.serviceSeconds;
+  }
+  return at;
+}
+
+double ServiceSeconds(absl::Span<const StageOutlook> stages)
+{
+  double sum = 0.0;
+  for (const StageOutlook& stage : stages) {
+    sum += stage.serviceSeconds;
+  }
+  return sum;
+}
+
+Admission AdmitByDeadline(absl::Span<const StageOutlook> stages,
+                          absl::Duration timeLeft, absl::BitGenRef random)
+{
+  for (const StageOutlook& stage : stages) {
+    if (!stage.anyEndpoint) {
+      return { Reason::NoEndpoint,
+               SpreadRetryAfter(NoEndpointRetryAfter, random), 0.0 };
+    }
+  }
+  const double finish = ExpectedRequestSeconds(stages);
+  const absl::Duration over = absl::Seconds(finish) - timeLeft;
+  if (over <= absl::ZeroDuration()) {
+    return { Reason::None, absl::ZeroDuration(), finish };
+  }
+  return { Reason::DeadlineUnreachable, SpreadRetryAfter(over, random),
+           finish };
+}
+
+Admission AdmitByLimits(AccountUse& use, const AccountLimits& limits,
+                        Elapsed now, absl::BitGenRef random)
+{
+  const int running = use.running + limits.runningElsewhere;
+  if (limits.concurrency > 0 && running >= limits.concurrency) {
+    return { Reason::AccountConcurrency,
+             SpreadRetryAfter(ShortestRetryAfter, random), 0.0 };
+  }
+  if (limits.ratePerSecond > 0) {
+    const double rate = limits.ratePerSecond / std::max(1, limits.boxes);
+    const double cap = std::max(1.0, rate * BurstSeconds);
+    const double gained = absl::ToDoubleSeconds(now - use.refilled) * rate;
+    use.tokens = std::min(cap, use.tokens + gained);
+    use.refilled = now;
+    if (use.tokens < 1.0) {
+      return {
+        Reason::AccountRate,
+        SpreadRetryAfter(absl::Seconds((1.0 - use.tokens) / rate), random), 0.0
+      };
+    }
+    use.tokens -= 1.0;
+  }
+  ++use.running;
+  return {};
+}
+
+absl::Duration SpreadRetryAfter(absl::Duration least, absl::BitGenRef random)
+{
+  const absl::Duration base = std::max(least, ShortestRetryAfter);
+  return base + base * absl::Uniform(random, 0.0, 1.0);
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Decision/wgEndpointState.cxx
@@ -0,0 +1,171 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgEndpointState.h"
+
+#include <algorithm>
+
+namespace wg {
+namespace {
+
+constexpr double FailureGain = 0.15;
+constexpr double EjectFailureShare = 0.5;
+constexpr int EjectFailuresInRow = 3;
+constexpr int MinSamples = 6;
+constexpr double EjectSlowness = 4.0; // times the median of its peers
+constexpr double MaxEjectedShare = 0.5;
+constexpr int ProbesToPass = 3;
+constexpr int MaxBackoffDoublings = 5;
+constexpr absl::Duration FirstEjection = absl::Seconds(1);
+constexpr double LimitDecrease = 0.7;
+constexpr double LimitSlowness = 3.0; // times the best mean
+
+/** The median of the peers' mean service times; 0 with too few of them. */
+double MedianOfPeers(absl::Span<const EndpointState> group, std::size_t self)
+{
+  std::vector<double> means;
+  for (std::size_t i = 0; i < group.size(); ++i) {
+    if (i != self && group[i].service.samples >= MinSamples) {
+      means.push_back(group[i].service.mean);
+    }
+  }
+  if (means.empty()) {
+    return 0.0;
+  }
+  const auto middle =
+    means.begin() + static_cast<std::ptrdiff_t>(means.size() / 2);
+  std::nth_element(means.begin(), middle, means.end());
+  return *middle;
+}
+
+bool MayEjectOneMore(absl::Span<const EndpointState> group)
+{
+  const auto ejected = std::count_if(
+    group.begin(), group.end(), [](const EndpointState& endpoint) {
+      return endpoint.health.state != HealthState::Healthy;
+    });
+  return static_cast<double>(ejected + 1) <=
+         MaxEjectedShare * static_cast<double>(group.size());
+}
+
+void Eject(EndpointState& endpoint, Elapsed now)
+{
+  EndpointHealth& health = endpoint.health;
+  const int doublings = std::min(health.ejections, MaxBackoffDoublings);
+  health.state = HealthState::Ejected;
+  health.ejectedUntil = now + FirstEjection * (1 << doublings);
+  ++health.ejections;
+  health.probesPassed = 0;
+}
+
+bool IsBad(absl::Span<const EndpointState> group, std::size_t index)
+{
+  const EndpointState& endpoint = group[index];
+  if (endpoint.health.failuresInRow >= EjectFailuresInRow) {
+    return true;
+  }
+  if (endpoint.health.samples < MinSamples) {
+    return false;
+  }
+  const double median = MedianOfPeers(group, index);
+  const bool slow =
+    median > 0.0 && endpoint.service.mean > EjectSlowness * median;
+  return slow || endpoint.health.failureShare > EjectFailureShare;
+}
+
+void NoteLimit(EndpointState& endpoint, bool good)
+{
+  AdaptiveLimit& limit = endpoint.limit;
+  const double mean = endpoint.service.mean;
+  if (endpoint.service.samples >= MinSamples) {
+    limit.best = limit.best == 0.0 ? mean : std::min(limit.best, mean);
+  }
+  const bool congested = limit.best > 0.0 && mean > LimitSlowness * limit.best;
+  if (!good) {
+    limit.value *= LimitDecrease;
+  } else if (!congested) {
+    limit.value += 1.0 / std::max(1.0, limit.value);
+  }
+  limit.value =
+    std::clamp(limit.value, 1.0, static_cast<double>(endpoint.slots));
+}
+
+bool NoteProbe(EndpointState& endpoint, bool good, Elapsed now)
+{
+  if (!good) {
+    Eject(endpoint, now);
+    return true;
+  }
+  if (++endpoint.health.probesPassed < ProbesToPass) {
+    return false;
+  }
+  endpoint.health = {};
+  endpoint.limit.value = 1.0;
+  return true;
+}
+
+} // namespace
+
+bool IsLeaving(const EndpointState& endpoint)
+{
+  return endpoint.listedLeaving || endpoint.saysLeaving || endpoint.removed;
+}
+
+bool TakesNewWork(const EndpointState& endpoint)
+{
+  return !endpoint.drained && !IsLeaving(endpoint) &&
+         endpoint.health.state != HealthState::Ejected;
+}
+
+bool HasPlace(const EndpointState& endpoint)
+{
+  if (!TakesNewWork(endpoint)) {
+    return false;
+  }
+  if (endpoint.health.state == HealthState::Probing) {
+    return endpoint.running == 0;
+  }
+  return endpoint.running < static_cast<int>(endpoint.limit.value);
+}
+
+bool NoteAttemptEnd(absl::Span<EndpointState> group, std::size_t index,
+                    AttemptEnd end, double seconds, Elapsed now)
+{
+  EndpointState& endpoint = group[index];
+  --endpoint.running;
+  if (end == AttemptEnd::Cancelled) {
+    return false;
+  }
+  const bool good = end == AttemptEnd::Answered;
+  EndpointHealth& health = endpoint.health;
+  ++health.samples;
+  health.failureShare +=
+    FailureGain * ((good ? 0.0 : 1.0) - health.failureShare);
+  health.failuresInRow = good ? 0 : health.failuresInRow + 1;
+  if (good) {
+    Observe(endpoint.service, seconds);
+  }
+  NoteLimit(endpoint, good);
+  if (health.state == HealthState::Probing) {
+    return NoteProbe(endpoint, good, now);
+  }
+  const bool eject = health.state == HealthState::Healthy &&
+                     IsBad(group, index) && MayEjectOneMore(group);
+  if (eject) {
+    Eject(endpoint, now);
+  }
+  return eject;
+}
+
+void StartProbes(absl::Span<EndpointState> group, Elapsed now)
+{
+  for (EndpointState& endpoint : group) {
+    const bool due = endpoint.health.state == HealthState::Ejected &&
+                     now >= endpoint.health.ejectedUntil;
+    if (due) {
+      endpoint.health.state = HealthState::Probing;
+      endpoint.health.failuresInRow = 0;
+      endpoint.service = {}; // what it was like before is no guide
+    }
+  }
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Decision/wgFairQueue.cxx
@@ -0,0 +1,167 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgFairQueue.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wg {
+namespace {
+
+/** One step of priority counts as much as this much less time left. It is
+ * bounded, so that waiting always overtakes priority in the end.
+ */
+constexpr absl::Duration PriorityStep = absl::Milliseconds(500);
+constexpr double MinWeight = 1e-6;
+
+WaitingKey KeyOf(const WaitingStage& stage)
+{
+  return { stage.deadline - stage.priority * PriorityStep, stage.ticket };
+}
+
+void LeaveTurn(FairQueue& queue, const std::string& account,
+               const AccountQueue& entry)
+{
+  queue.turn.erase({ entry.startTag, account });
+}
+
+void EnterTurn(FairQueue& queue, const std::string& account,
+               const AccountQueue& entry)
+{
+  if (!entry.waiting.empty()) {
+    queue.turn.insert({ entry.startTag, account });
+  }
+}
+
+/** An account that neither waits nor runs, nor owes, is forgotten. */
+void ForgetIfIdle(FairQueue& queue, const std::string& account)
+{
+  auto found = queue.accounts.find(account);
+  const bool idle =
+    found != queue.accounts.end() && found->second.waiting.empty() &&
+    found->second.running == 0 && found->second.startTag <= queue.virtualTime;
+  if (idle) {
+    queue.accounts.erase(found);
+  }
+}
+
+WaitingStage TakeOut(FairQueue& queue, AccountQueue& entry,
+                     absl::btree_map<WaitingKey, WaitingStage>::iterator at)
+{
+  WaitingStage stage = std::move(at->second);
+  entry.waiting.erase(at);
+  --queue.count;
+  queue.bytes -= stage.bytes;
+  return stage;
+}
+
+} // namespace
+
+Reason Push(FairQueue& queue, WaitingStage stage)
+{
+  if (queue.count + 1 > queue.limits.count) {
+    return Reason::QueueFull;
+  }
+  if (queue.bytes + stage.bytes > queue.limits.bytes) {
+    return Reason::QueueBytes;
+  }
+  const std::string account = stage.account;
+  AccountQueue& entry = queue.accounts[account];
+  LeaveTurn(queue, account, entry);
+  entry.weight = std::max(stage.weight, MinWeight);
+  if (entry.waiting.empty()) {
+    entry.startTag = std::max(entry.startTag, queue.virtualTime);
+  }
+  ++queue.count;
+  queue.bytes += stage.bytes;
+  entry.waiting.emplace(KeyOf(stage), std::move(stage));
+  EnterTurn(queue, account, entry);
+  return Reason::None;
+}
+
+std::optional<WaitingStage> PopNext(FairQueue& queue, const MayStart& mayStart)
+{
+  for (const TurnKey& key : queue.turn) {
+    AccountQueue& entry = queue.accounts[key.account];
+    if (!mayStart(key.account, entry.running)) {
+      continue;
+    }
+    const std::string account = key.account;
+    queue.virtualTime = std::max(queue.virtualTime, entry.startTag);
+    LeaveTurn(queue, account, entry);
+    WaitingStage stage = TakeOut(queue, entry, entry.waiting.begin());
+    entry.startTag += stage.expectedCost / entry.weight;
+    ++entry.running;
+    EnterTurn(queue, account, entry);
+    return stage;
+  }
+  return std::nullopt;
+}
+
+bool Remove(FairQueue& queue, const std::string& account, std::uint64_t ticket)
+{
+  auto found = queue.accounts.find(account);
+  if (found == queue.accounts.end()) {
+    return false;
+  }
+  AccountQueue& entry = found->second;
+  auto at = std::find_if(
+    entry.waiting.begin(), entry.waiting.end(),
+    [ticket](const auto& item) { return item.second.ticket == ticket; });
+  if (at == entry.waiting.end()) {
+    return false;
+  }
+  LeaveTurn(queue, account, entry);
+  TakeOut(queue, entry, at);
+  EnterTurn(queue, account, entry);
+  ForgetIfIdle(queue, account);
+  return true;
+}
+
+std::vector<WaitingStage> TakeHopeless(FairQueue& queue, Elapsed now)
+{
+  std::vector<WaitingStage> hopeless;
+  std::vector<std::string> touched;
+  for (const TurnKey& key : queue.turn) {
+    AccountQueue& entry = queue.accounts[key.account];
+    for (auto at = entry.waiting.begin(); at != entry.waiting.end();) {
+      if (at->second.latestStart >= now) {
+        ++at;
+        continue;
+      }
+      const WaitingKey position = at->first;
+      hopeless.push_back(TakeOut(queue, entry, at));
+      at = entry.waiting.upper_bound(position);
+    }
+    if (entry.waiting.empty()) {
+      touched.push_back(key.account);
+    }
+  }
+  for (const std::string& account : touched) {
+    LeaveTurn(queue, account, queue.accounts[account]);
+    ForgetIfIdle(queue, account);
+  }
+  return hopeless;
+}
+
+void Settle(FairQueue& queue, const std::string& account, double expectedCost,
+            double actualCost)
+{
+  auto found = queue.accounts.find(account);
+  if (found == queue.accounts.end()) {
+    return;
+  }
+  AccountQueue& entry = found->second;
+  LeaveTurn(queue, account, entry);
+  entry.startTag += (actualCost - expectedCost) / entry.weight;
+  --entry.running;
+  EnterTurn(queue, account, entry);
+  ForgetIfIdle(queue, account);
+}
+
+std::size_t CountWaiting(const FairQueue& queue, const std::string& account)
+{
+  auto found = queue.accounts.find(account);
+  return found == queue.accounts.end() ? 0 : found->second.waiting.size();
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Membership/wgMembership.cxx
@@ -0,0 +1,137 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgMembership.h"
+
+#include <algorithm>
+#include <set>
+
+#include "absl/random/distributions.h"
+
+namespace wg {
+namespace {
+
+/** Moves a random choice of `count` items to the front. */
+template <class Item>
+void ChooseRandom(std::vector<Item>& items, std::size_t count,
+                  absl::BitGenRef random)
+{
+  for (std::size_t i = 0; i < std::min(count, items.size()); ++i) {
+    const auto other = absl::Uniform<std::size_t>(random, i, items.size());
+    std::swap(items[i], items[other]);
+  }
+  items.resize(std::min(count, items.size()));
+}
+
+bool IsNewer(const wire::Member& a, const wire::Member& b)
+{
+  if (a.incarnation() != b.incarnation()) {
+    return a.incarnation() > b.incarnation();
+  }
+  return a.beat() > b.beat();
+}
+
+void ForgetOld(Membership& membership, Elapsed now)
+{
+  for (auto it = membership.others.begin(); it != membership.others.end();) {
+    const bool old = now - it->second.heard > membership.timing.forgetAfter;
+    it = old ? membership.others.erase(it) : std::next(it);
+  }
+}
+
+/** Ourselves first, then the members that were heard of last. */
+wire::Gossip MakeGossip(const Membership& membership)
+{
+  std::vector<const KnownMember*> newest;
+  for (const auto& [box, known] : membership.others) {
+    newest.push_back(&known);
+  }
+  std::sort(newest.begin(), newest.end(),
+            [](const KnownMember* a, const KnownMember* b) {
+              return a->heard > b->heard;
+            });
+  wire::Gossip gossip;
+  *gossip.add_members() = membership.self;
+  for (const KnownMember* known : newest) {
+    const auto size = static_cast<std::size_t>(gossip.members_size());
+    if (size >= membership.timing.maxMembers) {
+      break;
+    }
+    *gossip.add_members() = known->member;
+  }
+  return gossip;
+}
+
+std::vector<std::string> ChooseTargets(const Membership& membership,
+                                       Elapsed now, absl::BitGenRef random)
+{
+  std::vector<std::string> targets;
+  std::set<std::string> known;
+  for (const auto& [box, member] : membership.others) {
+    known.insert(member.member.address());
+    if (IsAlive(membership, member, now)) {
+      targets.push_back(member.member.address());
+    }
+  }
+  ChooseRandom(targets, membership.timing.fanout, random);
+  // A seed that is not alive may have come back: ask one of them each time.
+  std::vector<std::string> silent;
+  for (const std::string& seed : membership.seeds) {
+    const bool chosen =
+      std::find(targets.begin(), targets.end(), seed) != targets.end();
+    if (!chosen && seed != membership.self.address()) {
+      silent.push_back(seed);
+    }
+  }
+  ChooseRandom(silent, 1, random);
+  targets.insert(targets.end(), silent.begin(), silent.end());
+  return targets;
+}
+
+} // namespace
+
+std::vector<GossipMessage> NextGossip(Membership& membership, Elapsed now,
+                                      absl::BitGenRef random)
+{
+  membership.self.set_beat(membership.self.beat() + 1);
+  ForgetOld(membership, now);
+  const wire::Gossip gossip = MakeGossip(membership);
+  std::vector<GossipMessage> messages;
+  for (std::string& target : ChooseTargets(membership, now, random)) {
+    messages.push_back({ std::move(target), gossip });
+  }
+  return messages;
+}
+
+void MergeGossip(Membership& membership, const wire::Gossip& gossip,
+                 Elapsed now)
+{
+  for (const wire::Member& member : gossip.members()) {
+    if (member.box() == membership.self.box() || member.box().empty()) {
+      continue;
+    }
+    auto [known, isNew] =
+      membership.others.try_emplace(member.box(), KnownMember{ member, now });
+    if (!isNew && IsNewer(member, known->second.member)) {
+      known->second = { member, now };
+    }
+  }
+}
+
+bool IsAlive(const Membership& membership, const KnownMember& member,
+             Elapsed now)
+{
+  return now - member.heard <= membership.timing.suspectAfter;
+}
+
+std::vector<const KnownMember*> AliveMembers(const Membership& membership,
+                                             Elapsed now)
+{
+  std::vector<const KnownMember*> alive;
+  for (const auto& [box, known] : membership.others) {
+    if (IsAlive(membership, known, now) && !known.member.leaving()) {
+      alive.push_back(&known);
+    }
+  }
+  return alive;
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Storage/wgRecord.cxx
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgRecord.h"
+
+#include <cstring>
+#include <optional>
+
+#include <xxhash.h>
+
+#include "absl/strings/str_cat.h"
+
+namespace wg {
+namespace {
+
+constexpr std::uint32_t Magic = 0x31526757; // "WgR1"
+constexpr std::size_t HeaderBytes = 4 + 1 + 4 + 8;
+constexpr std::size_t MaxPayload = 1U << 30U;
+
+template <class T>
+void Put(T value, std::string& bytes)
+{
+  for (std::size_t i = 0; i < sizeof(T); ++i) {
+    bytes.push_back(static_cast<char>((value >> (8 * i)) & 0xFF));
+  }
+}
+
+template <class T>
+T Get(absl::string_view bytes, std::size_t at)
+{
+  T value = 0;
+  for (std::size_t i = 0; i < sizeof(T); ++i) {
+    value |= static_cast<T>(static_cast<unsigned char>(bytes[at + i]))
+             << (8 * i);
+  }
+  return value;
+}
+
+std::uint64_t Checksum(RecordType type, absl::string_view payload)
+{
+  return XXH64(payload.data(), payload.size(),
+               static_cast<std::uint64_t>(type));
+}
+
+/** The size of the sound record at an offset, or nothing. */
+std::optional<std::size_t> SoundRecordAt(absl::string_view bytes,
+                                         std::size_t at)
+{
+  if (bytes.size() - at < HeaderBytes ||
+      Get<std::uint32_t>(bytes, at) != Magic) {
+    return std::nullopt;
+  }
+  const auto type = static_cast<RecordType>(bytes[at + 4]);
+  const std::size_t length = Get<std::uint32_t>(bytes, at + 5);
+  const bool fits =
+    length <= MaxPayload && bytes.size() - at - HeaderBytes >= length;
+  if (!fits) {
+    return std::nullopt;
+  }
+  const absl::string_view payload = bytes.substr(at + HeaderBytes, length);
+  if (Get<std::uint64_t>(bytes, at + 9) != Checksum(type, payload)) {
+    return std::nullopt;
+  }
+  return HeaderBytes + length;
+}
+
+bool AnySoundRecordAfter(absl::string_view bytes, std::size_t at)
+{
+  for (std::size_t i = at + 1; i + HeaderBytes <= bytes.size(); ++i) {
+    if (SoundRecordAt(bytes, i)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+void AppendRecord(RecordType type, absl::string_view payload,
+                  std::string& bytes)
+{
+  Put(Magic, bytes);
+  bytes.push_back(static_cast<char>(type));
+  Put(static_cast<std::uint32_t>(payload.size()), bytes);
+  Put(Checksum(type, payload), bytes);
+  bytes.append(payload.data(), payload.size());
+}
+
+Outcome<RecordsRead> ReadRecords(absl::string_view bytes)
+{
+  RecordsRead read;
+  while (read.soundBytes < bytes.size()) {
+    const auto size = SoundRecordAt(bytes, read.soundBytes);
+    if (!size) {
+      break;
+    }
+    const std::size_t at = read.soundBytes;
+    read.records.push_back(
+      { static_cast<RecordType>(bytes[at + 4]),
+        std::string(bytes.substr(at + HeaderBytes, *size - HeaderBytes)) });
+    read.soundBytes += *size;
+  }
+  if (read.soundBytes < bytes.size() &&
+      AnySoundRecordAfter(bytes, read.soundBytes)) {
+    return Error{ absl::StrCat("The record at byte ", read.soundBytes,
+                               " is damaged, and sound ones follow it.") };
+  }
+  return read;
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Storage/wgReplicaStore.cxx
@@ -0,0 +1,389 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgReplicaStore.h"
+
+#include <array>
+#include <cstdio>
+#include <cstring>
+#include <filesystem>
+
+#include <fcntl.h>
+#include <sys/file.h>
+#include <unistd.h>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+
+#include "wgRecord.h"
+
+namespace wg {
+namespace {
+
+constexpr int FormatVersion = 1;
+constexpr int FileMode = 0600;
+constexpr const char* LogName = "log";
+constexpr const char* SnapshotName = "snapshot";
+constexpr const char* IdentityName = "identity";
+constexpr const char* SyncedName = "synced";
+constexpr const char* LockName = "lock";
+
+std::string Path(const std::string& folder, const char* name)
+{
+  return absl::StrCat(folder, "/", name);
+}
+
+/** The log's header: version, generation, base index and base term. */
+std::string HeaderPayload(std::uint64_t generation, const ReplicaLog& log)
+{
+  return absl::StrCat(FormatVersion, " ", generation, " ", log.BaseIndex(),
+                      " ", log.BaseTerm());
+}
+
+struct LogHeader
+{
+  int version = 0;
+  std::uint64_t generation = 0;
+  std::uint64_t baseIndex = 0;
+  std::uint64_t baseTerm = 0;
+};
+
+bool ParseHeader(const std::string& payload, LogHeader& header)
+{
+  const std::vector<std::string> words = absl::StrSplit(payload, ' ');
+  return words.size() == 4 && absl::SimpleAtoi(words[0], &header.version) &&
+         header.version == FormatVersion &&
+         absl::SimpleAtoi(words[1], &header.generation) &&
+         absl::SimpleAtoi(words[2], &header.baseIndex) &&
+         absl::SimpleAtoi(words[3], &header.baseTerm);
+}
+
+/** Applies one record of the log to the replica. */
+bool LoadRecord(const Record& record, Replica& replica)
+{
+  if (record.type == RecordType::HardState) {
+    return replica.hard.ParseFromString(record.payload);
+  }
+  if (record.type == RecordType::Truncate) {
+    std::uint64_t from = 0;
+    const bool sound = absl::SimpleAtoi(record.payload, &from);
+    replica.log.TruncateFrom(from);
+    return sound;
+  }
+  wire::LogEntry entry;
+  const bool sound = record.type == RecordType::Entry &&
+                     entry.ParseFromString(record.payload) &&
+                     entry.index() == replica.log.LastIndex() + 1;
+  if (sound) {
+    replica.log.Append(std::move(entry));
+  }
+  return sound;
+}
+
+std::string RecordsOf(const ReplicaActions& actions,
+                      const wire::HardState& hard)
+{
+  std::string bytes;
+  if (actions.truncateFrom) {
+    AppendRecord(RecordType::Truncate, absl::StrCat(*actions.truncateFrom),
+                 bytes);
+  }
+  for (const wire::LogEntry& entry : actions.append) {
+    AppendRecord(RecordType::Entry, entry.SerializeAsString(), bytes);
+  }
+  if (actions.saveHardState) {
+    AppendRecord(RecordType::HardState, hard.SerializeAsString(), bytes);
+  }
+  return bytes;
+}
+
+} // namespace
+
+ReplicaStore::ReplicaStore(FileOperations& files, std::string folder)
+  : files_(files)
+  , folder_(std::move(folder))
+{
+}
+
+Outcome<std::unique_ptr<ReplicaStore>> ReplicaStore::Open(
+  FileOperations& files, const std::string& folder, std::uint64_t newIdentity,
+  Replica& replica)
+{
+  std::unique_ptr<ReplicaStore> store(new ReplicaStore(files, folder));
+  if (auto locked = store->Lock(); !Succeeded(locked)) {
+    return Error{ Message(locked) };
+  }
+  const bool fresh = !std::filesystem::exists(Path(folder, IdentityName)) &&
+                     !std::filesystem::exists(Path(folder, LogName)) &&
+                     !std::filesystem::exists(Path(folder, SnapshotName));
+  Outcome<Done> loaded = Done{};
+  if (!fresh) {
+    Replica found = replica;
+    loaded = store->Load(found);
+    if (Succeeded(loaded)) {
+      replica = std::move(found);
+      return store;
+    }
+    store->damage_ = Message(loaded);
+    store->SetAside();
+  }
+  store->state_ = fresh ? FolderState::Fresh : FolderState::Damaged;
+  if (auto made = store->StartAnew(newIdentity, replica); !Succeeded(made)) {
+    return Error{ Message(made) };
+  }
+  return store;
+}
+
+Outcome<Done> ReplicaStore::Lock()
+{
+  std::error_code ignored;
+  std::filesystem::create_directories(folder_, ignored);
+  lock_ = FileDescriptor(::open(Path(folder_, LockName).c_str(),
+                                O_RDWR | O_CREAT | O_CLOEXEC, FileMode));
+  if (!lock_.IsOpen()) {
+    return Error{ absl::StrCat("Cannot write in the data folder ", folder_,
+                               "; check that it exists and its rights.") };
+  }
+  if (::flock(lock_.Get(), LOCK_EX | LOCK_NB) != 0) {
+    return Error{ absl::StrCat("Another process uses the data folder ",
+                               folder_, "; stop it first.") };
+  }
+  return Done{};
+}
+
+Outcome<Done> ReplicaStore::Load(Replica& replica)
+{
+  if (auto identity = LoadIdentity(replica); !Succeeded(identity)) {
+    return identity;
+  }
+  if (auto snapshot = LoadSnapshot(replica); !Succeeded(snapshot)) {
+    return snapshot;
+  }
+  return LoadLog(replica);
+}
+
+Outcome<Done> ReplicaStore::LoadIdentity(Replica& replica)
+{
+  Outcome<std::string> bytes = ReadWholeFile(Path(folder_, IdentityName));
+  if (!Succeeded(bytes)) {
+    return Error{ Message(bytes) };
+  }
+  auto read = ReadRecords(Value(bytes));
+  const bool sound = Succeeded(read) && Value(read).records.size() == 1 &&
+                     Value(read).soundBytes == Value(bytes).size();
+  wire::JoinRequest identity;
+  if (!sound || !identity.ParseFromString(Value(read).records[0].payload)) {
+    return Error{ "The identity file is damaged." };
+  }
+  replica.self.set_id(identity.who().id());
+  replica.cluster = identity.cluster();
+  return Done{};
+}
+
+Outcome<Done> ReplicaStore::LoadSnapshot(Replica& replica)
+{
+  if (!std::filesystem::exists(Path(folder_, SnapshotName))) {
+    return Done{};
+  }
+  Outcome<std::string> bytes = ReadWholeFile(Path(folder_, SnapshotName));
+  if (!Succeeded(bytes)) {
+    return Error{ Message(bytes) };
+  }
+  auto read = ReadRecords(Value(bytes));
+  const bool sound = Succeeded(read) && Value(read).records.size() == 1 &&
+                     Value(read).soundBytes == Value(bytes).size();
+  if (!sound ||
+      !replica.snapshot.ParseFromString(Value(read).records[0].payload)) {
+    return Error{ "The snapshot file is damaged." };
+  }
+  return Done{};
+}
+
+Outcome<Done> ReplicaStore::LoadLog(Replica& replica)
+{
+  Outcome<std::string> bytes = ReadWholeFile(Path(folder_, LogName));
+  if (!Succeeded(bytes)) {
+    return Error{ Message(bytes) };
+  }
+  auto read = ReadRecords(Value(bytes));
+  if (!Succeeded(read)) {
+    return Error{ Message(read) };
+  }
+  const std::vector<Record>& records = Value(read).records;
+  LogHeader header;
+  if (records.empty() || records[0].type != RecordType::Header ||
+      !ParseHeader(records[0].payload, header)) {
+    return Error{ "The log has no sound header of this format." };
+  }
+  generation_ = header.generation;
+  replica.log.Reset(header.baseIndex, header.baseTerm);
+  for (std::size_t i = 1; i < records.size(); ++i) {
+    if (!LoadRecord(records[i], replica)) {
+      return Error{ absl::StrCat("Record ", i, " of the log is not sound.") };
+    }
+  }
+  if (auto marked = CheckSyncedMark(Value(read).soundBytes);
+      !Succeeded(marked)) {
+    return marked;
+  }
+  const std::uint64_t snapshotIndex = replica.snapshot.index();
+  if (header.baseIndex > snapshotIndex) {
+    return Error{ "The snapshot that the log starts from is missing." };
+  }
+  if (replica.log.TermAt(snapshotIndex) != replica.snapshot.term()) {
+    // The process ended between writing an installed snapshot and its log.
+    replica.log.Reset(snapshotIndex, replica.snapshot.term());
+    return RewriteLog(replica);
+  }
+  return OpenLog(Value(read).soundBytes);
+}
+
+Outcome<Done> ReplicaStore::CheckSyncedMark(std::size_t soundBytes)
+{
+  Outcome<std::string> text = ReadWholeFile(Path(folder_, SyncedName));
+  if (!Succeeded(text)) {
+    return Done{}; // it lags behind the log and may be missing
+  }
+  const std::vector<std::string> words =
+    absl::StrSplit(Value(text), ' ', absl::SkipWhitespace());
+  std::uint64_t generation = 0;
+  std::uint64_t synced = 0;
+  const bool applies =
+    words.size() >= 2 && absl::SimpleAtoi(words[0], &generation) &&
+    absl::SimpleAtoi(words[1], &synced) && generation == generation_;
+  if (applies && soundBytes < synced) {
+    return Error{ absl::StrCat("The log has ", soundBytes,
+                               " sound bytes where ", synced,
+                               " were synced.") };
+  }
+  return Done{};
+}
+
+Outcome<Done> ReplicaStore::StartAnew(std::uint64_t identity, Replica& replica)
+{
+  replica.self.set_id(identity);
+  replica.cluster.clear();
+  if (auto named = SetCluster(replica); !Succeeded(named)) {
+    return named;
+  }
+  return RewriteLog(replica);
+}
+
+void ReplicaStore::SetAside()
+{
+  std::error_code ignored;
+  for (const char* name :
+       { LogName, SnapshotName, IdentityName, SyncedName }) {
+    const std::string path = Path(folder_, name);
+    std::filesystem::rename(path, path + ".damaged", ignored);
+  }
+}
+
+Outcome<Done> ReplicaStore::SetCluster(const Replica& replica)
+{
+  wire::JoinRequest identity;
+  *identity.mutable_who() = replica.self;
+  identity.set_cluster(replica.cluster);
+  std::string bytes;
+  AppendRecord(RecordType::Identity, identity.SerializeAsString(), bytes);
+  return ReplaceFile(files_, folder_, IdentityName, bytes);
+}
+
+Outcome<Done> ReplicaStore::Write(const Replica& replica,
+                                  const ReplicaActions& actions)
+{
+  if (broken_) {
+    return Error{ "An earlier sync of the log failed; the process must be "
+                  "started again before it can write." };
+  }
+  if (actions.install) {
+    return SaveSnapshot(replica);
+  }
+  const std::string bytes = RecordsOf(actions, replica.hard);
+  std::size_t done = 0;
+  while (done < bytes.size()) {
+    const long wrote =
+      files_.Write(log_.Get(), absl::string_view(bytes).substr(done));
+    if (wrote <= 0) {
+      // Take back the part that was written: it must not look like a record.
+      const auto length = static_cast<off_t>(logBytes_);
+      broken_ = ::ftruncate(log_.Get(), length) != 0;
+      return Error{ absl::StrCat("Cannot write the log in ", folder_, ": ",
+                                 std::strerror(errno),
+                                 "; free space on its disk.") };
+    }
+    done += static_cast<std::size_t>(wrote);
+  }
+  if (!files_.Sync(log_.Get())) {
+    broken_ = true; // what of it lasted can't be known
+    return Error{ absl::StrCat("Cannot sync the log in ", folder_,
+                               "; check its disk and start again.") };
+  }
+  logBytes_ += bytes.size();
+  NoteSynced();
+  return Done{};
+}
+
+Outcome<Done> ReplicaStore::SaveSnapshot(const Replica& replica)
+{
+  std::string bytes;
+  AppendRecord(RecordType::Snapshot, replica.snapshot.SerializeAsString(),
+               bytes);
+  if (auto saved = ReplaceFile(files_, folder_, SnapshotName, bytes);
+      !Succeeded(saved)) {
+    return saved;
+  }
+  return RewriteLog(replica);
+}
+
+Outcome<Done> ReplicaStore::RewriteLog(const Replica& replica)
+{
+  std::string bytes;
+  AppendRecord(RecordType::Header, HeaderPayload(generation_ + 1, replica.log),
+               bytes);
+  AppendRecord(RecordType::HardState, replica.hard.SerializeAsString(), bytes);
+  for (std::uint64_t i = replica.log.FirstIndex();
+       i <= replica.log.LastIndex(); ++i) {
+    AppendRecord(RecordType::Entry, replica.log.At(i).SerializeAsString(),
+                 bytes);
+  }
+  if (auto written = ReplaceFile(files_, folder_, LogName, bytes);
+      !Succeeded(written)) {
+    return written;
+  }
+  ++generation_;
+  return OpenLog(bytes.size());
+}
+
+Outcome<Done> ReplicaStore::OpenLog(std::size_t length)
+{
+  log_ = FileDescriptor(
+    ::open(Path(folder_, LogName).c_str(), O_WRONLY | O_APPEND | O_CLOEXEC));
+  syncedMark_ =
+    FileDescriptor(::open(Path(folder_, SyncedName).c_str(),
+                          O_WRONLY | O_CREAT | O_CLOEXEC, FileMode));
+  const bool ready =
+    log_.IsOpen() && syncedMark_.IsOpen() &&
+    ::ftruncate(log_.Get(), static_cast<off_t>(length)) == 0 &&
+    files_.Sync(log_.Get());
+  if (!ready) {
+    return Error{ absl::StrCat("Cannot open the log in ", folder_,
+                               "; check its disk.") };
+  }
+  logBytes_ = length;
+  NoteSynced();
+  return Done{};
+}
+
+void ReplicaStore::NoteSynced()
+{
+  std::array<char, 48> text{};
+  const int length =
+    std::snprintf(text.data(), text.size(), "%20llu %20llu\n",
+                  static_cast<unsigned long long>(generation_),
+                  static_cast<unsigned long long>(logBytes_));
+  // Not synced: a mark that lags is still a lower bound.
+  [[maybe_unused]] const auto wrote = ::pwrite(
+    syncedMark_.Get(), text.data(), static_cast<std::size_t>(length), 0);
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Transport/wgHttp2Session.h
@@ -0,0 +1,84 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include <nghttp2/nghttp2.h>
+
+#include "absl/strings/string_view.h"
+
+#include "wgSocket.h"
+
+namespace wg::detail {
+
+/** \brief The largest body that a peer may send, in bytes. */
+constexpr std::size_t MaxPeerBody = 64U << 20U;
+
+/** \brief What has arrived of one stream and what is still to be sent. */
+struct Http2Stream
+{
+  std::string path;
+  std::string who;
+  std::string nonce;
+  std::string signature;
+  std::string received;
+  std::string toSend;
+  std::size_t sent = 0;
+  int status = 0;
+};
+
+/** \class Http2Session
+ * \brief One connection: an nghttp2 session over a non-blocking socket.
+ */
+class Http2Session
+{
+public:
+  enum class Side
+  {
+    Client,
+    Server
+  };
+
+  /** \brief Called when a peer has ended its half, or the stream broke. */
+  class Listener
+  {
+  public:
+    virtual ~Listener() = default;
+    virtual void OnMessage(Http2Session& session, std::int32_t stream) = 0;
+    virtual void OnBroken(Http2Session& session, std::int32_t stream) = 0;
+  };
+
+  Http2Session(FileDescriptor socket, Side side, Listener& listener);
+  ~Http2Session();
+  Http2Session(const Http2Session&) = delete;
+  Http2Session& operator=(const Http2Session&) = delete;
+
+  int Socket() const { return socket_.Get(); }
+  bool WantsWrite() const;
+  /** \brief False once the connection is of no more use. */
+  bool Read();
+  bool Write();
+  Http2Stream* Find(std::int32_t stream);
+  /** \brief Starts a request; a negative number when that cannot be. */
+  std::int32_t StartRequest(absl::string_view path, absl::string_view who,
+                            absl::string_view nonce,
+                            absl::string_view signature, std::string body);
+  void StartReply(std::int32_t stream, absl::string_view signature, int status,
+                  std::string body);
+  void Cancel(std::int32_t stream);
+
+private:
+  struct Callbacks;
+  friend struct Callbacks;
+
+  FileDescriptor socket_;
+  Listener& listener_;
+  nghttp2_session* session_ = nullptr;
+  std::unordered_map<std::int32_t, Http2Stream> streams_;
+  std::string out_;
+};
+
+} // namespace wg::detail
--- /dev/null
+++ b/Source/Transport/wgPeerClient.h
@@ -0,0 +1,83 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
+
+#include "wgHttp2Session.h"
+#include "wgOutcome.h"
+
+namespace wg {
+
+/** \class PeerClient
+ * \brief Calls other weirgate processes over one connection to each.
+ */
+class PeerClient : private detail::Http2Session::Listener
+{
+public:
+  using Callback = std::function<void(Outcome<std::string> reply)>;
+
+  /** \param who the name that belongs to the key */
+  PeerClient(std::string key, absl::string_view who);
+  ~PeerClient() override;
+
+  /** \brief Calls and returns at once; the callback runs on the poll loop,
+   * exactly once, with a reply that is proved to be for this call.
+   */
+  void Call(const std::string& address, absl::string_view path,
+            std::string body, absl::Duration timeout, Callback callback);
+
+  /** \brief Calls and waits. */
+  Outcome<std::string> CallAndWait(const std::string& address,
+                                   absl::string_view path, std::string body,
+                                   absl::Duration timeout);
+
+private:
+  struct PendingCall
+  {
+    std::string address;
+    std::string path;
+    std::string body;
+    absl::Time deadline;
+    Callback callback;
+    std::string nonce;
+  };
+  struct Connection
+  {
+    std::unique_ptr<detail::Http2Session> session;
+    std::map<std::int32_t, PendingCall> calls;
+    absl::Time lastHeard;
+  };
+
+  void Run();
+  int PollTimeoutMs() const;
+  void StartCalls();
+  void StartCall(PendingCall call);
+  void ExpireCalls(absl::Time now);
+  void Drop(const std::string& address);
+  void OnMessage(detail::Http2Session& session, std::int32_t stream) override;
+  void OnBroken(detail::Http2Session& session, std::int32_t stream) override;
+  Connection* FindConnection(const detail::Http2Session& session);
+
+  std::string key_;
+  std::string who_;
+  WakeUp wakeUp_;
+  absl::Mutex mutex_;
+  std::vector<PendingCall> queued_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, Connection> connections_;
+  std::atomic<bool> stopping_{ false };
+  std::thread thread_;
+};
+
+} // namespace wg
--- /dev/null
+++ b/Utilities/Daemon/wgSettings.cxx
@@ -0,0 +1,366 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgSettings.h"
+
+#include <array>
+#include <cstdlib>
+
+#include <tclap/CmdLine.h>
+
+#include "absl/strings/ascii.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_replace.h"
+#include "absl/strings/str_split.h"
+
+extern char** environ;
+
+namespace wg {
+namespace {
+
+constexpr std::size_t MinKeyBytes = 8;
+constexpr absl::string_view EnvironmentPrefix = "WEIRGATE_";
+
+std::string EnvironmentName(const std::string& flag)
+{
+  return absl::StrCat(
+    EnvironmentPrefix,
+    absl::AsciiStrToUpper(absl::StrReplaceAll(flag, { { "-", "_" } })));
+}
+
+/** All flags of the daemon. */
+class Flags
+{
+public:
+  Flags()
+    : line_("Serves multi-stage model pipelines: one process of weirgate.",
+            ' ', WG_VERSION)
+    , role_(Text("role", "entry or control", ""))
+    , box_(Text("box", "this box's name", ""))
+    , hall_(Text("hall", "this box's hall", ""))
+    , listen_(Text("listen", "entry: IP:port for callers", ""))
+    , peer_(Text("peer", "IP:port for weirgate's own processes", ""))
+    , controls_(Text("controls",
+                     "peer addresses of all control boxes, "
+                     "separated by commas",
+                     ""))
+    , seeds_(Text("seeds",
+                  "entry: peer addresses of other entries, "
+                  "separated by commas",
+                  ""))
+    , platform_(Text("platform",
+                     "entry: IP:port of the platform's list of "
+                     "boxes",
+                     ""))
+    , data_(Text("data", "control: the data folder", ""))
+    , peerKey_(Text("peer-key",
+                    "key shared by weirgate's processes; better "
+                    "given in the environment",
+                    ""))
+    , operators_(Text("operators",
+                      "operators' keys as name=key, separated "
+                      "by commas; better given in the "
+                      "environment",
+                      ""))
+    , log_(Text("log", "text or json", "text"))
+    , voters_(Number("voters", "control: wanted voters, 1, 3 or 5", 3))
+    , compact_(Number("compact-after",
+                      "control: changes between snapshots, "
+                      "10 to 1000000",
+                      2000))
+    , connections_(Number("max-connections",
+                          "entry: callers' connections, "
+                          "1 to 4000",
+                          512))
+    , body_(Number("max-body-bytes",
+                   "entry: bytes of a request's body, 1 "
+                   "to 67108864",
+                   1 << 20))
+    , settle_(Number("settle-ms",
+                     "entry: time after a stop was asked for in "
+                     "which requests are still taken, 0 to "
+                     "600000",
+                     3000))
+    , stopLimit_(Number("stop-limit-ms",
+                        "entry: longest wait for running "
+                        "requests at a stop, 0 to 86400000",
+                        60000))
+    , check_("", "check", "only check the settings", line_)
+  {
+  }
+
+  Outcome<Done> Parse(int argc, char** argv)
+  {
+    line_.setExceptionHandling(false);
+    try {
+      line_.parse(argc, argv);
+    } catch (TCLAP::ArgException& error) {
+      return Error{ absl::StrCat(error.error(), " (", error.argId(),
+                                 "); --help lists the settings.") };
+    } catch (TCLAP::ExitException& exit) {
+      std::exit(exit.getExitStatus());
+    }
+    return RefuseUnknownEnvironment();
+  }
+
+  Outcome<DaemonSettings> Build();
+
+private:
+  using TextFlag = TCLAP::ValueArg<std::string>;
+  using NumberFlag = TCLAP::ValueArg<long>;
+
+  std::string Remember(const std::string& name)
+  {
+    names_.push_back(EnvironmentName(name));
+    return name;
+  }
+
+  TextFlag Text(const std::string& name, const std::string& help,
+                const std::string& fallback)
+  {
+    const char* set = std::getenv(EnvironmentName(Remember(name)).c_str());
+    return TextFlag("", name, help, false,
+                    set == nullptr ? fallback : std::string(set), "text",
+                    line_);
+  }
+
+  NumberFlag Number(const std::string& name, const std::string& help,
+                    long fallback)
+  {
+    const char* set = std::getenv(EnvironmentName(Remember(name)).c_str());
+    long value = fallback;
+    if (set != nullptr && !absl::SimpleAtoi(set, &value)) {
+      badNumber_ = EnvironmentName(name);
+    }
+    return NumberFlag("", name, help, false, value, "number", line_);
+  }
+
+  Outcome<Done> RefuseUnknownEnvironment() const;
+  Outcome<Done> CheckRange(const NumberFlag& flag, long least,
+                           long most) const;
+  Outcome<Done> CheckCommon() const;
+  Outcome<Done> CheckRanges() const;
+  Outcome<Done> CheckEntry() const;
+  Outcome<Done> CheckControl() const;
+  Outcome<KeyRing> ReadKeys() const;
+  std::vector<std::string> List(const TextFlag& flag) const;
+
+  // Before the flags, whose making fills them.
+  std::vector<std::string> names_;
+  std::string badNumber_;
+  TCLAP::CmdLine line_;
+  TextFlag role_;
+  TextFlag box_;
+  TextFlag hall_;
+  TextFlag listen_;
+  TextFlag peer_;
+  TextFlag controls_;
+  TextFlag seeds_;
+  TextFlag platform_;
+  TextFlag data_;
+  TextFlag peerKey_;
+  TextFlag operators_;
+  TextFlag log_;
+  NumberFlag voters_;
+  NumberFlag compact_;
+  NumberFlag connections_;
+  NumberFlag body_;
+  NumberFlag settle_;
+  NumberFlag stopLimit_;
+  TCLAP::SwitchArg check_;
+};
+
+Outcome<Done> Flags::RefuseUnknownEnvironment() const
+{
+  for (char** variable = environ; *variable != nullptr; ++variable) {
+    const absl::string_view text(*variable);
+    const std::string name(text.substr(0, text.find('=')));
+    const bool ours =
+      name.compare(0, EnvironmentPrefix.size(), EnvironmentPrefix.data(),
+                   EnvironmentPrefix.size()) == 0;
+    const bool known =
+      std::find(names_.begin(), names_.end(), name) != names_.end();
+    if (ours && !known) {
+      return Error{ absl::StrCat("The environment variable ", name,
+                                 " is no setting of weirgated; unset it.") };
+    }
+  }
+  if (!badNumber_.empty()) {
+    return Error{ absl::StrCat("The environment variable ", badNumber_,
+                               " must be a whole number; correct it.") };
+  }
+  return Done{};
+}
+
+Outcome<Done> Flags::CheckRange(const NumberFlag& flag, long least,
+                                long most) const
+{
+  const long value = flag.getValue();
+  if (value < least || value > most) {
+    return Error{ absl::StrCat("--", flag.getName(), " is ", value,
+                               "; give a number from ", least, " to ", most,
+                               ".") };
+  }
+  return Done{};
+}
+
+Outcome<Done> Flags::CheckRanges() const
+{
+  const std::array<Outcome<Done>, 6> checks = {
+    CheckRange(voters_, 1, 5),         CheckRange(compact_, 10, 1000000),
+    CheckRange(connections_, 1, 4000), CheckRange(body_, 1, 64L << 20),
+    CheckRange(settle_, 0, 600000),    CheckRange(stopLimit_, 0, 86400000),
+  };
+  for (const Outcome<Done>& check : checks) {
+    if (!Succeeded(check)) {
+      return check;
+    }
+  }
+  return Done{};
+}
+
+std::vector<std::string> Flags::List(const TextFlag& flag) const
+{
+  return absl::StrSplit(flag.getValue(), ',', absl::SkipEmpty());
+}
+
+Outcome<Done> Flags::CheckCommon() const
+{
+  const auto text = [](const TextFlag& flag) { return flag.getValue(); };
+  for (const TextFlag* flag : { &box_, &hall_, &peer_, &peerKey_ }) {
+    if (text(*flag).empty()) {
+      return Error{ absl::StrCat("--", flag->getName(), " must be given, or ",
+                                 EnvironmentName(flag->getName()), ".") };
+    }
+  }
+  if (text(peerKey_).size() < MinKeyBytes) {
+    return Error{ absl::StrCat("--peer-key is shorter than ", MinKeyBytes,
+                               " bytes; choose a longer one.") };
+  }
+  if (text(log_) != "text" && text(log_) != "json") {
+    return Error{ absl::StrCat("--log is \"", text(log_),
+                               "\"; use text or json.") };
+  }
+  std::vector<std::string> addresses = List(controls_);
+  const std::vector<std::string> seeds = List(seeds_);
+  addresses.insert(addresses.end(), seeds.begin(), seeds.end());
+  addresses.push_back(text(peer_));
+  if (!text(platform_).empty()) {
+    addresses.push_back(text(platform_));
+  }
+  for (const std::string& address : addresses) {
+    if (auto parsed = ParseSocketAddress(address); !Succeeded(parsed)) {
+      return Error{ Message(parsed) };
+    }
+  }
+  return CheckRanges();
+}
+
+Outcome<Done> Flags::CheckEntry() const
+{
+  const std::string listen = listen_.getValue();
+  if (auto parsed = ParseSocketAddress(listen); !Succeeded(parsed)) {
+    return Error{ absl::StrCat("--listen: ", Message(parsed)) };
+  }
+  if (List(controls_).empty()) {
+    return Error{ "--controls must name at least one control box." };
+  }
+  return Done{};
+}
+
+Outcome<Done> Flags::CheckControl() const
+{
+  if (data_.getValue().empty()) {
+    return Error{ "--data must name the data folder of a control box." };
+  }
+  if (voters_.getValue() % 2 == 0) {
+    return Error{ "--voters must be 1, 3 or 5." };
+  }
+  return Done{};
+}
+
+Outcome<KeyRing> Flags::ReadKeys() const
+{
+  KeyRing keys;
+  for (const std::string& pair : List(operators_)) {
+    const std::size_t equals = pair.find('=');
+    const bool sound = equals != std::string::npos && equals > 0 &&
+                       pair.size() - equals - 1 >= MinKeyBytes &&
+                       pair.substr(0, equals) != PeerName;
+    if (!sound) {
+      return Error{ absl::StrCat("--operators must be written as name=key "
+                                 "with keys of ",
+                                 MinKeyBytes,
+                                 " bytes or more, and no operator may be "
+                                 "named peer.") };
+    }
+    keys[pair.substr(0, equals)] = pair.substr(equals + 1);
+  }
+  keys[std::string(PeerName)] = peerKey_.getValue();
+  return keys;
+}
+
+Outcome<DaemonSettings> Flags::Build()
+{
+  if (auto checked = CheckCommon(); !Succeeded(checked)) {
+    return Error{ Message(checked) };
+  }
+  Outcome<KeyRing> keys = ReadKeys();
+  if (!Succeeded(keys)) {
+    return Error{ Message(keys) };
+  }
+  DaemonSettings settings;
+  settings.checkOnly = check_.getValue();
+  settings.logFormat =
+    log_.getValue() == "json" ? LogFormat::Json : LogFormat::Text;
+  if (role_.getValue() == "entry") {
+    EntrySettings entry;
+    entry.box = box_.getValue();
+    entry.hall = hall_.getValue();
+    entry.listen = listen_.getValue();
+    entry.peerAddress = peer_.getValue();
+    entry.keys = Value(keys);
+    entry.controls = List(controls_);
+    entry.seeds = List(seeds_);
+    entry.platform = platform_.getValue();
+    entry.limits.maxConnections =
+      static_cast<std::size_t>(connections_.getValue());
+    entry.limits.maxBodyBytes = static_cast<std::size_t>(body_.getValue());
+    entry.settleTime = absl::Milliseconds(settle_.getValue());
+    entry.stopLimit = absl::Milliseconds(stopLimit_.getValue());
+    settings.role = std::move(entry);
+    if (auto checked = CheckEntry(); !Succeeded(checked)) {
+      return Error{ Message(checked) };
+    }
+    return settings;
+  }
+  if (role_.getValue() == "control") {
+    ControlSettings control;
+    control.box = box_.getValue();
+    control.hall = hall_.getValue();
+    control.listen = peer_.getValue();
+    control.dataFolder = data_.getValue();
+    control.keys = Value(keys);
+    control.controls = List(controls_);
+    control.wantedVoters = static_cast<std::size_t>(voters_.getValue());
+    control.compactAfter = static_cast<std::uint64_t>(compact_.getValue());
+    settings.role = std::move(control);
+    if (auto checked = CheckControl(); !Succeeded(checked)) {
+      return Error{ Message(checked) };
+    }
+    return settings;
+  }
+  return Error{ absl::StrCat("--role is \"", role_.getValue(),
+                             "\"; use entry or control.") };
+}
+
+} // namespace
+
+Outcome<DaemonSettings> ReadDaemonSettings(int argc, char** argv)
+{
+  Flags flags;
+  if (auto parsed = flags.Parse(argc, argv); !Succeeded(parsed)) {
+    return Error{ Message(parsed) };
+  }
+  return flags.Build();
+}
+
+} // namespace wg
--- /dev/null
+++ b/Utilities/Standin/wgStandinEngine.cxx
@@ -0,0 +1,388 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgStandinEngine.h"
+
+#include <algorithm>
+#include <chrono>
+#include <functional>
+#include <vector>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+namespace wg {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr std::size_t PieceCharacters = 4;
+constexpr std::size_t CachedPrefixes = 256;
+constexpr std::size_t PrefixBytes = 64;
+constexpr std::size_t BrokenStreamTokens = 3;
+constexpr double PrefillTokens = 4.0; // prefill costs as much as so many
+constexpr double CachedPrefillShare = 0.3;
+constexpr std::size_t ServerThreads = 600;
+constexpr int StatusConflict = 409;
+constexpr int StatusBadRequest = 400;
+constexpr int StatusFailed = 500;
+
+/** Cuts UTF-8 text into pieces of a few characters each. */
+std::vector<std::string> CutInPieces(const std::string& text)
+{
+  std::vector<std::string> pieces;
+  std::string piece;
+  std::size_t characters = 0;
+  for (const char c : text) {
+    const bool startsCharacter =
+      (static_cast<unsigned char>(c) & 0xC0U) != 0x80U;
+    if (startsCharacter && characters++ == PieceCharacters) {
+      pieces.push_back(std::move(piece));
+      piece.clear();
+      characters = 1;
+    }
+    piece.push_back(c);
+  }
+  if (!piece.empty()) {
+    pieces.push_back(std::move(piece));
+  }
+  return pieces;
+}
+
+std::string EventText(const Json& data)
+{
+  return absl::StrCat("data: ", data.dump(), "\n\n");
+}
+
+void Pause(double ms)
+{
+  if (ms > 0) {
+    absl::SleepFor(absl::Microseconds(ms * 1000.0));
+  }
+}
+
+int ReadPriority(const httplib::Request& request)
+{
+  int priority = 0;
+  return absl::SimpleAtoi(request.get_header_value("Weirgate-Priority"),
+                          &priority)
+           ? priority
+           : 0;
+}
+
+} // namespace
+
+class StandinEngine::Place
+{
+public:
+  Place(StandinEngine& engine, int priority)
+    : engine_(engine)
+  {
+    absl::MutexLock lock(&engine_.mutex_);
+    auto self = engine_.waiting_.insert(priority);
+    const auto mayRun =
+      [this, priority]() ABSL_EXCLUSIVE_LOCKS_REQUIRED(engine_.mutex_) {
+        return engine_.running_ < engine_.settings_.slots &&
+               *engine_.waiting_.rbegin() <= priority;
+      };
+    engine_.mutex_.Await(absl::Condition(&mayRun));
+    engine_.waiting_.erase(self);
+    ++engine_.running_;
+  }
+  ~Place()
+  {
+    absl::MutexLock lock(&engine_.mutex_);
+    --engine_.running_;
+  }
+  Place(const Place&) = delete;
+  Place& operator=(const Place&) = delete;
+
+private:
+  StandinEngine& engine_;
+};
+
+StandinEngine::StandinEngine(StandinSettings settings)
+  : settings_(std::move(settings))
+{
+}
+
+StandinEngine::~StandinEngine()
+{
+  Stop();
+}
+
+bool StandinEngine::Start()
+{
+  server_.new_task_queue = [] {
+    return new httplib::ThreadPool(ServerThreads);
+  };
+  server_.set_tcp_nodelay(true);
+  server_.set_keep_alive_max_count(1000000);
+  AddRoutes();
+  AddAdminRoutes();
+  if (!server_.bind_to_port("127.0.0.1", settings_.port)) {
+    return false;
+  }
+  thread_ = std::thread([this] { server_.listen_after_bind(); });
+  return true;
+}
+
+void StandinEngine::Stop()
+{
+  stopping_ = true;
+  server_.stop();
+  if (thread_.joinable()) {
+    thread_.join();
+  }
+}
+
+void StandinEngine::AddRoutes()
+{
+  const auto stage = [this](const Request& request, Response& response) {
+    OnStage(request, response);
+  };
+  server_.Post("/v1/embeddings", stage);
+  server_.Post("/v1/retrieve", stage);
+  server_.Post("/v1/rerank", stage);
+  server_.Post("/v1/call", stage);
+  server_.Post("/v1/completions",
+               [this](const Request& request, Response& response) {
+                 OnGenerate(request, response);
+               });
+  server_.Post("/v1/orders",
+               [this](const Request& request, Response& response) {
+                 OnOrder(request, response);
+               });
+  server_.Get("/v1/load", [this](const Request&, Response& response) {
+    response.set_content(Load().dump(), "application/json");
+  });
+}
+
+void StandinEngine::AddAdminRoutes()
+{
+  server_.Post("/v1/fault",
+               [this](const Request& request, Response& response) {
+                 OnFault(request, response);
+               });
+  server_.Get("/v1/runs", [this](const Request&, Response& response) {
+    absl::MutexLock lock(&mutex_);
+    const Json answer{ { "runs", runs_ }, { "cancelled", cancelled_ } };
+    response.set_content(answer.dump(), "application/json");
+  });
+  server_.Post("/v1/leave",
+               [this](const Request& request, Response& response) {
+                 absl::MutexLock lock(&mutex_);
+                 leaving_ = request.body != "false";
+                 response.set_content("{}", "application/json");
+               });
+}
+
+Json StandinEngine::Load()
+{
+  absl::MutexLock lock(&mutex_);
+  return { { "running", running_ },      { "waiting", waiting_.size() },
+           { "slots", settings_.slots }, { "leaving", leaving_ },
+           { "fence", fence_ },          { "model", model_ } };
+}
+
+bool StandinEngine::TakeFault(int StandinFaults::*fault)
+{
+  absl::MutexLock lock(&mutex_);
+  if (faults_.*fault <= 0) {
+    return false;
+  }
+  --(faults_.*fault);
+  return true;
+}
+
+/** A step takes longer the fuller the batch is. */
+double StandinEngine::StepMs()
+{
+  absl::MutexLock lock(&mutex_);
+  const double fill = static_cast<double>(running_) / settings_.slots;
+  return settings_.stageMs * faults_.slowness * (0.5 + 0.5 * fill);
+}
+
+bool StandinEngine::IsCached(const std::string& prompt)
+{
+  const std::uint64_t prefix =
+    std::hash<std::string>()(prompt.substr(0, PrefixBytes));
+  absl::MutexLock lock(&mutex_);
+  auto found = std::find(cache_.begin(), cache_.end(), prefix);
+  const bool hit = found != cache_.end();
+  if (hit) {
+    cache_.erase(found);
+  }
+  cache_.push_front(prefix);
+  if (cache_.size() > CachedPrefixes) {
+    cache_.pop_back();
+  }
+  return hit;
+}
+
+void StandinEngine::CountRun(const Request& request)
+{
+  absl::MutexLock lock(&mutex_);
+  ++runs_[request.get_header_value("Weirgate-Request")];
+}
+
+void StandinEngine::Echo(const Request& request, Response& response)
+{
+  const bool wrong = TakeFault(&StandinFaults::wrongEchoNext);
+  response.set_header("Weirgate-Request",
+                      wrong ? "another-request"
+                            : request.get_header_value("Weirgate-Request"));
+  response.set_header("Weirgate-Stage",
+                      request.get_header_value("Weirgate-Stage"));
+  response.set_header("Weirgate-Attempt",
+                      request.get_header_value("Weirgate-Attempt"));
+  absl::MutexLock lock(&mutex_);
+  response.set_header("Weirgate-Load",
+                      absl::StrCat(running_, ",", waiting_.size()));
+}
+
+Json StandinEngine::MakeAnswer(const Json& body)
+{
+  if (settings_.kind == "encode") {
+    const std::size_t hash = std::hash<std::string>()(body.value("input", ""));
+    const double value = static_cast<double>(hash % 1000) / 1000.0;
+    return { { "data", { { { "embedding", { value, 1.0 - value } } } } } };
+  }
+  if (settings_.kind == "retrieve") {
+    const std::string query = body.value("query", "");
+    return { { "documents",
+               { absl::StrCat("First note on: ", query),
+                 absl::StrCat("Second note on: ", query),
+                 absl::StrCat("Third note on: ", query) } } };
+  }
+  if (settings_.kind == "rerank") {
+    Json results = Json::array();
+    const std::size_t count = body.value("documents", Json::array()).size();
+    for (std::size_t i = count; i > 0; --i) {
+      results.push_back(
+        { { "index", i - 1 }, { "relevance_score", 1.0 / (1.0 + i) } });
+    }
+    return { { "results", results } };
+  }
+  return { { "done", true }, { "for", body.value("input", "") } };
+}
+
+void StandinEngine::OnStage(const Request& request, Response& response)
+{
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    response.status = StatusBadRequest;
+    return;
+  }
+  Place place(*this, ReadPriority(request));
+  CountRun(request);
+  Pause(StepMs());
+  if (TakeFault(&StandinFaults::hangNext)) {
+    while (!stopping_) {
+      Pause(20);
+    }
+  }
+  if (TakeFault(&StandinFaults::failNext)) {
+    response.status = StatusFailed;
+    return;
+  }
+  Echo(request, response);
+  std::string answer = MakeAnswer(body).dump();
+  if (TakeFault(&StandinFaults::cutAnswerNext)) {
+    answer.resize(answer.size() / 2);
+  }
+  response.set_content(answer, "application/json");
+}
+
+void StandinEngine::OnGenerate(const Request& request, Response& response)
+{
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    response.status = StatusBadRequest;
+    return;
+  }
+  if (TakeFault(&StandinFaults::failNext)) {
+    CountRun(request);
+    response.status = StatusFailed;
+    return;
+  }
+  const std::string prompt = body.value("prompt", "");
+  const auto tokens = body.value("max_tokens", std::size_t{ 64 });
+  const auto from = body.value("resume_from", std::size_t{ 0 });
+  std::vector<std::string> pieces = CutInPieces(prompt);
+  pieces.resize(std::min(pieces.size(), tokens));
+  const bool breaks = TakeFault(&StandinFaults::breakStreamNext);
+  const bool hangs = TakeFault(&StandinFaults::hangNext);
+  Echo(request, response);
+  CountRun(request);
+  const int priority = ReadPriority(request);
+  response.set_chunked_content_provider(
+    "text/event-stream", [this, pieces, from, breaks, hangs, prompt,
+                          priority](std::size_t, httplib::DataSink& sink) {
+      Place place(*this, priority);
+      Pause(StepMs() * PrefillTokens *
+            (IsCached(prompt) ? CachedPrefillShare : 1.0));
+      for (std::size_t i = from; i < pieces.size(); ++i) {
+        Pause(StepMs());
+        while (hangs && i >= from + BrokenStreamTokens && !stopping_ &&
+               sink.is_writable()) {
+          Pause(20);
+        }
+        const std::string event =
+          EventText({ { "index", i }, { "token", pieces[i] } });
+        const bool gone = (breaks && i >= from + BrokenStreamTokens) ||
+                          !sink.is_writable() ||
+                          !sink.write(event.data(), event.size());
+        if (gone) {
+          absl::MutexLock lock(&mutex_);
+          ++cancelled_;
+          return false;
+        }
+      }
+      const std::string end =
+        EventText({ { "index", pieces.size() }, { "finish_reason", "stop" } });
+      sink.write(end.data(), end.size());
+      sink.done();
+      return true;
+    });
+}
+
+/** Takes an order only under a fence above all that came before. */
+void StandinEngine::OnOrder(const Request& request, Response& response)
+{
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object() || !body.contains("fence")) {
+    response.status = StatusBadRequest;
+    return;
+  }
+  absl::MutexLock lock(&mutex_);
+  const auto fence = body.value("fence", std::uint64_t{ 0 });
+  if (fence <= fence_) {
+    response.status = StatusConflict;
+    response.set_content(Json{ { "fence", fence_ } }.dump(),
+                         "application/json");
+    return;
+  }
+  fence_ = fence;
+  model_ = body.value("model", model_);
+  response.set_content(Json{ { "fence", fence_ } }.dump(), "application/json");
+}
+
+void StandinEngine::OnFault(const Request& request, Response& response)
+{
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    response.status = StatusBadRequest;
+    return;
+  }
+  absl::MutexLock lock(&mutex_);
+  faults_.failNext = body.value("fail_next", faults_.failNext);
+  faults_.hangNext = body.value("hang_next", faults_.hangNext);
+  faults_.wrongEchoNext = body.value("wrong_echo_next", faults_.wrongEchoNext);
+  faults_.breakStreamNext =
+    body.value("break_stream_next", faults_.breakStreamNext);
+  faults_.cutAnswerNext = body.value("cut_answer_next", faults_.cutAnswerNext);
+  faults_.slowness = body.value("slowness", faults_.slowness);
+  response.set_content("{}", "application/json");
+}
+
+} // namespace wg
--- /dev/null
+++ b/Utilities/Standin/wgStandinEngine.h
@@ -0,0 +1,93 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <atomic>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/container/flat_hash_map.h"
+#include "absl/synchronization/mutex.h"
+
+namespace wg {
+
+/** \brief What a stand-in endpoint pretends to be. */
+struct StandinSettings
+{
+  std::string kind; // encode, retrieve, rerank, generate or service
+  int port = 0;
+  int slots = 4;
+  double stageMs = 5.0; // a whole stage, or one token of a generation
+};
+
+/** \brief Faults that a test asks for; each counts down to nothing. */
+struct StandinFaults
+{
+  int failNext = 0;        // answer 500
+  int hangNext = 0;        // never answer
+  int wrongEchoNext = 0;   // answer under another request's id
+  int breakStreamNext = 0; // close a stream after a few tokens
+  int cutAnswerNext = 0;   // answer with half of the JSON
+  double slowness = 1.0;   // times as slow as usual
+};
+
+/** \class StandinEngine
+ * \brief A small model engine or plain service on one port.
+ *
+ * A generation gives back its prompt in pieces of four characters, so that
+ * anyone can tell whether an answer is whole and to whom it belongs.
+ */
+class StandinEngine
+{
+public:
+  explicit StandinEngine(StandinSettings settings);
+  ~StandinEngine();
+  bool Start();
+  void Stop();
+
+private:
+  using Request = httplib::Request;
+  using Response = httplib::Response;
+
+  /** \brief A place in the batch for as long as it lives. */
+  class Place;
+
+  void AddRoutes();
+  void AddAdminRoutes();
+  void OnStage(const Request& request, Response& response);
+  void OnGenerate(const Request& request, Response& response);
+  void OnOrder(const Request& request, Response& response);
+  void OnFault(const Request& request, Response& response);
+  nlohmann::json MakeAnswer(const nlohmann::json& body);
+  bool TakeFault(int StandinFaults::*fault);
+  double StepMs();
+  bool IsCached(const std::string& prompt);
+  void CountRun(const Request& request);
+  void Echo(const Request& request, Response& response);
+  nlohmann::json Load();
+
+  StandinSettings settings_;
+  httplib::Server server_;
+  std::thread thread_;
+  std::atomic<bool> stopping_{ false };
+  absl::Mutex mutex_;
+  int running_ ABSL_GUARDED_BY(mutex_) = 0;
+  std::multiset<int> waiting_ ABSL_GUARDED_BY(mutex_); // priorities
+  StandinFaults faults_ ABSL_GUARDED_BY(mutex_);
+  std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_); // by request
+  std::list<std::uint64_t> cache_ ABSL_GUARDED_BY(mutex_);  // newest first
+  std::uint64_t fence_ ABSL_GUARDED_BY(mutex_) = 0;
+  std::string model_ ABSL_GUARDED_BY(mutex_) = "base";
+  bool leaving_ ABSL_GUARDED_BY(mutex_) = false;
+  int cancelled_ ABSL_GUARDED_BY(mutex_) = 0;
+};
+
+} // namespace wg
