Agreement: a replica votes for whoever counts it as a voter

Cause: over seeded schedules (Tests/Agreement) the cluster did not come together again after all faults had ended. Three causes were found by printing the replicas' logs. A replica refused its vote while its own log did not yet hold the change that made it a voter; a leader that crashed after proposing that change then had no quorum for ever. A replica without a vote could know more than every candidate and never stood itself. A voter set grew while one voter was silent, which raised the quorum and left no room for the next loss.

Ruled out: lost messages (the network was whole by then) and elections that tie (3000 rounds). Two earlier failures were of the test: it wiped the second of two voters, and two disks within the time in which a leader can notice the first.

Change: any replica votes; one that was asked by a candidate that knows less may stand, without counting itself; growth waits until every voter answers.

--- a/Source/Agreement/wgRepair.cxx
+++ b/Source/Agreement/wgRepair.cxx
@@ -38,6 +38,18 @@
   return working > voters.voters_size() / 2;
 }
 
+/** To grow while a voter is silent would raise the quorum and leave no more
+ * room for a loss; the silent one is to be replaced first.
+ */
+bool AllVotersAnswer(const Replica& leader, Elapsed now)
+{
+  return std::all_of(leader.voters.voters().begin(),
+                     leader.voters.voters().end(),
+                     [&leader, now](const wire::Voter& voter) {
+                       return Answers(leader, voter.id(), now);
+                     });
+}
+
 void RemoveId(google::protobuf::RepeatedPtrField<wire::Voter>& voters,
               std::uint64_t id)
 {
@@ -99,7 +111,8 @@
     const wire::Voter* older = FindOlderOnBox(leader.voters, learner);
     if (older != nullptr) {
       RemoveId(*next.mutable_voters(), older->id());
-    } else if (static_cast<std::size_t>(next.voters_size()) < wanted) {
+    } else if (static_cast<std::size_t>(next.voters_size()) < wanted &&
+               AllVotersAnswer(leader, now)) {
       *next.add_voters() = learner;
       RemoveId(*next.mutable_learners(), learner.id());
     } else {
--- a/Source/Agreement/wgReplica.cxx
+++ b/Source/Agreement/wgReplica.cxx
@@ -110,6 +110,9 @@
   r.role = ReplicaRole::Follower;
   r.leader = leader;
   r.grants.clear();
+  if (leader != 0) {
+    r.knowsMoreThanCandidate = false;
+  }
 }
 
 std::size_t Quorum(const Replica& r)
@@ -248,13 +251,29 @@
   }
 }
 
+/** A replica without a vote stands only when it was asked to vote and knows
+ * more than who asked: else neither of them could ever be elected.
+ */
+bool MayStand(const Replica& r)
+{
+  return IsVoter(r.voters, r.self.id()) ||
+         (r.knowsMoreThanCandidate && r.voters.voters_size() > 0);
+}
+
+std::set<std::uint64_t> OwnVote(const Replica& r)
+{
+  return IsVoter(r.voters, r.self.id())
+           ? std::set<std::uint64_t>{ r.self.id() }
+           : std::set<std::uint64_t>{};
+}
+
 void StartElection(Replica& r, Elapsed now)
 {
   r.role = ReplicaRole::Candidate;
   r.hard.set_term(r.hard.term() + 1);
   r.hard.set_vote(r.self.id());
   r.actions.saveHardState = true;
-  r.grants = { r.self.id() };
+  r.grants = OwnVote(r);
   if (r.grants.size() >= Quorum(r)) {
     BecomeLeader(r, now);
     return;
@@ -265,12 +284,12 @@
 void StartPreVote(Replica& r, Elapsed now, absl::BitGenRef random)
 {
   ResetElectionTimer(r, now, random);
-  if (!IsVoter(r.voters, r.self.id())) {
+  if (!MayStand(r)) {
     return;
   }
   r.role = ReplicaRole::PreCandidate;
   r.leader = 0;
-  r.grants = { r.self.id() };
+  r.grants = OwnVote(r);
   if (r.grants.size() >= Quorum(r)) {
     StartElection(r, now);
     return;
@@ -290,9 +309,9 @@
                    absl::BitGenRef random)
 {
   const bool isPreVote = m.kind() == Kind::PRE_VOTE;
-  const bool mayVote = now >= r.noVoteBefore &&
-                       r.role != ReplicaRole::Leader &&
-                       IsVoter(r.voters, r.self.id());
+  // Whether this replica is a voter is for the candidate to know: its log may
+  // hold the change that made it one, and ours not yet.
+  const bool mayVote = now >= r.noVoteBefore && r.role != ReplicaRole::Leader;
   if (!mayVote) {
     return;
   }
@@ -303,7 +322,9 @@
     isPreVote ? m.term() > r.hard.term()
               : m.term() == r.hard.term() &&
                   (r.hard.vote() == 0 || r.hard.vote() == m.from());
-  const bool granted = freeToVote && IsLogAtLeastOurs(r, m);
+  const bool knowsAsMuch = IsLogAtLeastOurs(r, m);
+  const bool granted = freeToVote && knowsAsMuch;
+  r.knowsMoreThanCandidate = !knowsAsMuch;
   if (granted && !isPreVote) {
     r.hard.set_vote(m.from());
     r.actions.saveHardState = true;
--- a/Source/Agreement/wgReplica.h
+++ b/Source/Agreement/wgReplica.h
@@ -98,6 +98,7 @@
   Elapsed electionDue;
   Elapsed heartbeatDue;
   Elapsed noVoteBefore; // a leader was heard, or a restart was, before it
+  bool knowsMoreThanCandidate = false; // than the last that asked for a vote
   std::set<std::uint64_t> grants;
   std::map<std::uint64_t, PeerProgress> peers;
   ReplicaActions actions;
--- a/Source/Entry/wgCallerServer.cxx
+++ b/Source/Entry/wgCallerServer.cxx
@@ -11,6 +11,8 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 
+#include "wgHttpListen.h"
+
 namespace wg {
 namespace {
 
@@ -153,7 +155,7 @@
   server_->set_tcp_nodelay(true);
   server_->set_keep_alive_max_count(100000);
   AddRoutes();
-  if (!server_->bind_to_port(address.host, address.port)) {
+  if (!BindForBursts(*server_, address.host, address.port)) {
     return Error{ absl::StrCat("Cannot listen for callers on ", address.host,
                                ":", address.port,
                                "; check that nothing else uses it.") };
--- /dev/null
+++ b/Tests/Agreement/wgFakeCluster.cxx
@@ -0,0 +1,462 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgFakeCluster.h"
+
+#include <algorithm>
+#include <functional>
+
+#include "absl/random/distributions.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+namespace wg::test {
+namespace {
+
+constexpr std::size_t MaxNetwork = 400;
+/** A second disk is lost no sooner than the leader can notice the first. */
+constexpr absl::Duration LossGap = absl::Seconds(1);
+constexpr int SettleRounds = 3000;
+constexpr std::uint64_t CompactAfter = 8;
+
+std::uint64_t Chain(std::uint64_t before, const std::string& bytes)
+{
+  return before * 1099511628211ULL + std::hash<std::string>()(bytes);
+}
+
+} // namespace
+
+FakeCluster::FakeCluster(std::uint64_t seed, std::size_t boxes)
+{
+  std::seed_seq seeds{ static_cast<std::uint32_t>(seed),
+                       static_cast<std::uint32_t>(seed >> 32U) };
+  random_ = absl::BitGen(seeds);
+  boxes_.resize(boxes);
+  for (std::size_t i = 0; i < boxes; ++i) {
+    FakeBox& box = boxes_[i];
+    box.name = absl::StrCat("box-", i);
+    box.disk.id = nextIdentity_++;
+    box.clockRate = absl::Uniform(random_, 0.95, 1.05);
+    Start(box);
+  }
+  boxes_[0].process.cluster = "c";
+  boxes_[0].disk.cluster = "c";
+  FoundCluster(boxes_[0].process, Now(boxes_[0]));
+  WriteToDisk(boxes_[0], TakeActions(boxes_[0].process));
+  OnSynced(boxes_[0].process);
+}
+
+bool FakeCluster::Chance(double probability)
+{
+  return absl::Bernoulli(random_, probability);
+}
+
+void FakeCluster::Fail(const std::string& what)
+{
+  if (failure_.empty()) {
+    failure_ = what;
+  }
+}
+
+Elapsed FakeCluster::Now(const FakeBox& box) const
+{
+  return time_ * box.clockRate;
+}
+
+FakeBox* FakeCluster::BoxOf(std::uint64_t id)
+{
+  for (FakeBox& box : boxes_) {
+    if (box.up && box.disk.id == id) {
+      return &box;
+    }
+  }
+  return nullptr;
+}
+
+void FakeCluster::Start(FakeBox& box)
+{
+  Replica replica;
+  replica.self.set_id(box.disk.id);
+  replica.self.set_box(box.name);
+  replica.cluster = box.disk.cluster;
+  replica.hard = box.disk.hard;
+  replica.log = box.disk.log;
+  replica.snapshot = box.disk.snapshot;
+  box.process = std::move(replica);
+  box.chain = 0;
+  if (!box.disk.snapshot.state().empty() &&
+      !absl::SimpleAtoi(box.disk.snapshot.state(), &box.chain)) {
+    Fail("a snapshot's state can't be read");
+  }
+  StartReplica(box.process, Now(box), random_);
+  box.up = true;
+}
+
+void FakeCluster::Crash(FakeBox& box)
+{
+  box.up = false;
+  ++counts_.crashes;
+}
+
+void FakeCluster::Wipe(FakeBox& box)
+{
+  Crash(box);
+  lastWipe_ = time_;
+  lostIdentities_.insert(box.disk.id);
+  box.disk = FakeDisk{};
+  box.disk.id = nextIdentity_++;
+  ++counts_.wipes;
+}
+
+bool FakeCluster::SurvivesLossOf(const wire::VoterSet& voters,
+                                 std::uint64_t id) const
+{
+  int left = 0;
+  for (const wire::Voter& voter : voters.voters()) {
+    const bool lost = voter.id() == id || lostIdentities_.count(voter.id());
+    left += lost ? 0 : 1;
+  }
+  return left > voters.voters_size() / 2;
+}
+
+/** No more disks may be lost than a majority survives, in the committed voter
+ * set and in any later one that is still in some log.
+ */
+bool FakeCluster::MayWipe(const FakeBox& box) const
+{
+  // A lone voter that takes a second one needs both from then on.
+  const bool isLone = committedVoters_.voters_size() < 2;
+  const bool soonAfterLoss = time_ - lastWipe_ < LossGap;
+  if (isLone || soonAfterLoss ||
+      !SurvivesLossOf(committedVoters_, box.disk.id)) {
+    return false;
+  }
+  for (const FakeBox& other : boxes_) {
+    for (const ReplicaLog* log : { &other.disk.log, &other.process.log }) {
+      std::uint64_t i = std::max(log->FirstIndex(), committedVotersIndex_);
+      for (; i <= log->LastIndex(); ++i) {
+        const wire::LogEntry& entry = log->At(i);
+        if (entry.kind() == wire::LogEntry::VOTERS &&
+            !SurvivesLossOf(entry.voters(), box.disk.id)) {
+          return false;
+        }
+      }
+    }
+  }
+  return true;
+}
+
+std::string FakeCluster::Run(int steps)
+{
+  for (int i = 0; i < steps && failure_.empty(); ++i) {
+    Step();
+    CheckAll();
+  }
+  if (failure_.empty() && !Settle()) {
+    Fail(absl::StrCat("after all faults ended the cluster did not come "
+                      "together:",
+                      Describe()));
+  }
+  return failure_;
+}
+
+std::string FakeCluster::Describe() const
+{
+  std::string out;
+  for (const FakeBox& box : boxes_) {
+    const Replica& r = box.process;
+    absl::StrAppend(&out, "\n  ", box.name, " id ", box.disk.id, " role ",
+                    static_cast<int>(r.role), " term ", r.hard.term(),
+                    " commit ", r.commit, " log ", r.log.FirstIndex(), "..",
+                    r.log.LastIndex());
+    absl::StrAppend(&out, " voters");
+    for (const wire::Voter& voter : r.voters.voters()) {
+      absl::StrAppend(&out, " ", voter.id());
+    }
+    absl::StrAppend(&out, " learners");
+    for (const wire::Voter& voter : r.voters.learners()) {
+      absl::StrAppend(&out, " ", voter.id());
+    }
+  }
+  return out;
+}
+
+void FakeCluster::Step()
+{
+  time_ += absl::Microseconds(absl::Uniform(random_, 100, 12000));
+  FakeBox& box = boxes_[absl::Uniform<std::size_t>(random_, 0, boxes_.size())];
+  FakeBox& other =
+    boxes_[absl::Uniform<std::size_t>(random_, 0, boxes_.size())];
+  if (Chance(0.35)) {
+    TickAll();
+  }
+  const int deliveries = absl::Uniform(random_, 0, 6);
+  for (int i = 0; i < deliveries; ++i) {
+    DeliverOne();
+  }
+  if (Chance(0.2)) {
+    Propose();
+  }
+  if (Chance(0.012) && box.up) {
+    Crash(box);
+  }
+  if (Chance(0.05) && !box.up) {
+    Start(box);
+  }
+  if (Chance(0.006) && MayWipe(box)) {
+    Wipe(box);
+  }
+  if (Chance(0.015)) {
+    cuts_.insert({ box.name, other.name });
+  }
+  if (Chance(0.03)) {
+    cuts_.clear();
+  }
+}
+
+void FakeCluster::TickAll()
+{
+  for (FakeBox& box : boxes_) {
+    if (!box.up) {
+      continue;
+    }
+    if (!IsVoter(box.process.voters, box.disk.id)) {
+      AskToJoin(box);
+    }
+    if (box.process.cluster.empty()) {
+      continue;
+    }
+    OnTick(box.process, Now(box), random_);
+    if (box.process.role == ReplicaRole::Leader) {
+      std::vector<JoiningReplica> joining;
+      for (auto& [id, joiner] : joining_) {
+        joiner.lastAsked = Now(box);
+        joining.push_back(joiner);
+      }
+      const auto step =
+        NextRepairStep(box.process, joining, boxes_.size(), Now(box));
+      if (step && ProposeVoters(box.process, *step, Now(box))) {
+        ++counts_.voterChanges;
+      }
+    }
+    CarryOut(box);
+  }
+}
+
+void FakeCluster::AskToJoin(FakeBox& box)
+{
+  if (box.process.cluster.empty()) {
+    box.process.cluster = "c";
+    box.disk.cluster = "c";
+  }
+  for (auto it = joining_.begin(); it != joining_.end();) {
+    const bool sameBox = it->second.who.box() == box.name;
+    it = sameBox ? joining_.erase(it) : std::next(it);
+  }
+  joining_[box.disk.id] = { box.process.self, Elapsed() };
+}
+
+void FakeCluster::DeliverOne()
+{
+  if (network_.empty()) {
+    return;
+  }
+  const auto at = absl::Uniform<std::size_t>(random_, 0, network_.size());
+  const wire::AgreementMessage message = network_[at];
+  if (!Chance(0.1)) { // else it will come a second time
+    network_[at] = network_.back();
+    network_.pop_back();
+  }
+  if (!Chance(0.03)) {
+    Deliver(message);
+  }
+}
+
+void FakeCluster::Deliver(const wire::AgreementMessage& message)
+{
+  FakeBox* to = BoxOf(message.to());
+  FakeBox* from = BoxOf(message.from());
+  const bool cut =
+    to == nullptr ||
+    (from != nullptr && (cuts_.count({ from->name, to->name }) != 0 ||
+                         cuts_.count({ to->name, from->name }) != 0));
+  if (cut) {
+    return;
+  }
+  OnMessage(to->process, message, Now(*to), random_);
+  CarryOut(*to);
+}
+
+void FakeCluster::Propose()
+{
+  for (FakeBox& box : boxes_) {
+    if (!box.up) {
+      continue;
+    }
+    const std::string payload = absl::StrCat("p", nextPayload_++);
+    if (wg::Propose(box.process, payload, Now(box))) {
+      CarryOut(box);
+    }
+  }
+}
+
+void FakeCluster::WriteToDisk(FakeBox& box, const ReplicaActions& actions)
+{
+  const Replica& replica = box.process;
+  if (actions.install) {
+    box.disk.snapshot = replica.snapshot;
+    box.disk.log = replica.log;
+  }
+  if (actions.truncateFrom) {
+    box.disk.log.TruncateFrom(*actions.truncateFrom);
+  }
+  for (const wire::LogEntry& entry : actions.append) {
+    if (entry.index() == box.disk.log.LastIndex() + 1) {
+      box.disk.log.Append(entry);
+    }
+  }
+  if (actions.saveHardState || actions.install) {
+    box.disk.hard = replica.hard;
+  }
+}
+
+/** Does what ControlNode does, with a crash at any point between. */
+void FakeCluster::CarryOut(FakeBox& box)
+{
+  ReplicaActions actions = TakeActions(box.process);
+  for (const OutgoingMessage& outgoing : actions.messages) {
+    if (!outgoing.afterSync) {
+      network_.push_back(outgoing.message);
+    }
+  }
+  if (actions.NeedsSync() && Chance(0.01)) {
+    if (Chance(0.5) && !actions.install && !actions.append.empty()) {
+      // A torn write: the first part of the entries lasted.
+      actions.append.resize(
+        absl::Uniform<std::size_t>(random_, 0, actions.append.size()));
+      actions.saveHardState = false;
+      WriteToDisk(box, actions);
+    }
+    Crash(box);
+    return;
+  }
+  if (actions.install &&
+      !absl::SimpleAtoi(actions.install->state(), &box.chain)) {
+    Fail("an installed state can't be read");
+  }
+  WriteToDisk(box, actions);
+  if (Chance(0.003)) {
+    Crash(box);
+    return;
+  }
+  OnSynced(box.process);
+  for (const OutgoingMessage& outgoing : actions.messages) {
+    if (outgoing.afterSync) {
+      network_.push_back(outgoing.message);
+    }
+  }
+  while (network_.size() > MaxNetwork) {
+    network_.erase(network_.begin());
+  }
+  Apply(box);
+}
+
+void FakeCluster::Apply(FakeBox& box)
+{
+  Replica& replica = box.process;
+  while (const wire::LogEntry* entry = NextCommitted(replica)) {
+    box.chain = Chain(box.chain, entry->change());
+    NoteCommitted(box, *entry);
+    Applied(replica, entry->index());
+  }
+  const bool due = replica.applied >= replica.snapshot.index() + CompactAfter;
+  if (due && Chance(0.3)) {
+    Compact(replica, absl::StrCat(box.chain), 3);
+    box.disk.snapshot = replica.snapshot;
+    box.disk.log = replica.log;
+    box.disk.hard = replica.hard;
+    ++counts_.snapshots;
+  }
+}
+
+void FakeCluster::NoteCommitted(FakeBox& box, const wire::LogEntry& entry)
+{
+  const std::string bytes = entry.SerializeAsString();
+  auto [known, isNew] = committed_.try_emplace(
+    entry.index(), Committed{ entry.term(), bytes, box.chain });
+  if (isNew && entry.kind() == wire::LogEntry::VOTERS) {
+    committedVoters_ = entry.voters();
+    committedVotersIndex_ = entry.index();
+  }
+  if (known->second.bytes != bytes || known->second.chain != box.chain) {
+    Fail(absl::StrCat("two replicas committed different entries at index ",
+                      entry.index()));
+  }
+  const bool acknowledges = isNew && box.process.role == ReplicaRole::Leader &&
+                            entry.term() == box.process.hard.term();
+  if (!acknowledges) {
+    return;
+  }
+  ++counts_.acknowledged;
+  for (const FakeBox& other : boxes_) {
+    const bool stale =
+      other.up && &other != &box && HoldsLease(other.process, Now(other));
+    if (stale) {
+      Fail(absl::StrCat("index ", entry.index(), " was acknowledged while ",
+                        other.name, " could serve reads without it"));
+    }
+  }
+}
+
+void FakeCluster::CheckAll()
+{
+  for (const FakeBox& box : boxes_) {
+    if (!box.up || box.process.role != ReplicaRole::Leader) {
+      continue;
+    }
+    auto [known, isNew] =
+      leaderOfTerm_.try_emplace(box.process.hard.term(), box.disk.id);
+    counts_.elections += isNew ? 1 : 0;
+    if (known->second != box.disk.id) {
+      Fail(absl::StrCat("two leaders in term ", box.process.hard.term()));
+    }
+  }
+}
+
+/** Ends all faults and waits until everyone has the same and a new entry is
+ * committed.
+ */
+bool FakeCluster::Settle()
+{
+  cuts_.clear();
+  const std::uint64_t before =
+    committed_.empty() ? 0 : committed_.rbegin()->first;
+  for (int round = 0; round < SettleRounds && failure_.empty(); ++round) {
+    time_ += absl::Milliseconds(10);
+    for (FakeBox& box : boxes_) {
+      if (!box.up) {
+        Start(box);
+      }
+    }
+    TickAll();
+    std::vector<wire::AgreementMessage> all = std::move(network_);
+    network_.clear();
+    for (const wire::AgreementMessage& message : all) {
+      Deliver(message);
+    }
+    if (round % 20 == 0) {
+      Propose();
+    }
+    CheckAll();
+    const std::uint64_t least =
+      std::min_element(boxes_.begin(), boxes_.end(),
+                       [](const auto& a, const auto& b) {
+                         return a.process.applied < b.process.applied;
+                       })
+        ->process.applied;
+    if (least > before + 1) {
+      return true;
+    }
+  }
+  return !failure_.empty();
+}
+
+} // namespace wg::test
--- /dev/null
+++ b/Tests/Agreement/wgFakeCluster.h
@@ -0,0 +1,111 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "absl/random/random.h"
+
+#include "wgRepair.h"
+#include "wgReplica.h"
+
+namespace wg::test {
+
+/** \brief What a replica's disk holds: only what was synced. */
+struct FakeDisk
+{
+  std::uint64_t id = 0;
+  std::string cluster;
+  wire::HardState hard;
+  ReplicaLog log;
+  wire::Snapshot snapshot;
+};
+
+/** \brief One box: a disk that lasts and a process that may not. */
+struct FakeBox
+{
+  std::string name;
+  FakeDisk disk;
+  Replica process;
+  std::uint64_t chain = 0; // hash of all that the process has applied
+  bool up = false;
+  double clockRate = 1.0;
+};
+
+/** \brief How many of each event a schedule made. */
+struct ScheduleCounts
+{
+  int acknowledged = 0;
+  int crashes = 0;
+  int wipes = 0;
+  int voterChanges = 0;
+  int snapshots = 0;
+  int elections = 0;
+};
+
+/** \class FakeCluster
+ * \brief Drives replicas through one seeded schedule of crashes, restarts,
+ * cuts, delays, doubled and reordered messages, lost disks and voter
+ * changes, and checks after every step what must hold.
+ */
+class FakeCluster
+{
+public:
+  FakeCluster(std::uint64_t seed, std::size_t boxes);
+  /** \brief Empty when all held; else what broke. */
+  std::string Run(int steps);
+  const ScheduleCounts& Counts() const { return counts_; }
+
+private:
+  struct Committed
+  {
+    std::uint64_t term = 0;
+    std::string bytes;
+    std::uint64_t chain = 0;
+  };
+
+  Elapsed Now(const FakeBox& box) const;
+  void Start(FakeBox& box);
+  void Crash(FakeBox& box);
+  void Wipe(FakeBox& box);
+  bool MayWipe(const FakeBox& box) const;
+  bool SurvivesLossOf(const wire::VoterSet& voters, std::uint64_t id) const;
+  void Step();
+  void DeliverOne();
+  void Deliver(const wire::AgreementMessage& message);
+  void Propose();
+  void TickAll();
+  void AskToJoin(FakeBox& box);
+  void CarryOut(FakeBox& box);
+  void WriteToDisk(FakeBox& box, const ReplicaActions& actions);
+  void Apply(FakeBox& box);
+  void NoteCommitted(FakeBox& box, const wire::LogEntry& entry);
+  void CheckAll();
+  bool Settle();
+  std::string Describe() const;
+  FakeBox* BoxOf(std::uint64_t id);
+  bool Chance(double probability);
+  void Fail(const std::string& what);
+
+  absl::BitGen random_;
+  std::vector<FakeBox> boxes_;
+  std::vector<wire::AgreementMessage> network_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  std::map<std::uint64_t, Committed> committed_;
+  wire::VoterSet committedVoters_;
+  std::uint64_t committedVotersIndex_ = 0;
+  std::map<std::uint64_t, std::uint64_t> leaderOfTerm_;
+  std::map<std::uint64_t, JoiningReplica> joining_;
+  std::set<std::uint64_t> lostIdentities_;
+  absl::Duration time_;
+  absl::Duration lastWipe_ = -absl::InfiniteDuration();
+  std::uint64_t nextIdentity_ = 1;
+  std::uint64_t nextPayload_ = 1;
+  ScheduleCounts counts_;
+  std::string failure_;
+};
+
+} // namespace wg::test
--- a/Utilities/Demo/RunDemo.sh
+++ b/Utilities/Demo/RunDemo.sh
@@ -17,6 +17,8 @@
 
 cleanup()
 {
+  status=$?
+  if [ $status != 0 ]; then tail -n 3 "$run"/*.log >&2; fi
   for pid in $pids; do kill "$pid" 2>/dev/null || true; done
   for pid in $pids; do wait "$pid" 2>/dev/null || true; done
   rm -rf "$run"
@@ -42,7 +44,6 @@
     tries=$((tries + 1))
     if [ $tries -gt 300 ]; then
       echo "The demo gave up waiting for: $what" >&2
-      tail -n 5 "$run"/*.log >&2
       exit 1
     fi
     sleep 0.1
--- a/Utilities/Standin/wgStandinEngine.cxx
+++ b/Utilities/Standin/wgStandinEngine.cxx
@@ -10,6 +10,8 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 
+#include "wgHttpListen.h"
+
 namespace wg {
 namespace {
 
@@ -119,7 +121,7 @@
   server_.set_keep_alive_max_count(1000000);
   AddRoutes();
   AddAdminRoutes();
-  if (!server_.bind_to_port("127.0.0.1", settings_.port)) {
+  if (!BindForBursts(server_, "127.0.0.1", settings_.port)) {
     return false;
   }
   thread_ = std::thread([this] { server_.listen_after_bind(); });
--- a/Utilities/Standin/wgStandinPlatform.cxx
+++ b/Utilities/Standin/wgStandinPlatform.cxx
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgStandinPlatform.h"
 
+#include "wgHttpListen.h"
+
 namespace wg {
 
 StandinPlatform::StandinPlatform(int port)
@@ -29,7 +31,7 @@
     list_ = request.body;
     response.set_content("{}", "application/json");
   });
-  if (!server_.bind_to_port("127.0.0.1", port_)) {
+  if (!BindForBursts(server_, "127.0.0.1", port_)) {
     return false;
   }
   thread_ = std::thread([this] { server_.listen_after_bind(); });
