--- /dev/null
+++ b/Tests/Membership/wgMembershipTest.cxx
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <catch2/catch.hpp>
+
+#include "absl/random/random.h"
+
+#include "wgMembership.h"
+
+namespace {
+
+wg::Membership Box(const std::string& name, std::uint64_t incarnation = 1)
+{
+  wg::Membership membership;
+  membership.self.set_box(name);
+  membership.self.set_address("127.0.0.1:" + name);
+  membership.self.set_incarnation(incarnation);
+  return membership;
+}
+
+wg::wire::Gossip About(const std::string& box, std::uint64_t incarnation,
+                       std::uint64_t beat)
+{
+  wg::wire::Gossip gossip;
+  wg::wire::Member& member = *gossip.add_members();
+  member.set_box(box);
+  member.set_address("127.0.0.1:" + box);
+  member.set_incarnation(incarnation);
+  member.set_beat(beat);
+  return gossip;
+}
+
+} // namespace
+
+TEST_CASE("a box whose beats stop is suspected, and lives when they come")
+{
+  wg::Membership membership = Box("1");
+  wg::MergeGossip(membership, About("2", 1, 1), absl::Seconds(1));
+  CHECK(wg::AliveMembers(membership, absl::Seconds(2)).size() == 1);
+  CHECK(wg::AliveMembers(membership, absl::Seconds(4)).empty());
+  wg::MergeGossip(membership, About("2", 1, 1), absl::Seconds(4));
+  CHECK(wg::AliveMembers(membership, absl::Seconds(4)).empty()); // old news
+  wg::MergeGossip(membership, About("2", 1, 2), absl::Seconds(4));
+  CHECK(wg::AliveMembers(membership, absl::Seconds(5)).size() == 1);
+}
+
+TEST_CASE("the dead do not return as their former selves")
+{
+  wg::Membership membership = Box("1");
+  wg::MergeGossip(membership, About("2", 5, 1), absl::Seconds(1));
+  wg::MergeGossip(membership, About("2", 4, 900), absl::Seconds(3));
+  CHECK(membership.others["2"].member.incarnation() == 5);
+  CHECK(wg::AliveMembers(membership, absl::Seconds(3)).empty());
+}
+
+TEST_CASE("a leaving box is not counted among the living")
+{
+  wg::Membership membership = Box("1");
+  wg::wire::Gossip gossip = About("2", 1, 1);
+  gossip.mutable_members(0)->set_leaving(true);
+  wg::MergeGossip(membership, gossip, absl::Seconds(1));
+  CHECK(wg::AliveMembers(membership, absl::Seconds(1)).empty());
+}
+
+TEST_CASE("messages a period do not grow with the number of boxes")
+{
+  std::seed_seq seed{ 3 };
+  absl::BitGen random(seed);
+  for (const int boxes : { 9, 100, 1000 }) {
+    wg::Membership membership = Box("0");
+    for (int i = 1; i < boxes; ++i) {
+      wg::MergeGossip(membership, About(std::to_string(i), 1, 1),
+                      absl::Seconds(1));
+    }
+    const auto messages =
+      wg::NextGossip(membership, absl::Seconds(1), random);
+    CHECK(messages.size() == 3);
+    CHECK(messages[0].gossip.members_size() <= 16);
+  }
+}
+
+TEST_CASE("nine boxes learn of one another from one seed, and of a cut")
+{
+  std::seed_seq seed{ 5 };
+  absl::BitGen random(seed);
+  std::vector<wg::Membership> boxes;
+  for (int i = 0; i < 9; ++i) {
+    boxes.push_back(Box(std::to_string(i)));
+    boxes.back().seeds = { "127.0.0.1:0" };
+  }
+  const auto round = [&](absl::Duration now, bool cut) {
+    for (std::size_t from = 0; from < boxes.size(); ++from) {
+      for (const auto& message :
+           wg::NextGossip(boxes[from], now, random)) {
+        const std::size_t to = message.address.back() - '0';
+        const bool crosses = (from < 3) != (to < 3);
+        if (!cut || !crosses) {
+          wg::MergeGossip(boxes[to], message.gossip, now);
+        }
+      }
+    }
+  };
+  absl::Duration now;
+  for (int i = 0; i < 12; ++i) {
+    round(now += absl::Milliseconds(250), false);
+  }
+  for (const auto& box : boxes) {
+    CHECK(wg::AliveMembers(box, now).size() == 8);
+  }
+  for (int i = 0; i < 20; ++i) {
+    round(now += absl::Milliseconds(250), true);
+  }
+  CHECK(wg::AliveMembers(boxes[0], now).size() == 2);
+  CHECK(wg::AliveMembers(boxes[8], now).size() == 5);
+  for (int i = 0; i < 12; ++i) {
+    round(now += absl::Milliseconds(250), false);
+  }
+  CHECK(wg::AliveMembers(boxes[8], now).size() == 8);
+}
