Decision: boxes divide an overloaded group's slots between them

Quotas held accounts back while places were free, admission took each box's own queue for the whole, and nine boxes sent more to one engine than it has slots while others idled.

Ruled out: the lag of the reports alone (0.5 and 2 s gave the same at 0.5 load) and the fair queue (same figures with one account).

Change: quotas bind only while more is wanted than there is; admission uses what all boxes want; under contention each box gets slots of its own at the endpoints; endpoints that don't answer are set aside whatever their share and return with the first answer; running out of time counts as a time of at least that length; the router compares those it compared longest ago.

The tests now use a standard generator and give the same figures each time.

--- a/Source/Decision/wgAdmission.cxx
+++ b/Source/Decision/wgAdmission.cxx
@@ -11,6 +11,17 @@
 constexpr absl::Duration ShortestRetryAfter = absl::Milliseconds(200);
 constexpr absl::Duration NoEndpointRetryAfter = absl::Seconds(2);
 constexpr double BurstSeconds = 1.0;
+/** How much of the largest spread of a stage is kept as a reserve. */
+constexpr double SpreadMargin = 1.0;
+
+double LargestSpread(absl::Span<const StageOutlook> stages)
+{
+  double largest = 0.0;
+  for (const StageOutlook& stage : stages) {
+    largest = std::max(largest, stage.spreadSeconds);
+  }
+  return largest;
+}
 
 } // namespace
 
@@ -46,7 +57,8 @@
                SpreadRetryAfter(NoEndpointRetryAfter, random), 0.0 };
     }
   }
-  const double finish = ExpectedRequestSeconds(stages);
+  const double finish =
+    ExpectedRequestSeconds(stages) + SpreadMargin * LargestSpread(stages);
   const absl::Duration over = absl::Seconds(finish) - timeLeft;
   if (over <= absl::ZeroDuration()) {
     return { Reason::None, absl::ZeroDuration(), finish };
--- a/Source/Decision/wgAdmission.h
+++ b/Source/Decision/wgAdmission.h
@@ -15,6 +15,7 @@
 struct StageOutlook
 {
   double serviceSeconds = 0.0; // expected for one stage
+  double spreadSeconds = 0.0;  // mean distance from that
   double ahead = 0.0;  // stages of its account that come before it, here or
                        // still on their way here
   double places = 1.0; // places that its account may use
--- a/Source/Decision/wgDispatch.cxx
+++ b/Source/Decision/wgDispatch.cxx
@@ -7,24 +7,31 @@
 namespace wg {
 namespace {
 
-/** A box that is not yet known to ask may start this many at once. */
-constexpr double UnknownQuota = 1.0;
+bool AnyPlace(const GroupState& group, PlaceRule rule)
+{
+  return std::any_of(group.endpoints.begin(), group.endpoints.end(),
+                     [rule](const EndpointState& endpoint) {
+                       return HasPlace(endpoint, rule);
+                     });
+}
 
+/** Quotas bind only while more is wanted than there are places; else they
+ * would hold back what others have no use for. An account that the other
+ * boxes do not know of yet may start one stage without waiting until they do.
+ */
 bool MayStartMore(const GroupState& group, const std::string& account,
-                  int running)
+                  int running, bool anyShared)
 {
-  if (!group.hasQuota) {
+  if (!group.quota.contended) {
     return true;
   }
-  auto found = group.quota.find(account);
-  const double quota =
-    found == group.quota.end() ? UnknownQuota : found->second;
-  return running < static_cast<int>(std::ceil(std::max(quota, 1.0)));
-}
-
-bool AnyPlace(const GroupState& group)
-{
-  return std::any_of(group.endpoints.begin(), group.endpoints.end(), HasPlace);
+  auto found = group.quota.accounts.find(account);
+  const bool isNew =
+    found == group.quota.accounts.end() || found->second.here == 0.0;
+  if (isNew) {
+    return running == 0;
+  }
+  return anyShared && running < std::ceil(found->second.here);
 }
 
 void ForgetQueries(GroupState& group, const std::vector<WaitingStage>& stages)
@@ -34,6 +41,54 @@
   }
 }
 
+/** A range of places, of all the places of a group in a row. */
+struct PlaceRange
+{
+  int first = 0;
+  int end = 0;
+};
+
+/** Every box finds the same ranges from the same demands: each begins where
+ * the one of the box before it ends.
+ */
+PlaceRange RangeOf(const std::string& self,
+                   absl::Span<const ShareDemand> demands,
+                   const PlaceDivision& division)
+{
+  double before = 0.0;
+  double own = 0.0;
+  for (std::size_t i = 0; i < demands.size(); ++i) {
+    const double places = division.shares[i].places;
+    before += demands[i].box < self ? places : 0.0;
+    own += demands[i].box == self ? places : 0.0;
+  }
+  return { static_cast<int>(std::lround(before)),
+           static_cast<int>(std::lround(before + own)) };
+}
+
+/** Deals the slots out level by level, so that each range has its slots at as
+ * many endpoints as can be, and no slot is in two ranges.
+ */
+void ShareSlots(absl::Span<EndpointState> endpoints, PlaceRange range)
+{
+  int deepest = 0;
+  for (EndpointState& endpoint : endpoints) {
+    endpoint.share = 0;
+    deepest = std::max(deepest, endpoint.slots);
+  }
+  int position = 0;
+  for (int level = 0; level < deepest && position < range.end; ++level) {
+    for (EndpointState& endpoint : endpoints) {
+      if (!TakesNewWork(endpoint) || level >= endpoint.slots) {
+        continue;
+      }
+      endpoint.share +=
+        position >= range.first && position < range.end ? 1 : 0;
+      ++position;
+    }
+  }
+}
+
 } // namespace
 
 Reason Enqueue(GroupState& group, WaitingStage stage, RouteQuery query)
@@ -52,20 +107,25 @@
   StartProbes(absl::MakeSpan(group.endpoints), now);
   round.hopeless = TakeHopeless(group.queue, now);
   ForgetQueries(group, round.hopeless);
-  const MayStart mayStart = [&group](const std::string& account, int running) {
-    return MayStartMore(group, account, running);
-  };
-  while (AnyPlace(group)) {
-    std::optional<WaitingStage> stage = PopNext(group.queue, mayStart);
+  while (AnyPlace(group, PlaceRule::Any)) {
+    const bool anyShared = AnyPlace(group, PlaceRule::Shared);
+    std::optional<WaitingStage> stage =
+      PopNext(group.queue,
+              [&group, anyShared](const std::string& account, int running) {
+                return MayStartMore(group, account, running, anyShared);
+              });
     if (!stage) {
       break;
     }
-    const RouteQuery query = group.queries[stage->ticket];
+    RouteQuery query = group.queries[stage->ticket];
     group.queries.erase(stage->ticket);
+    query.now = now;
+    query.rule =
+      group.quota.contended && anyShared ? PlaceRule::Shared : PlaceRule::Any;
     std::optional<RouteDecision> route =
       ChooseEndpoint(group.policy, group.endpoints, query, group.prefixes,
                      group.roundRobin, random);
-    ++group.endpoints[route->endpoint].running;
+    NoteChoice(absl::MakeSpan(group.endpoints), *route, ++group.choices);
     NotePrefix(group.prefixes, query.prefix, route->endpoint);
     round.grants.push_back({ std::move(*stage), std::move(*route) });
   }
@@ -79,6 +139,8 @@
   if (end == AttemptEnd::Answered) {
     Observe(group.service, seconds);
     EarnRetry(group.retries);
+  } else if (end == AttemptEnd::OutOfTime && seconds > group.service.mean) {
+    Observe(group.service, seconds); // it takes at least so long
   }
   return NoteAttemptEnd(absl::MakeSpan(group.endpoints), grant.route.endpoint,
                         end, seconds, now);
@@ -93,21 +155,36 @@
   return places;
 }
 
-double PlacesFor(const GroupState& group, const std::string& account,
-                 double weight)
+void SetQuota(GroupState& group, const std::string& self,
+              absl::Span<const ShareDemand> demands)
 {
-  if (group.hasQuota) {
-    auto found = group.quota.find(account);
-    if (found != group.quota.end()) {
-      return std::max(found->second, UnknownQuota);
+  const double places = CountPlaces(group);
+  const PlaceDivision division = DividePlaces(places, demands);
+  GroupQuota quota;
+  quota.known = true;
+  quota.unused = division.unused;
+  quota.perWeight = division.perWeight;
+  double wanted = 0.0;
+  absl::flat_hash_map<std::string, double> given;
+  for (std::size_t i = 0; i < demands.size(); ++i) {
+    const ShareDemand& demand = demands[i];
+    AccountQuota& account = quota.accounts[demand.account];
+    given[demand.account] += division.shares[i].places;
+    wanted += demand.wanted;
+    if (demand.box == self) {
+      account.here = division.shares[i].places;
+    } else {
+      account.wantedElsewhere += demand.wanted;
     }
   }
-  double others = 0.0;
-  for (const auto& [name, entry] : group.queue.accounts) {
-    const bool active = !entry.waiting.empty() || entry.running > 0;
-    others += name != account && active ? entry.weight : 0.0;
+  for (const ShareDemand& demand : demands) {
+    quota.accounts[demand.account].ifHungry =
+      PlacesIfHungry(division, demand.weight, given[demand.account]);
   }
-  return CountPlaces(group) * weight / (weight + others);
+  quota.contended = wanted > places;
+  group.quota = std::move(quota);
+  ShareSlots(absl::MakeSpan(group.endpoints),
+             RangeOf(self, demands, division));
 }
 
 } // namespace wg
--- a/Source/Decision/wgDispatch.h
+++ b/Source/Decision/wgDispatch.h
@@ -11,6 +11,7 @@
 #include "wgFairQueue.h"
 #include "wgRetryBudget.h"
 #include "wgRouter.h"
+#include "wgShares.h"
 
 namespace wg {
 
@@ -28,6 +29,24 @@
   std::vector<WaitingStage> hopeless; // to be answered at once
 };
 
+/** \brief What one account may use and asks for, over all entry boxes. */
+struct AccountQuota
+{
+  double here = 0.0;            // places through this box while contended
+  double ifHungry = 0.0;        // places over all boxes if it wanted them all
+  double wantedElsewhere = 0.0; // running and waiting at the other boxes
+};
+
+/** \brief What the entry boxes last told one another of a group. */
+struct GroupQuota
+{
+  absl::flat_hash_map<std::string, AccountQuota> accounts;
+  bool contended = false; // more is wanted than there are places
+  double unused = 0.0;    // places that nobody wants
+  double perWeight = 0.0; // places of an account that wants more, by weight
+  bool known = false;     // false: no division was made yet
+};
+
 /** \brief All that one entry knows of one endpoint group. */
 struct GroupState
 {
@@ -37,10 +56,10 @@
   FairQueue queue;
   RetryBudget retries;
   PrefixTable prefixes;
-  TimeEstimate service;                           // of the whole group
-  absl::flat_hash_map<std::string, double> quota; // places by account
-  bool hasQuota = false; // false: no other box is known to ask
+  TimeEstimate service; // of the whole group
+  GroupQuota quota;
   std::uint64_t roundRobin = 0;
+  std::uint64_t choices = 0; // made so far
   RoutePolicy policy = RoutePolicy::ExpectedFinish;
   absl::flat_hash_map<std::uint64_t, RouteQuery> queries; // by ticket
   absl::flat_hash_map<std::string, int> upcoming; // admitted, not yet here
@@ -59,8 +78,10 @@
 /** \brief Places of all endpoints that take new work. */
 double CountPlaces(const GroupState& group);
 
-/** \brief Places that an account may use through this entry. */
-double PlacesFor(const GroupState& group, const std::string& account,
-                 double weight);
+/** \brief Divides the group's places between accounts and entry boxes.
+ * \param self this box's name among those in the demands
+ */
+void SetQuota(GroupState& group, const std::string& self,
+              absl::Span<const ShareDemand> demands);
 
 } // namespace wg
--- a/Source/Decision/wgEndpointState.cxx
+++ b/Source/Decision/wgEndpointState.cxx
@@ -9,6 +9,8 @@
 constexpr double FailureGain = 0.15;
 constexpr double EjectFailureShare = 0.5;
 constexpr int EjectFailuresInRow = 3;
+constexpr int EjectUnreachedInRow = 2;
+constexpr int SilentWatchesToStop = 2;
 constexpr int MinSamples = 6;
 constexpr double EjectSlowness = 4.0; // times the median of its peers
 constexpr double MaxEjectedShare = 0.5;
@@ -36,6 +38,14 @@
   return *middle;
 }
 
+/** Whether it has taken so long that the endpoint must be at fault. */
+bool IsOverdue(absl::Span<const EndpointState> group, std::size_t index,
+               double seconds)
+{
+  const double median = MedianOfPeers(group, index);
+  return median > 0.0 && seconds > EjectSlowness * median;
+}
+
 bool MayEjectOneMore(absl::Span<const EndpointState> group)
 {
   const auto ejected = std::count_if(
@@ -82,7 +92,7 @@
   if (!good) {
     limit.value *= LimitDecrease;
   } else if (!congested) {
-    limit.value += 1.0 / std::max(1.0, limit.value);
+    limit.value += 1.0;
   }
   limit.value =
     std::clamp(limit.value, 1.0, static_cast<double>(endpoint.slots));
@@ -112,10 +122,11 @@
 bool TakesNewWork(const EndpointState& endpoint)
 {
   return !endpoint.drained && !IsLeaving(endpoint) &&
+         endpoint.silentWatches < SilentWatchesToStop &&
          endpoint.health.state != HealthState::Ejected;
 }
 
-bool HasPlace(const EndpointState& endpoint)
+bool HasPlace(const EndpointState& endpoint, PlaceRule rule)
 {
   if (!TakesNewWork(endpoint)) {
     return false;
@@ -123,7 +134,10 @@
   if (endpoint.health.state == HealthState::Probing) {
     return endpoint.running == 0;
   }
-  return endpoint.running < static_cast<int>(endpoint.limit.value);
+  const int limit = static_cast<int>(endpoint.limit.value);
+  const int places =
+    rule == PlaceRule::Any ? limit : std::min(limit, endpoint.share);
+  return endpoint.running < places;
 }
 
 bool NoteAttemptEnd(absl::Span<EndpointState> group, std::size_t index,
@@ -134,27 +148,52 @@
   if (end == AttemptEnd::Cancelled) {
     return false;
   }
-  const bool good = end == AttemptEnd::Answered;
+  const bool good =
+    end == AttemptEnd::Answered ||
+    (end == AttemptEnd::OutOfTime && !IsOverdue(group, index, seconds));
   EndpointHealth& health = endpoint.health;
   ++health.samples;
   health.failureShare +=
     FailureGain * ((good ? 0.0 : 1.0) - health.failureShare);
   health.failuresInRow = good ? 0 : health.failuresInRow + 1;
-  if (good) {
+  const bool unreached = end == AttemptEnd::Unreached;
+  health.unreachedInRow = unreached ? health.unreachedInRow + 1 : 0;
+  const bool tellsTime =
+    end == AttemptEnd::Answered ||
+    (end == AttemptEnd::OutOfTime && seconds > endpoint.service.mean);
+  if (tellsTime) {
     Observe(endpoint.service, seconds);
   }
   NoteLimit(endpoint, good);
   if (health.state == HealthState::Probing) {
     return NoteProbe(endpoint, good, now);
   }
+  // A connection that does not come to be is proof; a judgement by
+  // comparison is not, and so bounded.
   const bool eject = health.state == HealthState::Healthy &&
-                     IsBad(group, index) && MayEjectOneMore(group);
+                     (health.unreachedInRow >= EjectUnreachedInRow ||
+                      (IsBad(group, index) && MayEjectOneMore(group)));
   if (eject) {
     Eject(endpoint, now);
   }
   return eject;
 }
 
+void NoteWatch(EndpointState& endpoint, bool answered)
+{
+  const bool unreachedBefore = endpoint.health.state == HealthState::Ejected &&
+                               endpoint.health.unreachedInRow > 0;
+  const bool silentBefore = endpoint.silentWatches >= SilentWatchesToStop &&
+                            endpoint.health.state == HealthState::Healthy;
+  const bool returns = answered && (silentBefore || unreachedBefore);
+  if (returns) {
+    // That it was gone is known, and that it is back: one probe will do.
+    endpoint.health.state = HealthState::Probing;
+    endpoint.health.probesPassed = ProbesToPass - 1;
+  }
+  endpoint.silentWatches = answered ? 0 : endpoint.silentWatches + 1;
+}
+
 void StartProbes(absl::Span<EndpointState> group, Elapsed now)
 {
   for (EndpointState& endpoint : group) {
--- a/Source/Decision/wgEndpointState.h
+++ b/Source/Decision/wgEndpointState.h
@@ -35,6 +35,7 @@
   double failureShare = 0.0;
   int samples = 0;
   int failuresInRow = 0;
+  int unreachedInRow = 0;
   int probesPassed = 0;
   int ejections = 0; // in a row, for the backoff
   Elapsed ejectedUntil;
@@ -60,6 +61,10 @@
   bool saysLeaving = false;   // by its own word
   bool removed = false;       // no longer configured
   int running = 0;            // ours
+  int silentWatches = 0;      // in a row: it did not say its load when asked
+  std::uint64_t compared = 0; // when a choice last came by it
+  int share = 0;   // of its slots, this box's while the group is contended
+  int skipped = 0; // choices in a row that took another
   LoadReport report;
   TimeEstimate service;
   EndpointHealth health;
@@ -71,7 +76,8 @@
 {
   Answered,
   Failed,    // answered with an error, or broke off
-  Unreached, // the connection was refused
+  Unreached, // no connection came to be
+  OutOfTime, // broken off at the deadline
   Cancelled  // by us: says nothing of the endpoint
 };
 
@@ -81,8 +87,15 @@
 /** \brief Whether new work may be sent there at all. */
 bool TakesNewWork(const EndpointState& endpoint);
 
+/** \brief Which of an endpoint's slots may be used. */
+enum class PlaceRule
+{
+  Any,   // all that its limit allows
+  Shared // those that are this box's
+};
+
 /** \brief Whether one more stage may be sent there now. */
-bool HasPlace(const EndpointState& endpoint);
+bool HasPlace(const EndpointState& endpoint, PlaceRule rule);
 
 /** \brief Takes the end of an attempt into limit, estimate and health.
  * \return true when the endpoint's health state changed
@@ -90,6 +103,9 @@
 bool NoteAttemptEnd(absl::Span<EndpointState> group, std::size_t index,
                     AttemptEnd end, double seconds, Elapsed now);
 
+/** \brief Takes in whether it said its load when asked. */
+void NoteWatch(EndpointState& endpoint, bool answered);
+
 /** \brief Lets ejected endpoints whose time is over be probed. */
 void StartProbes(absl::Span<EndpointState> group, Elapsed now);
 
--- a/Source/Decision/wgRouter.cxx
+++ b/Source/Decision/wgRouter.cxx
@@ -11,35 +11,69 @@
 constexpr std::size_t MaxPrefixes = 100000;
 /** A prefix that is cached saves this share of the service time. */
 constexpr double PrefixSaving = 0.3;
+constexpr double ClearlyDifferent = 1.5;
+/** One that is passed over more often waits for the next round. */
+constexpr int MaxSkipped = 2;
+
+/** An endpoint counts as different from its group only when it clearly is:
+ * else the few longer stages that it happened to get would look like
+ * slowness.
+ */
+double ServiceSecondsAt(const EndpointState& endpoint, double ofGroup)
+{
+  const double own = ExpectedSeconds(endpoint.service, ofGroup);
+  const bool different =
+    own > ClearlyDifferent * ofGroup || own * ClearlyDifferent < ofGroup;
+  return different ? own : ofGroup;
+}
+
+/** What other boxes have there. The older a report is against the time of a
+ * stage, the less it says.
+ */
+double OthersAt(const EndpointState& endpoint, const RouteQuery& query,
+                double service)
+{
+  const LoadReport& report = endpoint.report;
+  const double others =
+    std::max(0, report.running + report.waiting - report.ownRunning);
+  const double age =
+    std::max(0.0, absl::ToDoubleSeconds(query.now - report.at));
+  return others * service / (service + age);
+}
 
 std::vector<std::size_t> WithPlace(absl::Span<const EndpointState> group,
-                                   std::size_t avoid)
+                                   std::size_t avoid, PlaceRule rule)
 {
   std::vector<std::size_t> open;
   for (std::size_t i = 0; i < group.size(); ++i) {
-    if (i != avoid && HasPlace(group[i])) {
+    if (i != avoid && HasPlace(group[i], rule)) {
       open.push_back(i);
     }
   }
   const bool onlyAvoided =
-    open.empty() && avoid < group.size() && HasPlace(group[avoid]);
+    open.empty() && avoid < group.size() && HasPlace(group[avoid], rule);
   if (onlyAvoided) {
     open.push_back(avoid);
   }
   return open;
 }
 
-/** Moves a random choice of `count` to the front and drops the rest. */
-void KeepRandom(std::vector<std::size_t>& open, std::size_t count,
-                absl::BitGenRef random)
+/** Keeps those that were compared longest ago: the turn goes round, so that
+ * a box spreads its own work evenly whatever late reports say.
+ */
+void KeepLongestAgo(absl::Span<const EndpointState> group,
+                    std::vector<std::size_t>& open, std::size_t count,
+                    absl::BitGenRef random)
 {
+  std::shuffle(open.begin(), open.end(), random);
   if (open.size() <= count) {
     return;
   }
-  for (std::size_t i = 0; i < count; ++i) {
-    const auto other = absl::Uniform<std::size_t>(random, i, open.size());
-    std::swap(open[i], open[other]);
-  }
+  std::partial_sort(open.begin(),
+                    open.begin() + static_cast<std::ptrdiff_t>(count),
+                    open.end(), [&group](std::size_t a, std::size_t b) {
+                      return group[a].compared < group[b].compared;
+                    });
   open.resize(count);
 }
 
@@ -56,7 +90,7 @@
   }
   const bool cachedIsOpen =
     std::find(open.begin(), open.end(), cachedAt) != open.end();
-  KeepRandom(open, query.choices, random);
+  KeepLongestAgo(group, open, query.choices, random);
   const bool kept =
     std::find(open.begin(), open.end(), cachedAt) != open.end();
   if (cachedIsOpen && !kept) {
@@ -92,12 +126,9 @@
 double ExpectedFinishSeconds(const EndpointState& endpoint,
                              const RouteQuery& query)
 {
-  const int others =
-    std::max(0, endpoint.report.running + endpoint.report.waiting -
-                  endpoint.report.ownRunning);
-  const double ahead = others + endpoint.running;
+  const double service = ServiceSecondsAt(endpoint, query.priorSeconds);
+  const double ahead = OthersAt(endpoint, query, service) + endpoint.running;
   const double fill = (ahead + 1.0) / std::max(1, endpoint.slots);
-  const double service = ExpectedSeconds(endpoint.service, query.priorSeconds);
   const double distance = endpoint.hall == query.hall
                             ? 0.0
                             : absl::ToDoubleSeconds(query.hallDistance);
@@ -109,7 +140,7 @@
   const RouteQuery& query, const PrefixTable& prefixes,
   std::uint64_t& roundRobin, absl::BitGenRef random)
 {
-  std::vector<std::size_t> open = WithPlace(group, query.avoid);
+  std::vector<std::size_t> open = WithPlace(group, query.avoid, query.rule);
   if (open.empty()) {
     return std::nullopt;
   }
@@ -128,6 +159,21 @@
   return RouteDecision{ LeastOutstanding(group, open), {} };
 }
 
+void NoteChoice(absl::Span<EndpointState> group, const RouteDecision& choice,
+                std::uint64_t order)
+{
+  for (const RouteCandidate& candidate : choice.compared) {
+    EndpointState& endpoint = group[candidate.endpoint];
+    const bool chosen = candidate.endpoint == choice.endpoint;
+    endpoint.skipped = chosen ? 0 : endpoint.skipped + 1;
+    if (chosen || endpoint.skipped > MaxSkipped) {
+      endpoint.compared = order;
+      endpoint.skipped = 0;
+    }
+  }
+  ++group[choice.endpoint].running;
+}
+
 void NotePrefix(PrefixTable& prefixes, std::uint64_t prefix,
                 std::size_t endpoint)
 {
--- a/Source/Decision/wgRouter.h
+++ b/Source/Decision/wgRouter.h
@@ -26,12 +26,14 @@
 /** \brief What the choice of an endpoint depends on. */
 struct RouteQuery
 {
-  std::string hall;         // the entry's own
-  std::uint64_t prefix = 0; // hash of the prompt's prefix; 0: none
-  double priorSeconds = 0.1;
+  std::string hall;          // the entry's own
+  std::uint64_t prefix = 0;  // hash of the prompt's prefix; 0: none
+  double priorSeconds = 0.1; // of the whole group
+  Elapsed now;
   absl::Duration hallDistance = absl::Milliseconds(1); // round trip
   std::size_t avoid = SIZE_MAX; // where an earlier attempt failed
   std::size_t choices = 3;      // how many are compared
+  PlaceRule rule = PlaceRule::Any;
 };
 
 /** \brief One endpoint that was compared. */
@@ -64,6 +66,12 @@
   const RouteQuery& query, const PrefixTable& prefixes,
   std::uint64_t& roundRobin, absl::BitGenRef random);
 
+/** \brief Counts the stage at the chosen endpoint, and moves those that were
+ * compared back in the order in which they are compared again.
+ */
+void NoteChoice(absl::Span<EndpointState> group, const RouteDecision& choice,
+                std::uint64_t order);
+
 /** \brief Remembers where a prefix was served, or forgets it there. */
 void NotePrefix(PrefixTable& prefixes, std::uint64_t prefix,
                 std::size_t endpoint);
--- a/Source/Decision/wgShares.cxx
+++ b/Source/Decision/wgShares.cxx
@@ -18,8 +18,12 @@
 
 using AccountShares = absl::btree_map<std::string, AccountShare>;
 
-/** Gives by weight, satisfied accounts first, until nothing is left. */
-void FillByWeight(double places, AccountShares& accounts)
+/** Gives by weight, accounts that want least first, until nothing is left.
+ * What the last one could still have had by weight is the level that all who
+ * want more stand at.
+ */
+void FillByWeight(double places, AccountShares& accounts,
+                  PlaceDivision& division)
 {
   std::vector<AccountShare*> open;
   double weightLeft = 0.0;
@@ -32,17 +36,19 @@
               return a->wanted / a->weight < b->wanted / b->weight;
             });
   for (AccountShare* account : open) {
-    const double fair = places * account->weight / weightLeft;
-    account->given = std::min(account->wanted, fair);
+    division.perWeight = places / weightLeft;
+    account->given =
+      std::min(account->wanted, division.perWeight * account->weight);
     places -= account->given;
     weightLeft -= account->weight;
   }
+  division.unused = places;
 }
 
 } // namespace
 
-std::vector<SharePlaces> DividePlaces(double places,
-                                      absl::Span<const ShareDemand> demands)
+PlaceDivision DividePlaces(double places,
+                           absl::Span<const ShareDemand> demands)
 {
   AccountShares accounts;
   for (const ShareDemand& demand : demands) {
@@ -50,15 +56,22 @@
     account.weight = std::max(demand.weight, 1e-6);
     account.wanted += demand.wanted;
   }
-  FillByWeight(places, accounts);
-  std::vector<SharePlaces> result;
+  PlaceDivision division;
+  FillByWeight(places, accounts, division);
   for (const ShareDemand& demand : demands) {
     const AccountShare& account = accounts[demand.account];
     const double part =
       account.wanted > 0.0 ? demand.wanted / account.wanted : 0.0;
-    result.push_back({ demand.account, demand.box, account.given * part });
+    division.shares.push_back(
+      { demand.account, demand.box, account.given * part });
   }
-  return result;
+  return division;
+}
+
+double PlacesIfHungry(const PlaceDivision& division, double weight,
+                      double given)
+{
+  return std::max(division.perWeight * weight, given + division.unused);
 }
 
 } // namespace wg
--- a/Source/Decision/wgShares.h
+++ b/Source/Decision/wgShares.h
@@ -25,11 +25,25 @@
   double places = 0.0;
 };
 
+/** \brief How a group's places are divided. */
+struct PlaceDivision
+{
+  std::vector<SharePlaces> shares; // one for each demand, in its order
+  double perWeight = 0.0; // what an account that wants more gets, by weight
+  double unused = 0.0;    // places that nobody wants
+};
+
 /** \brief Divides a group's places: between accounts by weight, each up to
  * what it wants, and within an account in proportion to what each box wants.
  * What one account leaves unused goes to the others.
  */
-std::vector<SharePlaces> DividePlaces(double places,
-                                      absl::Span<const ShareDemand> demands);
+PlaceDivision DividePlaces(double places,
+                           absl::Span<const ShareDemand> demands);
+
+/** \brief The places that an account would get if it wanted all there are.
+ * \param given what the division gave it, over all boxes
+ */
+double PlacesIfHungry(const PlaceDivision& division, double weight,
+                      double given);
 
 } // namespace wg
--- a/Source/Entry/wgBlackboard.cxx
+++ b/Source/Entry/wgBlackboard.cxx
@@ -101,23 +101,6 @@
   return alive;
 }
 
-void SetQuota(GroupState& group, const std::string& self,
-              absl::Span<const ShareDemand> demands)
-{
-  group.quota.clear();
-  group.hasQuota =
-    std::any_of(demands.begin(), demands.end(),
-                [&self](const ShareDemand& d) { return d.box != self; });
-  if (!group.hasQuota) {
-    return;
-  }
-  for (const SharePlaces& share : DividePlaces(CountPlaces(group), demands)) {
-    if (share.box == self) {
-      group.quota[share.account] = share.places;
-    }
-  }
-}
-
 } // namespace
 
 std::shared_ptr<const Config> CurrentConfig(Blackboard& blackboard)
--- a/Source/Entry/wgEntryNode.cxx
+++ b/Source/Entry/wgEntryNode.cxx
@@ -352,12 +352,13 @@
       const std::string text =
         FetchText(target.address, "/v1/load", WatchTimeout);
       const Json load = Json::parse(text, nullptr, false);
-      if (!load.is_object()) {
-        continue;
-      }
       absl::MutexLock lock(&board_.groups.mutex);
-      TakeLoadReport(
-        board_.groups.groups[target.group].endpoints[target.index], load);
+      EndpointState& endpoint =
+        board_.groups.groups[target.group].endpoints[target.index];
+      NoteWatch(endpoint, load.is_object());
+      if (load.is_object()) {
+        TakeLoadReport(endpoint, load);
+      }
     }
   };
   std::array<std::thread, 4> watchers;
--- a/Source/Entry/wgRequestRunner.cxx
+++ b/Source/Entry/wgRequestRunner.cxx
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "wgOutlook.h"
 #include "wgStageProtocol.h"
 
 namespace wg {
@@ -33,32 +34,14 @@
       return "failed";
     case AttemptEnd::Unreached:
       return "unreached";
+    case AttemptEnd::OutOfTime:
+      return "out_of_time";
     case AttemptEnd::Cancelled:
       break;
   }
   return "cancelled";
 }
 
-/** Every place that the account has, but for what it asks elsewhere. */
-StageOutlook MakeOutlook(const GroupState& group, const std::string& account,
-                         double weight)
-{
-  StageOutlook outlook;
-  outlook.serviceSeconds = ExpectedSeconds(group.service, group.priorSeconds);
-  outlook.places = PlacesFor(group, account, weight);
-  outlook.anyEndpoint = CountPlaces(group) > 0;
-  auto queued = group.queue.accounts.find(account);
-  if (queued != group.queue.accounts.end()) {
-    outlook.ahead += static_cast<double>(queued->second.waiting.size());
-    outlook.ahead += queued->second.running;
-  }
-  auto coming = group.upcoming.find(account);
-  if (coming != group.upcoming.end()) {
-    outlook.ahead += coming->second;
-  }
-  return outlook;
-}
-
 } // namespace
 
 RequestRunner::RequestRunner(RunnerContext context, CallerRequest request)
@@ -189,7 +172,7 @@
   for (std::size_t i = fromStage; i < pipeline_->stages.size(); ++i) {
     const GroupState& group =
       context_.blackboard.groups.groups[pipeline_->stages[i]];
-    outlook.push_back(MakeOutlook(group, request_.account, account_->weight));
+    outlook.push_back(OutlookFor(group, request_.account, account_->weight));
   }
   return outlook;
 }
@@ -218,11 +201,8 @@
 {
   GroupTable& groups = context_.blackboard.groups;
   absl::MutexLock lock(&groups.mutex);
-  auto& upcoming = groups.groups[pipeline_->stages[stage]].upcoming;
-  const int left = upcoming[request_.account] += change;
-  if (left <= 0) {
-    upcoming.erase(request_.account);
-  }
+  wg::CountUpcoming(groups.groups[pipeline_->stages[stage]], request_.account,
+                    change);
 }
 
 /** Takes the caller's key before any endpoint hears of the request. */
@@ -331,7 +311,9 @@
   const AttemptId attempt = OpenAttempt(attempts_, static_cast<int>(stage));
   context_.blackboard.counters.Add(Event::StageStarted);
   const EndpointReply reply = CallEndpoint(stage, *grant, attempt, sink);
-  result.end = callerLeft_ ? AttemptEnd::Cancelled : reply.end;
+  result.end = callerLeft_            ? AttemptEnd::Cancelled
+               : reply.deadlinePassed ? AttemptEnd::OutOfTime
+                                      : reply.end;
   if (reply.end == AttemptEnd::Answered && !callerLeft_) {
     result.done = TakeAnswer(stage, reply, result);
   } else {
@@ -380,7 +362,7 @@
   }
   RouteQuery query;
   query.hall = context_.blackboard.hall;
-  query.priorSeconds = group.priorSeconds;
+  query.priorSeconds = ahead.front().serviceSeconds;
   query.avoid = avoid;
   if (Group(stage).kind == StageKind::Generate) {
     query.prefix = HashPrefix(request_.input);
--- a/Tests/Agreement/wgFakeCluster.cxx
+++ b/Tests/Agreement/wgFakeCluster.cxx
@@ -26,9 +26,8 @@
 
 FakeCluster::FakeCluster(std::uint64_t seed, std::size_t boxes)
 {
-  std::seed_seq seeds{ static_cast<std::uint32_t>(seed),
-                       static_cast<std::uint32_t>(seed >> 32U) };
-  random_ = absl::BitGen(seeds);
+  // Not absl::BitGen: that one differs from process to process.
+  random_.seed(seed);
   boxes_.resize(boxes);
   for (std::size_t i = 0; i < boxes; ++i) {
     FakeBox& box = boxes_[i];
--- a/Tests/Agreement/wgFakeCluster.h
+++ b/Tests/Agreement/wgFakeCluster.h
@@ -3,12 +3,11 @@
 
 #include <cstdint>
 #include <map>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
-#include "absl/random/random.h"
-
 #include "wgRepair.h"
 #include "wgReplica.h"
 
@@ -90,7 +89,7 @@
   bool Chance(double probability);
   void Fail(const std::string& what);
 
-  absl::BitGen random_;
+  std::mt19937_64 random_;
   std::vector<FakeBox> boxes_;
   std::vector<wire::AgreementMessage> network_;
   std::set<std::pair<std::string, std::string>> cuts_;
--- a/Tests/Decision/wgDecisionTest.cxx
+++ b/Tests/Decision/wgDecisionTest.cxx
@@ -1,10 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <map>
+#include <random>
 
 #include <catch2/catch.hpp>
 
-#include "absl/random/random.h"
-
 #include "wgAdmission.h"
 #include "wgAttempts.h"
 #include "wgCostLedger.h"
@@ -14,10 +13,9 @@
 
 namespace {
 
-absl::BitGen Seeded()
+std::mt19937_64 Seeded()
 {
-  std::seed_seq seed{ 7 };
-  return absl::BitGen(seed);
+  return std::mt19937_64(7);
 }
 
 wg::WaitingStage Stage(std::uint64_t ticket, const std::string& account,
@@ -153,7 +151,7 @@
 
 TEST_CASE("no place is left unused while something waits")
 {
-  absl::BitGen random = Seeded();
+  std::mt19937_64 random = Seeded();
   wg::GroupState group = Group(2, 3);
   for (std::uint64_t i = 1; i <= 10; ++i) {
     wg::Enqueue(group, Stage(i, i % 2 == 0 ? "a" : "b"), {});
@@ -163,7 +161,7 @@
 
 TEST_CASE("a leaving, drained or removed endpoint gets no new work")
 {
-  absl::BitGen random = Seeded();
+  std::mt19937_64 random = Seeded();
   wg::GroupState group = Group(4, 2);
   group.endpoints[0].listedLeaving = true;
   group.endpoints[1].saysLeaving = true;
@@ -192,9 +190,10 @@
   wg::StartProbes(endpoints, absl::Seconds(1.5));
   CHECK_FALSE(wg::TakesNewWork(endpoints[0]));
   wg::StartProbes(endpoints, absl::Seconds(2.5));
-  CHECK(wg::HasPlace(endpoints[0]));
+  CHECK(wg::HasPlace(endpoints[0], wg::PlaceRule::Any));
   ++endpoints[0].running;
-  CHECK_FALSE(wg::HasPlace(endpoints[0])); // one probe at a time
+  CHECK_FALSE(
+    wg::HasPlace(endpoints[0], wg::PlaceRule::Any)); // one probe at a time
   for (int i = 0; i < 3; ++i) {
     wg::NoteAttemptEnd(endpoints, 0, wg::AttemptEnd::Answered, 0.1,
                        absl::Seconds(3));
@@ -238,15 +237,18 @@
 
 TEST_CASE("the router prefers the endpoint that will be done first")
 {
-  absl::BitGen random = Seeded();
+  std::mt19937_64 random = Seeded();
   wg::GroupState group = Group(3, 4);
   group.endpoints[0].report.running = 8;
   group.endpoints[1].report.running = 2;
   group.endpoints[2].report.running = 8;
+  for (auto& endpoint : group.endpoints) {
+    endpoint.report.at = absl::ZeroDuration();
+  }
   std::uint64_t turn = 0;
-  const auto choice = wg::ChooseEndpoint(wg::RoutePolicy::ExpectedFinish,
-                                         group.endpoints, {}, group.prefixes,
-                                         turn, random);
+  const auto choice =
+    wg::ChooseEndpoint(wg::RoutePolicy::ExpectedFinish, group.endpoints, {},
+                       group.prefixes, turn, random);
   REQUIRE(choice);
   CHECK(choice->endpoint == 1);
   CHECK(choice->compared.size() == 3);
@@ -254,7 +256,7 @@
 
 TEST_CASE("a cached prefix attracts, but not to an endpoint that is full")
 {
-  absl::BitGen random = Seeded();
+  std::mt19937_64 random = Seeded();
   wg::GroupState group = Group(8, 4);
   wg::NotePrefix(group.prefixes, 77, 5);
   wg::RouteQuery query;
@@ -262,13 +264,13 @@
   query.hall = "h1";
   std::uint64_t turn = 0;
   const auto choose = [&] {
-    return wg::ChooseEndpoint(wg::RoutePolicy::ExpectedFinish,
-                              group.endpoints, query, group.prefixes, turn,
-                              random)
+    return wg::ChooseEndpoint(wg::RoutePolicy::ExpectedFinish, group.endpoints,
+                              query, group.prefixes, turn, random)
       ->endpoint;
   };
   CHECK(choose() == 5);
   group.endpoints[5].report.running = 20;
+  group.endpoints[5].report.at = absl::ZeroDuration();
   CHECK(choose() != 5);
 }
 
@@ -349,10 +351,13 @@
 
 TEST_CASE("places are divided by weight and need, and none is left over")
 {
-  const auto shares = wg::DividePlaces(
+  const auto division = wg::DividePlaces(
     12.0, std::vector<wg::ShareDemand>{ { "busy", 1.0, "box1", 90 },
                                         { "busy", 1.0, "box2", 10 },
                                         { "quiet", 1.0, "box2", 2 } });
+  const auto& shares = division.shares;
+  CHECK(division.unused == Approx(0.0));
+  CHECK(wg::PlacesIfHungry(division, 1.0, 2.0) == Approx(10.0));
   REQUIRE(shares.size() == 3);
   CHECK(shares[0].places == Approx(9.0));
   CHECK(shares[1].places == Approx(1.0));
@@ -361,15 +366,14 @@
 
 TEST_CASE("a request that can't be answered in time is refused at once")
 {
-  absl::BitGen random = Seeded();
+  std::mt19937_64 random = Seeded();
   std::vector<wg::StageOutlook> stages(2);
-  stages[0] = { 0.1, 0.0, 4.0, true };
-  stages[1] = { 1.0, 40.0, 10.0, true };
+  stages[0] = { 0.1, 0.0, 0.0, 4.0, true };
+  stages[1] = { 1.0, 0.0, 40.0, 10.0, true };
   CHECK(wg::ExpectedRequestSeconds(stages) == Approx(4.0));
   CHECK(wg::AdmitByDeadline(stages, absl::Seconds(5), random).reason ==
         wg::Reason::None);
-  const auto refused =
-    wg::AdmitByDeadline(stages, absl::Seconds(2), random);
+  const auto refused = wg::AdmitByDeadline(stages, absl::Seconds(2), random);
   CHECK(refused.reason == wg::Reason::DeadlineUnreachable);
   CHECK(refused.retryAfter >= absl::Seconds(2));
   CHECK(refused.retryAfter <= absl::Seconds(4));
@@ -380,7 +384,7 @@
 
 TEST_CASE("an account's rate and concurrency hold over all boxes")
 {
-  absl::BitGen random = Seeded();
+  std::mt19937_64 random = Seeded();
   wg::AccountUse use;
   wg::AccountLimits limits;
   limits.ratePerSecond = 90;
@@ -396,10 +400,12 @@
   limits.concurrency = 5;
   limits.runningElsewhere = 4;
   wg::AccountUse other;
-  CHECK(wg::AdmitByLimits(other, limits, absl::ZeroDuration(), random)
-          .reason == wg::Reason::None);
-  CHECK(wg::AdmitByLimits(other, limits, absl::ZeroDuration(), random)
-          .reason == wg::Reason::AccountConcurrency);
+  CHECK(
+    wg::AdmitByLimits(other, limits, absl::ZeroDuration(), random).reason ==
+    wg::Reason::None);
+  CHECK(
+    wg::AdmitByLimits(other, limits, absl::ZeroDuration(), random).reason ==
+    wg::Reason::AccountConcurrency);
 }
 
 TEST_CASE("costs are kept apart and add up")
--- a/Tests/Membership/wgMembershipTest.cxx
+++ b/Tests/Membership/wgMembershipTest.cxx
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
-#include <catch2/catch.hpp>
+#include <random>
 
-#include "absl/random/random.h"
+#include <catch2/catch.hpp>
 
 #include "wgMembership.h"
 
@@ -62,16 +62,14 @@
 
 TEST_CASE("messages a period do not grow with the number of boxes")
 {
-  std::seed_seq seed{ 3 };
-  absl::BitGen random(seed);
+  std::mt19937_64 random(3);
   for (const int boxes : { 9, 100, 1000 }) {
     wg::Membership membership = Box("0");
     for (int i = 1; i < boxes; ++i) {
       wg::MergeGossip(membership, About(std::to_string(i), 1, 1),
                       absl::Seconds(1));
     }
-    const auto messages =
-      wg::NextGossip(membership, absl::Seconds(1), random);
+    const auto messages = wg::NextGossip(membership, absl::Seconds(1), random);
     CHECK(messages.size() == 3);
     CHECK(messages[0].gossip.members_size() <= 16);
   }
@@ -79,8 +77,7 @@
 
 TEST_CASE("nine boxes learn of one another from one seed, and of a cut")
 {
-  std::seed_seq seed{ 5 };
-  absl::BitGen random(seed);
+  std::mt19937_64 random(5);
   std::vector<wg::Membership> boxes;
   for (int i = 0; i < 9; ++i) {
     boxes.push_back(Box(std::to_string(i)));
@@ -88,8 +85,7 @@
   }
   const auto round = [&](absl::Duration now, bool cut) {
     for (std::size_t from = 0; from < boxes.size(); ++from) {
-      for (const auto& message :
-           wg::NextGossip(boxes[from], now, random)) {
+      for (const auto& message : wg::NextGossip(boxes[from], now, random)) {
         const std::size_t to = message.address.back() - '0';
         const bool crosses = (from < 3) != (to < 3);
         if (!cut || !crosses) {
