--- a/Source/Decision/wgAdmission.cxx
+++ b/Source/Decision/wgAdmission.cxx
@@ -12,7 +12,7 @@
 constexpr absl::Duration NoEndpointRetryAfter = absl::Seconds(2);
 constexpr double BurstSeconds = 1.0;
 /** How much of the largest spread of a stage is kept as a reserve. */
-constexpr double SpreadMargin = 1.0;
+constexpr double SpreadMargin = 0.3;
 
 double LargestSpread(absl::Span<const StageOutlook> stages)
 {
--- a/Source/Decision/wgDispatch.cxx
+++ b/Source/Decision/wgDispatch.cxx
@@ -173,8 +173,9 @@
     wanted += demand.wanted;
     if (demand.box == self) {
       account.here = division.shares[i].places;
+      account.aheadHere = demand.wanted + demand.coming;
     } else {
-      account.wantedElsewhere += demand.wanted;
+      account.aheadElsewhere += demand.wanted + demand.coming;
     }
   }
   for (const ShareDemand& demand : demands) {
--- a/Source/Decision/wgDispatch.h
+++ b/Source/Decision/wgDispatch.h
@@ -32,9 +32,10 @@
 /** \brief What one account may use and asks for, over all entry boxes. */
 struct AccountQuota
 {
-  double here = 0.0;            // places through this box while contended
-  double ifHungry = 0.0;        // places over all boxes if it wanted them all
-  double wantedElsewhere = 0.0; // running and waiting at the other boxes
+  double here = 0.0;           // places through this box while contended
+  double ifHungry = 0.0;       // places over all boxes if it wanted them all
+  double aheadElsewhere = 0.0; // running, waiting and coming at other boxes
+  double aheadHere = 0.0;      // the same at this one, at that time
 };
 
 /** \brief What the entry boxes last told one another of a group. */
--- a/Source/Decision/wgEstimate.cxx
+++ b/Source/Decision/wgEstimate.cxx
@@ -7,7 +7,7 @@
 namespace wg {
 namespace {
 
-constexpr double SmallestGain = 0.1;
+constexpr double SmallestGain = 0.04;
 constexpr int FullTrustSamples = 4;
 
 } // namespace
--- a/Source/Decision/wgOutlook.cxx
+++ b/Source/Decision/wgOutlook.cxx
@@ -5,6 +5,26 @@
 
 namespace wg {
 
+namespace {
+
+constexpr double LeastShrink = 0.7;
+constexpr double EnoughToJudge = 4.0;
+
+/** What the other boxes have by now: since they told, theirs will have shrunk
+ * about as our own has. That theirs has grown is not assumed: it refused more
+ * in bursts than it saved in late answers.
+ */
+double AheadElsewhereNow(const AccountQuota& quota, double aheadHereNow)
+{
+  if (quota.aheadHere < EnoughToJudge) {
+    return quota.aheadElsewhere;
+  }
+  const double growth = aheadHereNow / quota.aheadHere;
+  return quota.aheadElsewhere * std::clamp(growth, LeastShrink, 1.0);
+}
+
+} // namespace
+
 StageOutlook OutlookFor(const GroupState& group, const std::string& account,
                         double weight)
 {
@@ -25,7 +45,7 @@
   const GroupQuota& quota = group.quota;
   auto known = quota.accounts.find(account);
   if (known != quota.accounts.end()) {
-    outlook.ahead += known->second.wantedElsewhere;
+    outlook.ahead += AheadElsewhereNow(known->second, outlook.ahead);
     outlook.places = known->second.ifHungry;
   } else if (quota.known) {
     outlook.places = std::max(quota.perWeight * weight, quota.unused);
--- a/Source/Decision/wgShares.h
+++ b/Source/Decision/wgShares.h
@@ -15,6 +15,7 @@
   double weight = 1.0;
   std::string box;
   int wanted = 0; // running and waiting stages
+  int coming = 0; // of admitted requests that are still at earlier stages
 };
 
 /** \brief How many places an account gets through one entry box. */
--- a/Source/Entry/wgBlackboard.cxx
+++ b/Source/Entry/wgBlackboard.cxx
@@ -81,7 +81,8 @@
       const AccountConfig* account = FindAccount(config, demand.account());
       demands.push_back(
         { demand.account(), account == nullptr ? 1.0 : account->weight, box,
-          static_cast<int>(demand.running() + demand.waiting()) });
+          static_cast<int>(demand.running() + demand.waiting()),
+          static_cast<int>(demand.coming()) });
     }
   };
   gather(self, own);
@@ -168,7 +169,11 @@
   absl::MutexLock lock(&blackboard.groups.mutex);
   for (const auto& [name, group] : blackboard.groups.groups) {
     for (const auto& [account, entry] : group.queue.accounts) {
-      const bool asks = entry.running > 0 || !entry.waiting.empty();
+      auto upcoming = group.upcoming.find(account);
+      const int coming =
+        upcoming == group.upcoming.end() ? 0 : upcoming->second;
+      const bool asks =
+        entry.running > 0 || !entry.waiting.empty() || coming > 0;
       if (!asks) {
         continue;
       }
@@ -177,6 +182,7 @@
       demand.set_account(account);
       demand.set_running(static_cast<std::uint32_t>(entry.running));
       demand.set_waiting(static_cast<std::uint32_t>(entry.waiting.size()));
+      demand.set_coming(static_cast<std::uint32_t>(coming));
     }
   }
   return demands;
--- a/Tests/Policy/wgPolicySimulation.cxx
+++ b/Tests/Policy/wgPolicySimulation.cxx
@@ -603,8 +603,12 @@
       for (const auto& [name, entry] : entries_[Index(e)][g].queue.accounts) {
         const int wanted =
           entry.running + static_cast<int>(entry.waiting.size());
-        if (wanted > 0) {
-          demands.push_back({ name, entry.weight, std::to_string(e), wanted });
+        const auto& upcoming = entries_[Index(e)][g].upcoming;
+        auto found = upcoming.find(name);
+        const int coming = found == upcoming.end() ? 0 : found->second;
+        if (wanted + coming > 0) {
+          demands.push_back(
+            { name, entry.weight, std::to_string(e), wanted, coming });
         }
       }
     }
