--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -84,7 +84,7 @@
 Outcome<Done> ControlNode::Start()
 {
   replica_.self.set_box(settings_.box);
-  replica_.self.set_address(settings_.listen);
+  replica_.self.set_address(settings_.advertise);
   const auto identity =
     absl::Uniform<std::uint64_t>(absl::IntervalClosed, random_, 1, UINT64_MAX);
   auto opened = ReplicaStore::Open(SystemFileOperations(),
@@ -397,7 +397,7 @@
   *request.mutable_who() = replica_.self;
   request.set_cluster(replica_.cluster);
   for (const std::string& address : settings_.controls) {
-    if (address == settings_.listen) {
+    if (address == settings_.advertise) {
       continue;
     }
     client_->Call(address, "/join", request.SerializeAsString(), CallTimeout,
@@ -489,7 +489,7 @@
     if (address.empty()) {
       continue;
     }
-    outgoing.message.set_from_address(settings_.listen);
+    outgoing.message.set_from_address(settings_.advertise);
     hasSnapshot |= outgoing.message.has_snapshot();
     *batches[address].add_messages() = std::move(outgoing.message);
   }
@@ -514,7 +514,7 @@
 std::string ControlNode::AddressOf(std::uint64_t id) const
 {
   if (id == replica_.self.id()) {
-    return settings_.listen;
+    return settings_.advertise;
   }
   for (const auto* list :
        { &replica_.voters.voters(), &replica_.voters.learners() }) {
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -31,7 +31,8 @@
 {
   std::string box;
   std::string hall;
-  std::string listen; // address for peers
+  std::string listen;    // address for peers
+  std::string advertise; // address told to others
   std::string dataFolder;
   KeyRing keys;                      // PeerName's must be there
   std::vector<std::string> controls; // addresses of all control boxes
--- /dev/null
+++ b/Tests/Process/wgControlFailuresTest.cxx
@@ -0,0 +1,260 @@
+// SPDX-License-Identifier: Apache-2.0
+// The replicated state in real processes: kills, freezes, cuts, lost disks.
+#include <algorithm>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+#include "wgServiceState.h"
+#include "wgTestCluster.h"
+
+namespace {
+
+using wg::test::AcknowledgedChange;
+using wg::test::Observations;
+using wg::test::TestCluster;
+using wg::test::WaitFor;
+using wg::wire::ChangeResult;
+
+/** Makes changes with rising values and notes which were acknowledged. */
+void ChangeWeights(TestCluster& cluster, int count, double& value,
+                   Observations& seen)
+{
+  for (int i = 0; i < count; ++i) {
+    value += 1.0;
+    const ChangeResult result = cluster.SetWeight(value);
+    REQUIRE(result.verdict() == ChangeResult::ACCEPTED);
+    seen.acknowledged.push_back({ result.revision(), value });
+  }
+}
+
+/** The last acknowledged value must be in force at every entry. */
+void CheckKept(TestCluster& cluster, int entries, double value,
+               Observations& seen)
+{
+  const std::uint64_t revision = seen.acknowledged.back().revision;
+  for (int i = 0; i < entries; ++i) {
+    REQUIRE(WaitFor([&] { return cluster.RevisionAtEntry(i) >= revision; }));
+    CHECK(cluster.WeightAtEntry(i) == value);
+  }
+  seen.finalRevision = cluster.RevisionAtEntry(0);
+  CHECK(wg::test::Check(seen).empty());
+}
+
+/** Notes what the entries have in force, over and over, until stopped. */
+class RevisionWatch
+{
+public:
+  RevisionWatch(TestCluster& cluster, int entries)
+    : thread_([this, &cluster, entries] {
+      while (!stopping_) {
+        for (int i = 0; i < entries; ++i) {
+          const std::uint64_t revision = cluster.RevisionAtEntry(i);
+          if (revision != 0) {
+            seen_.push_back({ absl::StrCat("entry-", i), revision });
+          }
+        }
+      }
+    })
+  {
+  }
+  std::vector<wg::test::RevisionSeen> Stop()
+  {
+    stopping_ = true;
+    thread_.join();
+    return seen_;
+  }
+
+private:
+  std::vector<wg::test::RevisionSeen> seen_;
+  std::atomic<bool> stopping_{ false };
+  std::thread thread_;
+};
+
+} // namespace
+
+TEST_CASE("killed leaders lose no acknowledged change", "[kill]")
+{
+  TestCluster cluster;
+  Observations seen;
+  double value = 0.0;
+  RevisionWatch watch(cluster, 3);
+  for (int round = 0; round < 4; ++round) {
+    ChangeWeights(cluster, 25, value, seen);
+    const int leader = cluster.FindLeader();
+    REQUIRE(leader >= 0);
+    cluster.Control(leader).Kill();
+    ChangeWeights(cluster, 25, value, seen);
+    cluster.StartControl(leader);
+  }
+  CHECK(WaitFor([&] { return cluster.VoterCount() == 3; }));
+  seen.inForce = watch.Stop();
+  CheckKept(cluster, 3, value, seen);
+}
+
+TEST_CASE("a leader frozen for ten seconds reverts nothing", "[freeze]")
+{
+  TestCluster cluster;
+  Observations seen;
+  double value = 0.0;
+  ChangeWeights(cluster, 10, value, seen);
+  const int leader = cluster.FindLeader();
+  REQUIRE(leader >= 0);
+  RevisionWatch watch(cluster, 3);
+  cluster.Control(leader).Signal(SIGSTOP);
+  const absl::Time frozen = absl::Now();
+  ChangeWeights(cluster, 10, value, seen);
+  absl::SleepFor(frozen + absl::Seconds(10) - absl::Now());
+  cluster.Control(leader).Signal(SIGCONT);
+  ChangeWeights(cluster, 10, value, seen);
+  CHECK(WaitFor([&] {
+    return cluster.StatusOfControl(leader).value("revision", 0U) ==
+           seen.acknowledged.back().revision;
+  }));
+  seen.inForce = watch.Stop();
+  CheckKept(cluster, 3, value, seen);
+}
+
+TEST_CASE("a control box that is cut off silently steps down and comes back",
+          "[cut]")
+{
+  TestCluster cluster;
+  Observations seen;
+  double value = 0.0;
+  ChangeWeights(cluster, 5, value, seen);
+  const int leader = cluster.FindLeader();
+  REQUIRE(leader >= 0);
+  cluster.ControlWire(leader).Cut();
+  CHECK(WaitFor([&] {
+    return cluster.StatusOfControl(leader).value("replica", "") != "leader";
+  }));
+  CHECK_FALSE(cluster.StatusOfControl(leader).value("lease", true));
+  ChangeWeights(cluster, 100, value, seen);
+  cluster.ControlWire(leader).Mend();
+  CHECK(WaitFor([&] {
+    return cluster.StatusOfControl(leader).value("revision", 0U) ==
+           seen.acknowledged.back().revision;
+  }));
+  CheckKept(cluster, 3, value, seen);
+}
+
+TEST_CASE("a wiped box is repaired, and a second loss right after loses "
+          "nothing",
+          "[wipe]")
+{
+  TestCluster cluster;
+  Observations seen;
+  double value = 0.0;
+  ChangeWeights(cluster, 120, value, seen); // more than a snapshot's worth
+  for (int box = 0; box < 3; ++box) {
+    const std::string before = cluster.StatusOfControl(box).value("id", "");
+    cluster.Control(box).Kill();
+    std::filesystem::remove_all(cluster.DataFolder(box));
+    cluster.StartControl(box);
+    ChangeWeights(cluster, 10, value, seen);
+    REQUIRE(WaitFor([&] {
+      const int leader = cluster.FindLeader();
+      if (leader < 0) {
+        return false;
+      }
+      const auto status = cluster.StatusOfControl(leader);
+      const std::string after = cluster.StatusOfControl(box).value("id", "");
+      bool votes = false;
+      for (const auto& voter : status["voters"]) {
+        votes |= voter.value("id", "") == after;
+        CHECK(voter.value("id", "") != std::string("none"));
+      }
+      return votes && after != before && status["voters"].size() == 3;
+    }));
+  }
+  CheckKept(cluster, 3, value, seen);
+}
+
+TEST_CASE("a log cut short makes a new replica, and nothing is lost",
+          "[damage]")
+{
+  TestCluster cluster;
+  Observations seen;
+  double value = 0.0;
+  ChangeWeights(cluster, 20, value, seen);
+  const int box = (cluster.FindLeader() + 1) % 3;
+  const std::string before = cluster.StatusOfControl(box).value("id", "");
+  cluster.Control(box).Kill();
+  const std::string log = cluster.DataFolder(box) + "/log";
+  std::filesystem::resize_file(log, std::filesystem::file_size(log) - 50);
+  cluster.StartControl(box);
+  CHECK(WaitFor([&] {
+    const std::string id = cluster.StatusOfControl(box).value("id", "");
+    return !id.empty() && id != before;
+  }));
+  CHECK(WaitFor([&] { return cluster.VoterCount() == 3; }));
+  ChangeWeights(cluster, 5, value, seen);
+  CheckKept(cluster, 3, value, seen);
+}
+
+TEST_CASE("of two operators with equal numbers one wins, resent commands get "
+          "their first answer",
+          "[race]")
+{
+  TestCluster cluster;
+  for (int round = 0; round < 10; ++round) {
+    const std::uint64_t base =
+      cluster.StatusOfControl(std::max(cluster.FindLeader(), 0))
+        .value("revision", std::uint64_t{ 0 });
+    ChangeResult first;
+    ChangeResult second;
+    const std::string firstId = wg::MakeChangeId();
+    std::thread other([&] { second = cluster.SetWeight(100 + round, base); });
+    first = cluster.SetWeight(200 + round, base, firstId);
+    other.join();
+    const bool firstWon = first.verdict() == ChangeResult::ACCEPTED;
+    const bool secondWon = second.verdict() == ChangeResult::ACCEPTED;
+    CHECK(firstWon != secondWon);
+    const ChangeResult& lost = firstWon ? second : first;
+    CHECK_THAT(lost.message(), Catch::Contains("came first"));
+    const ChangeResult again = cluster.SetWeight(200 + round, base, firstId);
+    CHECK(again.SerializeAsString() == first.SerializeAsString());
+  }
+}
+
+TEST_CASE("an entry restarted after hundreds of changes has the newest",
+          "[restart]")
+{
+  TestCluster cluster;
+  Observations seen;
+  double value = 0.0;
+  cluster.Entry(2).Kill();
+  ChangeWeights(cluster, 300, value, seen);
+  cluster.StartEntry(2);
+  CheckKept(cluster, 3, value, seen);
+}
+
+TEST_CASE("changes are in force on every entry soon", "[in-force]")
+{
+  wg::test::ClusterLayout layout;
+  layout.entries = 9;
+  layout.generators = 1;
+  layout.services = 1;
+  TestCluster cluster(layout);
+  std::vector<double> times;
+  for (int i = 0; i < 200; ++i) {
+    const ChangeResult result = cluster.SetWeight(1.0 + i);
+    REQUIRE(result.verdict() == ChangeResult::ACCEPTED);
+    const absl::Time accepted = absl::Now();
+    for (int entry = 0; entry < 9; ++entry) {
+      while (cluster.RevisionAtEntry(entry) < result.revision()) {
+        REQUIRE(absl::Now() - accepted < absl::Seconds(30));
+      }
+    }
+    times.push_back(absl::ToDoubleMilliseconds(absl::Now() - accepted));
+  }
+  std::sort(times.begin(), times.end());
+  std::cout << "in force on 9 entries after acceptance, 200 changes: median "
+            << times[100] << " ms, worst " << times.back() << " ms\n";
+}
--- /dev/null
+++ b/Tests/Process/wgForwarder.cxx
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgForwarder.h"
+
+#include <array>
+#include <list>
+#include <vector>
+
+#include <poll.h>
+#include <sys/socket.h>
+
+#include "wgSocket.h"
+
+namespace wg::test {
+namespace {
+
+constexpr int PollMs = 10;
+
+/** A connection and the one that continues it. */
+struct Wire
+{
+  FileDescriptor near;
+  FileDescriptor far;
+  bool broken = false;
+};
+
+/** Passes on what has come; false when the connection is over. */
+bool Pass(const FileDescriptor& from, const FileDescriptor& to)
+{
+  std::array<char, 65536> buffer;
+  const ssize_t got =
+    recv(from.Get(), buffer.data(), buffer.size(), MSG_DONTWAIT);
+  if (got < 0) {
+    return errno == EAGAIN || errno == EINTR;
+  }
+  ssize_t sent = 0;
+  while (sent < got) {
+    const ssize_t now =
+      send(to.Get(), buffer.data() + sent,
+           static_cast<std::size_t>(got - sent), MSG_NOSIGNAL);
+    if (now < 0 && errno != EAGAIN) {
+      return false;
+    }
+    sent += std::max<ssize_t>(now, 0);
+  }
+  return got > 0;
+}
+
+} // namespace
+
+Forwarder::Forwarder(int listenPort, int targetPort)
+  : listenPort_(listenPort)
+  , targetPort_(targetPort)
+  , thread_([this] { Run(); })
+{
+}
+
+Forwarder::~Forwarder()
+{
+  stopping_ = true;
+  thread_.join();
+}
+
+void Forwarder::Run()
+{
+  auto listening = ListenTcp({ "127.0.0.1", listenPort_ });
+  if (!Succeeded(listening)) {
+    return;
+  }
+  std::list<Wire> wires;
+  while (!stopping_) {
+    std::vector<pollfd> polled = { { Value(listening).Get(), POLLIN, 0 } };
+    if (!cut_) {
+      for (const Wire& wire : wires) {
+        polled.push_back({ wire.near.Get(), POLLIN, 0 });
+        polled.push_back({ wire.far.Get(), POLLIN, 0 });
+      }
+    }
+    poll(polled.data(), polled.size(), PollMs);
+    FileDescriptor near(
+      accept4(Value(listening).Get(), nullptr, nullptr, SOCK_NONBLOCK));
+    if (near.IsOpen()) {
+      auto far = StartConnectTcp({ "127.0.0.1", targetPort_ });
+      if (Succeeded(far)) {
+        wires.push_back({ std::move(near), std::move(Value(far)), false });
+      }
+    }
+    if (cut_) {
+      continue;
+    }
+    for (Wire& wire : wires) {
+      wire.broken = !Pass(wire.near, wire.far) || !Pass(wire.far, wire.near);
+    }
+    wires.remove_if([](const Wire& wire) { return wire.broken; });
+  }
+}
+
+} // namespace wg::test
--- /dev/null
+++ b/Tests/Process/wgTestCluster.cxx
@@ -0,0 +1,531 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgTestCluster.h"
+
+#include <cerrno>
+#include <csignal>
+#include <cstdio>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <stdexcept>
+
+#include <fcntl.h>
+#include <httplib.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/time/clock.h"
+
+#include "wgServiceState.h"
+#include "wgSocket.h"
+
+extern char** environ;
+
+namespace wg::test {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* PeerKey = "test-peer-key";
+constexpr const char* OperatorKey = "test-operator-key";
+constexpr const char* Operator = "tester";
+constexpr absl::Duration Poll = absl::Milliseconds(20);
+constexpr std::size_t AnswerTokens = 12;
+constexpr std::size_t PieceCharacters = 4;
+
+/** A port that is free now. */
+int FreePort()
+{
+  FileDescriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t length = sizeof address;
+  if (bind(socket.Get(), reinterpret_cast<sockaddr*>(&address), length) != 0 ||
+      getsockname(socket.Get(), reinterpret_cast<sockaddr*>(&address),
+                  &length) != 0) {
+    throw std::runtime_error("no free port");
+  }
+  return ntohs(address.sin_port);
+}
+
+std::string Address(int port)
+{
+  return absl::StrCat("127.0.0.1:", port);
+}
+
+} // namespace
+
+bool WaitFor(const std::function<bool()>& condition, absl::Duration limit)
+{
+  const absl::Time end = absl::Now() + limit;
+  while (!condition()) {
+    if (absl::Now() > end) {
+      return false;
+    }
+    absl::SleepFor(Poll);
+  }
+  return true;
+}
+
+Process::Process(std::vector<std::string> arguments, std::string logFile)
+{
+  std::vector<char*> argv;
+  for (std::string& argument : arguments) {
+    argv.push_back(argument.data());
+  }
+  argv.push_back(nullptr);
+  posix_spawn_file_actions_t actions;
+  posix_spawn_file_actions_init(&actions);
+  posix_spawn_file_actions_addopen(&actions, 1, logFile.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, 0600);
+  posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  if (posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ) !=
+      0) {
+    pid_ = -1;
+    ended_ = true;
+  }
+  posix_spawn_file_actions_destroy(&actions);
+}
+
+Process::~Process()
+{
+  Kill();
+}
+
+void Process::Signal(int number) const
+{
+  if (pid_ > 0 && !ended_) {
+    kill(pid_, number);
+  }
+}
+
+void Process::Kill()
+{
+  Signal(SIGKILL);
+  Wait();
+}
+
+int Process::Wait()
+{
+  if (!ended_) {
+    waitpid(pid_, &status_, 0);
+    ended_ = true;
+  }
+  return WIFEXITED(status_) ? WEXITSTATUS(status_) : -1;
+}
+
+bool Process::IsRunning()
+{
+  if (!ended_ && waitpid(pid_, &status_, WNOHANG) == pid_) {
+    ended_ = true;
+  }
+  return !ended_;
+}
+
+long Process::ResidentKilobytes() const
+{
+  std::ifstream file(absl::StrCat("/proc/", pid_, "/status"));
+  std::string line;
+  long kilobytes = 0;
+  while (std::getline(file, line)) {
+    if (std::sscanf(line.c_str(), "VmRSS: %ld", &kilobytes) == 1) {
+      break;
+    }
+  }
+  return kilobytes;
+}
+
+TestCluster::TestCluster(ClusterLayout layout)
+  : layout_(layout)
+{
+  std::string pattern =
+    std::filesystem::temp_directory_path() / "wg-cluster-XXXXXX";
+  folder_ = mkdtemp(pattern.data());
+  operator_ = std::make_unique<PeerClient>(OperatorKey, Operator);
+  StartEndpoints();
+  for (int i = 0; i < layout_.controls; ++i) {
+    controlPorts_.push_back(FreePort());
+    wirePorts_.push_back(FreePort());
+    wires_.push_back(
+      std::make_unique<Forwarder>(wirePorts_.back(), controlPorts_.back()));
+    controls_.emplace_back();
+  }
+  for (int i = 0; i < layout_.entries; ++i) {
+    entryPorts_.push_back(FreePort());
+    entryPeerPorts_.push_back(FreePort());
+    entries_.emplace_back();
+  }
+  for (int i = 0; i < layout_.controls; ++i) {
+    StartControl(i);
+  }
+  for (int i = 0; i < layout_.entries; ++i) {
+    StartEntry(i);
+  }
+  WaitFor([this] {
+    return Succeeded(operator_->CallAndWait(Address(controlPorts_[0]),
+                                            "/found", "", absl::Seconds(1)));
+  });
+  WaitFor([this] { return VoterCount() == layout_.controls; });
+  wire::Change change;
+  change.set_id(MakeChangeId());
+  change.mutable_apply()->set_toml(MakeConfig());
+  Send(change);
+  for (int i = 0; i < layout_.entries; ++i) {
+    WaitFor(
+      [this, i] { return Get(entryPorts_[Slot(i)], "/readyz").is_string(); });
+  }
+}
+
+TestCluster::~TestCluster()
+{
+  for (auto* list : { &entries_, &controls_ }) {
+    for (auto& process : *list) {
+      process.reset();
+    }
+  }
+  endpoints_.reset();
+  wires_.clear();
+  std::error_code ignored;
+  std::filesystem::remove_all(folder_, ignored);
+}
+
+void TestCluster::AddEndpoint(const std::string& group,
+                              const std::string& kind, const std::string& hall,
+                              double ms)
+{
+  endpointLines_.push_back(
+    { absl::StrCat(group, "-", EndpointsOf(group).size() + 1), group, kind,
+      hall, FreePort(), ms });
+}
+
+void TestCluster::StartEndpoints()
+{
+  const double ms = layout_.stageMs;
+  for (int i = 0; i < 2; ++i) {
+    AddEndpoint("encode", "encode", i == 0 ? "h1" : "h2", ms);
+  }
+  for (int i = 0; i < layout_.generators; ++i) {
+    AddEndpoint("llm", "generate", i % 2 == 0 ? "h1" : "h2", ms);
+  }
+  for (int i = 0; i < layout_.services; ++i) {
+    AddEndpoint("sms", "service", i % 2 == 0 ? "h1" : "h2", ms);
+  }
+  std::vector<std::string> arguments = { WG_STANDIN, "--lifetime", "300" };
+  for (const EndpointLine& line : endpointLines_) {
+    arguments.push_back("--serve");
+    arguments.push_back(
+      absl::StrCat(line.kind, ":", line.port, ":8:", line.ms));
+  }
+  endpoints_ = std::make_unique<Process>(arguments, folder_ + "/endpoints");
+}
+
+std::string TestCluster::MakeConfig() const
+{
+  std::string toml = "[[hall]]\nname = \"h1\"\n[[hall]]\nname = \"h2\"\n"
+                     "[[account]]\nname = \"a\"\nweight = 1\n"
+                     "[[account]]\nname = \"b\"\n";
+  for (const auto& [name, kind, repeatable] :
+       std::vector<std::tuple<const char*, const char*, const char*>>{
+         { "encode", "encode", "true" },
+         { "llm", "generate", "true" },
+         { "sms", "service", "false" } }) {
+    absl::StrAppend(&toml, "[[group]]\nname = \"", name, "\"\nkind = \"", kind,
+                    "\"\nrepeatable = ", repeatable, "\nexpected_ms = 10\n");
+  }
+  for (const EndpointLine& line : endpointLines_) {
+    absl::StrAppend(&toml, "[[endpoint]]\nname = \"", line.name,
+                    "\"\ngroup = \"", line.group, "\"\nhall = \"", line.hall,
+                    "\"\naddress = \"127.0.0.1\"\nport = ", line.port,
+                    "\nslots = 8\n");
+  }
+  for (const auto& [name, stages] :
+       std::vector<std::pair<const char*, const char*>>{
+         { "remind", R"(["encode", "llm", "sms"])" },
+         { "answer", R"(["encode", "llm"])" } }) {
+    absl::StrAppend(&toml, "[[pipeline]]\nname = \"", name,
+                    "\"\nstages = ", stages,
+                    "\ndeadline_ms = ", layout_.deadlineMs, "\n");
+  }
+  return toml;
+}
+
+std::string TestCluster::ControlAddresses() const
+{
+  std::string list;
+  for (const int port : wirePorts_) {
+    absl::StrAppend(&list, list.empty() ? "" : ",", Address(port));
+  }
+  return list;
+}
+
+std::vector<std::string> TestCluster::CommonArguments(
+  const std::string& name) const
+{
+  return { WG_DAEMON,
+           "--box",
+           name,
+           "--peer-key",
+           PeerKey,
+           "--operators",
+           absl::StrCat(Operator, "=", OperatorKey),
+           "--controls",
+           ControlAddresses() };
+}
+
+std::string TestCluster::DataFolder(int index) const
+{
+  return absl::StrCat(folder_, "/data-", index);
+}
+
+std::string TestCluster::LogOf(const std::string& name) const
+{
+  std::ifstream file(absl::StrCat(folder_, "/", name));
+  return std::string(std::istreambuf_iterator<char>(file), {});
+}
+
+void TestCluster::StartControl(int index)
+{
+  const std::string name = absl::StrCat("control-", index);
+  std::vector<std::string> arguments = CommonArguments(name);
+  for (const std::string& more :
+       { std::string("--role"), std::string("control"), std::string("--hall"),
+         std::string(index == 0 ? "h1" : "h2"), std::string("--peer"),
+         Address(controlPorts_[Slot(index)]), std::string("--advertise"),
+         Address(wirePorts_[Slot(index)]), std::string("--data"),
+         DataFolder(index), std::string("--compact-after"),
+         std::string("50") }) {
+    arguments.push_back(more);
+  }
+  controls_[Slot(index)].reset();
+  controls_[Slot(index)] =
+    std::make_unique<Process>(arguments, folder_ + "/" + name);
+}
+
+void TestCluster::StartEntry(int index)
+{
+  const std::string name = absl::StrCat("entry-", index);
+  std::string seeds;
+  for (const int port : entryPeerPorts_) {
+    absl::StrAppend(&seeds, seeds.empty() ? "" : ",", Address(port));
+  }
+  std::vector<std::string> arguments = CommonArguments(name);
+  for (const std::string& more :
+       { std::string("--role"), std::string("entry"), std::string("--hall"),
+         std::string(index == 0 ? "h1" : "h2"), std::string("--listen"),
+         Address(entryPorts_[Slot(index)]), std::string("--peer"),
+         Address(entryPeerPorts_[Slot(index)]), std::string("--seeds"), seeds,
+         std::string("--settle-ms"), std::string("300"),
+         std::string("--max-connections"), std::string("64") }) {
+    arguments.push_back(more);
+  }
+  entries_[Slot(index)].reset();
+  entries_[Slot(index)] =
+    std::make_unique<Process>(arguments, folder_ + "/" + name);
+}
+
+CallerRecord TestCluster::Call(int entry, const std::string& pipeline,
+                               const std::string& input,
+                               const std::string& key, int deadlineMs)
+{
+  CallerRecord record;
+  record.key = key;
+  record.input = input;
+  record.expectedText = ExpectedText(input, AnswerTokens);
+  record.needsRun = pipeline == "remind";
+  httplib::Client client("127.0.0.1", entryPorts_[Slot(entry)]);
+  client.set_read_timeout(20, 0);
+  httplib::Headers headers{ { "Weirgate-Account", "a" } };
+  if (!key.empty()) {
+    headers.emplace("Idempotency-Key", key);
+  }
+  if (deadlineMs > 0) {
+    headers.emplace("Weirgate-Deadline-Ms", absl::StrCat(deadlineMs));
+  }
+  const Json body{ { "input", input }, { "max_tokens", AnswerTokens } };
+  const auto result = client.Post("/v1/pipelines/" + pipeline, headers,
+                                  body.dump(), "application/json");
+  if (!result) {
+    return record;
+  }
+  record.status = result->status;
+  record.request = result->get_header_value("Weirgate-Request");
+  const Json answer = Json::parse(result->body, nullptr, false);
+  if (answer.is_object()) {
+    record.run = answer.value("run", "");
+    record.text = answer.value("text", "");
+  }
+  return record;
+}
+
+wire::ChangeResult TestCluster::Send(const wire::Change& change,
+                                     absl::Duration limit)
+{
+  wire::ChangeResult last;
+  last.set_verdict(wire::ChangeResult::UNAVAILABLE);
+  const absl::Time end = absl::Now() + limit;
+  for (int i = 0; absl::Now() < end; ++i) {
+    const int port = controlPorts_[Slot(i % layout_.controls)];
+    const auto bytes = operator_->CallAndWait(
+      Address(port), "/change", change.SerializeAsString(), absl::Seconds(2));
+    wire::ChangeResult answer;
+    const bool definite = Succeeded(bytes) &&
+                          answer.ParseFromString(Value(bytes)) &&
+                          (answer.verdict() == wire::ChangeResult::ACCEPTED ||
+                           answer.verdict() == wire::ChangeResult::REJECTED);
+    if (definite) {
+      return answer;
+    }
+    absl::SleepFor(Poll);
+  }
+  return last;
+}
+
+wire::ChangeResult TestCluster::SetWeight(double weight, std::uint64_t base,
+                                          const std::string& id,
+                                          absl::Duration limit)
+{
+  wire::Change change;
+  change.set_id(id.empty() ? MakeChangeId() : id);
+  change.set_base_revision(base);
+  change.mutable_set_account()->set_account("a");
+  change.mutable_set_account()->set_field("weight");
+  change.mutable_set_account()->set_value(weight);
+  return Send(change, limit);
+}
+
+Json TestCluster::StatusAt(int port)
+{
+  const auto bytes =
+    operator_->CallAndWait(Address(port), "/status", "", absl::Seconds(1));
+  wire::StatusReply reply;
+  if (!Succeeded(bytes) || !reply.ParseFromString(Value(bytes))) {
+    return Json::object();
+  }
+  Json json = Json::parse(reply.json(), nullptr, false);
+  return json.is_object() ? json : Json::object();
+}
+
+Json TestCluster::StatusOfControl(int index)
+{
+  return StatusAt(controlPorts_[Slot(index)]);
+}
+
+Json TestCluster::StatusOfEntry(int index)
+{
+  return StatusAt(entryPeerPorts_[Slot(index)]);
+}
+
+int TestCluster::FindLeader()
+{
+  for (int i = 0; i < layout_.controls; ++i) {
+    const bool runs = controls_[Slot(i)] && controls_[Slot(i)]->IsRunning();
+    if (runs && StatusOfControl(i).value("replica", "") == "leader" &&
+        StatusOfControl(i).value("lease", false)) {
+      return i;
+    }
+  }
+  return -1;
+}
+
+int TestCluster::VoterCount()
+{
+  const int leader = FindLeader();
+  return leader < 0
+           ? 0
+           : static_cast<int>(StatusOfControl(leader)["voters"].size());
+}
+
+std::uint64_t TestCluster::RevisionAtEntry(int index)
+{
+  return StatusOfEntry(index).value("revision", std::uint64_t{ 0 });
+}
+
+double TestCluster::WeightAtEntry(int index)
+{
+  for (const Json& row :
+       StatusOfEntry(index).value("accounts", Json::array())) {
+    if (row.value("account", "") == "a") {
+      return row.value("weight", 0.0);
+    }
+  }
+  return 0.0;
+}
+
+void TestCluster::Post(int endpointPort, const std::string& path,
+                       const std::string& body)
+{
+  httplib::Client client("127.0.0.1", endpointPort);
+  client.Post(path, body, "application/json");
+}
+
+Json TestCluster::Get(int port, const std::string& path)
+{
+  httplib::Client client("127.0.0.1", port);
+  client.set_read_timeout(1, 0);
+  const auto result = client.Get(path);
+  if (!result || result->status != 200) {
+    return Json();
+  }
+  Json json = Json::parse(result->body, nullptr, false);
+  return json.is_discarded() ? Json(result->body) : json;
+}
+
+int TestCluster::PortOf(const std::string& endpoint) const
+{
+  for (const EndpointLine& line : endpointLines_) {
+    if (line.name == endpoint) {
+      return line.port;
+    }
+  }
+  return 0;
+}
+
+std::vector<std::string> TestCluster::EndpointsOf(
+  const std::string& group) const
+{
+  std::vector<std::string> names;
+  for (const EndpointLine& line : endpointLines_) {
+    if (line.group == group) {
+      names.push_back(line.name);
+    }
+  }
+  return names;
+}
+
+std::vector<RunRecord> TestCluster::RunsOf(
+  const std::vector<std::string>& endpoints)
+{
+  std::vector<RunRecord> records;
+  for (const std::string& endpoint : endpoints) {
+    const Json runs = Get(PortOf(endpoint), "/v1/runs");
+    if (!runs.is_object()) {
+      continue;
+    }
+    for (const auto& [request, count] : runs["runs"].items()) {
+      records.push_back({ endpoint, request, count.get<int>() });
+    }
+  }
+  return records;
+}
+
+std::string ExpectedText(const std::string& input, std::size_t tokens)
+{
+  std::string text;
+  std::size_t characters = 0;
+  for (const char c : input) {
+    const bool starts = (static_cast<unsigned char>(c) & 0xC0U) != 0x80U;
+    if (starts && characters++ == tokens * PieceCharacters) {
+      break;
+    }
+    text.push_back(c);
+  }
+  return text;
+}
+
+} // namespace wg::test
--- a/Utilities/Daemon/wgSettings.cxx
+++ b/Utilities/Daemon/wgSettings.cxx
@@ -38,6 +38,10 @@
     , hall_(Text("hall", "this box's hall", ""))
     , listen_(Text("listen", "entry: IP:port for callers", ""))
     , peer_(Text("peer", "IP:port for weirgate's own processes", ""))
+    , advertise_(Text("advertise",
+                      "control: IP:port under which others "
+                      "reach --peer; empty: the same",
+                      ""))
     , controls_(Text("controls",
                      "peer addresses of all control boxes, "
                      "separated by commas",
@@ -152,6 +156,7 @@
   TextFlag hall_;
   TextFlag listen_;
   TextFlag peer_;
+  TextFlag advertise_;
   TextFlag controls_;
   TextFlag seeds_;
   TextFlag platform_;
@@ -337,6 +342,8 @@
     control.box = box_.getValue();
     control.hall = hall_.getValue();
     control.listen = peer_.getValue();
+    control.advertise =
+      advertise_.getValue().empty() ? peer_.getValue() : advertise_.getValue();
     control.dataFolder = data_.getValue();
     control.keys = Value(keys);
     control.controls = List(controls_);
