Entry: what endpoints say of themselves is read by type

Cause: a seeded mutation loop over every reader of bytes (Tests/Fuzz) threw on a generation event whose finish_reason is a number. The same call read load reports and the platform's list, on threads where nothing catches: an endpoint that said nonsense would have ended the entry. Idempotency keys that are not UTF-8 were lost in the peers' messages, and the caller told that its key was used.

Schedules of the log use messages of one to four entries, so that a leader can die between an old entry and its own.

--- a/Source/Agreement/wgReplica.cxx
+++ b/Source/Agreement/wgReplica.cxx
@@ -9,7 +9,6 @@
 namespace wg {
 namespace {
 
-constexpr std::size_t MaxEntriesInMessage = 256;
 constexpr std::size_t MaxBytesInMessage = 1U << 20U;
 
 using Kind = wire::AgreementMessage;
@@ -175,8 +174,7 @@
   message.set_last_term(r.log.TermAt(before));
   std::size_t bytes = 0;
   while (!needsSnapshot && r.log.Has(peer.next) && bytes < MaxBytesInMessage &&
-         static_cast<std::size_t>(message.entries_size()) <
-           MaxEntriesInMessage) {
+         message.entries_size() < r.timing.maxEntriesInMessage) {
     const wire::LogEntry& entry = r.log.At(peer.next);
     bytes += entry.change().size();
     *message.add_entries() = entry;
--- a/Source/Agreement/wgReplica.h
+++ b/Source/Agreement/wgReplica.h
@@ -24,6 +24,7 @@
   absl::Duration minElection = absl::Milliseconds(400);
   absl::Duration maxElection = absl::Milliseconds(800);
   absl::Duration snapshotRetry = absl::Seconds(1);
+  int maxEntriesInMessage = 256;
   /** Part of minElection that a lease lasts; the rest covers clock drift. */
   double leaseShare = 0.8;
 };
--- a/Source/Entry/wgCallerServer.cxx
+++ b/Source/Entry/wgCallerServer.cxx
@@ -7,6 +7,7 @@
 #include <httplib.h>
 
 #include "absl/random/random.h"
+#include "absl/strings/ascii.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
@@ -56,7 +57,9 @@
   request.accountKey = http.get_header_value("Weirgate-Key");
   request.idempotencyKey = http.get_header_value("Idempotency-Key");
   request.pipeline = http.matches[1];
-  if (request.idempotencyKey.size() > MaxKeyBytes) {
+  const std::string& key = request.idempotencyKey;
+  const bool plain = std::all_of(key.begin(), key.end(), absl::ascii_isgraph);
+  if (key.size() > MaxKeyBytes || !plain) {
     return Reason::BadHeader;
   }
   if (http.has_header("Weirgate-Priority") &&
--- a/Source/Entry/wgEntryNode.cxx
+++ b/Source/Entry/wgEntryNode.cxx
@@ -15,6 +15,7 @@
 #include "wgChange.h"
 #include "wgConfigText.h"
 #include "wgEntryStatus.h"
+#include "wgJson.h"
 #include "wgLog.h"
 
 namespace wg {
@@ -28,19 +29,27 @@
 constexpr absl::Duration FollowRetry = absl::Milliseconds(200);
 constexpr absl::Duration MaxReplicaAge = absl::Seconds(1);
 constexpr absl::Duration StopPoll = absl::Milliseconds(20);
+constexpr std::int64_t MaxReportedLoad = 1000000;
 constexpr std::size_t MaxDatagram = 65000;
 constexpr std::size_t SignatureBytes = 64; // hex of SHA-256
 
 using Json = nlohmann::json;
 
+/** What an endpoint says is not believed beyond reason. */
+int BoundedLoad(const Json& load, const char* key)
+{
+  return static_cast<int>(
+    std::clamp<std::int64_t>(IntOr(load, key, 0), 0, MaxReportedLoad));
+}
+
 /** Takes an endpoint's own word of its load and of its leaving. */
 void TakeLoadReport(EndpointState& endpoint, const Json& load)
 {
-  endpoint.report.running = load.value("running", 0);
-  endpoint.report.waiting = load.value("waiting", 0);
+  endpoint.report.running = BoundedLoad(load, "running");
+  endpoint.report.waiting = BoundedLoad(load, "waiting");
   endpoint.report.ownRunning = endpoint.running;
   endpoint.report.at = ElapsedNow();
-  endpoint.saysLeaving = load.value("leaving", false);
+  endpoint.saysLeaving = BoolOr(load, "leaving", false);
 }
 
 /** One endpoint to ask for its load. */
@@ -393,8 +402,8 @@
         const std::string own =
           absl::StrCat(endpoint.address, ":", endpoint.port);
         for (const Json& box : list) {
-          if (box.is_object() && box.value("address", "") == own) {
-            endpoint.listedLeaving = box.value("state", "") == "leaving";
+          if (TextOr(box, "address", "") == own) {
+            endpoint.listedLeaving = TextOr(box, "state", "") == "leaving";
           }
         }
       }
--- a/Source/Entry/wgRequestRunner.cxx
+++ b/Source/Entry/wgRequestRunner.cxx
@@ -8,6 +8,7 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "wgJson.h"
 #include "wgOutlook.h"
 #include "wgStageProtocol.h"
 
@@ -247,7 +248,7 @@
   }
   nlohmann::json output{ { "request", request_.id },
                          { "pipeline", request_.pipeline },
-                         { "text", document_.value("text", "") } };
+                         { "text", TextOr(document_, "text", "") } };
   if (document_.contains("services")) {
     output["services"] = document_["services"];
   }
@@ -417,7 +418,7 @@
     call.body = StageBody(group.kind, document_, request_.maxTokens, 0);
     return context_.endpoints.Call(call);
   }
-  TokenStream stream{ document_.value("text", ""), tokensSent_ };
+  TokenStream stream{ TextOr(document_, "text", ""), tokensSent_ };
   call.body =
     StageBody(group.kind, document_, request_.maxTokens, stream.next);
   if (stream.next > 0) {
--- a/Source/Entry/wgStageProtocol.cxx
+++ b/Source/Entry/wgStageProtocol.cxx
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgStageProtocol.h"
 
+#include "wgJson.h"
+
 namespace wg {
 namespace {
 
@@ -11,7 +13,7 @@
 
 std::string MakePrompt(const Json& document)
 {
-  std::string prompt = document.value("input", "");
+  std::string prompt = TextOr(document, "input", "");
   if (document.contains("ranked") && document["ranked"].is_array()) {
     for (const Json& text : document["ranked"]) {
       prompt += "\n" + (text.is_string() ? text.get<std::string>() : "");
@@ -118,7 +120,7 @@
       body = GenerateBody(document, maxTokens, resumeFrom);
       break;
     case StageKind::Service:
-      body = { { "input", input }, { "text", document.value("text", "") } };
+      body = { { "input", input }, { "text", TextOr(document, "text", "") } };
       break;
   }
   return body.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -176,7 +178,7 @@
     return false;
   }
   event.index = json["index"].get<std::size_t>();
-  event.isEnd = json.value("finish_reason", "") == "stop";
+  event.isEnd = TextOr(json, "finish_reason", "") == "stop";
   if (json.contains("token") && json["token"].is_string()) {
     event.token = json["token"].get<std::string>();
   }
--- a/Tests/Agreement/wgFakeCluster.cxx
+++ b/Tests/Agreement/wgFakeCluster.cxx
@@ -76,6 +76,8 @@
   replica.self.set_id(box.disk.id);
   replica.self.set_box(box.name);
   replica.cluster = box.disk.cluster;
+  // Small messages let a leader die between an old entry and its own.
+  replica.timing.maxEntriesInMessage = absl::Uniform(random_, 1, 5);
   replica.hard = box.disk.hard;
   replica.log = box.disk.log;
   replica.snapshot = box.disk.snapshot;
--- /dev/null
+++ b/Tests/Fuzz/wgFuzzTest.cxx
@@ -0,0 +1,233 @@
+// SPDX-License-Identifier: Apache-2.0
+// Every reader of bytes is given damaged ones; nothing may crash, and what is
+// read must be sound. A seeded mutation loop over a committed corpus.
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "wgConfigText.h"
+#include "wgLanguage.h"
+#include "wgMembership.h"
+#include "wgRecord.h"
+#include "wgReplicaStore.h"
+#include "wgServiceState.h"
+#include "wgStageProtocol.h"
+
+namespace {
+
+constexpr int Rounds = 4000;
+constexpr std::uint64_t Seed = 20261202;
+
+std::string ReadCorpus(const std::string& name)
+{
+  std::ifstream file(std::string(WG_CORPUS) + "/" + name, std::ios::binary);
+  std::string text(std::istreambuf_iterator<char>(file), {});
+  REQUIRE_FALSE(text.empty());
+  return text;
+}
+
+/** Changes bytes, cuts, doubles and swaps parts. */
+class Mutator
+{
+public:
+  std::string operator()(std::string text)
+  {
+    const int changes = 1 + static_cast<int>(random_() % 6);
+    for (int i = 0; i < changes && !text.empty(); ++i) {
+      const std::size_t at = random_() % text.size();
+      const std::size_t length = random_() % 16;
+      switch (random_() % 5) {
+        case 0:
+          text[at] = static_cast<char>(random_());
+          break;
+        case 1:
+          text.erase(at, length);
+          break;
+        case 2:
+          text.insert(at, text.substr(random_() % text.size(), length));
+          break;
+        case 3:
+          text.insert(at, 1, "\"[]{}=.-0\\\n\xff"[random_() % 12]);
+          break;
+        default:
+          text.resize(at);
+          break;
+      }
+    }
+    return text;
+  }
+  std::uint64_t Next() { return random_(); }
+
+private:
+  std::mt19937_64 random_{ Seed };
+};
+
+} // namespace
+
+TEST_CASE("damaged configurations are refused or sound")
+{
+  Mutator mutate;
+  const std::string text = ReadCorpus("config-1.toml");
+  int read = 0;
+  for (int i = 0; i < Rounds; ++i) {
+    const auto config = wg::ReadConfig(mutate(text));
+    if (wg::Succeeded(config)) {
+      ++read;
+      REQUIRE(wg::Succeeded(wg::CheckConfig(wg::Value(config))));
+      REQUIRE(
+        wg::Succeeded(wg::ReadConfig(wg::PrintConfig(wg::Value(config)))));
+    } else {
+      REQUIRE_FALSE(wg::Message(config).empty());
+    }
+  }
+  CHECK(read > 0);
+}
+
+TEST_CASE("damaged commands point inside their text")
+{
+  Mutator mutate;
+  for (const char* name :
+       { "command-1.txt", "command-2.txt", "command-3.txt" }) {
+    const std::string text = ReadCorpus(name);
+    for (int i = 0; i < Rounds; ++i) {
+      const std::string damaged = mutate(text);
+      const auto parsed = wg::ParseCommand(damaged);
+      if (const auto* error = std::get_if<wg::LanguageError>(&parsed)) {
+        REQUIRE(error->position <= damaged.size());
+        REQUIRE_FALSE(error->message.empty());
+      }
+      wg::CompleteCommand(damaged);
+    }
+  }
+}
+
+TEST_CASE("damaged answers of endpoints are refused or taken whole")
+{
+  Mutator mutate;
+  for (const char* name :
+       { "answer-1.json", "answer-2.json", "answer-3.json" }) {
+    const std::string text = ReadCorpus(name);
+    for (int i = 0; i < Rounds; ++i) {
+      for (int kind = 0; kind < 5; ++kind) {
+        nlohmann::json document{ { "input", "x" },
+                                 { "documents", { "a", "b" } } };
+        wg::TakeStageAnswer(static_cast<wg::StageKind>(kind), "g",
+                            mutate(text), document);
+        wg::StageBody(static_cast<wg::StageKind>(kind), document, 5, 0);
+      }
+    }
+  }
+}
+
+TEST_CASE("damaged streams end in order")
+{
+  Mutator mutate;
+  const std::string text = ReadCorpus("stream-1.txt");
+  for (int i = 0; i < Rounds; ++i) {
+    wg::EventReader reader;
+    const std::string damaged = mutate(text);
+    std::size_t at = 0;
+    while (at < damaged.size()) {
+      const std::size_t length = 1 + mutate.Next() % 9;
+      const bool more =
+        reader.Take(absl::string_view(damaged).substr(at, length),
+                    [](const std::string& data) {
+                      wg::GenerationEvent event;
+                      return wg::ParseGenerationEvent(data, event);
+                    });
+      if (!more) {
+        break;
+      }
+      at += length;
+    }
+  }
+}
+
+TEST_CASE("a damaged data folder is opened, set aside or refused")
+{
+  std::string pattern =
+    std::filesystem::temp_directory_path() / "wg-fuzz-XXXXXX";
+  const std::string folder = mkdtemp(pattern.data());
+  Mutator mutate;
+  for (int i = 0; i < 300; ++i) {
+    std::filesystem::remove_all(folder);
+    {
+      wg::Replica replica;
+      auto store =
+        wg::ReplicaStore::Open(wg::SystemFileOperations(), folder, 7, replica);
+      REQUIRE(wg::Succeeded(store));
+      wg::ReplicaActions actions;
+      actions.saveHardState = true;
+      for (std::uint64_t n = 1; n <= 3; ++n) {
+        wg::wire::LogEntry entry;
+        entry.set_index(n);
+        entry.set_term(1);
+        actions.append.push_back(entry);
+      }
+      REQUIRE(wg::Succeeded(wg::Value(store)->Write(replica, actions)));
+    }
+    for (const char* name : { "log", "identity", "synced" }) {
+      if (mutate.Next() % 2 == 0) {
+        continue;
+      }
+      const std::string path = folder + "/" + name;
+      std::ifstream in(path, std::ios::binary);
+      const std::string bytes(std::istreambuf_iterator<char>(in), {});
+      std::ofstream(path, std::ios::binary) << mutate(bytes);
+    }
+    wg::Replica replica;
+    auto store =
+      wg::ReplicaStore::Open(wg::SystemFileOperations(), folder, 8, replica);
+    REQUIRE(wg::Succeeded(store));
+    const bool sound = wg::Value(store)->State() == wg::FolderState::Sound;
+    CHECK((replica.self.id() == 8) == !sound);
+  }
+  std::filesystem::remove_all(folder);
+}
+
+TEST_CASE("damaged messages of peers do no harm")
+{
+  Mutator mutate;
+  std::mt19937_64 random(Seed);
+  wg::wire::AgreementMessage sound;
+  sound.set_to(1);
+  sound.set_from(2);
+  sound.set_term(3);
+  sound.set_cluster("c");
+  sound.set_last_index(1);
+  sound.set_last_term(1);
+  wg::wire::LogEntry& entry = *sound.add_entries();
+  entry.set_index(2);
+  entry.set_term(3);
+  entry.set_change("change");
+  wg::Replica replica;
+  replica.self.set_id(1);
+  replica.cluster = "c";
+  wg::StartReplica(replica, absl::ZeroDuration(), random);
+  for (int i = 0; i < Rounds; ++i) {
+    wg::wire::AgreementMessage message;
+    sound.set_kind(
+      static_cast<wg::wire::AgreementMessage::Kind>(mutate.Next() % 7));
+    if (message.ParseFromString(mutate(sound.SerializeAsString()))) {
+      wg::OnMessage(replica, message, absl::Seconds(i), random);
+      wg::TakeActions(replica);
+    }
+    wg::wire::Change change;
+    wg::ServiceState state;
+    change.ParseFromString(mutate(sound.SerializeAsString()));
+    wg::ApplyChange(state, change);
+    wg::LoadState(mutate(wg::SaveState(state)));
+  }
+  wg::Membership membership;
+  wg::wire::Gossip gossip;
+  gossip.add_members()->set_box("b");
+  for (int i = 0; i < Rounds; ++i) {
+    wg::wire::Gossip damaged;
+    if (damaged.ParseFromString(mutate(gossip.SerializeAsString()))) {
+      wg::MergeGossip(membership, damaged, absl::Seconds(1));
+    }
+  }
+}
--- a/Tests/Process/wgHostileInputTest.cxx
+++ b/Tests/Process/wgHostileInputTest.cxx
@@ -2,6 +2,8 @@
 // Bad input at every port: a clear refusal, and nothing else disturbed.
 #include <catch2/catch.hpp>
 
+#include <thread>
+
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <sys/socket.h>
@@ -84,6 +86,8 @@
         "bad_header");
   CHECK(Post(port, path, with("Idempotency-Key", std::string(300, 'k')), good)
           .reason == "bad_header");
+  CHECK(Post(port, path, with("Idempotency-Key", "k\xff\xfe"), good).reason ==
+        "bad_header");
   const Answer large = Post(
     port, path, account, "{\"input\": \"" + std::string(2 << 20, 'x') + "\"}");
   CHECK(large.status == 413);
@@ -117,6 +121,28 @@
   CHECK(cluster.Control(0).IsRunning());
 }
 
+TEST_CASE("an endpoint that says nonsense of itself harms nobody",
+          "[endpoints]")
+{
+  TestCluster cluster;
+  httplib::Server liar;
+  liar.Get(
+    "/v1/load", [](const httplib::Request&, httplib::Response& response) {
+      response.set_content(
+        R"({"running": "many", "waiting": -1e99, "leaving": "perhaps"})",
+        "application/json");
+    });
+  const int port = liar.bind_to_any_port("127.0.0.1");
+  std::thread serving([&liar] { liar.listen_after_bind(); });
+  cluster.AddEndpointAt("encode", port);
+  CHECK(wg::test::WaitFor(
+    [&] { return cluster.EntryHears("encode-" + std::to_string(port)); }));
+  CHECK(cluster.Entry(0).IsRunning());
+  CHECK(cluster.Call(0, "answer", "still fine").status == 200);
+  liar.stop();
+  serving.join();
+}
+
 TEST_CASE("peers and operators without the right key get nothing", "[keys]")
 {
   TestCluster cluster;
--- a/Tests/Process/wgTestCluster.cxx
+++ b/Tests/Process/wgTestCluster.cxx
@@ -480,6 +480,27 @@
   return 0.0;
 }
 
+void TestCluster::AddEndpointAt(const std::string& group, int port)
+{
+  endpointLines_.push_back(
+    { absl::StrCat(group, "-", port), group, "", "h1", port, 0.0 });
+  wire::Change change;
+  change.set_id(MakeChangeId());
+  change.mutable_apply()->set_toml(MakeConfig());
+  Send(change);
+}
+
+bool TestCluster::EntryHears(const std::string& endpoint)
+{
+  const Json status = StatusOfEntry(0);
+  for (const Json& row : status.value("endpoints", Json::array())) {
+    if (row.value("endpoint", "") == endpoint) {
+      return row.value("report_age_ms", -1) >= 0;
+    }
+  }
+  return false;
+}
+
 void TestCluster::Post(int endpointPort, const std::string& path,
                        const std::string& body)
 {
--- a/Tests/Process/wgTestCluster.h
+++ b/Tests/Process/wgTestCluster.h
@@ -100,6 +100,11 @@
   double WeightAtEntry(int index);
   int VoterCount();
 
+  /** \brief Adds an endpoint that a test serves itself, as "group-port". */
+  void AddEndpointAt(const std::string& group, int port);
+  /** \brief Whether entry 0 has got a load report of an endpoint. */
+  bool EntryHears(const std::string& endpoint);
+
   /** \brief Asks an endpoint for a fault, or to leave. */
   void Post(int endpointPort, const std::string& path,
             const std::string& body);
