Membership: a message fits a datagram whatever is asked

Cause: read while working out the target size: a box told every account's demand of every group, and a datagram over 65 kB is not sent at all, so that an entry with some thousands of waiting accounts would have been taken for dead. Ruled out: TCP for this (a frozen peer would hold it up).

Change: the 400 largest demands of a box, and 24 kB of members in a message; the test asks 10000 accounts' demands of 30 boxes.

--- a/Source/Entry/wgEntryNode.cxx
+++ b/Source/Entry/wgEntryNode.cxx
@@ -289,7 +289,7 @@
   {
     absl::MutexLock lock(&board_.members.mutex);
     wire::Member& self = board_.members.membership.self;
-    *self.mutable_demands() = { demands.begin(), demands.end() };
+    SetOwnDemands(board_.members.membership, demands);
     *self.mutable_accounts() = { accounts.begin(), accounts.end() };
     messages = NextGossip(board_.members.membership, ElapsedNow(),
                           board_.members.random);
--- a/Source/Membership/wgMembership.cxx
+++ b/Source/Membership/wgMembership.cxx
@@ -50,9 +50,13 @@
             });
   wire::Gossip gossip;
   *gossip.add_members() = membership.self;
+  std::size_t bytes = membership.self.ByteSizeLong();
   for (const KnownMember* known : newest) {
     const auto size = static_cast<std::size_t>(gossip.members_size());
-    if (size >= membership.timing.maxMembers) {
+    bytes += known->member.ByteSizeLong();
+    const bool full = size >= membership.timing.maxMembers ||
+                      bytes > membership.timing.maxBytes;
+    if (full) {
       break;
     }
     *gossip.add_members() = known->member;
@@ -88,6 +92,20 @@
 
 } // namespace
 
+void SetOwnDemands(Membership& membership, std::vector<wire::Demand> demands)
+{
+  const auto most = static_cast<std::size_t>(membership.timing.maxDemands);
+  if (demands.size() > most) {
+    std::partial_sort(
+      demands.begin(), demands.begin() + membership.timing.maxDemands,
+      demands.end(), [](const wire::Demand& a, const wire::Demand& b) {
+        return a.running() + a.waiting() > b.running() + b.waiting();
+      });
+    demands.resize(most);
+  }
+  *membership.self.mutable_demands() = { demands.begin(), demands.end() };
+}
+
 std::vector<GossipMessage> NextGossip(Membership& membership, Elapsed now,
                                       absl::BitGenRef random)
 {
--- a/Source/Membership/wgMembership.h
+++ b/Source/Membership/wgMembership.h
@@ -20,8 +20,10 @@
   absl::Duration period = absl::Milliseconds(250);
   absl::Duration suspectAfter = absl::Milliseconds(1500);
   absl::Duration forgetAfter = absl::Minutes(10);
-  std::size_t fanout = 3;      // messages a period, whatever the size
-  std::size_t maxMembers = 16; // members in one message
+  std::size_t fanout = 3;       // messages a period, whatever the size
+  std::size_t maxMembers = 16;  // members in one message
+  std::size_t maxBytes = 24000; // of one message: it must fit a datagram
+  int maxDemands = 400;         // that one box tells, the largest first
 };
 
 /** \brief What is known of one entry box, and since when. */
@@ -47,6 +49,11 @@
   wire::Gossip gossip;
 };
 
+/** \brief Sets what our own box asks for, the largest demands if there are
+ * too many to tell.
+ */
+void SetOwnDemands(Membership& membership, std::vector<wire::Demand> demands);
+
 /** \brief Counts one more beat of our own and says what to send. */
 std::vector<GossipMessage> NextGossip(Membership& membership, Elapsed now,
                                       absl::BitGenRef random);
--- a/Tests/Membership/wgMembershipTest.cxx
+++ b/Tests/Membership/wgMembershipTest.cxx
@@ -75,6 +75,28 @@
   }
 }
 
+TEST_CASE("a message fits a datagram whatever is asked")
+{
+  std::mt19937_64 random(4);
+  wg::Membership membership = Box("0");
+  std::vector<wg::wire::Demand> demands(10000);
+  for (std::size_t i = 0; i < demands.size(); ++i) {
+    demands[i].set_group("generation");
+    demands[i].set_account("an-account-with-a-name-" + std::to_string(i));
+    demands[i].set_waiting(static_cast<std::uint32_t>(i));
+  }
+  wg::SetOwnDemands(membership, demands);
+  for (int i = 1; i < 30; ++i) {
+    wg::wire::Gossip gossip = About(std::to_string(i), 1, 1);
+    *gossip.mutable_members(0)->mutable_demands() = membership.self.demands();
+    wg::MergeGossip(membership, gossip, absl::Seconds(1));
+  }
+  const auto messages = wg::NextGossip(membership, absl::Seconds(1), random);
+  REQUIRE_FALSE(messages.empty());
+  CHECK(messages[0].gossip.ByteSizeLong() < 60000);
+  CHECK(membership.self.demands(0).waiting() == 9999);
+}
+
 TEST_CASE("nine boxes learn of one another from one seed, and of a cut")
 {
   std::mt19937_64 random(5);
