--- a/Source/Entry/wgEntryNode.cxx
+++ b/Source/Entry/wgEntryNode.cxx
@@ -30,6 +30,7 @@
 constexpr absl::Duration MaxReplicaAge = absl::Seconds(1);
 constexpr absl::Duration StopPoll = absl::Milliseconds(20);
 constexpr std::int64_t MaxReportedLoad = 1000000;
+constexpr std::size_t MaxAccountsTold = 400;
 constexpr std::size_t MaxDatagram = 65000;
 constexpr std::size_t SignatureBytes = 64; // hex of SHA-256
 
@@ -52,6 +53,26 @@
   endpoint.saysLeaving = BoolOr(load, "leaving", false);
 }
 
+/** What runs of the accounts that have a limit over all boxes. */
+std::vector<wire::AccountRunning> LimitedAccounts(Blackboard& board)
+{
+  const std::shared_ptr<const Config> config = CurrentConfig(board);
+  std::vector<wire::AccountRunning> accounts;
+  absl::MutexLock lock(&board.accounts.mutex);
+  for (const auto& [name, use] : board.accounts.uses) {
+    const AccountConfig* account =
+      config == nullptr ? nullptr : FindAccount(*config, name);
+    const bool tells = account != nullptr && account->concurrency > 0 &&
+                       use.running > 0 && accounts.size() < MaxAccountsTold;
+    if (tells) {
+      wire::AccountRunning& running = accounts.emplace_back();
+      running.set_account(name);
+      running.set_running(use.running);
+    }
+  }
+  return accounts;
+}
+
 /** One endpoint to ask for its load. */
 struct WatchTarget
 {
@@ -274,17 +295,7 @@
 void EntryNode::SendGossip(const FileDescriptor& socket)
 {
   const std::vector<wire::Demand> demands = OwnDemands(board_);
-  std::vector<wire::AccountRunning> accounts;
-  {
-    absl::MutexLock lock(&board_.accounts.mutex);
-    for (const auto& [name, use] : board_.accounts.uses) {
-      if (use.running > 0) {
-        wire::AccountRunning& running = accounts.emplace_back();
-        running.set_account(name);
-        running.set_running(use.running);
-      }
-    }
-  }
+  const std::vector<wire::AccountRunning> accounts = LimitedAccounts(board_);
   std::vector<GossipMessage> messages;
   {
     absl::MutexLock lock(&board_.members.mutex);
--- a/Tests/Process/wgTestCluster.cxx
+++ b/Tests/Process/wgTestCluster.cxx
@@ -233,7 +233,9 @@
   for (int i = 0; i < layout_.services; ++i) {
     AddEndpoint("sms", "service", i % 2 == 0 ? "h1" : "h2", ms);
   }
-  std::vector<std::string> arguments = { WG_STANDIN, "--lifetime", "300" };
+  std::vector<std::string> arguments = {
+    WG_STANDIN, "--lifetime", absl::StrCat(layout_.lifetimeSeconds)
+  };
   for (const EndpointLine& line : endpointLines_) {
     arguments.push_back("--serve");
     arguments.push_back(absl::StrCat(line.kind, ":", line.port, ":",
--- a/Tests/Process/wgTestCluster.h
+++ b/Tests/Process/wgTestCluster.h
@@ -54,9 +54,10 @@
   int entries = 3;
   int generators = 3;
   int services = 2;
-  int slots = 8;         // of each endpoint
-  int compactAfter = 50; // changes between a control box's snapshots
-  int connections = 64;  // of each entry
+  int slots = 8;             // of each endpoint
+  int compactAfter = 50;     // changes between a control box's snapshots
+  int connections = 64;      // of each entry
+  int lifetimeSeconds = 300; // of the endpoints, at the most
   double stageMs = 2.0;
   int deadlineMs = 20000; // far off: no verdict is to hang on it
 };
