--- a/Source/Base/wgCounters.h
+++ b/Source/Base/wgCounters.h
@@ -26,8 +26,6 @@
   AnswerForeign,
   StreamResumed,
   StageCancelled,
-  HedgeStarted,
-  HedgeWon,
   EndpointEjected,
   EndpointReadmitted,
   PeerRejected,
--- a/Source/Decision/wgCostLedger.h
+++ b/Source/Decision/wgCostLedger.h
@@ -29,8 +29,7 @@
 enum class CostKind
 {
   Useful, // its answer was used
-  Wasted, // failed, or its request was given up
-  Hedged  // lost a hedge
+  Wasted  // failed, or its request was given up
 };
 
 /** \brief What attempts cost; sums agree with what endpoints count. */
@@ -41,7 +40,6 @@
   std::uint64_t tokens = 0;
   double usefulSeconds = 0.0;
   double wastedSeconds = 0.0;
-  double hedgedSeconds = 0.0;
 };
 
 using CostLedger = absl::btree_map<CostKey, StageCost>;
@@ -69,9 +67,6 @@
     case CostKind::Wasted:
       sum.wastedSeconds += cost.seconds;
       break;
-    case CostKind::Hedged:
-      sum.hedgedSeconds += cost.seconds;
-      break;
   }
 }
 
--- a/Source/Entry/wgEntryStatus.cxx
+++ b/Source/Entry/wgEntryStatus.cxx
@@ -84,8 +84,7 @@
                      { "retries", cost.retries },
                      { "tokens", cost.tokens },
                      { "useful_s", cost.usefulSeconds },
-                     { "wasted_s", cost.wastedSeconds },
-                     { "hedged_s", cost.hedgedSeconds } });
+                     { "wasted_s", cost.wastedSeconds } });
   }
   return rows;
 }
--- a/Source/Entry/wgRequestRunner.cxx
+++ b/Source/Entry/wgRequestRunner.cxx
@@ -505,6 +505,11 @@
   record.waitSeconds = queuedSeconds_;
   record.runSeconds = reply.seconds;
   record.end = std::string(result.done ? "answered" : Name(result.end));
+  const bool cancelled =
+    result.end == AttemptEnd::Cancelled || result.end == AttemptEnd::OutOfTime;
+  if (cancelled) {
+    board.counters.Add(Event::StageCancelled);
+  }
   {
     absl::MutexLock lock(&board.groups.mutex);
     GroupState& group = board.groups.groups[groupName];
--- a/Utilities/Client/wgClientView.cxx
+++ b/Utilities/Client/wgClientView.cxx
@@ -86,6 +86,9 @@
     }
     for (Json row : status[table]) {
       row["told_by"] = status.value("box", "");
+      if (!row.contains("age_ms")) {
+        row["age_ms"] = status.value("age_ms", 0);
+      }
       rows.push_back(std::move(row));
     }
   }
