--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -109,8 +109,8 @@
                                          PeerName);
   server_ = std::make_unique<PeerServer>(
     settings_.keys,
-    [this](PeerRequest request, Respond respond) {
-      HandlePeer(std::move(request), std::move(respond));
+    [this](const PeerRequest& request, Respond respond) {
+      HandlePeer(request, std::move(respond));
     },
     counters_);
   if (auto started = server_->Start(Value(address)); !Succeeded(started)) {
@@ -130,7 +130,7 @@
   client_.reset();
 }
 
-void ControlNode::HandlePeer(PeerRequest request, Respond respond)
+void ControlNode::HandlePeer(const PeerRequest& request, Respond respond)
 {
   const bool isPeer = request.who == PeerName;
   bool sound = true;
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -103,7 +103,7 @@
     Elapsed heard;
   };
 
-  void HandlePeer(PeerRequest request, Respond respond);
+  void HandlePeer(const PeerRequest& request, Respond respond);
   void HandleChange(const PeerRequest& request, Respond respond);
   void Post(Mail mail);
   void Run();
--- a/Source/Control/wgServiceState.cxx
+++ b/Source/Control/wgServiceState.cxx
@@ -19,7 +19,7 @@
 constexpr std::size_t MaxRemembered = 10000;
 constexpr std::size_t MaxRecent = 1000;
 /** One change may move the clock on by this much, whatever it says. */
-constexpr std::int64_t MaxClockStepMs = 60 * 1000;
+constexpr std::int64_t MaxClockStepMs = 60000;
 
 using Result = wire::ChangeResult;
 
@@ -166,9 +166,9 @@
                    "The change's id is older than what is remembered, so it "
                    "may have run; look at the state and make it anew.");
   }
-  const Result result = change.has_raise_fence()
-                          ? ApplyRaiseFence(state, change.raise_fence())
-                          : ApplyRevised(state, change);
+  Result result = change.has_raise_fence()
+                    ? ApplyRaiseFence(state, change.raise_fence())
+                    : ApplyRevised(state, change);
   Remember(state, *id, result);
   return result;
 }
--- a/Source/Decision/wgDispatch.cxx
+++ b/Source/Decision/wgDispatch.cxx
@@ -91,12 +91,12 @@
 
 } // namespace
 
-Reason Enqueue(GroupState& group, WaitingStage stage, RouteQuery query)
+Reason Enqueue(GroupState& group, WaitingStage stage, const RouteQuery& query)
 {
   const std::uint64_t ticket = stage.ticket;
   const Reason reason = Push(group.queue, std::move(stage));
   if (reason == Reason::None) {
-    group.queries.emplace(ticket, std::move(query));
+    group.queries.emplace(ticket, query);
   }
   return reason;
 }
--- a/Source/Decision/wgDispatch.h
+++ b/Source/Decision/wgDispatch.h
@@ -67,7 +67,7 @@
 };
 
 /** \brief Queues a stage of a request. */
-Reason Enqueue(GroupState& group, WaitingStage stage, RouteQuery query);
+Reason Enqueue(GroupState& group, WaitingStage stage, const RouteQuery& query);
 
 /** \brief Grants places to waiting stages in fair turn, while there are. */
 DispatchRound Dispatch(GroupState& group, Elapsed now, absl::BitGenRef random);
--- a/Source/Entry/wgCallerServer.cxx
+++ b/Source/Entry/wgCallerServer.cxx
@@ -268,14 +268,14 @@
   }
   board.counters.Add(Event::RequestAccepted);
   if (!streams) {
-    AnswerWhole(std::move(runner), id, response);
+    AnswerWhole(runner, id, response);
     return;
   }
-  AnswerStream(std::move(runner), id, response);
+  AnswerStream(runner, id, response);
   response.content_provider_resource_releaser_ = [inFlight](bool) {};
 }
 
-void CallerServer::AnswerWhole(std::shared_ptr<RequestRunner> runner,
+void CallerServer::AnswerWhole(const std::shared_ptr<RequestRunner>& runner,
                                const std::string& id,
                                httplib::Response& response)
 {
@@ -294,7 +294,7 @@
   NoteEnd(id, Reason::None);
 }
 
-void CallerServer::AnswerStream(std::shared_ptr<RequestRunner> runner,
+void CallerServer::AnswerStream(const std::shared_ptr<RequestRunner>& runner,
                                 const std::string& id,
                                 httplib::Response& response)
 {
--- a/Source/Entry/wgCallerServer.h
+++ b/Source/Entry/wgCallerServer.h
@@ -41,9 +41,9 @@
   void AddRoutes();
   void OnPipeline(const httplib::Request& request,
                   httplib::Response& response);
-  void AnswerWhole(std::shared_ptr<RequestRunner> runner,
+  void AnswerWhole(const std::shared_ptr<RequestRunner>& runner,
                    const std::string& id, httplib::Response& response);
-  void AnswerStream(std::shared_ptr<RequestRunner> runner,
+  void AnswerStream(const std::shared_ptr<RequestRunner>& runner,
                     const std::string& id, httplib::Response& response);
   void Refuse(const RequestFailure& failure, httplib::Response& response);
   void NoteEnd(const std::string& id, Reason reason);
--- a/Source/Entry/wgEntryNode.cxx
+++ b/Source/Entry/wgEntryNode.cxx
@@ -125,8 +125,8 @@
   claimEnder_ = std::make_unique<ClaimEnder>(*changes_);
   peers_ = std::make_unique<PeerServer>(
     settings_.keys,
-    [this](PeerRequest request, PeerServer::Respond respond) {
-      HandlePeer(std::move(request), std::move(respond));
+    [this](const PeerRequest& request, const PeerServer::Respond& respond) {
+      HandlePeer(request, respond);
     },
     board_.counters);
   if (auto started = peers_->Start(Value(peer)); !Succeeded(started)) {
@@ -448,7 +448,8 @@
   return reply.SerializeAsString();
 }
 
-void EntryNode::HandlePeer(PeerRequest request, PeerServer::Respond respond)
+void EntryNode::HandlePeer(const PeerRequest& request,
+                           const PeerServer::Respond& respond)
 {
   if (request.path == "/status") {
     wire::StatusReply reply;
--- a/Source/Entry/wgEntryNode.h
+++ b/Source/Entry/wgEntryNode.h
@@ -58,7 +58,8 @@
   void WatchEndpoints();
   void WatchPlatform();
   void Tick();
-  void HandlePeer(PeerRequest request, PeerServer::Respond respond);
+  void HandlePeer(const PeerRequest& request,
+                  const PeerServer::Respond& respond);
   std::string AnswerFollow(const std::string& body);
   void StartThread(void (EntryNode::*loop)());
 
--- a/Source/Entry/wgRequestRunner.cxx
+++ b/Source/Entry/wgRequestRunner.cxx
@@ -368,7 +368,7 @@
   if (Group(stage).kind == StageKind::Generate) {
     query.prefix = HashPrefix(request_.input);
   }
-  reason = Enqueue(group, std::move(waiting), std::move(query));
+  reason = Enqueue(group, std::move(waiting), query);
   if (reason != Reason::None) {
     return nullptr;
   }
