--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -581,8 +581,10 @@
 
 void ControlNode::CompactIfDue()
 {
-  const bool due =
-    replica_.applied >= replica_.snapshot.index() + settings_.compactAfter;
+  // A snapshot writes the whole state: the larger that is, the rarer.
+  const std::uint64_t after =
+    std::max<std::uint64_t>(settings_.compactAfter, state_.claims.size() / 2);
+  const bool due = replica_.applied >= replica_.snapshot.index() + after;
   if (!due || writeFailed_) {
     return;
   }
--- a/Tests/Process/wgEntryFailuresTest.cxx
+++ b/Tests/Process/wgEntryFailuresTest.cxx
@@ -2,6 +2,7 @@
 // Requests in real processes: kills, cuts, failing and leaving endpoints.
 #include <atomic>
 #include <csignal>
+#include <functional>
 #include <iostream>
 #include <mutex>
 #include <thread>
@@ -11,6 +12,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 
+#include "wgServiceState.h"
 #include "wgTestCluster.h"
 
 namespace {
@@ -98,15 +100,19 @@
   return ok;
 }
 
-/** Every entry knows that it is leaving, and none has work there. */
-bool IsLeftAlone(TestCluster& cluster, const std::string& endpoint)
+/** Every entry says this state of it, and none has work there. */
+bool IsLeftAlone(TestCluster& cluster, const std::string& endpoint,
+                 const std::string& state)
 {
   int alone = 0;
   for (int i = 0; i < 3; ++i) {
     const auto status = cluster.StatusOfEntry(i);
+    if (!status.contains("endpoints")) {
+      continue;
+    }
     for (const auto& row : status["endpoints"]) {
       const bool left = row.value("endpoint", "") == endpoint &&
-                        row.value("state", "") == "leaving" &&
+                        row.value("state", "") == state &&
                         row.value("running_here", 1) == 0;
       alone += left ? 1 : 0;
     }
@@ -114,6 +120,28 @@
   return alone == 3;
 }
 
+/** Once every entry knows, the endpoint must get nothing more. */
+void CheckLeaving(const std::string& state,
+                  const std::function<void(TestCluster&)>& leave)
+{
+  TestCluster cluster;
+  Callers callers(
+    4, [&](int i) { return cluster.Call(i % 3, "answer", Input(i)); });
+  WaitFor([&] { return callers.Count() > 30; });
+  CHECK(cluster.RunsOf({ "llm-1" }).size() > 0);
+  leave(cluster);
+  const absl::Time asked = absl::Now();
+  REQUIRE(WaitFor([&] { return IsLeftAlone(cluster, "llm-1", state); }));
+  std::cout << state << ": left alone "
+            << absl::ToDoubleSeconds(absl::Now() - asked) << " s after\n";
+  const auto after = cluster.RunsOf({ "llm-1" }).size();
+  const int before = callers.Count();
+  WaitFor([&] { return callers.Count() > before + 200; });
+  CHECK(cluster.RunsOf({ "llm-1" }).size() == after);
+  const auto records = callers.Stop();
+  CHECK(CountOk(records) == static_cast<int>(records.size()));
+}
+
 } // namespace
 
 TEST_CASE("a killed entry runs nothing twice, whoever sends it again",
@@ -228,26 +256,61 @@
   CHECK_THAT(cluster.LogOf("entry-0"), Catch::Contains("0 requests cut"));
 }
 
-TEST_CASE("a leaving endpoint gets no new work once that is known",
-          "[leaving]")
+TEST_CASE("an endpoint that says it is leaving gets no new work", "[leaving]")
 {
-  TestCluster cluster;
+  CheckLeaving("leaving", [](TestCluster& cluster) {
+    cluster.Post(cluster.PortOf("llm-1"), "/v1/leave", "true");
+  });
+}
+
+TEST_CASE("an endpoint that the platform lists as leaving gets no new work",
+          "[platform]")
+{
+  CheckLeaving("leaving", [](TestCluster& cluster) {
+    cluster.Post(cluster.PlatformPort(), "/v1/boxes",
+                 absl::StrCat(R"([{"address": "127.0.0.1:)",
+                              cluster.PortOf("llm-1"),
+                              R"(", "state": "leaving"}, {"address": 5}])"));
+  });
+}
+
+TEST_CASE("an endpoint that an operator drains gets no new work", "[drain]")
+{
+  CheckLeaving("drained", [](TestCluster& cluster) {
+    wg::wire::Change change;
+    change.set_id(wg::MakeChangeId());
+    change.mutable_set_drained()->set_endpoint("llm-1");
+    change.mutable_set_drained()->set_drained(true);
+    CHECK(cluster.Send(change).verdict() == wg::wire::ChangeResult::ACCEPTED);
+  });
+}
+
+TEST_CASE("a planned stop while a leader dies and endpoints fail cuts nothing",
+          "[stop-two]")
+{
+  ClusterLayout layout;
+  layout.stageMs = 20;
+  TestCluster cluster(layout);
+  std::atomic<int> target{ 0 };
   Callers callers(
-    4, [&](int i) { return cluster.Call(i % 3, "answer", Input(i)); });
-  WaitFor([&] { return callers.Count() > 30; });
-  const auto countRuns = [&] { return cluster.RunsOf({ "llm-1" }).size(); };
-  CHECK(countRuns() > 0);
-  cluster.Post(cluster.PortOf("llm-1"), "/v1/leave", "true");
-  const absl::Time asked = absl::Now();
-  REQUIRE(WaitFor([&] { return IsLeftAlone(cluster, "llm-1"); }));
-  std::cout << "left alone " << absl::ToDoubleSeconds(absl::Now() - asked)
-            << " s after the endpoint said that it is leaving\n";
-  const auto after = countRuns();
+    8, [&](int i) { return cluster.Call(target, "answer", Input(i)); });
+  WaitFor([&] { return callers.Count() > 40; });
+  const int leader = cluster.FindLeader();
+  REQUIRE(leader >= 0);
+  cluster.Control(leader).Kill();
+  cluster.Post(cluster.PortOf("llm-1"), "/v1/fault",
+               R"({"break_stream_next": 2})");
+  cluster.Entry(0).Signal(SIGTERM);
+  CHECK(WaitFor([&] {
+    return !cluster.Get(cluster.EntryPort(0), "/readyz").is_string();
+  }));
+  target = 1;
+  CHECK(cluster.Entry(0).Wait() == 0);
   const int before = callers.Count();
-  WaitFor([&] { return callers.Count() > before + 200; });
-  CHECK(countRuns() == after);
+  WaitFor([&] { return callers.Count() > before + 20; });
   const auto records = callers.Stop();
   CHECK(CountOk(records) == static_cast<int>(records.size()));
+  CheckAll(cluster, records);
 }
 
 TEST_CASE("cut off from control an entry serves what needs no claim",
--- a/Tests/Process/wgTestCluster.cxx
+++ b/Tests/Process/wgTestCluster.cxx
@@ -236,6 +236,9 @@
   std::vector<std::string> arguments = {
     WG_STANDIN, "--lifetime", absl::StrCat(layout_.lifetimeSeconds)
   };
+  platformPort_ = FreePort();
+  arguments.push_back("--platform");
+  arguments.push_back(absl::StrCat(platformPort_));
   for (const EndpointLine& line : endpointLines_) {
     arguments.push_back("--serve");
     arguments.push_back(absl::StrCat(line.kind, ":", line.port, ":",
@@ -345,6 +348,7 @@
          Address(entryPorts_[Slot(index)]), std::string("--peer"),
          Address(entryPeerPorts_[Slot(index)]), std::string("--seeds"), seeds,
          std::string("--settle-ms"), std::string("300"),
+         std::string("--platform"), Address(platformPort_),
          std::string("--max-connections"),
          absl::StrCat(layout_.connections) }) {
     arguments.push_back(more);
--- a/Tests/Process/wgTestCluster.h
+++ b/Tests/Process/wgTestCluster.h
@@ -113,6 +113,7 @@
   int PortOf(const std::string& endpoint) const;
   std::vector<RunRecord> RunsOf(const std::vector<std::string>& endpoints);
   std::vector<std::string> EndpointsOf(const std::string& group) const;
+  int PlatformPort() const { return platformPort_; }
   int EntryPort(int index) const { return entryPorts_[Slot(index)]; }
   int EntryPeerPort(int index) const { return entryPeerPorts_[Slot(index)]; }
   int ControlPort(int index) const { return controlPorts_[Slot(index)]; }
@@ -143,6 +144,7 @@
   ClusterLayout layout_;
   std::string folder_;
   std::vector<EndpointLine> endpointLines_;
+  int platformPort_ = 0;
   std::vector<int> controlPorts_;
   std::vector<int> wirePorts_;
   std::vector<int> entryPorts_;
