Decision: a stage that turns out to take longer is given up at once

Cause: of 48 requests at once to an engine whose expected time is set far too low, the slowest refusal came after 1.54 s of a deadline of 1.5 s: the latest start was fixed when a stage was queued. Ruled out: admission (nothing was known by then) and the tick of 10 ms. Change: each round asks what the group is now known to take.

--- a/Source/Decision/wgDispatch.cxx
+++ b/Source/Decision/wgDispatch.cxx
@@ -105,7 +105,8 @@
 {
   DispatchRound round;
   StartProbes(absl::MakeSpan(group.endpoints), now);
-  round.hopeless = TakeHopeless(group.queue, now);
+  round.hopeless = TakeHopeless(
+    group.queue, now, ExpectedSeconds(group.service, group.priorSeconds));
   ForgetQueries(group, round.hopeless);
   while (AnyPlace(group, PlaceRule::Any)) {
     const bool anyShared = AnyPlace(group, PlaceRule::Shared);
--- a/Source/Decision/wgFairQueue.cxx
+++ b/Source/Decision/wgFairQueue.cxx
@@ -44,6 +44,12 @@
   }
 }
 
+bool IsHopeless(const WaitingStage& stage, Elapsed now, double stageSeconds)
+{
+  const Elapsed done = now + absl::Seconds(stageSeconds + stage.laterSeconds);
+  return now > stage.latestStart || done > stage.deadline;
+}
+
 WaitingStage TakeOut(FairQueue& queue, AccountQueue& entry,
                      absl::btree_map<WaitingKey, WaitingStage>::iterator at)
 {
@@ -117,14 +123,15 @@
   return true;
 }
 
-std::vector<WaitingStage> TakeHopeless(FairQueue& queue, Elapsed now)
+std::vector<WaitingStage> TakeHopeless(FairQueue& queue, Elapsed now,
+                                       double stageSeconds)
 {
   std::vector<WaitingStage> hopeless;
   std::vector<std::string> touched;
   for (const TurnKey& key : queue.turn) {
     AccountQueue& entry = queue.accounts[key.account];
     for (auto at = entry.waiting.begin(); at != entry.waiting.end();) {
-      if (at->second.latestStart >= now) {
+      if (!IsHopeless(at->second, now, stageSeconds)) {
         ++at;
         continue;
       }
--- a/Source/Decision/wgFairQueue.h
+++ b/Source/Decision/wgFairQueue.h
@@ -24,7 +24,10 @@
   double weight = 1.0;
   int priority = 0;
   Elapsed deadline;
-  Elapsed latestStart; // after it the deadline can no longer be met
+  Elapsed latestStart; // after it the deadline can no longer be met, as far
+                       // as was known when it was queued
+  /** Seconds that the stages after this one will take. */
+  double laterSeconds = 0.0;
   Elapsed enqueued;
   double expectedCost = 0.0; // endpoint seconds
   std::size_t bytes = 0;
@@ -101,8 +104,11 @@
 bool Remove(FairQueue& queue, const std::string& account,
             std::uint64_t ticket);
 
-/** \brief Takes out all that can no longer start in time. */
-std::vector<WaitingStage> TakeHopeless(FairQueue& queue, Elapsed now);
+/** \brief Takes out all that can no longer be done in time.
+ * \param stageSeconds how long a stage of this queue is now known to take
+ */
+std::vector<WaitingStage> TakeHopeless(FairQueue& queue, Elapsed now,
+                                       double stageSeconds);
 
 /** \brief Ends a running stage and settles what it really cost. */
 void Settle(FairQueue& queue, const std::string& account, double expectedCost,
--- a/Source/Entry/wgRequestRunner.cxx
+++ b/Source/Entry/wgRequestRunner.cxx
@@ -352,6 +352,7 @@
   waiting.enqueued = ElapsedNow();
   waiting.latestStart = deadline_ - absl::Seconds(ServiceSeconds(ahead));
   waiting.expectedCost = ahead.front().serviceSeconds;
+  waiting.laterSeconds = ServiceSeconds(ahead) - waiting.expectedCost;
   waiting.bytes = request_.bytes;
   if (!ahead.front().anyEndpoint) {
     reason = Reason::NoEndpoint;
--- a/Tests/Decision/wgDecisionTest.cxx
+++ b/Tests/Decision/wgDecisionTest.cxx
@@ -142,13 +142,25 @@
   hopeless.latestStart = absl::Seconds(1);
   wg::Push(queue, hopeless);
   wg::Push(queue, Stage(2, "b"));
-  const auto taken = wg::TakeHopeless(queue, absl::Seconds(2));
+  const auto taken = wg::TakeHopeless(queue, absl::Seconds(2), 0.1);
   REQUIRE(taken.size() == 1);
   CHECK(taken[0].ticket == 1);
   CHECK(queue.count == 1);
   CHECK(queue.accounts.count("a") == 0);
 }
 
+TEST_CASE("a stage that turns out to take longer is given up at once")
+{
+  wg::FairQueue queue;
+  wg::WaitingStage stage = Stage(1, "a");
+  stage.deadline = absl::Seconds(10);
+  stage.latestStart = absl::Seconds(9); // it was thought to take a second
+  stage.laterSeconds = 2.0;
+  wg::Push(queue, stage);
+  CHECK(wg::TakeHopeless(queue, absl::Seconds(1), 1.0).empty());
+  CHECK(wg::TakeHopeless(queue, absl::Seconds(1), 8.0).size() == 1);
+}
+
 TEST_CASE("no place is left unused while something waits")
 {
   std::mt19937_64 random = Seeded();
--- a/Tests/Policy/wgPolicySimulation.cxx
+++ b/Tests/Policy/wgPolicySimulation.cxx
@@ -386,6 +386,10 @@
       run_.admission ? absl::Seconds(request.deadline - ServiceSeconds(ahead))
                      : absl::Seconds(request.deadline);
     waiting.expectedCost = ahead.front().serviceSeconds;
+    waiting.laterSeconds =
+      run_.admission
+        ? ServiceSeconds(ahead) - waiting.expectedCost
+        : -run_.seconds; // the baselines give nothing up before its deadline
     RouteQuery query;
     query.hall = "h" + std::to_string(request.entry / EntriesPerHall);
     query.priorSeconds = ahead.front().serviceSeconds;
