Entry: nothing of a foreign answer is read

Ruled out: answers that are not streamed, which were judged before they were taken.

Change: the client compares the ids when the headers have come and reads no further if they are another attempt's; the reading of a generation is a class of its own. The stand-in's foreign answers now carry foreign text.

--- a/Source/Entry/wgRequestRunner.cxx
+++ b/Source/Entry/wgRequestRunner.cxx
@@ -318,6 +318,9 @@
   if (reply.end == AttemptEnd::Answered && !callerLeft_) {
     result.done = TakeAnswer(stage, reply, result);
   } else {
+    if (reply.isForeign) {
+      context_.blackboard.counters.Add(Event::AnswerForeign);
+    }
     result.retry = reply.end == AttemptEnd::Unreached
                      ? RetryReason::ConnectFailed
                      : (reply.status != 0 ? RetryReason::EndpointRefused
@@ -419,42 +422,19 @@
     call.body = StageBody(group.kind, document_, request_.maxTokens, 0);
     return context_.endpoints.Call(call);
   }
-  TokenStream stream{ TextOr(document_, "text", ""), tokensSent_ };
   call.body =
-    StageBody(group.kind, document_, request_.maxTokens, stream.next);
-  if (stream.next > 0) {
+    StageBody(group.kind, document_, request_.maxTokens, generated_.next);
+  if (generated_.next > 0) {
     context_.blackboard.counters.Add(Event::StreamResumed);
   }
-  EventReader reader;
-  bool ended = false;
-  bool broken = false;
-  const auto onEvent = [&](const std::string& data) {
-    GenerationEvent event;
-    if (!ParseGenerationEvent(data, event)) {
-      broken = true;
-      return false;
-    }
-    if (event.isEnd) {
-      ended = event.index == stream.next;
-      broken = !ended;
-      return ended;
-    }
-    const TokenVerdict verdict = JudgeToken(stream, event.index, event.token);
-    if (verdict == TokenVerdict::Deliver && sink &&
-        !sink(event.index, event.token)) {
-      callerLeft_ = true;
-      return false;
-    }
-    broken = verdict == TokenVerdict::Gap;
-    return !broken;
-  };
-  call.onBytes = [&reader, &onEvent](absl::string_view bytes) {
-    return reader.Take(bytes, onEvent);
+  GenerationReader reader(generated_, sink);
+  call.onBytes = [&reader](absl::string_view bytes) {
+    return reader.Take(bytes);
   };
   EndpointReply reply = context_.endpoints.Call(call);
-  tokensSent_ = stream.next;
-  document_["text"] = stream.text;
-  if (reply.end == AttemptEnd::Answered && (!ended || broken)) {
+  callerLeft_ = reader.HasCallerLeft();
+  document_["text"] = generated_.text;
+  if (reply.end == AttemptEnd::Answered && !reader.IsWhole()) {
     reply.end = AttemptEnd::Failed; // the stream ended before the answer did
     reply.status = 0;
   }
@@ -542,7 +522,7 @@
     AddCost(board.accounts.costs,
             { request_.account, request_.pipeline, groupName },
             { result.done ? CostKind::Useful : CostKind::Wasted,
-              attempt.attempt > 1, reply.seconds, tokensSent_ });
+              attempt.attempt > 1, reply.seconds, generated_.next });
   }
   absl::MutexLock lock(&board.requests.mutex);
   auto found = board.requests.records.running.find(request_.id);
--- a/Source/Entry/wgRequestRunner.h
+++ b/Source/Entry/wgRequestRunner.h
@@ -11,6 +11,7 @@
 #include "wgBlackboard.h"
 #include "wgChangeClient.h"
 #include "wgEndpointClient.h"
+#include "wgGenerationReader.h"
 
 namespace wg {
 
@@ -47,12 +48,6 @@
 
 using RequestOutcome = std::variant<RequestAnswer, RequestFailure>;
 
-/** \brief Gets each token of a streamed answer once and in order; false when
- * the caller has left.
- */
-using TokenSink =
-  std::function<bool(std::size_t index, const std::string& token)>;
-
 /** \brief What the runner works with. */
 struct RunnerContext
 {
@@ -129,7 +124,7 @@
   bool countsUpcoming_ = false;
   RequestAttempts attempts_;
   nlohmann::json document_; // what the stages have made so far
-  std::size_t tokensSent_ = 0;
+  TokenStream generated_;   // what the caller has of the generated text
   double queuedSeconds_ = 0.0;
 };
 
--- a/Source/Http/wgEndpointClient.cxx
+++ b/Source/Http/wgEndpointClient.cxx
@@ -52,6 +52,12 @@
     ParseLoad(response.get_header_value("Weirgate-Load"), reply.load);
 }
 
+bool IsSame(const AttemptId& a, const AttemptId& b)
+{
+  return a.request == b.request && a.stage == b.stage &&
+         a.attempt == b.attempt;
+}
+
 httplib::Request MakeRequest(const EndpointCall& call)
 {
   httplib::Request request;
@@ -103,7 +109,8 @@
   request.response_handler = [&](const httplib::Response& response) {
     TakeHeaders(response, reply);
     headersOk = response.status == StatusOk;
-    return true;
+    reply.isForeign = headersOk && !IsSame(reply.echoed, call.attempt);
+    return !reply.isForeign;
   };
   request.content_receiver = [&](const char* data, std::size_t length,
                                  std::uint64_t, std::uint64_t) {
@@ -115,7 +122,7 @@
     return reply.body.size() <= MaxAnswerBytes;
   };
   const httplib::Result result = client->send(request);
-  reply.end = EndOf(result);
+  reply.end = reply.isForeign ? AttemptEnd::Failed : EndOf(result);
   reply.deadlinePassed = CloseCall(id);
   reply.seconds = absl::ToDoubleSeconds(ElapsedNow() - start);
   if (reply.end == AttemptEnd::Answered) {
--- a/Source/Http/wgEndpointClient.h
+++ b/Source/Http/wgEndpointClient.h
@@ -56,7 +56,8 @@
   AttemptEnd end = AttemptEnd::Failed;
   int status = 0;
   std::string body;
-  AttemptId echoed; // the ids that came back with the answer
+  AttemptId echoed;       // the ids that came back with the answer
+  bool isForeign = false; // they are not this attempt's: nothing of it is read
   bool hasLoad = false;
   LoadReport load;
   bool deadlinePassed = false;
--- a/Tests/Bench/wgBench.cxx
+++ b/Tests/Bench/wgBench.cxx
@@ -76,6 +76,7 @@
     stage.ticket = ticket++;
     stage.account = "a";
     stage.latestStart = absl::Hours(1);
+    stage.deadline = absl::Hours(2);
     wg::Enqueue(group, std::move(stage), {});
     auto round = wg::Dispatch(group, absl::Seconds(1), random);
     for (const wg::Grant& grant : round.grants) {
--- a/Tests/Process/wgEntryFailuresTest.cxx
+++ b/Tests/Process/wgEntryFailuresTest.cxx
@@ -209,7 +209,7 @@
     const int before = callers.Count();
     cluster.Post(llm, "/v1/fault",
                  R"({"break_stream_next": 3, "fail_next": 2,
-                     "end_early_next": 2})");
+                     "end_early_next": 2, "wrong_echo_next": 2})");
     cluster.Post(encode, "/v1/fault",
                  R"({"wrong_echo_next": 2, "cut_answer_next": 2,
                      "fail_next": 1})");
--- a/Utilities/Standin/wgStandinEngine.cxx
+++ b/Utilities/Standin/wgStandinEngine.cxx
@@ -227,7 +227,7 @@
   ++runs_[request.get_header_value("Weirgate-Request")];
 }
 
-void StandinEngine::Echo(const Request& request, Response& response)
+bool StandinEngine::Echo(const Request& request, Response& response)
 {
   const bool wrong = TakeFault(&StandinFaults::wrongEchoNext);
   response.set_header("Weirgate-Request",
@@ -240,6 +240,7 @@
   absl::MutexLock lock(&mutex_);
   response.set_header("Weirgate-Load",
                       absl::StrCat(running_, ",", waiting_.size()));
+  return wrong;
 }
 
 Json StandinEngine::MakeAnswer(const Json& body)
@@ -315,7 +316,9 @@
   const bool breaks = TakeFault(&StandinFaults::breakStreamNext);
   const bool hangs = TakeFault(&StandinFaults::hangNext);
   const bool endsEarly = TakeFault(&StandinFaults::endEarlyNext);
-  Echo(request, response);
+  if (Echo(request, response)) {
+    pieces.assign(pieces.size(), "another's answer ");
+  }
   CountRun(request);
   const int priority = ReadPriority(request);
   response.set_chunked_content_provider(
--- a/Utilities/Standin/wgStandinEngine.h
+++ b/Utilities/Standin/wgStandinEngine.h
@@ -72,7 +72,8 @@
   double StepMs();
   bool IsCached(const std::string& prompt);
   void CountRun(const Request& request);
-  void Echo(const Request& request, Response& response);
+  /** \brief Puts the ids on an answer; true when a fault makes them wrong. */
+  bool Echo(const Request& request, Response& response);
   nlohmann::json Load();
 
   StandinSettings settings_;
