Entry: a stop waits two seconds at most to report the ends of claims

Cause: read as a newcomer would: each end that can't be reported is tried for a second, so that a stop in a cut-off hall could wait for hours. An end that is not reported leaves the key taken, which is safe.

--- a/Source/Entry/wgChangeClient.cxx
+++ b/Source/Entry/wgChangeClient.cxx
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr absl::Duration OneCall = absl::Milliseconds(700);
+constexpr absl::Duration StopTimeout = absl::Seconds(2);
 constexpr absl::Duration EndTimeout = absl::Seconds(1);
 constexpr std::size_t MaxPendingEnds = 10000;
 constexpr absl::Duration PauseBetweenCalls = absl::Milliseconds(30);
@@ -118,6 +119,7 @@
   {
     absl::MutexLock lock(&mutex_);
     stopping_ = true;
+    stopBy_ = ElapsedNow() + StopTimeout;
   }
   thread_.join();
 }
@@ -141,7 +143,7 @@
           return self->stopping_ || !self->ends_.empty();
         },
         this));
-      if (ends_.empty()) {
+      if (ends_.empty() || ElapsedNow() > stopBy_) {
         return;
       }
       end = std::move(ends_.front());
--- a/Source/Entry/wgChangeClient.h
+++ b/Source/Entry/wgChangeClient.h
@@ -86,6 +86,7 @@
   absl::Mutex mutex_;
   std::deque<ClaimEnd> ends_ ABSL_GUARDED_BY(mutex_);
   bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
+  Elapsed stopBy_ ABSL_GUARDED_BY(mutex_) = absl::InfiniteDuration();
   std::thread thread_;
 };
 
