Tests: a planned stop must outlast its settle time

Cause: with the wait for running requests taken away, the test of a planned stop still passed: every request ended within the settle time. Change: its requests take longer.

--- a/Tests/Process/wgEntryFailuresTest.cxx
+++ b/Tests/Process/wgEntryFailuresTest.cxx
@@ -235,7 +235,7 @@
 TEST_CASE("a planned stop cuts no request short", "[stop]")
 {
   ClusterLayout layout;
-  layout.stageMs = 20;
+  layout.stageMs = 100; // a request runs for longer than the settle time
   TestCluster cluster(layout);
   std::atomic<int> target{ 0 };
   Callers callers(
@@ -289,7 +289,7 @@
           "[stop-two]")
 {
   ClusterLayout layout;
-  layout.stageMs = 20;
+  layout.stageMs = 100; // a request runs for longer than the settle time
   TestCluster cluster(layout);
   std::atomic<int> target{ 0 };
   Callers callers(
