Tests: faults that hide each other are at different endpoints

Cause: with cut-streams-count-as-whole the test of failing endpoints still passed: the same two tries ended too soon and bore another's ids, and the ids were seen first. Change: wrong ids come from another endpoint.

--- a/Tests/Process/wgEntryFailuresTest.cxx
+++ b/Tests/Process/wgEntryFailuresTest.cxx
@@ -207,9 +207,12 @@
   });
   for (int round = 0; round < 10; ++round) {
     const int before = callers.Count();
+    // Faults that would hide each other are at different endpoints.
     cluster.Post(llm, "/v1/fault",
-                 R"({"break_stream_next": 3, "fail_next": 2,
-                     "end_early_next": 2, "wrong_echo_next": 2})");
+                 R"({"break_stream_next": 1, "fail_next": 1,
+                     "end_early_next": 3})");
+    cluster.Post(cluster.PortOf("llm-2"), "/v1/fault",
+                 R"({"wrong_echo_next": 2})");
     cluster.Post(encode, "/v1/fault",
                  R"({"wrong_echo_next": 2, "cut_answer_next": 2,
                      "fail_next": 1})");
