--- a/Utilities/Client/wgClientView.cxx
+++ b/Utilities/Client/wgClientView.cxx
@@ -123,9 +123,13 @@
     Json& sum = sums[CellText(row[field])];
     sum[field] = row[field];
     for (const auto& [key, value] : row.items()) {
-      if (value.is_number() && key != field) {
-        sum[key] = sum.value(key, 0.0) + value.get<double>();
+      if (!value.is_number() || key == field) {
+        continue;
       }
+      const double before = sum.value(key, 0.0);
+      const bool isAge = key == "age_ms"; // as old as its oldest part
+      sum[key] = isAge ? std::max(before, value.get<double>())
+                       : before + value.get<double>();
     }
   }
   Json result = Json::array();
