Tests: the two planned stops share their steps

The same steps stood twice; they are one function now, and the stop among faults also checks the log's count of cut requests, which it did not.

--- a/Tests/Process/wgEntryFailuresTest.cxx
+++ b/Tests/Process/wgEntryFailuresTest.cxx
@@ -142,6 +142,33 @@
   CHECK(CountOk(records) == static_cast<int>(records.size()));
 }
 
+/** Stops an entry under load, among faults; no request may be cut short. */
+void CheckPlannedStop(const std::string& pipeline,
+                      const std::function<void(TestCluster&)>& breakSomething)
+{
+  ClusterLayout layout;
+  layout.stageMs = 100; // a request runs for longer than the settle time
+  TestCluster cluster(layout);
+  std::atomic<int> target{ 0 };
+  Callers callers(
+    8, [&](int i) { return cluster.Call(target, pipeline, Input(i)); });
+  WaitFor([&] { return callers.Count() > 40; });
+  breakSomething(cluster);
+  cluster.Entry(0).Signal(SIGTERM);
+  // The balancer sees that it is not ready and goes to the next one.
+  CHECK(WaitFor([&] {
+    return !cluster.Get(cluster.EntryPort(0), "/readyz").is_string();
+  }));
+  target = 1;
+  CHECK(cluster.Entry(0).Wait() == 0);
+  const int before = callers.Count();
+  WaitFor([&] { return callers.Count() > before + 20; });
+  const auto records = callers.Stop();
+  CHECK(CountOk(records) == static_cast<int>(records.size()));
+  CheckAll(cluster, records);
+  CHECK_THAT(cluster.LogOf("entry-0"), Catch::Contains("0 requests cut"));
+}
+
 } // namespace
 
 TEST_CASE("a killed entry runs nothing twice, whoever sends it again",
@@ -237,26 +264,7 @@
 
 TEST_CASE("a planned stop cuts no request short", "[stop]")
 {
-  ClusterLayout layout;
-  layout.stageMs = 100; // a request runs for longer than the settle time
-  TestCluster cluster(layout);
-  std::atomic<int> target{ 0 };
-  Callers callers(
-    8, [&](int i) { return cluster.Call(target, "remind", Input(i)); });
-  WaitFor([&] { return callers.Count() > 40; });
-  cluster.Entry(0).Signal(SIGTERM);
-  // The balancer sees that it is not ready and goes to the next one.
-  CHECK(WaitFor([&] {
-    return !cluster.Get(cluster.EntryPort(0), "/readyz").is_string();
-  }));
-  target = 1;
-  CHECK(cluster.Entry(0).Wait() == 0);
-  const int before = callers.Count();
-  WaitFor([&] { return callers.Count() > before + 20; });
-  const auto records = callers.Stop();
-  CHECK(CountOk(records) == static_cast<int>(records.size()));
-  CheckAll(cluster, records);
-  CHECK_THAT(cluster.LogOf("entry-0"), Catch::Contains("0 requests cut"));
+  CheckPlannedStop("remind", [](TestCluster&) {});
 }
 
 TEST_CASE("an endpoint that says it is leaving gets no new work", "[leaving]")
@@ -291,29 +299,13 @@
 TEST_CASE("a planned stop while a leader dies and endpoints fail cuts nothing",
           "[stop-two]")
 {
-  ClusterLayout layout;
-  layout.stageMs = 100; // a request runs for longer than the settle time
-  TestCluster cluster(layout);
-  std::atomic<int> target{ 0 };
-  Callers callers(
-    8, [&](int i) { return cluster.Call(target, "answer", Input(i)); });
-  WaitFor([&] { return callers.Count() > 40; });
-  const int leader = cluster.FindLeader();
-  REQUIRE(leader >= 0);
-  cluster.Control(leader).Kill();
-  cluster.Post(cluster.PortOf("llm-1"), "/v1/fault",
-               R"({"break_stream_next": 2})");
-  cluster.Entry(0).Signal(SIGTERM);
-  CHECK(WaitFor([&] {
-    return !cluster.Get(cluster.EntryPort(0), "/readyz").is_string();
-  }));
-  target = 1;
-  CHECK(cluster.Entry(0).Wait() == 0);
-  const int before = callers.Count();
-  WaitFor([&] { return callers.Count() > before + 20; });
-  const auto records = callers.Stop();
-  CHECK(CountOk(records) == static_cast<int>(records.size()));
-  CheckAll(cluster, records);
+  CheckPlannedStop("answer", [](TestCluster& cluster) {
+    const int leader = cluster.FindLeader();
+    REQUIRE(leader >= 0);
+    cluster.Control(leader).Kill();
+    cluster.Post(cluster.PortOf("llm-1"), "/v1/fault",
+                 R"({"break_stream_next": 2})");
+  });
 }
 
 TEST_CASE("cut off from control an entry serves what needs no claim",
