Tests: processes get ports that no outgoing connection can take

Test ports were found by binding to port 0 and closing, which gives one of those that outgoing connections use (32768 to 60999 here). Another test's connection took one of them before the stand-ins listened; these are one process, so that all endpoints ended. The fixture dropped what its waits said and went on without endpoints.

Ruled out: a fault of draining (the entries refused at once, as they should with no endpoint).

Change: a test holds a block of ports below that range. The fixture stops with a sentence when endpoints, cluster, configuration or entries do not come up; no wait's verdict can be dropped any more, and a forwarder that can't listen throws. A first try without SO_REUSEADDR used its blocks up at once, since ended connections rest on them for a minute.

--- a/Tests/Process/wgEntryFailuresTest.cxx
+++ b/Tests/Process/wgEntryFailuresTest.cxx
@@ -17,6 +17,7 @@
 
 namespace {
 
+using wg::test::Await;
 using wg::test::CallerRecord;
 using wg::test::ClusterLayout;
 using wg::test::Observations;
@@ -127,7 +128,7 @@
   TestCluster cluster;
   Callers callers(
     4, [&](int i) { return cluster.Call(i % 3, "answer", Input(i)); });
-  WaitFor([&] { return callers.Count() > 30; });
+  Await("callers that go on", [&] { return callers.Count() > 30; });
   CHECK_FALSE(cluster.RunsOf({ "llm-1" }).empty());
   leave(cluster);
   const absl::Time asked = absl::Now();
@@ -136,7 +137,7 @@
             << absl::ToDoubleSeconds(absl::Now() - asked) << " s after\n";
   const auto after = cluster.RunsOf({ "llm-1" }).size();
   const int before = callers.Count();
-  WaitFor([&] { return callers.Count() > before + 200; });
+  Await("callers that go on", [&] { return callers.Count() > before + 200; });
   CHECK(cluster.RunsOf({ "llm-1" }).size() == after);
   const auto records = callers.Stop();
   CHECK(CountOk(records) == static_cast<int>(records.size()));
@@ -152,7 +153,7 @@
   std::atomic<int> target{ 0 };
   Callers callers(
     8, [&](int i) { return cluster.Call(target, pipeline, Input(i)); });
-  WaitFor([&] { return callers.Count() > 40; });
+  Await("callers that go on", [&] { return callers.Count() > 40; });
   breakSomething(cluster);
   cluster.Entry(0).Signal(SIGTERM);
   // The balancer sees that it is not ready and goes to the next one.
@@ -162,7 +163,7 @@
   target = 1;
   CHECK(cluster.Entry(0).Wait() == 0);
   const int before = callers.Count();
-  WaitFor([&] { return callers.Count() > before + 20; });
+  Await("callers that go on", [&] { return callers.Count() > before + 20; });
   const auto records = callers.Stop();
   CHECK(CountOk(records) == static_cast<int>(records.size()));
   CheckAll(cluster, records);
@@ -190,10 +191,11 @@
   });
   for (int round = 0; round < 6; ++round) {
     const int before = callers.Count();
-    WaitFor([&] { return callers.Count() > before + 40; });
+    Await("callers that go on", [&] { return callers.Count() > before + 40; });
     cluster.Entry(round % 3).Kill();
     cluster.StartEntry(round % 3);
-    WaitFor([&] { return cluster.RevisionAtEntry(round % 3) > 0; });
+    Await("an entry with a configuration",
+          [&] { return cluster.RevisionAtEntry(round % 3) > 0; });
   }
   std::vector<CallerRecord> records = callers.Stop();
   CHECK(CountOk(records) > 100);
@@ -211,11 +213,11 @@
   });
   for (int round = 0; round < 3; ++round) {
     const int before = callers.Count();
-    WaitFor([&] { return callers.Count() > before + 60; });
+    Await("callers that go on", [&] { return callers.Count() > before + 60; });
     const int leader = cluster.FindLeader();
     REQUIRE(leader >= 0);
     cluster.Control(leader).Kill();
-    WaitFor([&] { return cluster.FindLeader() >= 0; });
+    Await("a leader", [&] { return cluster.FindLeader() >= 0; });
     cluster.StartControl(leader);
   }
   const auto records = callers.Stop();
@@ -245,7 +247,7 @@
                      "fail_next": 1})");
     cluster.Post(sms, "/v1/fault",
                  R"({"fail_next": 1, "wrong_echo_next": 1})");
-    WaitFor([&] { return callers.Count() > before + 40; });
+    Await("callers that go on", [&] { return callers.Count() > before + 40; });
   }
   const auto records = callers.Stop();
   CHECK(CountOk(records) > static_cast<int>(records.size()) / 2);
@@ -344,7 +346,7 @@
   std::vector<CallerRecord> records;
   Callers callers(
     4, [&](int i) { return cluster.Call(i % 3, "answer", Input(i)); });
-  WaitFor([&] { return callers.Count() > 300; });
+  Await("callers that go on", [&] { return callers.Count() > 300; });
   records = callers.Stop();
   CHECK(CountOk(records) >= static_cast<int>(records.size()) - 3);
   CheckAll(cluster, records);
--- a/Tests/Process/wgForwarder.cxx
+++ b/Tests/Process/wgForwarder.cxx
@@ -3,6 +3,7 @@
 
 #include <array>
 #include <list>
+#include <stdexcept>
 #include <vector>
 
 #include <poll.h>
@@ -50,8 +51,13 @@
 Forwarder::Forwarder(int listenPort, int targetPort)
   : listenPort_(listenPort)
   , targetPort_(targetPort)
-  , thread_([this] { Run(); })
 {
+  auto listening = ListenTcp({ "127.0.0.1", listenPort_ });
+  if (!Succeeded(listening)) {
+    throw std::runtime_error(Message(listening));
+  }
+  listening_ = std::move(Value(listening));
+  thread_ = std::thread([this] { Run(); });
 }
 
 Forwarder::~Forwarder()
@@ -62,13 +68,9 @@
 
 void Forwarder::Run()
 {
-  auto listening = ListenTcp({ "127.0.0.1", listenPort_ });
-  if (!Succeeded(listening)) {
-    return;
-  }
   std::list<Wire> wires;
   while (!stopping_) {
-    std::vector<pollfd> polled = { { Value(listening).Get(), POLLIN, 0 } };
+    std::vector<pollfd> polled = { { listening_.Get(), POLLIN, 0 } };
     if (!cut_) {
       for (const Wire& wire : wires) {
         polled.push_back({ wire.near.Get(), POLLIN, 0 });
@@ -77,7 +79,7 @@
     }
     poll(polled.data(), polled.size(), PollMs);
     FileDescriptor near(
-      accept4(Value(listening).Get(), nullptr, nullptr, SOCK_NONBLOCK));
+      accept4(listening_.Get(), nullptr, nullptr, SOCK_NONBLOCK));
     if (near.IsOpen()) {
       auto far = StartConnectTcp({ "127.0.0.1", targetPort_ });
       if (Succeeded(far)) {
--- a/Tests/Process/wgForwarder.h
+++ b/Tests/Process/wgForwarder.h
@@ -4,6 +4,8 @@
 #include <atomic>
 #include <thread>
 
+#include "wgSocket.h"
+
 namespace wg::test {
 
 /** \class Forwarder
@@ -15,6 +17,7 @@
 class Forwarder
 {
 public:
+  /** \brief Throws when it can't listen. */
   Forwarder(int listenPort, int targetPort);
   ~Forwarder();
   void Cut() { cut_ = true; }
@@ -25,6 +28,7 @@
 
   int listenPort_;
   int targetPort_;
+  FileDescriptor listening_;
   std::atomic<bool> cut_{ false };
   std::atomic<bool> stopping_{ false };
   std::thread thread_;
--- a/Tests/Process/wgMeasure.cxx
+++ b/Tests/Process/wgMeasure.cxx
@@ -17,6 +17,7 @@
 
 namespace {
 
+using wg::test::Await;
 using wg::test::CallerRecord;
 using wg::test::ClusterLayout;
 using wg::test::TestCluster;
@@ -142,7 +143,7 @@
       whole += ended ? 1 : 0;
     });
   }
-  WaitFor([&] { return open >= 500; });
+  Await("open streams", [&] { return open >= 500; });
   const long kilobytes = cluster.Entry(0).ResidentKilobytes();
   for (std::thread& thread : threads) {
     thread.join();
@@ -301,14 +302,14 @@
       absl::SleepFor(absl::Microseconds(100));
     }
   }
-  WaitFor([&] { return open == 0; });
+  Await("open streams", [&] { return open == 0; });
   const double rate = changes / absl::ToDoubleSeconds(absl::Now() - start);
   const double megabytes =
     static_cast<double>(cluster.Control(0).ResidentKilobytes()) / 1024.0;
   cluster.Control(0).Kill();
   const double ms = TimeMs([&] {
     cluster.StartControl(0);
-    WaitFor([&] {
+    Await("open streams", [&] {
       return cluster.StatusOfControl(0).value("claims", 0) >= changes;
     });
   });
--- a/Tests/Process/wgTestCluster.cxx
+++ b/Tests/Process/wgTestCluster.cxx
@@ -39,22 +39,6 @@
 constexpr std::size_t AnswerTokens = 12;
 constexpr std::size_t PieceCharacters = 4;
 
-/** A port that is free now. */
-int FreePort()
-{
-  FileDescriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
-  sockaddr_in address{};
-  address.sin_family = AF_INET;
-  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  socklen_t length = sizeof address;
-  if (bind(socket.Get(), reinterpret_cast<sockaddr*>(&address), length) != 0 ||
-      getsockname(socket.Get(), reinterpret_cast<sockaddr*>(&address),
-                  &length) != 0) {
-    throw std::runtime_error("no free port");
-  }
-  return ntohs(address.sin_port);
-}
-
 std::string Address(int port)
 {
   return absl::StrCat("127.0.0.1:", port);
@@ -74,6 +58,13 @@
   return true;
 }
 
+void Await(absl::string_view what, const std::function<bool()>& condition)
+{
+  if (!WaitFor(condition)) {
+    throw std::runtime_error(absl::StrCat("Not seen in time: ", what, "."));
+  }
+}
+
 Process::Process(std::vector<std::string> arguments,
                  const std::string& logFile)
 {
@@ -166,15 +157,15 @@
   operator_ = std::make_unique<PeerClient>(OperatorKey, Operator);
   StartEndpoints();
   for (int i = 0; i < layout_.controls; ++i) {
-    controlPorts_.push_back(FreePort());
-    wirePorts_.push_back(FreePort());
+    controlPorts_.push_back(ports_.Take());
+    wirePorts_.push_back(ports_.Take());
     wires_.push_back(
       std::make_unique<Forwarder>(wirePorts_.back(), controlPorts_.back()));
     controls_.emplace_back();
   }
   for (int i = 0; i < layout_.entries; ++i) {
-    entryPorts_.push_back(FreePort());
-    entryPeerPorts_.push_back(FreePort());
+    entryPorts_.push_back(ports_.Take());
+    entryPeerPorts_.push_back(ports_.Take());
     entries_.emplace_back();
   }
   for (int i = 0; i < layout_.controls; ++i) {
@@ -183,18 +174,39 @@
   for (int i = 0; i < layout_.entries; ++i) {
     StartEntry(i);
   }
-  WaitFor([this] {
+  AwaitEndpoints();
+  FoundAndConfigure();
+}
+
+/** All endpoints are one process: it listens on every port or on none. */
+void TestCluster::AwaitEndpoints()
+{
+  Await("endpoints that answer", [this] {
+    if (!endpoints_->IsRunning()) {
+      throw std::runtime_error("The endpoints ended: " + LogOf("endpoints"));
+    }
+    return Get(endpointLines_.back().port, "/v1/load").is_object();
+  });
+}
+
+void TestCluster::FoundAndConfigure()
+{
+  Await("a founded cluster", [this] {
     return Succeeded(operator_->CallAndWait(Address(controlPorts_[0]),
                                             "/found", "", absl::Seconds(1)));
   });
-  WaitFor([this] { return VoterCount() == layout_.controls; });
+  Await("that all control boxes vote",
+        [this] { return VoterCount() == layout_.controls; });
   wire::Change change;
   change.set_id(MakeChangeId());
   change.mutable_apply()->set_toml(MakeConfig());
-  Send(change);
+  if (Send(change).verdict() != wire::ChangeResult::ACCEPTED) {
+    throw std::runtime_error("The configuration was not accepted.");
+  }
   for (int i = 0; i < layout_.entries; ++i) {
-    WaitFor(
-      [this, i] { return Get(entryPorts_[Slot(i)], "/readyz").is_string(); });
+    Await("entries that are ready", [this, i] {
+      return Get(entryPorts_[Slot(i)], "/readyz").is_string();
+    });
   }
 }
 
@@ -217,7 +229,7 @@
 {
   endpointLines_.push_back(
     { absl::StrCat(group, "-", EndpointsOf(group).size() + 1), group, kind,
-      hall, FreePort(), ms });
+      hall, ports_.Take(), ms });
 }
 
 void TestCluster::StartEndpoints()
@@ -237,7 +249,7 @@
   std::vector<std::string> arguments = {
     WG_STANDIN, "--lifetime", absl::StrCat(layout_.lifetimeSeconds)
   };
-  platformPort_ = FreePort();
+  platformPort_ = ports_.Take();
   arguments.push_back("--platform");
   arguments.push_back(absl::StrCat(platformPort_));
   for (const EndpointLine& line : endpointLines_) {
--- a/Tests/Process/wgTestCluster.h
+++ b/Tests/Process/wgTestCluster.h
@@ -10,18 +10,23 @@
 #include <nlohmann/json.hpp>
 #include <sys/types.h>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 
 #include "wgChecker.h"
 #include "wgForwarder.h"
 #include "wgPeer.pb.h"
 #include "wgPeerClient.h"
+#include "wgTestPorts.h"
 
 namespace wg::test {
 
 /** \brief Waits for a condition; false when it does not come true. */
-bool WaitFor(const std::function<bool()>& condition,
-             absl::Duration limit = absl::Seconds(30));
+[[nodiscard]] bool WaitFor(const std::function<bool()>& condition,
+                           absl::Duration limit = absl::Seconds(60));
+
+/** \brief Waits for a condition; throws when it does not come true. */
+void Await(absl::string_view what, const std::function<bool()>& condition);
 
 /** \class Process
  * \brief A child process that a test started, and ends by its number.
@@ -132,6 +137,8 @@
     return static_cast<std::size_t>(index);
   }
   void StartEndpoints();
+  void AwaitEndpoints();
+  void FoundAndConfigure();
   void AddEndpoint(const std::string& group, const std::string& kind,
                    const std::string& hall, double ms);
   std::string MakeConfig() const;
@@ -150,6 +157,7 @@
   };
 
   ClusterLayout layout_;
+  TestPorts ports_;
   std::string folder_;
   std::vector<EndpointLine> endpointLines_;
   int platformPort_ = 0;
