Control: a version is rolled out over a group, one endpoint at a time

Cause: an operator could order a single engine only, by hand; nothing kept enough of a group ready meanwhile, and the order ended with the client.

Change: the wish is in the configuration ([[rollout]]), the decision is pure (Decision/wgRollout), the leader carries it out under its lease (Control/wgRolloutRunner). Endpoints that say they are not ready get no new work. Orders load models, adapters, versions, or change the role.

Found on the way, by a test that failed first: a roll-out taken back while an engine hung in the new version waited for it for ever, since it still said the old version; the leader now orders what it has not ordered yet.

Split off: what a control box shows of itself (wgControlStatus).

--- a/Source/Agreement/wgReplica.cxx
+++ b/Source/Agreement/wgReplica.cxx
@@ -664,14 +664,19 @@
   }
 }
 
-bool HoldsLease(const Replica& r, Elapsed now)
+Elapsed LeaseEnd(const Replica& r, Elapsed now)
 {
   if (r.role != ReplicaRole::Leader ||
       r.log.TermAt(r.commit) != r.hard.term()) {
-    return false;
+    return -absl::InfiniteDuration();
   }
-  const Elapsed since = QuorumAcknowledgedSend(r, now);
-  return now < since + r.timing.minElection * r.timing.leaseShare;
+  return QuorumAcknowledgedSend(r, now) +
+         r.timing.minElection * r.timing.leaseShare;
+}
+
+bool HoldsLease(const Replica& r, Elapsed now)
+{
+  return now < LeaseEnd(r, now);
 }
 
 ReplicaActions TakeActions(Replica& r)
--- a/Source/Agreement/wgReplica.h
+++ b/Source/Agreement/wgReplica.h
@@ -138,6 +138,11 @@
  */
 void Compact(Replica& replica, std::string state, std::uint64_t retain);
 
+/** \brief Until when this leader's lease lasts, as far as it knows now; long
+ * past when it has none.
+ */
+Elapsed LeaseEnd(const Replica& replica, Elapsed now);
+
 /** \brief Whether a read of the applied state can not be stale. */
 bool HoldsLease(const Replica& replica, Elapsed now);
 
--- a/Source/Config/wgChange.cxx
+++ b/Source/Config/wgChange.cxx
@@ -6,6 +6,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "wgConfigText.h"
+#include "wgRolloutChange.h"
 
 namespace wg {
 namespace {
@@ -40,6 +41,7 @@
   for (EndpointConfig& endpoint : config.endpoints) {
     if (endpoint.name == set.endpoint()) {
       endpoint.drained = set.drained();
+      NoteDrained(config, endpoint);
       return config;
     }
   }
@@ -47,15 +49,31 @@
                              "\"; \"show endpoints\" lists them.") };
 }
 
+/** A file neither starts, changes nor ends a roll-out. */
+Outcome<Config> ApplyFile(const Config& config, const wire::ApplyConfig& apply)
+{
+  Outcome<Config> next = ReadConfig(apply.toml());
+  if (Succeeded(next)) {
+    KeepRollouts(config, Value(next));
+  }
+  return next;
+}
+
 Outcome<Config> ApplyBody(const Config& config, const wire::Change& change)
 {
   switch (change.body_case()) {
     case wire::Change::kApply:
-      return ReadConfig(change.apply().toml());
+      return ApplyFile(config, change.apply());
     case wire::Change::kSetAccount:
       return ApplySetAccount(config, change.set_account());
     case wire::Change::kSetDrained:
       return ApplySetDrained(config, change.set_drained());
+    case wire::Change::kStartRollout:
+      return ApplyStartRollout(config, change.start_rollout());
+    case wire::Change::kStepRollout:
+      return ApplyStepRollout(config, change.step_rollout());
+    case wire::Change::kStopRollout:
+      return ApplyStopRollout(config, change.stop_rollout());
     default:
       return Error{ "The change is none of the configuration." };
   }
@@ -63,12 +81,6 @@
 
 } // namespace
 
-bool IsConfigChange(const wire::Change& change)
-{
-  return change.has_apply() || change.has_set_account() ||
-         change.has_set_drained();
-}
-
 Outcome<Config> ApplyConfigChange(const Config& config,
                                   const wire::Change& change)
 {
--- a/Source/Config/wgChange.h
+++ b/Source/Config/wgChange.h
@@ -7,9 +7,6 @@
 
 namespace wg {
 
-/** \brief Whether a change is one of the configuration. */
-bool IsConfigChange(const wire::Change& change);
-
 /** \brief The configuration after a change; an error changes nothing. */
 Outcome<Config> ApplyConfigChange(const Config& config,
                                   const wire::Change& change);
--- a/Source/Config/wgConfig.cxx
+++ b/Source/Config/wgConfig.cxx
@@ -14,6 +14,7 @@
 namespace {
 
 constexpr int MaxPort = 65535;
+constexpr std::size_t MaxVersionBytes = 100;
 constexpr int MaxSlots = 100000;
 constexpr int MaxDeadlineMs = 24 * 3600 * 1000;
 
@@ -102,6 +103,36 @@
   return Done{};
 }
 
+Outcome<Done> CheckRollout(const Config& config, const RolloutConfig& r)
+{
+  const std::string subject =
+    absl::StrCat("The roll-out of the group \"", r.name, "\" ");
+  const auto endpoints =
+    std::count_if(config.endpoints.begin(), config.endpoints.end(),
+                  [&r](const auto& e) { return e.group == r.name; });
+  if (endpoints == 0) {
+    return Error{ absl::StrCat(subject, "has no endpoint to update; stop the "
+                                        "roll-out first.") };
+  }
+  if (r.version.empty() || r.version.size() > MaxVersionBytes) {
+    return Error{ absl::StrCat(subject, "needs a version of 1 to ",
+                               MaxVersionBytes, " bytes.") };
+  }
+  if (r.minReady < 0 || r.minReady >= endpoints) {
+    return Error{ absl::StrCat(subject, "is to keep ", r.minReady, " of ",
+                               endpoints, " endpoints ready; give from 0 to ",
+                               endpoints - 1, ".") };
+  }
+  const EndpointConfig* current = FindEndpoint(config, r.current);
+  const bool sound =
+    r.current.empty() || (current != nullptr && current->group == r.name);
+  if (!sound) {
+    return Error{ absl::StrCat(subject, "updates \"", r.current,
+                               "\", which is none of its endpoints.") };
+  }
+  return Done{};
+}
+
 Outcome<Done> CheckAccount(const AccountConfig& a)
 {
   const bool sound = a.weight > 0 && a.weight <= 1e6 && a.topPriority >= 0 &&
@@ -148,6 +179,11 @@
   return FindNamed(config.accounts, name);
 }
 
+const RolloutConfig* FindRollout(const Config& config, absl::string_view group)
+{
+  return FindNamed(config.rollouts, group);
+}
+
 bool IsRepeatable(const Config& config, const PipelineConfig& pipeline)
 {
   if (!pipeline.repeatable) {
@@ -161,11 +197,13 @@
 
 Outcome<Done> CheckConfig(const Config& config)
 {
-  const std::array<Outcome<Done>, 5> names = {
-    CheckNames("hall", config.halls), CheckNames("group", config.groups),
+  const std::array<Outcome<Done>, 6> names = {
+    CheckNames("hall", config.halls),
+    CheckNames("group", config.groups),
     CheckNames("endpoint", config.endpoints),
     CheckNames("pipeline", config.pipelines),
-    CheckNames("account", config.accounts)
+    CheckNames("account", config.accounts),
+    CheckNames("roll-out's group", config.rollouts)
   };
   for (const auto& outcome : names) {
     if (!Succeeded(outcome)) {
@@ -182,6 +220,11 @@
       return outcome;
     }
   }
+  for (const auto& rollout : config.rollouts) {
+    if (auto outcome = CheckRollout(config, rollout); !Succeeded(outcome)) {
+      return outcome;
+    }
+  }
   for (const auto& account : config.accounts) {
     if (auto outcome = CheckAccount(account); !Succeeded(outcome)) {
       return outcome;
--- a/Source/Config/wgConfig.h
+++ b/Source/Config/wgConfig.h
@@ -70,6 +70,18 @@
   int concurrency = 0;      // 0: no limit
 };
 
+/** \brief The version that a group is to run. Endpoints that run another are
+ * updated one after the other.
+ */
+struct RolloutConfig
+{
+  std::string name; // the group's
+  std::string version;
+  int minReady = 0;         // endpoints that stay ready all the while
+  std::string current;      // out of service to be updated; empty: none
+  bool keepDrained = false; // an operator wants the current one drained
+};
+
 /** \brief All that the system serves; one value per revision. */
 struct Config
 {
@@ -79,6 +91,7 @@
   std::vector<EndpointConfig> endpoints;
   std::vector<PipelineConfig> pipelines;
   std::vector<AccountConfig> accounts;
+  std::vector<RolloutConfig> rollouts;
 };
 
 absl::string_view Name(StageKind kind);
@@ -90,6 +103,10 @@
                                    absl::string_view name);
 const AccountConfig* FindAccount(const Config& config, absl::string_view name);
 
+/** \brief The roll-out of a group, or null. */
+const RolloutConfig* FindRollout(const Config& config,
+                                 absl::string_view group);
+
 /** \brief Whether every stage of the pipeline may be run twice. */
 bool IsRepeatable(const Config& config, const PipelineConfig& pipeline);
 
--- a/Source/Config/wgConfigText.cxx
+++ b/Source/Config/wgConfigText.cxx
@@ -166,15 +166,15 @@
 
 void RefuseUnknownTables(const toml::table& root, std::string& firstError)
 {
-  constexpr std::array<std::string_view, 5> known = { "hall", "group",
+  constexpr std::array<std::string_view, 6> known = { "hall",     "group",
                                                       "endpoint", "pipeline",
-                                                      "account" };
+                                                      "account",  "rollout" };
   for (const auto& [key, node] : root) {
     if (std::find(known.begin(), known.end(), key.str()) == known.end()) {
       TableReader(root, "the file", firstError)
         .Fail(node, absl::StrCat("\"", std::string(key.str()),
                                  "\" is none of hall, group, endpoint, "
-                                 "pipeline and account."));
+                                 "pipeline, account and rollout."));
     }
   }
 }
@@ -234,6 +234,13 @@
              reader.ReadNumber("rate_per_second", a.ratePerSecond);
              reader.ReadInt("concurrency", a.concurrency);
            });
+  ReadEach(root, "rollout", config.rollouts, error,
+           [](TableReader& reader, RolloutConfig& r) {
+             reader.ReadText("version", r.version);
+             reader.ReadInt("min_ready", r.minReady);
+             reader.ReadText("current", r.current);
+             reader.ReadBool("keep_drained", r.keepDrained);
+           });
   if (!error.empty()) {
     return Error{ error };
   }
@@ -281,6 +288,14 @@
     absl::StrAppend(&out, "\nrate_per_second = ", a.ratePerSecond,
                     "\nconcurrency = ", a.concurrency, "\n\n");
   }
+  for (const auto& r : config.rollouts) {
+    absl::StrAppend(&out, "[[rollout]]\nname = ", Quote(r.name),
+                    "\nversion = ", Quote(r.version),
+                    "\nmin_ready = ", r.minReady);
+    absl::StrAppend(&out, "\ncurrent = ", Quote(r.current),
+                    "\nkeep_drained = ", r.keepDrained ? "true" : "false",
+                    "\n\n");
+  }
   return out;
 }
 
--- a/Source/Config/wgLanguage.cxx
+++ b/Source/Config/wgLanguage.cxx
@@ -17,13 +17,16 @@
 
 namespace x3 = boost::spirit::x3;
 
-constexpr std::array<const char*, 8> Verbs = { "show",  "explain", "set",
-                                               "drain", "undrain", "apply",
-                                               "wait",  "order" };
-constexpr std::array<const char*, 8> Tables = { "endpoints", "groups",
-                                                "accounts",  "boxes",
-                                                "requests",  "cost",
-                                                "replicas",  "config" };
+constexpr std::array<const char*, 10> Verbs = { "show",  "explain", "set",
+                                                "drain", "undrain", "apply",
+                                                "wait",  "order",   "rollout",
+                                                "stop" };
+constexpr std::array<const char*, 9> Tables = {
+  "endpoints", "groups",   "accounts", "boxes",   "requests",
+  "cost",      "replicas", "config",   "rollouts"
+};
+constexpr std::array<const char*, 4> Orders = { "model", "adapter", "version",
+                                                "role" };
 constexpr std::array<const char*, 4> AccountFields = {
   "weight", "rate_per_second", "concurrency", "top_priority"
 };
@@ -264,11 +267,34 @@
   OrderCommand order;
   reader.Expect("endpoint");
   order.endpoint = reader.Take("an endpoint's name").text;
-  reader.Expect("model");
-  order.model = reader.Take("a model's name").text;
+  order.what = reader.TakeOneOf("an order", Orders);
+  order.name = reader.Take("a name").text;
   return order;
 }
 
+RolloutCommand ParseRollout(WordReader& reader)
+{
+  RolloutCommand rollout;
+  reader.Expect("group");
+  rollout.group = reader.Take("a group's name").text;
+  reader.Expect("version");
+  rollout.version = reader.Take("a version").text;
+  reader.Expect("ready");
+  rollout.minReady =
+    reader.TakeNumber<std::uint32_t>("how many endpoints stay ready");
+  rollout.baseRevision = ParseBaseRevision(reader);
+  return rollout;
+}
+
+StopRolloutCommand ParseStop(WordReader& reader)
+{
+  StopRolloutCommand stop;
+  reader.Expect("rollout");
+  stop.group = reader.Take("a group's name").text;
+  stop.baseRevision = ParseBaseRevision(reader);
+  return stop;
+}
+
 Command ParseVerb(WordReader& reader)
 {
   if (reader.NextIs("found")) {
@@ -297,6 +323,12 @@
   if (verb == "order") {
     return ParseOrder(reader);
   }
+  if (verb == "rollout") {
+    return ParseRollout(reader);
+  }
+  if (verb == "stop") {
+    return ParseStop(reader);
+  }
   reader.Expect("revision");
   return WaitCommand{ reader.TakeNumber<std::uint64_t>("a revision") };
 }
@@ -352,9 +384,18 @@
       (verb == "drain" || verb == "undrain" || verb == "order")) {
     return { "endpoint" };
   }
+  if (verb == "order" && count == 3) {
+    return { Orders.begin(), Orders.end() };
+  }
   if (count == 1 && verb == "explain") {
     return { "request" };
   }
+  if (count == 1 && verb == "rollout") {
+    return { "group" };
+  }
+  if (count == 1 && verb == "stop") {
+    return { "rollout" };
+  }
   return count == 1 && verb == "wait" ? std::vector<std::string>{ "revision" }
                                       : std::vector<std::string>{};
 }
--- a/Source/Config/wgLanguage.h
+++ b/Source/Config/wgLanguage.h
@@ -73,11 +73,28 @@
   std::uint64_t revision = 0;
 };
 
-/** \brief order endpoint NAME model MODEL */
+/** \brief order endpoint NAME model|adapter|version|role VALUE */
 struct OrderCommand
 {
   std::string endpoint;
-  std::string model;
+  std::string what;
+  std::string name;
+};
+
+/** \brief rollout group NAME version VERSION ready N [at revision N] */
+struct RolloutCommand
+{
+  std::string group;
+  std::string version;
+  std::uint32_t minReady = 0; // endpoints
+  std::uint64_t baseRevision = 0;
+};
+
+/** \brief stop rollout GROUP [at revision N] */
+struct StopRolloutCommand
+{
+  std::string group;
+  std::uint64_t baseRevision = 0;
 };
 
 /** \brief found cluster */
@@ -87,7 +104,8 @@
 
 using Command =
   std::variant<ShowCommand, ExplainCommand, SetAccountCommand, DrainCommand,
-               ApplyCommand, WaitCommand, OrderCommand, FoundCommand>;
+               ApplyCommand, WaitCommand, OrderCommand, RolloutCommand,
+               StopRolloutCommand, FoundCommand>;
 
 /** \brief A word that is wrong, where it stands, and what it might be. */
 struct LanguageError
--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -10,6 +10,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "wgConfigText.h"
+#include "wgControlStatus.h"
 #include "wgLog.h"
 
 namespace wg {
@@ -42,32 +43,6 @@
   return result.SerializeAsString();
 }
 
-absl::string_view Name(ReplicaRole role)
-{
-  switch (role) {
-    case ReplicaRole::Leader:
-      return "leader";
-    case ReplicaRole::Candidate:
-    case ReplicaRole::PreCandidate:
-      return "candidate";
-    case ReplicaRole::Follower:
-      break;
-  }
-  return "follower";
-}
-
-nlohmann::json DescribeVoters(
-  const google::protobuf::RepeatedPtrField<wire::Voter>& voters)
-{
-  nlohmann::json list = nlohmann::json::array();
-  for (const wire::Voter& voter : voters) {
-    list.push_back({ { "id", absl::StrCat(absl::Hex(voter.id())) },
-                     { "box", voter.box() },
-                     { "address", voter.address() } });
-  }
-  return list;
-}
-
 } // namespace
 
 ControlNode::ControlNode(ControlSettings settings, Counters& counters)
@@ -116,6 +91,10 @@
   if (auto started = server_->Start(Value(address)); !Succeeded(started)) {
     return started;
   }
+  rollouts_ = std::make_unique<RolloutRunner>(
+    [this](wire::Change change, RolloutRunner::Answer answer) {
+      ProposeOwn(std::move(change), std::move(answer));
+    });
   thread_ = std::thread([this] { Run(); });
   return Done{};
 }
@@ -126,6 +105,7 @@
   if (thread_.joinable()) {
     thread_.join();
   }
+  rollouts_.reset();
   server_.reset();
   client_.reset();
 }
@@ -162,14 +142,17 @@
   }
 }
 
-/** Claims are for entries alone; an operator's change bears its name. */
+/** Claims are for entries alone, and steps of a roll-out for the leader
+ * itself; an operator's change bears its name.
+ */
 void ControlNode::HandleChange(const PeerRequest& request, Respond respond)
 {
   ChangeRequest call{ {}, std::move(respond) };
   const bool parsed = call.change.ParseFromString(request.body);
   const bool isClaim =
     call.change.has_take_claim() || call.change.has_end_claim();
-  if (!parsed || (isClaim && request.who != PeerName)) {
+  const bool isInternal = call.change.has_step_rollout();
+  if (!parsed || isInternal || (isClaim && request.who != PeerName)) {
     counters_.Add(Event::PeerRejected);
     call.respond(Answer(wire::ChangeResult::REJECTED,
                         "The change can't be read, or is not for operators.",
@@ -180,6 +163,17 @@
   Post(std::move(call));
 }
 
+void ControlNode::ProposeOwn(wire::Change change, RolloutRunner::Answer answer)
+{
+  change.set_author(settings_.box);
+  Post(ChangeRequest{ std::move(change),
+                      [answer = std::move(answer)](const std::string& bytes) {
+                        wire::ChangeResult result;
+                        result.ParseFromString(bytes);
+                        answer(result);
+                      } });
+}
+
 void ControlNode::Post(Mail mail)
 {
   absl::MutexLock lock(&mutex_);
@@ -212,7 +206,28 @@
     AnswerFollowers();
     CompactIfDue();
     NoteRole();
+    TellRolloutDuty();
+  }
+}
+
+/** While there are roll-outs, and this box leads under a lease. */
+void ControlNode::TellRolloutDuty()
+{
+  const Elapsed now = ElapsedNow();
+  RolloutDuty duty;
+  const bool leads =
+    !state_.config.rollouts.empty() && HoldsLease(replica_, now);
+  if (leads) {
+    const bool changed = rolloutConfig_ == nullptr ||
+                         rolloutConfig_->revision != state_.config.revision;
+    if (changed) {
+      rolloutConfig_ = std::make_shared<const Config>(state_.config);
+    }
+    duty = { rolloutConfig_, leadSince_, LeaseEnd(replica_, now) };
+  } else {
+    rolloutConfig_.reset();
   }
+  rollouts_->SetDuty(std::move(duty));
 }
 
 void ControlNode::Handle(Mail mail)
@@ -347,39 +362,18 @@
 void ControlNode::OnStatus(StatusCall& call)
 {
   const Elapsed now = ElapsedNow();
-  nlohmann::json status{
-    { "role", "control" },
-    { "box", settings_.box },
-    { "hall", settings_.hall },
-    { "replica", std::string(Name(replica_.role)) },
-    { "id", absl::StrCat(absl::Hex(replica_.self.id())) },
-    { "cluster", replica_.cluster },
-    { "term", replica_.hard.term() },
-    { "last_index", replica_.log.LastIndex() },
-    { "commit", replica_.commit },
-    { "revision", state_.config.revision },
-    { "leader", LeaderAddress() },
-    { "claims", state_.claims.size() },
-    { "storage", writeFailed_ ? "failing" : "sound" },
-    { "age_ms", absl::ToInt64Milliseconds(now - leaderHeard_) },
-    { "lease", HoldsLease(replica_, now) },
-    { "voters", DescribeVoters(replica_.voters.voters()) },
-    { "learners", DescribeVoters(replica_.voters.learners()) }
-  };
-  nlohmann::json boxes = nlohmann::json::array();
-  for (const auto& [box, follower] : boxes_) {
-    boxes.push_back(
-      { { "box", box },
-        { "hall", follower.hall },
-        { "revision", follower.revision },
-        { "age_ms", absl::ToInt64Milliseconds(now - follower.heard) } });
-  }
-  status["boxes"] = std::move(boxes);
-  Config shown = state_.config;
-  for (AccountConfig& account : shown.accounts) {
-    account.key = account.key.empty() ? "" : "(hidden)";
-  }
-  status["config"] = PrintConfig(shown);
+  nlohmann::json status = DescribeReplica(replica_, now);
+  status["role"] = "control";
+  status["box"] = settings_.box;
+  status["hall"] = settings_.hall;
+  status["revision"] = state_.config.revision;
+  status["leader"] = LeaderAddress();
+  status["claims"] = state_.claims.size();
+  status["storage"] = writeFailed_ ? "failing" : "sound";
+  status["age_ms"] = absl::ToInt64Milliseconds(now - leaderHeard_);
+  status["boxes"] = DescribeBoxes(boxes_, now);
+  status["rollouts"] = rollouts_->Describe();
+  status["config"] = PrintPublicConfig(state_.config);
   wire::StatusReply reply;
   reply.set_json(status.dump());
   call.respond(reply.SerializeAsString());
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -14,6 +14,7 @@
 #include "absl/random/random.h"
 #include "absl/synchronization/mutex.h"
 
+#include "wgControlStatus.h"
 #include "wgCounters.h"
 #include "wgElapsed.h"
 #include "wgOutcome.h"
@@ -22,6 +23,7 @@
 #include "wgRepair.h"
 #include "wgReplica.h"
 #include "wgReplicaStore.h"
+#include "wgRolloutRunner.h"
 #include "wgServiceState.h"
 
 namespace wg {
@@ -95,16 +97,10 @@
     std::uint64_t term = 0;
     Respond respond;
   };
-  /** \brief What an entry box last said it has in force. */
-  struct FollowerBox
-  {
-    std::string hall;
-    std::uint64_t revision = 0;
-    Elapsed heard;
-  };
 
   void HandlePeer(const PeerRequest& request, Respond respond);
   void HandleChange(const PeerRequest& request, Respond respond);
+  void ProposeOwn(wire::Change change, RolloutRunner::Answer answer);
   void Post(Mail mail);
   void Run();
   std::vector<Mail> TakeMail();
@@ -130,6 +126,7 @@
   std::string LeaderAddress() const;
   std::string AddressOf(std::uint64_t id) const;
   void NoteRole();
+  void TellRolloutDuty();
 
   ControlSettings settings_;
   Counters& counters_;
@@ -151,6 +148,8 @@
   Elapsed leaderHeard_;
   std::int64_t clockAtLead_ = 0;
   Elapsed leadSince_;
+  std::unique_ptr<RolloutRunner> rollouts_;
+  std::shared_ptr<const Config> rolloutConfig_; // as the runner has it
 
   absl::Mutex mutex_;
   std::vector<Mail> mail_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Decision/wgEndpointState.cxx
+++ b/Source/Decision/wgEndpointState.cxx
@@ -121,7 +121,7 @@
 
 bool TakesNewWork(const EndpointState& endpoint)
 {
-  return !endpoint.drained && !IsLeaving(endpoint) &&
+  return !endpoint.drained && endpoint.saysReady && !IsLeaving(endpoint) &&
          endpoint.silentWatches < SilentWatchesToStop &&
          endpoint.health.state != HealthState::Ejected;
 }
--- a/Source/Decision/wgEndpointState.h
+++ b/Source/Decision/wgEndpointState.h
@@ -59,6 +59,7 @@
   bool drained = false;       // by an operator
   bool listedLeaving = false; // by the platform's list
   bool saysLeaving = false;   // by its own word
+  bool saysReady = true;      // false while it loads what it was ordered to
   bool removed = false;       // no longer configured
   int running = 0;            // ours
   int silentWatches = 0;      // in a row: it did not say its load when asked
--- a/Source/Entry/wgEntryNode.cxx
+++ b/Source/Entry/wgEntryNode.cxx
@@ -51,6 +51,7 @@
   endpoint.report.ownRunning = endpoint.running;
   endpoint.report.at = ElapsedNow();
   endpoint.saysLeaving = BoolOr(load, "leaving", false);
+  endpoint.saysReady = BoolOr(load, "ready", true);
 }
 
 /** What runs of the accounts that have a limit over all boxes. */
--- a/Source/Entry/wgEntryStatus.cxx
+++ b/Source/Entry/wgEntryStatus.cxx
@@ -21,6 +21,9 @@
   if (IsLeaving(endpoint)) {
     return "leaving";
   }
+  if (!endpoint.saysReady) {
+    return "loading";
+  }
   switch (endpoint.health.state) {
     case HealthState::Ejected:
       return "ejected";
--- a/Tests/Config/wgConfigTest.cxx
+++ b/Tests/Config/wgConfigTest.cxx
@@ -146,3 +146,96 @@
   CHECK(wg::CompleteCommand("show").front() == "endpoints");
   CHECK(wg::CompleteCommand("drain").front() == "endpoint");
 }
+
+namespace {
+
+wg::Config Apply(const wg::Config& config, const wg::wire::Change& change)
+{
+  auto next = wg::ApplyConfigChange(config, change);
+  REQUIRE(wg::Succeeded(next));
+  return wg::Value(next);
+}
+
+wg::wire::Change Start(const std::string& version)
+{
+  wg::wire::Change change;
+  change.mutable_start_rollout()->set_group("llm");
+  change.mutable_start_rollout()->set_version(version);
+  return change;
+}
+
+wg::wire::Change Step(wg::wire::StepRollout::Kind kind)
+{
+  wg::wire::Change change;
+  change.mutable_step_rollout()->set_group("llm");
+  change.mutable_step_rollout()->set_endpoint("llm-1");
+  change.mutable_step_rollout()->set_kind(kind);
+  return change;
+}
+
+wg::wire::Change Drain(bool drained)
+{
+  wg::wire::Change change;
+  change.mutable_set_drained()->set_endpoint("llm-1");
+  change.mutable_set_drained()->set_drained(drained);
+  return change;
+}
+
+const auto Begin = wg::wire::StepRollout::BEGIN;
+const auto End = wg::wire::StepRollout::END;
+
+} // namespace
+
+TEST_CASE("steps of a roll-out count once, and only in their order")
+{
+  const wg::Config config = wg::Value(wg::ReadConfig(Sound));
+  CHECK_FALSE(wg::Succeeded(wg::ApplyConfigChange(config, Step(Begin))));
+  const wg::Config started = Apply(config, Start("v2"));
+  CHECK_FALSE(wg::Succeeded(wg::ApplyConfigChange(started, Step(End))));
+  const wg::Config begun = Apply(started, Step(Begin));
+  CHECK(begun.endpoints[0].drained);
+  CHECK_FALSE(wg::Succeeded(wg::ApplyConfigChange(begun, Step(Begin))));
+  const wg::Config ended = Apply(begun, Step(End));
+  CHECK_FALSE(ended.endpoints[0].drained);
+  CHECK_FALSE(wg::Succeeded(wg::ApplyConfigChange(ended, Step(End))));
+}
+
+TEST_CASE("an operator's word on draining holds once the update is over")
+{
+  const wg::Config begun =
+    Apply(Apply(wg::Value(wg::ReadConfig(Sound)), Start("v2")), Step(Begin));
+  const wg::Config undrained = Apply(begun, Drain(false));
+  CHECK(undrained.endpoints[0].drained);
+  const wg::Config drained = Apply(undrained, Drain(true));
+  CHECK(Apply(drained, Step(End)).endpoints[0].drained);
+  CHECK_FALSE(Apply(undrained, Step(End)).endpoints[0].drained);
+}
+
+TEST_CASE("a file neither starts, changes nor ends a roll-out")
+{
+  const wg::Config begun =
+    Apply(Apply(wg::Value(wg::ReadConfig(Sound)), Start("v2")), Step(Begin));
+  wg::wire::Change file;
+  file.mutable_apply()->set_toml(Sound);
+  const wg::Config applied = Apply(begun, file);
+  REQUIRE(applied.rollouts.size() == 1);
+  CHECK(applied.rollouts[0].current == "llm-1");
+  CHECK(applied.endpoints[0].drained);
+  const auto again = wg::ReadConfig(wg::PrintConfig(applied));
+  REQUIRE(wg::Succeeded(again));
+  CHECK(wg::Value(again).rollouts[0].version == "v2");
+  const wg::Config config = wg::Value(wg::ReadConfig(Sound));
+  file.mutable_apply()->set_toml(wg::PrintConfig(applied));
+  CHECK(Apply(config, file).rollouts.empty());
+}
+
+TEST_CASE("a roll-out that could never go on is refused")
+{
+  const wg::Config config = wg::Value(wg::ReadConfig(Sound));
+  wg::wire::Change change = Start("v2");
+  change.mutable_start_rollout()->set_min_ready(1);
+  const auto refused = wg::ApplyConfigChange(config, change);
+  REQUIRE_FALSE(wg::Succeeded(refused));
+  CHECK_THAT(wg::Message(refused), Catch::Contains("keep 1 of 1"));
+  CHECK_FALSE(wg::Succeeded(wg::ApplyConfigChange(config, Start(""))));
+}
--- a/Tests/Process/wgEntryFailuresTest.cxx
+++ b/Tests/Process/wgEntryFailuresTest.cxx
@@ -12,6 +12,7 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 
+#include "wgCallers.h"
 #include "wgServiceState.h"
 #include "wgTestCluster.h"
 
@@ -19,61 +20,16 @@
 
 using wg::test::Await;
 using wg::test::CallerRecord;
+using wg::test::Callers;
 using wg::test::ClusterLayout;
+using wg::test::CountOk;
+using wg::test::Input;
 using wg::test::Observations;
 using wg::test::TestCluster;
 using wg::test::WaitFor;
 
 constexpr int StatusOk = 200;
 
-std::string Input(int i)
-{
-  return absl::StrCat("予約のお知らせ", i, "番の方、明日の午後3時です。番号",
-                      i * 7919);
-}
-
-/** Sends requests from several threads and gathers what came back. */
-class Callers
-{
-public:
-  using Send = std::function<CallerRecord(int number)>;
-  Callers(int threads, Send send)
-    : send_(std::move(send))
-  {
-    for (int i = 0; i < threads; ++i) {
-      threads_.emplace_back([this] { Work(); });
-    }
-  }
-  ~Callers() { Stop(); }
-  std::vector<CallerRecord> Stop()
-  {
-    stopping_ = true;
-    for (std::thread& thread : threads_) {
-      thread.join();
-    }
-    threads_.clear();
-    return records_;
-  }
-  int Count() const { return next_; }
-
-private:
-  void Work()
-  {
-    while (!stopping_) {
-      CallerRecord record = send_(next_++);
-      const std::lock_guard<std::mutex> lock(mutex_);
-      records_.push_back(std::move(record));
-    }
-  }
-
-  Send send_;
-  std::atomic<int> next_{ 0 };
-  std::atomic<bool> stopping_{ false };
-  std::mutex mutex_;
-  std::vector<CallerRecord> records_;
-  std::vector<std::thread> threads_;
-};
-
 void CheckAll(TestCluster& cluster, std::vector<CallerRecord> callers)
 {
   Observations seen;
@@ -92,15 +48,6 @@
   CHECK(violations.empty());
 }
 
-int CountOk(const std::vector<CallerRecord>& records)
-{
-  int ok = 0;
-  for (const CallerRecord& record : records) {
-    ok += record.status == StatusOk ? 1 : 0;
-  }
-  return ok;
-}
-
 /** Every entry says this state of it, and none has work there. */
 bool IsLeftAlone(TestCluster& cluster, const std::string& endpoint,
                  const std::string& state)
--- a/Utilities/Client/wgClient.cxx
+++ b/Utilities/Client/wgClient.cxx
@@ -15,6 +15,7 @@
 #include "absl/time/clock.h"
 
 #include "wgConfigText.h"
+#include "wgEndpointOrder.h"
 #include "wgLanguage.h"
 #include "wgServiceState.h"
 
@@ -161,7 +162,7 @@
       const wg::EndpointConfig* endpoint =
         wg::FindEndpoint(wg::Value(config), order.endpoint);
       if (endpoint != nullptr) {
-        return GiveOrder(*endpoint, order.model);
+        return GiveOrder(*endpoint, order);
       }
     }
     std::cerr << "No control box knows the endpoint \"" << order.endpoint
@@ -169,6 +170,24 @@
     return ExitRefused;
   }
 
+  int operator()(const wg::RolloutCommand& rollout)
+  {
+    wg::wire::Change change;
+    change.set_base_revision(rollout.baseRevision);
+    change.mutable_start_rollout()->set_group(rollout.group);
+    change.mutable_start_rollout()->set_version(rollout.version);
+    change.mutable_start_rollout()->set_min_ready(rollout.minReady);
+    return Propose(std::move(change));
+  }
+
+  int operator()(const wg::StopRolloutCommand& stop)
+  {
+    wg::wire::Change change;
+    change.set_base_revision(stop.baseRevision);
+    change.mutable_stop_rollout()->set_group(stop.group);
+    return Propose(std::move(change));
+  }
+
   int operator()(const wg::FoundCommand&)
   {
     return Report(wg::SendFound(client_, settings_), "The cluster is founded");
@@ -206,7 +225,8 @@
   /** The fence is raised by the quorum first: an order under it is newer
    * than all that were given before.
    */
-  int GiveOrder(const wg::EndpointConfig& endpoint, const std::string& model)
+  int GiveOrder(const wg::EndpointConfig& endpoint,
+                const wg::OrderCommand& order)
   {
     if (!endpoint.checksFence) {
       std::cerr << "The endpoint \"" << endpoint.name << "\" does not check "
@@ -217,14 +237,15 @@
     wg::wire::Change change;
     change.set_id(wg::MakeChangeId());
     change.mutable_raise_fence()->set_endpoint(endpoint.name);
-    change.mutable_raise_fence()->set_order(model);
+    change.mutable_raise_fence()->set_order(order.what + " " + order.name);
     const wg::wire::ChangeResult raised =
       wg::SendChange(client_, settings_, change);
     if (raised.verdict() != wg::wire::ChangeResult::ACCEPTED) {
       return Report(raised, "");
     }
-    auto sent =
-      wg::SendOrder(endpoint.address, endpoint.port, raised.fence(), model);
+    auto sent = wg::SendOrder({ endpoint.address, endpoint.port },
+                              { raised.fence(), order.what, order.name },
+                              settings_.timeout);
     if (!wg::Succeeded(sent)) {
       std::cerr << wg::Message(sent) << "\n";
       return ExitUnavailable;
@@ -280,7 +301,7 @@
 {
   TCLAP::CmdLine line("Asks weirgate what is happening and changes what "
                       "should happen. Commands: show, explain, set, drain, "
-                      "undrain, apply, wait, order, found.",
+                      "undrain, apply, wait, order, rollout, stop, found.",
                       ' ', WG_VERSION);
   TCLAP::ValueArg<std::string> servers(
     "", "servers",
--- a/Utilities/Client/wgClientCalls.cxx
+++ b/Utilities/Client/wgClientCalls.cxx
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgClientCalls.h"
 
-#include <httplib.h>
+#include <nlohmann/json.hpp>
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
@@ -11,7 +11,6 @@
 
 constexpr absl::Duration OneCall = absl::Seconds(1);
 constexpr absl::Duration PauseBetweenRounds = absl::Milliseconds(100);
-constexpr int StatusOk = 200;
 
 using Result = wire::ChangeResult;
 
@@ -86,24 +85,4 @@
   return result;
 }
 
-Outcome<Done> SendOrder(const std::string& host, int port, std::uint64_t fence,
-                        const std::string& model)
-{
-  httplib::Client client(host, port);
-  client.set_connection_timeout(1, 0);
-  const nlohmann::json body{ { "fence", fence }, { "model", model } };
-  const httplib::Result result =
-    client.Post("/v1/orders", body.dump(), "application/json");
-  if (!result) {
-    return Error{ absl::StrCat("The endpoint at ", host, ":", port,
-                               " gave no answer; the order may have been "
-                               "taken. Give it again.") };
-  }
-  if (result->status != StatusOk) {
-    return Error{ absl::StrCat("The endpoint refused fence ", fence,
-                               ": it has taken a later order.") };
-  }
-  return Done{};
-}
-
 } // namespace wg
--- a/Utilities/Client/wgClientCalls.h
+++ b/Utilities/Client/wgClientCalls.h
@@ -34,8 +34,4 @@
 wire::ChangeResult SendFound(PeerClient& client,
                              const ClientSettings& settings);
 
-/** \brief Gives an endpoint an order under a fence. */
-Outcome<Done> SendOrder(const std::string& host, int port, std::uint64_t fence,
-                        const std::string& model);
-
 } // namespace wg
--- a/Utilities/Client/wgClientView.cxx
+++ b/Utilities/Client/wgClientView.cxx
@@ -59,7 +59,8 @@
   const std::map<std::string, std::string> fields = {
     { "endpoints", "endpoint" }, { "groups", "group" },
     { "accounts", "account" },   { "boxes", "box" },
-    { "requests", "request" },   { "replicas", "box" }
+    { "requests", "request" },   { "replicas", "box" },
+    { "rollouts", "group" }
   };
   auto found = fields.find(table);
   return found == fields.end() ? std::string() : found->second;
@@ -74,7 +75,7 @@
       if (status.value("role", "") == "control") {
         Json row = status;
         for (const char* nested :
-             { "voters", "learners", "boxes", "config" }) {
+             { "voters", "learners", "boxes", "rollouts", "config" }) {
           row.erase(nested);
         }
         rows.push_back(std::move(row));
--- a/Utilities/Standin/wgStandinEngine.cxx
+++ b/Utilities/Standin/wgStandinEngine.cxx
@@ -27,6 +27,7 @@
 constexpr int StatusConflict = 409;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusFailed = 500;
+constexpr int StatusUnavailable = 503;
 
 /** Cuts UTF-8 text into pieces of a few characters each. */
 std::vector<std::string> CutInPieces(const std::string& text)
@@ -167,7 +168,9 @@
                });
   server_.Get("/v1/runs", [this](const Request&, Response& response) {
     absl::MutexLock lock(&mutex_);
-    const Json answer{ { "runs", runs_ }, { "cancelled", cancelled_ } };
+    const Json answer{ { "runs", runs_ },
+                       { "cancelled", cancelled_ },
+                       { "while_loading", whileLoading_ } };
     response.set_content(answer.dump(), "application/json");
   });
   server_.Post("/v1/leave",
@@ -181,9 +184,39 @@
 Json StandinEngine::Load()
 {
   absl::MutexLock lock(&mutex_);
-  return { { "running", running_ },      { "waiting", waiting_.size() },
-           { "slots", settings_.slots }, { "leaving", leaving_ },
-           { "fence", fence_ },          { "model", model_ } };
+  const bool ready = IsReady();
+  Json load{ { "running", running_ },      { "waiting", waiting_.size() },
+             { "slots", settings_.slots }, { "leaving", leaving_ },
+             { "fence", fence_ },          { "ready", ready } };
+  for (const auto& [what, name] : loaded_) {
+    load[what] = name;
+  }
+  return load;
+}
+
+bool StandinEngine::IsReady()
+{
+  const auto version = ordered_.find("version");
+  const bool hangs =
+    version != ordered_.end() && version->second == faults_.badVersion;
+  if (!hangs && absl::Now() >= loadedAt_) {
+    for (const auto& [what, name] : ordered_) {
+      loaded_[what] = name;
+    }
+    ordered_.clear();
+  }
+  return ordered_.empty();
+}
+
+bool StandinEngine::RefuseWhileLoading(Response& response)
+{
+  absl::MutexLock lock(&mutex_);
+  if (IsReady()) {
+    return false;
+  }
+  ++whileLoading_;
+  response.status = StatusUnavailable;
+  return true;
 }
 
 bool StandinEngine::TakeFault(int StandinFaults::*fault)
@@ -276,6 +309,9 @@
     response.status = StatusBadRequest;
     return;
   }
+  if (RefuseWhileLoading(response)) {
+    return;
+  }
   Place place(*this, ReadPriority(request));
   CountRun(request);
   Pause(StepMs());
@@ -303,6 +339,9 @@
     response.status = StatusBadRequest;
     return;
   }
+  if (RefuseWhileLoading(response)) {
+    return;
+  }
   if (TakeFault(&StandinFaults::failNext)) {
     CountRun(request);
     response.status = StatusFailed;
@@ -373,7 +412,12 @@
     return;
   }
   fence_ = fence;
-  model_ = body.value("model", model_);
+  for (const auto& [what, name] : loaded_) {
+    if (body.contains(what) && body[what].is_string()) {
+      ordered_[what] = body[what].get<std::string>();
+    }
+  }
+  loadedAt_ = absl::Now() + absl::Microseconds(faults_.loadMs * 1000.0);
   response.set_content(Json{ { "fence", fence_ } }.dump(), "application/json");
 }
 
@@ -393,6 +437,8 @@
   faults_.endEarlyNext = body.value("end_early_next", faults_.endEarlyNext);
   faults_.cutAnswerNext = body.value("cut_answer_next", faults_.cutAnswerNext);
   faults_.slowness = body.value("slowness", faults_.slowness);
+  faults_.loadMs = body.value("load_ms", faults_.loadMs);
+  faults_.badVersion = body.value("bad_version", faults_.badVersion);
   response.set_content("{}", "application/json");
 }
 
--- a/Utilities/Standin/wgStandinEngine.h
+++ b/Utilities/Standin/wgStandinEngine.h
@@ -16,6 +16,7 @@
 #include "absl/base/thread_annotations.h"
 #include "absl/container/flat_hash_map.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
 
 namespace wg {
 
@@ -38,6 +39,8 @@
   int endEarlyNext = 0;    // end a stream in order, but too soon
   int cutAnswerNext = 0;   // answer with half of the JSON
   double slowness = 1.0;   // times as slow as usual
+  double loadMs = 0.0;     // how long it takes to carry an order out
+  std::string badVersion;  // it never comes up in this version
 };
 
 /** \class StandinEngine
@@ -75,6 +78,9 @@
   /** \brief Puts the ids on an answer; true when a fault makes them wrong. */
   bool Echo(const Request& request, Response& response);
   nlohmann::json Load();
+  /** \brief False while an order is being carried out; then calls fail. */
+  bool IsReady() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  bool RefuseWhileLoading(Response& response);
 
   StandinSettings settings_;
   httplib::Server server_;
@@ -87,7 +93,15 @@
   std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_); // by request
   std::list<std::uint64_t> cache_ ABSL_GUARDED_BY(mutex_);  // newest first
   std::uint64_t fence_ ABSL_GUARDED_BY(mutex_) = 0;
-  std::string model_ ABSL_GUARDED_BY(mutex_) = "base";
+  std::map<std::string, std::string> loaded_ ABSL_GUARDED_BY(mutex_) = {
+    { "model", "base" },
+    { "version", "v1" },
+    { "role", "both" },
+    { "adapter", "" }
+  };
+  std::map<std::string, std::string> ordered_ ABSL_GUARDED_BY(mutex_);
+  absl::Time loadedAt_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
+  int whileLoading_ ABSL_GUARDED_BY(mutex_) = 0; // calls that came too soon
   bool leaving_ ABSL_GUARDED_BY(mutex_) = false;
   int cancelled_ ABSL_GUARDED_BY(mutex_) = 0;
 };
