Entry: a caller that leaves while its stage waits runs nothing more

Cause: a caller that left was noticed only when a token was written to it, so that a stage which waited for a place was run all the same. Ruled out: the running stage (its engine was told, as a test now shows).

Callers of whole answers are still not seen to leave: the HTTP library gives no way to ask.

--- a/Source/Entry/wgCallerServer.cxx
+++ b/Source/Entry/wgCallerServer.cxx
@@ -302,8 +302,10 @@
   response.set_chunked_content_provider(
     EventStreamType,
     [this, runner, id, start](std::size_t, httplib::DataSink& out) {
-      const TokenSink sink = [this, &out, start](std::size_t index,
-                                                 const std::string& token) {
+      CallerLink caller;
+      caller.isThere = [&out] { return out.is_writable(); };
+      caller.takeToken = [this, &out, start](std::size_t index,
+                                             const std::string& token) {
         if (index == 0) {
           context_.blackboard.counters.FirstTokenTime().Record(ElapsedNow() -
                                                                start);
@@ -312,7 +314,7 @@
           EventText(Json{ { "index", index }, { "token", token } });
         return out.write(event.data(), event.size());
       };
-      const RequestOutcome outcome = runner->Run(sink);
+      const RequestOutcome outcome = runner->Run(caller);
       const auto* failure = std::get_if<RequestFailure>(&outcome);
       const std::string last =
         failure != nullptr
--- a/Source/Entry/wgGenerationReader.h
+++ b/Source/Entry/wgGenerationReader.h
@@ -6,17 +6,12 @@
 
 #include "absl/strings/string_view.h"
 
+#include "wgCallerLink.h"
 #include "wgStageProtocol.h"
 #include "wgTokenStream.h"
 
 namespace wg {
 
-/** \brief Gets each token of a streamed answer once and in order; false when
- * the caller has left.
- */
-using TokenSink =
-  std::function<bool(std::size_t index, const std::string& token)>;
-
 /** \class GenerationReader
  * \brief Reads one try of a generation, which goes on where the last one
  * ended.
--- a/Source/Entry/wgRequestRunner.cxx
+++ b/Source/Entry/wgRequestRunner.cxx
@@ -238,11 +238,11 @@
   return false;
 }
 
-RequestOutcome RequestRunner::Run(const TokenSink& sink)
+RequestOutcome RequestRunner::Run(const CallerLink& caller)
 {
   RequestFailure failure;
   for (std::size_t i = 0; i < pipeline_->stages.size(); ++i) {
-    if (!RunStage(i, sink, failure)) {
+    if (!RunStage(i, caller, failure)) {
       return failure;
     }
   }
@@ -258,12 +258,12 @@
   return RequestAnswer{ std::move(output) };
 }
 
-bool RequestRunner::RunStage(std::size_t stage, const TokenSink& sink,
+bool RequestRunner::RunStage(std::size_t stage, const CallerLink& caller,
                              RequestFailure& failure)
 {
   std::size_t avoid = SIZE_MAX;
   for (int tries = 1;; ++tries) {
-    const TryResult result = TryStage(stage, tries, avoid, sink);
+    const TryResult result = TryStage(stage, tries, avoid, caller);
     if (result.done) {
       return true;
     }
@@ -297,21 +297,24 @@
 RequestRunner::TryResult RequestRunner::TryStage(std::size_t stage,
                                                  int tryNumber,
                                                  std::size_t avoid,
-                                                 const TokenSink& sink)
+                                                 const CallerLink& caller)
 {
   TryResult result;
-  std::optional<Grant> grant;
-  if (!WaitForGrant(stage, avoid, grant, result.reason)) {
+  const GrantOutcome place = AskForPlace(stage, avoid, caller);
+  if (!place.grant) {
+    result.reason = place.reason;
     return result;
   }
+  const Grant& grant = *place.grant;
   if (tryNumber == 1) {
     upcomingFrom_ = stage + 1;
     CountUpcoming(stage, -1);
   }
-  result.endpoint = grant->route.endpoint;
+  result.endpoint = grant.route.endpoint;
   const AttemptId attempt = OpenAttempt(attempts_, static_cast<int>(stage));
   context_.blackboard.counters.Add(Event::StageStarted);
-  const EndpointReply reply = CallEndpoint(stage, *grant, attempt, sink);
+  const EndpointReply reply =
+    CallEndpoint(stage, grant, attempt, caller.takeToken);
   result.end = callerLeft_            ? AttemptEnd::Cancelled
                : reply.deadlinePassed ? AttemptEnd::OutOfTime
                                       : reply.end;
@@ -332,38 +335,35 @@
   if (!result.done) {
     AbandonAttempt(attempts_, attempt, result.end);
   }
-  NoteEnd(stage, *grant, attempt, reply, result);
+  NoteEnd(stage, grant, attempt, reply, result);
   return result;
 }
 
-std::shared_ptr<GrantWait> RequestRunner::Queue(std::size_t stage,
-                                                std::size_t avoid,
-                                                std::uint64_t& ticket,
-                                                Reason& reason)
+GrantOutcome RequestRunner::AskForPlace(std::size_t stage, std::size_t avoid,
+                                        const CallerLink& caller)
 {
   GroupTable& groups = context_.blackboard.groups;
-  auto wait = std::make_shared<GrantWait>();
-  absl::MutexLock lock(&groups.mutex);
-  GroupState& group = groups.groups[pipeline_->stages[stage]];
-  const std::vector<StageOutlook> ahead = Outlook(stage);
+  const Elapsed start = ElapsedNow();
+  std::vector<StageOutlook> ahead;
+  {
+    absl::MutexLock lock(&groups.mutex);
+    ahead = Outlook(stage);
+  }
+  if (!ahead.front().anyEndpoint) {
+    return { std::nullopt, Reason::NoEndpoint };
+  }
   WaitingStage waiting;
-  waiting.ticket = ticket = groups.nextTicket++;
   waiting.account = request_.account;
   waiting.weight = account_->weight;
   waiting.priority = request_.priority;
   waiting.deadline = deadline_;
-  waiting.enqueued = ElapsedNow();
+  waiting.enqueued = start;
   waiting.latestStart = deadline_ - absl::Seconds(ServiceSeconds(ahead));
   waiting.expectedCost = ahead.front().serviceSeconds;
   waiting.laterSeconds = ServiceSeconds(ahead) - waiting.expectedCost;
   waiting.bytes = request_.bytes;
-  if (!ahead.front().anyEndpoint) {
-    reason = Reason::NoEndpoint;
-    return nullptr;
-  }
-  if (waiting.latestStart < waiting.enqueued) {
-    reason = Reason::DeadlineUnreachable;
-    return nullptr;
+  if (waiting.latestStart < start) {
+    return { std::nullopt, Reason::DeadlineUnreachable };
   }
   RouteQuery query;
   query.hall = context_.blackboard.hall;
@@ -372,32 +372,11 @@
   if (Group(stage).kind == StageKind::Generate) {
     query.prefix = HashPrefix(request_.input);
   }
-  reason = Enqueue(group, std::move(waiting), query);
-  if (reason != Reason::None) {
-    return nullptr;
-  }
-  groups.waits[ticket] = wait;
-  DispatchGroup(groups, group, ElapsedNow());
-  return wait;
-}
-
-bool RequestRunner::WaitForGrant(std::size_t stage, std::size_t avoid,
-                                 std::optional<Grant>& grant, Reason& reason)
-{
-  const Elapsed start = ElapsedNow();
-  std::uint64_t ticket = 0;
-  const std::shared_ptr<GrantWait> wait = Queue(stage, avoid, ticket, reason);
-  if (wait == nullptr) {
-    return false;
-  }
-  wait->done.WaitForNotification();
+  GrantOutcome outcome =
+    WaitForGrant(groups, pipeline_->stages[stage], std::move(waiting), query,
+                 caller.isThere);
   queuedSeconds_ = absl::ToDoubleSeconds(ElapsedNow() - start);
-  if (!wait->grant) {
-    reason = Reason::DeadlineUnreachable;
-    return false;
-  }
-  grant = std::move(wait->grant);
-  return true;
+  return outcome;
 }
 
 EndpointReply RequestRunner::CallEndpoint(std::size_t stage,
--- a/Source/Entry/wgRequestRunner.h
+++ b/Source/Entry/wgRequestRunner.h
@@ -12,6 +12,7 @@
 #include "wgChangeClient.h"
 #include "wgEndpointClient.h"
 #include "wgGenerationReader.h"
+#include "wgStageQueue.h"
 
 namespace wg {
 
@@ -72,7 +73,7 @@
   Reason Admit(RequestFailure& failure);
 
   /** \brief Runs all stages of an admitted request. */
-  RequestOutcome Run(const TokenSink& sink);
+  RequestOutcome Run(const CallerLink& caller);
 
 private:
   /** \brief How one try of a stage ended, for the retry decision. */
@@ -92,14 +93,12 @@
   std::vector<StageOutlook> Outlook(std::size_t fromStage)
     ABSL_EXCLUSIVE_LOCKS_REQUIRED(context_.blackboard.groups.mutex);
   void CountUpcoming(std::size_t stage, int change);
-  bool RunStage(std::size_t stage, const TokenSink& sink,
+  bool RunStage(std::size_t stage, const CallerLink& caller,
                 RequestFailure& failure);
   TryResult TryStage(std::size_t stage, int tryNumber, std::size_t avoid,
-                     const TokenSink& sink);
-  std::shared_ptr<GrantWait> Queue(std::size_t stage, std::size_t avoid,
-                                   std::uint64_t& ticket, Reason& reason);
-  bool WaitForGrant(std::size_t stage, std::size_t avoid,
-                    std::optional<Grant>& grant, Reason& reason);
+                     const CallerLink& caller);
+  GrantOutcome AskForPlace(std::size_t stage, std::size_t avoid,
+                           const CallerLink& caller);
   EndpointReply CallEndpoint(std::size_t stage, const Grant& grant,
                              const AttemptId& attempt, const TokenSink& sink);
   bool TakeAnswer(std::size_t stage, const EndpointReply& reply,
