--- a/Source/Agreement/wgRepair.h
+++ b/Source/Agreement/wgRepair.h
@@ -32,8 +32,8 @@
   BoxReplacement replacement;
 };
 
-/** \brief Whether a replica is to ask the others to take it in: it has no vote,
- * or it hears no leader and may have been replaced without knowing.
+/** \brief Whether a replica is to ask the others to take it in: it has no
+ * vote, or it hears no leader and may have been replaced without knowing.
  */
 bool ShouldAskToJoin(const Replica& replica);
 
