Standin: prefixes move, cache events, late loads, and what a change costs

Cause: the users' engines export and import their cache, tell of it late and with gaps, and report their load late; the stand-in did none of it.

The forwarder counts what it passes on, and wgMeasure says what a change of the configuration costs a control box.

--- a/Tests/Process/wgForwarder.cxx
+++ b/Tests/Process/wgForwarder.cxx
@@ -25,7 +25,8 @@
 };
 
 /** Passes on what has come; false when the connection is over. */
-bool Pass(const FileDescriptor& from, const FileDescriptor& to)
+bool Pass(const FileDescriptor& from, const FileDescriptor& to,
+          std::atomic<std::uint64_t>& passed)
 {
   std::array<char, 65536> buffer;
   const ssize_t got =
@@ -43,6 +44,7 @@
     }
     sent += std::max<ssize_t>(now, 0);
   }
+  passed += static_cast<std::uint64_t>(got);
   return got > 0;
 }
 
@@ -90,7 +92,8 @@
       continue;
     }
     for (Wire& wire : wires) {
-      wire.broken = !Pass(wire.near, wire.far) || !Pass(wire.far, wire.near);
+      wire.broken = !Pass(wire.near, wire.far, passed_) ||
+                    !Pass(wire.far, wire.near, passed_);
     }
     wires.remove_if([](const Wire& wire) { return wire.broken; });
   }
--- a/Tests/Process/wgForwarder.h
+++ b/Tests/Process/wgForwarder.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <atomic>
+#include <cstdint>
 #include <thread>
 
 #include "wgSocket.h"
@@ -22,6 +23,8 @@
   ~Forwarder();
   void Cut() { cut_ = true; }
   void Mend() { cut_ = false; }
+  /** \brief Bytes passed on so far, both ways. */
+  std::uint64_t Passed() const { return passed_; }
 
 private:
   void Run();
@@ -30,6 +33,7 @@
   int targetPort_;
   FileDescriptor listening_;
   std::atomic<bool> cut_{ false };
+  std::atomic<std::uint64_t> passed_{ 0 };
   std::atomic<bool> stopping_{ false };
   std::thread thread_;
 };
--- a/Tests/Process/wgMeasure.cxx
+++ b/Tests/Process/wgMeasure.cxx
@@ -275,6 +275,52 @@
               Quantile(all, 0.99), cpu / count * 1e6);
 }
 
+/** What one accepted change of the configuration costs the control boxes. */
+void MeasureChangeCost(int entries, int count)
+{
+  ClusterLayout layout;
+  layout.entries = entries;
+  layout.compactAfter = 1000000;
+  TestCluster cluster(layout);
+  const auto processor = [&cluster] {
+    double seconds = 0.0;
+    for (int i = 0; i < 3; ++i) {
+      seconds += cluster.Control(i).ProcessorSeconds();
+    }
+    return seconds;
+  };
+  const auto passed = [&cluster] {
+    double bytes = 0.0;
+    for (int i = 0; i < 3; ++i) {
+      bytes += static_cast<double>(cluster.ControlWire(i).Passed());
+    }
+    return bytes;
+  };
+  const double restSeconds = 5.0;
+  const double restCpu = processor();
+  const double restBytes = passed();
+  absl::SleepFor(absl::Seconds(restSeconds));
+  const double cpuRate = (processor() - restCpu) / restSeconds;
+  const double byteRate = (passed() - restBytes) / restSeconds;
+  const double cpuBefore = processor();
+  const double bytesBefore = passed();
+  std::vector<double> times;
+  const double total = TimeMs([&] {
+    for (int i = 0; i < count; ++i) {
+      times.push_back(TimeMs([&] { cluster.SetWeight(1.0 + i); }));
+    }
+  });
+  const double seconds = total / MsPerSecond;
+  std::printf(
+    "changes of the configuration, one at a time, %d entries: %.0f a second, "
+    "p50 %.2f p99 %.2f ms; above rest %.0f us of processor and %.0f bytes "
+    "each at a control box (at rest %.0f bytes/s)\n",
+    entries, count / seconds, Quantile(times, 0.5), Quantile(times, 0.99),
+    (processor() - cpuBefore - cpuRate * seconds) / count / 3.0 * 1e6,
+    (passed() - bytesBefore - byteRate * seconds) / count / 3.0,
+    byteRate / 3.0);
+}
+
 /** Time from starting a control process until it knows all changes. */
 void MeasureRestart(int changes, bool snapshots)
 {
@@ -335,6 +381,9 @@
   for (const int authors : { 1, 16, 64 }) {
     MeasureChanges(authors, 3000);
   }
+  for (const int entries : { 1, 3, 9 }) {
+    MeasureChangeCost(entries, 1000);
+  }
   for (const int changes : { 1000, 10000, 100000 }) {
     MeasureRestart(changes, true);
     MeasureRestart(changes, false);
--- a/Utilities/Standin/wgStandin.cxx
+++ b/Utilities/Standin/wgStandin.cxx
@@ -62,6 +62,9 @@
     false, "endpoint", line);
   TCLAP::ValueArg<int> platform("", "platform", "port of a platform's list",
                                 false, 0, "port", line);
+  TCLAP::ValueArg<double> lag("", "load-lag-ms",
+                              "how old a report of the load may be", false, 0,
+                              "ms", line);
   TCLAP::ValueArg<int> lifetime("", "lifetime", "seconds until it ends", false,
                                 600, "seconds", line);
   line.parse(argc, argv);
@@ -70,12 +73,13 @@
   std::signal(SIGPIPE, SIG_IGN);
   std::vector<std::unique_ptr<wg::StandinEngine>> engines;
   for (const std::string& text : serve.getValue()) {
-    const auto settings = ParseServe(text);
+    auto settings = ParseServe(text);
     if (!settings) {
       std::cerr << "\"" << text << "\" is not of the form kind:port:slots:ms; "
                 << "correct it.\n";
       return ExitBadArguments;
     }
+    settings->loadLagMs = lag.getValue();
     engines.push_back(std::make_unique<wg::StandinEngine>(*settings));
     if (!engines.back()->Start()) {
       std::cerr << "Port " << settings->port << " is in use; free it.\n";
--- a/Utilities/Standin/wgStandinEngine.cxx
+++ b/Utilities/Standin/wgStandinEngine.cxx
@@ -18,12 +18,12 @@
 using Json = nlohmann::json;
 
 constexpr std::size_t PieceCharacters = 4;
-constexpr std::size_t CachedPrefixes = 256;
-constexpr std::size_t PrefixBytes = 64;
 constexpr std::size_t BrokenStreamTokens = 3;
 constexpr double PrefillTokens = 4.0; // prefill costs as much as so many
 constexpr double CachedPrefillShare = 0.3;
 constexpr std::size_t ServerThreads = 600;
+constexpr int StatusOk = 200;
+constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 409;
 constexpr int StatusBadRequest = 400;
 constexpr int StatusFailed = 500;
@@ -121,6 +121,7 @@
   server_.set_tcp_nodelay(true);
   server_.set_keep_alive_max_count(1000000);
   AddRoutes();
+  AddCacheRoutes();
   AddAdminRoutes();
   if (!BindForBursts(server_, "127.0.0.1", settings_.port)) {
     return false;
@@ -160,6 +161,36 @@
   });
 }
 
+void StandinEngine::AddCacheRoutes()
+{
+  server_.Post("/v1/kv/export",
+               [this](const Request& request, Response& response) {
+                 OnExport(request, response);
+               });
+  server_.Post("/v1/kv/import",
+               [this](const Request& request, Response& response) {
+                 OnImport(request, response);
+               });
+  server_.Get(R"(/v1/kv/([0-9a-f]+))",
+              [this](const Request& request, Response& response) {
+                absl::MutexLock lock(&mutex_);
+                const bool held = cache_.Holds(request.matches[1]);
+                response.status = held ? StatusOk : StatusNotFound;
+              });
+  server_.Get("/v1/cache-events", [this](const Request& request,
+                                         Response& response) {
+    std::uint64_t after = 0;
+    const bool given = request.has_param("after");
+    if (given && !absl::SimpleAtoi(request.get_param_value("after"), &after)) {
+      response.status = StatusBadRequest;
+      return;
+    }
+    absl::MutexLock lock(&mutex_);
+    response.set_content(cache_.EventsAfter(after, absl::Now()).dump(),
+                         "application/json");
+  });
+}
+
 void StandinEngine::AddAdminRoutes()
 {
   server_.Post("/v1/fault",
@@ -186,7 +217,13 @@
 {
   absl::MutexLock lock(&mutex_);
   const bool ready = IsReady();
-  Json load{ { "running", running_ },      { "waiting", waiting_.size() },
+  const absl::Time now = absl::Now();
+  if (now - toldAt_ >= absl::Microseconds(settings_.loadLagMs * 1000.0)) {
+    toldRunning_ = running_;
+    toldWaiting_ = waiting_.size();
+    toldAt_ = now;
+  }
+  Json load{ { "running", toldRunning_ },  { "waiting", toldWaiting_ },
              { "slots", settings_.slots }, { "leaving", leaving_ },
              { "fence", fence_ },          { "ready", ready } };
   for (const auto& [what, name] : loaded_) {
@@ -240,19 +277,43 @@
 
 bool StandinEngine::IsCached(const std::string& prompt)
 {
-  const std::uint64_t prefix =
-    std::hash<std::string>()(prompt.substr(0, PrefixBytes));
   absl::MutexLock lock(&mutex_);
-  auto found = std::find(cache_.begin(), cache_.end(), prefix);
-  const bool hit = found != cache_.end();
-  if (hit) {
-    cache_.erase(found);
+  return cache_.Use(prompt, absl::Now());
+}
+
+/** The handle of a prompt's prefix, if it is held. */
+void StandinEngine::OnExport(const Request& request, Response& response)
+{
+  const Json body = Json::parse(request.body, nullptr, false);
+  const std::string handle =
+    StandinCache::HandleOf(body.is_object() ? body.value("prompt", "") : "");
+  absl::MutexLock lock(&mutex_);
+  if (!cache_.Holds(handle)) {
+    response.status = StatusNotFound;
+    return;
   }
-  cache_.push_front(prefix);
-  if (cache_.size() > CachedPrefixes) {
-    cache_.pop_back();
+  response.set_content(Json{ { "handle", handle } }.dump(),
+                       "application/json");
+}
+
+/** Takes a prefix from another engine, which must still hold it. */
+void StandinEngine::OnImport(const Request& request, Response& response)
+{
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) {
+    response.status = StatusBadRequest;
+    return;
   }
-  return hit;
+  const std::string handle = body.value("handle", "");
+  httplib::Client other("127.0.0.1", body.value("from_port", 0));
+  const httplib::Result found = other.Get("/v1/kv/" + handle);
+  if (!found || found->status != StatusOk) {
+    response.status = StatusConflict;
+    return;
+  }
+  absl::MutexLock lock(&mutex_);
+  cache_.Insert(handle, absl::Now());
+  response.set_content("{}", "application/json");
 }
 
 void StandinEngine::CountRun(const Request& request)
--- a/Utilities/Standin/wgStandinEngine.h
+++ b/Utilities/Standin/wgStandinEngine.h
@@ -3,7 +3,6 @@
 
 #include <atomic>
 #include <cstdint>
-#include <list>
 #include <map>
 #include <memory>
 #include <set>
@@ -18,6 +17,8 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 
+#include "wgStandinCache.h"
+
 namespace wg {
 
 /** \brief What a stand-in endpoint pretends to be. */
@@ -26,7 +27,8 @@
   std::string kind; // encode, retrieve, rerank, generate or service
   int port = 0;
   int slots = 4;
-  double stageMs = 5.0; // a whole stage, or one token of a generation
+  double stageMs = 5.0;   // a whole stage, or one token of a generation
+  double loadLagMs = 0.0; // how old its report of its load may be
 };
 
 /** \brief Faults that a test asks for; each counts down to nothing. */
@@ -69,11 +71,14 @@
   void OnStage(const Request& request, Response& response);
   void OnGenerate(const Request& request, Response& response);
   void OnOrder(const Request& request, Response& response);
+  void OnExport(const Request& request, Response& response);
+  void OnImport(const Request& request, Response& response);
   void OnFault(const Request& request, Response& response);
   nlohmann::json MakeAnswer(const nlohmann::json& body);
   bool TakeFault(int StandinFaults::*fault);
   double StepMs();
   bool IsCached(const std::string& prompt);
+  void AddCacheRoutes();
   void CountRun(const Request& request);
   /** \brief Puts the ids on an answer; true when a fault makes them wrong. */
   bool Echo(const Request& request, Response& response);
@@ -91,7 +96,10 @@
   std::multiset<int> waiting_ ABSL_GUARDED_BY(mutex_); // priorities
   StandinFaults faults_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_); // by request
-  std::list<std::uint64_t> cache_ ABSL_GUARDED_BY(mutex_);  // newest first
+  StandinCache cache_ ABSL_GUARDED_BY(mutex_);
+  int toldRunning_ ABSL_GUARDED_BY(mutex_) = 0; // as last reported
+  std::size_t toldWaiting_ ABSL_GUARDED_BY(mutex_) = 0;
+  absl::Time toldAt_ ABSL_GUARDED_BY(mutex_) = absl::InfinitePast();
   std::uint64_t fence_ ABSL_GUARDED_BY(mutex_) = 0;
   std::map<std::string, std::string> loaded_ ABSL_GUARDED_BY(mutex_) = {
     { "model", "base" },
