--- /dev/null
+++ b/Source/Agreement/wgElection.h
@@ -0,0 +1,18 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include "wgReplica.h"
+
+// How a leader is found.
+namespace wg::detail {
+
+void BecomeLeader(Replica& r, Elapsed now);
+
+/** \brief Asks whether others would vote, before a term is spent on it. */
+void StartPreVote(Replica& r, Elapsed now, absl::BitGenRef random);
+
+void OnVoteRequest(Replica& r, const wire::AgreementMessage& m, Elapsed now,
+                   absl::BitGenRef random);
+void OnVoteReply(Replica& r, const wire::AgreementMessage& m, Elapsed now);
+
+} // namespace wg::detail
