--- a/Tests/Process/wgTestPortsTest.cxx
+++ b/Tests/Process/wgTestPortsTest.cxx
@@ -41,7 +41,7 @@
     all.insert(one.Take());
     all.insert(other.Take());
   }
-  CHECK(all.size() == 2 * PortsOfACluster);
+  CHECK(all.size() == std::size_t{ 2 } * PortsOfACluster);
 }
 
 TEST_CASE("a test's port that another process holds is passed over")
--- a/Tests/Sanitizers/wgThreadSanitizerLocks.cxx
+++ b/Tests/Sanitizers/wgThreadSanitizerLocks.cxx
@@ -7,6 +7,8 @@
 #include "absl/synchronization/notification.h"
 #include "absl/time/time.h"
 
+// The names are the linker's and the sanitizer's own.
+// NOLINTBEGIN(readability-identifier-naming,bugprone-reserved-identifier)
 extern "C" {
 
 void __tsan_acquire(void* address);
@@ -111,3 +113,4 @@
 }
 
 } // extern "C"
+// NOLINTEND(readability-identifier-naming,bugprone-reserved-identifier)
