Control: a box with nothing to roll out wakes for nothing

Cause: the thread for roll-outs woke 50 times a second on every control box. Change: it sleeps until there is a roll-out and this box leads. wgMeasure runs one measurement by name.

--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -224,6 +224,8 @@
       rolloutConfig_ = std::make_shared<const Config>(state_.config);
     }
     duty = { rolloutConfig_, leadSince_, LeaseEnd(replica_, now) };
+  } else if (rolloutConfig_ == nullptr) {
+    return; // as before
   } else {
     rolloutConfig_.reset();
   }
--- a/Source/Control/wgRolloutRunner.cxx
+++ b/Source/Control/wgRolloutRunner.cxx
@@ -82,7 +82,10 @@
 
 RolloutRunner::~RolloutRunner()
 {
-  stopping_ = true;
+  {
+    absl::MutexLock lock(&mutex_);
+    stopping_ = true;
+  }
   thread_.join();
 }
 
@@ -104,31 +107,50 @@
   return rows_;
 }
 
+bool RolloutRunner::IsWanted() const
+{
+  return duty_.config != nullptr || stopping_;
+}
+
+/** Sleeps while there is nothing to roll out, or another box leads. */
 void RolloutRunner::Run()
 {
-  while (!stopping_) {
-    const Elapsed next = ElapsedNow() + Period;
-    Advance(Duty());
-    while (!stopping_ && ElapsedNow() < next) {
-      absl::SleepFor(StopPoll);
+  while (!IsStopping()) {
+    const RolloutDuty duty = Duty();
+    if (duty.config != nullptr) {
+      Advance(duty);
+      Pause(Period);
+      continue;
     }
+    watches_.clear();
+    absl::MutexLock lock(&mutex_);
+    rows_ = Json::array();
+    mutex_.Await(absl::Condition(this, &RolloutRunner::IsWanted));
   }
 }
 
+void RolloutRunner::Pause(absl::Duration time)
+{
+  absl::MutexLock lock(&mutex_);
+  mutex_.AwaitWithTimeout(absl::Condition(&stopping_), time);
+}
+
+bool RolloutRunner::IsStopping()
+{
+  absl::MutexLock lock(&mutex_);
+  return stopping_;
+}
+
 void RolloutRunner::Advance(const RolloutDuty& duty)
 {
   Json rows = Json::array();
-  if (duty.config == nullptr) {
-    watches_.clear();
-  } else {
-    for (const RolloutConfig& rollout : duty.config->rollouts) {
-      const std::vector<ReplicaView> replicas =
-        AskReplicas(*duty.config, rollout.name);
-      const RolloutStep step = NextRolloutStep(
-        rollout, replicas, watches_[rollout.name], {}, ElapsedNow());
-      rows.push_back(DescribeRollout(rollout, step, replicas));
-      Take(rollout, step, *duty.config);
-    }
+  for (const RolloutConfig& rollout : duty.config->rollouts) {
+    const std::vector<ReplicaView> replicas =
+      AskReplicas(*duty.config, rollout.name);
+    const RolloutStep step = NextRolloutStep(
+      rollout, replicas, watches_[rollout.name], {}, ElapsedNow());
+    rows.push_back(DescribeRollout(rollout, step, replicas));
+    Take(rollout, step, *duty.config);
   }
   absl::MutexLock lock(&mutex_);
   rows_ = std::move(rows);
@@ -211,7 +233,7 @@
   });
   const Elapsed end = ElapsedNow() + ProposeTimeout;
   while (!wait->done.WaitForNotificationWithTimeout(StopPoll)) {
-    if (stopping_ || ElapsedNow() > end) {
+    if (IsStopping() || ElapsedNow() > end) {
       return {};
     }
   }
--- a/Source/Control/wgRolloutRunner.h
+++ b/Source/Control/wgRolloutRunner.h
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
-#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
@@ -52,6 +51,9 @@
 
 private:
   void Run();
+  bool IsWanted() const ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
+  bool IsStopping();
+  void Pause(absl::Duration time);
   void Advance(const RolloutDuty& duty);
   void Take(const RolloutConfig& rollout, const RolloutStep& step,
             const Config& config);
@@ -61,10 +63,10 @@
   RolloutDuty Duty();
 
   Propose propose_;
-  std::atomic<bool> stopping_{ false };
   std::map<std::string, RolloutWatch> watches_; // by group
   std::map<std::string, RolloutState> logged_;  // by group
   absl::Mutex mutex_;
+  bool stopping_ ABSL_GUARDED_BY(mutex_) = false;
   RolloutDuty duty_ ABSL_GUARDED_BY(mutex_);
   nlohmann::json rows_ ABSL_GUARDED_BY(mutex_) = nlohmann::json::array();
   std::thread thread_;
--- a/Tests/Process/wgMeasure.cxx
+++ b/Tests/Process/wgMeasure.cxx
@@ -367,26 +367,44 @@
 
 } // namespace
 
-int main()
+/** All measurements, or the one that is named. */
+int main(int argc, char** argv)
 {
-  MeasureAddedTime();
-  MeasureStreams();
-  MeasureRate(1, 200, 10);
-  for (const double rate : { 100.0, 200.0, 400.0 }) {
-    MeasureRate(4, rate, 10);
-  }
-  for (const int entries : { 3, 9, 18 }) {
-    MeasureIdle(entries);
-  }
-  for (const int authors : { 1, 16, 64 }) {
-    MeasureChanges(authors, 3000);
-  }
-  for (const int entries : { 1, 3, 9 }) {
-    MeasureChangeCost(entries, 1000);
-  }
-  for (const int changes : { 1000, 10000, 100000 }) {
-    MeasureRestart(changes, true);
-    MeasureRestart(changes, false);
-  }
+  const std::string only = argc > 1 ? argv[1] : "";
+  const auto measure = [&only](const char* name,
+                               const std::function<void()>& run) {
+    if (only.empty() || only == name) {
+      run();
+    }
+  };
+  measure("added-time", MeasureAddedTime);
+  measure("streams", MeasureStreams);
+  measure("rate", [] {
+    MeasureRate(1, 200, 10);
+    for (const double rate : { 100.0, 200.0, 400.0 }) {
+      MeasureRate(4, rate, 10);
+    }
+  });
+  measure("rest", [] {
+    for (const int entries : { 3, 9, 18 }) {
+      MeasureIdle(entries);
+    }
+  });
+  measure("claims", [] {
+    for (const int authors : { 1, 16, 64 }) {
+      MeasureChanges(authors, 3000);
+    }
+  });
+  measure("changes", [] {
+    for (const int entries : { 1, 3, 9 }) {
+      MeasureChangeCost(entries, 1000);
+    }
+  });
+  measure("restart", [] {
+    for (const int changes : { 1000, 10000, 100000 }) {
+      MeasureRestart(changes, true);
+      MeasureRestart(changes, false);
+    }
+  });
   return 0;
 }
