Decision: tokens are booked once, and answers tell what their stages took

Cause: a test that compares the entries' costs with what endpoints ran and callers got failed: 1839 tokens booked where callers got 1815, and 907 for a plain service that makes none. Each try booked all tokens of the request so far, also tries that went on after a broken stream, and stages after it.

Change: a try books what it has made. An answer carries what its stages took, and weirgate-load sums it by stage. Links between halls are in the configuration, and routing counts them; boxes that should be there are too, so that "wait" and "show boxes" miss one that was never heard.

--- a/Source/Config/wgConfig.cxx
+++ b/Source/Config/wgConfig.cxx
@@ -16,6 +16,8 @@
 constexpr int MaxPort = 65535;
 constexpr std::size_t MaxVersionBytes = 100;
 constexpr int MaxSlots = 100000;
+constexpr double MaxLinkMs = 10000.0;
+constexpr double MsPerSecond = 1000.0;
 constexpr int MaxDeadlineMs = 24 * 3600 * 1000;
 
 template <class Items>
@@ -84,6 +86,49 @@
   return Done{};
 }
 
+Outcome<Done> CheckLink(const Config& config, const LinkConfig& link)
+{
+  const bool areTwo =
+    link.between.size() == 2 && link.between[0] != link.between[1];
+  if (!areTwo) {
+    return Error{ "A link must be between two halls; name both." };
+  }
+  for (const std::string& hall : link.between) {
+    if (FindNamed(config.halls, hall) == nullptr) {
+      return Error{ absl::StrCat("A link names the hall \"", hall,
+                                 "\", which does not exist; add the hall.") };
+    }
+  }
+  if (!(link.oneWayMs >= 0.0 && link.oneWayMs <= MaxLinkMs)) {
+    return Error{ absl::StrCat(
+      "The link between \"", link.between[0], "\" and \"", link.between[1],
+      "\" needs one_way_ms from 0 to ", MaxLinkMs, ".") };
+  }
+  return Done{};
+}
+
+Outcome<Done> CheckBox(const Config& config, const BoxConfig& box)
+{
+  if (FindNamed(config.halls, box.hall) == nullptr) {
+    return Error{ absl::StrCat("The box \"", box.name, "\" names the hall \"",
+                               box.hall,
+                               "\", which does not exist; add the hall.") };
+  }
+  return Done{};
+}
+
+/** The first error of a check of each item. */
+template <class Items, class Check>
+Outcome<Done> CheckEach(const Items& items, Check check)
+{
+  for (const auto& item : items) {
+    if (auto outcome = check(item); !Succeeded(outcome)) {
+      return outcome;
+    }
+  }
+  return Done{};
+}
+
 Outcome<Done> CheckPipeline(const Config& config, const PipelineConfig& p)
 {
   const std::string subject = absl::StrCat("The pipeline \"", p.name, "\" ");
@@ -179,6 +224,22 @@
   return FindNamed(config.accounts, name);
 }
 
+double RoundTripSeconds(const Config& config, absl::string_view hall,
+                        absl::string_view other)
+{
+  if (hall == other) {
+    return 0.0;
+  }
+  for (const LinkConfig& link : config.links) {
+    const bool joins = (link.between[0] == hall && link.between[1] == other) ||
+                       (link.between[1] == hall && link.between[0] == other);
+    if (joins) {
+      return 2.0 * link.oneWayMs / MsPerSecond;
+    }
+  }
+  return 2.0 * LinkConfig{}.oneWayMs / MsPerSecond;
+}
+
 const RolloutConfig* FindRollout(const Config& config, absl::string_view group)
 {
   return FindNamed(config.rollouts, group);
@@ -197,8 +258,9 @@
 
 Outcome<Done> CheckConfig(const Config& config)
 {
-  const std::array<Outcome<Done>, 6> names = {
+  const std::array<Outcome<Done>, 7> names = {
     CheckNames("hall", config.halls),
+    CheckNames("box", config.boxes),
     CheckNames("group", config.groups),
     CheckNames("endpoint", config.endpoints),
     CheckNames("pipeline", config.pipelines),
@@ -210,23 +272,19 @@
       return outcome;
     }
   }
-  for (const auto& endpoint : config.endpoints) {
-    if (auto outcome = CheckEndpoint(config, endpoint); !Succeeded(outcome)) {
-      return outcome;
-    }
-  }
-  for (const auto& pipeline : config.pipelines) {
-    if (auto outcome = CheckPipeline(config, pipeline); !Succeeded(outcome)) {
-      return outcome;
-    }
-  }
-  for (const auto& rollout : config.rollouts) {
-    if (auto outcome = CheckRollout(config, rollout); !Succeeded(outcome)) {
-      return outcome;
-    }
-  }
-  for (const auto& account : config.accounts) {
-    if (auto outcome = CheckAccount(account); !Succeeded(outcome)) {
+  const auto with = [&config](auto check) {
+    return [&config, check](const auto& item) { return check(config, item); };
+  };
+  const std::array<Outcome<Done>, 6> parts = {
+    CheckEach(config.links, with(CheckLink)),
+    CheckEach(config.boxes, with(CheckBox)),
+    CheckEach(config.endpoints, with(CheckEndpoint)),
+    CheckEach(config.pipelines, with(CheckPipeline)),
+    CheckEach(config.rollouts, with(CheckRollout)),
+    CheckEach(config.accounts, CheckAccount)
+  };
+  for (const auto& outcome : parts) {
+    if (!Succeeded(outcome)) {
       return outcome;
     }
   }
--- a/Source/Config/wgConfig.h
+++ b/Source/Config/wgConfig.h
@@ -28,6 +28,21 @@
   std::string name;
 };
 
+/** \brief How far two halls are from each other. */
+struct LinkConfig
+{
+  std::string name;                 // may be empty
+  std::vector<std::string> between; // two halls
+  double oneWayMs = 0.5;
+};
+
+/** \brief One box that runs weirgate, so that a missing one is missed. */
+struct BoxConfig
+{
+  std::string name;
+  std::string hall;
+};
+
 /** \brief One place that runs stages: a model server or plain service. */
 struct EndpointConfig
 {
@@ -87,6 +102,8 @@
 {
   std::uint64_t revision = 0;
   std::vector<HallConfig> halls;
+  std::vector<LinkConfig> links;
+  std::vector<BoxConfig> boxes;
   std::vector<GroupConfig> groups;
   std::vector<EndpointConfig> endpoints;
   std::vector<PipelineConfig> pipelines;
@@ -103,6 +120,12 @@
                                    absl::string_view name);
 const AccountConfig* FindAccount(const Config& config, absl::string_view name);
 
+/** \brief There and back between two halls, in seconds; where no link is
+ * given, that of a link of 0.5 ms one way.
+ */
+double RoundTripSeconds(const Config& config, absl::string_view hall,
+                        absl::string_view other);
+
 /** \brief The roll-out of a group, or null. */
 const RolloutConfig* FindRollout(const Config& config,
                                  absl::string_view group);
--- a/Source/Config/wgConfigText.cxx
+++ b/Source/Config/wgConfigText.cxx
@@ -166,15 +166,17 @@
 
 void RefuseUnknownTables(const toml::table& root, std::string& firstError)
 {
-  constexpr std::array<std::string_view, 6> known = { "hall",     "group",
+  constexpr std::array<std::string_view, 8> known = { "hall",     "link",
+                                                      "box",      "group",
                                                       "endpoint", "pipeline",
                                                       "account",  "rollout" };
   for (const auto& [key, node] : root) {
     if (std::find(known.begin(), known.end(), key.str()) == known.end()) {
       TableReader(root, "the file", firstError)
-        .Fail(node, absl::StrCat("\"", std::string(key.str()),
-                                 "\" is none of hall, group, endpoint, "
-                                 "pipeline, account and rollout."));
+        .Fail(node,
+              absl::StrCat("\"", std::string(key.str()),
+                           "\" is none of hall, link, box, group, endpoint, "
+                           "pipeline, account and rollout."));
     }
   }
 }
@@ -204,6 +206,15 @@
   RefuseUnknownTables(root, error);
   ReadEach(root, "hall", config.halls, error,
            [](TableReader&, HallConfig&) {});
+  ReadEach(root, "link", config.links, error,
+           [](TableReader& reader, LinkConfig& l) {
+             reader.ReadTexts("between", l.between);
+             reader.ReadNumber("one_way_ms", l.oneWayMs);
+           });
+  ReadEach(root, "box", config.boxes, error,
+           [](TableReader& reader, BoxConfig& b) {
+             reader.ReadText("hall", b.hall);
+           });
   ReadEach(root, "group", config.groups, error,
            [&error](TableReader& reader, GroupConfig& g) {
              ReadKind(reader, g.kind, error);
@@ -256,6 +267,15 @@
   for (const auto& h : config.halls) {
     absl::StrAppend(&out, "[[hall]]\nname = ", Quote(h.name), "\n\n");
   }
+  for (const auto& l : config.links) {
+    absl::StrAppend(&out, "[[link]]\nname = ", Quote(l.name), "\nbetween = [",
+                    Quote(l.between[0]), ", ", Quote(l.between[1]),
+                    "]\none_way_ms = ", l.oneWayMs, "\n\n");
+  }
+  for (const auto& b : config.boxes) {
+    absl::StrAppend(&out, "[[box]]\nname = ", Quote(b.name),
+                    "\nhall = ", Quote(b.hall), "\n\n");
+  }
   for (const auto& g : config.groups) {
     absl::StrAppend(&out, "[[group]]\nname = ", Quote(g.name), "\nkind = \"",
                     Name(g.kind),
--- a/Source/Decision/wgEndpointState.h
+++ b/Source/Decision/wgEndpointState.h
@@ -53,7 +53,8 @@
 {
   std::string name;
   std::string hall;
-  std::string address; // IP number
+  double distanceSeconds = 0.0; // there and back from this entry's hall
+  std::string address;          // IP number
   int port = 0;
   int slots = 1;
   bool drained = false;       // by an operator
--- a/Source/Decision/wgRouter.cxx
+++ b/Source/Decision/wgRouter.cxx
@@ -129,10 +129,8 @@
   const double service = ServiceSecondsAt(endpoint, query.priorSeconds);
   const double ahead = OthersAt(endpoint, query, service) + endpoint.running;
   const double fill = (ahead + 1.0) / std::max(1, endpoint.slots);
-  const double distance = endpoint.hall == query.hall
-                            ? 0.0
-                            : absl::ToDoubleSeconds(query.hallDistance);
-  return service * std::max(fill, 1.0) + service * 0.5 * fill + distance;
+  return service * std::max(fill, 1.0) + service * 0.5 * fill +
+         endpoint.distanceSeconds;
 }
 
 std::optional<RouteDecision> ChooseEndpoint(
--- a/Source/Decision/wgRouter.h
+++ b/Source/Decision/wgRouter.h
@@ -26,11 +26,9 @@
 /** \brief What the choice of an endpoint depends on. */
 struct RouteQuery
 {
-  std::string hall;          // the entry's own
   std::uint64_t prefix = 0;  // hash of the prompt's prefix; 0: none
   double priorSeconds = 0.1; // of the whole group
   Elapsed now;
-  absl::Duration hallDistance = absl::Milliseconds(1); // round trip
   std::size_t avoid = SIZE_MAX; // where an earlier attempt failed
   std::size_t choices = 3;      // how many are compared
   PlaceRule rule = PlaceRule::Any;
--- a/Source/Entry/wgBlackboard.cxx
+++ b/Source/Entry/wgBlackboard.cxx
@@ -16,7 +16,7 @@
 
 /** Takes over what is learned of endpoints that stay, by name. */
 std::vector<EndpointState> MergeEndpoints(
-  const Config& config, const std::string& group,
+  const Config& config, const std::string& ownHall, const std::string& group,
   const std::vector<EndpointState>& known)
 {
   // Grants refer to endpoints by their place in the list: none may move or
@@ -41,6 +41,7 @@
     }
     state.removed = false;
     state.hall = endpoint.hall;
+    state.distanceSeconds = RoundTripSeconds(config, ownHall, endpoint.hall);
     state.address = endpoint.address;
     state.port = endpoint.port;
     state.slots = endpoint.slots;
@@ -54,14 +55,16 @@
   return merged;
 }
 
-void ApplyToGroups(GroupTable& table, const Config& config, Elapsed now)
+void ApplyToGroups(GroupTable& table, const Config& config,
+                   const std::string& ownHall, Elapsed now)
 {
   absl::MutexLock lock(&table.mutex);
   for (const GroupConfig& group : config.groups) {
     GroupState& state = table.groups[group.name];
     state.name = group.name;
     state.priorSeconds = group.expectedMs / MillisecondsPerSecond;
-    state.endpoints = MergeEndpoints(config, group.name, state.endpoints);
+    state.endpoints =
+      MergeEndpoints(config, ownHall, group.name, state.endpoints);
     DispatchGroup(table, state, now);
   }
 }
@@ -119,7 +122,7 @@
     return false;
   }
   blackboard.config.confirmed = now;
-  ApplyToGroups(blackboard.groups, config, now);
+  ApplyToGroups(blackboard.groups, config, blackboard.hall, now);
   LogChange("config",
             absl::StrCat("revision ", config.revision, " is in force"));
   {
--- a/Source/Entry/wgRequestRunner.cxx
+++ b/Source/Entry/wgRequestRunner.cxx
@@ -43,6 +43,20 @@
   return "cancelled";
 }
 
+/** What the stages of one request took, for its caller. */
+nlohmann::json DescribeCosts(const CostLedger& costs)
+{
+  nlohmann::json rows = nlohmann::json::array();
+  for (const auto& [key, cost] : costs) {
+    rows.push_back({ { "stage", key.stage },
+                     { "tries", cost.tries },
+                     { "tokens", cost.tokens },
+                     { "useful_s", cost.usefulSeconds },
+                     { "wasted_s", cost.wastedSeconds } });
+  }
+  return rows;
+}
+
 } // namespace
 
 RequestRunner::RequestRunner(RunnerContext context, CallerRequest request)
@@ -255,6 +269,7 @@
   if (document_.contains("ranked")) {
     output["sources"] = document_["ranked"];
   }
+  output["cost"] = DescribeCosts(costs_);
   return RequestAnswer{ std::move(output) };
 }
 
@@ -366,7 +381,6 @@
     return { std::nullopt, Reason::DeadlineUnreachable };
   }
   RouteQuery query;
-  query.hall = context_.blackboard.hall;
   query.priorSeconds = ahead.front().serviceSeconds;
   query.avoid = avoid;
   if (Group(stage).kind == StageKind::Generate) {
@@ -397,6 +411,7 @@
   call.priority = request_.priority;
   call.deadline = deadline_;
   call.mayReuseConnection = group.repeatable && request_.repeatable;
+  attemptTokens_ = 0;
   if (group.kind != StageKind::Generate) {
     call.body = StageBody(group.kind, document_, request_.maxTokens, 0);
     return context_.endpoints.Call(call);
@@ -406,12 +421,14 @@
   if (generated_.next > 0) {
     context_.blackboard.counters.Add(Event::StreamResumed);
   }
+  const std::size_t tokensBefore = generated_.next;
   GenerationReader reader(generated_, sink);
   call.onBytes = [&reader](absl::string_view bytes) {
     return reader.Take(bytes);
   };
   EndpointReply reply = context_.endpoints.Call(call);
   callerLeft_ = reader.HasCallerLeft();
+  attemptTokens_ = generated_.next - tokensBefore;
   document_["text"] = generated_.text;
   if (reply.end == AttemptEnd::Answered && !reader.IsWhole()) {
     reply.end = AttemptEnd::Failed; // the stream ended before the answer did
@@ -496,12 +513,13 @@
     }
     DispatchGroup(board.groups, group, ElapsedNow());
   }
+  const CostKey key{ request_.account, request_.pipeline, groupName };
+  const AttemptCost cost{ result.done ? CostKind::Useful : CostKind::Wasted,
+                          attempt.attempt > 1, reply.seconds, attemptTokens_ };
+  AddCost(costs_, key, cost);
   {
     absl::MutexLock lock(&board.accounts.mutex);
-    AddCost(board.accounts.costs,
-            { request_.account, request_.pipeline, groupName },
-            { result.done ? CostKind::Useful : CostKind::Wasted,
-              attempt.attempt > 1, reply.seconds, generated_.next });
+    AddCost(board.accounts.costs, key, cost);
   }
   absl::MutexLock lock(&board.requests.mutex);
   auto found = board.requests.records.running.find(request_.id);
--- a/Source/Entry/wgRequestRunner.h
+++ b/Source/Entry/wgRequestRunner.h
@@ -125,6 +125,8 @@
   nlohmann::json document_; // what the stages have made so far
   TokenStream generated_;   // what the caller has of the generated text
   double queuedSeconds_ = 0.0;
+  std::uint64_t attemptTokens_ = 0; // that the running attempt has made
+  CostLedger costs_;                // of this request alone
 };
 
 } // namespace wg
--- a/Tests/Bench/wgBench.cxx
+++ b/Tests/Bench/wgBench.cxx
@@ -168,6 +168,35 @@
 }
 BENCHMARK(GossipRound)->Arg(9)->Arg(100)->Arg(1000)->Arg(3800);
 
+/** What a full mesh would take for the same: the own state to every other
+ * member, signed for each.
+ */
+void MeshRound(benchmark::State& state)
+{
+  wg::wire::Gossip gossip;
+  wg::wire::Member& member = *gossip.add_members();
+  member.set_box("self");
+  member.set_address("10.0.0.1:7002");
+  for (int d = 0; d < 8; ++d) {
+    wg::wire::Demand& demand = *member.add_demands();
+    demand.set_group("llm");
+    demand.set_account(absl::StrCat("account-", d));
+    demand.set_running(3);
+  }
+  double bytes = 0.0;
+  for (auto _ : state) {
+    bytes = 0.0;
+    for (std::int64_t i = 1; i < state.range(0); ++i) {
+      const std::string body = gossip.SerializeAsString();
+      bytes += static_cast<double>(
+        body.size() +
+        wg::SignRequest("key", "peer", "gossip", "", body).size());
+    }
+  }
+  state.counters["bytes_sent"] = bytes;
+}
+BENCHMARK(MeshRound)->Arg(9)->Arg(100)->Arg(1000)->Arg(3800);
+
 void ApplyOneChange(benchmark::State& state)
 {
   const std::size_t before = AllocatedBytes();
--- a/Tests/Config/wgConfigTest.cxx
+++ b/Tests/Config/wgConfigTest.cxx
@@ -28,6 +28,14 @@
 [[account]]
 name = "a"
 weight = 2
+[[hall]]
+name = "h2"
+[[link]]
+between = ["h2", "h1"]
+one_way_ms = 3
+[[box]]
+name = "entry-1"
+hall = "h1"
 )";
 
 std::string ErrorOf(const std::string& text)
@@ -147,6 +155,23 @@
   CHECK(wg::CompleteCommand("drain").front() == "endpoint");
 }
 
+TEST_CASE("links and boxes name halls that exist")
+{
+  const wg::Config config = wg::Value(wg::ReadConfig(Sound));
+  CHECK(wg::RoundTripSeconds(config, "h1", "h2") == 0.006);
+  CHECK(wg::RoundTripSeconds(config, "h1", "h1") == 0.0);
+  CHECK(wg::RoundTripSeconds(config, "h1", "h3") == 0.001);
+  CHECK_THAT(ErrorOf(Replace(Sound, "[\"h2\", \"h1\"]", "[\"h2\", \"h9\"]")),
+             Catch::Contains("the hall \"h9\""));
+  CHECK_THAT(ErrorOf(Replace(Sound, "[\"h2\", \"h1\"]", "[\"h1\", \"h1\"]")),
+             Catch::Contains("two halls"));
+  CHECK_THAT(ErrorOf(Replace(Sound, "one_way_ms = 3", "one_way_ms = -1")),
+             Catch::Contains("one_way_ms"));
+  CHECK_THAT(ErrorOf(Replace(Sound, "entry-1\"\nhall = \"h1\"",
+                             "entry-1\"\nhall = \"h9\"")),
+             Catch::Contains("The box \"entry-1\""));
+}
+
 namespace {
 
 wg::Config Apply(const wg::Config& config, const wg::wire::Change& change)
--- a/Tests/Decision/wgDecisionTest.cxx
+++ b/Tests/Decision/wgDecisionTest.cxx
@@ -40,6 +40,7 @@
     wg::EndpointState endpoint;
     endpoint.name = "e" + std::to_string(i);
     endpoint.hall = i % 2 == 0 ? "h0" : "h1";
+    endpoint.distanceSeconds = i % 2 == 0 ? 0.001 : 0.0;
     endpoint.slots = slots;
     endpoint.limit.value = slots;
     group.endpoints.push_back(endpoint);
@@ -273,7 +274,6 @@
   wg::NotePrefix(group.prefixes, 77, 5);
   wg::RouteQuery query;
   query.prefix = 77;
-  query.hall = "h1";
   std::uint64_t turn = 0;
   const auto choose = [&] {
     return wg::ChooseEndpoint(wg::RoutePolicy::ExpectedFinish, group.endpoints,
--- a/Tests/Policy/wgPolicySimulation.cxx
+++ b/Tests/Policy/wgPolicySimulation.cxx
@@ -194,6 +194,9 @@
           EndpointState endpoint;
           endpoint.name = shape.name + std::to_string(i);
           endpoint.hall = "h" + std::to_string(i % Halls);
+          const bool isNear =
+            i % Halls == static_cast<int>(e) / EntriesPerHall;
+          endpoint.distanceSeconds = isNear ? 0.0 : 2 * run_.shape.linkSeconds;
           endpoint.slots = shape.slots;
           endpoint.limit.value = shape.slots;
           group.endpoints.push_back(endpoint);
@@ -391,9 +394,7 @@
         ? ServiceSeconds(ahead) - waiting.expectedCost
         : -run_.seconds; // the baselines give nothing up before its deadline
     RouteQuery query;
-    query.hall = "h" + std::to_string(request.entry / EntriesPerHall);
     query.priorSeconds = ahead.front().serviceSeconds;
-    query.hallDistance = absl::Seconds(2 * run_.shape.linkSeconds);
     query.avoid = avoid;
     waiting_[waiting.ticket] = id;
     const bool hopeless = run_.admission && (!ahead.front().anyEndpoint ||
--- a/Tests/Process/wgControlFailuresTest.cxx
+++ b/Tests/Process/wgControlFailuresTest.cxx
@@ -346,6 +346,12 @@
   CHECK(cluster.RunClient({ "explain", "request", "no-such" }) == 1);
   CHECK(cluster.RunClient({ "drain", "endpoint", "nobody" }) == 1);
   CHECK(cluster.RunClient({ "drain", "endpoint", "llm-1" }) == 0);
+  // A box that should be there and was never heard is missed.
+  cluster.AddBox("entry-9");
+  CHECK(cluster.RunClient(
+          { "--timeout-ms", "300", "wait", "revision", "1" }) == 4);
+  CHECK(cluster.RunClient({ "show", "boxes" }) == 0);
+  CHECK_THAT(cluster.LogOf("client"), Catch::Contains("never_heard"));
   const std::string log = cluster.LogOf("client");
   CHECK_THAT(log, Catch::Contains("came first"));
   CHECK_THAT(log, Catch::Contains("There is no endpoint \"nobody\""));
--- a/Tests/Process/wgTestCluster.cxx
+++ b/Tests/Process/wgTestCluster.cxx
@@ -201,12 +201,7 @@
   });
   Await("that all control boxes vote",
         [this] { return VoterCount() == layout_.voters; });
-  wire::Change change;
-  change.set_id(MakeChangeId());
-  change.mutable_apply()->set_toml(MakeConfig());
-  if (Send(change).verdict() != wire::ChangeResult::ACCEPTED) {
-    throw std::runtime_error("The configuration was not accepted.");
-  }
+  Apply();
   for (int i = 0; i < layout_.entries; ++i) {
     Await("entries that are ready", [this, i] {
       return Get(entryPorts_[Slot(i)], "/readyz").is_string();
@@ -279,6 +274,9 @@
     absl::StrAppend(&toml, "[[group]]\nname = \"", name, "\"\nkind = \"", kind,
                     "\"\nrepeatable = ", repeatable, "\nexpected_ms = 10\n");
   }
+  for (const std::string& box : boxLines_) {
+    absl::StrAppend(&toml, "[[box]]\nname = \"", box, "\"\nhall = \"h1\"\n");
+  }
   for (const EndpointLine& line : endpointLines_) {
     absl::StrAppend(&toml, "[[endpoint]]\nname = \"", line.name,
                     "\"\ngroup = \"", line.group, "\"\nhall = \"", line.hall,
@@ -556,14 +554,27 @@
   return spares;
 }
 
-void TestCluster::AddEndpointAt(const std::string& group, int port)
+void TestCluster::Apply()
 {
-  endpointLines_.push_back(
-    { absl::StrCat(group, "-", port), group, "", "h1", port, 0.0 });
   wire::Change change;
   change.set_id(MakeChangeId());
   change.mutable_apply()->set_toml(MakeConfig());
-  Send(change);
+  if (Send(change).verdict() != wire::ChangeResult::ACCEPTED) {
+    throw std::runtime_error("The configuration was not accepted.");
+  }
+}
+
+void TestCluster::AddBox(const std::string& name)
+{
+  boxLines_.push_back(name);
+  Apply();
+}
+
+void TestCluster::AddEndpointAt(const std::string& group, int port)
+{
+  endpointLines_.push_back(
+    { absl::StrCat(group, "-", port), group, "", "h1", port, 0.0 });
+  Apply();
 }
 
 bool TestCluster::EntryHears(const std::string& endpoint)
--- a/Tests/Process/wgTestCluster.h
+++ b/Tests/Process/wgTestCluster.h
@@ -119,6 +119,8 @@
   /** \brief The boxes, by index, that run and have no vote. */
   std::vector<int> Spares();
 
+  /** \brief Adds a box to the configuration that does not run. */
+  void AddBox(const std::string& name);
   /** \brief Adds an endpoint that a test serves itself, as "group-port". */
   void AddEndpointAt(const std::string& group, int port);
   /** \brief Whether entry 0 has got a load report of an endpoint. */
@@ -147,6 +149,7 @@
   void AddEndpoint(const std::string& group, const std::string& kind,
                    const std::string& hall, double ms);
   std::string MakeConfig() const;
+  void Apply();
   nlohmann::json StatusAt(int port);
   std::string ControlAddresses() const;
   std::set<std::string> VoterIds();
@@ -166,6 +169,7 @@
   TestPorts ports_;
   std::string folder_;
   std::vector<EndpointLine> endpointLines_;
+  std::vector<std::string> boxLines_;
   int platformPort_ = 0;
   std::vector<int> controlPorts_;
   std::vector<int> wirePorts_;
--- a/Utilities/Client/wgClient.cxx
+++ b/Utilities/Client/wgClient.cxx
@@ -132,14 +132,12 @@
       const auto statuses = wg::FetchStatuses(client_, settings_);
       auto rows = wg::SelectRows({ "boxes", "", {}, "" }, statuses);
       behind = Json::array();
-      bool any = false;
       for (const Json& row : wg::Value(rows)) {
-        any = true;
         if (row.value("revision", std::uint64_t{ 0 }) < wait.revision) {
           behind.push_back(row);
         }
       }
-      if (any && behind.empty()) {
+      if (!wg::Value(rows).empty() && behind.empty()) {
         std::cout << "Revision " << wait.revision
                   << " is in force on every box that is known.\n";
         return ExitDone;
--- a/Utilities/Client/wgClientView.cxx
+++ b/Utilities/Client/wgClientView.cxx
@@ -9,6 +9,8 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 
+#include "wgConfigText.h"
+
 namespace wg {
 namespace {
 
@@ -66,6 +68,31 @@
   return found == fields.end() ? std::string() : found->second;
 }
 
+/** Boxes of the configuration that no server has heard of: they have no
+ * revision in force, as far as anyone knows.
+ */
+void AddUnheardBoxes(const Json& status, Json& rows)
+{
+  const auto config = ReadConfig(status.value("config", ""));
+  if (!Succeeded(config)) {
+    return;
+  }
+  for (const BoxConfig& box : Value(config).boxes) {
+    const bool heard =
+      std::any_of(rows.begin(), rows.end(), [&box](const Json& row) {
+        return row.value("box", "") == box.name;
+      });
+    if (!heard) {
+      rows.push_back({ { "box", box.name },
+                       { "hall", box.hall },
+                       { "state", "never_heard" },
+                       { "revision", 0 },
+                       { "told_by", status.value("box", "") },
+                       { "age_ms", status.value("age_ms", 0) } });
+    }
+  }
+}
+
 /** Rows of one table from every server that has it, each told by whom. */
 Json GatherRows(const std::string& table, const std::vector<Json>& statuses)
 {
@@ -93,6 +120,11 @@
       rows.push_back(std::move(row));
     }
   }
+  for (const Json& status : statuses) {
+    if (table == "boxes") {
+      AddUnheardBoxes(status, rows);
+    }
+  }
   return rows;
 }
 
--- a/Utilities/Load/wgLoadCall.cxx
+++ b/Utilities/Load/wgLoadCall.cxx
@@ -69,6 +69,16 @@
   result.run = problem.value("run", "");
 }
 
+void TakeCosts(const Json& answer, LoadResult& result)
+{
+  for (const Json& row : answer.value("cost", Json::array())) {
+    result.costs.push_back(
+      { row.value("stage", ""), row.value("tries", std::uint64_t{ 0 }),
+        row.value("tokens", std::uint64_t{ 0 }), row.value("useful_s", 0.0),
+        row.value("wasted_s", 0.0) });
+  }
+}
+
 /** Reads the events of a streamed answer as they come. */
 class StreamReader
 {
@@ -106,6 +116,7 @@
       result_.whole =
         IsWholeAnswer(input_, data) && data.value("text", "") == text_;
       result_.wrong = !result_.whole;
+      TakeCosts(data, result_);
     } else {
       TakeToken(data);
     }
@@ -193,6 +204,9 @@
     const Json answer = Json::parse(body, nullptr, false);
     result.whole = answer.is_object() && IsWholeAnswer(input, answer);
     result.wrong = !result.whole;
+    if (answer.is_object()) {
+      TakeCosts(answer, result);
+    }
   }
   return true;
 }
--- a/Utilities/Load/wgLoadCall.h
+++ b/Utilities/Load/wgLoadCall.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <vector>
@@ -22,6 +23,16 @@
   bool once = false; // sent with an idempotency key of its own
 };
 
+/** \brief What one stage of a request took, as its answer says. */
+struct LoadStageCost
+{
+  std::string stage;
+  std::uint64_t tries = 0;
+  std::uint64_t tokens = 0;
+  double usefulSeconds = 0.0;
+  double wastedSeconds = 0.0;
+};
+
 /** \brief How one request went, as its caller saw it. */
 struct LoadResult
 {
@@ -36,6 +47,7 @@
   double seconds = 0.0;
   double firstTokenSeconds = -1.0;
   double longestGapSeconds = -1.0; // between two tokens
+  std::vector<LoadStageCost> costs;
 };
 
 /** \brief How requests are sent. */
--- a/Utilities/Load/wgLoadReport.cxx
+++ b/Utilities/Load/wgLoadReport.cxx
@@ -77,6 +77,29 @@
            { "longest_gap", Quantiles(gaps) } };
 }
 
+/** Sums by stage over all answers. */
+Json SumCosts(absl::Span<const LoadResult> results)
+{
+  std::map<std::string, LoadStageCost> sums;
+  for (const LoadResult& result : results) {
+    for (const LoadStageCost& cost : result.costs) {
+      LoadStageCost& sum = sums[cost.stage];
+      sum.tries += cost.tries;
+      sum.tokens += cost.tokens;
+      sum.usefulSeconds += cost.usefulSeconds;
+      sum.wastedSeconds += cost.wastedSeconds;
+    }
+  }
+  Json stages = Json::object();
+  for (const auto& [stage, sum] : sums) {
+    stages[stage] = { { "tries", sum.tries },
+                      { "tokens", sum.tokens },
+                      { "useful_s", sum.usefulSeconds },
+                      { "wasted_s", sum.wastedSeconds } };
+  }
+  return stages;
+}
+
 std::string Row(const std::string& name, const Json& part)
 {
   return absl::StrFormat(
@@ -98,6 +121,7 @@
   }
   Json report = Summarize(results);
   report["seconds"] = seconds;
+  report["cost_by_stage"] = SumCosts(results);
   for (const auto& [account, part] : byAccount) {
     report["accounts"][account] = Summarize(part);
   }
@@ -126,6 +150,12 @@
   for (const auto& [reason, count] : report["refusals"].items()) {
     absl::StrAppendFormat(&out, "refused, %s: %d\n", reason, count.get<int>());
   }
+  for (const auto& [stage, cost] : report["cost_by_stage"].items()) {
+    absl::StrAppendFormat(
+      &out, "cost of %s: %d tries, %d tokens, %.3f s useful, %.3f s wasted\n",
+      stage, cost["tries"].get<int>(), cost["tokens"].get<int>(),
+      cost["useful_s"].get<double>(), cost["wasted_s"].get<double>());
+  }
   return out;
 }
 
