Decision: the right to give orders is decided apart, and tested

Cause: the rule that an endpoint without fences gets no order while an earlier leader's may come stood among sockets, where no test reached it; and no test showed that a deadline ends the work at the engine.

Change: MayOrder is pure; a test for each.

--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -223,7 +223,7 @@
     if (changed) {
       rolloutConfig_ = std::make_shared<const Config>(state_.config);
     }
-    duty = { rolloutConfig_, leadSince_, LeaseEnd(replica_, now) };
+    duty = { rolloutConfig_, { leadSince_, LeaseEnd(replica_, now) } };
   } else if (rolloutConfig_ == nullptr) {
     return; // as before
   } else {
--- a/Source/Control/wgRolloutRunner.cxx
+++ b/Source/Control/wgRolloutRunner.cxx
@@ -21,10 +21,6 @@
 constexpr absl::Duration AskTimeout = absl::Milliseconds(300);
 constexpr absl::Duration OrderTimeout = absl::Seconds(1);
 constexpr absl::Duration ProposeTimeout = absl::Seconds(2);
-/** An earlier leader's order is on its way no longer than this: it is given
- * under a lease that has ended, and its call ends after OrderTimeout.
- */
-constexpr absl::Duration EarlierOrdersEnd = absl::Seconds(3);
 constexpr std::int64_t MaxBusy = 1000000;
 
 using Json = nlohmann::json;
@@ -193,8 +189,12 @@
   change.mutable_raise_fence()->set_order(
     absl::StrCat("version ", rollout.version));
   const wire::ChangeResult raised = ProposeAndWait(std::move(change));
-  if (raised.verdict() != wire::ChangeResult::ACCEPTED ||
-      !MayOrder(endpoint)) {
+  const RolloutDuty duty = Duty();
+  const bool mayOrder =
+    raised.verdict() == wire::ChangeResult::ACCEPTED &&
+    duty.config != nullptr &&
+    MayOrder(duty.right, endpoint.checksFence, ElapsedNow());
+  if (!mayOrder) {
     return;
   }
   const Outcome<Done> sent =
@@ -205,18 +205,6 @@
   }
 }
 
-/** Under the lease only; and where the endpoint does not check the fence,
- * only when no earlier leader's order can still come.
- */
-bool RolloutRunner::MayOrder(const EndpointConfig& endpoint)
-{
-  const RolloutDuty duty = Duty();
-  const Elapsed now = ElapsedNow();
-  const bool earlierEnded =
-    endpoint.checksFence || now - duty.leadSince >= EarlierOrdersEnd;
-  return duty.config != nullptr && now < duty.leaseEnd && earlierEnded;
-}
-
 /** Waits a while; what is decided later is seen in the configuration. */
 wire::ChangeResult RolloutRunner::ProposeAndWait(wire::Change change)
 {
--- a/Source/Control/wgRolloutRunner.h
+++ b/Source/Control/wgRolloutRunner.h
@@ -23,8 +23,7 @@
 struct RolloutDuty
 {
   std::shared_ptr<const Config> config; // null: this box does not lead
-  Elapsed leadSince;
-  Elapsed leaseEnd = -absl::InfiniteDuration();
+  OrderRight right;
 };
 
 /** \class RolloutRunner
@@ -58,7 +57,6 @@
   void Take(const RolloutConfig& rollout, const RolloutStep& step,
             const Config& config);
   void GiveOrder(const RolloutConfig& rollout, const EndpointConfig& endpoint);
-  bool MayOrder(const EndpointConfig& endpoint);
   wire::ChangeResult ProposeAndWait(wire::Change change);
   RolloutDuty Duty();
 
--- a/Source/Decision/wgRollout.cxx
+++ b/Source/Decision/wgRollout.cxx
@@ -7,6 +7,11 @@
 namespace wg {
 namespace {
 
+/** An earlier leader's order is on its way no longer than this: it was given
+ * under a lease that has ended, and its call ends after a second.
+ */
+constexpr absl::Duration EarlierOrdersEnd = absl::Seconds(3);
+
 bool IsUpdated(const RolloutConfig& rollout, const ReplicaView& replica)
 {
   return replica.answers && replica.version == rollout.version &&
@@ -89,6 +94,13 @@
   return { RolloutMove::Begin, RolloutState::Beginning, next->name };
 }
 
+bool MayOrder(const OrderRight& right, bool checksFence, Elapsed now)
+{
+  const bool earlierEnded =
+    checksFence || now - right.leadSince >= EarlierOrdersEnd;
+  return now < right.leaseEnd && earlierEnded;
+}
+
 bool IsServing(const ReplicaView& replica)
 {
   return replica.answers && replica.ready && !replica.leaving &&
--- a/Source/Decision/wgRollout.h
+++ b/Source/Decision/wgRollout.h
@@ -78,6 +78,19 @@
                             RolloutWatch& watch, const RolloutTiming& timing,
                             Elapsed now);
 
+/** \brief What a leader knows of its own right to give orders. */
+struct OrderRight
+{
+  Elapsed leadSince;
+  Elapsed leaseEnd = -absl::InfiniteDuration();
+};
+
+/** \brief Whether an endpoint may be given an order now: under the lease only;
+ * and where it does not check fences, only when no earlier leader's order can
+ * still be on its way.
+ */
+bool MayOrder(const OrderRight& right, bool checksFence, Elapsed now);
+
 /** \brief Whether it would serve a request now. */
 bool IsServing(const ReplicaView& replica);
 
--- a/Tests/Decision/wgRolloutTest.cxx
+++ b/Tests/Decision/wgRolloutTest.cxx
@@ -131,6 +131,18 @@
   CHECK(step.state == RolloutState::Done);
 }
 
+TEST_CASE("orders are given under a lease, and where fences are not checked "
+          "only when no earlier leader's can come")
+{
+  const wg::OrderRight right{ absl::Seconds(10), absl::Seconds(20) };
+  CHECK(wg::MayOrder(right, true, absl::Seconds(10)));
+  CHECK_FALSE(wg::MayOrder(right, true, absl::Seconds(20)));
+  CHECK_FALSE(wg::MayOrder(right, false, absl::Seconds(12.9)));
+  CHECK(wg::MayOrder(right, false, absl::Seconds(13)));
+  CHECK_FALSE(wg::MayOrder(right, false, absl::Seconds(20)));
+  CHECK_FALSE(wg::MayOrder({}, true, absl::Seconds(1)));
+}
+
 TEST_CASE("whole roll-outs: never too few, and a bad version stops at one")
 {
   FleetSettings settings;
--- a/Tests/Process/wgCallerLeavesTest.cxx
+++ b/Tests/Process/wgCallerLeavesTest.cxx
@@ -22,9 +22,10 @@
 class StreamCaller
 {
 public:
-  StreamCaller(int port, const std::string& input)
+  StreamCaller(int port, const std::string& input,
+               const std::string& deadlineMs = "600000")
     : client_("127.0.0.1", port)
-    , thread_([this, input] { Read(input); })
+    , thread_([this, input, deadlineMs] { Read(input, deadlineMs); })
   {
   }
   ~StreamCaller() { Leave(); }
@@ -40,13 +41,14 @@
   int Events() const { return events_; }
 
 private:
-  void Read(const std::string& input)
+  void Read(const std::string& input, const std::string& deadlineMs)
   {
     httplib::Request request;
     request.method = "POST";
     request.path = "/v1/pipelines/answer";
     request.headers = { { "Weirgate-Account", "a" },
                         { "Accept", "text/event-stream" },
+                        { "Weirgate-Deadline-Ms", deadlineMs },
                         { "Content-Type", "application/json" } };
     request.body =
       nlohmann::json{ { "input", input }, { "max_tokens", 1000 } }.dump();
@@ -107,6 +109,19 @@
   CHECK(WaitFor([&] { return HasRefused(cluster, "caller_left", 1); }));
 }
 
+TEST_CASE("a deadline that passes ends the work at the engine", "[left-late]")
+{
+  TestCluster cluster(OneSlowEngine());
+  const int engine = cluster.PortOf("llm-1");
+  StreamCaller caller(cluster.EntryPort(0), LongInput(), "6000");
+  Await("tokens", [&] { return caller.Events() > 1; });
+  CHECK(WaitFor([&] {
+    return cluster.Get(engine, "/v1/runs")["cancelled"] == 1 &&
+           cluster.Get(engine, "/v1/load")["running"] == 0;
+  }));
+  CHECK(WaitFor([&] { return HasRefused(cluster, "deadline_passed", 1); }));
+}
+
 TEST_CASE("a caller that leaves while its stage waits runs nothing more",
           "[left-waiting]")
 {
