--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -2,8 +2,12 @@
 #include "wgControlNode.h"
 
 #include <algorithm>
+#include <chrono>
+#include <set>
 #include <utility>
 
+#include <boost/asio/post.hpp>
+
 #include <nlohmann/json.hpp>
 
 #include "absl/random/distributions.h"
@@ -16,14 +20,17 @@
 namespace wg {
 namespace {
 
-constexpr absl::Duration LoopWait = absl::Milliseconds(10);
+constexpr auto TickPeriod = std::chrono::milliseconds(15);
 constexpr absl::Duration CallTimeout = absl::Seconds(2);
 constexpr absl::Duration SnapshotTimeout = absl::Seconds(10);
 constexpr absl::Duration JoinPeriod = absl::Milliseconds(500);
-constexpr absl::Duration MaxFollowWait = absl::Seconds(10);
+constexpr absl::Duration JoinerMemory = absl::Seconds(10);
+constexpr absl::Duration ForwardTimeout = absl::Milliseconds(900);
 constexpr std::size_t MaxMail = 20000;
-constexpr std::size_t MaxFollowers = 10000;
 constexpr std::uint64_t RetainedEntries = 500;
+/** What the retained entries, and those since the last snapshot, may take. */
+constexpr std::uint64_t MaxRetainedBytes = 4U << 20U;
+constexpr std::uint64_t MaxBytesSinceSnapshot = 8U << 20U;
 
 template <class... Handlers>
 struct Overloaded : Handlers...
@@ -33,6 +40,23 @@
 template <class... Handlers>
 Overloaded(Handlers...) -> Overloaded<Handlers...>;
 
+/** As many of the last entries as fit the bounds. */
+std::uint64_t EntriesToRetain(const Replica& replica)
+{
+  std::uint64_t entries = 0;
+  std::uint64_t bytes = 0;
+  std::uint64_t index = replica.applied;
+  while (entries < RetainedEntries && replica.log.Has(index)) {
+    bytes += replica.log.At(index).change().size();
+    if (bytes > MaxRetainedBytes) {
+      break;
+    }
+    ++entries;
+    --index;
+  }
+  return entries;
+}
+
 std::string Answer(wire::ChangeResult::Verdict verdict,
                    const std::string& message, const std::string& leader)
 {
@@ -95,13 +119,29 @@
     [this](wire::Change change, RolloutRunner::Answer answer) {
       ProposeOwn(std::move(change), std::move(answer));
     });
-  thread_ = std::thread([this] { Run(); });
+  registry_.timing = settings_.registry;
+  registry_.incarnation = identity;
+  FoundIfAsked();
+  ArmTick();
+  thread_ = std::thread([this] { loop_.run(); });
   return Done{};
 }
 
+void ControlNode::FoundIfAsked()
+{
+  const bool first = !settings_.controls.empty() &&
+                     settings_.controls.front() == settings_.advertise;
+  if (!settings_.foundAtStart || !first || !replica_.cluster.empty()) {
+    return;
+  }
+  FoundRequest request{ [](const std::string&) {} };
+  OnFound(request);
+}
+
 void ControlNode::Stop()
 {
   stopping_ = true;
+  loop_.stop();
   if (thread_.joinable()) {
     thread_.join();
   }
@@ -129,6 +169,8 @@
     FollowWaiter waiter{ {}, {}, std::move(respond) };
     sound = waiter.request.ParseFromString(request.body);
     Post(std::move(waiter));
+  } else if (isPeer && request.path == "/document") {
+    Post(ReadCall{ std::move(respond) });
   } else if (isPeer && request.path == "/join") {
     JoinCall call{ {}, std::move(respond) };
     sound = call.request.ParseFromString(request.body);
@@ -152,7 +194,8 @@
   const bool isClaim =
     call.change.has_take_claim() || call.change.has_end_claim();
   const bool isInternal = call.change.has_step_rollout();
-  if (!parsed || isInternal || (isClaim && request.who != PeerName)) {
+  const bool isForPeers = isClaim || call.change.has_publish();
+  if (!parsed || isInternal || (isForPeers && request.who != PeerName)) {
     counters_.Add(Event::PeerRejected);
     call.respond(Answer(wire::ChangeResult::REJECTED,
                         "The change can't be read, or is not for operators.",
@@ -182,32 +225,45 @@
     return;
   }
   mail_.push_back(std::move(mail));
+  if (!std::exchange(stepPosted_, true)) {
+    boost::asio::post(loop_, [this] { Step(); });
+  }
 }
 
 std::vector<ControlNode::Mail> ControlNode::TakeMail()
 {
   absl::MutexLock lock(&mutex_);
-  mutex_.AwaitWithTimeout(
-    absl::Condition(
-      +[](std::vector<Mail>* mail) { return !mail->empty(); }, &mail_),
-    LoopWait);
+  stepPosted_ = false;
   return std::exchange(mail_, {});
 }
 
-void ControlNode::Run()
+void ControlNode::ArmTick()
 {
-  while (!stopping_) {
-    for (Mail& mail : TakeMail()) {
-      Handle(std::move(mail));
+  tick_.expires_after(TickPeriod);
+  tick_.async_wait([this](boost::system::error_code error) {
+    if (!error && !stopping_) {
+      Step();
+      ArmTick();
     }
-    TickReplica();
-    CarryOutActions();
-    ApplyCommitted();
-    AnswerFollowers();
-    CompactIfDue();
-    NoteRole();
-    TellRolloutDuty();
+  });
+}
+
+/** Takes all mail at once, so that one sync covers what came together. */
+void ControlNode::Step()
+{
+  for (Mail& mail : TakeMail()) {
+    Handle(std::move(mail));
   }
+  TickReplica();
+  CarryOutActions();
+  ApplyCommitted();
+  const Elapsed now = ElapsedNow();
+  TickFollowers(followers_, now);
+  TickRegistry(registry_, now);
+  AnswerFollowers(followers_, Followed(), now);
+  CompactIfDue();
+  NoteRole();
+  TellRolloutDuty();
 }
 
 /** While there are roll-outs, and this box leads under a lease. */
@@ -249,7 +305,10 @@
                 [this](FollowWaiter& waiter) { OnFollow(std::move(waiter)); },
                 [this](JoinCall& call) { OnJoin(call); },
                 [this](StatusCall& call) { OnStatus(call); },
-                [this](JoinAnswer& answer) { OnJoinAnswer(answer); } },
+                [this](JoinAnswer& answer) { OnJoinAnswer(answer); },
+                [this](ReadCall& call) {
+                  call.respond(ReadOwn().SerializeAsString());
+                } },
     mail);
 }
 
@@ -282,6 +341,13 @@
                            LeaderAddress()));
     return;
   }
+  if (request.change.has_publish() && !IsWholeAtFirst()) {
+    request.respond(Answer(wire::ChangeResult::UNAVAILABLE,
+                           "The cluster has too few voters yet; send it "
+                           "again in a second.",
+                           settings_.advertise));
+    return;
+  }
   if (request.change.has_take_claim()) {
     request.change.mutable_take_claim()->set_now_ms(
       clockAtLead_ + absl::ToInt64Milliseconds(now - leadSince_));
@@ -293,45 +359,137 @@
 
 void ControlNode::OnFollow(FollowWaiter waiter)
 {
-  boxes_[waiter.request.box()] = { waiter.request.hall(),
-                                   waiter.request.have_revision(),
-                                   ElapsedNow() };
-  const absl::Duration wait = std::min(
-    absl::Milliseconds(std::max<std::int64_t>(waiter.request.wait_ms(), 0)),
-    MaxFollowWait);
-  waiter.until = ElapsedNow() + wait;
-  const bool answered = AnswerFollower(waiter);
-  if (!answered && followers_.size() < MaxFollowers) {
-    followers_.push_back(std::move(waiter));
+  TakeFollow(followers_, std::move(waiter), Followed(), ElapsedNow());
+}
+
+FollowedState ControlNode::Followed() const
+{
+  return { &state_, &registry_, KnownControls(), ElapsedNow() - leaderHeard_ };
+}
+
+/** Voters, learners, and those that ask to join, without any twice. */
+std::vector<std::string> ControlNode::KnownControls() const
+{
+  std::set<std::string> known(settings_.controls.begin(),
+                              settings_.controls.end());
+  known.insert(settings_.advertise);
+  for (const auto* list :
+       { &replica_.voters.voters(), &replica_.voters.learners() }) {
+    for (const wire::Voter& voter : *list) {
+      known.insert(voter.address());
+    }
   }
+  const Elapsed now = ElapsedNow();
+  for (const auto& [id, joiner] : joining_) {
+    if (now - joiner.lastAsked < JoinerMemory) {
+      known.insert(joiner.who.address());
+    }
+  }
+  return { known.begin(), known.end() };
+}
+
+/** Until the first document there must be as many voters as are wanted: a
+ * cluster that has just been founded would lose it with a single disk.
+ */
+bool ControlNode::IsWholeAtFirst() const
+{
+  return state_.document.number() > 0 ||
+         static_cast<std::size_t>(replica_.voters.voters_size()) >=
+           settings_.wantedVoters;
 }
 
-/** Answers when there is something newer, or the wait is over. */
-bool ControlNode::AnswerFollower(const FollowWaiter& waiter)
+void ControlNode::Publish(wire::PublishDocument document, PublishAnswer answer)
 {
-  const std::uint64_t have = waiter.request.have_revision();
-  const bool newer = state_.config.revision > have;
-  if (!newer && ElapsedNow() < waiter.until) {
-    return false;
+  if (document.number() <= state_.document.number()) {
+    wire::ChangeResult held;
+    held.set_verdict(wire::ChangeResult::ACCEPTED);
+    answer(held);
+    return;
   }
-  wire::FollowReply reply;
-  reply.set_revision(state_.config.revision);
-  reply.set_known(state_.config.revision > 0);
-  reply.set_age_ms(absl::ToInt64Milliseconds(ElapsedNow() - leaderHeard_));
-  if (newer && !ChangesSince(state_, have, reply)) {
-    reply.set_toml(PrintConfig(state_.config));
+  wire::Change change;
+  change.set_author(settings_.box);
+  *change.mutable_publish() = std::move(document);
+  auto respond = [answer](const std::string& bytes) {
+    wire::ChangeResult result;
+    result.ParseFromString(bytes);
+    answer(result);
+  };
+  const std::string leader = LeaderAddress();
+  const bool forward = replica_.role != ReplicaRole::Leader &&
+                       !leader.empty() && leader != settings_.advertise;
+  if (!forward) {
+    Post(ChangeRequest{ std::move(change), respond });
+    return;
   }
-  waiter.respond(reply.SerializeAsString());
-  return true;
+  client_->Call(
+    leader, "/change", change.SerializeAsString(), ForwardTimeout,
+    [this, respond](const Outcome<std::string>& reply) {
+      const std::string bytes =
+        Succeeded(reply)
+          ? Value(reply)
+          : wg::Answer(wire::ChangeResult::UNAVAILABLE, Message(reply), "");
+      boost::asio::post(loop_, [respond, bytes] { respond(bytes); });
+    });
 }
 
-void ControlNode::AnswerFollowers()
+wire::DocumentReply ControlNode::ReadOwn() const
 {
-  followers_.erase(std::remove_if(followers_.begin(), followers_.end(),
-                                  [this](const FollowWaiter& waiter) {
-                                    return AnswerFollower(waiter);
-                                  }),
-                   followers_.end());
+  wire::DocumentReply reply;
+  const bool applied = replica_.applied >= replica_.commit;
+  if (applied && HoldsLease(replica_, ElapsedNow())) {
+    reply.set_sure(true);
+    reply.set_number(state_.document.number());
+    reply.set_content(state_.document.content());
+  }
+  return reply;
+}
+
+void ControlNode::ReadDocument(ReadAnswer answer)
+{
+  const std::string leader = LeaderAddress();
+  const bool own = replica_.role == ReplicaRole::Leader || leader.empty() ||
+                   leader == settings_.advertise;
+  if (own) {
+    answer(ReadOwn());
+    return;
+  }
+  client_->Call(leader, "/document", "", ForwardTimeout,
+                [this, answer](const Outcome<std::string>& reply) {
+                  wire::DocumentReply document;
+                  const bool sound =
+                    Succeeded(reply) && document.ParseFromString(Value(reply));
+                  if (!sound) {
+                    document.Clear();
+                  }
+                  boost::asio::post(loop_,
+                                    [answer, document] { answer(document); });
+                });
+}
+
+void ControlNode::Register(const wire::Registration& heartbeat)
+{
+  if (TakeHeartbeat(registry_, heartbeat, ElapsedNow())) {
+    AnswerFollowers(followers_, Followed(), ElapsedNow());
+  }
+}
+
+void ControlNode::Unregister(absl::string_view endpoint)
+{
+  if (TakeLeave(registry_, endpoint, ElapsedNow())) {
+    AnswerFollowers(followers_, Followed(), ElapsedNow());
+  }
+}
+
+void ControlNode::AddControls(std::vector<std::string> addresses)
+{
+  boost::asio::post(loop_, [this, addresses = std::move(addresses)] {
+    auto& known = settings_.controls;
+    for (const std::string& address : addresses) {
+      if (std::find(known.begin(), known.end(), address) == known.end()) {
+        known.push_back(address);
+      }
+    }
+  });
 }
 
 void ControlNode::OnJoin(JoinCall& call)
@@ -373,7 +531,7 @@
   status["claims"] = state_.claims.size();
   status["storage"] = writeFailed_ ? "failing" : "sound";
   status["age_ms"] = absl::ToInt64Milliseconds(now - leaderHeard_);
-  status["boxes"] = DescribeBoxes(boxes_, now);
+  status["boxes"] = DescribeBoxes(followers_.boxes, now);
   status["rollouts"] = rollouts_->Describe();
   status["config"] = PrintPublicConfig(state_.config);
   wire::StatusReply reply;
@@ -392,7 +550,7 @@
   wire::JoinRequest request;
   *request.mutable_who() = replica_.self;
   request.set_cluster(replica_.cluster);
-  for (const std::string& address : settings_.controls) {
+  for (const std::string& address : KnownControls()) {
     if (address == settings_.advertise) {
       continue;
     }
@@ -560,6 +718,7 @@
                       "Another leader took over; the change was not made.",
                       LeaderAddress()));
     }
+    bytesSinceSnapshot_ += entry->change().size();
     Applied(replica_, entry->index());
   }
   if (replica_.role != ReplicaRole::Leader && !waiters_.empty()) {
@@ -584,11 +743,13 @@
   // A snapshot writes the whole state: the larger that is, the rarer.
   const std::uint64_t after =
     std::max<std::uint64_t>(settings_.compactAfter, state_.claims.size() / 2);
-  const bool due = replica_.applied >= replica_.snapshot.index() + after;
+  const bool due = replica_.applied >= replica_.snapshot.index() + after ||
+                   bytesSinceSnapshot_ > MaxBytesSinceSnapshot;
   if (!due || writeFailed_) {
     return;
   }
-  Compact(replica_, SaveState(state_), RetainedEntries);
+  bytesSinceSnapshot_ = 0;
+  Compact(replica_, SaveState(state_), EntriesToRetain(replica_));
   if (auto saved = store_->SaveSnapshot(replica_); !Succeeded(saved)) {
     LogChange("storage", Message(saved));
   }
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -11,12 +11,17 @@
 #include <vector>
 
 #include "absl/base/thread_annotations.h"
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include "absl/random/random.h"
 #include "absl/synchronization/mutex.h"
 
 #include "wgControlStatus.h"
 #include "wgCounters.h"
 #include "wgElapsed.h"
+#include "wgEndpointRegistry.h"
+#include "wgFollowers.h"
 #include "wgOutcome.h"
 #include "wgPeerClient.h"
 #include "wgPeerServer.h"
@@ -41,6 +46,9 @@
   std::size_t wantedVoters = 3;
   absl::Duration spareAfter = absl::Seconds(60); // infinite: never
   std::uint64_t compactAfter = 2000; // applied entries between snapshots
+  /** The first of `controls` founds the cluster if its folder is fresh. */
+  bool foundAtStart = false;
+  RegistryTiming registry;
 };
 
 /** \class ControlNode
@@ -57,6 +65,23 @@
   Outcome<Done> Start();
   void Stop();
 
+  /** \brief The loop that the replica runs on; others may use it as well. */
+  boost::asio::io_context& Loop() { return loop_; }
+
+  using PublishAnswer = std::function<void(const wire::ChangeResult&)>;
+  using ReadAnswer = std::function<void(const wire::DocumentReply&)>;
+
+  /** \brief Publishes a document, by way of the leader if that is another.
+   * Called on the loop, as are all below.
+   */
+  void Publish(wire::PublishDocument document, PublishAnswer answer);
+  /** \brief Reads the newest document, if it is sure to be the newest. */
+  void ReadDocument(ReadAnswer answer);
+  void Register(const wire::Registration& heartbeat);
+  void Unregister(absl::string_view endpoint);
+  /** \brief More addresses of control boxes. From any thread. */
+  void AddControls(std::vector<std::string> addresses);
+
 private:
   using Respond = PeerServer::Respond;
 
@@ -69,10 +94,8 @@
     wire::Change change;
     Respond respond;
   };
-  struct FollowWaiter
+  struct ReadCall
   {
-    wire::FollowRequest request;
-    Elapsed until;
     Respond respond;
   };
   struct JoinCall
@@ -89,8 +112,9 @@
   {
     wire::JoinReply reply;
   };
-  using Mail = std::variant<wire::AgreementBatch, FoundRequest, ChangeRequest,
-                            FollowWaiter, JoinCall, StatusCall, JoinAnswer>;
+  using Mail =
+    std::variant<wire::AgreementBatch, FoundRequest, ChangeRequest,
+                 FollowWaiter, JoinCall, StatusCall, JoinAnswer, ReadCall>;
 
   /** \brief A proposed change whose author waits for the outcome. */
   struct Waiter
@@ -103,7 +127,8 @@
   void HandleChange(const PeerRequest& request, Respond respond);
   void ProposeOwn(wire::Change change, RolloutRunner::Answer answer);
   void Post(Mail mail);
-  void Run();
+  void Step();
+  void ArmTick();
   std::vector<Mail> TakeMail();
   void Handle(Mail mail);
   void OnFound(FoundRequest& request);
@@ -120,8 +145,11 @@
   void ApplyCommitted();
   void InstallState();
   void FailWaiters();
-  void AnswerFollowers();
-  bool AnswerFollower(const FollowWaiter& waiter);
+  FollowedState Followed() const;
+  std::vector<std::string> KnownControls() const;
+  wire::DocumentReply ReadOwn() const;
+  bool IsWholeAtFirst() const;
+  void FoundIfAsked();
   void StartRepairStep();
   void CompactIfDue();
   std::string LeaderAddress() const;
@@ -141,8 +169,9 @@
   bool writeFailed_ = false;
   ReplicaRole loggedRole_ = ReplicaRole::Follower;
   std::map<std::uint64_t, Waiter> waiters_;
-  std::vector<FollowWaiter> followers_;
-  std::map<std::string, FollowerBox> boxes_;
+  std::uint64_t bytesSinceSnapshot_ = 0;
+  Followers followers_;
+  EndpointRegistry registry_;
   std::map<std::uint64_t, JoiningReplica> joining_;
   std::map<std::uint64_t, std::string> addresses_; // of replicas, by id
   Elapsed nextJoinAsk_;
@@ -152,8 +181,11 @@
   std::unique_ptr<RolloutRunner> rollouts_;
   std::shared_ptr<const Config> rolloutConfig_; // as the runner has it
 
+  boost::asio::io_context loop_;
+  boost::asio::steady_timer tick_{ loop_ };
   absl::Mutex mutex_;
   std::vector<Mail> mail_ ABSL_GUARDED_BY(mutex_);
+  bool stepPosted_ ABSL_GUARDED_BY(mutex_) = false;
   std::atomic<bool> stopping_{ false };
   std::thread thread_;
 };
--- a/Source/Control/wgControlStatus.h
+++ b/Source/Control/wgControlStatus.h
@@ -17,6 +17,8 @@
   std::string hall;
   std::uint64_t revision = 0;
   Elapsed heard;
+  std::string address = {}; // empty: it shares no work
+  Elapsed liveUntil = absl::ZeroDuration();
 };
 
 absl::string_view Name(ReplicaRole role);
--- /dev/null
+++ b/Source/Control/wgFollowers.cxx
@@ -0,0 +1,146 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgFollowers.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "wgConfigText.h"
+
+namespace wg {
+namespace {
+
+constexpr absl::Duration MaxWait = absl::Seconds(10);
+constexpr std::size_t MaxWaiting = 10000;
+/** Beyond its own wait, how late a box may ask again. */
+constexpr absl::Duration LateAfter = absl::Milliseconds(1500);
+constexpr absl::Duration ForgetAfter = absl::Minutes(10);
+
+bool IsLive(const FollowerBox& box, Elapsed now)
+{
+  return now < box.liveUntil;
+}
+
+bool HasNews(const Followers& followers, const FollowWaiter& waiter,
+             const FollowedState& state)
+{
+  const wire::FollowRequest& request = waiter.request;
+  if (state.service->config.revision > request.have_revision()) {
+    return true;
+  }
+  if (!request.wants_registry()) {
+    return false;
+  }
+  const EndpointRegistry& registry = *state.registry;
+  return state.service->document.number() > request.have_document() ||
+         request.registry() != registry.incarnation ||
+         request.have_registrations() != registry.revision ||
+         request.have_followers() != followers.revision;
+}
+
+void AddRegistry(const Followers& followers, const FollowWaiter& waiter,
+                 const FollowedState& state, Elapsed now,
+                 wire::FollowReply& reply)
+{
+  const wire::FollowRequest& request = waiter.request;
+  const wire::PublishDocument& document = state.service->document;
+  reply.set_document_number(document.number());
+  const bool newer = document.number() > request.have_document();
+  if (newer && request.want_document()) {
+    reply.set_document(document.content());
+  }
+  RegistrationsSince(*state.registry, request, reply);
+  reply.set_followers_revision(followers.revision);
+  const bool sameFollowers =
+    request.registry() == state.registry->incarnation &&
+    request.have_followers() == followers.revision;
+  if (!sameFollowers) {
+    for (const auto& [name, box] : followers.boxes) {
+      if (box.address.empty() || !IsLive(box, now)) {
+        continue;
+      }
+      wire::Follower& follower = *reply.add_followers();
+      follower.set_box(name);
+      follower.set_hall(box.hall);
+      follower.set_address(box.address);
+    }
+  }
+  for (const std::string& control : state.controls) {
+    reply.add_controls(control);
+  }
+}
+
+bool Answer(const Followers& followers, const FollowWaiter& waiter,
+            const FollowedState& state, Elapsed now)
+{
+  const bool waits = !HasNews(followers, waiter, state) && now < waiter.until;
+  if (waits) {
+    return false;
+  }
+  const Config& config = state.service->config;
+  const std::uint64_t have = waiter.request.have_revision();
+  wire::FollowReply reply;
+  reply.set_revision(config.revision);
+  reply.set_known(config.revision > 0);
+  reply.set_age_ms(absl::ToInt64Milliseconds(state.age));
+  const bool newer = config.revision > have;
+  if (newer && !ChangesSince(*state.service, have, reply)) {
+    reply.set_toml(PrintConfig(config));
+  }
+  if (waiter.request.wants_registry()) {
+    AddRegistry(followers, waiter, state, now, reply);
+  }
+  waiter.respond(reply.SerializeAsString());
+  return true;
+}
+
+} // namespace
+
+void TakeFollow(Followers& followers, FollowWaiter waiter,
+                const FollowedState& state, Elapsed now)
+{
+  const wire::FollowRequest& request = waiter.request;
+  const absl::Duration wait = std::min(
+    absl::Milliseconds(std::max<std::int64_t>(request.wait_ms(), 0)), MaxWait);
+  waiter.until = now + wait;
+  FollowerBox& box = followers.boxes[request.box()];
+  const bool isNew = !IsLive(box, now) || box.address != request.address();
+  box = { request.hall(), request.have_revision(), now, request.address(),
+          waiter.until + LateAfter };
+  if (isNew && request.wants_registry()) {
+    ++followers.revision;
+  }
+  const bool answered = Answer(followers, waiter, state, now);
+  if (!answered && followers.waiting.size() < MaxWaiting) {
+    followers.waiting.push_back(std::move(waiter));
+  }
+}
+
+void AnswerFollowers(Followers& followers, const FollowedState& state,
+                     Elapsed now)
+{
+  auto& waiting = followers.waiting;
+  waiting.erase(std::remove_if(waiting.begin(), waiting.end(),
+                               [&](const FollowWaiter& waiter) {
+                                 return Answer(followers, waiter, state, now);
+                               }),
+                waiting.end());
+}
+
+void TickFollowers(Followers& followers, Elapsed now)
+{
+  for (auto it = followers.boxes.begin(); it != followers.boxes.end();) {
+    auto current = it++;
+    FollowerBox& box = current->second;
+    const bool expired = box.liveUntil != absl::ZeroDuration() &&
+                         !box.address.empty() && !IsLive(box, now);
+    if (expired) {
+      box.address.clear();
+      ++followers.revision;
+    }
+    if (now - box.heard > ForgetAfter) {
+      followers.boxes.erase(current);
+    }
+  }
+}
+
+} // namespace wg
--- a/Source/Control/wgServiceState.cxx
+++ b/Source/Control/wgServiceState.cxx
@@ -162,6 +162,17 @@
   return Accepted(state.config.revision);
 }
 
+/** Needs no id: the number alone orders documents, and to publish one again
+ * changes nothing.
+ */
+Result ApplyPublish(ServiceState& state, const wire::PublishDocument& publish)
+{
+  if (publish.number() > state.document.number()) {
+    state.document = publish;
+  }
+  return Accepted(state.config.revision);
+}
+
 /** What changes the state but not the configuration, or nothing. */
 std::optional<Result> ApplyUnrevised(ServiceState& state,
                                      const wire::Change& change)
@@ -215,6 +226,9 @@
   if (change.has_end_claim()) {
     return ApplyEndClaim(state, change.end_claim());
   }
+  if (change.has_publish()) {
+    return ApplyPublish(state, change.publish());
+  }
   return ApplyOnce(state, change);
 }
 
@@ -266,6 +280,7 @@
     out.set_value(value);
   }
   *image.mutable_replacement() = state.replacement;
+  *image.mutable_document() = state.document;
   return image.SerializeAsString();
 }
 
@@ -299,6 +314,7 @@
     state.fences[in.endpoint()] = in.value();
   }
   state.replacement = image.replacement();
+  state.document = image.document();
   return state;
 }
 
--- a/Source/Control/wgServiceState.h
+++ b/Source/Control/wgServiceState.h
@@ -69,8 +69,9 @@
   absl::btree_map<ClaimKey, ClaimHolder> claims;
   std::set<std::pair<std::int64_t, ClaimKey>> claimAges;
   std::map<std::string, std::uint64_t> fences;
-  wire::ReplaceBox replacement; // the last that an operator asked for
-  std::int64_t clockMs = 0;     // elapsed time of the leaders, added up
+  wire::ReplaceBox replacement;   // the last that an operator asked for
+  wire::PublishDocument document; // number 0: none yet
+  std::int64_t clockMs = 0;       // elapsed time of the leaders, added up
 };
 
 /** \brief How long a claim is kept, in milliseconds of `clockMs`. */
--- /dev/null
+++ b/Source/Gateway/wgDialect.h
@@ -0,0 +1,60 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+#include "absl/types/span.h"
+
+#include "wgHttpMessage.h"
+#include "wgOutcome.h"
+#include "wgPeer.pb.h"
+#include "wgRouteTable.h"
+#include "wgStagePool.h"
+
+namespace wg {
+
+/** \brief Names of the fields that requests and answers carry. */
+struct FieldNames
+{
+  std::string request = "Weirgate-Request-Id";
+  std::string deadline = "Weirgate-Deadline-Ms";
+  std::string key = "Authorization";
+  std::string keyScheme = "Bearer ";
+  std::string account = "Weirgate-Account";
+  std::string endpoint = "Weirgate-Endpoint"; // no other may serve it
+  std::string rank = "Weirgate-Rank";
+  std::string tokens = "Weirgate-Tokens"; // "in,out"
+  std::string prompt = "Weirgate-Prompt"; // "part:tokens,part:tokens"
+  std::string pieces = "Weirgate-Pieces"; // of each stage, "2,0,1"
+  std::string pieceKey = "Weirgate-Piece-Key";
+  std::string inputs = "Weirgate-Inputs"; // handles of results
+  std::string notRun = "Weirgate-Not-Run";
+  std::string lastEvent = "Last-Event-ID";
+};
+
+/** \brief How this deployment's callers, endpoints and operators speak. The
+ * product's own dialect is what the members are by default.
+ */
+struct Dialect
+{
+  FieldNames fields;
+  std::string readyPath = "/readyz";
+  std::string metricsPath = "/metrics";
+
+  /** \brief Reads a published document; the error says what is wrong. */
+  Outcome<RouteTable> (*readDocument)(absl::string_view bytes) = nullptr;
+  /** \brief The request that has pieces made. */
+  HttpRequest (*makeStageCall)(absl::Span<const StagePiece> pieces,
+                               Elapsed now) = nullptr;
+  /** \brief One result for each piece, or an error. */
+  Outcome<std::vector<wire::StageItemResult>> (*readStageAnswer)(
+    absl::string_view body) = nullptr;
+  /** \brief The request that gives results up. */
+  HttpRequest (*makeRelease)(absl::Span<const std::string> handles) = nullptr;
+  /** \brief Where a result lies, IP:port. */
+  std::string (*addressOfResult)(absl::string_view handle) = nullptr;
+};
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgDirectory.h
@@ -0,0 +1,73 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+
+#include "wgElapsed.h"
+#include "wgPeer.pb.h"
+
+namespace wg {
+
+/** \brief An endpoint as its registrations tell, and as this box found it. */
+struct DirectoryEndpoint
+{
+  std::string id;
+  std::string service;
+  std::string address; // IP:port
+  std::string hall;
+  int slots = 1;
+  wire::Registration::State state = wire::Registration::READY;
+  std::uint64_t sequence = 0;
+  Elapsed warmFrom; // until then it is slow
+  Elapsed changed;  // when its state last changed
+
+  int running = 0;           // requests of this box
+  double pendingSeconds = 0; // prompt reading that this box has asked for
+  int failuresInRow = 0;
+  double failureShare = 0.0; // of the recent attempts, decaying
+  Elapsed avoidUntil;        // after failures
+};
+
+/** \brief All endpoints that this box knows. */
+struct Directory
+{
+  std::map<std::string, DirectoryEndpoint> endpoints; // by id
+};
+
+/** \brief Takes what a control box tells of an endpoint. Between control
+ * boxes the endpoint's own sequence decides; its end is final.
+ * \return whether the endpoint's state changed
+ */
+bool MergeRegistration(Directory& directory, const wire::Registration& news,
+                       Elapsed now);
+
+/** \brief Forgets endpoints that ended long ago and serve nothing of ours. */
+void ForgetEnded(Directory& directory, Elapsed now);
+
+/** \brief Whether new work may be sent there. */
+bool TakesNewWork(const DirectoryEndpoint& endpoint);
+
+/** \brief The endpoints of a service that take new work. */
+std::vector<DirectoryEndpoint*> ServingEndpoints(Directory& directory,
+                                                 absl::string_view service);
+
+/** \brief Those not avoided for their failures, or all when all are. */
+std::vector<DirectoryEndpoint*> SoundEndpoints(Directory& directory,
+                                               absl::string_view service,
+                                               Elapsed now);
+
+DirectoryEndpoint* FindEndpoint(Directory& directory, absl::string_view id);
+DirectoryEndpoint* FindByAddress(Directory& directory,
+                                 absl::string_view address);
+
+/** \brief Takes the end of an attempt in: failures in a row keep new work
+ * away, for longer each time.
+ */
+void NoteAttempt(DirectoryEndpoint& endpoint, bool failed, Elapsed now);
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgEndpointChoice.cxx
@@ -0,0 +1,142 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgEndpointChoice.h"
+
+#include <algorithm>
+#include <limits>
+
+#include <xxhash.h>
+
+#include "absl/random/distributions.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+
+namespace wg {
+namespace {
+
+/** What a failure share of one is taken to cost, in seconds. */
+constexpr double FailureSeconds = 2.0;
+constexpr double OtherHallSeconds = 0.0015;
+/** What each stream beside it adds to the time of an answer's pieces. */
+constexpr double StreamSeconds = 0.004;
+/** Keeps prompts together that would otherwise be spread by chance. */
+constexpr double RankSeconds = 0.004;
+constexpr std::size_t RankedEngines = 3;
+
+bool IsAvoided(const DirectoryEndpoint& endpoint, const ChoiceQuery& query)
+{
+  return std::find(query.avoid.begin(), query.avoid.end(), endpoint.id) !=
+         query.avoid.end();
+}
+
+std::int64_t SharedTokens(const PromptShape& prompt)
+{
+  std::int64_t shared = 0;
+  for (std::size_t i = 0; i + 1 < prompt.parts.size(); ++i) {
+    shared += prompt.parts[i].tokens;
+  }
+  return shared;
+}
+
+/** The engines in the order in which they are likely to hold the prompt. */
+std::vector<DirectoryEndpoint*> RankEngines(
+  absl::Span<DirectoryEndpoint* const> endpoints, const PromptShape& prompt)
+{
+  std::vector<DirectoryEndpoint*> ranked(endpoints.begin(), endpoints.end());
+  if (prompt.parts.empty()) {
+    return ranked;
+  }
+  const std::size_t deepest =
+    prompt.parts.size() > 1 ? prompt.parts.size() - 2 : 0;
+  const std::string& key = prompt.parts[deepest].id;
+  std::vector<std::pair<std::uint64_t, DirectoryEndpoint*>> weighed;
+  weighed.reserve(ranked.size());
+  for (DirectoryEndpoint* endpoint : ranked) {
+    weighed.emplace_back(RendezvousWeight(key, endpoint->id), endpoint);
+  }
+  std::sort(weighed.begin(), weighed.end(),
+            [](const auto& a, const auto& b) { return a.first > b.first; });
+  std::transform(weighed.begin(), weighed.end(), ranked.begin(),
+                 [](const auto& pair) { return pair.second; });
+  return ranked;
+}
+
+} // namespace
+
+std::uint64_t RendezvousWeight(absl::string_view key, absl::string_view name)
+{
+  const XXH64_hash_t seed = XXH64(key.data(), key.size(), 0);
+  return XXH64(name.data(), name.size(), seed);
+}
+
+std::vector<PromptPart> ParsePromptParts(absl::string_view text)
+{
+  std::vector<PromptPart> parts;
+  for (absl::string_view piece :
+       absl::StrSplit(text, ',', absl::SkipEmpty())) {
+    const std::pair<absl::string_view, absl::string_view> pair =
+      absl::StrSplit(absl::StripAsciiWhitespace(piece),
+                     absl::MaxSplits(':', 1));
+    PromptPart part{ std::string(pair.first), 0 };
+    if (absl::SimpleAtoi(pair.second, &part.tokens)) {
+      parts.push_back(std::move(part));
+    }
+  }
+  return parts;
+}
+
+DirectoryEndpoint* ChoosePlain(absl::Span<DirectoryEndpoint* const> endpoints,
+                               const ChoiceQuery& query,
+                               absl::BitGenRef random)
+{
+  DirectoryEndpoint* best = nullptr;
+  double least = std::numeric_limits<double>::infinity();
+  for (DirectoryEndpoint* endpoint : endpoints) {
+    if (IsAvoided(*endpoint, query)) {
+      continue;
+    }
+    const double load =
+      static_cast<double>(endpoint->running) / endpoint->slots +
+      (endpoint->hall == query.hall ? 0.0 : OtherHallSeconds) +
+      endpoint->failureShare * FailureSeconds +
+      absl::Uniform<double>(random, 0.0, OtherHallSeconds / 2);
+    if (load < least) {
+      least = load;
+      best = endpoint;
+    }
+  }
+  return best;
+}
+
+EngineChoice ChooseEngine(absl::Span<DirectoryEndpoint* const> endpoints,
+                          const PromptShape& prompt, const EngineSpeed& speed,
+                          const ChoiceQuery& query)
+{
+  const std::vector<DirectoryEndpoint*> ranked =
+    RankEngines(endpoints, prompt);
+  const double sharedSeconds =
+    static_cast<double>(SharedTokens(prompt)) * speed.secondsPerToken;
+  const double promptSeconds =
+    static_cast<double>(prompt.tokensIn) * speed.secondsPerToken;
+  EngineChoice best;
+  double soonest = std::numeric_limits<double>::infinity();
+  for (std::size_t rank = 0; rank < ranked.size(); ++rank) {
+    DirectoryEndpoint& engine = *ranked[rank];
+    if (IsAvoided(engine, query)) {
+      continue;
+    }
+    const bool likelyHeld = rank == 0;
+    const double read = promptSeconds - (likelyHeld ? sharedSeconds : 0.0);
+    const double finish =
+      engine.pendingSeconds + read + engine.running * StreamSeconds +
+      engine.failureShare * FailureSeconds +
+      (engine.hall == query.hall ? 0.0 : OtherHallSeconds) +
+      static_cast<double>(std::min(rank, RankedEngines)) * RankSeconds;
+    if (finish < soonest) {
+      soonest = finish;
+      best = { &engine, std::max(read, 0.0) };
+    }
+  }
+  return best;
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgEventSplitter.cxx
@@ -0,0 +1,65 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgEventSplitter.h"
+
+#include <algorithm>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+namespace wg {
+namespace {
+
+/** The end of the first whole event, or npos. Lines end with LF or CRLF. */
+std::size_t EventEnd(absl::string_view text, std::size_t from)
+{
+  for (std::size_t at = text.find('\n', from); at != absl::string_view::npos;
+       at = text.find('\n', at + 1)) {
+    const absl::string_view rest = text.substr(at + 1);
+    if (absl::StartsWith(rest, "\n")) {
+      return at + 2;
+    }
+    if (absl::StartsWith(rest, "\r\n")) {
+      return at + 3;
+    }
+  }
+  return absl::string_view::npos;
+}
+
+void NoteId(EventSplitter& reader, absl::string_view event)
+{
+  for (absl::string_view line : absl::StrSplit(event, '\n')) {
+    if (absl::ConsumePrefix(&line, "id:")) {
+      reader.lastId = std::string(absl::StripAsciiWhitespace(line));
+    }
+  }
+}
+
+} // namespace
+
+std::string TakeEvents(EventSplitter& reader, absl::string_view bytes)
+{
+  // The end may lie across what came before: look a little way back.
+  constexpr std::size_t LongestEnd = 3;
+  std::size_t from = reader.partial.size() > LongestEnd
+                       ? reader.partial.size() - LongestEnd
+                       : 0;
+  reader.partial.append(bytes.data(), bytes.size());
+  std::size_t whole = 0;
+  for (;;) {
+    const std::size_t end = EventEnd(reader.partial, from);
+    if (end == std::string::npos) {
+      break;
+    }
+    NoteId(reader,
+           absl::string_view(reader.partial).substr(whole, end - whole));
+    ++reader.events;
+    whole = end;
+    from = end;
+  }
+  std::string events = reader.partial.substr(0, whole);
+  reader.partial.erase(0, whole);
+  return events;
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -0,0 +1,300 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgGatewayNode.h"
+
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "absl/strings/str_cat.h"
+
+namespace wg {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr auto StopPeriod = std::chrono::milliseconds(50);
+constexpr absl::string_view RetryAfterStart = "0.30";
+
+} // namespace
+
+GatewayNode::GatewayNode(GatewaySettings settings, const Dialect& dialect)
+  : settings_(std::move(settings))
+  , dialect_(dialect)
+  , log_(settings_.box, "gateway")
+  , client_(loop_)
+  , releaser_(loop_, client_, directory_, dialect_)
+  , coordinator_(loop_, client_, directory_, dialect_, releaser_, metrics_)
+  , stopTimer_(loop_)
+{
+}
+
+GatewayNode::~GatewayNode()
+{
+  // Their threads post to the loop.
+  peerServer_.reset();
+  peerClient_.reset();
+}
+
+Outcome<Done> GatewayNode::Start()
+{
+  const Outcome<SocketAddress> peer =
+    ParseSocketAddress(settings_.peerAddress);
+  if (!Succeeded(peer)) {
+    return Error{ Message(peer) };
+  }
+  peerClient_ = std::make_unique<PeerClient>(
+    settings_.keys[std::string(PeerName)], PeerName);
+  stages_ = std::make_unique<StageClient>(loop_, *peerClient_, coordinator_,
+                                          releaser_, settings_.box, metrics_);
+  shared_.reset(new GatewayShared{ loop_,
+                                   dialect_,
+                                   directory_,
+                                   client_,
+                                   *stages_,
+                                   releaser_,
+                                   metrics_,
+                                   log_,
+                                   settings_.hall,
+                                   settings_.retryRules,
+                                   {},
+                                   {},
+                                   {} });
+  coordinator_.SetRetryRules(settings_.retryRules);
+  peerServer_ = std::make_unique<PeerServer>(
+    settings_.keys,
+    [this](const PeerRequest& request, PeerServer::Respond respond) {
+      OnPeer(request, std::move(respond));
+    },
+    counters_);
+  if (auto started = peerServer_->Start(Value(peer)); !Succeeded(started)) {
+    return started;
+  }
+  if (auto listening = Listen(); !Succeeded(listening)) {
+    return listening;
+  }
+  FollowHandler handler;
+  handler.onDocument = [this](std::uint64_t number,
+                              const std::string& content) {
+    OnDocument(number, content);
+  };
+  handler.onRegistration = [this](const wire::Registration& registration) {
+    OnRegistration(registration);
+  };
+  handler.onRegistrationsEnd = [this] { coordinator_.NoteDirectory(); };
+  handler.onMembers = [this](std::vector<GatewayMember> members) {
+    stages_->SetMembers(std::move(members));
+  };
+  follower_ = std::make_unique<ControlFollower>(
+    loop_, *peerClient_,
+    FollowerIdentity{ settings_.box, settings_.hall, settings_.peerAddress },
+    log_, std::move(handler));
+  follower_->AddControls(settings_.controls);
+  log_.Write(LogWeight::Notable, "start",
+             { { "hall", settings_.hall }, { "listen", settings_.listen } });
+  return Done{};
+}
+
+Outcome<Done> GatewayNode::Listen()
+{
+  const auto onReady = [this](const std::shared_ptr<HttpExchange>& exchange) {
+    OnReadyRequest(exchange);
+  };
+  callers_ = std::make_unique<HttpServer>(
+    loop_, [this](const auto& exchange) { OnRequest(exchange); });
+  readiness_ = std::make_unique<HttpServer>(loop_, onReady);
+  metricsServer_ = std::make_unique<HttpServer>(loop_, onReady);
+  const std::pair<HttpServer*, std::string> servers[] = {
+    { callers_.get(), settings_.listen },
+    { readiness_.get(), settings_.ready },
+    { metricsServer_.get(), settings_.metrics },
+  };
+  for (const auto& [server, text] : servers) {
+    if (text.empty()) {
+      continue;
+    }
+    const Outcome<SocketAddress> address = ParseSocketAddress(text);
+    if (!Succeeded(address)) {
+      return Error{ Message(address) };
+    }
+    auto started = server->Start(Value(address).host, Value(address).port);
+    if (!Succeeded(started)) {
+      return started;
+    }
+  }
+  return Done{};
+}
+
+void GatewayNode::AddControls(const std::vector<std::string>& addresses)
+{
+  follower_->AddControls(addresses);
+}
+
+void GatewayNode::OnRequest(const std::shared_ptr<HttpExchange>& exchange)
+{
+  if (table_ == nullptr) {
+    metrics_.Count("refused_no_document");
+    HttpResponse response = MakeResponse(
+      static_cast<unsigned>(http::status::service_unavailable), "", "");
+    response.set(http::field::retry_after, std::string(RetryAfterStart));
+    exchange->Respond(std::move(response));
+    return;
+  }
+  auto request = std::make_shared<GatewayRequest>(
+    *shared_, exchange, table_,
+    [this](const std::shared_ptr<GatewayRequest>& over) {
+      boost::asio::post(loop_, [this, over] { requests_.erase(over); });
+    });
+  requests_.insert(request);
+  request->Begin();
+}
+
+bool GatewayNode::IsReady() const
+{
+  return table_ != nullptr && !stopping_;
+}
+
+void GatewayNode::OnReadyRequest(const std::shared_ptr<HttpExchange>& exchange)
+{
+  const auto target = exchange->Request().target();
+  if (target == dialect_.metricsPath) {
+    exchange->Respond(MakeResponse(static_cast<unsigned>(http::status::ok),
+                                   "text/plain", PrintMetrics()));
+    return;
+  }
+  if (target != dialect_.readyPath) {
+    exchange->Respond(
+      MakeResponse(static_cast<unsigned>(http::status::not_found), "", ""));
+    return;
+  }
+  const http::status status =
+    IsReady() ? http::status::ok : http::status::service_unavailable;
+  exchange->Respond(MakeResponse(static_cast<unsigned>(status), "", ""));
+}
+
+std::string GatewayNode::PrintMetrics() const
+{
+  return absl::StrCat(
+    metrics_.Print(), "weirgate_document_number ",
+    table_ == nullptr ? 0 : table_->number, "\nweirgate_endpoints_known ",
+    directory_.endpoints.size(), "\nweirgate_requests_open ", requests_.size(),
+    "\nweirgate_log_lines_left_out ", log_.LeftOut(), "\n");
+}
+
+/** Runs on the peer server's thread. */
+void GatewayNode::OnPeer(const PeerRequest& request,
+                         PeerServer::Respond respond)
+{
+  if (request.path == "/stage") {
+    boost::asio::post(loop_, [this, body = request.body, respond] {
+      wire::StageWork work;
+      if (!work.ParseFromString(body)) {
+        respond("");
+        return;
+      }
+      coordinator_.Submit(work, [respond](const wire::StageReply& reply) {
+        respond(reply.SerializeAsString());
+      });
+    });
+    return;
+  }
+  if (request.path == "/cancel") {
+    boost::asio::post(loop_, [this, body = request.body] {
+      wire::CancelWork cancel;
+      if (cancel.ParseFromString(body)) {
+        coordinator_.Cancel(cancel.box(), cancel.work());
+      }
+    });
+    respond("");
+    return;
+  }
+  if (request.path == "/alive") {
+    boost::asio::post(loop_, [respond] { respond(""); });
+    return;
+  }
+  counters_.Add(Event::PeerRejected);
+  respond("");
+}
+
+void GatewayNode::OnDocument(std::uint64_t number, const std::string& content)
+{
+  Outcome<RouteTable> read = dialect_.readDocument(content);
+  if (!Succeeded(read)) {
+    log_.Write(LogWeight::Notable, "document_unreadable",
+               { { "number", number }, { "why", Message(read) } });
+    return;
+  }
+  auto table = std::make_shared<RouteTable>(std::move(Value(read)));
+  table->number = number;
+  IndexRoutes(*table);
+  table_ = std::move(table);
+  follower_->SetHeld(number);
+  coordinator_.SetTable(table_);
+  ApplyLimits();
+  log_.Write(LogWeight::Notable, "document_in_force",
+             { { "number", number }, { "routes", table_->routes.size() } });
+}
+
+void GatewayNode::ApplyLimits()
+{
+  HttpLimits limits;
+  limits.headerBytes = static_cast<std::size_t>(table_->limits.headerBytes);
+  limits.bodyBytes = static_cast<std::size_t>(table_->limits.bodyBytes);
+  limits.headerTimeout = table_->limits.headerTimeout;
+  limits.idleTimeout = table_->limits.idleTimeout;
+  callers_->SetLimits(limits);
+}
+
+void GatewayNode::OnRegistration(const wire::Registration& registration)
+{
+  const Elapsed now = ElapsedNow();
+  ForgetEnded(directory_, now);
+  if (!MergeRegistration(directory_, registration, now)) {
+    return;
+  }
+  const DirectoryEndpoint* endpoint =
+    FindEndpoint(directory_, registration.endpoint());
+  log_.Write(
+    LogWeight::Routine, "endpoint",
+    { { "endpoint", registration.endpoint() },
+      { "service", endpoint->service },
+      { "sequence", registration.sequence() },
+      { "state", wire::Registration::State_Name(registration.state()) } });
+  if (registration.state() == wire::Registration::GONE) {
+    client_.Forget(endpoint->address);
+  }
+}
+
+void GatewayNode::BeginStop()
+{
+  if (std::exchange(stopping_, true)) {
+    return;
+  }
+  stopBegan_ = ElapsedNow();
+  log_.Write(LogWeight::Notable, "stop_begun",
+             { { "requests_open", requests_.size() } });
+  callers_->StartDraining(settings_.settleTime);
+  CheckStop();
+}
+
+/** Callers are still sent here until the balancer has asked twice. */
+void GatewayNode::CheckStop()
+{
+  const absl::Duration since = ElapsedNow() - stopBegan_;
+  const bool settled = since >= settings_.settleTime;
+  const bool idle = requests_.empty() && callers_->ActiveRequests() == 0;
+  if ((settled && idle) || since >= settings_.stopLimit) {
+    log_.Write(LogWeight::Notable, "stop",
+               { { "requests_cut", requests_.size() } });
+    loop_.stop();
+    return;
+  }
+  stopTimer_.expires_after(StopPeriod);
+  stopTimer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      CheckStop();
+    }
+  });
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgGatewayNode.h
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <memory>
+#include <string>
+#include <unordered_set>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "wgControlFollower.h"
+#include "wgCounters.h"
+#include "wgDialect.h"
+#include "wgGatewayRequest.h"
+#include "wgHttpServer.h"
+#include "wgPeerServer.h"
+
+namespace wg {
+
+/** \brief A gateway process's own settings. */
+struct GatewaySettings
+{
+  std::string box;
+  std::string hall;
+  std::string listen;      // address for callers
+  std::string ready;       // address for readiness and metrics
+  std::string metrics;     // address for metrics alone; empty: none
+  std::string peerAddress; // for weirgate's own processes
+  KeyRing keys;
+  std::vector<std::string> controls;
+  RetryRules retryRules;
+  absl::Duration settleTime = absl::Seconds(3);
+  absl::Duration stopLimit = absl::Seconds(7);
+};
+
+/** \class GatewayNode
+ * \brief A process that takes requests to routes: it follows the control
+ * boxes, chooses endpoints, and answers callers.
+ */
+class GatewayNode
+{
+public:
+  GatewayNode(GatewaySettings settings, const Dialect& dialect);
+  ~GatewayNode();
+
+  Outcome<Done> Start();
+  EventLoop& Loop() { return loop_; }
+
+  /** \brief More addresses of control boxes. */
+  void AddControls(const std::vector<std::string>& addresses);
+
+  /** \brief Not ready from now on; ends the loop once what is taken is
+   * answered, at the latest after the stop limit.
+   */
+  void BeginStop();
+
+private:
+  Outcome<Done> Listen();
+  void OnRequest(const std::shared_ptr<HttpExchange>& exchange);
+  void OnReadyRequest(const std::shared_ptr<HttpExchange>& exchange);
+  void OnPeer(const PeerRequest& request, PeerServer::Respond respond);
+  void OnDocument(std::uint64_t number, const std::string& content);
+  void OnRegistration(const wire::Registration& registration);
+  void ApplyLimits();
+  void CheckStop();
+  bool IsReady() const;
+  std::string PrintMetrics() const;
+
+  GatewaySettings settings_;
+  const Dialect& dialect_;
+  EventLoop loop_{ 1 };
+  Counters counters_;
+  GatewayMetrics metrics_;
+  DecisionLog log_;
+  Directory directory_;
+  HttpClient client_;
+  ResultReleaser releaser_;
+  StageCoordinator coordinator_;
+  std::unique_ptr<PeerClient> peerClient_;
+  std::unique_ptr<PeerServer> peerServer_;
+  std::unique_ptr<StageClient> stages_;
+  std::unique_ptr<GatewayShared> shared_;
+  std::unique_ptr<ControlFollower> follower_;
+  std::unique_ptr<HttpServer> callers_;
+  std::unique_ptr<HttpServer> readiness_;
+  std::unique_ptr<HttpServer> metricsServer_;
+  std::shared_ptr<const RouteTable> table_;
+  std::unordered_set<std::shared_ptr<GatewayRequest>> requests_;
+  boost::asio::steady_timer stopTimer_;
+  Elapsed stopBegan_;
+  bool stopping_ = false;
+};
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -0,0 +1,155 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "absl/random/random.h"
+
+#include "wgAttemptRules.h"
+#include "wgDecisionLog.h"
+#include "wgDialect.h"
+#include "wgDirectory.h"
+#include "wgEndpointChoice.h"
+#include "wgEventSplitter.h"
+#include "wgGatewayMetrics.h"
+#include "wgHttpClient.h"
+#include "wgHttpServer.h"
+#include "wgResultReleaser.h"
+#include "wgRetryWindow.h"
+#include "wgStageClient.h"
+
+namespace wg {
+
+/** \brief What all requests of a box share; on its loop. */
+struct GatewayShared
+{
+  EventLoop& loop;
+  const Dialect& dialect;
+  Directory& directory;
+  HttpClient& client;
+  StageClient& stages;
+  ResultReleaser& releaser;
+  GatewayMetrics& metrics;
+  DecisionLog& log;
+  std::string hall;
+  RetryRules retryRules;
+  EngineSpeed speed;
+  absl::BitGen random;
+  std::map<std::string, RetryWindow> retries; // by service
+};
+
+/** \class GatewayRequest
+ * \brief A caller's request from its arrival to the end of its answer: the
+ * stages before it, the attempts at endpoints, what the caller is told.
+ */
+class GatewayRequest : public std::enable_shared_from_this<GatewayRequest>
+{
+public:
+  using Over = std::function<void(const std::shared_ptr<GatewayRequest>&)>;
+
+  GatewayRequest(GatewayShared& shared, std::shared_ptr<HttpExchange> exchange,
+                 std::shared_ptr<const RouteTable> table, Over over);
+
+  void Begin();
+
+private:
+  /** \brief One stage and the results that it has made. */
+  struct Stage
+  {
+    int pieces = 0;
+    bool submitted = false;
+    bool done = false;
+    std::uint64_t work = 0;
+    std::vector<std::string> handles;
+  };
+  /** \brief The attempt that is open. */
+  struct Attempt
+  {
+    std::string endpoint; // id
+    std::unique_ptr<HttpCall> call;
+    HttpHead head;
+    std::string body;
+    Elapsed sent;
+    double readSeconds = 0.0;
+    bool headSeen = false;
+    bool saidNotRun = false;
+    bool streams = false;
+    bool eventSeen = false;
+    std::size_t number = 0; // of this request's attempts
+  };
+
+  const FieldNames& Fields() const { return shared_.dialect.fields; }
+  bool FindRouteAndKey();
+  bool ReadDeadline();
+  void ReadPrompt();
+  bool ReadStages();
+  Elapsed Due() const;
+
+  void SubmitStages();
+  bool IsReady(std::size_t stage) const;
+  wire::StageWork MakeWork(std::size_t stage) const;
+  void OnStage(std::size_t stage, const wire::StageReply& reply);
+  void FailStages(const wire::StageReply& reply, std::size_t stage);
+  void ReleaseStage(std::size_t stage);
+  void ReleaseConsumed();
+  void ReleaseAll();
+  std::string FinalHandles() const;
+
+  void SendToEndpoint();
+  DirectoryEndpoint* ChooseEndpointFor(double& readSeconds);
+  HttpRequest MakeForward(const DirectoryEndpoint& endpoint) const;
+  void StartAttempt(DirectoryEndpoint& endpoint, double readSeconds);
+  bool OnHead(const HttpHead& head);
+  void OnBody(absl::string_view bytes);
+  void OnEvents(std::string events);
+  void OnAttemptEnd(HttpCallEnd end);
+  void OnComplete();
+  void AnswerWhole();
+  void RestartStages();
+  void CloseAttempt(bool failed);
+  void AfterFailure(AttemptKnowledge knowledge, absl::string_view why);
+
+  void Refuse(unsigned status, absl::string_view reason);
+  void SayNotRun(absl::string_view reason);
+  void SayMayHave(absl::string_view reason);
+  void OnTimeOver();
+  void OnCallerLeft();
+  void End(absl::string_view outcome, absl::string_view reason);
+  void LogOutcome(absl::string_view outcome, absl::string_view reason) const;
+
+  GatewayShared& shared_;
+  std::shared_ptr<HttpExchange> exchange_;
+  std::shared_ptr<const RouteTable> table_;
+  Over over_;
+  const Route* route_ = nullptr;
+  std::string id_;
+  std::string service_;
+  KeyHolder holder_;
+  PromptShape prompt_;
+  std::string pieceKey_;
+  std::vector<Stage> stages_;
+  Elapsed callerDeadline_ = absl::InfiniteDuration();
+  Elapsed giveUp_;
+  boost::asio::steady_timer timer_;
+  std::optional<Attempt> attempt_;
+  std::vector<std::string> tried_; // ids of endpoints
+  int endpointsTried_ = 0;
+  int connectFailures_ = 0;
+  std::size_t attempts_ = 0;
+  bool mayHaveRun_ = false;
+  bool streamBegun_ = false;
+  bool stagesRestarted_ = false;
+  bool finalReleased_ = false;
+  bool ended_ = false;
+  EventSplitter reader_;
+};
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgResultReleaser.cxx
@@ -0,0 +1,67 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgResultReleaser.h"
+
+#include <chrono>
+#include <utility>
+
+namespace wg {
+namespace {
+
+/** Results that are given up within this time go in one call. */
+constexpr auto GatherTime = std::chrono::milliseconds(40);
+
+} // namespace
+
+ResultReleaser::ResultReleaser(EventLoop& loop, HttpClient& client,
+                               Directory& directory, const Dialect& dialect)
+  : client_(client)
+  , directory_(directory)
+  , dialect_(dialect)
+  , timer_(loop)
+{
+}
+
+void ResultReleaser::Release(absl::Span<const std::string> handles)
+{
+  for (const std::string& handle : handles) {
+    pending_[dialect_.addressOfResult(handle)].push_back(handle);
+  }
+  if (pending_.empty() || std::exchange(armed_, true)) {
+    return;
+  }
+  timer_.expires_after(GatherTime);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      Flush();
+    }
+  });
+}
+
+void ResultReleaser::Flush()
+{
+  armed_ = false;
+  for (auto& [address, handles] : std::exchange(pending_, {})) {
+    Send(address, std::move(handles));
+  }
+}
+
+/** What is lost here is given up by the endpoint after the results' lifetime.
+ */
+void ResultReleaser::Send(const std::string& address,
+                          std::vector<std::string> handles)
+{
+  HttpRequest request = dialect_.makeRelease(handles);
+  request.set(boost::beast::http::field::host, address);
+  if (const DirectoryEndpoint* maker = FindByAddress(directory_, address)) {
+    request.set(dialect_.fields.endpoint, maker->id);
+  }
+  const std::uint64_t number = nextCall_++;
+  HttpCallHandler handler;
+  handler.onHead = [](const HttpHead&) { return true; };
+  handler.onBody = [](absl::string_view) {};
+  handler.onEnd = [this, number](HttpCallEnd) { calls_.erase(number); };
+  calls_[number] = client_.Start(address, PrintRequest(std::move(request)), {},
+                                 std::move(handler));
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgResultReleaser.h
@@ -0,0 +1,44 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "absl/types/span.h"
+
+#include "wgDialect.h"
+#include "wgDirectory.h"
+#include "wgHttpClient.h"
+
+namespace wg {
+
+/** \class ResultReleaser
+ * \brief Tells endpoints which results are no longer needed, several at once.
+ */
+class ResultReleaser
+{
+public:
+  ResultReleaser(EventLoop& loop, HttpClient& client, Directory& directory,
+                 const Dialect& dialect);
+  void Release(absl::Span<const std::string> handles);
+
+private:
+  void Flush();
+  void Send(const std::string& address, std::vector<std::string> handles);
+
+  HttpClient& client_;
+  Directory& directory_;
+  const Dialect& dialect_;
+  boost::asio::steady_timer timer_;
+  bool armed_ = false;
+  std::map<std::string, std::vector<std::string>> pending_; // by address
+  std::map<std::uint64_t, std::unique_ptr<HttpCall>> calls_;
+  std::uint64_t nextCall_ = 1;
+};
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgRetryWindow.h
@@ -0,0 +1,62 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstddef>
+#include <deque>
+
+#include "absl/time/time.h"
+
+#include "wgElapsed.h"
+
+namespace wg {
+
+/** \brief What all boxes together may repeat at a service. */
+struct RetryRules
+{
+  double ratio = 0.1; // of the requests within the window
+  double slack = 10;  // and as many more
+  absl::Duration window = absl::Seconds(10);
+};
+
+/** \brief This box's requests to a service, and what it sent once more. */
+struct RetryWindow
+{
+  std::deque<Elapsed> requests;
+  std::deque<Elapsed> retries;
+};
+
+namespace detail {
+inline void DropBefore(std::deque<Elapsed>& times, Elapsed start)
+{
+  while (!times.empty() && times.front() < start) {
+    times.pop_front();
+  }
+}
+} // namespace detail
+
+inline void NoteRequest(RetryWindow& window, Elapsed now)
+{
+  window.requests.push_back(now);
+}
+
+/** \brief Takes a repetition out of this box's share, if there is one.
+ * \param boxes how many share the slack
+ */
+inline bool SpendRetry(RetryWindow& window, const RetryRules& rules,
+                       std::size_t boxes, Elapsed now)
+{
+  // The rest covers boxes that are not known, and what is under way.
+  constexpr double UsedShare = 0.7;
+  detail::DropBefore(window.requests, now - rules.window);
+  detail::DropBefore(window.retries, now - rules.window);
+  const double allowed =
+    UsedShare * (rules.ratio * static_cast<double>(window.requests.size()) +
+                 rules.slack / static_cast<double>(boxes == 0 ? 1 : boxes));
+  if (static_cast<double>(window.retries.size()) + 1.0 > allowed) {
+    return false;
+  }
+  window.retries.push_back(now);
+  return true;
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgStageClient.cxx
@@ -0,0 +1,260 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgStageClient.h"
+
+#include <algorithm>
+#include <chrono>
+#include <set>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "wgEndpointChoice.h"
+
+namespace wg {
+namespace {
+
+constexpr int MaxTries = 3;
+constexpr absl::Duration SuspectTime = absl::Seconds(3);
+constexpr absl::Duration ReplyMargin = absl::Milliseconds(300);
+/** A coordinator that owes an answer for so long is asked whether it lives. */
+constexpr absl::Duration AskAfter = absl::Milliseconds(400);
+constexpr absl::Duration AskTimeout = absl::Milliseconds(300);
+constexpr auto WatchPeriod = std::chrono::milliseconds(250);
+constexpr absl::Duration BacklogMemory = absl::Seconds(1);
+
+} // namespace
+
+StageClient::StageClient(EventLoop& loop, PeerClient& peers,
+                         StageCoordinator& own, ResultReleaser& releaser,
+                         std::string ownBox, GatewayMetrics& metrics)
+  : loop_(loop)
+  , peers_(peers)
+  , own_(own)
+  , releaser_(releaser)
+  , ownBox_(std::move(ownBox))
+  , metrics_(metrics)
+  , nextWork_(
+      static_cast<std::uint64_t>(absl::ToInt64Microseconds(ElapsedNow())))
+  , watchTimer_(loop)
+{
+}
+
+void StageClient::SetMembers(std::vector<GatewayMember> members)
+{
+  for (GatewayMember& member : members) {
+    auto known = std::find_if(
+      members_.begin(), members_.end(),
+      [&member](const GatewayMember& m) { return m.box == member.box; });
+    if (known != members_.end() && known->address == member.address) {
+      member.suspectUntil = known->suspectUntil;
+    }
+  }
+  members_ = std::move(members);
+}
+
+/** \return null when it is this box */
+const GatewayMember* StageClient::Choose(const std::string& service) const
+{
+  const Elapsed now = ElapsedNow();
+  const GatewayMember* best = nullptr;
+  std::uint64_t highest = RendezvousWeight(service, ownBox_);
+  for (const GatewayMember& member : members_) {
+    const std::uint64_t weight = RendezvousWeight(service, member.box);
+    if (member.suspectUntil <= now && weight > highest) {
+      highest = weight;
+      best = &member;
+    }
+  }
+  return best;
+}
+
+std::uint64_t StageClient::Submit(wire::StageWork work, Done done)
+{
+  const std::uint64_t number = nextWork_++;
+  work.set_box(ownBox_);
+  work.set_work(number);
+  OpenWork& open = works_[number];
+  open.until = ElapsedNow() + absl::Milliseconds(work.left_ms());
+  open.work = std::move(work);
+  open.done = std::move(done);
+  Send(number);
+  return number;
+}
+
+void StageClient::Send(std::uint64_t number)
+{
+  OpenWork& open = works_[number];
+  ++open.tries;
+  open.sent = ElapsedNow();
+  const GatewayMember* member =
+    open.tries > MaxTries ? nullptr : Choose(open.work.service());
+  if (member == nullptr) {
+    open.coordinator = ownBox_;
+    open.address.clear();
+    // Not at once: the work may be settled while it is taken.
+    boost::asio::post(loop_, [this, number] {
+      auto found = works_.find(number);
+      if (found == works_.end()) {
+        return;
+      }
+      own_.Submit(found->second.work, [this, number](const auto& reply) {
+        Finish(number, reply);
+      });
+    });
+    return;
+  }
+  open.coordinator = member->box;
+  open.address = member->address;
+  SendToPeer(number, open);
+}
+
+void StageClient::SendToPeer(std::uint64_t number, const OpenWork& open)
+{
+  metrics_.Count("stage_works_sent");
+  ArmWatch();
+  peers_.Call(open.address, "/stage", open.work.SerializeAsString(),
+              absl::Milliseconds(open.work.left_ms()) + ReplyMargin,
+              [this, number, tries = open.tries](Outcome<std::string> reply) {
+                boost::asio::post(
+                  loop_, [this, number, tries, reply = std::move(reply)] {
+                    OnReply(number, tries, reply);
+                  });
+              });
+}
+
+void StageClient::OnReply(std::uint64_t number, int tries,
+                          const Outcome<std::string>& reply)
+{
+  wire::StageReply results;
+  const bool parsed =
+    Succeeded(reply) && results.ParseFromString(Value(reply));
+  auto found = works_.find(number);
+  if (found == works_.end() || found->second.tries != tries) {
+    GiveUp(results);
+    return;
+  }
+  OpenWork& open = found->second;
+  const bool sound =
+    parsed && results.results_size() == open.work.items_size();
+  if (sound) {
+    Finish(number, results);
+    return;
+  }
+  Suspect(open.coordinator);
+}
+
+void StageClient::Finish(std::uint64_t number, const wire::StageReply& reply)
+{
+  auto node = works_.extract(number);
+  if (node.empty()) {
+    GiveUp(reply);
+    return;
+  }
+  const OpenWork& open = node.mapped();
+  backlogs_[open.work.service()] = { absl::Milliseconds(reply.waiting_ms()),
+                                     ElapsedNow() };
+  open.done(reply);
+}
+
+/** Results that came too late for their request. */
+void StageClient::GiveUp(const wire::StageReply& reply)
+{
+  std::vector<std::string> made;
+  for (const wire::StageItemResult& result : reply.results()) {
+    if (result.state() == wire::StageItemResult::DONE) {
+      made.push_back(result.handle());
+    }
+  }
+  releaser_.Release(made);
+}
+
+/** Its works are sent to the next in order. */
+void StageClient::Suspect(const std::string& box)
+{
+  const Elapsed now = ElapsedNow();
+  for (GatewayMember& member : members_) {
+    if (member.box == box) {
+      member.suspectUntil = now + SuspectTime;
+    }
+  }
+  metrics_.Count("coordinators_suspected");
+  std::vector<std::uint64_t> moved;
+  for (auto& [number, open] : works_) {
+    if (open.coordinator != box || open.address.empty()) {
+      continue;
+    }
+    open.work.set_due_ms(open.work.due_ms() -
+                         absl::ToInt64Milliseconds(now - open.sent));
+    open.work.set_left_ms(absl::ToInt64Milliseconds(open.until - now));
+    moved.push_back(number);
+  }
+  for (const std::uint64_t number : moved) {
+    Send(number);
+  }
+}
+
+void StageClient::ArmWatch()
+{
+  if (std::exchange(watchArmed_, true)) {
+    return;
+  }
+  watchTimer_.expires_after(WatchPeriod);
+  watchTimer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      watchArmed_ = false;
+      Watch();
+    }
+  });
+}
+
+void StageClient::Watch()
+{
+  const Elapsed now = ElapsedNow();
+  std::map<std::string, std::string> asked; // address by box
+  bool anyRemote = false;
+  for (const auto& [number, open] : works_) {
+    anyRemote |= !open.address.empty();
+    if (!open.address.empty() && now - open.sent > AskAfter) {
+      asked[open.coordinator] = open.address;
+    }
+  }
+  for (const auto& [box, address] : asked) {
+    peers_.Call(address, "/alive", "", AskTimeout,
+                [this, box = box](const Outcome<std::string>& reply) {
+                  if (!Succeeded(reply)) {
+                    boost::asio::post(loop_, [this, box] { Suspect(box); });
+                  }
+                });
+  }
+  if (anyRemote) {
+    ArmWatch();
+  }
+}
+
+void StageClient::Cancel(std::uint64_t work)
+{
+  auto node = works_.extract(work);
+  if (node.empty()) {
+    return;
+  }
+  const OpenWork& open = node.mapped();
+  if (open.address.empty()) {
+    own_.Cancel(ownBox_, work);
+    return;
+  }
+  wire::CancelWork cancel;
+  cancel.set_box(ownBox_);
+  cancel.set_work(work);
+  peers_.Call(open.address, "/cancel", cancel.SerializeAsString(), AskTimeout,
+              [](const Outcome<std::string>&) {});
+}
+
+absl::Duration StageClient::Waiting(const std::string& service) const
+{
+  auto found = backlogs_.find(service);
+  const bool fresh = found != backlogs_.end() &&
+                     ElapsedNow() - found->second.told < BacklogMemory;
+  return fresh ? found->second.waiting : absl::ZeroDuration();
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -0,0 +1,402 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgStageCoordinator.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <boost/asio/post.hpp>
+
+#include "absl/strings/str_cat.h"
+
+namespace wg {
+namespace {
+
+using ItemResult = wire::StageItemResult;
+
+constexpr auto PumpPeriod = std::chrono::milliseconds(30);
+constexpr int MaxPieceAttempts = 4;
+constexpr double LateFactor = 3.0;
+constexpr double LateMarginSeconds = 0.35;
+constexpr absl::Duration FullPause = absl::Milliseconds(60);
+constexpr absl::Duration NoRoomPause = absl::Milliseconds(200);
+
+ItemResult MakeResult(ItemResult::State state)
+{
+  ItemResult result;
+  result.set_state(state);
+  return result;
+}
+
+} // namespace
+
+StageCoordinator::StageCoordinator(EventLoop& loop, HttpClient& client,
+                                   Directory& directory,
+                                   const Dialect& dialect,
+                                   ResultReleaser& releaser,
+                                   GatewayMetrics& metrics)
+  : loop_(loop)
+  , client_(client)
+  , directory_(directory)
+  , dialect_(dialect)
+  , releaser_(releaser)
+  , metrics_(metrics)
+  , pumpTimer_(loop)
+{
+}
+
+void StageCoordinator::SetTable(std::shared_ptr<const RouteTable> table)
+{
+  table_ = std::move(table);
+  for (auto& [service, pool] : pools_) {
+    auto found = table_->services.find(service);
+    if (found != table_->services.end() && found->second.stage) {
+      pool.limits = *found->second.stage;
+    }
+  }
+}
+
+StagePool& StageCoordinator::PoolOf(const std::string& service)
+{
+  auto [found, isNew] = pools_.try_emplace(service);
+  if (isNew && table_ != nullptr) {
+    auto known = table_->services.find(service);
+    if (known != table_->services.end() && known->second.stage) {
+      found->second.limits = *known->second.stage;
+    }
+  }
+  return found->second;
+}
+
+void StageCoordinator::Submit(const wire::StageWork& work, Done done)
+{
+  const Elapsed now = ElapsedNow();
+  const WorkKey key{ work.box(), work.work() };
+  Work& state = works_[key];
+  state.service = work.service();
+  state.done = std::move(done);
+  state.missing = work.items_size();
+  StagePool& pool = PoolOf(work.service());
+  for (int i = 0; i < work.items_size(); ++i) {
+    const wire::StageItem& item = work.items(i);
+    StagePiece piece;
+    piece.ticket = nextTicket_++;
+    piece.request = work.request();
+    piece.stage = work.stage();
+    piece.piece = item.piece();
+    piece.key = item.key();
+    piece.inputs = { item.inputs().begin(), item.inputs().end() };
+    piece.hall = work.hall();
+    piece.due = now + absl::Milliseconds(work.due_ms());
+    piece.deadline = now + absl::Milliseconds(work.left_ms());
+    piece.rank = static_cast<int>(work.rank());
+    owners_[piece.ticket] = { key, i };
+    state.tickets.push_back(piece.ticket);
+    state.reply.add_results();
+    NoteRequest(retries_[work.service()], now);
+    pool.waiting.push_back(std::move(piece));
+  }
+  metrics_.Count("stage_pieces_taken",
+                 static_cast<std::uint64_t>(work.items_size()));
+  Pump(work.service());
+}
+
+void StageCoordinator::Cancel(const std::string& box, std::uint64_t work)
+{
+  auto node = works_.extract({ box, work });
+  if (node.empty()) {
+    return;
+  }
+  const Work& state = node.mapped();
+  std::vector<std::string> made;
+  for (const ItemResult& result : state.reply.results()) {
+    if (result.state() == ItemResult::DONE) {
+      made.push_back(result.handle());
+    }
+  }
+  releaser_.Release(made);
+  for (const std::uint64_t ticket : state.tickets) {
+    owners_.erase(ticket);
+  }
+  const auto dropped = TakePieces(PoolOf(state.service), state.tickets);
+  metrics_.Count("stage_pieces_dropped", dropped.size());
+}
+
+void StageCoordinator::NoteDirectory()
+{
+  for (auto& [service, pool] : pools_) {
+    if (!pool.waiting.empty()) {
+      Pump(service);
+    }
+  }
+}
+
+/** Takes new endpoints in, and out those that take no new work. */
+void StageCoordinator::SyncServers(const std::string& service, StagePool& pool)
+{
+  const auto serving = ServingEndpoints(directory_, service);
+  auto& servers = pool.servers;
+  servers.erase(std::remove_if(servers.begin(), servers.end(),
+                               [&serving](const StageServer& server) {
+                                 return std::none_of(
+                                   serving.begin(), serving.end(),
+                                   [&server](const DirectoryEndpoint* e) {
+                                     return e->id == server.id;
+                                   });
+                               }),
+                servers.end());
+  for (const DirectoryEndpoint* endpoint : serving) {
+    auto known = std::find_if(servers.begin(), servers.end(),
+                              [endpoint](const StageServer& server) {
+                                return server.id == endpoint->id;
+                              });
+    if (known == servers.end()) {
+      StageServer server;
+      server.id = endpoint->id;
+      server.hall = endpoint->hall;
+      servers.push_back(std::move(server));
+      known = servers.end() - 1;
+    }
+    known->avoidUntil = std::max(known->avoidUntil, endpoint->avoidUntil);
+  }
+}
+
+void StageCoordinator::Pump(const std::string& service)
+{
+  StagePool& pool = PoolOf(service);
+  const Elapsed now = ElapsedNow();
+  for (const StagePiece& late : TakeLatePieces(pool, now)) {
+    Settle(late.ticket, MakeResult(ItemResult::LATE));
+  }
+  SyncServers(service, pool);
+  while (auto call = NextStageCall(pool, now)) {
+    MakeCall(service, std::move(*call));
+  }
+  if (!pool.waiting.empty()) {
+    ArmPump();
+  }
+}
+
+/** While pieces wait, time alone may free an endpoint or end a request. */
+void StageCoordinator::ArmPump()
+{
+  if (std::exchange(pumpArmed_, true)) {
+    return;
+  }
+  pumpTimer_.expires_after(PumpPeriod);
+  pumpTimer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      pumpArmed_ = false;
+      NoteDirectory();
+    }
+  });
+}
+
+StageServer* StageCoordinator::ServerOf(const OpenCall& open)
+{
+  auto& servers = PoolOf(open.service).servers;
+  auto found = std::find_if(
+    servers.begin(), servers.end(),
+    [&open](const StageServer& s) { return s.id == open.call.server; });
+  return found == servers.end() ? nullptr : &*found;
+}
+
+void StageCoordinator::MakeCall(const std::string& service, StageCall call)
+{
+  const DirectoryEndpoint* endpoint = FindEndpoint(directory_, call.server);
+  const std::uint64_t number = nextCall_++;
+  const Elapsed now = ElapsedNow();
+  OpenCall& open = calls_[number];
+  open.service = service;
+  open.call = std::move(call);
+  open.started = now;
+  if (StageServer* server = ServerOf(open)) {
+    server->calls[number] = { now, open.call.expectedSeconds };
+  }
+  HttpRequest request = dialect_.makeStageCall(open.call.pieces, now);
+  request.set(boost::beast::http::field::host, endpoint->address);
+  request.set(dialect_.fields.endpoint, endpoint->id);
+  HttpCallHandler handler;
+  handler.onHead = [this, number](const HttpHead& head) {
+    OpenCall& mine = calls_[number];
+    mine.status = head.result_int();
+    mine.saidNotRun =
+      !FieldOf(head, dialect_.fields.notRun).empty() ||
+      head.result() == boost::beast::http::status::misdirected_request;
+    return true;
+  };
+  handler.onBody = [this, number](absl::string_view bytes) {
+    calls_[number].body.append(bytes.data(), bytes.size());
+  };
+  handler.onEnd = [this, number](HttpCallEnd end) { OnCallEnd(number, end); };
+  open.http =
+    client_.Start(endpoint->address, PrintRequest(std::move(request)), {},
+                  std::move(handler));
+  metrics_.Count("stage_calls");
+  metrics_.Count("stage_pieces_sent", open.call.pieces.size());
+  StartTimer(number);
+}
+
+void StageCoordinator::StartTimer(std::uint64_t number)
+{
+  OpenCall& open = calls_[number];
+  const double limit =
+    open.call.expectedSeconds * LateFactor + LateMarginSeconds;
+  open.timer = std::make_unique<boost::asio::steady_timer>(
+    loop_, absl::ToChronoMilliseconds(absl::Seconds(limit)));
+  open.timer->async_wait([this, number](boost::system::error_code error) {
+    if (!error) {
+      OnCallLate(number);
+    }
+  });
+}
+
+void StageCoordinator::OnCallLate(std::uint64_t number)
+{
+  auto node = calls_.extract(number);
+  if (node.empty()) {
+    return;
+  }
+  OpenCall& open = node.mapped();
+  open.http->Cancel();
+  metrics_.Count("stage_calls_late");
+  const std::string service = open.service;
+  if (StageServer* server = ServerOf(open)) {
+    server->calls.erase(number);
+    NoteCallTime(
+      *server,
+      ExpectedCallSeconds(PoolOf(service).limits, open.call.pieces.size()),
+      absl::ToDoubleSeconds(ElapsedNow() - open.started));
+  }
+  FailCall(open, true);
+  Pump(service);
+}
+
+void StageCoordinator::OnCallEnd(std::uint64_t number, HttpCallEnd end)
+{
+  auto node = calls_.extract(number);
+  if (node.empty()) {
+    return;
+  }
+  OpenCall& open = node.mapped();
+  open.timer->cancel();
+  const std::string service = open.service;
+  if (StageServer* server = ServerOf(open)) {
+    server->calls.erase(number);
+  }
+  constexpr unsigned Ok = 200;
+  if (end == HttpCallEnd::Complete && open.status == Ok) {
+    TakeAnswer(open);
+  } else if (end == HttpCallEnd::Complete && open.saidNotRun) {
+    metrics_.Count("stage_calls_refused");
+    if (StageServer* server = ServerOf(open)) {
+      server->avoidUntil = ElapsedNow() + FullPause;
+    }
+    for (StagePiece& piece : open.call.pieces) {
+      Repeat(service, std::move(piece), true);
+    }
+  } else {
+    metrics_.Count("stage_calls_failed");
+    FailCall(open, end != HttpCallEnd::NotConnected);
+  }
+  Pump(service);
+}
+
+void StageCoordinator::FailCall(OpenCall& open, bool sent)
+{
+  if (DirectoryEndpoint* endpoint =
+        FindEndpoint(directory_, open.call.server)) {
+    NoteAttempt(*endpoint, true, ElapsedNow());
+  }
+  for (StagePiece& piece : open.call.pieces) {
+    Repeat(open.service, std::move(piece), sent);
+  }
+}
+
+void StageCoordinator::TakeAnswer(OpenCall& open)
+{
+  auto results = dialect_.readStageAnswer(open.body);
+  const bool sound =
+    Succeeded(results) && Value(results).size() == open.call.pieces.size();
+  if (!sound) {
+    metrics_.Count("stage_answers_unsound");
+    FailCall(open, true);
+    return;
+  }
+  const Elapsed now = ElapsedNow();
+  const double seconds = absl::ToDoubleSeconds(now - open.started);
+  StageServer* server = ServerOf(open);
+  const StageLimits& limits = PoolOf(open.service).limits;
+  if (server != nullptr) {
+    NoteCallTime(*server, ExpectedCallSeconds(limits, open.call.pieces.size()),
+                 seconds);
+  }
+  if (DirectoryEndpoint* endpoint =
+        FindEndpoint(directory_, open.call.server)) {
+    NoteAttempt(*endpoint, false, now);
+  }
+  metrics_.NoteLatency("stage_call", now - open.started);
+  for (std::size_t i = 0; i < open.call.pieces.size(); ++i) {
+    StagePiece& piece = open.call.pieces[i];
+    ItemResult& result = Value(results)[i];
+    if (result.state() != ItemResult::FAILED) {
+      Settle(piece.ticket, std::move(result));
+      continue;
+    }
+    metrics_.Count("stage_pieces_failed");
+    if (server != nullptr) {
+      server->avoidUntil = now + NoRoomPause;
+    }
+    Repeat(open.service, std::move(piece), true);
+  }
+}
+
+/** Lets a piece wait again, if the attempts and the budget allow it. */
+void StageCoordinator::Repeat(const std::string& service, StagePiece piece,
+                              bool sent)
+{
+  if (owners_.find(piece.ticket) == owners_.end()) {
+    return;
+  }
+  piece.attempts += sent ? 1 : 0;
+  const bool allowed =
+    piece.attempts < MaxPieceAttempts &&
+    (!sent || SpendRetry(retries_[service], rules_, 1, ElapsedNow()));
+  if (!allowed) {
+    metrics_.Count("stage_pieces_given_up");
+    Settle(piece.ticket, MakeResult(ItemResult::FAILED));
+    return;
+  }
+  metrics_.Count("stage_pieces_repeated");
+  PoolOf(service).waiting.push_back(std::move(piece));
+}
+
+void StageCoordinator::Settle(std::uint64_t ticket, ItemResult result)
+{
+  auto owner = owners_.find(ticket);
+  if (owner == owners_.end()) {
+    if (result.state() == ItemResult::DONE) {
+      releaser_.Release({ result.handle() });
+    }
+    return;
+  }
+  const WorkKey key = owner->second.work;
+  Work& work = works_[key];
+  *work.reply.mutable_results(owner->second.index) = std::move(result);
+  owners_.erase(owner);
+  if (--work.missing == 0) {
+    EndWork(key);
+  }
+}
+
+void StageCoordinator::EndWork(const WorkKey& key)
+{
+  auto node = works_.extract(key);
+  Work& work = node.mapped();
+  const double wait = ExpectedWaitSeconds(PoolOf(work.service), ElapsedNow());
+  work.reply.set_waiting_ms(absl::ToInt64Milliseconds(absl::Seconds(wait)));
+  // Not at once: what is done then may change the pools.
+  boost::asio::post(loop_, [done = std::move(work.done),
+                            reply = std::move(work.reply)] { done(reply); });
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -0,0 +1,116 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "wgDialect.h"
+#include "wgDirectory.h"
+#include "wgGatewayMetrics.h"
+#include "wgHttpClient.h"
+#include "wgPeer.pb.h"
+#include "wgResultReleaser.h"
+#include "wgRetryWindow.h"
+#include "wgStagePool.h"
+
+namespace wg {
+
+/** \class StageCoordinator
+ * \brief Makes the calls of services that run stages, for the requests of
+ * all boxes that have chosen this one: pieces that wait at the same time go
+ * in one call.
+ */
+class StageCoordinator
+{
+public:
+  using Done = std::function<void(const wire::StageReply&)>;
+
+  StageCoordinator(EventLoop& loop, HttpClient& client, Directory& directory,
+                   const Dialect& dialect, ResultReleaser& releaser,
+                   GatewayMetrics& metrics);
+
+  void SetTable(std::shared_ptr<const RouteTable> table);
+  void SetRetryRules(const RetryRules& rules) { rules_ = rules; }
+
+  /** \brief Has all pieces of the work made; `done` is called once, unless
+   * the work is cancelled before.
+   */
+  void Submit(const wire::StageWork& work, Done done);
+
+  /** \brief Pieces that wait are dropped; results of those at work are given
+   * up as they come.
+   */
+  void Cancel(const std::string& box, std::uint64_t work);
+
+  /** \brief Endpoints have come, gone or changed. */
+  void NoteDirectory();
+
+private:
+  using WorkKey = std::pair<std::string, std::uint64_t>;
+  struct Work
+  {
+    std::string service;
+    wire::StageReply reply;
+    int missing = 0;
+    std::vector<std::uint64_t> tickets;
+    Done done;
+  };
+  struct PieceOwner
+  {
+    WorkKey work;
+    int index = 0;
+  };
+  struct OpenCall
+  {
+    std::string service;
+    StageCall call;
+    Elapsed started;
+    std::unique_ptr<HttpCall> http;
+    std::unique_ptr<boost::asio::steady_timer> timer;
+    unsigned status = 0;
+    bool saidNotRun = false;
+    std::string body;
+  };
+
+  StagePool& PoolOf(const std::string& service);
+  void SyncServers(const std::string& service, StagePool& pool);
+  void Pump(const std::string& service);
+  void ArmPump();
+  void MakeCall(const std::string& service, StageCall call);
+  void StartTimer(std::uint64_t number);
+  void OnCallEnd(std::uint64_t number, HttpCallEnd end);
+  void OnCallLate(std::uint64_t number);
+  void TakeAnswer(OpenCall& open);
+  void FailCall(OpenCall& open, bool sent);
+  void Repeat(const std::string& service, StagePiece piece, bool sent);
+  void Settle(std::uint64_t ticket, wire::StageItemResult result);
+  void EndWork(const WorkKey& key);
+  StageServer* ServerOf(const OpenCall& open);
+
+  EventLoop& loop_;
+  HttpClient& client_;
+  Directory& directory_;
+  const Dialect& dialect_;
+  ResultReleaser& releaser_;
+  GatewayMetrics& metrics_;
+  RetryRules rules_;
+  std::shared_ptr<const RouteTable> table_;
+  std::map<std::string, StagePool> pools_;
+  std::map<std::string, RetryWindow> retries_;
+  std::map<WorkKey, Work> works_;
+  std::map<std::uint64_t, PieceOwner> owners_; // by ticket
+  std::map<std::uint64_t, OpenCall> calls_;
+  std::uint64_t nextCall_ = 1;
+  std::uint64_t nextTicket_ = 1;
+  boost::asio::steady_timer pumpTimer_;
+  bool pumpArmed_ = false;
+};
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgStagePool.cxx
@@ -0,0 +1,179 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgStagePool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace wg {
+namespace {
+
+/** How much earlier than its due time a request of the next better rank is
+ * taken.
+ */
+constexpr absl::Duration RankLead = absl::Milliseconds(150);
+constexpr double SlownessWeight = 0.3;
+constexpr double LeastSlowness = 0.5;
+constexpr double MostSlowness = 20.0;
+
+bool GoesBefore(const StagePiece& a, const StagePiece& b, Elapsed now)
+{
+  const bool aLate = a.due <= now;
+  const bool bLate = b.due <= now;
+  if (aLate != bLate) {
+    return bLate;
+  }
+  const Elapsed aTime = a.due + a.rank * RankLead;
+  const Elapsed bTime = b.due + b.rank * RankLead;
+  return aTime != bTime ? aTime < bTime : a.ticket < b.ticket;
+}
+
+/** A call that is late is taken to last as long again as it is late. */
+double BusySeconds(const StageServer& server, Elapsed now)
+{
+  double longest = 0.0;
+  for (const auto& [number, call] : server.calls) {
+    const double left =
+      call.expectedSeconds - absl::ToDoubleSeconds(now - call.started);
+    longest = std::max(longest, std::abs(left));
+  }
+  return longest;
+}
+
+bool IsFree(const StageServer& server, const StageLimits& limits, Elapsed now)
+{
+  return server.calls.size() < static_cast<std::size_t>(limits.slots) &&
+         server.avoidUntil <= now;
+}
+
+/** When a call of so many pieces would be done there, in seconds. */
+double FinishSeconds(const StageServer& server, const StageLimits& limits,
+                     std::size_t pieces, Elapsed now)
+{
+  const double busy =
+    server.calls.size() < static_cast<std::size_t>(limits.slots)
+      ? 0.0
+      : BusySeconds(server, now);
+  return busy + server.slowness * ExpectedCallSeconds(limits, pieces);
+}
+
+/** The free endpoint that would be done first, or null when a busy one would
+ * be done sooner.
+ */
+StageServer* ChooseServer(StagePool& pool, const std::string& hall,
+                          std::size_t pieces, Elapsed now)
+{
+  constexpr double OtherHall = 1.02;
+  StageServer* best = nullptr;
+  double soonest = std::numeric_limits<double>::infinity();
+  double soonestBusy = std::numeric_limits<double>::infinity();
+  for (StageServer& server : pool.servers) {
+    if (server.avoidUntil > now) {
+      continue;
+    }
+    const double finish = FinishSeconds(server, pool.limits, pieces, now) *
+                          (server.hall == hall ? 1.0 : OtherHall);
+    if (!IsFree(server, pool.limits, now)) {
+      soonestBusy = std::min(soonestBusy, finish);
+    } else if (finish < soonest) {
+      soonest = finish;
+      best = &server;
+    }
+  }
+  return soonest <= soonestBusy ? best : nullptr;
+}
+
+} // namespace
+
+double ExpectedCallSeconds(const StageLimits& limits, std::size_t pieces)
+{
+  return limits.callSeconds +
+         limits.pieceSeconds * static_cast<double>(pieces);
+}
+
+std::optional<StageCall> NextStageCall(StagePool& pool, Elapsed now)
+{
+  if (pool.waiting.empty()) {
+    return std::nullopt;
+  }
+  auto& waiting = pool.waiting;
+  const std::size_t count = std::min(waiting.size(), pool.limits.batch);
+  std::partial_sort(
+    waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(count),
+    waiting.end(), [now](const StagePiece& a, const StagePiece& b) {
+      return GoesBefore(a, b, now);
+    });
+  StageServer* server = ChooseServer(pool, waiting.front().hall, count, now);
+  if (server == nullptr) {
+    return std::nullopt;
+  }
+  StageCall call;
+  call.server = server->id;
+  const auto end = waiting.begin() + static_cast<std::ptrdiff_t>(count);
+  call.pieces.assign(std::make_move_iterator(waiting.begin()),
+                     std::make_move_iterator(end));
+  waiting.erase(waiting.begin(), end);
+  call.expectedSeconds =
+    server->slowness * ExpectedCallSeconds(pool.limits, count);
+  return call;
+}
+
+std::vector<StagePiece> TakeLatePieces(StagePool& pool, Elapsed now)
+{
+  const absl::Duration least =
+    absl::Seconds(ExpectedCallSeconds(pool.limits, 1));
+  std::vector<StagePiece> late;
+  auto kept = std::stable_partition(
+    pool.waiting.begin(), pool.waiting.end(),
+    [now, least](const StagePiece& p) { return now + least < p.deadline; });
+  late.assign(std::make_move_iterator(kept),
+              std::make_move_iterator(pool.waiting.end()));
+  pool.waiting.erase(kept, pool.waiting.end());
+  return late;
+}
+
+std::vector<StagePiece> TakePieces(StagePool& pool,
+                                   absl::Span<const std::uint64_t> tickets)
+{
+  std::vector<StagePiece> taken;
+  auto kept = std::stable_partition(
+    pool.waiting.begin(), pool.waiting.end(), [tickets](const StagePiece& p) {
+      return std::find(tickets.begin(), tickets.end(), p.ticket) ==
+             tickets.end();
+    });
+  taken.assign(std::make_move_iterator(kept),
+               std::make_move_iterator(pool.waiting.end()));
+  pool.waiting.erase(kept, pool.waiting.end());
+  return taken;
+}
+
+double ExpectedWaitSeconds(const StagePool& pool, Elapsed now)
+{
+  double soonest = std::numeric_limits<double>::infinity();
+  std::size_t usable = 0;
+  for (const StageServer& server : pool.servers) {
+    if (server.avoidUntil > now) {
+      continue;
+    }
+    ++usable;
+    const bool isFree = IsFree(server, pool.limits, now);
+    soonest = std::min(soonest, isFree ? 0.0 : BusySeconds(server, now));
+  }
+  if (usable == 0) {
+    return ExpectedCallSeconds(pool.limits, pool.limits.batch);
+  }
+  const double fullCalls =
+    std::floor(static_cast<double>(pool.waiting.size()) /
+               static_cast<double>(pool.limits.batch));
+  const double each = ExpectedCallSeconds(pool.limits, pool.limits.batch);
+  return soonest + fullCalls * each / static_cast<double>(usable);
+}
+
+void NoteCallTime(StageServer& server, double expected, double seconds)
+{
+  const double ratio =
+    std::clamp(seconds / expected, LeastSlowness, MostSlowness);
+  server.slowness += SlownessWeight * (ratio - server.slowness);
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgStagePool.h
@@ -0,0 +1,94 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "absl/types/span.h"
+
+#include "wgElapsed.h"
+#include "wgRouteTable.h"
+
+namespace wg {
+
+/** \brief One piece of a stage that waits to be made. */
+struct StagePiece
+{
+  std::uint64_t ticket = 0; // its number in the pool
+  std::string request;
+  std::uint32_t stage = 0;
+  std::uint32_t piece = 0;
+  std::string key;
+  std::vector<std::string> inputs;
+  std::string hall; // where its result is wanted
+  std::int64_t resultBytes = 0;
+  Elapsed due;      // when its request ought to be answered
+  Elapsed deadline; // when its request is given up
+  int rank = 0;
+  int attempts = 0;
+};
+
+/** \brief A call that is at work at an endpoint. */
+struct StageCallState
+{
+  Elapsed started;
+  double expectedSeconds = 0.0;
+};
+
+/** \brief An endpoint as the pool sees it. */
+struct StageServer
+{
+  std::string id;
+  std::string hall;
+  double slowness = 1.0; // measured against what calls should take
+  Elapsed avoidUntil;
+  std::map<std::uint64_t, StageCallState> calls; // by number of the call
+};
+
+/** \brief The pieces that wait for a service, and its endpoints. */
+struct StagePool
+{
+  StageLimits limits;
+  std::vector<StagePiece> waiting;
+  std::vector<StageServer> servers;
+  std::uint64_t nextTicket = 1;
+};
+
+/** \brief A call to be made now. Its pieces no longer wait. */
+struct StageCall
+{
+  std::string server;
+  std::vector<StagePiece> pieces;
+  double expectedSeconds = 0.0;
+};
+
+/** \brief The next call, or nothing while all endpoints are at work or none
+ * would be done sooner than one that is about to be free.
+ *
+ * Pieces of requests that can still be answered when they ought to be go
+ * before those that can't, and of these the earliest due first. All that
+ * waits goes into one call, up to the batch: a call takes long even for one
+ * piece, and pieces gather while all endpoints are at work.
+ */
+std::optional<StageCall> NextStageCall(StagePool& pool, Elapsed now);
+
+/** \brief Takes out what can no longer be made in time. */
+std::vector<StagePiece> TakeLatePieces(StagePool& pool, Elapsed now);
+
+/** \brief Takes out the pieces of one request's stage. */
+std::vector<StagePiece> TakePieces(StagePool& pool,
+                                   absl::Span<const std::uint64_t> tickets);
+
+/** \brief What a call of so many pieces should take, in seconds. */
+double ExpectedCallSeconds(const StageLimits& limits, std::size_t pieces);
+
+/** \brief How long a piece that came now would wait, in seconds. */
+double ExpectedWaitSeconds(const StagePool& pool, Elapsed now);
+
+/** \brief Takes the time of a call into the endpoint's slowness. */
+void NoteCallTime(StageServer& server, double expected, double seconds);
+
+} // namespace wg
--- /dev/null
+++ b/Source/Http/wgHttpClient.h
@@ -0,0 +1,105 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/strings/string_view.h"
+
+#include "wgElapsed.h"
+#include "wgHttpMessage.h"
+
+namespace wg {
+
+namespace detail {
+class HttpClientConnection;
+}
+
+/** \brief How a call ended. */
+enum class HttpCallEnd
+{
+  Complete,
+  NotConnected, // no byte was sent
+  Cut,          // broken off, or no sound answer; it may have been carried out
+  Refused       // the handler refused the answer's head
+};
+
+/** \brief What is told of a call while it goes on. */
+struct HttpCallHandler
+{
+  /** \brief The answer's head; false ends the call as Refused. */
+  std::function<bool(const HttpHead&)> onHead;
+  std::function<void(absl::string_view)> onBody;
+  /** \brief Once, and last; not after Cancel. */
+  std::function<void(HttpCallEnd)> onEnd;
+};
+
+/** \brief How a call is to be made. */
+struct HttpCallOptions
+{
+  absl::Duration connectTimeout = absl::Milliseconds(400);
+  /** A kept connection is used only if it has rested no longer. */
+  absl::Duration maxRest = absl::Seconds(4);
+  bool answerHasBody = true; // false for HEAD
+};
+
+/** \class HttpCall
+ * \brief One request to an endpoint. To let go of it ends it.
+ */
+class HttpCall
+{
+public:
+  ~HttpCall();
+  /** \brief Ends the call by closing its connection; no handler runs any
+   * more.
+   */
+  void Cancel();
+
+private:
+  friend class HttpClient;
+  std::shared_ptr<detail::HttpClientConnection> connection_;
+};
+
+/** \class HttpClient
+ * \brief Calls endpoints, one request at a time on a connection, and keeps
+ * connections that may be used again.
+ */
+class HttpClient
+{
+public:
+  explicit HttpClient(EventLoop& loop);
+  ~HttpClient();
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  /** \brief Calls `address` (IP:port) with a request's bytes. */
+  std::unique_ptr<HttpCall> Start(const std::string& address,
+                                  std::string request,
+                                  const HttpCallOptions& options,
+                                  HttpCallHandler handler);
+
+  /** \brief Open connections to an address, in use or at rest. */
+  std::size_t OpenConnections(const std::string& address) const;
+
+  /** \brief Closes the connections at rest to an address. */
+  void Forget(const std::string& address);
+
+private:
+  friend class detail::HttpClientConnection;
+  using Connection = detail::HttpClientConnection;
+  std::shared_ptr<Connection> TakeResting(const std::string& address,
+                                          absl::Duration maxRest);
+  void PutResting(const std::shared_ptr<Connection>& connection);
+  void RemoveResting(const Connection& connection);
+  void NoteOpened(const std::string& address);
+  void NoteClosed(const std::string& address);
+
+  EventLoop& loop_;
+  std::map<std::string, std::vector<std::shared_ptr<Connection>>> resting_;
+  std::map<std::string, std::size_t> open_;
+};
+
+} // namespace wg
--- /dev/null
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -0,0 +1,318 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgHttpClientConnection.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <netinet/tcp.h>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_split.h"
+
+#include "wgSocketAddress.h"
+
+namespace wg {
+namespace detail {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr std::size_t ReadBytes = 8192;
+constexpr std::size_t MaxHeaderBytes = 65536;
+constexpr absl::Duration MaxRest = absl::Seconds(30);
+/** Before the endpoint closes a connection at rest, it is closed here. */
+constexpr absl::Duration RestMargin = absl::Milliseconds(700);
+constexpr unsigned UserTimeoutMs = 3000;
+
+/** How long an answer says that its connection may rest: Keep-Alive's
+ * timeout in whole seconds.
+ */
+absl::Duration AllowedRest(const HttpFields& fields)
+{
+  const absl::string_view value = FieldOf(fields, "Keep-Alive");
+  for (absl::string_view part : absl::StrSplit(value, ',')) {
+    const std::pair<absl::string_view, absl::string_view> pair =
+      absl::StrSplit(part, absl::MaxSplits('=', 1));
+    int seconds = 0;
+    const bool isTimeout =
+      absl::StripAsciiWhitespace(pair.first) == "timeout" &&
+      absl::SimpleAtoi(pair.second, &seconds);
+    if (isTimeout) {
+      return std::max(absl::Seconds(seconds) - RestMargin,
+                      absl::ZeroDuration());
+    }
+  }
+  return MaxRest;
+}
+
+} // namespace
+
+HttpClientConnection::HttpClientConnection(HttpClient& client, EventLoop& loop,
+                                           std::string address)
+  : client_(&client)
+  , loop_(loop)
+  , address_(std::move(address))
+  , socket_(loop)
+  , connectTimer_(loop)
+{
+  client_->NoteOpened(address_);
+}
+
+HttpClientConnection::~HttpClientConnection()
+{
+  if (client_ != nullptr && !closed_) {
+    client_->NoteClosed(address_);
+  }
+}
+
+void HttpClientConnection::Begin(std::string request,
+                                 const HttpCallOptions& options,
+                                 HttpCallHandler handler)
+{
+  request_ = std::move(request);
+  handler_ = std::move(handler);
+  answerHasBody_ = options.answerHasBody;
+  inCall_ = true;
+  requestSent_ = false;
+  headTold_ = false;
+  StartParser();
+  if (connected_) {
+    Send();
+  } else {
+    Connect(options.connectTimeout);
+  }
+}
+
+void HttpClientConnection::StartParser()
+{
+  parser_.emplace();
+  parser_->eager(true);
+  parser_->header_limit(MaxHeaderBytes);
+  parser_->body_limit(boost::none);
+  parser_->skip(!answerHasBody_);
+}
+
+void HttpClientConnection::Connect(absl::Duration timeout)
+{
+  const Outcome<tcp::endpoint> endpoint = ParseTcpEndpoint(address_);
+  auto self = shared_from_this();
+  if (!Succeeded(endpoint)) {
+    asio::post(loop_, [self] { self->EndCall(HttpCallEnd::NotConnected); });
+    return;
+  }
+  connectTimer_.expires_after(absl::ToChronoMilliseconds(timeout));
+  connectTimer_.async_wait([self](error_code error) {
+    const bool late = !error && !self->connected_;
+    if (late) {
+      self->EndCall(HttpCallEnd::NotConnected);
+    }
+  });
+  socket_.async_connect(
+    Value(endpoint), [self](error_code error) { self->OnConnected(error); });
+}
+
+void HttpClientConnection::OnConnected(error_code error)
+{
+  connectTimer_.cancel();
+  if (closed_) {
+    return;
+  }
+  if (error) {
+    EndCall(HttpCallEnd::NotConnected);
+    return;
+  }
+  connected_ = true;
+  error_code ignored;
+  socket_.set_option(tcp::no_delay(true), ignored);
+  const asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>
+    userTimeout(UserTimeoutMs);
+  socket_.set_option(userTimeout, ignored);
+  Send();
+}
+
+void HttpClientConnection::Send()
+{
+  asio::async_write(
+    socket_, asio::buffer(request_),
+    [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+      if (!error) {
+        self->requestSent_ = true;
+      }
+    });
+  Read();
+}
+
+void HttpClientConnection::Read()
+{
+  if (isReading_ || closed_) {
+    return;
+  }
+  isReading_ = true;
+  socket_.async_read_some(
+    input_.prepare(ReadBytes),
+    [self = shared_from_this()](error_code error, std::size_t bytes) {
+      self->OnRead(error, bytes);
+    });
+}
+
+void HttpClientConnection::OnRead(error_code error, std::size_t bytes)
+{
+  isReading_ = false;
+  if (closed_) {
+    return;
+  }
+  if (error) {
+    OnInputEnd(error);
+    return;
+  }
+  if (!inCall_) {
+    Close(); // bytes that no call waits for
+    return;
+  }
+  input_.commit(bytes);
+  ParseInput();
+  Read();
+}
+
+/** Ends the call when the answer is whole or can't become sound. */
+void HttpClientConnection::ParseInput()
+{
+  auto self = shared_from_this(); // a handler may let go of the call
+  while (inCall_ && !closed_ && input_.size() > 0) {
+    error_code error;
+    const std::size_t used = parser_->put(input_.data(), error);
+    input_.consume(used);
+    const bool unsound = error && error != http::error::need_more;
+    if (unsound) {
+      EndCall(HttpCallEnd::Cut);
+      return;
+    }
+    if (!TellHead()) {
+      return;
+    }
+    TellBody();
+    if (closed_ || !inCall_) {
+      return;
+    }
+    if (parser_->is_done()) {
+      CompleteCall();
+    } else if (error == http::error::need_more) {
+      return;
+    }
+  }
+}
+
+/** \return false when the call is over */
+bool HttpClientConnection::TellHead()
+{
+  if (headTold_ || !parser_->is_header_done()) {
+    return true;
+  }
+  constexpr unsigned InformationalClass = 1;
+  constexpr unsigned ClassDivisor = 100;
+  const bool interim =
+    parser_->get().result_int() / ClassDivisor == InformationalClass;
+  if (interim) {
+    StartParser();
+    return true;
+  }
+  headTold_ = true;
+  if (!handler_.onHead(parser_->get().base())) {
+    EndCall(HttpCallEnd::Refused);
+    return false;
+  }
+  return !closed_ && inCall_;
+}
+
+void HttpClientConnection::TellBody()
+{
+  if (!headTold_ || parser_->get().body().empty()) {
+    return;
+  }
+  const std::string body = std::exchange(parser_->get().body(), {});
+  handler_.onBody(body);
+}
+
+void HttpClientConnection::OnInputEnd(error_code error)
+{
+  if (!inCall_) {
+    Close();
+    return;
+  }
+  const bool endsByClose = error == asio::error::eof && headTold_ &&
+                           parser_->need_eof() && !parser_->is_done();
+  if (endsByClose) {
+    error_code ended;
+    parser_->put_eof(ended);
+    EndCall(ended ? HttpCallEnd::Cut : HttpCallEnd::Complete);
+    return;
+  }
+  EndCall(HttpCallEnd::Cut);
+}
+
+/** The connection may rest only if nothing more came, or is to be sent. */
+void HttpClientConnection::CompleteCall()
+{
+  const bool reusable = parser_->keep_alive() && !parser_->need_eof() &&
+                        input_.size() == 0 && requestSent_;
+  if (!reusable || client_ == nullptr) {
+    EndCall(HttpCallEnd::Complete);
+    return;
+  }
+  restingSince_ = ElapsedNow();
+  restsUntil_ = restingSince_ + AllowedRest(parser_->get());
+  inCall_ = false;
+  parser_.reset();
+  request_.clear();
+  HttpCallHandler handler = std::exchange(handler_, {});
+  client_->PutResting(shared_from_this());
+  Read();
+  handler.onEnd(HttpCallEnd::Complete);
+}
+
+void HttpClientConnection::EndCall(HttpCallEnd end)
+{
+  auto self = shared_from_this();
+  const bool tell = std::exchange(inCall_, false);
+  HttpCallHandler handler = std::exchange(handler_, {});
+  Close();
+  if (tell) {
+    handler.onEnd(end);
+  }
+}
+
+void HttpClientConnection::Cancel()
+{
+  if (!inCall_) {
+    return;
+  }
+  inCall_ = false;
+  // One of the handlers may be running: they are destroyed later.
+  asio::post(loop_, [done = std::exchange(handler_, {})] {});
+  Close();
+}
+
+void HttpClientConnection::Close()
+{
+  if (std::exchange(closed_, true)) {
+    return;
+  }
+  connectTimer_.cancel();
+  error_code ignored;
+  socket_.close(ignored);
+  if (client_ != nullptr) {
+    client_->RemoveResting(*this);
+    client_->NoteClosed(address_);
+  }
+}
+
+} // namespace detail
+} // namespace wg
--- /dev/null
+++ b/Source/Http/wgHttpMessage.cxx
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgHttpMessage.h"
+
+#include <sstream>
+#include <vector>
+
+#include <boost/beast/http/fields.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include "absl/strings/numbers.h"
+
+namespace wg {
+namespace {
+
+namespace http = boost::beast::http;
+
+boost::beast::string_view ToBeast(absl::string_view text)
+{
+  return { text.data(), text.size() };
+}
+
+} // namespace
+
+absl::string_view FieldOf(const HttpFields& fields, absl::string_view name)
+{
+  const auto found = fields.find(ToBeast(name));
+  if (found == fields.end()) {
+    return ""; // not null, of which a split yields no part at all
+  }
+  return { found->value().data(), found->value().size() };
+}
+
+std::int64_t NumberOf(const HttpFields& fields, absl::string_view name,
+                      std::int64_t fallback)
+{
+  std::int64_t value = fallback;
+  const bool isNumber = absl::SimpleAtoi(FieldOf(fields, name), &value);
+  return isNumber ? value : fallback;
+}
+
+void RemoveConnectionFields(HttpFields& fields)
+{
+  std::vector<std::string> named;
+  for (const auto& token :
+       http::token_list(ToBeast(FieldOf(fields, "Connection")))) {
+    named.emplace_back(token);
+  }
+  for (const std::string& name : named) {
+    fields.erase(name);
+  }
+  for (const http::field field :
+       { http::field::connection, http::field::keep_alive,
+         http::field::proxy_connection, http::field::te, http::field::trailer,
+         http::field::transfer_encoding, http::field::upgrade,
+         http::field::expect }) {
+    fields.erase(field);
+  }
+}
+
+HttpResponse MakeResponse(unsigned status, absl::string_view contentType,
+                          std::string body)
+{
+  HttpResponse response;
+  response.version(11);
+  response.result(status);
+  if (!contentType.empty()) {
+    response.set(http::field::content_type, ToBeast(contentType));
+  }
+  response.body() = std::move(body);
+  response.content_length(response.body().size());
+  return response;
+}
+
+std::string PrintHead(const HttpHead& head)
+{
+  std::ostringstream text;
+  text << head;
+  return text.str();
+}
+
+std::string PrintRequest(HttpRequest request)
+{
+  request.erase(http::field::transfer_encoding);
+  if (request.body().empty()) {
+    request.erase(http::field::content_length);
+  } else {
+    request.content_length(request.body().size());
+  }
+  const bool wantsLength =
+    request.body().empty() && (request.method() == http::verb::post ||
+                               request.method() == http::verb::put ||
+                               request.method() == http::verb::patch);
+  if (wantsLength) {
+    request.content_length(0);
+  }
+  std::ostringstream text;
+  text << request.base();
+  return text.str() + request.body();
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Http/wgHttpServer.cxx
@@ -0,0 +1,240 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgHttpServer.h"
+
+#include <utility>
+#include <vector>
+
+#include <boost/asio/ip/address.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
+#include <boost/beast/http/chunk_encode.hpp>
+
+#include "absl/strings/str_cat.h"
+
+#include "wgHttpServerConnection.h"
+
+namespace wg {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr int AcceptBacklog = 1024;
+constexpr auto SweepPeriod = std::chrono::milliseconds(500);
+
+} // namespace
+
+HttpExchange::HttpExchange(std::weak_ptr<Connection> connection,
+                           HttpRequest request)
+  : connection_(std::move(connection))
+  , request_(std::move(request))
+  , arrived_(ElapsedNow())
+{
+}
+
+void HttpExchange::OnCallerLeft(std::function<void()> handler)
+{
+  onCallerLeft_ = std::move(handler);
+}
+
+void HttpExchange::NoteCallerLeft()
+{
+  if (std::exchange(over_, true)) {
+    return;
+  }
+  if (auto handler = std::exchange(onCallerLeft_, nullptr)) {
+    handler();
+  }
+}
+
+void HttpExchange::Write(std::string bytes)
+{
+  if (auto connection = connection_.lock()) {
+    connection->Write(std::move(bytes));
+  }
+}
+
+void HttpExchange::PrepareHead(HttpHead& head) const
+{
+  auto connection = connection_.lock();
+  const bool drains = connection != nullptr && connection->IsDraining();
+  if (drains || !request_.keep_alive()) {
+    head.set(http::field::connection, "close");
+  }
+}
+
+void HttpExchange::Respond(HttpResponse response)
+{
+  if (over_ || started_) {
+    return;
+  }
+  PrepareHead(response);
+  const bool keep = response[http::field::connection] != "close";
+  const bool bodiless = request_.method() == http::verb::head;
+  if (!bodiless) {
+    response.content_length(response.body().size());
+  }
+  started_ = true;
+  over_ = true;
+  onCallerLeft_ = nullptr;
+  Write(PrintHead(response) + (bodiless ? "" : response.body()));
+  if (auto connection = connection_.lock()) {
+    connection->EndAnswer(keep);
+  }
+}
+
+void HttpExchange::StartStream(HttpHead head)
+{
+  if (over_ || started_) {
+    return;
+  }
+  started_ = true;
+  PrepareHead(head);
+  head.erase(http::field::content_length);
+  head.set(http::field::transfer_encoding, "chunked");
+  Write(PrintHead(head));
+}
+
+void HttpExchange::WriteStream(absl::string_view bytes)
+{
+  if (over_ || bytes.empty()) {
+    return;
+  }
+  const auto chunk =
+    http::make_chunk(asio::buffer(bytes.data(), bytes.size()));
+  Write(boost::beast::buffers_to_string(chunk));
+}
+
+void HttpExchange::FinishStream()
+{
+  if (std::exchange(over_, true)) {
+    return;
+  }
+  onCallerLeft_ = nullptr;
+  Write(boost::beast::buffers_to_string(http::make_chunk_last()));
+  if (auto connection = connection_.lock()) {
+    connection->EndAnswer(request_.keep_alive() && !connection->IsDraining());
+  }
+}
+
+void HttpExchange::Abort()
+{
+  if (std::exchange(over_, true)) {
+    return;
+  }
+  onCallerLeft_ = nullptr;
+  if (auto connection = connection_.lock()) {
+    connection->Close();
+  }
+}
+
+HttpServer::HttpServer(EventLoop& loop, Handler handler)
+  : loop_(loop)
+  , handler_(std::move(handler))
+  , acceptor_(loop)
+  , sweepTimer_(loop)
+{
+}
+
+HttpServer::~HttpServer()
+{
+  for (auto& [key, connection] : connections_) {
+    connection->Detach();
+  }
+}
+
+Outcome<Done> HttpServer::Start(const std::string& host, int port)
+{
+  error_code error;
+  const auto address = asio::ip::make_address(host, error);
+  const tcp::endpoint endpoint(address, static_cast<std::uint16_t>(port));
+  if (!error) {
+    acceptor_.open(endpoint.protocol(), error);
+  }
+  if (!error) {
+    acceptor_.set_option(tcp::acceptor::reuse_address(true), error);
+    acceptor_.bind(endpoint, error);
+  }
+  if (!error) {
+    acceptor_.listen(AcceptBacklog, error);
+  }
+  if (error) {
+    return Error{ absl::StrCat("Can't listen on ", host, ":", port, ": ",
+                               error.message(),
+                               "; choose an address of this box that no "
+                               "other process uses.") };
+  }
+  Accept();
+  return Done{};
+}
+
+int HttpServer::Port() const
+{
+  error_code ignored;
+  return acceptor_.local_endpoint(ignored).port();
+}
+
+void HttpServer::Accept()
+{
+  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
+    if (error == asio::error::operation_aborted) {
+      return;
+    }
+    if (!error && connections_.size() < limits_.connections) {
+      auto connection = std::make_shared<detail::HttpServerConnection>(
+        *this, std::move(socket));
+      connections_.emplace(connection.get(), connection);
+      connection->Start();
+      ArmSweep();
+    }
+    Accept();
+  });
+}
+
+void HttpServer::ArmSweep()
+{
+  if (std::exchange(sweepArmed_, true)) {
+    return;
+  }
+  sweepTimer_.expires_after(SweepPeriod);
+  sweepTimer_.async_wait([this](error_code error) {
+    if (!error) {
+      sweepArmed_ = false;
+      Sweep();
+    }
+  });
+}
+
+void HttpServer::Sweep()
+{
+  std::vector<std::shared_ptr<detail::HttpServerConnection>> all;
+  all.reserve(connections_.size());
+  for (const auto& [key, connection] : connections_) {
+    all.push_back(connection);
+  }
+  const Elapsed now = ElapsedNow();
+  for (const auto& connection : all) {
+    connection->CheckTimeouts(now);
+  }
+  if (!connections_.empty()) {
+    ArmSweep();
+  }
+}
+
+void HttpServer::StartDraining(absl::Duration rest)
+{
+  draining_ = true;
+  restUntil_ = ElapsedNow() + rest;
+}
+
+std::size_t HttpServer::ActiveRequests() const
+{
+  std::size_t active = 0;
+  for (const auto& [key, connection] : connections_) {
+    active += connection->IsBusy() ? 1 : 0;
+  }
+  return active;
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Http/wgHttpServerConnection.cxx
@@ -0,0 +1,292 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgHttpServerConnection.h"
+
+#include <utility>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace wg {
+namespace detail {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::system::error_code;
+
+constexpr std::size_t ReadBytes = 8192;
+/** What a caller may send ahead while its request is being answered. */
+constexpr std::size_t MaxAheadBytes = 65536;
+/** What may wait for a caller that reads slowly. */
+constexpr std::size_t MaxOutputBytes = 8U << 20U;
+constexpr absl::Duration LingerTime = absl::Seconds(1);
+
+unsigned StatusFor(error_code error)
+{
+  constexpr unsigned BadRequest = 400;
+  constexpr unsigned TooLarge = 413;
+  constexpr unsigned HeaderTooLarge = 431;
+  if (error == http::error::body_limit) {
+    return TooLarge;
+  }
+  if (error == http::error::header_limit) {
+    return HeaderTooLarge;
+  }
+  return BadRequest;
+}
+
+} // namespace
+
+HttpServerConnection::HttpServerConnection(HttpServer& server,
+                                           asio::ip::tcp::socket socket)
+  : server_(&server)
+  , socket_(std::move(socket))
+  , due_(ElapsedNow() + server.limits_.idleTimeout)
+{
+}
+
+void HttpServerConnection::Start()
+{
+  error_code ignored;
+  socket_.set_option(asio::ip::tcp::no_delay(true), ignored);
+  Read();
+}
+
+void HttpServerConnection::Read()
+{
+  const bool tooFarAhead =
+    exchange_ != nullptr && input_.size() >= MaxAheadBytes;
+  if (isReading_ || closed_ || tooFarAhead) {
+    return;
+  }
+  isReading_ = true;
+  socket_.async_read_some(
+    input_.prepare(ReadBytes),
+    [self = shared_from_this()](error_code error, std::size_t bytes) {
+      self->OnRead(error, bytes);
+    });
+}
+
+void HttpServerConnection::OnRead(error_code error, std::size_t bytes)
+{
+  isReading_ = false;
+  if (closed_) {
+    return;
+  }
+  if (error) {
+    Close();
+    return;
+  }
+  if (lingers_) {
+    input_.clear();
+    Read();
+    return;
+  }
+  input_.commit(bytes);
+  ParseInput();
+  Read();
+}
+
+void HttpServerConnection::StartParser()
+{
+  const HttpLimits& limits = server_->limits_;
+  parser_.emplace();
+  parser_->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
+  parser_->body_limit(limits.bodyBytes);
+  parser_->eager(true);
+  due_ = ElapsedNow() + limits.headerTimeout;
+  saidContinue_ = false;
+}
+
+void HttpServerConnection::ParseInput()
+{
+  while (!closed_ && !lingers_ && exchange_ == nullptr && input_.size() > 0 &&
+         server_ != nullptr) {
+    if (!parser_) {
+      StartParser();
+    }
+    error_code error;
+    const std::size_t used = parser_->put(input_.data(), error);
+    input_.consume(used);
+    if (error == http::error::need_more) {
+      ContinueIfAsked();
+      return;
+    }
+    if (error) {
+      RefuseInput(error);
+      return;
+    }
+    if (parser_->is_done()) {
+      TakeRequest();
+    } else {
+      ContinueIfAsked();
+    }
+  }
+}
+
+void HttpServerConnection::ContinueIfAsked()
+{
+  if (!parser_->is_header_done() || saidContinue_) {
+    return;
+  }
+  saidContinue_ = true;
+  if (FieldOf(parser_->get(), "Expect") == "100-continue") {
+    Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
+}
+
+void HttpServerConnection::TakeRequest()
+{
+  exchange_ =
+    std::make_shared<HttpExchange>(weak_from_this(), parser_->release());
+  parser_.reset();
+  answerEnded_ = false;
+  server_->handler_(exchange_);
+}
+
+/** The rest of what the caller sends is read for a while and dropped, or it
+ * would lose the answer to a reset.
+ */
+void HttpServerConnection::RefuseInput(error_code error)
+{
+  parser_.reset();
+  HttpResponse response = MakeResponse(StatusFor(error), "", "");
+  response.set(http::field::connection, "close");
+  answerEnded_ = true;
+  keepOpen_ = false;
+  Write(PrintHead(response));
+}
+
+void HttpServerConnection::Write(std::string bytes)
+{
+  if (closed_) {
+    return;
+  }
+  if (output_.empty()) {
+    output_ = std::move(bytes);
+  } else {
+    output_ += bytes;
+  }
+  if (output_.size() > MaxOutputBytes) {
+    Close();
+    return;
+  }
+  StartWrite();
+}
+
+void HttpServerConnection::StartWrite()
+{
+  if (isWriting_ || output_.empty() || closed_) {
+    return;
+  }
+  isWriting_ = true;
+  writing_ = std::exchange(output_, {});
+  asio::async_write(
+    socket_, asio::buffer(writing_),
+    [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
+      self->OnWritten(error);
+    });
+}
+
+void HttpServerConnection::OnWritten(error_code error)
+{
+  isWriting_ = false;
+  if (closed_) {
+    return;
+  }
+  if (error) {
+    Close();
+    return;
+  }
+  if (!output_.empty()) {
+    StartWrite();
+    return;
+  }
+  writing_.clear();
+  if (answerEnded_) {
+    AfterAnswer();
+  }
+}
+
+void HttpServerConnection::EndAnswer(bool keep)
+{
+  answerEnded_ = true;
+  keepOpen_ = keep;
+  if (!isWriting_ && output_.empty() && !closed_) {
+    AfterAnswer();
+  }
+}
+
+void HttpServerConnection::AfterAnswer()
+{
+  answerEnded_ = false;
+  exchange_.reset();
+  if (!keepOpen_) {
+    Linger();
+    return;
+  }
+  due_ = server_ == nullptr ? ElapsedNow()
+                            : ElapsedNow() + server_->limits_.idleTimeout;
+  auto self = shared_from_this();
+  asio::post(socket_.get_executor(), [self] {
+    self->ParseInput();
+    self->Read();
+  });
+}
+
+void HttpServerConnection::Linger()
+{
+  error_code ignored;
+  socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  lingers_ = true;
+  input_.clear();
+  due_ = ElapsedNow() + LingerTime;
+  Read();
+}
+
+void HttpServerConnection::Close()
+{
+  if (closed_) {
+    return;
+  }
+  closed_ = true;
+  error_code ignored;
+  socket_.close(ignored);
+  auto self = shared_from_this();
+  if (server_ != nullptr) {
+    server_->connections_.erase(this);
+  }
+  if (auto exchange = std::exchange(exchange_, nullptr)) {
+    exchange->NoteCallerLeft();
+  }
+}
+
+void HttpServerConnection::CheckTimeouts(Elapsed now)
+{
+  const bool answering = exchange_ != nullptr;
+  if (answering || server_ == nullptr) {
+    return;
+  }
+  if (now >= due_) {
+    const bool midRequest = parser_.has_value() && !lingers_;
+    if (!midRequest) {
+      Close();
+      return;
+    }
+    constexpr unsigned RequestTimeout = 408;
+    parser_.reset();
+    HttpResponse response = MakeResponse(RequestTimeout, "", "");
+    response.set(http::field::connection, "close");
+    answerEnded_ = true;
+    keepOpen_ = false;
+    Write(PrintHead(response));
+    return;
+  }
+  const bool atRest = !parser_.has_value() && !lingers_ && !isWriting_;
+  if (atRest && now >= server_->restUntil_) {
+    Close();
+  }
+}
+
+} // namespace detail
+} // namespace wg
--- /dev/null
+++ b/Source/Http/wgHttpServerConnection.h
@@ -0,0 +1,80 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+
+#include "wgElapsed.h"
+#include "wgHttpServer.h"
+
+namespace wg {
+namespace detail {
+
+/** \class HttpServerConnection
+ * \brief One caller's connection: reads a request, waits for the answer to be
+ * written, reads the next.
+ *
+ * It goes on reading while a request is answered, so that a caller that
+ * leaves is noticed at once.
+ */
+class HttpServerConnection
+  : public std::enable_shared_from_this<HttpServerConnection>
+{
+public:
+  HttpServerConnection(HttpServer& server,
+                       boost::asio::ip::tcp::socket socket);
+
+  void Start();
+  /** \brief Ends the connection if it has been slow or at rest too long. */
+  void CheckTimeouts(Elapsed now);
+  void Write(std::string bytes);
+  /** \brief The answer is written as a whole; `keep` allows another request.
+   */
+  void EndAnswer(bool keep);
+  void Close();
+  bool IsBusy() const { return exchange_ != nullptr || parser_.has_value(); }
+  bool IsDraining() const { return server_ == nullptr || server_->draining_; }
+
+  /** \brief The server is gone; nothing of it may be used any more. */
+  void Detach() { server_ = nullptr; }
+
+private:
+  using Parser =
+    boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+  void Read();
+  void OnRead(boost::system::error_code error, std::size_t bytes);
+  void ParseInput();
+  void StartParser();
+  void ContinueIfAsked();
+  void TakeRequest();
+  void RefuseInput(boost::system::error_code error);
+  void StartWrite();
+  void OnWritten(boost::system::error_code error);
+  void AfterAnswer();
+  void Linger();
+
+  HttpServer* server_;
+  boost::asio::ip::tcp::socket socket_;
+  boost::beast::flat_buffer input_;
+  std::optional<Parser> parser_;
+  std::shared_ptr<HttpExchange> exchange_;
+  std::string output_;
+  std::string writing_;
+  Elapsed due_; // of what is being read, or of the rest
+  bool isReading_ = false;
+  bool isWriting_ = false;
+  bool answerEnded_ = false;
+  bool keepOpen_ = true;
+  bool lingers_ = false;
+  bool saidContinue_ = false;
+  bool closed_ = false;
+};
+
+} // namespace detail
+} // namespace wg
--- a/Source/Transport/wgPeerClient.cxx
+++ b/Source/Transport/wgPeerClient.cxx
@@ -7,7 +7,6 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/notification.h"
-#include "absl/time/clock.h"
 
 #include "wgPeerAuth.h"
 
@@ -50,7 +49,7 @@
   PendingCall call{ address,
                     std::string(path),
                     std::move(body),
-                    absl::Now() + timeout,
+                    ElapsedNow() + timeout,
                     std::move(callback),
                     MakeNonce() };
   absl::MutexLock lock(&mutex_);
@@ -76,13 +75,13 @@
 
 int PeerClient::PollTimeoutMs() const
 {
-  absl::Time soonest = absl::Now() + absl::Milliseconds(MaxPollMs);
+  Elapsed soonest = ElapsedNow() + absl::Milliseconds(MaxPollMs);
   for (const auto& [address, connection] : connections_) {
     for (const auto& [id, call] : connection.calls) {
       soonest = std::min(soonest, call.deadline);
     }
   }
-  const auto left = absl::ToInt64Milliseconds(soonest - absl::Now());
+  const auto left = absl::ToInt64Milliseconds(soonest - ElapsedNow());
   return static_cast<int>(std::clamp<std::int64_t>(left + 1, 0, MaxPollMs));
 }
 
@@ -110,14 +109,14 @@
       }
       detail::Http2Session& session = *found->second.session;
       if ((events & POLLIN) != 0) {
-        found->second.lastHeard = absl::Now();
+        found->second.lastHeard = ElapsedNow();
       }
       if (!session.Read() || !session.Write()) {
         Drop(addresses[i]);
       }
     }
     StartCalls();
-    ExpireCalls(absl::Now());
+    ExpireCalls(ElapsedNow());
   }
 }
 
@@ -155,7 +154,7 @@
     detail::Http2Session::Listener& listener = *this;
     connection.session = std::make_unique<detail::Http2Session>(
       std::move(Value(socket)), detail::Http2Session::Side::Client, listener);
-    connection.lastHeard = absl::Now();
+    connection.lastHeard = ElapsedNow();
   }
   const std::string signature =
     SignRequest(key_, who_, call.path, call.nonce, call.body);
@@ -170,7 +169,7 @@
   connection.calls.emplace(id, std::move(call));
 }
 
-void PeerClient::ExpireCalls(absl::Time now)
+void PeerClient::ExpireCalls(Elapsed now)
 {
   std::vector<PendingCall> expired;
   std::vector<std::string> silent;
--- a/Source/Transport/wgPeerClient.h
+++ b/Source/Transport/wgPeerClient.h
@@ -15,6 +15,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 
+#include "wgElapsed.h"
 #include "wgHttp2Session.h"
 #include "wgOutcome.h"
 
@@ -49,7 +50,7 @@
     std::string address;
     std::string path;
     std::string body;
-    absl::Time deadline;
+    Elapsed deadline;
     Callback callback;
     std::string nonce;
   };
@@ -57,14 +58,14 @@
   {
     std::unique_ptr<detail::Http2Session> session;
     std::map<std::int32_t, PendingCall> calls;
-    absl::Time lastHeard;
+    Elapsed lastHeard;
   };
 
   void Run();
   int PollTimeoutMs() const;
   void StartCalls();
   void StartCall(PendingCall call);
-  void ExpireCalls(absl::Time now);
+  void ExpireCalls(Elapsed now);
   void Drop(const std::string& address);
   void OnMessage(detail::Http2Session& session, std::int32_t stream) override;
   void OnBroken(detail::Http2Session& session, std::int32_t stream) override;
--- a/Utilities/Daemon/wgDaemon.cxx
+++ b/Utilities/Daemon/wgDaemon.cxx
@@ -2,12 +2,22 @@
 #include "wgSettings.h"
 
 #include <atomic>
+#include <chrono>
 #include <csignal>
 #include <iostream>
 #include <thread>
 
+#include <poll.h>
+
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
 #include "absl/time/clock.h"
 
+#include "wgPlatformControl.h"
+#include "wgPlatformDialect.h"
+#include "wgSettingsFile.h"
+
 namespace {
 
 constexpr int ExitBadSettings = 2;
@@ -41,16 +51,110 @@
   return node.Stop(Hurry) == 0 ? 0 : ExitCannotStart;
 }
 
-int RunControl(wg::ControlSettings settings)
+constexpr auto FilePeriod = std::chrono::seconds(3);
+
+/** Hands changes of the settings file on, told by signal or not. */
+class FileFollower
+{
+public:
+  using Take = std::function<void(const std::vector<std::string>&)>;
+
+  FileFollower(wg::EventLoop& loop, const std::string& path, Take take)
+    : watch_(path)
+    , take_(std::move(take))
+    , timer_(loop)
+  {
+    Arm();
+  }
+
+  void Check(bool force)
+  {
+    const auto controls = watch_.ChangedControls(force);
+    if (!controls.empty()) {
+      wg::LogChange("settings", "read again");
+      take_(controls);
+    }
+  }
+
+private:
+  void Arm()
+  {
+    timer_.expires_after(FilePeriod);
+    timer_.async_wait([this](boost::system::error_code error) {
+      if (!error) {
+        Check(false);
+        Arm();
+      }
+    });
+  }
+
+  wg::SettingsWatch watch_;
+  Take take_;
+  boost::asio::steady_timer timer_;
+};
+
+/** Calls `stop` for the first signal to end, and has the file read again. */
+void FollowSignals(boost::asio::signal_set& signals, FileFollower& file,
+                   const std::function<void()>& stop)
+{
+  signals.async_wait(
+    [&signals, &file, stop](boost::system::error_code error, int signal) {
+      if (error) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        file.Check(true);
+      } else {
+        stop();
+      }
+      FollowSignals(signals, file, stop);
+    });
+}
+
+int RunGateway(wg::GatewaySettings settings, const std::string& file)
+{
+  const wg::Dialect dialect = wg::MakePlatformDialect();
+  wg::GatewayNode node(std::move(settings), dialect);
+  boost::asio::signal_set signals(node.Loop(), SIGTERM, SIGINT, SIGHUP);
+  if (auto started = node.Start(); !wg::Succeeded(started)) {
+    std::cerr << wg::Message(started) << "\n";
+    return ExitCannotStart;
+  }
+  FileFollower follower(node.Loop(), file,
+                        [&node](const std::vector<std::string>& controls) {
+                          node.AddControls(controls);
+                        });
+  FollowSignals(signals, follower, [&node] { node.BeginStop(); });
+  node.Loop().run();
+  return 0;
+}
+
+int RunControl(wg::ControlSettings settings, const std::string& api,
+               const std::string& file)
 {
   wg::Counters counters;
+  wg::DecisionLog log(settings.box, "control");
   wg::ControlNode node(std::move(settings), counters);
+  wg::PlatformControl platform(node, log);
+  if (!api.empty()) {
+    if (auto started = platform.Start(api); !wg::Succeeded(started)) {
+      std::cerr << wg::Message(started) << "\n";
+      return ExitCannotStart;
+    }
+  }
   if (auto started = node.Start(); !wg::Succeeded(started)) {
     std::cerr << wg::Message(started) << "\n";
     return ExitCannotStart;
   }
   wg::LogChange("control", "started");
-  WaitForSignal();
+  wg::EventLoop signalLoop(1);
+  boost::asio::signal_set signals(signalLoop, SIGTERM, SIGINT, SIGHUP);
+  FileFollower follower(signalLoop, file,
+                        [&node](const std::vector<std::string>& controls) {
+                          node.AddControls(controls);
+                        });
+  FollowSignals(signals, follower, [&signalLoop] { signalLoop.stop(); });
+  signalLoop.run();
   node.Stop();
   wg::LogChange("stop", "done");
   return 0;
@@ -71,11 +175,15 @@
     return 0;
   }
   std::signal(SIGPIPE, SIG_IGN);
-  std::signal(SIGTERM, OnSignal);
-  std::signal(SIGINT, OnSignal);
   wg::StartLog(checked.logFormat);
   if (auto* entry = std::get_if<wg::EntrySettings>(&checked.role)) {
+    std::signal(SIGTERM, OnSignal);
+    std::signal(SIGINT, OnSignal);
     return RunEntry(std::move(*entry));
   }
-  return RunControl(std::move(std::get<wg::ControlSettings>(checked.role)));
+  if (auto* gateway = std::get_if<wg::GatewaySettings>(&checked.role)) {
+    return RunGateway(std::move(*gateway), checked.settingsFile);
+  }
+  return RunControl(std::move(std::get<wg::ControlSettings>(checked.role)),
+                    checked.api, checked.settingsFile);
 }
--- a/Utilities/Daemon/wgSettings.cxx
+++ b/Utilities/Daemon/wgSettings.cxx
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgSettings.h"
 
+#include <algorithm>
 #include <array>
 #include <cstdlib>
 
@@ -11,6 +12,8 @@
 #include "absl/strings/str_replace.h"
 #include "absl/strings/str_split.h"
 
+#include "wgSettingsFile.h"
+
 extern char** environ;
 
 namespace wg {
@@ -18,6 +21,9 @@
 
 constexpr std::size_t MinKeyBytes = 8;
 constexpr absl::string_view EnvironmentPrefix = "WEIRGATE_";
+constexpr const char* SettingsVariable = "WEIRGATE_SETTINGS";
+/** A gateway ends before the platform would kill it. */
+constexpr absl::Duration GraceMargin = absl::Milliseconds(600);
 
 std::string EnvironmentName(const std::string& flag)
 {
@@ -26,17 +32,52 @@
     absl::AsciiStrToUpper(absl::StrReplaceAll(flag, { { "-", "_" } })));
 }
 
+/** TCLAP takes "--name value"; people write "--name=value" as well. */
+std::vector<std::string> SplitFlags(int argc, char** argv)
+{
+  std::vector<std::string> words;
+  for (int i = 0; i < argc; ++i) {
+    const std::string word = argv[i];
+    const std::size_t equals = word.find('=');
+    const bool joined =
+      word.compare(0, 2, "--") == 0 && equals != std::string::npos;
+    if (joined) {
+      words.push_back(word.substr(0, equals));
+      words.push_back(word.substr(equals + 1));
+    } else {
+      words.push_back(word);
+    }
+  }
+  return words;
+}
+
 /** All flags of the daemon. */
 class Flags
 {
 public:
-  Flags()
-    : line_("Serves multi-stage model pipelines: one process of weirgate.",
+  explicit Flags(SettingsMap file)
+    : file_(std::move(file))
+    , line_("Serves multi-stage model pipelines: one process of weirgate.",
             ' ', WG_VERSION)
-    , role_(Text("role", "entry or control", ""))
+    , role_(Text("role", "entry, gateway or control", ""))
     , box_(Text("box", "this box's name", ""))
     , hall_(Text("hall", "this box's hall", ""))
-    , listen_(Text("listen", "entry: IP:port for callers", ""))
+    , listen_(Text("listen", "entry, gateway: IP:port for callers", ""))
+    , ready_(Text("ready",
+                  "gateway: IP:port where it tells whether it is "
+                  "ready",
+                  ""))
+    , metrics_(Text("metrics", "IP:port for metrics; empty: none", ""))
+    , api_(Text("api",
+                "control: IP:port for endpoints that register and "
+                "operators' documents; empty: none",
+                ""))
+    , found_(Text("found",
+                  "control: true lets the first of --controls found "
+                  "the cluster if its folder is fresh",
+                  "false"))
+    , controlsPort_(
+        Text("controls-port", "port in place of those in --controls", ""))
     , peer_(Text("peer", "IP:port for weirgate's own processes", ""))
     , advertise_(Text("advertise",
                       "control: IP:port under which others "
@@ -66,6 +107,27 @@
                       ""))
     , log_(Text("log", "text or json", "text"))
     , voters_(Number("voters", "control: wanted voters, 1, 3 or 5", 3))
+    , losses_(Number("tolerated-losses",
+                     "control: boxes with a disk that may be lost at once, "
+                     "0 to 2, in place of --voters; -1: not given",
+                     -1))
+    , retryPercent_(Real("retry-ratio",
+                         "gateway: repetitions at a service, as a share of "
+                         "its requests",
+                         0.1))
+    , retrySlack_(Real("retry-slack",
+                       "gateway: repetitions at a service beyond the ratio",
+                       10))
+    , retryWindow_(Real("retry-window-s",
+                        "gateway: seconds over which repetitions count", 10))
+    , graceS_(Real("grace-s",
+                   "gateway: seconds after which a stop ends it; 0: as "
+                   "--stop-limit-ms says",
+                   0))
+    , heartbeat_(Number("heartbeat-ms",
+                        "control: period of endpoints' heartbeats, 1 to "
+                        "600000",
+                        1000))
     , spare_(Number("spare-after-s",
                     "control: a voter silent for so many seconds gives its "
                     "vote to a box that asks to join; 0: never",
@@ -99,13 +161,17 @@
   {
     line_.setExceptionHandling(false);
     try {
-      line_.parse(argc, argv);
+      std::vector<std::string> words = SplitFlags(argc, argv);
+      line_.parse(words);
     } catch (TCLAP::ArgException& error) {
       return Error{ absl::StrCat(error.error(), " (", error.argId(),
                                  "); --help lists the settings.") };
     } catch (TCLAP::ExitException& exit) {
       std::exit(exit.getExitStatus());
     }
+    if (auto checked = RefuseUnknownFileLines(); !Succeeded(checked)) {
+      return checked;
+    }
     return RefuseUnknownEnvironment();
   }
 
@@ -114,6 +180,7 @@
 private:
   using TextFlag = TCLAP::ValueArg<std::string>;
   using NumberFlag = TCLAP::ValueArg<long>;
+  using RealFlag = TCLAP::ValueArg<double>;
 
   std::string Remember(const std::string& name)
   {
@@ -121,10 +188,18 @@
     return name;
   }
 
+  /** From the environment, else from the file; null if in neither. */
+  const char* Given(const std::string& name)
+  {
+    const char* set = std::getenv(EnvironmentName(Remember(name)).c_str());
+    auto line = file_.find(name);
+    return set != nullptr || line == file_.end() ? set : line->second.c_str();
+  }
+
   TextFlag Text(const std::string& name, const std::string& help,
                 const std::string& fallback)
   {
-    const char* set = std::getenv(EnvironmentName(Remember(name)).c_str());
+    const char* set = Given(name);
     return TextFlag("", name, help, false,
                     set == nullptr ? fallback : std::string(set), "text",
                     line_);
@@ -133,7 +208,7 @@
   NumberFlag Number(const std::string& name, const std::string& help,
                     long fallback)
   {
-    const char* set = std::getenv(EnvironmentName(Remember(name)).c_str());
+    const char* set = Given(name);
     long value = fallback;
     if (set != nullptr && !absl::SimpleAtoi(set, &value)) {
       badNumber_ = EnvironmentName(name);
@@ -141,6 +216,18 @@
     return NumberFlag("", name, help, false, value, "number", line_);
   }
 
+  RealFlag Real(const std::string& name, const std::string& help,
+                double fallback)
+  {
+    const char* set = Given(name);
+    double value = fallback;
+    if (set != nullptr && !absl::SimpleAtod(set, &value)) {
+      badNumber_ = EnvironmentName(name);
+    }
+    return RealFlag("", name, help, false, value, "number", line_);
+  }
+
+  Outcome<Done> RefuseUnknownFileLines() const;
   Outcome<Done> RefuseUnknownEnvironment() const;
   Outcome<Done> CheckRange(const NumberFlag& flag, long least,
                            long most) const;
@@ -150,8 +237,14 @@
   Outcome<Done> CheckControl() const;
   Outcome<KeyRing> ReadKeys() const;
   std::vector<std::string> List(const TextFlag& flag) const;
+  std::vector<std::string> Controls() const;
+  Outcome<Done> CheckGateway() const;
+  Outcome<Done> FillGateway(const KeyRing& keys, DaemonSettings& settings);
+  Outcome<Done> FillEntry(const KeyRing& keys, DaemonSettings& settings);
+  Outcome<Done> FillControl(const KeyRing& keys, DaemonSettings& settings);
 
   // Before the flags, whose making fills them.
+  SettingsMap file_;
   std::vector<std::string> names_;
   std::string badNumber_;
   TCLAP::CmdLine line_;
@@ -159,6 +252,11 @@
   TextFlag box_;
   TextFlag hall_;
   TextFlag listen_;
+  TextFlag ready_;
+  TextFlag metrics_;
+  TextFlag api_;
+  TextFlag found_;
+  TextFlag controlsPort_;
   TextFlag peer_;
   TextFlag advertise_;
   TextFlag controls_;
@@ -169,6 +267,12 @@
   TextFlag operators_;
   TextFlag log_;
   NumberFlag voters_;
+  NumberFlag losses_;
+  RealFlag retryPercent_;
+  RealFlag retrySlack_;
+  RealFlag retryWindow_;
+  RealFlag graceS_;
+  NumberFlag heartbeat_;
   NumberFlag spare_;
   NumberFlag compact_;
   NumberFlag connections_;
@@ -178,6 +282,20 @@
   TCLAP::SwitchArg check_;
 };
 
+Outcome<Done> Flags::RefuseUnknownFileLines() const
+{
+  for (const auto& [name, value] : file_) {
+    const bool known = std::find(names_.begin(), names_.end(),
+                                 EnvironmentName(name)) != names_.end();
+    if (!known) {
+      return Error{ absl::StrCat("\"", name,
+                                 "\" in the settings file is no setting of "
+                                 "weirgated; --help lists them.") };
+    }
+  }
+  return Done{};
+}
+
 Outcome<Done> Flags::RefuseUnknownEnvironment() const
 {
   for (char** variable = environ; *variable != nullptr; ++variable) {
@@ -187,6 +305,7 @@
       name.compare(0, EnvironmentPrefix.size(), EnvironmentPrefix.data(),
                    EnvironmentPrefix.size()) == 0;
     const bool known =
+      name == SettingsVariable ||
       std::find(names_.begin(), names_.end(), name) != names_.end();
     if (ours && !known) {
       return Error{ absl::StrCat("The environment variable ", name,
@@ -214,7 +333,8 @@
 
 Outcome<Done> Flags::CheckRanges() const
 {
-  const std::array<Outcome<Done>, 7> checks = {
+  const std::array<Outcome<Done>, 9> checks = {
+    CheckRange(losses_, -1, 2),          CheckRange(heartbeat_, 1, 600000),
     CheckRange(voters_, 1, 5),           CheckRange(compact_, 10, 1000000),
     CheckRange(spare_, 0, 86400),        CheckRange(connections_, 1, 4000),
     CheckRange(body_, 1, 64L << 20),     CheckRange(settle_, 0, 600000),
@@ -250,12 +370,14 @@
     return Error{ absl::StrCat("--log is \"", text(log_),
                                "\"; use text or json.") };
   }
-  std::vector<std::string> addresses = List(controls_);
+  std::vector<std::string> addresses = Controls();
   const std::vector<std::string> seeds = List(seeds_);
   addresses.insert(addresses.end(), seeds.begin(), seeds.end());
   addresses.push_back(text(peer_));
-  if (!text(platform_).empty()) {
-    addresses.push_back(text(platform_));
+  for (const TextFlag* flag : { &platform_, &metrics_, &api_, &ready_ }) {
+    if (!text(*flag).empty()) {
+      addresses.push_back(text(*flag));
+    }
   }
   for (const std::string& address : addresses) {
     if (auto parsed = ParseSocketAddress(address); !Succeeded(parsed)) {
@@ -309,6 +431,96 @@
   return keys;
 }
 
+std::vector<std::string> Flags::Controls() const
+{
+  return AddressList(controls_.getValue(), controlsPort_.getValue());
+}
+
+Outcome<Done> Flags::CheckGateway() const
+{
+  if (ready_.getValue().empty()) {
+    return Error{ "--ready must name the address of a gateway's readiness." };
+  }
+  const bool sound = retryPercent_.getValue() >= 0 &&
+                     retrySlack_.getValue() >= 0 &&
+                     retryWindow_.getValue() > 0 && graceS_.getValue() >= 0;
+  if (!sound) {
+    return Error{ "--retry-ratio, --retry-slack and --grace-s must not be "
+                  "below 0, and --retry-window-s must be above it." };
+  }
+  return CheckEntry();
+}
+
+Outcome<Done> Flags::FillEntry(const KeyRing& keys, DaemonSettings& settings)
+{
+  EntrySettings entry;
+  entry.box = box_.getValue();
+  entry.hall = hall_.getValue();
+  entry.listen = listen_.getValue();
+  entry.peerAddress = peer_.getValue();
+  entry.keys = keys;
+  entry.controls = Controls();
+  entry.seeds = List(seeds_);
+  entry.platform = platform_.getValue();
+  entry.limits.maxConnections =
+    static_cast<std::size_t>(connections_.getValue());
+  entry.limits.maxBodyBytes = static_cast<std::size_t>(body_.getValue());
+  entry.settleTime = absl::Milliseconds(settle_.getValue());
+  entry.stopLimit = absl::Milliseconds(stopLimit_.getValue());
+  settings.role = std::move(entry);
+  return CheckEntry();
+}
+
+Outcome<Done> Flags::FillGateway(const KeyRing& keys, DaemonSettings& settings)
+{
+  GatewaySettings gateway;
+  gateway.box = box_.getValue();
+  gateway.hall = hall_.getValue();
+  gateway.listen = listen_.getValue();
+  gateway.ready = ready_.getValue();
+  gateway.metrics = metrics_.getValue();
+  gateway.peerAddress = peer_.getValue();
+  gateway.keys = keys;
+  gateway.controls = Controls();
+  gateway.retryRules.ratio = retryPercent_.getValue();
+  gateway.retryRules.slack = retrySlack_.getValue();
+  gateway.retryRules.window = absl::Seconds(retryWindow_.getValue());
+  gateway.settleTime = absl::Milliseconds(settle_.getValue());
+  gateway.stopLimit = graceS_.getValue() > 0
+                        ? absl::Seconds(graceS_.getValue()) - GraceMargin
+                        : absl::Milliseconds(stopLimit_.getValue());
+  settings.role = std::move(gateway);
+  return CheckGateway();
+}
+
+Outcome<Done> Flags::FillControl(const KeyRing& keys, DaemonSettings& settings)
+{
+  // Heartbeats that may be missed before an endpoint counts as silent.
+  constexpr int MissedHeartbeats = 4;
+  ControlSettings control;
+  control.box = box_.getValue();
+  control.hall = hall_.getValue();
+  control.listen = peer_.getValue();
+  control.advertise =
+    advertise_.getValue().empty() ? peer_.getValue() : advertise_.getValue();
+  control.dataFolder = data_.getValue();
+  control.keys = keys;
+  control.controls = Controls();
+  const long losses = losses_.getValue();
+  control.wantedVoters =
+    static_cast<std::size_t>(losses < 0 ? voters_.getValue() : 2 * losses + 1);
+  control.spareAfter = spare_.getValue() == 0
+                         ? absl::InfiniteDuration()
+                         : absl::Seconds(spare_.getValue());
+  control.compactAfter = static_cast<std::uint64_t>(compact_.getValue());
+  control.foundAtStart = found_.getValue() == "true";
+  control.registry.silentAfter =
+    absl::Milliseconds(heartbeat_.getValue()) * MissedHeartbeats;
+  settings.api = api_.getValue();
+  settings.role = std::move(control);
+  return CheckControl();
+}
+
 Outcome<DaemonSettings> Flags::Build()
 {
   if (auto checked = CheckCommon(); !Succeeded(checked)) {
@@ -322,61 +534,40 @@
   settings.checkOnly = check_.getValue();
   settings.logFormat =
     log_.getValue() == "json" ? LogFormat::Json : LogFormat::Text;
+  Outcome<Done> filled = Error{ absl::StrCat(
+    "--role is \"", role_.getValue(), "\"; use entry, gateway or control.") };
   if (role_.getValue() == "entry") {
-    EntrySettings entry;
-    entry.box = box_.getValue();
-    entry.hall = hall_.getValue();
-    entry.listen = listen_.getValue();
-    entry.peerAddress = peer_.getValue();
-    entry.keys = Value(keys);
-    entry.controls = List(controls_);
-    entry.seeds = List(seeds_);
-    entry.platform = platform_.getValue();
-    entry.limits.maxConnections =
-      static_cast<std::size_t>(connections_.getValue());
-    entry.limits.maxBodyBytes = static_cast<std::size_t>(body_.getValue());
-    entry.settleTime = absl::Milliseconds(settle_.getValue());
-    entry.stopLimit = absl::Milliseconds(stopLimit_.getValue());
-    settings.role = std::move(entry);
-    if (auto checked = CheckEntry(); !Succeeded(checked)) {
-      return Error{ Message(checked) };
-    }
-    return settings;
-  }
-  if (role_.getValue() == "control") {
-    ControlSettings control;
-    control.box = box_.getValue();
-    control.hall = hall_.getValue();
-    control.listen = peer_.getValue();
-    control.advertise =
-      advertise_.getValue().empty() ? peer_.getValue() : advertise_.getValue();
-    control.dataFolder = data_.getValue();
-    control.keys = Value(keys);
-    control.controls = List(controls_);
-    control.wantedVoters = static_cast<std::size_t>(voters_.getValue());
-    control.spareAfter = spare_.getValue() == 0
-                           ? absl::InfiniteDuration()
-                           : absl::Seconds(spare_.getValue());
-    control.compactAfter = static_cast<std::uint64_t>(compact_.getValue());
-    settings.role = std::move(control);
-    if (auto checked = CheckControl(); !Succeeded(checked)) {
-      return Error{ Message(checked) };
-    }
-    return settings;
+    filled = FillEntry(Value(keys), settings);
+  } else if (role_.getValue() == "gateway") {
+    filled = FillGateway(Value(keys), settings);
+  } else if (role_.getValue() == "control") {
+    filled = FillControl(Value(keys), settings);
   }
-  return Error{ absl::StrCat("--role is \"", role_.getValue(),
-                             "\"; use entry or control.") };
+  if (!Succeeded(filled)) {
+    return Error{ Message(filled) };
+  }
+  return settings;
 }
 
 } // namespace
 
 Outcome<DaemonSettings> ReadDaemonSettings(int argc, char** argv)
 {
-  Flags flags;
+  const char* named = std::getenv(SettingsVariable);
+  const std::string path = named == nullptr ? "" : named;
+  Outcome<SettingsMap> file = ReadSettingsFile(path);
+  if (!Succeeded(file)) {
+    return Error{ Message(file) };
+  }
+  Flags flags(std::move(Value(file)));
   if (auto parsed = flags.Parse(argc, argv); !Succeeded(parsed)) {
     return Error{ Message(parsed) };
   }
-  return flags.Build();
+  Outcome<DaemonSettings> settings = flags.Build();
+  if (Succeeded(settings)) {
+    Value(settings).settingsFile = path;
+  }
+  return settings;
 }
 
 } // namespace wg
--- a/Utilities/Daemon/wgSettings.h
+++ b/Utilities/Daemon/wgSettings.h
@@ -6,6 +6,7 @@
 
 #include "wgControlNode.h"
 #include "wgEntryNode.h"
+#include "wgGatewayNode.h"
 #include "wgLog.h"
 #include "wgOutcome.h"
 
@@ -14,14 +15,17 @@
 /** \brief What the daemon was told by its flags and its environment. */
 struct DaemonSettings
 {
-  std::variant<EntrySettings, ControlSettings> role;
+  std::variant<EntrySettings, GatewaySettings, ControlSettings> role;
+  std::string api;          // control: where the platform's calls come in
+  std::string settingsFile; // empty: none
   LogFormat logFormat = LogFormat::Text;
   bool checkOnly = false;
 };
 
 /** \brief Reads and checks the settings. Each flag --some-name may also be
- * given as the environment variable WEIRGATE_SOME_NAME; the flag wins.
- * Exits by itself for --help and --version.
+ * given as the environment variable WEIRGATE_SOME_NAME, or as a line
+ * some-name=value of the file that WEIRGATE_SETTINGS names; the flag wins,
+ * then the variable. Exits by itself for --help and --version.
  */
 Outcome<DaemonSettings> ReadDaemonSettings(int argc, char** argv);
 
