Gateway: results' room is counted, and pieces are made where their inputs lie

Ruled out: slow calls (those took 0.99 of what was expected), delays between boxes (a tenth of the works took the least possible time).

Change: the box that makes a service's calls counts the room of results until they are released, which it now does for all boxes; a piece that would move much waits up to 120 ms for an endpoint in the hall of its inputs.

--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -106,11 +106,11 @@
   return found == directory.endpoints.end() ? nullptr : &found->second;
 }
 
-DirectoryEndpoint* FindByAddress(Directory& directory,
-                                 absl::string_view address)
+const DirectoryEndpoint* FindByAddress(const Directory& directory,
+                                       absl::string_view address)
 {
-  DirectoryEndpoint* newest = nullptr;
-  for (auto& [id, endpoint] : directory.endpoints) {
+  const DirectoryEndpoint* newest = nullptr;
+  for (const auto& [id, endpoint] : directory.endpoints) {
     const bool better = endpoint.address == address &&
                         (newest == nullptr ||
                          (!TakesNewWork(*newest) && TakesNewWork(endpoint)));
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -62,8 +62,8 @@
                                                Elapsed now);
 
 DirectoryEndpoint* FindEndpoint(Directory& directory, absl::string_view id);
-DirectoryEndpoint* FindByAddress(Directory& directory,
-                                 absl::string_view address);
+const DirectoryEndpoint* FindByAddress(const Directory& directory,
+                                       absl::string_view address);
 
 /** \brief Takes the end of an attempt in: failures in a row keep new work
  * away, for longer each time.
--- a/Source/Gateway/wgEndpointChoice.cxx
+++ b/Source/Gateway/wgEndpointChoice.cxx
@@ -15,7 +15,8 @@
 
 /** What a failure share of one is taken to cost, in seconds. */
 constexpr double FailureSeconds = 2.0;
-constexpr double OtherHallSeconds = 0.0015;
+/** Reading a shared part again is weighed above its time. */
+constexpr double ReadAgainWeight = 2.5;
 /** What each stream beside it adds to the time of an answer's pieces. */
 constexpr double StreamSeconds = 0.004;
 /** Keeps prompts together that would otherwise be spread by chance. */
@@ -96,9 +97,9 @@
     }
     const double load =
       static_cast<double>(endpoint->running) / endpoint->slots +
-      (endpoint->hall == query.hall ? 0.0 : OtherHallSeconds) +
+      (endpoint->hall == query.hall ? 0.0 : query.otherHallSeconds) +
       endpoint->failureShare * FailureSeconds +
-      absl::Uniform<double>(random, 0.0, OtherHallSeconds / 2);
+      absl::Uniform<double>(random, 0.0, query.otherHallSeconds / 2);
     if (load < least) {
       least = load;
       best = endpoint;
@@ -126,10 +127,12 @@
     }
     const bool likelyHeld = rank == 0;
     const double read = promptSeconds - (likelyHeld ? sharedSeconds : 0.0);
+    const double again =
+      likelyHeld ? 0.0 : (ReadAgainWeight - 1.0) * sharedSeconds;
     const double finish =
-      engine.pendingSeconds + read + engine.running * StreamSeconds +
+      engine.pendingSeconds + read + again + engine.running * StreamSeconds +
       engine.failureShare * FailureSeconds +
-      (engine.hall == query.hall ? 0.0 : OtherHallSeconds) +
+      (engine.hall == query.hall ? 0.0 : query.otherHallSeconds) +
       static_cast<double>(std::min(rank, RankedEngines)) * RankSeconds;
     if (finish < soonest) {
       soonest = finish;
--- a/Source/Gateway/wgEndpointChoice.h
+++ b/Source/Gateway/wgEndpointChoice.h
@@ -41,6 +41,7 @@
 struct ChoiceQuery
 {
   std::string hall;
+  double otherHallSeconds = 0.0015;
   absl::Span<const std::string> avoid; // ids where attempts failed
 };
 
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -24,7 +24,8 @@
   , log_(settings_.box, "gateway")
   , client_(loop_)
   , releaser_(loop_, client_, directory_, dialect_)
-  , coordinator_(loop_, client_, directory_, dialect_, releaser_, metrics_)
+  , coordinator_(loop_, client_, directory_, dialect_, releaser_, metrics_,
+                 log_)
   , stopTimer_(loop_)
 {
 }
@@ -46,13 +47,13 @@
   peerClient_ = std::make_unique<PeerClient>(
     settings_.keys[std::string(PeerName)], PeerName);
   stages_ = std::make_unique<StageClient>(loop_, *peerClient_, coordinator_,
-                                          releaser_, settings_.box, metrics_);
+                                          directory_, dialect_, settings_.box,
+                                          metrics_);
   shared_.reset(new GatewayShared{ loop_,
                                    dialect_,
                                    directory_,
                                    client_,
                                    *stages_,
-                                   releaser_,
                                    metrics_,
                                    log_,
                                    settings_.hall,
@@ -208,6 +209,18 @@
     respond("");
     return;
   }
+  if (request.path == "/release") {
+    boost::asio::post(loop_, [this, body = request.body] {
+      wire::ReleaseResults release;
+      if (release.ParseFromString(body)) {
+        coordinator_.Release(release.service(), std::vector<std::string>(
+                                                  release.handles().begin(),
+                                                  release.handles().end()));
+      }
+    });
+    respond("");
+    return;
+  }
   if (request.path == "/alive") {
     boost::asio::post(loop_, [respond] { respond(""); });
     return;
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -26,7 +26,8 @@
 /** What may not be repeated is sent on connections that rested shortly. */
 constexpr absl::Duration FreshRest = absl::Milliseconds(1500);
 constexpr std::size_t MaxAnswerBytes = 32U << 20U;
-constexpr double SpeedWeight = 0.05;
+/** Results that cross between halls are weighed as time. */
+constexpr double CrossingSecondsPerByte = 11e-9;
 
 std::string SecondsText(absl::Duration time)
 {
@@ -72,6 +73,9 @@
         self->OnTimeOver();
       }
     });
+  double ignored = 0.0;
+  const DirectoryEndpoint* planned = ChooseEndpointFor(ignored);
+  resultHall_ = planned == nullptr ? shared_.hall : planned->hall;
   SubmitStages();
 }
 
@@ -185,6 +189,7 @@
       continue;
     }
     stages_[i].submitted = true;
+    stages_[i].submittedAt = ElapsedNow();
     stages_[i].work =
       shared_.stages.Submit(MakeWork(i), [weak = weak_from_this(),
                                           i](const wire::StageReply& reply) {
@@ -198,6 +203,33 @@
   }
 }
 
+/** Each item fetches all its inputs for itself: it is best made in the hall
+ * where most of them lie. A first stage is best made where the engine is.
+ */
+void GatewayRequest::PlaceWork(std::size_t stage, wire::StageWork& work) const
+{
+  const RouteStage& planned = route_->stages[stage];
+  std::map<std::string, std::int64_t> lies; // bytes by hall
+  for (const std::size_t before : planned.after) {
+    for (const std::string& handle : stages_[before].handles) {
+      const DirectoryEndpoint* maker = FindByAddress(
+        shared_.directory, shared_.dialect.addressOfResult(handle));
+      lies[maker == nullptr ? "" : maker->hall] +=
+        route_->stages[before].resultBytes;
+    }
+  }
+  if (lies.empty()) {
+    work.set_hall(resultHall_);
+    work.set_crossing_bytes(planned.resultBytes);
+    return;
+  }
+  const auto most = std::max_element(
+    lies.begin(), lies.end(),
+    [](const auto& a, const auto& b) { return a.second < b.second; });
+  work.set_hall(most->first);
+  work.set_crossing_bytes(most->second);
+}
+
 wire::StageWork GatewayRequest::MakeWork(std::size_t stage) const
 {
   const RouteStage& planned = route_->stages[stage];
@@ -209,7 +241,8 @@
   work.set_left_ms(absl::ToInt64Milliseconds(giveUp_ - now));
   work.set_due_ms(absl::ToInt64Milliseconds(Due() - now));
   work.set_rank(static_cast<std::uint32_t>(std::max(0, route_->rank)));
-  work.set_hall(shared_.hall);
+  work.set_result_bytes(planned.resultBytes);
+  PlaceWork(stage, work);
   std::vector<std::string> inputs;
   for (const std::size_t before : planned.after) {
     inputs.insert(inputs.end(), stages_[before].handles.begin(),
@@ -245,6 +278,8 @@
     return;
   }
   state.done = true;
+  state.doneAt = ElapsedNow();
+  shared_.metrics.NoteLatency("stage", state.doneAt - state.submittedAt);
   ReleaseConsumed();
   SubmitStages();
 }
@@ -288,7 +323,7 @@
 
 void GatewayRequest::ReleaseStage(std::size_t stage)
 {
-  shared_.releaser.Release(std::exchange(stages_[stage].handles, {}));
+  shared_.stages.Release(std::exchange(stages_[stage].handles, {}));
 }
 
 /** Gives up the results of stages whose successors are all done. */
@@ -328,9 +363,24 @@
   return absl::StrJoin(handles, ",");
 }
 
+/** What the engine will have to fetch. */
+std::int64_t GatewayRequest::ResultBytes() const
+{
+  std::int64_t bytes = 0;
+  for (const std::size_t stage : FinalStages(route_->stages)) {
+    bytes += route_->stages[stage].resultBytes *
+             static_cast<std::int64_t>(stages_[stage].handles.size());
+  }
+  return bytes;
+}
+
 DirectoryEndpoint* GatewayRequest::ChooseEndpointFor(double& readSeconds)
 {
-  const ChoiceQuery query{ shared_.hall, tried_ };
+  ChoiceQuery query;
+  query.hall = resultHall_.empty() ? shared_.hall : resultHall_;
+  query.otherHallSeconds +=
+    static_cast<double>(ResultBytes()) * CrossingSecondsPerByte;
+  query.avoid = tried_;
   const auto endpoints =
     SoundEndpoints(shared_.directory, service_, ElapsedNow());
   auto known = table_->services.find(service_);
@@ -393,6 +443,7 @@
   attempt_->endpoint = endpoint.id;
   attempt_->readSeconds = readSeconds;
   attempt_->sent = ElapsedNow();
+  sentAt_ = attempt_->sent;
   attempt_->number = ++attempts_;
   ++endpoint.running;
   endpoint.pendingSeconds += readSeconds;
@@ -479,6 +530,7 @@
   }
   if (!std::exchange(streamBegun_, true)) {
     shared_.metrics.NoteLatency("first_event", now - exchange_->Arrived());
+    firstEventAt_ = now;
     HttpHead head = attempt_->head;
     RemoveConnectionFields(head);
     exchange_->StartStream(std::move(head));
@@ -708,6 +760,30 @@
   over_(shared_from_this());
 }
 
+/** Milliseconds since the arrival; a stage's are from its submission to its
+ * end.
+ */
+nlohmann::json GatewayRequest::DescribeTimes() const
+{
+  const auto since = [this](Elapsed at) {
+    return absl::ToInt64Milliseconds(at - exchange_->Arrived());
+  };
+  nlohmann::json times;
+  for (const Stage& stage : stages_) {
+    const bool ran = stage.doneAt > stage.submittedAt;
+    times["stages"].push_back(
+      ran ? nlohmann::json{ since(stage.submittedAt), since(stage.doneAt) }
+          : nlohmann::json());
+  }
+  if (attempts_ > 0) {
+    times["sent"] = since(sentAt_);
+  }
+  if (streamBegun_) {
+    times["first_event"] = since(firstEventAt_);
+  }
+  return times;
+}
+
 void GatewayRequest::LogOutcome(absl::string_view outcome,
                                 absl::string_view reason) const
 {
@@ -728,6 +804,7 @@
   if (!tried_.empty()) {
     fields["endpoints"] = tried_;
   }
+  fields["times_ms"] = DescribeTimes();
   shared_.log.Write(usual ? LogWeight::Routine : LogWeight::Notable, "request",
                     std::move(fields));
 }
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -22,7 +22,6 @@
 #include "wgGatewayMetrics.h"
 #include "wgHttpClient.h"
 #include "wgHttpServer.h"
-#include "wgResultReleaser.h"
 #include "wgRetryWindow.h"
 #include "wgStageClient.h"
 
@@ -36,7 +35,6 @@
   Directory& directory;
   HttpClient& client;
   StageClient& stages;
-  ResultReleaser& releaser;
   GatewayMetrics& metrics;
   DecisionLog& log;
   std::string hall;
@@ -68,6 +66,8 @@
     bool submitted = false;
     bool done = false;
     std::uint64_t work = 0;
+    Elapsed submittedAt;
+    Elapsed doneAt;
     std::vector<std::string> handles;
   };
   /** \brief The attempt that is open. */
@@ -94,6 +94,7 @@
   Elapsed Due() const;
 
   void SubmitStages();
+  void PlaceWork(std::size_t stage, wire::StageWork& work) const;
   bool IsReady(std::size_t stage) const;
   wire::StageWork MakeWork(std::size_t stage) const;
   void OnStage(std::size_t stage, const wire::StageReply& reply);
@@ -105,6 +106,7 @@
 
   void SendToEndpoint();
   DirectoryEndpoint* ChooseEndpointFor(double& readSeconds);
+  std::int64_t ResultBytes() const;
   HttpRequest MakeForward(const DirectoryEndpoint& endpoint) const;
   void StartAttempt(DirectoryEndpoint& endpoint, double readSeconds);
   bool OnHead(const HttpHead& head);
@@ -123,6 +125,7 @@
   void OnTimeOver();
   void OnCallerLeft();
   void End(absl::string_view outcome, absl::string_view reason);
+  nlohmann::json DescribeTimes() const;
   void LogOutcome(absl::string_view outcome, absl::string_view reason) const;
 
   GatewayShared& shared_;
@@ -135,6 +138,7 @@
   KeyHolder holder_;
   PromptShape prompt_;
   std::string pieceKey_;
+  std::string resultHall_; // where an engine is likely to want the results
   std::vector<Stage> stages_;
   Elapsed callerDeadline_ = absl::InfiniteDuration();
   Elapsed giveUp_;
@@ -150,6 +154,8 @@
   bool finalReleased_ = false;
   bool ended_ = false;
   EventSplitter reader_;
+  Elapsed sentAt_;       // of the last attempt
+  Elapsed firstEventAt_; // of the answer
 };
 
 } // namespace wg
--- a/Source/Gateway/wgResultReleaser.cxx
+++ b/Source/Gateway/wgResultReleaser.cxx
@@ -8,7 +8,7 @@
 namespace {
 
 /** Results that are given up within this time go in one call. */
-constexpr auto GatherTime = std::chrono::milliseconds(40);
+constexpr auto GatherTime = std::chrono::milliseconds(10);
 
 } // namespace
 
--- a/Source/Gateway/wgStageClient.cxx
+++ b/Source/Gateway/wgStageClient.cxx
@@ -20,21 +20,25 @@
 constexpr absl::Duration AskAfter = absl::Milliseconds(400);
 constexpr absl::Duration AskTimeout = absl::Milliseconds(300);
 constexpr auto WatchPeriod = std::chrono::milliseconds(250);
+constexpr auto ReleaseGatherTime = std::chrono::milliseconds(15);
 constexpr absl::Duration BacklogMemory = absl::Seconds(1);
 
 } // namespace
 
 StageClient::StageClient(EventLoop& loop, PeerClient& peers,
-                         StageCoordinator& own, ResultReleaser& releaser,
-                         std::string ownBox, GatewayMetrics& metrics)
+                         StageCoordinator& own, const Directory& directory,
+                         const Dialect& dialect, std::string ownBox,
+                         GatewayMetrics& metrics)
   : loop_(loop)
   , peers_(peers)
   , own_(own)
-  , releaser_(releaser)
+  , directory_(directory)
+  , dialect_(dialect)
   , ownBox_(std::move(ownBox))
   , metrics_(metrics)
   , nextWork_(
       static_cast<std::uint64_t>(absl::ToInt64Microseconds(ElapsedNow())))
+  , releaseTimer_(loop)
   , watchTimer_(loop)
 {
 }
@@ -165,7 +169,46 @@
       made.push_back(result.handle());
     }
   }
-  releaser_.Release(made);
+  Release(made);
+}
+
+void StageClient::Release(absl::Span<const std::string> handles)
+{
+  for (const std::string& handle : handles) {
+    const DirectoryEndpoint* maker =
+      FindByAddress(directory_, dialect_.addressOfResult(handle));
+    if (maker != nullptr) {
+      released_[maker->service].push_back(handle);
+    }
+  }
+  if (released_.empty() || std::exchange(releaseArmed_, true)) {
+    return;
+  }
+  releaseTimer_.expires_after(ReleaseGatherTime);
+  releaseTimer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      FlushReleases();
+    }
+  });
+}
+
+void StageClient::FlushReleases()
+{
+  releaseArmed_ = false;
+  for (auto& [service, handles] : std::exchange(released_, {})) {
+    const GatewayMember* coordinator = Choose(service);
+    if (coordinator == nullptr) {
+      own_.Release(service, handles);
+      continue;
+    }
+    wire::ReleaseResults release;
+    release.set_service(service);
+    for (const std::string& handle : handles) {
+      release.add_handles(handle);
+    }
+    peers_.Call(coordinator->address, "/release", release.SerializeAsString(),
+                AskTimeout, [](const Outcome<std::string>&) {});
+  }
 }
 
 /** Its works are sent to the next in order. */
--- a/Source/Gateway/wgStageClient.h
+++ b/Source/Gateway/wgStageClient.h
@@ -39,8 +39,8 @@
   using Done = std::function<void(const wire::StageReply&)>;
 
   StageClient(EventLoop& loop, PeerClient& peers, StageCoordinator& own,
-              ResultReleaser& releaser, std::string ownBox,
-              GatewayMetrics& metrics);
+              const Directory& directory, const Dialect& dialect,
+              std::string ownBox, GatewayMetrics& metrics);
 
   void SetMembers(std::vector<GatewayMember> members);
   std::size_t Members() const { return members_.size(); }
@@ -49,6 +49,11 @@
   std::uint64_t Submit(wire::StageWork work, Done done);
   void Cancel(std::uint64_t work);
 
+  /** \brief These results are no longer needed; the box that had them made is
+   * told, several at once.
+   */
+  void Release(absl::Span<const std::string> handles);
+
   /** \brief How long new work of a service waits, as last told. */
   absl::Duration Waiting(const std::string& service) const;
 
@@ -77,19 +82,24 @@
   void Finish(std::uint64_t number, const wire::StageReply& reply);
   void GiveUp(const wire::StageReply& reply);
   void Suspect(const std::string& box);
+  void FlushReleases();
   void ArmWatch();
   void Watch();
 
   EventLoop& loop_;
   PeerClient& peers_;
   StageCoordinator& own_;
-  ResultReleaser& releaser_;
+  const Directory& directory_;
+  const Dialect& dialect_;
   std::string ownBox_;
   GatewayMetrics& metrics_;
   std::vector<GatewayMember> members_; // without this box
   std::map<std::uint64_t, OpenWork> works_;
   std::map<std::string, Backlog> backlogs_;
   std::uint64_t nextWork_;
+  std::map<std::string, std::vector<std::string>> released_; // by service
+  boost::asio::steady_timer releaseTimer_;
+  bool releaseArmed_ = false;
   boost::asio::steady_timer watchTimer_;
   bool watchArmed_ = false;
 };
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -15,6 +15,8 @@
 
 constexpr auto PumpPeriod = std::chrono::milliseconds(30);
 constexpr int MaxPieceAttempts = 4;
+constexpr absl::Duration ExpiryPeriod = absl::Milliseconds(200);
+constexpr double MsInSecond = 1e3;
 constexpr double LateFactor = 3.0;
 constexpr double LateMarginSeconds = 0.35;
 constexpr absl::Duration FullPause = absl::Milliseconds(60);
@@ -33,13 +35,14 @@
                                    Directory& directory,
                                    const Dialect& dialect,
                                    ResultReleaser& releaser,
-                                   GatewayMetrics& metrics)
+                                   GatewayMetrics& metrics, DecisionLog& log)
   : loop_(loop)
   , client_(client)
   , directory_(directory)
   , dialect_(dialect)
   , releaser_(releaser)
   , metrics_(metrics)
+  , log_(log)
   , pumpTimer_(loop)
 {
 }
@@ -86,6 +89,9 @@
     piece.key = item.key();
     piece.inputs = { item.inputs().begin(), item.inputs().end() };
     piece.hall = work.hall();
+    piece.arrived = now;
+    piece.resultBytes = work.result_bytes();
+    piece.crossingBytes = work.crossing_bytes();
     piece.due = now + absl::Milliseconds(work.due_ms());
     piece.deadline = now + absl::Milliseconds(work.left_ms());
     piece.rank = static_cast<int>(work.rank());
@@ -113,7 +119,7 @@
       made.push_back(result.handle());
     }
   }
-  releaser_.Release(made);
+  Release(state.service, made);
   for (const std::uint64_t ticket : state.tickets) {
     owners_.erase(ticket);
   }
@@ -164,6 +170,7 @@
 {
   StagePool& pool = PoolOf(service);
   const Elapsed now = ElapsedNow();
+  ExpireResults(service);
   for (const StagePiece& late : TakeLatePieces(pool, now)) {
     Settle(late.ticket, MakeResult(ItemResult::LATE));
   }
@@ -176,6 +183,58 @@
   }
 }
 
+void StageCoordinator::FreeRoom(const std::string& service,
+                                const std::string& server, std::int64_t bytes)
+{
+  for (StageServer& known : PoolOf(service).servers) {
+    if (known.id == server) {
+      known.roomUsed = std::max<std::int64_t>(0, known.roomUsed - bytes);
+    }
+  }
+}
+
+void StageCoordinator::KeepResult(const OpenCall& open,
+                                  const StagePiece& piece,
+                                  const std::string& handle)
+{
+  const Elapsed until =
+    ElapsedNow() + PoolOf(open.service).limits.resultLifetime;
+  results_[open.service].kept[handle] = { open.call.server, piece.resultBytes,
+                                          until };
+}
+
+/** Their maker has given these up by itself. */
+void StageCoordinator::ExpireResults(const std::string& service)
+{
+  ServiceResults& results = results_[service];
+  const Elapsed now = ElapsedNow();
+  if (now < results.nextExpiry) {
+    return;
+  }
+  results.nextExpiry = now + ExpiryPeriod;
+  for (auto it = results.kept.begin(); it != results.kept.end();) {
+    auto current = it++;
+    if (now >= current->second.until) {
+      FreeRoom(service, current->second.server, current->second.bytes);
+      results.kept.erase(current);
+    }
+  }
+}
+
+void StageCoordinator::Release(const std::string& service,
+                               absl::Span<const std::string> handles)
+{
+  ServiceResults& results = results_[service];
+  for (const std::string& handle : handles) {
+    auto node = results.kept.extract(handle);
+    if (!node.empty()) {
+      FreeRoom(service, node.mapped().server, node.mapped().bytes);
+    }
+  }
+  releaser_.Release(handles);
+  Pump(service);
+}
+
 /** While pieces wait, time alone may free an endpoint or end a request. */
 void StageCoordinator::ArmPump()
 {
@@ -231,6 +290,9 @@
   open.http =
     client_.Start(endpoint->address, PrintRequest(std::move(request)), {},
                   std::move(handler));
+  for (const StagePiece& piece : open.call.pieces) {
+    metrics_.NoteLatency("stage_wait", now - piece.arrived);
+  }
   metrics_.Count("stage_calls");
   metrics_.Count("stage_pieces_sent", open.call.pieces.size());
   StartTimer(number);
@@ -259,6 +321,7 @@
   OpenCall& open = node.mapped();
   open.http->Cancel();
   metrics_.Count("stage_calls_late");
+  LogCall(open, "late");
   const std::string service = open.service;
   if (StageServer* server = ServerOf(open)) {
     server->calls.erase(number);
@@ -288,19 +351,42 @@
     TakeAnswer(open);
   } else if (end == HttpCallEnd::Complete && open.saidNotRun) {
     metrics_.Count("stage_calls_refused");
+    LogCall(open, "refused");
     if (StageServer* server = ServerOf(open)) {
       server->avoidUntil = ElapsedNow() + FullPause;
     }
     for (StagePiece& piece : open.call.pieces) {
+      FreeRoom(service, open.call.server, piece.resultBytes);
       Repeat(service, std::move(piece), true);
     }
   } else {
     metrics_.Count("stage_calls_failed");
+    LogCall(open, "failed");
     FailCall(open, end != HttpCallEnd::NotConnected);
   }
   Pump(service);
 }
 
+void StageCoordinator::LogCall(const OpenCall& open, absl::string_view end)
+{
+  const Elapsed now = ElapsedNow();
+  absl::Duration longest;
+  for (const StagePiece& piece : open.call.pieces) {
+    longest = std::max(longest, open.started - piece.arrived);
+  }
+  const auto weight =
+    end == "answered" ? LogWeight::Routine : LogWeight::Notable;
+  log_.Write(weight, "stage_call",
+             { { "service", open.service },
+               { "endpoint", open.call.server },
+               { "end", std::string(end) },
+               { "first_request", open.call.pieces.front().request },
+               { "pieces", open.call.pieces.size() },
+               { "waited_ms", absl::ToInt64Milliseconds(longest) },
+               { "expected_ms", open.call.expectedSeconds * MsInSecond },
+               { "took_ms", absl::ToInt64Milliseconds(now - open.started) } });
+}
+
 void StageCoordinator::FailCall(OpenCall& open, bool sent)
 {
   if (DirectoryEndpoint* endpoint =
@@ -308,6 +394,7 @@
     NoteAttempt(*endpoint, true, ElapsedNow());
   }
   for (StagePiece& piece : open.call.pieces) {
+    FreeRoom(open.service, open.call.server, piece.resultBytes);
     Repeat(open.service, std::move(piece), sent);
   }
 }
@@ -335,9 +422,15 @@
     NoteAttempt(*endpoint, false, now);
   }
   metrics_.NoteLatency("stage_call", now - open.started);
+  LogCall(open, "answered");
   for (std::size_t i = 0; i < open.call.pieces.size(); ++i) {
     StagePiece& piece = open.call.pieces[i];
     ItemResult& result = Value(results)[i];
+    if (result.state() == ItemResult::DONE) {
+      KeepResult(open, piece, result.handle());
+    } else {
+      FreeRoom(open.service, open.call.server, piece.resultBytes);
+    }
     if (result.state() != ItemResult::FAILED) {
       Settle(piece.ticket, std::move(result));
       continue;
@@ -370,12 +463,23 @@
   PoolOf(service).waiting.push_back(std::move(piece));
 }
 
+void StageCoordinator::ForgetResult(const std::string& handle)
+{
+  for (auto& [service, results] : results_) {
+    auto node = results.kept.extract(handle);
+    if (!node.empty()) {
+      FreeRoom(service, node.mapped().server, node.mapped().bytes);
+    }
+  }
+}
+
 void StageCoordinator::Settle(std::uint64_t ticket, ItemResult result)
 {
   auto owner = owners_.find(ticket);
   if (owner == owners_.end()) {
     if (result.state() == ItemResult::DONE) {
       releaser_.Release({ result.handle() });
+      ForgetResult(result.handle());
     }
     return;
   }
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/steady_timer.hpp>
 
+#include "wgDecisionLog.h"
 #include "wgDialect.h"
 #include "wgDirectory.h"
 #include "wgGatewayMetrics.h"
@@ -34,7 +35,7 @@
 
   StageCoordinator(EventLoop& loop, HttpClient& client, Directory& directory,
                    const Dialect& dialect, ResultReleaser& releaser,
-                   GatewayMetrics& metrics);
+                   GatewayMetrics& metrics, DecisionLog& log);
 
   void SetTable(std::shared_ptr<const RouteTable> table);
   void SetRetryRules(const RetryRules& rules) { rules_ = rules; }
@@ -49,6 +50,10 @@
    */
   void Cancel(const std::string& box, std::uint64_t work);
 
+  /** \brief These results are no longer needed. */
+  void Release(const std::string& service,
+               absl::Span<const std::string> handles);
+
   /** \brief Endpoints have come, gone or changed. */
   void NoteDirectory();
 
@@ -79,6 +84,25 @@
     std::string body;
   };
 
+  /** \brief A result that takes room at its maker. */
+  struct KeptResult
+  {
+    std::string server;
+    std::int64_t bytes = 0;
+    Elapsed until;
+  };
+  struct ServiceResults
+  {
+    std::map<std::string, KeptResult> kept; // by handle
+    Elapsed nextExpiry;
+  };
+
+  void FreeRoom(const std::string& service, const std::string& server,
+                std::int64_t bytes);
+  void KeepResult(const OpenCall& open, const StagePiece& piece,
+                  const std::string& handle);
+  void ForgetResult(const std::string& handle);
+  void ExpireResults(const std::string& service);
   StagePool& PoolOf(const std::string& service);
   void SyncServers(const std::string& service, StagePool& pool);
   void Pump(const std::string& service);
@@ -92,6 +116,7 @@
   void Repeat(const std::string& service, StagePiece piece, bool sent);
   void Settle(std::uint64_t ticket, wire::StageItemResult result);
   void EndWork(const WorkKey& key);
+  void LogCall(const OpenCall& open, absl::string_view end);
   StageServer* ServerOf(const OpenCall& open);
 
   EventLoop& loop_;
@@ -100,9 +125,11 @@
   const Dialect& dialect_;
   ResultReleaser& releaser_;
   GatewayMetrics& metrics_;
+  DecisionLog& log_;
   RetryRules rules_;
   std::shared_ptr<const RouteTable> table_;
   std::map<std::string, StagePool> pools_;
+  std::map<std::string, ServiceResults> results_;
   std::map<std::string, RetryWindow> retries_;
   std::map<WorkKey, Work> works_;
   std::map<std::uint64_t, PieceOwner> owners_; // by ticket
--- a/Source/Gateway/wgStagePool.cxx
+++ b/Source/Gateway/wgStagePool.cxx
@@ -12,6 +12,9 @@
  * taken.
  */
 constexpr absl::Duration RankLead = absl::Milliseconds(150);
+/** Less than this may move between halls. */
+constexpr std::int64_t LargeCrossingBytes = 100000;
+constexpr absl::Duration HallPatience = absl::Milliseconds(120);
 constexpr double SlownessWeight = 0.3;
 constexpr double LeastSlowness = 0.5;
 constexpr double MostSlowness = 20.0;
@@ -57,13 +60,49 @@
   return busy + server.slowness * ExpectedCallSeconds(limits, pieces);
 }
 
-/** The free endpoint that would be done first, or null when a busy one would
- * be done sooner.
+bool HasRoom(const StageServer& server, const StageLimits& limits,
+             std::int64_t bytes)
+{
+  return limits.roomBytes == 0 || server.roomUsed + bytes <= limits.roomBytes;
+}
+
+/** Whether much would have to move between halls. */
+bool Crosses(const StagePiece& piece, const StageServer& server)
+{
+  return piece.crossingBytes >= LargeCrossingBytes && !piece.hall.empty() &&
+         piece.hall != server.hall;
+}
+
+bool HasServerInHall(const StagePool& pool, const std::string& hall,
+                     Elapsed now)
+{
+  return std::any_of(pool.servers.begin(), pool.servers.end(),
+                     [&hall, now](const StageServer& server) {
+                       return server.hall == hall && server.avoidUntil <= now;
+                     });
+}
+
+/** Whether a piece may be made there now. */
+bool Accepts(const StagePool& pool, const StageServer& server,
+             const StagePiece& piece, Elapsed now)
+{
+  if (!Crosses(piece, server)) {
+    return true;
+  }
+  const absl::Duration call =
+    absl::Seconds(ExpectedCallSeconds(pool.limits, pool.limits.batch));
+  const Elapsed patientUntil =
+    std::min(piece.arrived + HallPatience, piece.due - 2 * call);
+  return now >= patientUntil || !HasServerInHall(pool, piece.hall, now);
+}
+
+/** The free endpoint where a piece would be done first; null when there is
+ * none, or when a busy one would be done sooner.
  */
-StageServer* ChooseServer(StagePool& pool, const std::string& hall,
+StageServer* ChooseServer(StagePool& pool, const StagePiece& piece,
                           std::size_t pieces, Elapsed now)
 {
-  constexpr double OtherHall = 1.02;
+  constexpr double OtherHall = 1.05;
   StageServer* best = nullptr;
   double soonest = std::numeric_limits<double>::infinity();
   double soonestBusy = std::numeric_limits<double>::infinity();
@@ -72,10 +111,14 @@
       continue;
     }
     const double finish = FinishSeconds(server, pool.limits, pieces, now) *
-                          (server.hall == hall ? 1.0 : OtherHall);
+                          (server.hall == piece.hall ? 1.0 : OtherHall);
     if (!IsFree(server, pool.limits, now)) {
       soonestBusy = std::min(soonestBusy, finish);
-    } else if (finish < soonest) {
+      continue;
+    }
+    const bool usable = HasRoom(server, pool.limits, piece.resultBytes) &&
+                        Accepts(pool, server, piece, now);
+    if (usable && finish < soonest) {
       soonest = finish;
       best = &server;
     }
@@ -83,6 +126,27 @@
   return soonest <= soonestBusy ? best : nullptr;
 }
 
+/** Moves the pieces that go to the endpoint out of those that wait. */
+std::vector<StagePiece> TakeBatch(StagePool& pool, StageServer& server,
+                                  Elapsed now)
+{
+  std::vector<StagePiece> batch;
+  std::vector<StagePiece> rest;
+  for (StagePiece& piece : pool.waiting) {
+    const bool goes = batch.size() < pool.limits.batch &&
+                      HasRoom(server, pool.limits, piece.resultBytes) &&
+                      Accepts(pool, server, piece, now);
+    if (goes) {
+      server.roomUsed += piece.resultBytes;
+      batch.push_back(std::move(piece));
+    } else {
+      rest.push_back(std::move(piece));
+    }
+  }
+  pool.waiting = std::move(rest);
+  return batch;
+}
+
 } // namespace
 
 double ExpectedCallSeconds(const StageLimits& limits, std::size_t pieces)
@@ -93,28 +157,34 @@
 
 std::optional<StageCall> NextStageCall(StagePool& pool, Elapsed now)
 {
-  if (pool.waiting.empty()) {
+  auto& waiting = pool.waiting;
+  const bool anyFree = std::any_of(pool.servers.begin(), pool.servers.end(),
+                                   [&](const StageServer& server) {
+                                     return IsFree(server, pool.limits, now);
+                                   });
+  if (waiting.empty() || !anyFree) {
     return std::nullopt;
   }
-  auto& waiting = pool.waiting;
+  std::sort(waiting.begin(), waiting.end(),
+            [now](const StagePiece& a, const StagePiece& b) {
+              return GoesBefore(a, b, now);
+            });
   const std::size_t count = std::min(waiting.size(), pool.limits.batch);
-  std::partial_sort(
-    waiting.begin(), waiting.begin() + static_cast<std::ptrdiff_t>(count),
-    waiting.end(), [now](const StagePiece& a, const StagePiece& b) {
-      return GoesBefore(a, b, now);
-    });
-  StageServer* server = ChooseServer(pool, waiting.front().hall, count, now);
+  StageServer* server = nullptr;
+  for (const StagePiece& piece : waiting) {
+    server = ChooseServer(pool, piece, count, now);
+    if (server != nullptr) {
+      break;
+    }
+  }
   if (server == nullptr) {
     return std::nullopt;
   }
   StageCall call;
   call.server = server->id;
-  const auto end = waiting.begin() + static_cast<std::ptrdiff_t>(count);
-  call.pieces.assign(std::make_move_iterator(waiting.begin()),
-                     std::make_move_iterator(end));
-  waiting.erase(waiting.begin(), end);
+  call.pieces = TakeBatch(pool, *server, now);
   call.expectedSeconds =
-    server->slowness * ExpectedCallSeconds(pool.limits, count);
+    server->slowness * ExpectedCallSeconds(pool.limits, call.pieces.size());
   return call;
 }
 
--- a/Source/Gateway/wgStagePool.h
+++ b/Source/Gateway/wgStagePool.h
@@ -23,8 +23,10 @@
   std::uint32_t piece = 0;
   std::string key;
   std::vector<std::string> inputs;
-  std::string hall; // where its result is wanted
+  std::string hall;               // where it had best be made
+  std::int64_t crossingBytes = 0; // that it moves if it is made elsewhere
   std::int64_t resultBytes = 0;
+  Elapsed arrived;
   Elapsed due;      // when its request ought to be answered
   Elapsed deadline; // when its request is given up
   int rank = 0;
@@ -45,6 +47,7 @@
   std::string hall;
   double slowness = 1.0; // measured against what calls should take
   Elapsed avoidUntil;
+  std::int64_t roomUsed = 0; // bytes of results that it keeps or makes
   std::map<std::uint64_t, StageCallState> calls; // by number of the call
 };
 
@@ -65,13 +68,14 @@
   double expectedSeconds = 0.0;
 };
 
-/** \brief The next call, or nothing while all endpoints are at work or none
- * would be done sooner than one that is about to be free.
+/** \brief The next call, or nothing while all endpoints are at work, have no
+ * room, or would not be done sooner than one that is about to be free.
  *
  * Pieces of requests that can still be answered when they ought to be go
  * before those that can't, and of these the earliest due first. All that
  * waits goes into one call, up to the batch: a call takes long even for one
- * piece, and pieces gather while all endpoints are at work.
+ * piece, and pieces gather while all endpoints are at work. A piece that
+ * would move much between halls waits a while for an endpoint in its own.
  */
 std::optional<StageCall> NextStageCall(StagePool& pool, Elapsed now);
 
