Gateway: old failures fade, and boxes cut off from control boxes stay members

Change: slowness and failure shares fade within seconds; a box that control boxes no longer tell of counts until it fails to answer when asked; a box that stops takes no new stage work and first ends what it has.

--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -2,6 +2,7 @@
 #include "wgDirectory.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace wg {
 namespace {
@@ -12,6 +13,7 @@
 constexpr absl::Duration LongestAvoidance = absl::Seconds(4);
 constexpr absl::Duration EndedMemory = absl::Minutes(3);
 constexpr double FailureDecay = 0.85;
+constexpr double FailureMemorySeconds = 4.0;
 
 bool Supersedes(const Registration& news, const DirectoryEndpoint& known)
 {
@@ -121,10 +123,17 @@
   return newest;
 }
 
+double FailureShareNow(const DirectoryEndpoint& endpoint, Elapsed now)
+{
+  const double age = absl::ToDoubleSeconds(now - endpoint.failureNoted);
+  return endpoint.failureShare * std::exp(-age / FailureMemorySeconds);
+}
+
 void NoteAttempt(DirectoryEndpoint& endpoint, bool failed, Elapsed now)
 {
-  endpoint.failureShare =
-    FailureDecay * endpoint.failureShare + (failed ? 1.0 - FailureDecay : 0.0);
+  endpoint.failureShare = FailureDecay * FailureShareNow(endpoint, now) +
+                          (failed ? 1.0 - FailureDecay : 0.0);
+  endpoint.failureNoted = now;
   if (!failed) {
     endpoint.failuresInRow = 0;
     endpoint.avoidUntil = absl::ZeroDuration();
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -29,6 +29,7 @@
   int running = 0;           // requests of this box
   double pendingSeconds = 0; // prompt reading that this box has asked for
   int failuresInRow = 0;
+  Elapsed failureNoted;
   double failureShare = 0.0; // of the recent attempts, decaying
   Elapsed avoidUntil;        // after failures
 };
@@ -65,6 +66,11 @@
 const DirectoryEndpoint* FindByAddress(const Directory& directory,
                                        absl::string_view address);
 
+/** \brief The share of recent attempts that failed. It fades with time, or an
+ * endpoint that failed would never be tried again.
+ */
+double FailureShareNow(const DirectoryEndpoint& endpoint, Elapsed now);
+
 /** \brief Takes the end of an attempt in: failures in a row keep new work
  * away, for longer each time.
  */
--- a/Source/Gateway/wgEndpointChoice.cxx
+++ b/Source/Gateway/wgEndpointChoice.cxx
@@ -98,7 +98,7 @@
     const double load =
       static_cast<double>(endpoint->running) / endpoint->slots +
       (endpoint->hall == query.hall ? 0.0 : query.otherHallSeconds) +
-      endpoint->failureShare * FailureSeconds +
+      FailureShareNow(*endpoint, query.now) * FailureSeconds +
       absl::Uniform<double>(random, 0.0, query.otherHallSeconds / 2);
     if (load < least) {
       least = load;
@@ -131,7 +131,7 @@
       likelyHeld ? 0.0 : (ReadAgainWeight - 1.0) * sharedSeconds;
     const double finish =
       engine.pendingSeconds + read + again + engine.running * StreamSeconds +
-      engine.failureShare * FailureSeconds +
+      FailureShareNow(engine, query.now) * FailureSeconds +
       (engine.hall == query.hall ? 0.0 : query.otherHallSeconds) +
       static_cast<double>(std::min(rank, RankedEngines)) * RankSeconds;
     if (finish < soonest) {
--- a/Source/Gateway/wgEndpointChoice.h
+++ b/Source/Gateway/wgEndpointChoice.h
@@ -40,6 +40,7 @@
 /** \brief What the choice of an endpoint depends on. */
 struct ChoiceQuery
 {
+  Elapsed now;
   std::string hall;
   double otherHallSeconds = 0.0015;
   absl::Span<const std::string> avoid; // ids where attempts failed
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -189,7 +189,7 @@
   if (request.path == "/stage") {
     boost::asio::post(loop_, [this, body = request.body, respond] {
       wire::StageWork work;
-      if (!work.ParseFromString(body)) {
+      if (stopping_ || !work.ParseFromString(body)) {
         respond("");
         return;
       }
@@ -222,7 +222,9 @@
     return;
   }
   if (request.path == "/alive") {
-    boost::asio::post(loop_, [respond] { respond(""); });
+    boost::asio::post(loop_, [this, respond] {
+      respond(stopping_ ? "" : std::string(AliveReply));
+    });
     return;
   }
   counters_.Add(Event::PeerRejected);
@@ -295,7 +297,8 @@
 {
   const absl::Duration since = ElapsedNow() - stopBegan_;
   const bool settled = since >= settings_.settleTime;
-  const bool idle = requests_.empty() && callers_->ActiveRequests() == 0;
+  const bool idle = requests_.empty() && coordinator_.IsIdle() &&
+                    callers_->ActiveRequests() == 0;
   if ((settled && idle) || since >= settings_.stopLimit) {
     log_.Write(LogWeight::Notable, "stop",
                { { "requests_cut", requests_.size() } });
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -377,6 +377,7 @@
 DirectoryEndpoint* GatewayRequest::ChooseEndpointFor(double& readSeconds)
 {
   ChoiceQuery query;
+  query.now = ElapsedNow();
   query.hall = resultHall_.empty() ? shared_.hall : resultHall_;
   query.otherHallSeconds +=
     static_cast<double>(ResultBytes()) * CrossingSecondsPerByte;
--- a/Source/Gateway/wgStageClient.cxx
+++ b/Source/Gateway/wgStageClient.cxx
@@ -14,7 +14,8 @@
 namespace {
 
 constexpr int MaxTries = 3;
-constexpr absl::Duration SuspectTime = absl::Seconds(3);
+/** A silent box that nobody tells of is forgotten. */
+constexpr absl::Duration ForgetAfter = absl::Seconds(30);
 constexpr absl::Duration ReplyMargin = absl::Milliseconds(300);
 /** A coordinator that owes an answer for so long is asked whether it lives. */
 constexpr absl::Duration AskAfter = absl::Milliseconds(400);
@@ -43,28 +44,39 @@
 {
 }
 
+GatewayMember* StageClient::Find(const std::string& box)
+{
+  auto found =
+    std::find_if(members_.begin(), members_.end(),
+                 [&box](const GatewayMember& m) { return m.box == box; });
+  return found == members_.end() ? nullptr : &*found;
+}
+
 void StageClient::SetMembers(std::vector<GatewayMember> members)
 {
+  const Elapsed now = ElapsedNow();
   for (GatewayMember& member : members) {
-    auto known = std::find_if(
-      members_.begin(), members_.end(),
-      [&member](const GatewayMember& m) { return m.box == member.box; });
-    if (known != members_.end() && known->address == member.address) {
-      member.suspectUntil = known->suspectUntil;
+    member.told = now;
+    GatewayMember* known = Find(member.box);
+    if (known == nullptr) {
+      members_.push_back(std::move(member));
+      continue;
     }
+    member.suspect = known->suspect && known->address == member.address;
+    member.asked = known->asked;
+    *known = std::move(member);
   }
-  members_ = std::move(members);
+  ArmWatch();
 }
 
 /** \return null when it is this box */
 const GatewayMember* StageClient::Choose(const std::string& service) const
 {
-  const Elapsed now = ElapsedNow();
   const GatewayMember* best = nullptr;
   std::uint64_t highest = RendezvousWeight(service, ownBox_);
   for (const GatewayMember& member : members_) {
     const std::uint64_t weight = RendezvousWeight(service, member.box);
-    if (member.suspectUntil <= now && weight > highest) {
+    if (!member.suspect && weight > highest) {
       highest = weight;
       best = &member;
     }
@@ -215,11 +227,10 @@
 void StageClient::Suspect(const std::string& box)
 {
   const Elapsed now = ElapsedNow();
-  for (GatewayMember& member : members_) {
-    if (member.box == box) {
-      member.suspectUntil = now + SuspectTime;
-    }
+  if (GatewayMember* member = Find(box)) {
+    member->suspect = true;
   }
+  ArmWatch();
   metrics_.Count("coordinators_suspected");
   std::vector<std::uint64_t> moved;
   for (auto& [number, open] : works_) {
@@ -253,27 +264,66 @@
 void StageClient::Watch()
 {
   const Elapsed now = ElapsedNow();
-  std::map<std::string, std::string> asked; // address by box
-  bool anyRemote = false;
+  bool goesOn = false;
   for (const auto& [number, open] : works_) {
-    anyRemote |= !open.address.empty();
-    if (!open.address.empty() && now - open.sent > AskAfter) {
-      asked[open.coordinator] = open.address;
+    const bool remote = !open.address.empty();
+    goesOn |= remote;
+    GatewayMember* member = remote ? Find(open.coordinator) : nullptr;
+    if (member != nullptr && now - open.sent > AskAfter) {
+      Ask(*member);
     }
   }
-  for (const auto& [box, address] : asked) {
-    peers_.Call(address, "/alive", "", AskTimeout,
-                [this, box = box](const Outcome<std::string>& reply) {
-                  if (!Succeeded(reply)) {
-                    boost::asio::post(loop_, [this, box] { Suspect(box); });
-                  }
-                });
-  }
-  if (anyRemote) {
+  AskSuspects();
+  goesOn |= std::any_of(members_.begin(), members_.end(),
+                        [](const GatewayMember& m) { return m.suspect; });
+  if (goesOn) {
     ArmWatch();
   }
 }
 
+void StageClient::AskSuspects()
+{
+  const Elapsed now = ElapsedNow();
+  members_.erase(std::remove_if(members_.begin(), members_.end(),
+                                [now](const GatewayMember& member) {
+                                  return member.suspect &&
+                                         now - member.told > ForgetAfter;
+                                }),
+                 members_.end());
+  for (GatewayMember& member : members_) {
+    if (member.suspect) {
+      Ask(member);
+    }
+  }
+}
+
+void StageClient::Ask(GatewayMember& member)
+{
+  if (std::exchange(member.asked, true)) {
+    return;
+  }
+  peers_.Call(
+    member.address, "/alive", "", AskTimeout,
+    [this, box = member.box](const Outcome<std::string>& reply) {
+      const bool alive = Succeeded(reply) && Value(reply) == AliveReply;
+      boost::asio::post(loop_, [this, box, alive] { OnAlive(box, alive); });
+    });
+}
+
+void StageClient::OnAlive(const std::string& box, bool alive)
+{
+  GatewayMember* member = Find(box);
+  if (member == nullptr) {
+    return;
+  }
+  member->asked = false;
+  if (alive) {
+    member->suspect = false;
+  } else if (!member->suspect) {
+    Suspect(box);
+  }
+}
+
 void StageClient::Cancel(std::uint64_t work)
 {
   auto node = works_.extract(work);
--- a/Source/Gateway/wgStageClient.h
+++ b/Source/Gateway/wgStageClient.h
@@ -24,10 +24,15 @@
 {
   std::string box;
   std::string hall;
-  std::string address; // for weirgate's own processes
-  Elapsed suspectUntil;
+  std::string address;  // for weirgate's own processes
+  Elapsed told;         // when a control box last told of it
+  bool suspect = false; // until it answers again
+  bool asked = false;   // whether it lives, and the answer is still to come
 };
 
+/** \brief What a box says when it is asked whether it takes work. */
+constexpr absl::string_view AliveReply = "alive";
+
 /** \class StageClient
  * \brief Hands stage work to the box that makes its service's calls: the
  * highest in rendezvous order of those that live. If that one fails, the next
@@ -42,6 +47,10 @@
               const Directory& directory, const Dialect& dialect,
               std::string ownBox, GatewayMetrics& metrics);
 
+  /** \brief Takes in who lives as control boxes tell. A box that they no
+   * longer tell of may only be cut off from them: it counts until it fails to
+   * answer.
+   */
   void SetMembers(std::vector<GatewayMember> members);
   std::size_t Members() const { return members_.size(); }
 
@@ -83,6 +92,10 @@
   void GiveUp(const wire::StageReply& reply);
   void Suspect(const std::string& box);
   void FlushReleases();
+  void AskSuspects();
+  void Ask(GatewayMember& member);
+  void OnAlive(const std::string& box, bool alive);
+  GatewayMember* Find(const std::string& box);
   void ArmWatch();
   void Watch();
 
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -328,7 +328,7 @@
     NoteCallTime(
       *server,
       ExpectedCallSeconds(PoolOf(service).limits, open.call.pieces.size()),
-      absl::ToDoubleSeconds(ElapsedNow() - open.started));
+      absl::ToDoubleSeconds(ElapsedNow() - open.started), ElapsedNow());
   }
   FailCall(open, true);
   Pump(service);
@@ -415,7 +415,7 @@
   const StageLimits& limits = PoolOf(open.service).limits;
   if (server != nullptr) {
     NoteCallTime(*server, ExpectedCallSeconds(limits, open.call.pieces.size()),
-                 seconds);
+                 seconds, now);
   }
   if (DirectoryEndpoint* endpoint =
         FindEndpoint(directory_, open.call.server)) {
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -54,6 +54,9 @@
   void Release(const std::string& service,
                absl::Span<const std::string> handles);
 
+  /** \brief Whether no work is under way. */
+  bool IsIdle() const { return works_.empty(); }
+
   /** \brief Endpoints have come, gone or changed. */
   void NoteDirectory();
 
--- a/Source/Gateway/wgStagePool.cxx
+++ b/Source/Gateway/wgStagePool.cxx
@@ -16,6 +16,7 @@
 constexpr std::int64_t LargeCrossingBytes = 100000;
 constexpr absl::Duration HallPatience = absl::Milliseconds(120);
 constexpr double SlownessWeight = 0.3;
+constexpr double SlownessMemorySeconds = 2.0;
 constexpr double LeastSlowness = 0.5;
 constexpr double MostSlowness = 20.0;
 
@@ -57,7 +58,7 @@
     server.calls.size() < static_cast<std::size_t>(limits.slots)
       ? 0.0
       : BusySeconds(server, now);
-  return busy + server.slowness * ExpectedCallSeconds(limits, pieces);
+  return busy + SlownessNow(server, now) * ExpectedCallSeconds(limits, pieces);
 }
 
 bool HasRoom(const StageServer& server, const StageLimits& limits,
@@ -183,8 +184,8 @@
   StageCall call;
   call.server = server->id;
   call.pieces = TakeBatch(pool, *server, now);
-  call.expectedSeconds =
-    server->slowness * ExpectedCallSeconds(pool.limits, call.pieces.size());
+  call.expectedSeconds = SlownessNow(*server, now) *
+                         ExpectedCallSeconds(pool.limits, call.pieces.size());
   return call;
 }
 
@@ -239,11 +240,21 @@
   return soonest + fullCalls * each / static_cast<double>(usable);
 }
 
-void NoteCallTime(StageServer& server, double expected, double seconds)
+double SlownessNow(const StageServer& server, Elapsed now)
+{
+  const double age = absl::ToDoubleSeconds(now - server.slownessNoted);
+  return 1.0 +
+         (server.slowness - 1.0) * std::exp(-age / SlownessMemorySeconds);
+}
+
+void NoteCallTime(StageServer& server, double expected, double seconds,
+                  Elapsed now)
 {
   const double ratio =
     std::clamp(seconds / expected, LeastSlowness, MostSlowness);
-  server.slowness += SlownessWeight * (ratio - server.slowness);
+  const double before = SlownessNow(server, now);
+  server.slowness = before + SlownessWeight * (ratio - before);
+  server.slownessNoted = now;
 }
 
 } // namespace wg
--- a/Source/Gateway/wgStagePool.h
+++ b/Source/Gateway/wgStagePool.h
@@ -46,6 +46,7 @@
   std::string id;
   std::string hall;
   double slowness = 1.0; // measured against what calls should take
+  Elapsed slownessNoted;
   Elapsed avoidUntil;
   std::int64_t roomUsed = 0; // bytes of results that it keeps or makes
   std::map<std::uint64_t, StageCallState> calls; // by number of the call
@@ -93,6 +94,13 @@
 double ExpectedWaitSeconds(const StagePool& pool, Elapsed now);
 
 /** \brief Takes the time of a call into the endpoint's slowness. */
-void NoteCallTime(StageServer& server, double expected, double seconds);
+void NoteCallTime(StageServer& server, double expected, double seconds,
+                  Elapsed now);
+
+/** \brief How much slower than it should be an endpoint is taken to be now.
+ * What was measured long ago counts for little, or an endpoint that was slow
+ * once would never be tried again.
+ */
+double SlownessNow(const StageServer& server, Elapsed now);
 
 } // namespace wg
