Gateway: cut-off halls are noticed, branches of stages meet, late pieces leave room

Cause: while a hall is cut off, calls to its endpoints hung for 400 ms and more, and the room for results was full, partly with results of short branches that waited for long ones.

Change: two endpoints of a hall that can't be connected to, with no answer from it between, make the hall cut off until a probe connects; what is at work there is made elsewhere; a stage on a shorter branch starts later; late pieces take at most half the room; what moves much crosses halls only to be in time.

--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -96,8 +96,9 @@
     ServingEndpoints(directory, service);
   std::vector<DirectoryEndpoint*> sound;
   std::copy_if(serving.begin(), serving.end(), std::back_inserter(sound),
-               [now](const DirectoryEndpoint* endpoint) {
-                 return endpoint->avoidUntil <= now;
+               [&directory, now](const DirectoryEndpoint* endpoint) {
+                 return endpoint->avoidUntil <= now &&
+                        !IsCutOff(directory.reach, endpoint->hall);
                });
   return sound.empty() ? serving : sound;
 }
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -9,6 +9,7 @@
 #include "absl/strings/string_view.h"
 
 #include "wgElapsed.h"
+#include "wgHallReach.h"
 #include "wgPeer.pb.h"
 
 namespace wg {
@@ -38,6 +39,7 @@
 struct Directory
 {
   std::map<std::string, DirectoryEndpoint> endpoints; // by id
+  HallReach reach;
 };
 
 /** \brief Takes what a control box tells of an endpoint. Between control
@@ -57,7 +59,9 @@
 std::vector<DirectoryEndpoint*> ServingEndpoints(Directory& directory,
                                                  absl::string_view service);
 
-/** \brief Those not avoided for their failures, or all when all are. */
+/** \brief Those that are neither avoided for their failures nor cut off, or
+ * all when there are none.
+ */
 std::vector<DirectoryEndpoint*> SoundEndpoints(Directory& directory,
                                                absl::string_view service,
                                                Elapsed now);
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -24,8 +24,10 @@
   , log_(settings_.box, "gateway")
   , client_(loop_)
   , releaser_(loop_, client_, directory_, dialect_)
-  , coordinator_(loop_, client_, directory_, dialect_, releaser_, metrics_,
-                 log_)
+  , halls_(loop_, directory_, log_,
+           [this](const std::string& hall) { coordinator_.NoteHallCut(hall); })
+  , coordinator_(loop_, client_, directory_, dialect_, releaser_, halls_,
+                 metrics_, log_)
   , stopTimer_(loop_)
 {
 }
@@ -54,6 +56,7 @@
                                    directory_,
                                    client_,
                                    *stages_,
+                                   halls_,
                                    metrics_,
                                    log_,
                                    settings_.hall,
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -75,6 +75,7 @@
   Directory directory_;
   HttpClient client_;
   ResultReleaser releaser_;
+  HallProber halls_;
   StageCoordinator coordinator_;
   std::unique_ptr<PeerClient> peerClient_;
   std::unique_ptr<PeerServer> peerServer_;
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -151,6 +151,7 @@
   const std::vector<absl::string_view> counts =
     absl::StrSplit(FieldOf(request, Fields().pieces), ',');
   stages_.resize(route_->stages.size());
+  stagesToEnd_ = StagesToEnd(route_->stages);
   for (std::size_t i = 0; i < stages_.size(); ++i) {
     stages_[i].pieces = 1;
     const bool named = i < counts.size() && !counts[i].empty();
@@ -172,6 +173,16 @@
   return exchange_->Arrived() + route_->aim;
 }
 
+/** Stages, one after the other, until all are done. */
+int GatewayRequest::LongestLeft() const
+{
+  int longest = 0;
+  for (std::size_t i = 0; i < stages_.size(); ++i) {
+    longest = stages_[i].done ? longest : std::max(longest, stagesToEnd_[i]);
+  }
+  return longest;
+}
+
 bool GatewayRequest::IsReady(std::size_t stage) const
 {
   const auto& after = route_->stages[stage].after;
@@ -182,10 +193,17 @@
 
 void GatewayRequest::SubmitStages()
 {
+  if (ResultsAreCutOff() && !stagesRestarted_) {
+    RestartStages();
+    return;
+  }
+  const int longest = LongestLeft();
   bool allDone = true;
   for (std::size_t i = 0; i < stages_.size() && !ended_; ++i) {
     allDone &= stages_[i].done;
-    if (stages_[i].done || stages_[i].submitted || !IsReady(i)) {
+    // One on a shorter branch starts later: its results would only wait.
+    const bool isDue = stagesToEnd_[i] >= longest;
+    if (stages_[i].done || stages_[i].submitted || !IsReady(i) || !isDue) {
       continue;
     }
     stages_[i].submitted = true;
@@ -302,6 +320,23 @@
   SayNotRun(late ? "stage_late" : "stage_failed");
 }
 
+/** Whether results lie in a hall that can't be reached. */
+bool GatewayRequest::ResultsAreCutOff() const
+{
+  for (const Stage& stage : stages_) {
+    for (const std::string& handle : stage.handles) {
+      const DirectoryEndpoint* maker = FindByAddress(
+        shared_.directory, shared_.dialect.addressOfResult(handle));
+      const bool isCut =
+        maker != nullptr && IsCutOff(shared_.directory.reach, maker->hall);
+      if (isCut) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
 /** Some results are gone: all is made anew, once. */
 void GatewayRequest::RestartStages()
 {
@@ -489,6 +524,10 @@
     shared_.metrics.Count("foreign_answers");
     return false;
   }
+  if (const DirectoryEndpoint* endpoint =
+        FindEndpoint(shared_.directory, attempt.endpoint)) {
+    shared_.halls.Reached(*endpoint);
+  }
   attempt.headSeen = true;
   attempt.head = head;
   attempt.streams = route_->isStream && head.result() == http::status::ok &&
@@ -548,7 +587,13 @@
     OnComplete();
     return;
   }
-  const bool unreached = end == HttpCallEnd::NotConnected;
+  const bool unreached =
+    end == HttpCallEnd::NotConnected || end == HttpCallEnd::Unreached;
+  const DirectoryEndpoint* endpoint =
+    FindEndpoint(shared_.directory, attempt_->endpoint);
+  if (end == HttpCallEnd::Unreached && endpoint != nullptr) {
+    shared_.halls.Unreached(*endpoint);
+  }
   CloseAttempt(true);
   AfterFailure(unreached ? AttemptKnowledge::NotSent
                          : AttemptKnowledge::MayHaveRun,
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -35,6 +35,7 @@
   Directory& directory;
   HttpClient& client;
   StageClient& stages;
+  HallProber& halls;
   GatewayMetrics& metrics;
   DecisionLog& log;
   std::string hall;
@@ -95,6 +96,7 @@
 
   void SubmitStages();
   void PlaceWork(std::size_t stage, wire::StageWork& work) const;
+  int LongestLeft() const;
   bool IsReady(std::size_t stage) const;
   wire::StageWork MakeWork(std::size_t stage) const;
   void OnStage(std::size_t stage, const wire::StageReply& reply);
@@ -116,6 +118,7 @@
   void OnComplete();
   void AnswerWhole();
   void RestartStages();
+  bool ResultsAreCutOff() const;
   void CloseAttempt(bool failed);
   void AfterFailure(AttemptKnowledge knowledge, absl::string_view why);
 
@@ -140,6 +143,7 @@
   std::string pieceKey_;
   std::string resultHall_; // where an engine is likely to want the results
   std::vector<Stage> stages_;
+  std::vector<int> stagesToEnd_;
   Elapsed callerDeadline_ = absl::InfiniteDuration();
   Elapsed giveUp_;
   boost::asio::steady_timer timer_;
--- /dev/null
+++ b/Source/Gateway/wgHallProber.h
@@ -0,0 +1,49 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include "absl/random/random.h"
+
+#include "wgDecisionLog.h"
+#include "wgDirectory.h"
+#include "wgHttpMessage.h"
+
+namespace wg {
+
+/** \class HallProber
+ * \brief Keeps what this box believes of other halls: it takes in what calls
+ * met, and tries to connect to halls that are taken to be cut off.
+ */
+class HallProber
+{
+public:
+  /** \brief Told once a hall is taken to be cut off. */
+  using OnCut = std::function<void(const std::string& hall)>;
+
+  HallProber(EventLoop& loop, Directory& directory, DecisionLog& log,
+             OnCut onCut);
+
+  void Reached(const DirectoryEndpoint& endpoint);
+  void Unreached(const DirectoryEndpoint& endpoint);
+
+private:
+  void Arm();
+  void Probe();
+  void Connect(const DirectoryEndpoint& endpoint);
+
+  EventLoop& loop_;
+  Directory& directory_;
+  DecisionLog& log_;
+  OnCut onCut_;
+  absl::BitGen random_;
+  boost::asio::steady_timer timer_;
+  bool armed_ = false;
+};
+
+} // namespace wg
--- a/Source/Gateway/wgRouteTable.cxx
+++ b/Source/Gateway/wgRouteTable.cxx
@@ -82,6 +82,17 @@
   return result;
 }
 
+std::vector<int> StagesToEnd(absl::Span<const RouteStage> stages)
+{
+  std::vector<int> toEnd(stages.size(), 1);
+  for (std::size_t i = stages.size(); i > 0; --i) {
+    for (const std::size_t before : stages[i - 1].after) {
+      toEnd[before] = std::max(toEnd[before], toEnd[i - 1] + 1);
+    }
+  }
+  return toEnd;
+}
+
 bool StagesAreOrdered(absl::Span<const RouteStage> stages)
 {
   for (std::size_t i = 0; i < stages.size(); ++i) {
--- a/Source/Gateway/wgRouteTable.h
+++ b/Source/Gateway/wgRouteTable.h
@@ -127,6 +127,11 @@
 /** \brief The stages that no other comes after. */
 std::vector<std::size_t> FinalStages(absl::Span<const RouteStage> stages);
 
+/** \brief How many stages each stage and those after it take at least, one
+ * after the other.
+ */
+std::vector<int> StagesToEnd(absl::Span<const RouteStage> stages);
+
 /** \brief Whether each stage comes after earlier ones only. */
 bool StagesAreOrdered(absl::Span<const RouteStage> stages);
 
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -16,10 +16,12 @@
 constexpr auto PumpPeriod = std::chrono::milliseconds(30);
 constexpr int MaxPieceAttempts = 4;
 constexpr absl::Duration ExpiryPeriod = absl::Milliseconds(200);
+constexpr absl::Duration BacklogLogPeriod = absl::Seconds(1);
 constexpr double MsInSecond = 1e3;
 constexpr double LateFactor = 3.0;
 constexpr double LateMarginSeconds = 0.35;
 constexpr absl::Duration FullPause = absl::Milliseconds(60);
+constexpr absl::Duration CutOffPause = absl::Milliseconds(60);
 constexpr absl::Duration NoRoomPause = absl::Milliseconds(200);
 
 ItemResult MakeResult(ItemResult::State state)
@@ -34,13 +36,14 @@
 StageCoordinator::StageCoordinator(EventLoop& loop, HttpClient& client,
                                    Directory& directory,
                                    const Dialect& dialect,
-                                   ResultReleaser& releaser,
+                                   ResultReleaser& releaser, HallProber& halls,
                                    GatewayMetrics& metrics, DecisionLog& log)
   : loop_(loop)
   , client_(client)
   , directory_(directory)
   , dialect_(dialect)
   , releaser_(releaser)
+  , halls_(halls)
   , metrics_(metrics)
   , log_(log)
   , pumpTimer_(loop)
@@ -162,7 +165,10 @@
       servers.push_back(std::move(server));
       known = servers.end() - 1;
     }
-    known->avoidUntil = std::max(known->avoidUntil, endpoint->avoidUntil);
+    const bool isCut = IsCutOff(directory_.reach, endpoint->hall);
+    known->avoidUntil =
+      std::max({ known->avoidUntil, endpoint->avoidUntil,
+                 isCut ? ElapsedNow() + CutOffPause : Elapsed() });
   }
 }
 
@@ -179,6 +185,7 @@
     MakeCall(service, std::move(*call));
   }
   if (!pool.waiting.empty()) {
+    LogBacklog(service, pool);
     ArmPump();
   }
 }
@@ -312,6 +319,24 @@
   });
 }
 
+void StageCoordinator::NoteHallCut(const std::string& hall)
+{
+  std::vector<std::uint64_t> lost;
+  for (const auto& [number, open] : calls_) {
+    const DirectoryEndpoint* endpoint =
+      FindEndpoint(directory_, open.call.server);
+    if (endpoint != nullptr && endpoint->hall == hall) {
+      lost.push_back(number);
+    }
+  }
+  // Not at once: one of the calls may have brought the news.
+  boost::asio::post(loop_, [this, lost] {
+    for (const std::uint64_t number : lost) {
+      OnCallLate(number);
+    }
+  });
+}
+
 void StageCoordinator::OnCallLate(std::uint64_t number)
 {
   auto node = calls_.extract(number);
@@ -362,11 +387,46 @@
   } else {
     metrics_.Count("stage_calls_failed");
     LogCall(open, "failed");
-    FailCall(open, end != HttpCallEnd::NotConnected);
+    const DirectoryEndpoint* endpoint =
+      FindEndpoint(directory_, open.call.server);
+    if (end == HttpCallEnd::Unreached && endpoint != nullptr) {
+      halls_.Unreached(*endpoint);
+    }
+    FailCall(open, end == HttpCallEnd::Cut || end == HttpCallEnd::Refused ||
+                     end == HttpCallEnd::Complete);
   }
   Pump(service);
 }
 
+/** Once a second at most, while pieces wait. */
+void StageCoordinator::LogBacklog(const std::string& service,
+                                  const StagePool& pool)
+{
+  const Elapsed now = ElapsedNow();
+  Elapsed& logged = backlogLogged_[service];
+  if (now - logged < BacklogLogPeriod) {
+    return;
+  }
+  logged = now;
+  nlohmann::json servers = nlohmann::json::array();
+  for (const StageServer& server : pool.servers) {
+    servers.push_back({ { "endpoint", server.id },
+                        { "calls", server.calls.size() },
+                        { "room_used", server.roomUsed },
+                        { "slowness", SlownessNow(server, now) },
+                        { "avoided", server.avoidUntil > now } });
+  }
+  const auto late = std::count_if(
+    pool.waiting.begin(), pool.waiting.end(),
+    [now](const StagePiece& piece) { return piece.due <= now; });
+  log_.Write(LogWeight::Notable, "stage_backlog",
+             { { "service", service },
+               { "waiting", pool.waiting.size() },
+               { "late", late },
+               { "room", pool.limits.roomBytes },
+               { "servers", std::move(servers) } });
+}
+
 void StageCoordinator::LogCall(const OpenCall& open, absl::string_view end)
 {
   const Elapsed now = ElapsedNow();
@@ -420,6 +480,7 @@
   if (DirectoryEndpoint* endpoint =
         FindEndpoint(directory_, open.call.server)) {
     NoteAttempt(*endpoint, false, now);
+    halls_.Reached(*endpoint);
   }
   metrics_.NoteLatency("stage_call", now - open.started);
   LogCall(open, "answered");
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -15,6 +15,7 @@
 #include "wgDialect.h"
 #include "wgDirectory.h"
 #include "wgGatewayMetrics.h"
+#include "wgHallProber.h"
 #include "wgHttpClient.h"
 #include "wgPeer.pb.h"
 #include "wgResultReleaser.h"
@@ -35,7 +36,8 @@
 
   StageCoordinator(EventLoop& loop, HttpClient& client, Directory& directory,
                    const Dialect& dialect, ResultReleaser& releaser,
-                   GatewayMetrics& metrics, DecisionLog& log);
+                   HallProber& halls, GatewayMetrics& metrics,
+                   DecisionLog& log);
 
   void SetTable(std::shared_ptr<const RouteTable> table);
   void SetRetryRules(const RetryRules& rules) { rules_ = rules; }
@@ -54,6 +56,9 @@
   void Release(const std::string& service,
                absl::Span<const std::string> handles);
 
+  /** \brief A hall is cut off: what is at work there is made elsewhere. */
+  void NoteHallCut(const std::string& hall);
+
   /** \brief Whether no work is under way. */
   bool IsIdle() const { return works_.empty(); }
 
@@ -119,6 +124,7 @@
   void Repeat(const std::string& service, StagePiece piece, bool sent);
   void Settle(std::uint64_t ticket, wire::StageItemResult result);
   void EndWork(const WorkKey& key);
+  void LogBacklog(const std::string& service, const StagePool& pool);
   void LogCall(const OpenCall& open, absl::string_view end);
   StageServer* ServerOf(const OpenCall& open);
 
@@ -127,6 +133,7 @@
   Directory& directory_;
   const Dialect& dialect_;
   ResultReleaser& releaser_;
+  HallProber& halls_;
   GatewayMetrics& metrics_;
   DecisionLog& log_;
   RetryRules rules_;
@@ -134,6 +141,7 @@
   std::map<std::string, StagePool> pools_;
   std::map<std::string, ServiceResults> results_;
   std::map<std::string, RetryWindow> retries_;
+  std::map<std::string, Elapsed> backlogLogged_;
   std::map<WorkKey, Work> works_;
   std::map<std::uint64_t, PieceOwner> owners_; // by ticket
   std::map<std::uint64_t, OpenCall> calls_;
--- a/Source/Gateway/wgStagePool.cxx
+++ b/Source/Gateway/wgStagePool.cxx
@@ -14,7 +14,7 @@
 constexpr absl::Duration RankLead = absl::Milliseconds(150);
 /** Less than this may move between halls. */
 constexpr std::int64_t LargeCrossingBytes = 100000;
-constexpr absl::Duration HallPatience = absl::Milliseconds(120);
+constexpr double LateRoomShare = 0.5;
 constexpr double SlownessWeight = 0.3;
 constexpr double SlownessMemorySeconds = 2.0;
 constexpr double LeastSlowness = 0.5;
@@ -61,10 +61,14 @@
   return busy + SlownessNow(server, now) * ExpectedCallSeconds(limits, pieces);
 }
 
+/** Late pieces leave room for those that are not. */
 bool HasRoom(const StageServer& server, const StageLimits& limits,
-             std::int64_t bytes)
+             const StagePiece& piece, Elapsed now)
 {
-  return limits.roomBytes == 0 || server.roomUsed + bytes <= limits.roomBytes;
+  const double share = piece.due <= now ? LateRoomShare : 1.0;
+  const auto room =
+    static_cast<std::int64_t>(static_cast<double>(limits.roomBytes) * share);
+  return limits.roomBytes == 0 || server.roomUsed + piece.resultBytes <= room;
 }
 
 /** Whether much would have to move between halls. */
@@ -83,18 +87,21 @@
                      });
 }
 
-/** Whether a piece may be made there now. */
+/** Whether a piece may be made there now: what would move much does so only
+ * where waiting for its own hall would make its request late.
+ */
 bool Accepts(const StagePool& pool, const StageServer& server,
              const StagePiece& piece, Elapsed now)
 {
   if (!Crosses(piece, server)) {
     return true;
   }
+  if (!HasServerInHall(pool, piece.hall, now)) {
+    return true;
+  }
   const absl::Duration call =
     absl::Seconds(ExpectedCallSeconds(pool.limits, pool.limits.batch));
-  const Elapsed patientUntil =
-    std::min(piece.arrived + HallPatience, piece.due - 2 * call);
-  return now >= patientUntil || !HasServerInHall(pool, piece.hall, now);
+  return now < piece.due && now >= piece.due - 2 * call;
 }
 
 /** The free endpoint where a piece would be done first; null when there is
@@ -117,7 +124,7 @@
       soonestBusy = std::min(soonestBusy, finish);
       continue;
     }
-    const bool usable = HasRoom(server, pool.limits, piece.resultBytes) &&
+    const bool usable = HasRoom(server, pool.limits, piece, now) &&
                         Accepts(pool, server, piece, now);
     if (usable && finish < soonest) {
       soonest = finish;
@@ -135,7 +142,7 @@
   std::vector<StagePiece> rest;
   for (StagePiece& piece : pool.waiting) {
     const bool goes = batch.size() < pool.limits.batch &&
-                      HasRoom(server, pool.limits, piece.resultBytes) &&
+                      HasRoom(server, pool.limits, piece, now) &&
                       Accepts(pool, server, piece, now);
     if (goes) {
       server.roomUsed += piece.resultBytes;
--- a/Source/Http/wgHttpClient.h
+++ b/Source/Http/wgHttpClient.h
@@ -22,7 +22,8 @@
 enum class HttpCallEnd
 {
   Complete,
-  NotConnected, // no byte was sent
+  NotConnected, // refused; no byte was sent
+  Unreached,    // no answer to the attempt to connect; no byte was sent
   Cut,          // broken off, or no sound answer; it may have been carried out
   Refused       // the handler refused the answer's head
 };
@@ -40,7 +41,7 @@
 /** \brief How a call is to be made. */
 struct HttpCallOptions
 {
-  absl::Duration connectTimeout = absl::Milliseconds(400);
+  absl::Duration connectTimeout = absl::Milliseconds(200);
   /** A kept connection is used only if it has rested no longer. */
   absl::Duration maxRest = absl::Seconds(4);
   bool answerHasBody = true; // false for HEAD
--- a/Source/Http/wgHttpClientConnection.cxx
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -112,7 +112,7 @@
   connectTimer_.async_wait([self](error_code error) {
     const bool late = !error && !self->connected_;
     if (late) {
-      self->EndCall(HttpCallEnd::NotConnected);
+      self->EndCall(HttpCallEnd::Unreached);
     }
   });
   socket_.async_connect(
