Gateway: early refusals, hopeless pieces dropped, a cancel that ended the process

Change: what can't be answered in time is refused at its arrival with when to come back; late pieces are given up while more waits than can be made; a cancel takes its pieces out before it makes room for others.

--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -26,6 +26,9 @@
 /** What may not be repeated is sent on connections that rested shortly. */
 constexpr absl::Duration FreshRest = absl::Milliseconds(1500);
 constexpr std::size_t MaxAnswerBytes = 32U << 20U;
+/** A request with less of its time left than this has been refused before.
+ */
+constexpr double ComebackShare = 0.9;
 /** Results that cross between halls are weighed as time. */
 constexpr double CrossingSecondsPerByte = 11e-9;
 
@@ -61,6 +64,9 @@
     }
   });
   ReadPrompt();
+  if (RefuseIfHopeless()) {
+    return;
+  }
   service_ =
     ChooseTarget(*route_, absl::Uniform<double>(shared_.random, 0.0, 1.0));
   NoteRequest(shared_.retries[service_], ElapsedNow());
@@ -168,6 +174,52 @@
   return true;
 }
 
+/** How long the first byte would take if it went on as it goes now. */
+double GatewayRequest::ExpectedSeconds() const
+{
+  std::vector<double> until(stages_.size(), 0.0);
+  double longest = 0.0;
+  for (std::size_t i = 0; i < stages_.size(); ++i) {
+    const RouteStage& planned = route_->stages[i];
+    double begin = 0.0;
+    for (const std::size_t before : planned.after) {
+      begin = std::max(begin, until[before]);
+    }
+    const auto service = table_->services.find(planned.service);
+    const bool runs = stages_[i].pieces > 0 &&
+                      service != table_->services.end() &&
+                      service->second.stage.has_value();
+    until[i] = begin;
+    if (runs) {
+      const auto pieces = static_cast<std::size_t>(stages_[i].pieces);
+      until[i] +=
+        absl::ToDoubleSeconds(shared_.stages.Waiting(planned.service)) +
+        ExpectedCallSeconds(*service->second.stage, pieces);
+    }
+    longest = std::max(longest, until[i]);
+  }
+  const std::int64_t ownTokens =
+    prompt_.parts.empty() ? prompt_.tokensIn : prompt_.parts.back().tokens;
+  return longest +
+         static_cast<double>(ownTokens) * shared_.speed.secondsPerToken;
+}
+
+/** What can't be answered when it ought to be is refused before any work on
+ * it, with when to come back. One that came back is not refused again for it.
+ */
+bool GatewayRequest::RefuseIfHopeless()
+{
+  const absl::Duration given = callerDeadline_ - exchange_->Arrived();
+  const bool cameBack = given < ComebackShare * route_->timeout;
+  const bool hopeless =
+    !stages_.empty() && absl::Seconds(ExpectedSeconds()) > route_->aim;
+  if (!hopeless || cameBack) {
+    return false;
+  }
+  SayNotRun("overload");
+  return true;
+}
+
 Elapsed GatewayRequest::Due() const
 {
   return exchange_->Arrived() + route_->aim;
@@ -739,6 +791,10 @@
       wait = std::max(wait, shared_.stages.Waiting(stage.service));
     }
   }
+  if (reason == "overload") {
+    // Not all at the same moment.
+    wait += absl::Seconds(absl::Uniform<double>(shared_.random, 0.5, 2.0));
+  }
   HttpResponse response = MakeResponse(Unavailable, "", "");
   response.set(http::field::retry_after, SecondsText(wait));
   exchange_->Respond(std::move(response));
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -92,6 +92,8 @@
   bool ReadDeadline();
   void ReadPrompt();
   bool ReadStages();
+  double ExpectedSeconds() const;
+  bool RefuseIfHopeless();
   Elapsed Due() const;
 
   void SubmitStages();
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -122,12 +122,13 @@
       made.push_back(result.handle());
     }
   }
-  Release(state.service, made);
   for (const std::uint64_t ticket : state.tickets) {
     owners_.erase(ticket);
   }
   const auto dropped = TakePieces(PoolOf(state.service), state.tickets);
   metrics_.Count("stage_pieces_dropped", dropped.size());
+  // Last: it may make calls, which must not find what is cancelled.
+  Release(state.service, made);
 }
 
 void StageCoordinator::NoteDirectory()
@@ -416,9 +417,9 @@
                         { "slowness", SlownessNow(server, now) },
                         { "avoided", server.avoidUntil > now } });
   }
-  const auto late = std::count_if(
-    pool.waiting.begin(), pool.waiting.end(),
-    [now](const StagePiece& piece) { return piece.due <= now; });
+  const auto late =
+    std::count_if(pool.waiting.begin(), pool.waiting.end(),
+                  [now](const StagePiece& piece) { return piece.due <= now; });
   log_.Write(LogWeight::Notable, "stage_backlog",
              { { "service", service },
                { "waiting", pool.waiting.size() },
--- a/Source/Gateway/wgStagePool.cxx
+++ b/Source/Gateway/wgStagePool.cxx
@@ -15,6 +15,10 @@
 /** Less than this may move between halls. */
 constexpr std::int64_t LargeCrossingBytes = 100000;
 constexpr double LateRoomShare = 0.5;
+/** More waiting than this means that not all can be made in time. */
+constexpr double OverloadSeconds = 0.4;
+constexpr std::size_t OverloadBatches = 6;
+constexpr absl::Duration LateGrace = absl::Milliseconds(300);
 constexpr double SlownessWeight = 0.3;
 constexpr double SlownessMemorySeconds = 2.0;
 constexpr double LeastSlowness = 0.5;
@@ -200,10 +204,16 @@
 {
   const absl::Duration least =
     absl::Seconds(ExpectedCallSeconds(pool.limits, 1));
+  const bool isOverloaded =
+    ExpectedWaitSeconds(pool, now) > OverloadSeconds ||
+    pool.waiting.size() > OverloadBatches * pool.limits.batch;
   std::vector<StagePiece> late;
   auto kept = std::stable_partition(
-    pool.waiting.begin(), pool.waiting.end(),
-    [now, least](const StagePiece& p) { return now + least < p.deadline; });
+    pool.waiting.begin(), pool.waiting.end(), [&](const StagePiece& p) {
+      const bool inTime = now + least < p.deadline;
+      const bool hopeless = isOverloaded && now > p.due + LateGrace;
+      return inTime && !hopeless;
+    });
   late.assign(std::make_move_iterator(kept),
               std::make_move_iterator(pool.waiting.end()));
   pool.waiting.erase(kept, pool.waiting.end());
--- a/Source/Gateway/wgStagePool.h
+++ b/Source/Gateway/wgStagePool.h
@@ -80,7 +80,9 @@
  */
 std::optional<StageCall> NextStageCall(StagePool& pool, Elapsed now);
 
-/** \brief Takes out what can no longer be made in time. */
+/** \brief Takes out what can no longer be made in time, and while more waits
+ * than can be made soon, what is late already: it would hold back the rest.
+ */
 std::vector<StagePiece> TakeLatePieces(StagePool& pool, Elapsed now);
 
 /** \brief Takes out the pieces of one request's stage. */
@@ -90,7 +92,9 @@
 /** \brief What a call of so many pieces should take, in seconds. */
 double ExpectedCallSeconds(const StageLimits& limits, std::size_t pieces);
 
-/** \brief How long a piece that came now would wait, in seconds. */
+/** \brief How long a piece that came now would wait, in seconds. Late pieces
+ * do not count, as they give way.
+ */
 double ExpectedWaitSeconds(const StagePool& pool, Elapsed now);
 
 /** \brief Takes the time of a call into the endpoint's slowness. */
