--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -77,6 +77,7 @@
 {
   const Elapsed now = ElapsedNow();
   const WorkKey key{ work.box(), work.work() };
+  Cancel(work.box(), work.work()); // sent again by who doubted this box
   Work& state = works_[key];
   state.service = work.service();
   state.done = std::move(done);
@@ -546,7 +547,7 @@
     return;
   }
   const WorkKey key = owner->second.work;
-  Work& work = works_[key];
+  Work& work = works_.at(key); // as long as a ticket has an owner
   *work.reply.mutable_results(owner->second.index) = std::move(result);
   owners_.erase(owner);
   if (--work.missing == 0) {
