Gateway: requests are admitted up to 0.6 of their aim

Cause: in overload all that was expected to meet its aim just so was admitted, and half of it was late.

--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -29,6 +29,10 @@
 /** A request with less of its time left than this has been refused before.
  */
 constexpr double ComebackShare = 0.9;
+/** What is expected to take longer than this share of its aim is refused:
+ * requests that are admitted up to the aim itself are mostly late.
+ */
+constexpr double AdmittedShare = 0.6;
 /** Results that cross between halls are weighed as time. */
 constexpr double CrossingSecondsPerByte = 11e-9;
 
@@ -211,8 +215,8 @@
 {
   const absl::Duration given = callerDeadline_ - exchange_->Arrived();
   const bool cameBack = given < ComebackShare * route_->timeout;
-  const bool hopeless =
-    !stages_.empty() && absl::Seconds(ExpectedSeconds()) > route_->aim;
+  const bool hopeless = !stages_.empty() && absl::Seconds(ExpectedSeconds()) >
+                                              AdmittedShare * route_->aim;
   if (!hopeless || cameBack) {
     return false;
   }
