--- a/Source/Gateway/wgStagePool.cxx
+++ b/Source/Gateway/wgStagePool.cxx
@@ -250,9 +250,11 @@
   if (usable == 0) {
     return ExpectedCallSeconds(pool.limits, pool.limits.batch);
   }
-  const double fullCalls =
-    std::floor(static_cast<double>(pool.waiting.size()) /
-               static_cast<double>(pool.limits.batch));
+  const auto ahead =
+    std::count_if(pool.waiting.begin(), pool.waiting.end(),
+                  [now](const StagePiece& piece) { return piece.due > now; });
+  const double fullCalls = std::floor(static_cast<double>(ahead) /
+                                      static_cast<double>(pool.limits.batch));
   const double each = ExpectedCallSeconds(pool.limits, pool.limits.batch);
   return soonest + fullCalls * each / static_cast<double>(usable);
 }
--- /dev/null
+++ b/Tests/Control/wgEndpointRegistryTest.cxx
@@ -0,0 +1,179 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <catch2/catch.hpp>
+
+#include "wgEndpointRegistry.h"
+#include "wgFollowers.h"
+#include "wgServiceState.h"
+
+namespace {
+
+using Registration = wg::wire::Registration;
+
+const wg::Elapsed Now = absl::Seconds(10);
+
+Registration Heartbeat(std::uint64_t sequence,
+                       Registration::State state = Registration::READY)
+{
+  Registration heartbeat;
+  heartbeat.set_endpoint("e");
+  heartbeat.set_service("svc");
+  heartbeat.set_address("127.0.0.1:1");
+  heartbeat.set_sequence(sequence);
+  heartbeat.set_state(state);
+  return heartbeat;
+}
+
+wg::wire::FollowReply Since(const wg::EndpointRegistry& registry,
+                            std::uint64_t revision)
+{
+  wg::wire::FollowRequest request;
+  request.set_registry(registry.incarnation);
+  request.set_have_registrations(revision);
+  wg::wire::FollowReply reply;
+  wg::RegistrationsSince(registry, request, reply);
+  return reply;
+}
+
+/** Followers of a state that a test changes, and what they are told. */
+struct FollowFixture
+{
+  FollowFixture() { registry.incarnation = 5; }
+  wg::FollowedState State()
+  {
+    return { &service, &registry, { "127.0.0.1:9" }, {} };
+  }
+  void Follow(const std::string& box, wg::Elapsed now)
+  {
+    wg::FollowWaiter waiter;
+    waiter.request.set_box(box);
+    waiter.request.set_address(box + ":1");
+    waiter.request.set_wants_registry(true);
+    waiter.request.set_want_document(true);
+    waiter.request.set_wait_ms(1000);
+    waiter.request.set_have_document(last.document_number());
+    waiter.request.set_registry(last.registry());
+    waiter.request.set_have_registrations(last.registrations_revision());
+    waiter.request.set_have_followers(last.followers_revision());
+    waiter.respond = [this](const std::string& body) {
+      ++answers;
+      last.ParseFromString(body);
+    };
+    wg::TakeFollow(followers, std::move(waiter), State(), now);
+  }
+  wg::ServiceState service;
+  wg::EndpointRegistry registry;
+  wg::Followers followers;
+  wg::wire::FollowReply last;
+  int answers = 0;
+};
+
+} // namespace
+
+TEST_CASE("Only news of an endpoint is told")
+{
+  wg::EndpointRegistry registry;
+  CHECK(wg::TakeHeartbeat(registry, Heartbeat(1), Now));
+  CHECK_FALSE(wg::TakeHeartbeat(registry, Heartbeat(2), Now));
+  CHECK(wg::TakeHeartbeat(registry, Heartbeat(3, Registration::LEAVING), Now));
+  // A heartbeat that was overtaken on its way.
+  CHECK_FALSE(wg::TakeHeartbeat(registry, Heartbeat(2), Now));
+  const auto reply = Since(registry, 1);
+  REQUIRE(reply.registrations_size() == 1);
+  CHECK(reply.registrations(0).state() == Registration::LEAVING);
+  CHECK(Since(registry, reply.registrations_revision()).registrations_size() ==
+        0);
+}
+
+TEST_CASE("An endpoint that ended does not come back")
+{
+  wg::EndpointRegistry registry;
+  CHECK(wg::TakeLeave(registry, "e", Now));
+  CHECK_FALSE(wg::TakeLeave(registry, "e", Now));
+  CHECK_FALSE(wg::TakeHeartbeat(registry, Heartbeat(1), Now));
+  CHECK(Since(registry, 0).registrations(0).state() == Registration::GONE);
+}
+
+TEST_CASE("Endpoints fall silent, and are heard again")
+{
+  wg::EndpointRegistry registry;
+  wg::TakeHeartbeat(registry, Heartbeat(1), Now);
+  CHECK_FALSE(wg::TickRegistry(registry, Now + absl::Seconds(4)));
+  CHECK(wg::TickRegistry(registry, Now + absl::Seconds(6)));
+  CHECK_FALSE(wg::TickRegistry(registry, Now + absl::Seconds(7)));
+  CHECK(wg::TakeHeartbeat(registry, Heartbeat(2), Now + absl::Seconds(8)));
+  wg::TickRegistry(registry, Now + absl::Minutes(1));
+  wg::TickRegistry(registry, Now + absl::Minutes(5));
+  CHECK(registry.endpoints.empty());
+}
+
+TEST_CASE("A follower is answered when there is news, else when its wait ends")
+{
+  FollowFixture f;
+  f.Follow("b1", Now);
+  REQUIRE(f.answers == 1); // it knew nothing yet
+  CHECK(f.last.followers_size() == 1);
+  f.Follow("b1", Now);
+  CHECK(f.answers == 1);
+  SECTION("a document")
+  {
+    f.service.document.set_number(7);
+    f.service.document.set_content("text");
+    wg::AnswerFollowers(f.followers, f.State(), Now);
+    CHECK(f.last.document() == "text");
+  }
+  SECTION("an endpoint")
+  {
+    wg::TakeHeartbeat(f.registry, Heartbeat(1), Now);
+    wg::AnswerFollowers(f.followers, f.State(), Now);
+    CHECK(f.last.registrations_size() == 1);
+  }
+  SECTION("another follower")
+  {
+    f.Follow("b2", Now);
+    CHECK(f.last.followers_size() == 2);
+    wg::AnswerFollowers(f.followers, f.State(), Now);
+    CHECK(f.answers == 3);
+  }
+  SECTION("nothing")
+  {
+    wg::AnswerFollowers(f.followers, f.State(), Now + absl::Seconds(2));
+  }
+  CHECK(f.answers >= 2);
+  CHECK(f.followers.waiting.empty());
+}
+
+TEST_CASE("A box that no longer asks is no follower")
+{
+  FollowFixture f;
+  f.Follow("b1", Now);
+  f.Follow("b2", Now);
+  const std::uint64_t before = f.followers.revision;
+  f.Follow("b2", Now + absl::Seconds(4));
+  wg::TickFollowers(f.followers, Now + absl::Seconds(4));
+  CHECK(f.followers.revision > before);
+  wg::AnswerFollowers(f.followers, f.State(), Now + absl::Seconds(4));
+  CHECK(f.last.followers_size() == 1);
+  CHECK(f.last.followers(0).box() == "b2");
+}
+
+TEST_CASE("Of two documents the higher number holds, and lasts")
+{
+  wg::ServiceState state;
+  wg::wire::Change change;
+  change.mutable_publish()->set_number(7);
+  change.mutable_publish()->set_content("seven");
+  CHECK(wg::ApplyChange(state, change).verdict() ==
+        wg::wire::ChangeResult::ACCEPTED);
+  // The same number with another content, and an older one: acknowledged,
+  // and nothing changes.
+  change.mutable_publish()->set_content("other");
+  CHECK(wg::ApplyChange(state, change).verdict() ==
+        wg::wire::ChangeResult::ACCEPTED);
+  change.mutable_publish()->set_number(6);
+  wg::ApplyChange(state, change);
+  CHECK(state.document.content() == "seven");
+  const auto loaded = wg::LoadState(wg::SaveState(state));
+  REQUIRE(wg::Succeeded(loaded));
+  CHECK(wg::Value(loaded).document.number() == 7);
+  CHECK(wg::Value(loaded).document.content() == "seven");
+}
--- /dev/null
+++ b/Tests/Gateway/wgDirectoryTest.cxx
@@ -0,0 +1,183 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <random>
+
+#include <catch2/catch.hpp>
+
+#include "wgDirectory.h"
+#include "wgEndpointChoice.h"
+
+namespace {
+
+using Registration = wg::wire::Registration;
+
+const wg::Elapsed Now = absl::Seconds(50);
+
+Registration Told(const std::string& id, std::uint64_t sequence,
+                  Registration::State state = Registration::READY)
+{
+  Registration told;
+  told.set_endpoint(id);
+  told.set_service("svc");
+  told.set_address("127.0.0.1:1");
+  told.set_hall("h1");
+  told.set_slots(4);
+  told.set_sequence(sequence);
+  told.set_state(state);
+  return told;
+}
+
+wg::Directory Serving(int endpoints)
+{
+  wg::Directory directory;
+  for (int i = 0; i < endpoints; ++i) {
+    Registration told = Told("e" + std::to_string(i), 1);
+    told.set_hall(i % 2 == 0 ? "h0" : "h1");
+    wg::MergeRegistration(directory, told, Now);
+  }
+  return directory;
+}
+
+wg::PromptShape Prompt(const std::string& shared)
+{
+  return { { { "root", 2000 }, { shared, 10000 }, { "own", 3000 } },
+           15000,
+           100 };
+}
+
+} // namespace
+
+TEST_CASE("An endpoint's own sequence decides between control boxes")
+{
+  wg::Directory directory;
+  CHECK(wg::MergeRegistration(directory, Told("e", 10), Now));
+  CHECK_FALSE(wg::MergeRegistration(directory, Told("e", 9), Now));
+  // One control box missed it since heartbeat 8; another heard number 10.
+  wg::MergeRegistration(directory, Told("e", 8, Registration::SILENT), Now);
+  CHECK(wg::TakesNewWork(*wg::FindEndpoint(directory, "e")));
+  wg::MergeRegistration(directory, Told("e", 10, Registration::SILENT), Now);
+  CHECK_FALSE(wg::TakesNewWork(*wg::FindEndpoint(directory, "e")));
+  wg::MergeRegistration(directory, Told("e", 11), Now);
+  CHECK(wg::TakesNewWork(*wg::FindEndpoint(directory, "e")));
+  wg::MergeRegistration(directory, Told("e", 12, Registration::LEAVING), Now);
+  CHECK(wg::ServingEndpoints(directory, "svc").empty());
+}
+
+TEST_CASE("The end of an endpoint is final")
+{
+  wg::Directory directory;
+  wg::MergeRegistration(directory, Told("e", 10), Now);
+  CHECK(
+    wg::MergeRegistration(directory, Told("e", 0, Registration::GONE), Now));
+  CHECK_FALSE(wg::MergeRegistration(directory, Told("e", 99), Now));
+  CHECK(wg::ServingEndpoints(directory, "svc").empty());
+  // Told of its end before its life: nothing revives it.
+  wg::MergeRegistration(directory, Told("f", 0, Registration::GONE), Now);
+  wg::MergeRegistration(directory, Told("f", 3), Now);
+  CHECK(wg::ServingEndpoints(directory, "svc").empty());
+}
+
+TEST_CASE("Failures keep work away for a while, and fade")
+{
+  wg::Directory directory = Serving(2);
+  wg::DirectoryEndpoint& failing = *wg::FindEndpoint(directory, "e0");
+  wg::NoteAttempt(failing, true, Now);
+  REQUIRE(wg::SoundEndpoints(directory, "svc", Now).size() == 1);
+  CHECK(wg::SoundEndpoints(directory, "svc", Now).front()->id == "e1");
+  const wg::Elapsed later = Now + absl::Seconds(1);
+  CHECK(wg::SoundEndpoints(directory, "svc", later).size() == 2);
+  CHECK(wg::FailureShareNow(failing, Now) == Approx(0.15));
+  CHECK(wg::FailureShareNow(failing, Now + absl::Seconds(30)) < 0.001);
+  // When all fail, all are tried.
+  wg::NoteAttempt(*wg::FindEndpoint(directory, "e1"), true, Now);
+  CHECK(wg::SoundEndpoints(directory, "svc", Now).size() == 2);
+}
+
+TEST_CASE("Two endpoints that can't be reached make a hall cut off")
+{
+  wg::Directory directory = Serving(4);
+  wg::HallReach& reach = directory.reach;
+  CHECK_FALSE(wg::NoteUnreached(reach, "h0", "e0", Now));
+  CHECK_FALSE(wg::NoteUnreached(reach, "h0", "e0", Now));
+  CHECK_FALSE(wg::IsCutOff(reach, "h0"));
+  CHECK(wg::NoteUnreached(reach, "h0", "e2", Now));
+  CHECK(wg::IsCutOff(reach, "h0"));
+  CHECK(wg::SoundEndpoints(directory, "svc", Now).size() == 2);
+  CHECK(wg::NoteReached(reach, "h0"));
+  CHECK(wg::SoundEndpoints(directory, "svc", Now).size() == 4);
+}
+
+TEST_CASE("Failures long apart, or with an answer between, cut off no hall")
+{
+  wg::HallReach reach;
+  wg::NoteUnreached(reach, "h0", "e0", Now);
+  CHECK_FALSE(wg::NoteUnreached(reach, "h0", "e2", Now + absl::Seconds(5)));
+  wg::NoteReached(reach, "h0");
+  CHECK_FALSE(wg::NoteUnreached(reach, "h0", "e0", Now + absl::Seconds(5)));
+}
+
+TEST_CASE("Prompts with the same shared part go to the same engine")
+{
+  wg::Directory directory = Serving(8);
+  const auto engines = wg::ServingEndpoints(directory, "svc");
+  wg::ChoiceQuery query;
+  query.hall = "h0";
+  const auto first = wg::ChooseEngine(engines, Prompt("p"), {}, query);
+  REQUIRE(first.endpoint != nullptr);
+  query.hall = "h1";
+  CHECK(wg::ChooseEngine(engines, Prompt("p"), {}, query).endpoint ==
+        first.endpoint);
+  // What its engine holds need not be read.
+  CHECK(first.readSeconds == Approx(3000 * 16.5e-6));
+  SECTION("unless it is busy for longer than it takes to read anew")
+  {
+    first.endpoint->pendingSeconds = 2.0;
+    const auto second = wg::ChooseEngine(engines, Prompt("p"), {}, query);
+    CHECK(second.endpoint != first.endpoint);
+    CHECK(second.readSeconds == Approx(15000 * 16.5e-6));
+  }
+  SECTION("or has been tried")
+  {
+    const std::vector<std::string> tried = { first.endpoint->id };
+    query.avoid = tried;
+    CHECK(wg::ChooseEngine(engines, Prompt("p"), {}, query).endpoint !=
+          first.endpoint);
+  }
+}
+
+TEST_CASE("Parts of prompts are spread over the engines")
+{
+  wg::Directory directory = Serving(4);
+  const auto engines = wg::ServingEndpoints(directory, "svc");
+  std::map<std::string, int> taken;
+  for (int i = 0; i < 400; ++i) {
+    const auto choice =
+      wg::ChooseEngine(engines, Prompt("p" + std::to_string(i)), {}, {});
+    ++taken[choice.endpoint->id];
+  }
+  for (const auto& [id, count] : taken) {
+    CHECK(count > 60);
+    CHECK(count < 140);
+  }
+}
+
+TEST_CASE("Plain work goes to the least loaded, of equals in the own hall")
+{
+  wg::Directory directory = Serving(2);
+  const auto endpoints = wg::ServingEndpoints(directory, "svc");
+  std::mt19937_64 random(3);
+  wg::ChoiceQuery query;
+  query.hall = "h1";
+  CHECK(wg::ChoosePlain(endpoints, query, random)->id == "e1");
+  wg::FindEndpoint(directory, "e1")->running = 1;
+  CHECK(wg::ChoosePlain(endpoints, query, random)->id == "e0");
+  CHECK(wg::ChoosePlain({}, query, random) == nullptr);
+}
+
+TEST_CASE("Parts of prompts are read from their text")
+{
+  const auto parts = wg::ParsePromptParts("5c1e07a2:800, 91bd3f06:410,bad");
+  REQUIRE(parts.size() == 2);
+  CHECK(parts[1].id == "91bd3f06");
+  CHECK(parts[1].tokens == 410);
+  CHECK(wg::ParsePromptParts("").empty());
+}
--- /dev/null
+++ b/Tests/Gateway/wgHttpClientTest.cxx
@@ -0,0 +1,279 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <atomic>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/streambuf.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+#include "wgHttpClient.h"
+#include "wgLoopThread.h"
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/** An endpoint that answers each request with the bytes that a test gives,
+ * and may close after them.
+ */
+class ScriptedEndpoint
+{
+public:
+  struct Answer
+  {
+    std::string bytes;
+    bool closes = false;
+    bool resets = false;
+  };
+
+  explicit ScriptedEndpoint(std::vector<Answer> answers)
+    : answers_(std::move(answers))
+    , acceptor_(loop_, { asio::ip::make_address("127.0.0.1"), 0 })
+    , thread_([this] { Run(); })
+  {
+  }
+  ~ScriptedEndpoint()
+  {
+    ending_ = true;
+    boost::system::error_code ignored;
+    tcp::socket knock(loop_);
+    knock.connect(acceptor_.local_endpoint(), ignored);
+    knock.close(ignored);
+    thread_.join();
+  }
+  std::string Address() const
+  {
+    return absl::StrCat("127.0.0.1:", acceptor_.local_endpoint().port());
+  }
+  int Connections() const { return connections_; }
+
+private:
+  void Run()
+  {
+    while (!ending_) {
+      boost::system::error_code error;
+      tcp::socket socket(loop_);
+      acceptor_.accept(socket, error);
+      if (error || ending_) {
+        return;
+      }
+      ++connections_;
+      Serve(socket);
+    }
+  }
+  void Serve(tcp::socket& socket)
+  {
+    asio::streambuf input;
+    boost::system::error_code error;
+    while (next_ < answers_.size()) {
+      asio::read_until(socket, input, "\r\n\r\n", error);
+      if (error) {
+        return;
+      }
+      input.consume(input.size());
+      const Answer& answer = answers_[next_++];
+      asio::write(socket, asio::buffer(answer.bytes), error);
+      if (answer.resets) {
+        socket.set_option(asio::socket_base::linger(true, 0), error);
+      }
+      if (answer.closes || answer.resets) {
+        absl::SleepFor(absl::Milliseconds(20));
+        socket.close(error);
+        return;
+      }
+    }
+    // Waits for the peer to close, or the test's end.
+    while (!error && !ending_) {
+      socket.non_blocking(true);
+      char byte = 0;
+      socket.read_some(asio::buffer(&byte, 1), error);
+      if (error == asio::error::would_block) {
+        error.clear();
+        absl::SleepFor(absl::Milliseconds(5));
+      }
+    }
+  }
+
+  std::vector<Answer> answers_;
+  std::size_t next_ = 0;
+  std::atomic<int> connections_{ 0 };
+  std::atomic<bool> ending_{ false };
+  asio::io_context loop_;
+  tcp::acceptor acceptor_;
+  std::thread thread_;
+};
+
+struct Result
+{
+  unsigned status = 0;
+  std::string body;
+  wg::HttpCallEnd end = wg::HttpCallEnd::Cut;
+};
+
+const std::string Request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+/** A client on a loop of its own, whose calls are waited for. */
+struct Caller
+{
+  Caller()
+    : client(std::make_unique<wg::HttpClient>(thread.Loop()))
+  {
+  }
+  ~Caller()
+  {
+    thread.Join();
+    client.reset();
+  }
+  Result Call(const std::string& address, bool acceptHead = true)
+  {
+    std::promise<Result> done;
+    auto result = std::make_shared<Result>();
+    std::unique_ptr<wg::HttpCall> call;
+    wg::HttpCallHandler handler;
+    handler.onHead = [result, acceptHead](const wg::HttpHead& head) {
+      result->status = head.result_int();
+      return acceptHead;
+    };
+    handler.onBody = [result](absl::string_view bytes) {
+      result->body.append(bytes.data(), bytes.size());
+    };
+    handler.onEnd = [result, &done](wg::HttpCallEnd end) {
+      result->end = end;
+      done.set_value(*result);
+    };
+    thread.Do([&] {
+      call = client->Start(address, Request, {}, std::move(handler));
+      return true;
+    });
+    const Result got = done.get_future().get();
+    thread.Do([&] {
+      call.reset();
+      return true;
+    });
+    return got;
+  }
+  wg::LoopThread thread;
+  std::unique_ptr<wg::HttpClient> client;
+};
+
+const std::string Good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+} // namespace
+
+TEST_CASE("Answers by length, chunks and close are read whole")
+{
+  Caller caller;
+  ScriptedEndpoint endpoint(
+    { { Good },
+      { "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n3\r\ncde\r\n0\r\n\r\n" },
+      { "HTTP/1.1 200 OK\r\n\r\nuntil the end", true } });
+  CHECK(caller.Call(endpoint.Address()).body == "ok");
+  CHECK(caller.Call(endpoint.Address()).body == "abcde");
+  const Result last = caller.Call(endpoint.Address());
+  CHECK(last.body == "until the end");
+  CHECK(last.end == wg::HttpCallEnd::Complete);
+  CHECK(endpoint.Connections() == 1);
+}
+
+TEST_CASE("An answer that is cut off is not whole")
+{
+  Caller caller;
+  SECTION("before its length")
+  {
+    ScriptedEndpoint endpoint(
+      { { "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", true } });
+    CHECK(caller.Call(endpoint.Address()).end == wg::HttpCallEnd::Cut);
+  }
+  SECTION("between chunks")
+  {
+    ScriptedEndpoint endpoint(
+      { { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+          true } });
+    CHECK(caller.Call(endpoint.Address()).end == wg::HttpCallEnd::Cut);
+  }
+  SECTION("by a reset, without a length")
+  {
+    ScriptedEndpoint endpoint(
+      { { "HTTP/1.1 200 OK\r\n\r\npart", false, true } });
+    CHECK(caller.Call(endpoint.Address()).end == wg::HttpCallEnd::Cut);
+  }
+  SECTION("before it began")
+  {
+    ScriptedEndpoint endpoint({ { "", true } });
+    CHECK(caller.Call(endpoint.Address()).end == wg::HttpCallEnd::Cut);
+  }
+  SECTION("by what is no answer")
+  {
+    ScriptedEndpoint endpoint({ { "hello there\r\n\r\n" } });
+    CHECK(caller.Call(endpoint.Address()).end == wg::HttpCallEnd::Cut);
+  }
+}
+
+TEST_CASE("Bytes after an answer reach no other call")
+{
+  Caller caller;
+  SECTION("at once")
+  {
+    ScriptedEndpoint endpoint({ { Good + Good }, { Good } });
+    CHECK(caller.Call(endpoint.Address()).end == wg::HttpCallEnd::Complete);
+    CHECK(caller.Call(endpoint.Address()).end == wg::HttpCallEnd::Complete);
+    CHECK(endpoint.Connections() == 2);
+  }
+  SECTION("as an answer that was refused by its head")
+  {
+    ScriptedEndpoint endpoint({ { Good }, { Good } });
+    CHECK(caller.Call(endpoint.Address(), false).end ==
+          wg::HttpCallEnd::Refused);
+    CHECK(caller.Call(endpoint.Address()).body == "ok");
+    CHECK(endpoint.Connections() == 2);
+  }
+}
+
+TEST_CASE("A connection that the endpoint closes is not used again")
+{
+  Caller caller;
+  ScriptedEndpoint endpoint({ { Good, true }, { Good } });
+  CHECK(caller.Call(endpoint.Address()).body == "ok");
+  absl::SleepFor(absl::Milliseconds(100));
+  CHECK(caller.Call(endpoint.Address()).body == "ok");
+  CHECK(endpoint.Connections() == 2);
+}
+
+TEST_CASE("Connection: close is heeded, and a short Keep-Alive")
+{
+  Caller caller;
+  ScriptedEndpoint endpoint(
+    { { "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n",
+        true },
+      { "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=0\r\nContent-Length: 0\r\n"
+        "\r\n" },
+      { Good } });
+  CHECK(caller.Call(endpoint.Address()).end == wg::HttpCallEnd::Complete);
+  CHECK(caller.Call(endpoint.Address()).end == wg::HttpCallEnd::Complete);
+  CHECK(endpoint.Connections() == 2);
+  CHECK(caller.Call(endpoint.Address()).body == "ok");
+  CHECK(endpoint.Connections() == 3);
+}
+
+TEST_CASE("What was never sent is told apart")
+{
+  Caller caller;
+  std::string address;
+  {
+    ScriptedEndpoint gone({});
+    address = gone.Address();
+  }
+  CHECK(caller.Call(address).end == wg::HttpCallEnd::NotConnected);
+  CHECK(caller.Call("no address").end == wg::HttpCallEnd::NotConnected);
+}
--- /dev/null
+++ b/Tests/Gateway/wgHttpServerTest.cxx
@@ -0,0 +1,286 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <atomic>
+#include <memory>
+#include <string>
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <catch2/catch.hpp>
+
+#include "absl/strings/match.h"
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+#include "wgHttpServer.h"
+#include "wgLoopThread.h"
+
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+
+/** A caller that writes and reads bytes as it likes. */
+class RawCaller
+{
+public:
+  explicit RawCaller(int port)
+    : socket_(loop_)
+  {
+    socket_.connect({ asio::ip::make_address("127.0.0.1"),
+                      static_cast<std::uint16_t>(port) });
+  }
+  void Send(const std::string& bytes)
+  {
+    boost::system::error_code ignored;
+    asio::write(socket_, asio::buffer(bytes), ignored);
+  }
+  /** Reads until the text has come, or the connection ends. */
+  std::string ReadUntil(const std::string& text)
+  {
+    boost::system::error_code error;
+    while (!error && !absl::StrContains(got_, text)) {
+      char bytes[4096];
+      const std::size_t n = socket_.read_some(asio::buffer(bytes), error);
+      got_.append(bytes, n);
+    }
+    return got_;
+  }
+  std::string ReadAll() { return ReadUntil("\x01never\x01"); }
+  void Close() { socket_.close(); }
+
+private:
+  asio::io_context loop_;
+  tcp::socket socket_;
+  std::string got_;
+};
+
+/** A server whose handler each test gives. */
+struct Served
+{
+  explicit Served(wg::HttpServer::Handler handler, wg::HttpLimits limits = {})
+    : server(
+        std::make_unique<wg::HttpServer>(thread.Loop(), std::move(handler)))
+  {
+    const bool listens = thread.Do([this, limits] {
+      server->SetLimits(limits);
+      return wg::Succeeded(server->Start("127.0.0.1", 0));
+    });
+    REQUIRE(listens);
+    port = thread.Do([this] { return server->Port(); });
+  }
+  ~Served()
+  {
+    thread.Join();
+    server.reset();
+  }
+  wg::LoopThread thread;
+  std::unique_ptr<wg::HttpServer> server;
+  int port = 0;
+};
+
+using Exchange = std::shared_ptr<wg::HttpExchange>;
+
+void Echo(const Exchange& exchange)
+{
+  const auto target = exchange->Request().target();
+  exchange->Respond(wg::MakeResponse(
+    200, "text/plain",
+    absl::StrCat(std::string(target), "|", exchange->Request().body())));
+}
+
+template <class Condition>
+bool Eventually(Condition condition)
+{
+  for (int i = 0; i < 500 && !condition(); ++i) {
+    absl::SleepFor(absl::Milliseconds(10));
+  }
+  return condition();
+}
+
+} // namespace
+
+TEST_CASE("Requests follow each other on a connection")
+{
+  Served served(Echo);
+  RawCaller caller(served.port);
+  caller.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  caller.ReadUntil("/a|");
+  caller.Send("POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+              "\r\n3\r\nxyz\r\n0\r\n\r\n");
+  caller.ReadUntil("/b|xyz");
+  // Two at once: the second waits its turn.
+  caller.Send("GET /c HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /d HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  const std::string all = caller.ReadAll();
+  CHECK(absl::StrContains(all, "/c|"));
+  CHECK(absl::StrContains(all, "/d|"));
+}
+
+TEST_CASE("A body may come in any pieces, after a 100 if one is asked for")
+{
+  Served served(Echo);
+  RawCaller caller(served.port);
+  caller.Send("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
+              "Expect: 100-continue\r\n\r\n");
+  caller.ReadUntil("100 Continue\r\n\r\n");
+  for (const char* byte : { "a", "b", "c", "d" }) {
+    caller.Send(byte);
+    absl::SleepFor(absl::Milliseconds(5));
+  }
+  CHECK(absl::StrContains(caller.ReadUntil("|abcd"), "200 OK"));
+}
+
+TEST_CASE("What is no sound request is refused, and the connection ends")
+{
+  wg::HttpLimits limits;
+  limits.headerBytes = 2000;
+  limits.bodyBytes = 1000;
+  std::atomic<int> handled{ 0 };
+  Served served(
+    [&handled](const Exchange& exchange) {
+      ++handled;
+      Echo(exchange);
+    },
+    limits);
+  const auto answer = [&served](const std::string& bytes) {
+    RawCaller caller(served.port);
+    caller.Send(bytes);
+    return caller.ReadAll();
+  };
+  SECTION("two lengths")
+  {
+    CHECK(absl::StrContains(
+      answer("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+             "Content-Length: 5\r\n\r\nabcde"),
+      "400"));
+  }
+  SECTION("a length beside chunks, which hides a request")
+  {
+    CHECK(absl::StrContains(
+      answer("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n"
+             "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+             "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"),
+      "400"));
+  }
+  SECTION("no HTTP")
+  {
+    CHECK(absl::StrContains(answer("\x16\x03\x01 hello\r\n\r\n"), "400"));
+  }
+  SECTION("a large header")
+  {
+    CHECK(absl::StrContains(answer("GET / HTTP/1.1\r\nHost: h\r\nX: " +
+                                   std::string(4000, 'x') + "\r\n\r\n"),
+                            "431"));
+  }
+  SECTION("a large body, announced")
+  {
+    CHECK(absl::StrContains(answer("POST / HTTP/1.1\r\nHost: h\r\n"
+                                   "Content-Length: 5000\r\n\r\n" +
+                                   std::string(5000, 'x')),
+                            "413"));
+  }
+  SECTION("a large body, in chunks")
+  {
+    CHECK(absl::StrContains(
+      answer("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+             "\r\n7d0\r\n" +
+             std::string(2000, 'x') + "\r\n0\r\n\r\n"),
+      "413"));
+  }
+  CHECK(handled == 0);
+}
+
+TEST_CASE("A caller that is slow is told so, one at rest is closed")
+{
+  wg::HttpLimits limits;
+  limits.headerTimeout = absl::Milliseconds(200);
+  limits.idleTimeout = absl::Milliseconds(300);
+  Served served(Echo, limits);
+  RawCaller slow(served.port);
+  slow.Send("GET / HTTP/1.1\r\nHo");
+  CHECK(absl::StrContains(slow.ReadAll(), "408"));
+  RawCaller resting(served.port);
+  resting.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(absl::StrContains(resting.ReadAll(), "/a|"));
+}
+
+TEST_CASE("A caller's leaving is noticed while its answer is awaited")
+{
+  std::atomic<bool> left{ false };
+  std::atomic<bool> began{ false };
+  Exchange kept;
+  Served served([&](const Exchange& exchange) {
+    kept = exchange;
+    exchange->OnCallerLeft([&left] { left = true; });
+    began = true;
+  });
+  RawCaller caller(served.port);
+  SECTION("before the answer")
+  {
+    caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+  SECTION("midway in a stream, with a request sent ahead")
+  {
+    caller.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\n");
+    REQUIRE(Eventually([&] { return began.load(); }));
+    served.thread.Do([&] {
+      wg::HttpHead head;
+      head.result(200);
+      kept->StartStream(head);
+      kept->WriteStream("one");
+      return true;
+    });
+    caller.ReadUntil("one");
+  }
+  REQUIRE(Eventually([&] { return began.load(); }));
+  caller.Close();
+  CHECK(Eventually([&] { return left.load(); }));
+  served.thread.Do([&] {
+    kept->Respond(wg::MakeResponse(200, "", "late"));
+    kept.reset();
+    return true;
+  });
+}
+
+TEST_CASE("A stream that is broken off does not look complete")
+{
+  Served served([](const Exchange& exchange) {
+    wg::HttpHead head;
+    head.result(200);
+    head.set("X-Own", "kept");
+    exchange->StartStream(head);
+    exchange->WriteStream("part");
+    if (exchange->Request().target() == "/whole") {
+      exchange->FinishStream();
+    } else {
+      exchange->Abort();
+    }
+  });
+  RawCaller whole(served.port);
+  whole.Send("GET /whole HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  const std::string got = whole.ReadAll();
+  CHECK(absl::StrContains(got, "X-Own: kept"));
+  CHECK(absl::StrContains(got, "4\r\npart\r\n0\r\n\r\n"));
+  RawCaller cut(served.port);
+  cut.Send("GET /cut HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK_FALSE(absl::StrContains(cut.ReadAll(), "0\r\n\r\n"));
+}
+
+TEST_CASE("Draining ends connections with the answer, those at rest later")
+{
+  Served served(Echo);
+  RawCaller active(served.port);
+  RawCaller resting(served.port);
+  active.Send("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+  active.ReadUntil("/a|");
+  served.thread.Do([&served] {
+    served.server->StartDraining(absl::Milliseconds(400));
+    return true;
+  });
+  active.Send("GET /b HTTP/1.1\r\nHost: h\r\n\r\n");
+  const std::string got = active.ReadAll();
+  CHECK(absl::StrContains(got, "Connection: close"));
+  CHECK(absl::StrContains(got, "/b|"));
+  CHECK(resting.ReadAll().empty());
+}
--- /dev/null
+++ b/Tests/Gateway/wgRouteTableTest.cxx
@@ -0,0 +1,151 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <catch2/catch.hpp>
+
+#include "wgAttemptRules.h"
+#include "wgEventSplitter.h"
+#include "wgRetryWindow.h"
+#include "wgRouteTable.h"
+
+namespace {
+
+wg::Route MakeRoute(const std::string& name, const std::string& host,
+                    const std::string& prefix)
+{
+  wg::Route route;
+  route.name = name;
+  route.host = host;
+  route.prefix = prefix;
+  route.targets = { { name + "-a", 3.0 }, { name + "-b", 1.0 } };
+  return route;
+}
+
+} // namespace
+
+TEST_CASE("The longest prefix of a host decides")
+{
+  wg::RouteTable table;
+  table.routes = { MakeRoute("all", "one.example", "/"),
+                   MakeRoute("deep", "one.example", "/a/b/"),
+                   MakeRoute("mid", "one.example", "/a/"),
+                   MakeRoute("other", "two.example", "/a/") };
+  wg::IndexRoutes(table);
+  CHECK(wg::FindRoute(table, "one.example", "/a/b/c")->name == "deep");
+  CHECK(wg::FindRoute(table, "ONE.example:80", "/a/x?y=/a/b/")->name == "mid");
+  CHECK(wg::FindRoute(table, "one.example", "/")->name == "all");
+  CHECK(wg::FindRoute(table, "two.example", "/b/") == nullptr);
+  CHECK(wg::FindRoute(table, "three.example", "/a/") == nullptr);
+}
+
+TEST_CASE("A service is chosen by weight")
+{
+  const wg::Route route = MakeRoute("r", "h", "/");
+  CHECK(wg::ChooseTarget(route, 0.0) == "r-a");
+  CHECK(wg::ChooseTarget(route, 0.74) == "r-a");
+  CHECK(wg::ChooseTarget(route, 0.76) == "r-b");
+  CHECK(wg::ChooseTarget(route, 0.999999) == "r-b");
+}
+
+TEST_CASE("Stages know what comes after them")
+{
+  // 0 alone; 1, 2 and 3 in a row.
+  const std::vector<wg::RouteStage> stages = {
+    { "a", {}, 0 }, { "a", {}, 0 }, { "b", { 1 }, 0 }, { "c", { 2 }, 0 }
+  };
+  CHECK(wg::FinalStages(stages) == std::vector<std::size_t>{ 0, 3 });
+  CHECK(wg::StagesToEnd(stages) == std::vector<int>{ 1, 3, 2, 1 });
+  CHECK(wg::StagesAreOrdered(stages));
+  CHECK_FALSE(wg::StagesAreOrdered({ { "a", { 0 }, 0 } }));
+}
+
+TEST_CASE("What is told of a request follows from what is known of its sends")
+{
+  using wg::AfterAttempt;
+  using wg::AttemptKnowledge;
+  wg::AttemptFacts facts;
+  facts.maxAttempts = 2;
+
+  SECTION("never sent: another endpoint, without budget, else a promise")
+  {
+    facts.last = AttemptKnowledge::NotSent;
+    facts.budgetLeft = false;
+    CHECK(wg::JudgeAttempt(facts) == AfterAttempt::SendAgain);
+    facts.endpointLeft = false;
+    CHECK(wg::JudgeAttempt(facts) == AfterAttempt::SayNotRun);
+  }
+  SECTION("said not run: the budget decides")
+  {
+    facts.last = AttemptKnowledge::SaidNotRun;
+    facts.endpointsTried = 1;
+    CHECK(wg::JudgeAttempt(facts) == AfterAttempt::SendAgain);
+    facts.budgetLeft = false;
+    CHECK(wg::JudgeAttempt(facts) == AfterAttempt::SayNotRun);
+  }
+  SECTION("may have run, to run once: never again, and no promise")
+  {
+    facts.last = AttemptKnowledge::MayHaveRun;
+    facts.anyMayHaveRun = true;
+    facts.endpointsTried = 1;
+    CHECK(wg::JudgeAttempt(facts) == AfterAttempt::SayMayHave);
+    // A later attempt that was refused does not take that back.
+    facts.last = AttemptKnowledge::SaidNotRun;
+    CHECK(wg::JudgeAttempt(facts) == AfterAttempt::SayMayHave);
+  }
+  SECTION("may have run, repeatable: again, up to the attempts")
+  {
+    facts.repetition = wg::Repetition::Repeatable;
+    facts.last = AttemptKnowledge::MayHaveRun;
+    facts.anyMayHaveRun = true;
+    facts.endpointsTried = 1;
+    CHECK(wg::JudgeAttempt(facts) == AfterAttempt::SendAgain);
+    facts.endpointsTried = 2;
+    CHECK(wg::JudgeAttempt(facts) == AfterAttempt::SayMayHave);
+  }
+  SECTION("the answer has begun: only a resumable stream goes on")
+  {
+    facts.last = AttemptKnowledge::MayHaveRun;
+    facts.anyMayHaveRun = true;
+    facts.answerBegun = true;
+    facts.endpointsTried = 1;
+    facts.repetition = wg::Repetition::Repeatable;
+    CHECK(wg::JudgeAttempt(facts) == AfterAttempt::BreakOff);
+    facts.repetition = wg::Repetition::Resumable;
+    CHECK(wg::JudgeAttempt(facts) == AfterAttempt::SendAgain);
+    facts.timeLeft = false;
+    CHECK(wg::JudgeAttempt(facts) == AfterAttempt::BreakOff);
+  }
+}
+
+TEST_CASE("Only whole events are passed on")
+{
+  wg::EventSplitter splitter;
+  CHECK(wg::TakeEvents(splitter, "id: 1\ndata: a\n").empty());
+  CHECK(wg::TakeEvents(splitter, "\nid: 2\nda") == "id: 1\ndata: a\n\n");
+  CHECK(splitter.lastId == "1");
+  CHECK(wg::TakeEvents(splitter, "ta: b\r\n\r") == "");
+  CHECK(wg::TakeEvents(splitter, "\nid: 3\n\n") ==
+        "id: 2\ndata: b\r\n\r\nid: 3\n\n");
+  CHECK(splitter.lastId == "3");
+  CHECK(splitter.events == 3);
+  CHECK(splitter.partial.empty());
+}
+
+TEST_CASE("Repetitions are paid from this box's share of the window")
+{
+  wg::RetryRules rules;
+  rules.ratio = 0.2;
+  rules.slack = 20;
+  rules.window = absl::Seconds(10);
+  wg::RetryWindow window;
+  for (int i = 0; i < 100; ++i) {
+    wg::NoteRequest(window, absl::Seconds(1));
+  }
+  int spent = 0;
+  while (wg::SpendRetry(window, rules, 4, absl::Seconds(2))) {
+    ++spent;
+  }
+  // 0.7 of 0.2 * 100 + 20 / 4
+  CHECK(spent == 17);
+  CHECK_FALSE(wg::SpendRetry(window, rules, 4, absl::Seconds(10)));
+  // All has left the window but the slack.
+  CHECK(wg::SpendRetry(window, rules, 4, absl::Seconds(13)));
+}
--- /dev/null
+++ b/Tests/Gateway/wgStageCoordinatorTest.cxx
@@ -0,0 +1,307 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <boost/asio/steady_timer.hpp>
+#include <catch2/catch.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+#include "absl/time/clock.h"
+
+#include "wgHttpServer.h"
+#include "wgLoopThread.h"
+#include "wgStageCoordinator.h"
+
+namespace {
+
+using ItemResult = wg::wire::StageItemResult;
+using Exchange = std::shared_ptr<wg::HttpExchange>;
+
+// The form of stage calls in these tests: a line for each piece, and a line
+// for each result, its handle.
+
+wg::HttpRequest MakeCall(absl::Span<const wg::StagePiece> pieces, wg::Elapsed)
+{
+  wg::HttpRequest request;
+  request.method(boost::beast::http::verb::post);
+  request.target("/stage");
+  request.version(11);
+  for (const wg::StagePiece& piece : pieces) {
+    request.body() += absl::StrCat(piece.request, ".", piece.piece, "\n");
+  }
+  return request;
+}
+
+wg::Outcome<std::vector<ItemResult>> ReadAnswer(absl::string_view body)
+{
+  std::vector<ItemResult> results;
+  for (absl::string_view line :
+       absl::StrSplit(body, '\n', absl::SkipEmpty())) {
+    ItemResult result;
+    result.set_state(line == "error" ? ItemResult::FAILED : ItemResult::DONE);
+    result.set_handle(std::string(line));
+    results.push_back(result);
+  }
+  return results;
+}
+
+wg::HttpRequest MakeRelease(absl::Span<const std::string> handles)
+{
+  wg::HttpRequest request;
+  request.method(boost::beast::http::verb::post);
+  request.target("/release");
+  request.version(11);
+  request.body() = absl::StrJoin(handles, "\n");
+  return request;
+}
+
+std::string AddressOf(absl::string_view handle)
+{
+  return std::string(handle.substr(0, handle.find('/')));
+}
+
+wg::Dialect TestDialect()
+{
+  wg::Dialect dialect;
+  dialect.makeStageCall = &MakeCall;
+  dialect.readStageAnswer = &ReadAnswer;
+  dialect.makeRelease = &MakeRelease;
+  dialect.addressOfResult = &AddressOf;
+  return dialect;
+}
+
+/** A coordinator with one endpoint, whose calls are answered by hand. */
+class Fixture
+{
+public:
+  Fixture()
+  {
+    thread.Do([this] {
+      server = std::make_unique<wg::HttpServer>(
+        thread.Loop(), [this](const Exchange& e) { OnCall(e); });
+      REQUIRE(wg::Succeeded(server->Start("127.0.0.1", 0)));
+      address = absl::StrCat("127.0.0.1:", server->Port());
+      client = std::make_unique<wg::HttpClient>(thread.Loop());
+      releaser = std::make_unique<wg::ResultReleaser>(thread.Loop(), *client,
+                                                      directory, dialect);
+      halls = std::make_unique<wg::HallProber>(thread.Loop(), directory, log,
+                                               [](const std::string&) {});
+      coordinator = std::make_unique<wg::StageCoordinator>(
+        thread.Loop(), *client, directory, dialect, *releaser, *halls, metrics,
+        log);
+      wg::RetryRules rules;
+      rules.slack = 1000;
+      coordinator->SetRetryRules(rules);
+      coordinator->SetTable(Table());
+      Register();
+      return true;
+    });
+  }
+  ~Fixture()
+  {
+    thread.Join();
+    held.clear();
+    coordinator.reset();
+    releaser.reset();
+    halls.reset();
+    client.reset();
+    server.reset();
+  }
+
+  void Submit(std::uint64_t number, int pieces)
+  {
+    thread.Do([this, number, pieces] {
+      wg::wire::StageWork work;
+      work.set_box("box");
+      work.set_work(number);
+      work.set_service("svc");
+      work.set_request(absl::StrCat("r", number));
+      work.set_left_ms(20000);
+      work.set_due_ms(20000);
+      work.set_result_bytes(100);
+      for (int i = 0; i < pieces; ++i) {
+        work.add_items()->set_piece(static_cast<std::uint32_t>(i));
+      }
+      coordinator->Submit(work, [this, number](const auto& reply) {
+        ++ended[number];
+        replies[number] = reply;
+      });
+      return true;
+    });
+  }
+  void Cancel(std::uint64_t number)
+  {
+    thread.Do([this, number] {
+      coordinator->Cancel("box", number);
+      return true;
+    });
+  }
+  /** Waits for a call, and answers it line by line. */
+  std::string AnswerNext(const std::string& override = "")
+  {
+    REQUIRE(Eventually([this] { return !held.empty(); }));
+    return thread.Do([this, override] {
+      Exchange exchange = held.front();
+      held.erase(held.begin());
+      const std::string asked = exchange->Request().body();
+      std::string answer;
+      for (absl::string_view line :
+           absl::StrSplit(asked, '\n', absl::SkipEmpty())) {
+        absl::StrAppend(&answer,
+                        override.empty()
+                          ? absl::StrCat(address, "/", line, "#", ++made)
+                          : override,
+                        "\n");
+      }
+      exchange->Respond(wg::MakeResponse(200, "", answer));
+      return asked;
+    });
+  }
+  template <class Condition>
+  bool Eventually(Condition condition)
+  {
+    for (int i = 0; i < 500; ++i) {
+      if (thread.Do(condition)) {
+        return true;
+      }
+      absl::SleepFor(absl::Milliseconds(10));
+    }
+    return false;
+  }
+
+  wg::LoopThread thread;
+  wg::Dialect dialect = TestDialect();
+  wg::Directory directory;
+  wg::GatewayMetrics metrics;
+  wg::DecisionLog log{ "test", "test" };
+  std::unique_ptr<wg::HttpServer> server;
+  std::unique_ptr<wg::HttpClient> client;
+  std::unique_ptr<wg::ResultReleaser> releaser;
+  std::unique_ptr<wg::HallProber> halls;
+  std::unique_ptr<wg::StageCoordinator> coordinator;
+  std::string address;
+  std::vector<Exchange> held;
+  std::vector<std::string> released;
+  std::map<std::uint64_t, int> ended;
+  std::map<std::uint64_t, wg::wire::StageReply> replies;
+  int made = 0;
+
+private:
+  void OnCall(const Exchange& exchange)
+  {
+    if (exchange->Request().target() == "/release") {
+      for (absl::string_view handle :
+           absl::StrSplit(exchange->Request().body(), '\n')) {
+        released.emplace_back(handle);
+      }
+      exchange->Respond(wg::MakeResponse(200, "", ""));
+      return;
+    }
+    held.push_back(exchange);
+  }
+  void Register()
+  {
+    wg::wire::Registration told;
+    told.set_endpoint("e");
+    told.set_service("svc");
+    told.set_address(address);
+    told.set_hall("h");
+    told.set_slots(1);
+    told.set_sequence(1);
+    told.set_state(wg::wire::Registration::READY);
+    wg::MergeRegistration(directory, told, wg::ElapsedNow());
+  }
+  static std::shared_ptr<const wg::RouteTable> Table()
+  {
+    auto table = std::make_shared<wg::RouteTable>();
+    wg::RoutedService& service = table->services["svc"];
+    service.stage.emplace();
+    service.stage->batch = 3;
+    service.stage->callSeconds = 1.0;
+    service.stage->roomBytes = 400;
+    return table;
+  }
+};
+
+bool AllDone(const wg::wire::StageReply& reply, int pieces)
+{
+  return reply.results_size() == pieces &&
+         std::all_of(reply.results().begin(), reply.results().end(),
+                     [](const ItemResult& result) {
+                       return result.state() == ItemResult::DONE;
+                     });
+}
+
+} // namespace
+
+TEST_CASE("Pieces of several works go in one call")
+{
+  Fixture f;
+  f.Submit(1, 1);
+  CHECK(f.AnswerNext() == "r1.0\n");
+  f.Submit(2, 1);
+  f.Submit(3, 2);
+  f.Submit(4, 1);
+  CHECK(f.AnswerNext() == "r2.0\n");
+  CHECK(f.AnswerNext() == "r3.0\nr3.1\n"); // room for four results in all
+  CHECK(f.Eventually([&] { return f.ended[3] == 1; }));
+  CHECK(AllDone(f.replies[3], 2));
+  CHECK(f.ended[4] == 0);
+  f.thread.Do([&] {
+    f.coordinator->Release("svc", { f.replies[3].results(0).handle() });
+    return true;
+  });
+  CHECK(f.AnswerNext() == "r4.0\n");
+  CHECK(f.Eventually([&] { return f.ended[4] == 1; }));
+  CHECK(f.Eventually([&] { return f.released.size() == 1; }));
+}
+
+TEST_CASE("Pieces that could not be made are made again")
+{
+  Fixture f;
+  f.Submit(1, 2);
+  f.AnswerNext("error");
+  CHECK(f.AnswerNext() == "r1.0\nr1.1\n");
+  CHECK(f.Eventually([&] { return f.ended[1] == 1; }));
+  CHECK(AllDone(f.replies[1], 2));
+}
+
+TEST_CASE("A cancelled work gives up what was made, and the rest is not sent")
+{
+  Fixture f;
+  f.Submit(1, 4);
+  CHECK(f.AnswerNext() == "r1.0\nr1.1\nr1.2\n");
+  // The fourth is at work, others wait: making room for them must not touch
+  // what is being cancelled.
+  REQUIRE(f.Eventually([&] { return f.held.size() == 1; }));
+  f.Submit(2, 3);
+  f.Submit(3, 4);
+  f.Cancel(1);
+  CHECK(f.AnswerNext() == "r1.3\n");
+  CHECK(f.AnswerNext() == "r2.0\nr2.1\nr2.2\n");
+  CHECK(f.Eventually([&] { return f.ended[2] == 1; }));
+  f.Cancel(3);
+  CHECK(f.ended[1] == 0);
+  CHECK(f.Eventually([&] { return f.released.size() == 4; }));
+}
+
+TEST_CASE("Work that is sent again takes the place of what was sent before")
+{
+  // It ended the process: pieces were settled in a work that was over.
+  Fixture f;
+  f.Submit(1, 2);
+  REQUIRE(f.Eventually([&] { return f.held.size() == 1; }));
+  f.Submit(1, 2);
+  f.AnswerNext();
+  f.AnswerNext();
+  CHECK(f.Eventually([&] { return f.ended[1] == 1; }));
+  CHECK(AllDone(f.replies[1], 2));
+  CHECK(f.Eventually([&] { return f.released.size() == 2; }));
+  absl::SleepFor(absl::Milliseconds(50));
+  CHECK(f.ended[1] == 1);
+  CHECK(f.coordinator->IsIdle());
+}
--- /dev/null
+++ b/Tests/Gateway/wgStagePoolTest.cxx
@@ -0,0 +1,200 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <catch2/catch.hpp>
+
+#include "wgStagePool.h"
+
+namespace {
+
+wg::StagePool MakePool(int servers)
+{
+  wg::StagePool pool;
+  pool.limits.slots = 1;
+  pool.limits.batch = 4;
+  pool.limits.callSeconds = 0.15;
+  pool.limits.pieceSeconds = 0.01;
+  pool.limits.roomBytes = 1000000;
+  for (int i = 0; i < servers; ++i) {
+    wg::StageServer server;
+    server.id = "s" + std::to_string(i);
+    server.hall = "h" + std::to_string(i);
+    pool.servers.push_back(server);
+  }
+  return pool;
+}
+
+wg::StagePiece MakePiece(std::uint64_t ticket, wg::Elapsed due)
+{
+  wg::StagePiece piece;
+  piece.ticket = ticket;
+  piece.due = due;
+  piece.deadline = due + absl::Seconds(10);
+  return piece;
+}
+
+std::vector<std::uint64_t> Tickets(const wg::StageCall& call)
+{
+  std::vector<std::uint64_t> tickets;
+  for (const wg::StagePiece& piece : call.pieces) {
+    tickets.push_back(piece.ticket);
+  }
+  return tickets;
+}
+
+void Begin(wg::StagePool& pool, const wg::StageCall& call, wg::Elapsed now)
+{
+  for (wg::StageServer& server : pool.servers) {
+    if (server.id == call.server) {
+      server.calls[call.pieces.front().ticket] = { now, call.expectedSeconds };
+    }
+  }
+}
+
+const wg::Elapsed Now = absl::Seconds(100);
+
+} // namespace
+
+TEST_CASE("All that waits goes into one call, the earliest due first")
+{
+  wg::StagePool pool = MakePool(1);
+  for (std::uint64_t i = 1; i <= 6; ++i) {
+    pool.waiting.push_back(MakePiece(i, Now + absl::Seconds(7 - i)));
+  }
+  const auto call = wg::NextStageCall(pool, Now);
+  REQUIRE(call);
+  CHECK(Tickets(*call) == std::vector<std::uint64_t>{ 6, 5, 4, 3 });
+  CHECK(call->expectedSeconds == Approx(0.19));
+  Begin(pool, *call, Now);
+  CHECK_FALSE(wg::NextStageCall(pool, Now));
+  CHECK(pool.waiting.size() == 2);
+}
+
+TEST_CASE("What is late goes last, whatever its rank")
+{
+  wg::StagePool pool = MakePool(1);
+  pool.limits.batch = 1;
+  pool.waiting.push_back(MakePiece(1, Now - absl::Seconds(1)));
+  pool.waiting.push_back(MakePiece(2, Now + absl::Seconds(1)));
+  pool.waiting.back().rank = 2;
+  CHECK(Tickets(*wg::NextStageCall(pool, Now)) ==
+        std::vector<std::uint64_t>{ 2 });
+}
+
+TEST_CASE("A better rank goes before what is due somewhat earlier")
+{
+  wg::StagePool pool = MakePool(1);
+  pool.limits.batch = 1;
+  pool.waiting.push_back(MakePiece(1, Now + absl::Milliseconds(900)));
+  pool.waiting.back().rank = 1;
+  pool.waiting.push_back(MakePiece(2, Now + absl::Milliseconds(1000)));
+  CHECK(Tickets(*wg::NextStageCall(pool, Now)) ==
+        std::vector<std::uint64_t>{ 2 });
+}
+
+TEST_CASE("No result is made where there is no room for it")
+{
+  wg::StagePool pool = MakePool(1);
+  for (std::uint64_t i = 1; i <= 4; ++i) {
+    pool.waiting.push_back(MakePiece(i, Now + absl::Seconds(1)));
+    pool.waiting.back().resultBytes = 400000;
+  }
+  const auto call = wg::NextStageCall(pool, Now);
+  REQUIRE(call);
+  CHECK(call->pieces.size() == 2);
+  CHECK(pool.servers[0].roomUsed == 800000);
+  CHECK_FALSE(wg::NextStageCall(pool, Now));
+  pool.servers[0].roomUsed = 0;
+  CHECK(wg::NextStageCall(pool, Now));
+}
+
+TEST_CASE("Late pieces leave half the room to the others")
+{
+  wg::StagePool pool = MakePool(1);
+  for (std::uint64_t i = 1; i <= 3; ++i) {
+    pool.waiting.push_back(MakePiece(i, Now - absl::Milliseconds(1)));
+    pool.waiting.back().resultBytes = 300000;
+  }
+  CHECK(wg::NextStageCall(pool, Now)->pieces.size() == 1);
+}
+
+TEST_CASE("What moves much waits for its own hall until it would be late")
+{
+  wg::StagePool pool = MakePool(2);
+  pool.servers[1].calls[9] = { Now, 0.15 };
+  pool.waiting.push_back(MakePiece(1, Now + absl::Seconds(3)));
+  pool.waiting.back().hall = "h1";
+  pool.waiting.back().crossingBytes = 3000000;
+  CHECK_FALSE(wg::NextStageCall(pool, Now));
+  SECTION("its time runs out")
+  {
+    const wg::Elapsed later = Now + absl::Milliseconds(2700);
+    pool.servers[1].calls[9].started = later;
+    const auto call = wg::NextStageCall(pool, later);
+    REQUIRE(call);
+    CHECK(call->server == "s0");
+  }
+  SECTION("its hall has no endpoint that takes work")
+  {
+    pool.servers[1].avoidUntil = Now + absl::Seconds(1);
+    CHECK(wg::NextStageCall(pool, Now)->server == "s0");
+  }
+  SECTION("once it is late it is not worth the move")
+  {
+    CHECK_FALSE(wg::NextStageCall(pool, Now + absl::Seconds(4)));
+  }
+}
+
+TEST_CASE("A slow endpoint is left, and tried again after a while")
+{
+  // It was never tried again: one about to be free always looked better.
+  wg::StagePool pool = MakePool(2);
+  wg::NoteCallTime(pool.servers[0], 0.16, 3.2, Now);
+  pool.servers[1].calls[9] = { Now, 0.16 };
+  pool.waiting.push_back(MakePiece(1, Now + absl::Seconds(60)));
+  CHECK_FALSE(wg::NextStageCall(pool, Now));
+  const wg::Elapsed later = Now + absl::Seconds(8);
+  pool.servers[1].calls[9].started = later;
+  CHECK(wg::NextStageCall(pool, later)->server == "s0");
+}
+
+TEST_CASE("A call that is overdue does not promise to end at once")
+{
+  wg::StagePool pool = MakePool(2);
+  wg::NoteCallTime(pool.servers[0], 0.16, 0.8, Now);
+  pool.servers[1].calls[9] = { Now - absl::Seconds(5), 0.16 };
+  pool.waiting.push_back(MakePiece(1, Now + absl::Seconds(60)));
+  CHECK(wg::NextStageCall(pool, Now)->server == "s0");
+}
+
+TEST_CASE("Late pieces are given up only while too much waits")
+{
+  wg::StagePool pool = MakePool(1);
+  pool.waiting.push_back(MakePiece(1, Now - absl::Seconds(1)));
+  CHECK(wg::TakeLatePieces(pool, Now).empty());
+  for (std::uint64_t i = 2; i < 30; ++i) {
+    pool.waiting.push_back(MakePiece(i, Now + absl::Seconds(1)));
+  }
+  const auto late = wg::TakeLatePieces(pool, Now);
+  REQUIRE(late.size() == 1);
+  CHECK(late.front().ticket == 1);
+  pool.waiting.clear();
+  pool.waiting.push_back(MakePiece(30, Now));
+  pool.waiting.back().deadline = Now + absl::Milliseconds(100);
+  CHECK(wg::TakeLatePieces(pool, Now).size() == 1);
+}
+
+TEST_CASE("The expected wait counts what is in time")
+{
+  wg::StagePool pool = MakePool(2);
+  CHECK(wg::ExpectedWaitSeconds(pool, Now) == Approx(0.0));
+  for (wg::StageServer& server : pool.servers) {
+    server.calls[1] = { Now, 0.1 };
+  }
+  CHECK(wg::ExpectedWaitSeconds(pool, Now) == Approx(0.1));
+  for (std::uint64_t i = 1; i <= 8; ++i) {
+    pool.waiting.push_back(MakePiece(i, Now + absl::Seconds(1)));
+  }
+  // Two full calls of 0.19 s over two endpoints.
+  CHECK(wg::ExpectedWaitSeconds(pool, Now) == Approx(0.29));
+  // All of it late by then; the calls are overdue by 1.9 s.
+  CHECK(wg::ExpectedWaitSeconds(pool, Now + absl::Seconds(2)) == Approx(1.9));
+}
--- /dev/null
+++ b/Tests/Platform/wgPlatformTest.cxx
@@ -0,0 +1,224 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include "wgPlatformControl.h"
+#include "wgPlatformDialect.h"
+
+namespace {
+
+using Json = nlohmann::json;
+
+Json Document()
+{
+  return Json::parse(R"({
+    "version": 7,
+    "routes": [
+      { "name": "r1", "host": "one.example", "pathPrefix": "/a/",
+        "type": "streaming", "timeoutMs": 8000, "latencyGoalMs": 1000,
+        "gapAimMs": 200, "priority": 1, "maxAttempts": 2,
+        "streamResume": true, "public": false,
+        "backends": [ { "service": "llm", "weight": 90 },
+                      { "service": "alt", "weight": 10 } ],
+        "phases": [
+          { "service": "enc", "afterRevision": [], "sizeBytes": 3000000 },
+          { "service": "enc", "afterRevision": [0], "sizeBytes": 8000 } ] },
+      { "name": "r2", "host": "two.example", "pathPrefix": "/b/",
+        "type": "idempotent", "timeoutMs": 1500, "service": "alt",
+        "maxAttempts": 2, "public": true } ],
+    "services": [
+      { "name": "llm", "maxConnections": 370,
+        "engine": { "capacity": 64, "kvCapacityTokens": 614608 } },
+      { "name": "alt", "maxConnections": 110 },
+      { "name": "enc", "segments": { "capacity": 1, "queue": 2, "batch": 8,
+        "callMs": 150.0, "itemMs": 16.0, "headroomMb": 39.0,
+        "handleTtlS": 4.0 } } ],
+    "limits": { "maxHeaderBytes": 1000, "maxBodyBytes": 2000,
+                "headerTimeoutMs": 3000, "idleTimeoutMs": 15000 },
+    "tenants": [ { "name": "t1", "apiKeys": ["k1", "k2"], "priority": 1 },
+                 { "name": "t2", "apiKeys": ["k3"] } ]
+  })");
+}
+
+wg::Outcome<wg::RouteTable> Read(const Json& document)
+{
+  return wg::detail::ReadPlatformDocument(document.dump());
+}
+
+bool IsRefused(const Json& document, const std::string& because)
+{
+  const auto read = Read(document);
+  const bool refused = !wg::Succeeded(read);
+  if (refused) {
+    INFO(wg::Message(read));
+    CHECK(wg::Message(read).find(because) != std::string::npos);
+  }
+  return refused;
+}
+
+wg::StagePiece Piece(const std::string& request, std::uint32_t stage)
+{
+  wg::StagePiece piece;
+  piece.request = request;
+  piece.stage = stage;
+  piece.piece = 2;
+  piece.deadline = absl::Seconds(11);
+  return piece;
+}
+
+} // namespace
+
+TEST_CASE("A document becomes routes, services and keys")
+{
+  const auto read = Read(Document());
+  REQUIRE(wg::Succeeded(read));
+  const wg::RouteTable& table = wg::Value(read);
+  CHECK(table.number == 7);
+  const wg::Route& stream = table.routes.at(0);
+  CHECK(stream.repetition == wg::Repetition::Resumable);
+  CHECK(stream.isStream);
+  CHECK(stream.timeout == absl::Seconds(8));
+  CHECK(stream.gapAim == absl::Milliseconds(200));
+  CHECK(stream.targets.size() == 2);
+  CHECK(stream.stages.at(1).after == std::vector<std::size_t>{ 0 });
+  CHECK(stream.stages.at(0).resultBytes == 3000000);
+  const wg::Route& plain = table.routes.at(1);
+  CHECK(plain.repetition == wg::Repetition::Repeatable);
+  CHECK(plain.isPublic);
+  CHECK(table.services.at("llm").engine->slots == 64);
+  CHECK(table.services.at("enc").stage->batch == 8);
+  CHECK(table.services.at("enc").stage->callSeconds == Approx(0.15));
+  CHECK(table.services.at("enc").stage->roomBytes == 39000000);
+  CHECK(table.keys.at("k2").account == "t1");
+  CHECK(table.limits.bodyBytes == 2000);
+}
+
+TEST_CASE("Streams and sends run once unless their route says otherwise")
+{
+  Json document = Document();
+  document["routes"][0]["streamResume"] = false;
+  document["routes"][1]["type"] = "non_idempotent";
+  const auto read = Read(document);
+  REQUIRE(wg::Succeeded(read));
+  for (const wg::Route& route : wg::Value(read).routes) {
+    CHECK(route.repetition == wg::Repetition::RunOnce);
+  }
+}
+
+TEST_CASE("Every invalid kind of document is refused with its reason")
+{
+  Json document = Document();
+  SECTION("cut short")
+  {
+    const std::string text = document.dump();
+    CHECK_FALSE(wg::Succeeded(
+      wg::detail::ReadPlatformDocument(text.substr(0, text.size() / 2))));
+    CHECK_FALSE(wg::Succeeded(wg::detail::ReadPlatformDocument("")));
+  }
+  SECTION("an unknown service of a target")
+  {
+    document["routes"][1]["service"] = "none";
+    CHECK(IsRefused(document, "unknown service none"));
+  }
+  SECTION("an unknown service of a stage")
+  {
+    document["routes"][0]["phases"][1]["service"] = "none";
+    CHECK(IsRefused(document, "unknown service none"));
+  }
+  SECTION("two routes at one place")
+  {
+    document["routes"][1]["host"] = "one.example";
+    document["routes"][1]["pathPrefix"] = "/a/";
+    CHECK(IsRefused(document, "share host"));
+  }
+  SECTION("no weight")
+  {
+    document["routes"][0]["backends"][0]["weight"] = 0;
+    document["routes"][0]["backends"][1]["weight"] = 0;
+    CHECK(IsRefused(document, "sum to 0"));
+  }
+  SECTION("no time")
+  {
+    document["routes"][1]["timeoutMs"] = 0;
+    CHECK(IsRefused(document, "time-out of 0"));
+  }
+  SECTION("a key of two accounts")
+  {
+    document["tenants"][1]["apiKeys"].push_back("k1");
+    CHECK(IsRefused(document, "share a key"));
+  }
+  SECTION("a stage that comes after a later one")
+  {
+    document["routes"][0]["phases"][0]["afterRevision"] = { 1 };
+    CHECK(IsRefused(document, "comes after"));
+  }
+  SECTION("no number")
+  {
+    document.erase("version");
+    CHECK(IsRefused(document, "version"));
+  }
+}
+
+TEST_CASE("A stage call names pieces with keys or inputs, and the time left")
+{
+  std::vector<wg::StagePiece> pieces = { Piece("aa", 0), Piece("bb", 1) };
+  pieces[0].key = "file";
+  pieces[1].inputs = { "10.1.64.9:8080/5c1e" };
+  const wg::HttpRequest request =
+    wg::detail::MakePlatformStageCall(pieces, absl::Seconds(10));
+  CHECK(request.target() == "/-/stage-run");
+  const Json body = Json::parse(request.body());
+  CHECK(body["items"][0] == Json::parse(R"({"id": "aa", "phase": 0,
+    "segment": 2, "remainingMs": 1000, "keyFile": "file"})"));
+  CHECK(body["items"][1] == Json::parse(R"({"id": "bb", "phase": 1,
+    "segment": 2, "remainingMs": 1000, "inputs": ["10.1.64.9:8080/5c1e"]})"));
+}
+
+TEST_CASE("Answers to stage calls are read item by item")
+{
+  using State = wg::wire::StageItemResult;
+  const auto read = wg::detail::ReadPlatformStageAnswer(
+    R"({"items": [{"handle": "10.1.64.7:8080/91bd"}, {"reason": "gone"},
+        {"reason": "late"}, {"reason": "room"}, {}]})");
+  REQUIRE(wg::Succeeded(read));
+  const auto& results = wg::Value(read);
+  REQUIRE(results.size() == 5);
+  CHECK(results[0].handle() == "10.1.64.7:8080/91bd");
+  CHECK(results[1].state() == State::INPUT_GONE);
+  CHECK(results[2].state() == State::LATE);
+  CHECK(results[3].state() == State::FAILED);
+  CHECK(results[4].state() == State::FAILED);
+  for (const char* text :
+       { "", "{}", "[]", R"({"items": 3})", R"({"items": ["x"]})" }) {
+    CHECK_FALSE(wg::Succeeded(wg::detail::ReadPlatformStageAnswer(text)));
+  }
+}
+
+TEST_CASE("Results are given up at their maker")
+{
+  CHECK(wg::detail::AddressOfPlatformResult("10.1.64.7:8080/91bd") ==
+        "10.1.64.7:8080");
+  const wg::HttpRequest request =
+    wg::detail::MakePlatformRelease({ "10.1.64.7:8080/91bd" });
+  CHECK(request.target() == "/-/stage-free");
+  CHECK(Json::parse(request.body())["handles"].size() == 1);
+}
+
+TEST_CASE("Heartbeats become registrations")
+{
+  const auto read = wg::detail::ReadPlatformHeartbeat(
+    "i-1", R"({"service": "s", "address": "10.1.2.3:80", "zone": "z",
+               "capacity": 64, "state": "draining", "warmupLeftMs": 10,
+               "sequence": 4, "phase": "combined"})");
+  REQUIRE(wg::Succeeded(read));
+  const wg::wire::Registration& registration = wg::Value(read);
+  CHECK(registration.endpoint() == "i-1");
+  CHECK(registration.hall() == "z");
+  CHECK(registration.slots() == 64);
+  CHECK(registration.sequence() == 4);
+  CHECK(registration.state() == wg::wire::Registration::LEAVING);
+  for (const char* text :
+       { "", "[]", R"({"service": 3, "address": "a"})", R"({"zone": "z"})" }) {
+    CHECK_FALSE(wg::Succeeded(wg::detail::ReadPlatformHeartbeat("i-1", text)));
+  }
+}
