--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -398,7 +398,8 @@
            settings_.wantedVoters;
 }
 
-void ControlNode::Publish(wire::PublishDocument document, PublishAnswer answer)
+void ControlNode::Publish(wire::PublishDocument document,
+                          const PublishAnswer& answer)
 {
   if (document.number() <= state_.document.number()) {
     wire::ChangeResult held;
@@ -444,7 +445,7 @@
   return reply;
 }
 
-void ControlNode::ReadDocument(ReadAnswer answer)
+void ControlNode::ReadDocument(const ReadAnswer& answer)
 {
   const std::string leader = LeaderAddress();
   const bool own = replica_.role == ReplicaRole::Leader || leader.empty() ||
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -74,9 +74,9 @@
   /** \brief Publishes a document, by way of the leader if that is another.
    * Called on the loop, as are all below.
    */
-  void Publish(wire::PublishDocument document, PublishAnswer answer);
+  void Publish(wire::PublishDocument document, const PublishAnswer& answer);
   /** \brief Reads the newest document, if it is sure to be the newest. */
-  void ReadDocument(ReadAnswer answer);
+  void ReadDocument(const ReadAnswer& answer);
   void Register(const wire::Registration& heartbeat);
   void Unregister(absl::string_view endpoint);
   /** \brief More addresses of control boxes. From any thread. */
--- a/Source/Gateway/wgEventSplitter.cxx
+++ b/Source/Gateway/wgEventSplitter.cxx
@@ -40,9 +40,9 @@
 std::string TakeEvents(EventSplitter& reader, absl::string_view bytes)
 {
   // The end may lie across what came before: look a little way back.
-  constexpr std::size_t LongestEnd = 3;
-  std::size_t from = reader.partial.size() > LongestEnd
-                       ? reader.partial.size() - LongestEnd
+  constexpr std::size_t longestEnd = 3;
+  std::size_t from = reader.partial.size() > longestEnd
+                       ? reader.partial.size() - longestEnd
                        : 0;
   reader.partial.append(bytes.data(), bytes.size());
   std::size_t whole = 0;
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -67,8 +67,8 @@
   coordinator_.SetRetryRules(settings_.retryRules);
   peerServer_ = std::make_unique<PeerServer>(
     settings_.keys,
-    [this](const PeerRequest& request, PeerServer::Respond respond) {
-      OnPeer(request, std::move(respond));
+    [this](const PeerRequest& request, const PeerServer::Respond& respond) {
+      OnPeer(request, respond);
     },
     counters_);
   if (auto started = peerServer_->Start(Value(peer)); !Succeeded(started)) {
@@ -187,7 +187,7 @@
 
 /** Runs on the peer server's thread. */
 void GatewayNode::OnPeer(const PeerRequest& request,
-                         PeerServer::Respond respond)
+                         const PeerServer::Respond& respond)
 {
   if (request.path == "/stage") {
     boost::asio::post(loop_, [this, body = request.body, respond] {
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -58,7 +58,7 @@
   Outcome<Done> Listen();
   void OnRequest(const std::shared_ptr<HttpExchange>& exchange);
   void OnReadyRequest(const std::shared_ptr<HttpExchange>& exchange);
-  void OnPeer(const PeerRequest& request, PeerServer::Respond respond);
+  void OnPeer(const PeerRequest& request, const PeerServer::Respond& respond);
   void OnDocument(std::uint64_t number, const std::string& content);
   void OnRegistration(const wire::Registration& registration);
   void ApplyLimits();
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -45,6 +45,37 @@
   std::map<std::string, RetryWindow> retries; // by service
 };
 
+namespace detail {
+
+/** \brief One stage and the results that it has made. */
+struct RequestStage
+{
+  int pieces = 0;
+  bool submitted = false;
+  bool done = false;
+  std::uint64_t work = 0;
+  Elapsed submittedAt;
+  Elapsed doneAt;
+  std::vector<std::string> handles;
+};
+/** \brief The attempt that is open. */
+struct RequestAttempt
+{
+  std::string endpoint; // id
+  std::unique_ptr<HttpCall> call;
+  HttpHead head;
+  std::string body;
+  Elapsed sent;
+  double readSeconds = 0.0;
+  bool headSeen = false;
+  bool saidNotRun = false;
+  bool streams = false;
+  bool eventSeen = false;
+  std::size_t number = 0; // of this request's attempts
+};
+
+} // namespace detail
+
 /** \class GatewayRequest
  * \brief A caller's request from its arrival to the end of its answer: the
  * stages before it, the attempts at endpoints, what the caller is told.
@@ -60,32 +91,8 @@
   void Begin();
 
 private:
-  /** \brief One stage and the results that it has made. */
-  struct Stage
-  {
-    int pieces = 0;
-    bool submitted = false;
-    bool done = false;
-    std::uint64_t work = 0;
-    Elapsed submittedAt;
-    Elapsed doneAt;
-    std::vector<std::string> handles;
-  };
-  /** \brief The attempt that is open. */
-  struct Attempt
-  {
-    std::string endpoint; // id
-    std::unique_ptr<HttpCall> call;
-    HttpHead head;
-    std::string body;
-    Elapsed sent;
-    double readSeconds = 0.0;
-    bool headSeen = false;
-    bool saidNotRun = false;
-    bool streams = false;
-    bool eventSeen = false;
-    std::size_t number = 0; // of this request's attempts
-  };
+  using Stage = detail::RequestStage;
+  using Attempt = detail::RequestAttempt;
 
   const FieldNames& Fields() const { return shared_.dialect.fields; }
   bool FindRouteAndKey();
@@ -115,7 +122,7 @@
   void StartAttempt(DirectoryEndpoint& endpoint, double readSeconds);
   bool OnHead(const HttpHead& head);
   void OnBody(absl::string_view bytes);
-  void OnEvents(std::string events);
+  void OnEvents(const std::string& events);
   void OnAttemptEnd(HttpCallEnd end);
   void OnComplete();
   void AnswerWhole();
--- /dev/null
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -0,0 +1,350 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgGatewayRequest.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+namespace wg {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr absl::Duration LeastUseful = absl::Milliseconds(15);
+constexpr int MaxConnectFailures = 4;
+/** What may not be repeated is sent on connections that rested shortly. */
+constexpr absl::Duration FreshRest = absl::Milliseconds(1500);
+constexpr std::size_t MaxAnswerBytes = 32U << 20U;
+/** Results that cross between halls are weighed as time. */
+constexpr double CrossingSecondsPerByte = 11e-9;
+
+} // namespace
+
+/** What the engine will have to fetch. */
+std::int64_t GatewayRequest::ResultBytes() const
+{
+  std::int64_t bytes = 0;
+  for (const std::size_t stage : FinalStages(route_->stages)) {
+    bytes += route_->stages[stage].resultBytes *
+             static_cast<std::int64_t>(stages_[stage].handles.size());
+  }
+  return bytes;
+}
+
+DirectoryEndpoint* GatewayRequest::ChooseEndpointFor(double& readSeconds)
+{
+  ChoiceQuery query;
+  query.now = ElapsedNow();
+  query.hall = resultHall_.empty() ? shared_.hall : resultHall_;
+  query.otherHallSeconds +=
+    static_cast<double>(ResultBytes()) * CrossingSecondsPerByte;
+  query.avoid = tried_;
+  const auto endpoints =
+    SoundEndpoints(shared_.directory, service_, ElapsedNow());
+  auto known = table_->services.find(service_);
+  const bool isEngine =
+    known != table_->services.end() && known->second.engine.has_value();
+  if (!isEngine) {
+    return ChoosePlain(endpoints, query, shared_.random);
+  }
+  const EngineChoice choice =
+    ChooseEngine(endpoints, prompt_, shared_.speed, query);
+  readSeconds = choice.readSeconds;
+  return choice.endpoint;
+}
+
+void GatewayRequest::SendToEndpoint()
+{
+  if (giveUp_ - ElapsedNow() < LeastUseful) {
+    OnTimeOver();
+    return;
+  }
+  double readSeconds = 0.0;
+  DirectoryEndpoint* endpoint = ChooseEndpointFor(readSeconds);
+  if (endpoint == nullptr) {
+    AfterFailure(AttemptKnowledge::NotSent, "no_endpoint");
+    return;
+  }
+  StartAttempt(*endpoint, readSeconds);
+}
+
+HttpRequest GatewayRequest::MakeForward(
+  const DirectoryEndpoint& endpoint) const
+{
+  HttpRequest request = exchange_->Request();
+  RemoveConnectionFields(request);
+  const FieldNames& fields = Fields();
+  for (const std::string& name : { fields.key, fields.account, fields.rank,
+                                   fields.inputs, fields.endpoint }) {
+    request.erase(name);
+  }
+  if (!holder_.account.empty()) {
+    request.set(fields.account, holder_.account);
+  }
+  request.set(fields.endpoint, endpoint.id);
+  const absl::Duration left = giveUp_ - ElapsedNow();
+  request.set(fields.deadline, absl::StrCat(absl::ToInt64Milliseconds(left)));
+  if (!stages_.empty()) {
+    request.set(fields.inputs, FinalHandles());
+  }
+  const bool resumes = streamBegun_ && !reader_.lastId.empty();
+  if (resumes) {
+    request.set(fields.lastEvent, reader_.lastId);
+  }
+  return request;
+}
+
+void GatewayRequest::StartAttempt(DirectoryEndpoint& endpoint,
+                                  double readSeconds)
+{
+  attempt_.emplace();
+  attempt_->endpoint = endpoint.id;
+  attempt_->readSeconds = readSeconds;
+  attempt_->sent = ElapsedNow();
+  sentAt_ = attempt_->sent;
+  attempt_->number = ++attempts_;
+  ++endpoint.running;
+  endpoint.pendingSeconds += readSeconds;
+  HttpCallOptions options;
+  options.answerHasBody = exchange_->Request().method() != http::verb::head;
+  if (route_->repetition == Repetition::RunOnce) {
+    options.maxRest = FreshRest;
+  }
+  HttpCallHandler handler;
+  auto weak = weak_from_this();
+  handler.onHead = [weak](const HttpHead& head) {
+    auto self = weak.lock();
+    return self && self->OnHead(head);
+  };
+  handler.onBody = [weak](absl::string_view bytes) {
+    if (auto self = weak.lock()) {
+      self->OnBody(bytes);
+    }
+  };
+  handler.onEnd = [weak](HttpCallEnd end) {
+    if (auto self = weak.lock()) {
+      self->OnAttemptEnd(end);
+    }
+  };
+  attempt_->call =
+    shared_.client.Start(endpoint.address, PrintRequest(MakeForward(endpoint)),
+                         options, std::move(handler));
+  shared_.metrics.Count("attempts");
+}
+
+bool GatewayRequest::OnHead(const HttpHead& head)
+{
+  if (ended_ || !attempt_) {
+    return false;
+  }
+  Attempt& attempt = *attempt_;
+  attempt.saidNotRun = !FieldOf(head, Fields().notRun).empty() ||
+                       head.result() == http::status::misdirected_request;
+  const absl::string_view echo = FieldOf(head, Fields().request);
+  const bool ours = echo == id_ || (echo.empty() && attempt.saidNotRun);
+  if (!ours) {
+    shared_.metrics.Count("foreign_answers");
+    return false;
+  }
+  if (const DirectoryEndpoint* endpoint =
+        FindEndpoint(shared_.directory, attempt.endpoint)) {
+    shared_.halls.Reached(*endpoint);
+  }
+  attempt.headSeen = true;
+  attempt.head = head;
+  attempt.streams = route_->isStream && head.result() == http::status::ok &&
+                    !attempt.saidNotRun;
+  return true;
+}
+
+void GatewayRequest::OnBody(absl::string_view bytes)
+{
+  if (ended_ || !attempt_) {
+    return;
+  }
+  if (attempt_->streams) {
+    OnEvents(TakeEvents(reader_, bytes));
+    return;
+  }
+  if (attempt_->body.size() + bytes.size() <= MaxAnswerBytes) {
+    attempt_->body.append(bytes.data(), bytes.size());
+  }
+}
+
+/** With the first event the engine has fetched its inputs. */
+void GatewayRequest::OnEvents(const std::string& events)
+{
+  if (events.empty()) {
+    return;
+  }
+  const Elapsed now = ElapsedNow();
+  if (!attempt_->eventSeen) {
+    attempt_->eventSeen = true;
+    if (DirectoryEndpoint* endpoint =
+          FindEndpoint(shared_.directory, attempt_->endpoint)) {
+      endpoint->pendingSeconds -= attempt_->readSeconds;
+    }
+    attempt_->readSeconds = 0.0;
+    shared_.metrics.NoteLatency("engine_first_event", now - attempt_->sent);
+  }
+  if (!finalReleased_) {
+    ReleaseAll();
+  }
+  if (!std::exchange(streamBegun_, true)) {
+    shared_.metrics.NoteLatency("first_event", now - exchange_->Arrived());
+    firstEventAt_ = now;
+    HttpHead head = attempt_->head;
+    RemoveConnectionFields(head);
+    exchange_->StartStream(std::move(head));
+  }
+  exchange_->WriteStream(events);
+}
+
+void GatewayRequest::OnAttemptEnd(HttpCallEnd end)
+{
+  if (ended_ || !attempt_) {
+    return;
+  }
+  if (end == HttpCallEnd::Complete) {
+    OnComplete();
+    return;
+  }
+  const bool unreached =
+    end == HttpCallEnd::NotConnected || end == HttpCallEnd::Unreached;
+  const DirectoryEndpoint* endpoint =
+    FindEndpoint(shared_.directory, attempt_->endpoint);
+  if (end == HttpCallEnd::Unreached && endpoint != nullptr) {
+    shared_.halls.Unreached(*endpoint);
+  }
+  CloseAttempt(true);
+  AfterFailure(unreached ? AttemptKnowledge::NotSent
+                         : AttemptKnowledge::MayHaveRun,
+               unreached ? "not_connected" : "cut");
+}
+
+void GatewayRequest::OnComplete()
+{
+  constexpr unsigned serverError = 500;
+  const unsigned status = attempt_->head.result_int();
+  if (attempt_->streams) {
+    OnEvents(std::exchange(reader_.partial, {}));
+    if (!streamBegun_) {
+      streamBegun_ = true;
+      HttpHead head = attempt_->head;
+      RemoveConnectionFields(head);
+      exchange_->StartStream(std::move(head));
+    }
+    CloseAttempt(false);
+    exchange_->FinishStream();
+    End("served", "");
+    return;
+  }
+  if (attempt_->saidNotRun) {
+    const bool inputsGone =
+      attempt_->head.result() == http::status::conflict && !stages_.empty();
+    CloseAttempt(attempt_->head.result() != http::status::conflict);
+    if (inputsGone && !stagesRestarted_ && !streamBegun_) {
+      RestartStages();
+      return;
+    }
+    AfterFailure(AttemptKnowledge::SaidNotRun, "endpoint_refused");
+    return;
+  }
+  mayHaveRun_ = true;
+  const bool failed = status >= serverError;
+  const bool again =
+    failed && !streamBegun_ && route_->repetition != Repetition::RunOnce;
+  if (again && endpointsTried_ + 1 < route_->maxAttempts) {
+    CloseAttempt(true);
+    AfterFailure(AttemptKnowledge::Ran, "endpoint_failed");
+    return;
+  }
+  AnswerWhole();
+}
+
+/** The endpoint's answer as it is, unless it would promise what is not so. */
+void GatewayRequest::AnswerWhole()
+{
+  const unsigned status = attempt_->head.result_int();
+  constexpr unsigned serverError = 500;
+  HttpResponse response{ attempt_->head };
+  response.body() = std::move(attempt_->body);
+  CloseAttempt(status >= serverError);
+  const bool promises = status == 429 || status == 503 || status == 408;
+  if (promises || streamBegun_) {
+    AfterFailure(AttemptKnowledge::Ran, "endpoint_promised");
+    return;
+  }
+  RemoveConnectionFields(response);
+  exchange_->Respond(std::move(response));
+  shared_.metrics.NoteLatency("answer", ElapsedNow() - exchange_->Arrived());
+  End(status < serverError ? "served" : "endpoint_failed", "");
+}
+
+void GatewayRequest::CloseAttempt(bool failed)
+{
+  if (!attempt_) {
+    return;
+  }
+  if (DirectoryEndpoint* endpoint =
+        FindEndpoint(shared_.directory, attempt_->endpoint)) {
+    --endpoint->running;
+    endpoint->pendingSeconds =
+      std::max(0.0, endpoint->pendingSeconds - attempt_->readSeconds);
+    NoteAttempt(*endpoint, failed, ElapsedNow());
+  }
+  tried_.push_back(attempt_->endpoint);
+  attempt_->call->Cancel();
+  attempt_.reset();
+}
+
+void GatewayRequest::AfterFailure(AttemptKnowledge knowledge,
+                                  absl::string_view why)
+{
+  const bool sent = knowledge != AttemptKnowledge::NotSent;
+  endpointsTried_ += sent ? 1 : 0;
+  connectFailures_ += sent ? 0 : 1;
+  mayHaveRun_ |= knowledge == AttemptKnowledge::MayHaveRun ||
+                 knowledge == AttemptKnowledge::Ran;
+  shared_.metrics.Count(absl::StrCat("attempt_", why));
+  reader_.partial.clear();
+  AttemptFacts facts;
+  facts.repetition = route_->repetition;
+  facts.last = knowledge;
+  facts.anyMayHaveRun = mayHaveRun_;
+  facts.answerBegun = streamBegun_;
+  facts.endpointsTried = endpointsTried_;
+  facts.maxAttempts = route_->maxAttempts;
+  const Elapsed now = ElapsedNow();
+  facts.timeLeft =
+    giveUp_ - now > LeastUseful && connectFailures_ < MaxConnectFailures;
+  double ignored = 0.0;
+  facts.endpointLeft = ChooseEndpointFor(ignored) != nullptr;
+  AfterAttempt next = JudgeAttempt(facts);
+  const bool spends = next == AfterAttempt::SendAgain && sent;
+  if (spends && !SpendRetry(shared_.retries[service_], shared_.retryRules,
+                            shared_.stages.Members() + 1, now)) {
+    shared_.metrics.Count("retries_over_budget");
+    facts.budgetLeft = false;
+    next = JudgeAttempt(facts);
+  }
+  switch (next) {
+    case AfterAttempt::SendAgain:
+      shared_.metrics.Count("retries");
+      SendToEndpoint();
+      return;
+    case AfterAttempt::SayNotRun:
+      SayNotRun(why);
+      return;
+    case AfterAttempt::SayMayHave:
+      SayMayHave(why);
+      return;
+    case AfterAttempt::BreakOff:
+      exchange_->Abort();
+      End("broken_off", why);
+      return;
+  }
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgGatewayRequestStages.cxx
@@ -0,0 +1,300 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgGatewayRequest.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+
+namespace wg {
+
+/** A stage of which the request names no number has one piece. */
+bool GatewayRequest::ReadStages()
+{
+  constexpr int maxPieces = 10000;
+  constexpr unsigned badRequest = 400;
+  if (route_->stages.empty()) {
+    return true;
+  }
+  const HttpRequest& request = exchange_->Request();
+  pieceKey_ = std::string(FieldOf(request, Fields().pieceKey));
+  const std::vector<absl::string_view> counts =
+    absl::StrSplit(FieldOf(request, Fields().pieces), ',');
+  stages_.resize(route_->stages.size());
+  stagesToEnd_ = StagesToEnd(route_->stages);
+  for (std::size_t i = 0; i < stages_.size(); ++i) {
+    stages_[i].pieces = 1;
+    const bool named = i < counts.size() && !counts[i].empty();
+    const bool sound =
+      !named || (absl::SimpleAtoi(absl::StripAsciiWhitespace(counts[i]),
+                                  &stages_[i].pieces) &&
+                 stages_[i].pieces >= 0 && stages_[i].pieces <= maxPieces);
+    if (!sound) {
+      Refuse(badRequest, "bad_pieces");
+      return false;
+    }
+    stages_[i].done = stages_[i].pieces == 0;
+  }
+  return true;
+}
+
+/** How long the first byte would take if it went on as it goes now. */
+double GatewayRequest::ExpectedSeconds() const
+{
+  std::vector<double> until(stages_.size(), 0.0);
+  double longest = 0.0;
+  for (std::size_t i = 0; i < stages_.size(); ++i) {
+    const RouteStage& planned = route_->stages[i];
+    double begin = 0.0;
+    for (const std::size_t before : planned.after) {
+      begin = std::max(begin, until[before]);
+    }
+    const auto service = table_->services.find(planned.service);
+    const bool runs = stages_[i].pieces > 0 &&
+                      service != table_->services.end() &&
+                      service->second.stage.has_value();
+    until[i] = begin;
+    if (runs) {
+      const auto pieces = static_cast<std::size_t>(stages_[i].pieces);
+      until[i] +=
+        absl::ToDoubleSeconds(shared_.stages.Waiting(planned.service)) +
+        ExpectedCallSeconds(*service->second.stage, pieces);
+    }
+    longest = std::max(longest, until[i]);
+  }
+  const std::int64_t ownTokens =
+    prompt_.parts.empty() ? prompt_.tokensIn : prompt_.parts.back().tokens;
+  return longest +
+         static_cast<double>(ownTokens) * shared_.speed.secondsPerToken;
+}
+
+/** Stages, one after the other, until all are done. */
+int GatewayRequest::LongestLeft() const
+{
+  int longest = 0;
+  for (std::size_t i = 0; i < stages_.size(); ++i) {
+    longest = stages_[i].done ? longest : std::max(longest, stagesToEnd_[i]);
+  }
+  return longest;
+}
+
+bool GatewayRequest::IsReady(std::size_t stage) const
+{
+  const auto& after = route_->stages[stage].after;
+  return std::all_of(after.begin(), after.end(), [this](std::size_t before) {
+    return stages_[before].done;
+  });
+}
+
+void GatewayRequest::SubmitStages()
+{
+  if (ResultsAreCutOff() && !stagesRestarted_) {
+    RestartStages();
+    return;
+  }
+  const int longest = LongestLeft();
+  bool allDone = true;
+  for (std::size_t i = 0; i < stages_.size() && !ended_; ++i) {
+    allDone &= stages_[i].done;
+    // One on a shorter branch starts later: its results would only wait.
+    const bool isDue = stagesToEnd_[i] >= longest;
+    if (stages_[i].done || stages_[i].submitted || !IsReady(i) || !isDue) {
+      continue;
+    }
+    stages_[i].submitted = true;
+    stages_[i].submittedAt = ElapsedNow();
+    stages_[i].work =
+      shared_.stages.Submit(MakeWork(i), [weak = weak_from_this(),
+                                          i](const wire::StageReply& reply) {
+        if (auto self = weak.lock()) {
+          self->OnStage(i, reply);
+        }
+      });
+  }
+  if (allDone && !ended_) {
+    SendToEndpoint();
+  }
+}
+
+/** Each item fetches all its inputs for itself: it is best made in the hall
+ * where most of them lie. A first stage is best made where the engine is.
+ */
+void GatewayRequest::PlaceWork(std::size_t stage, wire::StageWork& work) const
+{
+  const RouteStage& planned = route_->stages[stage];
+  std::map<std::string, std::int64_t> lies; // bytes by hall
+  for (const std::size_t before : planned.after) {
+    for (const std::string& handle : stages_[before].handles) {
+      const DirectoryEndpoint* maker = FindByAddress(
+        shared_.directory, shared_.dialect.addressOfResult(handle));
+      lies[maker == nullptr ? "" : maker->hall] +=
+        route_->stages[before].resultBytes;
+    }
+  }
+  if (lies.empty()) {
+    work.set_hall(resultHall_);
+    work.set_crossing_bytes(planned.resultBytes);
+    return;
+  }
+  const auto most = std::max_element(
+    lies.begin(), lies.end(),
+    [](const auto& a, const auto& b) { return a.second < b.second; });
+  work.set_hall(most->first);
+  work.set_crossing_bytes(most->second);
+}
+
+wire::StageWork GatewayRequest::MakeWork(std::size_t stage) const
+{
+  const RouteStage& planned = route_->stages[stage];
+  const Elapsed now = ElapsedNow();
+  wire::StageWork work;
+  work.set_service(planned.service);
+  work.set_request(id_);
+  work.set_stage(static_cast<std::uint32_t>(stage));
+  work.set_left_ms(absl::ToInt64Milliseconds(giveUp_ - now));
+  work.set_due_ms(absl::ToInt64Milliseconds(Due() - now));
+  work.set_rank(static_cast<std::uint32_t>(std::max(0, route_->rank)));
+  work.set_result_bytes(planned.resultBytes);
+  PlaceWork(stage, work);
+  std::vector<std::string> inputs;
+  for (const std::size_t before : planned.after) {
+    inputs.insert(inputs.end(), stages_[before].handles.begin(),
+                  stages_[before].handles.end());
+  }
+  for (int i = 0; i < stages_[stage].pieces; ++i) {
+    wire::StageItem& item = *work.add_items();
+    item.set_piece(static_cast<std::uint32_t>(i));
+    if (planned.after.empty()) {
+      item.set_key(pieceKey_);
+    }
+    for (const std::string& input : inputs) {
+      item.add_inputs(input);
+    }
+  }
+  return work;
+}
+
+void GatewayRequest::OnStage(std::size_t stage, const wire::StageReply& reply)
+{
+  if (ended_) {
+    return;
+  }
+  Stage& state = stages_[stage];
+  state.work = 0;
+  for (const wire::StageItemResult& result : reply.results()) {
+    if (result.state() == wire::StageItemResult::DONE) {
+      state.handles.push_back(result.handle());
+    }
+  }
+  if (state.handles.size() != static_cast<std::size_t>(state.pieces)) {
+    FailStages(reply, stage);
+    return;
+  }
+  state.done = true;
+  state.doneAt = ElapsedNow();
+  shared_.metrics.NoteLatency("stage", state.doneAt - state.submittedAt);
+  ReleaseConsumed();
+  SubmitStages();
+}
+
+void GatewayRequest::FailStages(const wire::StageReply& reply,
+                                std::size_t stage)
+{
+  const auto count = [&reply](wire::StageItemResult::State state) {
+    return std::count_if(
+      reply.results().begin(), reply.results().end(),
+      [state](const auto& result) { return result.state() == state; });
+  };
+  if (count(wire::StageItemResult::INPUT_GONE) > 0 && !stagesRestarted_) {
+    RestartStages();
+    return;
+  }
+  const bool late = count(wire::StageItemResult::LATE) > 0;
+  shared_.metrics.Count(
+    absl::StrCat("stage_failed_", route_->stages[stage].service));
+  SayNotRun(late ? "stage_late" : "stage_failed");
+}
+
+/** Whether results lie in a hall that can't be reached. */
+bool GatewayRequest::ResultsAreCutOff() const
+{
+  for (const Stage& stage : stages_) {
+    for (const std::string& handle : stage.handles) {
+      const DirectoryEndpoint* maker = FindByAddress(
+        shared_.directory, shared_.dialect.addressOfResult(handle));
+      const bool isCut =
+        maker != nullptr && IsCutOff(shared_.directory.reach, maker->hall);
+      if (isCut) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+/** Some results are gone: all is made anew, once. */
+void GatewayRequest::RestartStages()
+{
+  stagesRestarted_ = true;
+  shared_.metrics.Count("stages_restarted");
+  ReleaseAll();
+  finalReleased_ = false;
+  for (Stage& stage : stages_) {
+    if (stage.work != 0) {
+      shared_.stages.Cancel(stage.work);
+    }
+    const int pieces = stage.pieces;
+    stage = {};
+    stage.pieces = pieces;
+    stage.done = pieces == 0;
+  }
+  SubmitStages();
+}
+
+void GatewayRequest::ReleaseStage(std::size_t stage)
+{
+  shared_.stages.Release(std::exchange(stages_[stage].handles, {}));
+}
+
+/** Gives up the results of stages whose successors are all done. */
+void GatewayRequest::ReleaseConsumed()
+{
+  for (std::size_t i = 0; i < stages_.size(); ++i) {
+    bool hasSuccessor = false;
+    bool allDone = true;
+    for (std::size_t next = 0; next < stages_.size(); ++next) {
+      const auto& after = route_->stages[next].after;
+      const bool follows =
+        std::find(after.begin(), after.end(), i) != after.end();
+      hasSuccessor |= follows;
+      allDone &= !follows || stages_[next].done;
+    }
+    if (hasSuccessor && allDone) {
+      ReleaseStage(i);
+    }
+  }
+}
+
+void GatewayRequest::ReleaseAll()
+{
+  finalReleased_ = true;
+  for (std::size_t i = 0; i < stages_.size(); ++i) {
+    ReleaseStage(i);
+  }
+}
+
+std::string GatewayRequest::FinalHandles() const
+{
+  std::vector<std::string> handles;
+  for (const std::size_t stage : FinalStages(route_->stages)) {
+    handles.insert(handles.end(), stages_[stage].handles.begin(),
+                   stages_[stage].handles.end());
+  }
+  return absl::StrJoin(handles, ",");
+}
+
+} // namespace wg
--- a/Source/Gateway/wgResultReleaser.cxx
+++ b/Source/Gateway/wgResultReleaser.cxx
@@ -41,14 +41,14 @@
 {
   armed_ = false;
   for (auto& [address, handles] : std::exchange(pending_, {})) {
-    Send(address, std::move(handles));
+    Send(address, handles);
   }
 }
 
 /** What is lost here is given up by the endpoint after the results' lifetime.
  */
 void ResultReleaser::Send(const std::string& address,
-                          std::vector<std::string> handles)
+                          const std::vector<std::string>& handles)
 {
   HttpRequest request = dialect_.makeRelease(handles);
   request.set(boost::beast::http::field::host, address);
--- a/Source/Gateway/wgResultReleaser.h
+++ b/Source/Gateway/wgResultReleaser.h
@@ -29,7 +29,8 @@
 
 private:
   void Flush();
-  void Send(const std::string& address, std::vector<std::string> handles);
+  void Send(const std::string& address,
+            const std::vector<std::string>& handles);
 
   HttpClient& client_;
   Directory& directory_;
--- a/Source/Gateway/wgRetryWindow.h
+++ b/Source/Gateway/wgRetryWindow.h
@@ -46,11 +46,11 @@
                        std::size_t boxes, Elapsed now)
 {
   // The rest covers boxes that are not known, and what is under way.
-  constexpr double UsedShare = 0.7;
+  constexpr double usedShare = 0.7;
   detail::DropBefore(window.requests, now - rules.window);
   detail::DropBefore(window.retries, now - rules.window);
   const double allowed =
-    UsedShare * (rules.ratio * static_cast<double>(window.requests.size()) +
+    usedShare * (rules.ratio * static_cast<double>(window.requests.size()) +
                  rules.slack / static_cast<double>(boxes == 0 ? 1 : boxes));
   if (static_cast<double>(window.retries.size()) + 1.0 > allowed) {
     return false;
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -373,8 +373,8 @@
   if (StageServer* server = ServerOf(open)) {
     server->calls.erase(number);
   }
-  constexpr unsigned Ok = 200;
-  if (end == HttpCallEnd::Complete && open.status == Ok) {
+  constexpr unsigned ok = 200;
+  if (end == HttpCallEnd::Complete && open.status == ok) {
     TakeAnswer(open);
   } else if (end == HttpCallEnd::Complete && open.saidNotRun) {
     metrics_.Count("stage_calls_refused");
--- a/Source/Gateway/wgStagePool.cxx
+++ b/Source/Gateway/wgStagePool.cxx
@@ -114,7 +114,7 @@
 StageServer* ChooseServer(StagePool& pool, const StagePiece& piece,
                           std::size_t pieces, Elapsed now)
 {
-  constexpr double OtherHall = 1.05;
+  constexpr double otherHall = 1.05;
   StageServer* best = nullptr;
   double soonest = std::numeric_limits<double>::infinity();
   double soonestBusy = std::numeric_limits<double>::infinity();
@@ -123,7 +123,7 @@
       continue;
     }
     const double finish = FinishSeconds(server, pool.limits, pieces, now) *
-                          (server.hall == piece.hall ? 1.0 : OtherHall);
+                          (server.hall == piece.hall ? 1.0 : otherHall);
     if (!IsFree(server, pool.limits, now)) {
       soonestBusy = std::min(soonestBusy, finish);
       continue;
--- a/Source/Http/wgHttpClientConnection.cxx
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -216,10 +216,10 @@
   if (headTold_ || !parser_->is_header_done()) {
     return true;
   }
-  constexpr unsigned InformationalClass = 1;
-  constexpr unsigned ClassDivisor = 100;
+  constexpr unsigned informationalClass = 1;
+  constexpr unsigned classDivisor = 100;
   const bool interim =
-    parser_->get().result_int() / ClassDivisor == InformationalClass;
+    parser_->get().result_int() / classDivisor == informationalClass;
   if (interim) {
     StartParser();
     return true;
--- a/Source/Http/wgHttpServerConnection.cxx
+++ b/Source/Http/wgHttpServerConnection.cxx
@@ -23,16 +23,16 @@
 
 unsigned StatusFor(error_code error)
 {
-  constexpr unsigned BadRequest = 400;
-  constexpr unsigned TooLarge = 413;
-  constexpr unsigned HeaderTooLarge = 431;
+  constexpr unsigned badRequest = 400;
+  constexpr unsigned tooLarge = 413;
+  constexpr unsigned headerTooLarge = 431;
   if (error == http::error::body_limit) {
-    return TooLarge;
+    return tooLarge;
   }
   if (error == http::error::header_limit) {
-    return HeaderTooLarge;
+    return headerTooLarge;
   }
-  return BadRequest;
+  return badRequest;
 }
 
 } // namespace
@@ -273,9 +273,9 @@
       Close();
       return;
     }
-    constexpr unsigned RequestTimeout = 408;
+    constexpr unsigned requestTimeout = 408;
     parser_.reset();
-    HttpResponse response = MakeResponse(RequestTimeout, "", "");
+    HttpResponse response = MakeResponse(requestTimeout, "", "");
     response.set(http::field::connection, "close");
     answerEnded_ = true;
     keepOpen_ = false;
--- a/Source/Http/wgSocketAddress.cxx
+++ b/Source/Http/wgSocketAddress.cxx
@@ -14,7 +14,7 @@
 Outcome<boost::asio::ip::tcp::endpoint> ParseTcpEndpoint(
   absl::string_view text)
 {
-  constexpr int MaxPort = 65535;
+  constexpr int maxPort = 65535;
   const std::size_t colon = text.rfind(':');
   int port = 0;
   boost::system::error_code error;
@@ -25,7 +25,7 @@
     address =
       boost::asio::ip::make_address(std::string(text.substr(0, colon)), error);
   }
-  if (!split || error || port < 1 || port > MaxPort) {
+  if (!split || error || port < 1 || port > maxPort) {
     return Error{ absl::StrCat("\"", text,
                                "\" is no IP number and port; write it as "
                                "127.0.0.1:7001.") };
--- a/Tests/Gateway/wgHttpClientTest.cxx
+++ b/Tests/Gateway/wgHttpClientTest.cxx
@@ -155,7 +155,7 @@
       call = client->Start(address, Request, {}, std::move(handler));
       return true;
     });
-    const Result got = done.get_future().get();
+    Result got = done.get_future().get();
     thread.Do([&] {
       call.reset();
       return true;
--- a/Tests/Gateway/wgRouteTableTest.cxx
+++ b/Tests/Gateway/wgRouteTableTest.cxx
@@ -121,7 +121,7 @@
   CHECK(wg::TakeEvents(splitter, "id: 1\ndata: a\n").empty());
   CHECK(wg::TakeEvents(splitter, "\nid: 2\nda") == "id: 1\ndata: a\n\n");
   CHECK(splitter.lastId == "1");
-  CHECK(wg::TakeEvents(splitter, "ta: b\r\n\r") == "");
+  CHECK(wg::TakeEvents(splitter, "ta: b\r\n\r").empty());
   CHECK(wg::TakeEvents(splitter, "\nid: 3\n\n") ==
         "id: 2\ndata: b\r\n\r\nid: 3\n\n");
   CHECK(splitter.lastId == "3");
--- a/Tests/Gateway/wgStageCoordinatorTest.cxx
+++ b/Tests/Gateway/wgStageCoordinatorTest.cxx
@@ -147,7 +147,7 @@
     return thread.Do([this, override] {
       Exchange exchange = held.front();
       held.erase(held.begin());
-      const std::string asked = exchange->Request().body();
+      std::string asked = exchange->Request().body();
       std::string answer;
       for (absl::string_view line :
            absl::StrSplit(asked, '\n', absl::SkipEmpty())) {
--- a/Utilities/Daemon/wgSettings.cxx
+++ b/Utilities/Daemon/wgSettings.cxx
@@ -496,7 +496,7 @@
 Outcome<Done> Flags::FillControl(const KeyRing& keys, DaemonSettings& settings)
 {
   // Heartbeats that may be missed before an endpoint counts as silent.
-  constexpr int MissedHeartbeats = 4;
+  constexpr int missedHeartbeats = 4;
   ControlSettings control;
   control.box = box_.getValue();
   control.hall = hall_.getValue();
@@ -515,7 +515,7 @@
   control.compactAfter = static_cast<std::uint64_t>(compact_.getValue());
   control.foundAtStart = found_.getValue() == "true";
   control.registry.silentAfter =
-    absl::Milliseconds(heartbeat_.getValue()) * MissedHeartbeats;
+    absl::Milliseconds(heartbeat_.getValue()) * missedHeartbeats;
   settings.api = api_.getValue();
   settings.role = std::move(control);
   return CheckControl();
