Gateway: a box that has just started tells callers to come back after 1.2 s

Cause: after all boxes had lost power, callers were told to come back within 0.3 s, came back once and were refused again.

--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -14,7 +14,8 @@
 namespace http = boost::beast::http;
 
 constexpr auto StopPeriod = std::chrono::milliseconds(50);
-constexpr absl::string_view RetryAfterStart = "0.30";
+/** A box that has just started serves after about this time, in seconds. */
+constexpr absl::string_view RetryAfterStart = "1.20";
 
 } // namespace
 
