--- /dev/null
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -0,0 +1,184 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgPlatformStandin.h"
+
+#include <utility>
+
+#include <boost/asio/steady_timer.hpp>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+
+namespace wg::test {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* RequestField = "X-Weirgate-Attempt-Id";
+constexpr int Events = 4;
+
+std::string Field(const HttpRequest& request, const char* name)
+{
+  return std::string(FieldOf(request, name));
+}
+
+} // namespace
+
+PlatformStandin::PlatformStandin(std::string id)
+  : id_(std::move(id))
+{
+  thread_.Do([this] {
+    server_ = std::make_unique<HttpServer>(
+      thread_.Loop(), [this](const Exchange& e) { OnRequest(e); });
+    const bool listens = Succeeded(server_->Start("127.0.0.1", 0));
+    address_ = absl::StrCat("127.0.0.1:", server_->Port());
+    return listens;
+  });
+}
+
+PlatformStandin::~PlatformStandin()
+{
+  thread_.Join();
+  waiting_.clear();
+  server_.reset();
+}
+
+bool PlatformStandin::Register(int apiPort, const std::string& service,
+                               const std::string& state)
+{
+  const Json heartbeat{ { "service", service },     { "address", address_ },
+                        { "zone", "h1" },           { "capacity", 4 },
+                        { "state", state },         { "warmupLeftMs", 0 },
+                        { "sequence", ++sequence_ } };
+  httplib::Client client("127.0.0.1", apiPort);
+  const auto reply =
+    client.Put("/-/instances/" + id_, heartbeat.dump(), "application/json");
+  return reply && reply->status == 200;
+}
+
+void PlatformStandin::OnRequest(const Exchange& exchange)
+{
+  const HttpRequest& request = exchange->Request();
+  if (request.target() == "/-/stage-run") {
+    OnStage(exchange);
+    return;
+  }
+  if (request.target() == "/-/stage-free") {
+    const Json body = Json::parse(request.body());
+    released_ += static_cast<int>(body["handles"].size());
+    exchange->Respond(MakeResponse(200, "", ""));
+    return;
+  }
+  {
+    absl::MutexLock lock(&mutex_);
+    last_ = request;
+    if (conduct_ != StandinConduct::Refuse) {
+      ++runs_[Field(request, RequestField)];
+    }
+  }
+  switch (conduct_.load()) {
+    case StandinConduct::Answer:
+      Answer(exchange);
+      return;
+    case StandinConduct::Refuse: {
+      HttpResponse refusal = MakeResponse(503, "", "");
+      refusal.set("X-Weirgate-Not-Executed", "1");
+      exchange->Respond(std::move(refusal));
+      return;
+    }
+    case StandinConduct::HangUp:
+      exchange->Abort();
+      return;
+    case StandinConduct::Wait:
+      waiting_.push_back(exchange);
+      return;
+  }
+}
+
+/** A result's name tells of what request and stage it is. */
+void PlatformStandin::OnStage(const Exchange& exchange)
+{
+  const Json body = Json::parse(exchange->Request().body());
+  Json items = Json::array();
+  for (const Json& item : body["items"]) {
+    ++pieces_;
+    const std::string request = item["id"];
+    bool sound = item.contains("keyFile") || !item["inputs"].empty();
+    for (const Json& input : item.value("inputs", Json::array())) {
+      sound &= input.get<std::string>().find("/" + request + ".") !=
+               std::string::npos;
+    }
+    items.push_back(
+      sound ? Json{ { "handle", absl::StrCat(address_, "/", request, ".",
+                                             item["phase"].get<int>(), ".",
+                                             item["segment"].get<int>()) } }
+            : Json{ { "reason", "error" } });
+  }
+  auto timer = std::make_shared<boost::asio::steady_timer>(
+    thread_.Loop(), std::chrono::milliseconds(callMs_));
+  timer->async_wait([exchange, timer, items](boost::system::error_code) {
+    exchange->Respond(MakeResponse(200, "application/json",
+                                   Json{ { "items", items } }.dump()));
+  });
+}
+
+void PlatformStandin::Answer(const Exchange& exchange)
+{
+  const std::string request = Field(exchange->Request(), RequestField);
+  const bool streams =
+    !Field(exchange->Request(), "X-Weirgate-Prompt-Prefix").empty();
+  if (!streams) {
+    HttpResponse answer =
+      MakeResponse(200, "text/plain",
+                   absl::StrCat(request, "|", exchange->Request().body()));
+    answer.set(RequestField, request);
+    answer.set("X-Weirgate-Server-Seal", id_);
+    exchange->Respond(std::move(answer));
+    return;
+  }
+  HttpHead head;
+  head.result(200);
+  head.set(RequestField, request);
+  head.set("X-Weirgate-Server-Seal", id_);
+  exchange->StartStream(std::move(head));
+  for (int i = 1; i <= Events; ++i) {
+    exchange->WriteStream(
+      absl::StrCat("id: ", i, "\ndata: ", request, "\n\n"));
+  }
+  exchange->FinishStream();
+}
+
+void PlatformStandin::GoOn()
+{
+  thread_.Do([this] {
+    for (const Exchange& exchange : std::exchange(waiting_, {})) {
+      Answer(exchange);
+    }
+    return true;
+  });
+}
+
+int PlatformStandin::Runs(const std::string& request) const
+{
+  absl::MutexLock lock(&mutex_);
+  auto found = runs_.find(request);
+  return found == runs_.end() ? 0 : found->second;
+}
+
+int PlatformStandin::AllRuns() const
+{
+  absl::MutexLock lock(&mutex_);
+  int all = 0;
+  for (const auto& [request, count] : runs_) {
+    all += count;
+  }
+  return all;
+}
+
+std::string PlatformStandin::LastField(const std::string& name) const
+{
+  absl::MutexLock lock(&mutex_);
+  return Field(last_, name.c_str());
+}
+
+} // namespace wg::test
--- /dev/null
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -0,0 +1,75 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <atomic>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "absl/base/thread_annotations.h"
+#include "absl/synchronization/mutex.h"
+
+#include "wgHttpServer.h"
+#include "wgLoopThread.h"
+
+namespace wg::test {
+
+/** \brief What an endpoint does with a request. */
+enum class StandinConduct
+{
+  Answer,
+  Refuse, // says that it did not run it
+  HangUp, // runs it, and closes without an answer
+  Wait    // runs it, and answers only when it is let go on
+};
+
+/** \class PlatformStandin
+ * \brief An endpoint as the platform's are: runs pieces of stages, streams
+ * events, and answers plain requests; keeps what it was asked.
+ */
+class PlatformStandin
+{
+public:
+  explicit PlatformStandin(std::string id);
+  ~PlatformStandin();
+
+  const std::string& Address() const { return address_; }
+  const std::string& Id() const { return id_; }
+  void SetConduct(StandinConduct conduct) { conduct_ = conduct; }
+  /** \brief How long a call of a stage takes. */
+  void SetCallMs(int ms) { callMs_ = ms; }
+  /** \brief Answers what waits. */
+  void GoOn();
+
+  int Runs(const std::string& request) const;
+  int AllRuns() const;
+  int Pieces() const { return pieces_; }
+  int Released() const { return released_; }
+  std::string LastField(const std::string& name) const;
+
+  /** \brief Registers with a control box; whether it was acknowledged. */
+  bool Register(int apiPort, const std::string& service,
+                const std::string& state = "ready");
+
+private:
+  using Exchange = std::shared_ptr<HttpExchange>;
+  void OnRequest(const Exchange& exchange);
+  void OnStage(const Exchange& exchange);
+  void Answer(const Exchange& exchange);
+
+  std::string id_;
+  std::string address_;
+  std::atomic<StandinConduct> conduct_{ StandinConduct::Answer };
+  std::atomic<int> callMs_{ 5 };
+  std::atomic<int> pieces_{ 0 };
+  std::atomic<int> released_{ 0 };
+  int sequence_ = 0;
+  mutable absl::Mutex mutex_;
+  std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_);
+  HttpRequest last_ ABSL_GUARDED_BY(mutex_);
+  LoopThread thread_;
+  std::vector<Exchange> waiting_; // on the loop
+  std::unique_ptr<HttpServer> server_;
+};
+
+} // namespace wg::test
