--- a/Source/Gateway/wgStagePool.cxx
+++ b/Source/Gateway/wgStagePool.cxx
@@ -11,7 +11,7 @@
 /** How much earlier than its due time a request of the next better rank is
  * taken.
  */
-constexpr absl::Duration RankLead = absl::Milliseconds(150);
+constexpr absl::Duration RankLead = absl::Milliseconds(1500);
 /** Less than this may move between halls. */
 constexpr std::int64_t LargeCrossingBytes = 100000;
 constexpr double LateRoomShare = 0.5;
