Gateway: a stop takes only what it can finish, and answers the rest

Change: after the settle time a stopping gateway refuses new requests at once, not run, with when to come back; 0.4 s before the limit it answers what is still open.

The new test fails on the code before (the late request is taken) and passes.

--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -13,6 +13,10 @@
 
 namespace http = boost::beast::http;
 
+/** Another box serves what this one no longer takes. */
+constexpr absl::string_view RetryAfterStop = "0.05";
+/** What answers given up at a stop's end need to be written. */
+constexpr absl::Duration LastAnswersTime = absl::Milliseconds(400);
 constexpr auto StopPeriod = std::chrono::milliseconds(50);
 /** A box that has just started serves after about this time, in seconds. */
 constexpr absl::string_view RetryAfterStart = "1.20";
@@ -138,11 +142,11 @@
 void GatewayNode::OnRequest(const std::shared_ptr<HttpExchange>& exchange)
 {
   if (table_ == nullptr) {
-    metrics_.Count("refused_no_document");
-    HttpResponse response = MakeResponse(
-      static_cast<unsigned>(http::status::service_unavailable), "", "");
-    response.set(http::field::retry_after, std::string(RetryAfterStart));
-    exchange->Respond(std::move(response));
+    RefuseNew(exchange, "no_document", RetryAfterStart);
+    return;
+  }
+  if (!TakesRequests()) {
+    RefuseNew(exchange, "stopping", RetryAfterStop);
     return;
   }
   auto request = std::make_shared<GatewayRequest>(
@@ -154,6 +158,25 @@
   request->Begin();
 }
 
+void GatewayNode::RefuseNew(const std::shared_ptr<HttpExchange>& exchange,
+                            absl::string_view reason,
+                            absl::string_view retryAfter)
+{
+  metrics_.Count(absl::StrCat("refused_", reason));
+  HttpResponse response = MakeResponse(
+    static_cast<unsigned>(http::status::service_unavailable), "", "");
+  response.set(http::field::retry_after, std::string(retryAfter));
+  exchange->Respond(std::move(response));
+}
+
+/** A balancer may go on sending to a box that stops, as long as most boxes of
+ * its hall do: what it could not finish it must not take.
+ */
+bool GatewayNode::TakesRequests() const
+{
+  return !stopping_ || ElapsedNow() - stopBegan_ < settings_.settleTime;
+}
+
 bool GatewayNode::IsReady() const
 {
   return table_ != nullptr && !stopping_;
@@ -296,6 +319,20 @@
   CheckStop();
 }
 
+/** No connection ends without an answer as far as there is one to give. */
+void GatewayNode::GiveUpRequests()
+{
+  if (std::exchange(gaveUp_, true)) {
+    return;
+  }
+  log_.Write(LogWeight::Notable, "stop_gives_up",
+             { { "requests_open", requests_.size() } });
+  const auto open = requests_;
+  for (const std::shared_ptr<GatewayRequest>& request : open) {
+    request->GiveUp();
+  }
+}
+
 /** Callers are still sent here until the balancer has asked twice. */
 void GatewayNode::CheckStop()
 {
@@ -303,6 +340,9 @@
   const bool settled = since >= settings_.settleTime;
   const bool idle = requests_.empty() && coordinator_.IsIdle() &&
                     callers_->ActiveRequests() == 0;
+  if (since >= settings_.stopLimit - LastAnswersTime) {
+    GiveUpRequests();
+  }
   if ((settled && idle) || since >= settings_.stopLimit) {
     log_.Write(LogWeight::Notable, "stop",
                { { "requests_cut", requests_.size() } });
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -62,6 +62,10 @@
   void OnDocument(std::uint64_t number, const std::string& content);
   void OnRegistration(const wire::Registration& registration);
   void ApplyLimits();
+  void RefuseNew(const std::shared_ptr<HttpExchange>& exchange,
+                 absl::string_view reason, absl::string_view retryAfter);
+  bool TakesRequests() const;
+  void GiveUpRequests();
   void CheckStop();
   bool IsReady() const;
   std::string PrintMetrics() const;
@@ -90,6 +94,7 @@
   boost::asio::steady_timer stopTimer_;
   Elapsed stopBegan_;
   bool stopping_ = false;
+  bool gaveUp_ = false;
 };
 
 } // namespace wg
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -196,18 +196,27 @@
 }
 
 void GatewayRequest::OnTimeOver()
+{
+  StopWaiting("time_over");
+}
+
+void GatewayRequest::GiveUp()
+{
+  StopWaiting("stopping");
+}
+
+void GatewayRequest::StopWaiting(absl::string_view reason)
 {
   if (ended_) {
     return;
   }
-  const bool sent = attempt_.has_value();
   if (streamBegun_) {
     exchange_->Abort();
-    End("broken_off", "time_over");
-  } else if (sent || mayHaveRun_) {
-    SayMayHave("time_over");
+    End("broken_off", reason);
+  } else if (attempt_.has_value() || mayHaveRun_) {
+    SayMayHave(reason);
   } else {
-    SayNotRun("time_over");
+    SayNotRun(reason);
   }
 }
 
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -90,6 +90,9 @@
 
   void Begin();
 
+  /** \brief Answers now with what can be said: this box ends. */
+  void GiveUp();
+
 private:
   using Stage = detail::RequestStage;
   using Attempt = detail::RequestAttempt;
@@ -135,6 +138,7 @@
   void SayNotRun(absl::string_view reason);
   void SayMayHave(absl::string_view reason);
   void OnTimeOver();
+  void StopWaiting(absl::string_view reason);
   void OnCallerLeft();
   void End(absl::string_view outcome, absl::string_view reason);
   nlohmann::json DescribeTimes() const;
--- a/Tests/Platform/wgPlatformProcessTest.cxx
+++ b/Tests/Platform/wgPlatformProcessTest.cxx
@@ -386,6 +386,37 @@
   CHECK(cluster.Gateway(0).Wait() == 0);
 }
 
+TEST_CASE("A stop takes only what it can finish, and answers the rest",
+          "[stop-late]")
+{
+  // A balancer that finds most boxes of a hall stopping uses them all: a
+  // request that came late was cut off when the grace was over.
+  PlatformCluster cluster(1);
+  PlatformStandin plain("i-1");
+  cluster.AwaitServing();
+  REQUIRE(plain.Register(cluster.Api(0), "plain"));
+  AwaitAnswer(cluster, 0, "/p/x");
+  plain.SetConduct(StandinConduct::Wait);
+  std::unique_ptr<httplib::Result> reply;
+  std::thread caller([&] {
+    reply = std::make_unique<httplib::Result>(
+      cluster.Send(0, "/p/x", "never answered"));
+  });
+  Await("the request to run",
+        [&] { return plain.Runs("never answered") == 1; });
+  cluster.Gateway(0).Signal(SIGTERM);
+  absl::SleepFor(absl::Milliseconds(600)); // beyond the settle time
+  const auto late = cluster.Send(0, "/p/x", "late");
+  REQUIRE(late);
+  CHECK(late->status == 503);
+  CHECK_FALSE(late->get_header_value("Retry-After").empty());
+  CHECK(plain.Runs("late") == 0);
+  caller.join();
+  REQUIRE(*reply);
+  CHECK((*reply)->status == 502);
+  CHECK(cluster.Gateway(0).Wait() == 0);
+}
+
 TEST_CASE("Stage calls go on when the box that makes them dies", "[batches]")
 {
   PlatformCluster cluster(3);
