Gateway: results are given up also by a box that does not know their maker

A box that had not heard of the maker yet dropped the handle when its request was refused; the box that makes the calls did know it. The results took room for their lifetime. Ruled out: late calls, doubted boxes, lost releases (none counted). Change: results are given up under the service of their stage, which the request knows; a request whose endpoint is not known is refused before its first piece. A test without processes clears the directory first.

--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -54,8 +54,7 @@
   peerClient_ = std::make_unique<PeerClient>(
     settings_.keys[std::string(PeerName)], PeerName);
   stages_ = std::make_unique<StageClient>(loop_, *peerClient_, coordinator_,
-                                          directory_, dialect_, settings_.box,
-                                          metrics_);
+                                          settings_.box, metrics_);
   shared_.reset(new GatewayShared{ loop_,
                                    dialect_,
                                    directory_,
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -65,6 +65,13 @@
   service_ =
     ChooseTarget(*route_, absl::Uniform<double>(shared_.random, 0.0, 1.0));
   NoteRequest(shared_.retries[service_], ElapsedNow());
+  double ignored = 0.0;
+  const DirectoryEndpoint* planned = ChooseEndpointFor(ignored);
+  if (planned == nullptr) {
+    SayNotRun("no_endpoint"); // before any work on its stages
+    return;
+  }
+  resultHall_ = planned->hall;
   timer_.expires_after(
     absl::ToChronoMilliseconds(giveUp_ - exchange_->Arrived()));
   timer_.async_wait(
@@ -74,9 +81,6 @@
         self->OnTimeOver();
       }
     });
-  double ignored = 0.0;
-  const DirectoryEndpoint* planned = ChooseEndpointFor(ignored);
-  resultHall_ = planned == nullptr ? shared_.hall : planned->hall;
   SubmitStages();
 }
 
--- a/Source/Gateway/wgGatewayRequestStages.cxx
+++ b/Source/Gateway/wgGatewayRequestStages.cxx
@@ -257,7 +257,8 @@
 
 void GatewayRequest::ReleaseStage(std::size_t stage)
 {
-  shared_.stages.Release(std::exchange(stages_[stage].handles, {}));
+  shared_.stages.Release(route_->stages[stage].service,
+                         std::exchange(stages_[stage].handles, {}));
 }
 
 /** Gives up the results of stages whose successors are all done. */
--- a/Source/Gateway/wgStageClient.cxx
+++ b/Source/Gateway/wgStageClient.cxx
@@ -27,14 +27,11 @@
 } // namespace
 
 StageClient::StageClient(EventLoop& loop, PeerClient& peers,
-                         StageCoordinator& own, const Directory& directory,
-                         const Dialect& dialect, std::string ownBox,
+                         StageCoordinator& own, std::string ownBox,
                          GatewayMetrics& metrics)
   : loop_(loop)
   , peers_(peers)
   , own_(own)
-  , directory_(directory)
-  , dialect_(dialect)
   , ownBox_(std::move(ownBox))
   , metrics_(metrics)
   , nextWork_(
@@ -113,9 +110,11 @@
       if (found == works_.end()) {
         return;
       }
-      own_.Submit(found->second.work, [this, number](const auto& reply) {
-        Finish(number, reply);
-      });
+      const wire::StageWork& work = found->second.work;
+      own_.Submit(work,
+                  [this, number, service = work.service()](const auto& reply) {
+                    Finish(number, service, reply);
+                  });
     });
     return;
   }
@@ -130,15 +129,17 @@
   ArmWatch();
   peers_.Call(open.address, "/stage", open.work.SerializeAsString(),
               absl::Milliseconds(open.work.left_ms()) + ReplyMargin,
-              [this, number, tries = open.tries](Outcome<std::string> reply) {
-                boost::asio::post(
-                  loop_, [this, number, tries, reply = std::move(reply)] {
-                    OnReply(number, tries, reply);
-                  });
+              [this, number, tries = open.tries,
+               service = open.work.service()](Outcome<std::string> reply) {
+                boost::asio::post(loop_, [this, number, tries, service,
+                                          reply = std::move(reply)] {
+                  OnReply(number, tries, service, reply);
+                });
               });
 }
 
 void StageClient::OnReply(std::uint64_t number, int tries,
+                          const std::string& service,
                           const Outcome<std::string>& reply)
 {
   wire::StageReply results;
@@ -146,24 +147,25 @@
     Succeeded(reply) && results.ParseFromString(Value(reply));
   auto found = works_.find(number);
   if (found == works_.end() || found->second.tries != tries) {
-    GiveUp(results);
+    GiveUp(service, results);
     return;
   }
   OpenWork& open = found->second;
   const bool sound =
     parsed && results.results_size() == open.work.items_size();
   if (sound) {
-    Finish(number, results);
+    Finish(number, service, results);
     return;
   }
   Suspect(open.coordinator);
 }
 
-void StageClient::Finish(std::uint64_t number, const wire::StageReply& reply)
+void StageClient::Finish(std::uint64_t number, const std::string& service,
+                         const wire::StageReply& reply)
 {
   auto node = works_.extract(number);
   if (node.empty()) {
-    GiveUp(reply);
+    GiveUp(service, reply);
     return;
   }
   const OpenWork& open = node.mapped();
@@ -173,7 +175,8 @@
 }
 
 /** Results that came too late for their request. */
-void StageClient::GiveUp(const wire::StageReply& reply)
+void StageClient::GiveUp(const std::string& service,
+                         const wire::StageReply& reply)
 {
   std::vector<std::string> made;
   for (const wire::StageItemResult& result : reply.results()) {
@@ -181,19 +184,18 @@
       made.push_back(result.handle());
     }
   }
-  Release(made);
+  Release(service, made);
 }
 
-void StageClient::Release(absl::Span<const std::string> handles)
+void StageClient::Release(const std::string& service,
+                          absl::Span<const std::string> handles)
 {
-  for (const std::string& handle : handles) {
-    const DirectoryEndpoint* maker =
-      FindByAddress(directory_, dialect_.addressOfResult(handle));
-    if (maker != nullptr) {
-      released_[maker->service].push_back(handle);
-    }
+  if (handles.empty()) {
+    return;
   }
-  if (released_.empty() || std::exchange(releaseArmed_, true)) {
+  std::vector<std::string>& pending = released_[service];
+  pending.insert(pending.end(), handles.begin(), handles.end());
+  if (std::exchange(releaseArmed_, true)) {
     return;
   }
   releaseTimer_.expires_after(ReleaseGatherTime);
--- a/Source/Gateway/wgStageClient.h
+++ b/Source/Gateway/wgStageClient.h
@@ -44,7 +44,6 @@
   using Done = std::function<void(const wire::StageReply&)>;
 
   StageClient(EventLoop& loop, PeerClient& peers, StageCoordinator& own,
-              const Directory& directory, const Dialect& dialect,
               std::string ownBox, GatewayMetrics& metrics);
 
   /** \brief Takes in who lives as control boxes tell. A box that they no
@@ -58,10 +57,12 @@
   std::uint64_t Submit(wire::StageWork work, Done done);
   void Cancel(std::uint64_t work);
 
-  /** \brief These results are no longer needed; the box that had them made is
-   * told, several at once.
+  /** \brief These results of a service are no longer needed; the box that
+   * had them made is told, several at once. Their maker need not be known
+   * here: another box may have learned of it first.
    */
-  void Release(absl::Span<const std::string> handles);
+  void Release(const std::string& service,
+               absl::Span<const std::string> handles);
 
   /** \brief How long new work of a service waits, as last told. */
   absl::Duration Waiting(const std::string& service) const;
@@ -86,10 +87,11 @@
   const GatewayMember* Choose(const std::string& service) const;
   void Send(std::uint64_t number);
   void SendToPeer(std::uint64_t number, const OpenWork& open);
-  void OnReply(std::uint64_t number, int tries,
+  void OnReply(std::uint64_t number, int tries, const std::string& service,
                const Outcome<std::string>& reply);
-  void Finish(std::uint64_t number, const wire::StageReply& reply);
-  void GiveUp(const wire::StageReply& reply);
+  void Finish(std::uint64_t number, const std::string& service,
+              const wire::StageReply& reply);
+  void GiveUp(const std::string& service, const wire::StageReply& reply);
   void Suspect(const std::string& box);
   void FlushReleases();
   void AskSuspects();
@@ -102,8 +104,6 @@
   EventLoop& loop_;
   PeerClient& peers_;
   StageCoordinator& own_;
-  const Directory& directory_;
-  const Dialect& dialect_;
   std::string ownBox_;
   GatewayMetrics& metrics_;
   std::vector<GatewayMember> members_; // without this box
--- a/Tests/Gateway/wgStageCoordinatorTest.cxx
+++ b/Tests/Gateway/wgStageCoordinatorTest.cxx
@@ -14,6 +14,7 @@
 
 #include "wgHttpServer.h"
 #include "wgLoopThread.h"
+#include "wgStageClient.h"
 #include "wgStageCoordinator.h"
 
 namespace {
@@ -97,6 +98,8 @@
       rules.slack = 1000;
       coordinator->SetRetryRules(rules);
       coordinator->SetTable(Table());
+      stages = std::make_unique<wg::StageClient>(thread.Loop(), peers,
+                                                 *coordinator, "box", metrics);
       Register();
       return true;
     });
@@ -105,6 +108,7 @@
   {
     thread.Join();
     held.clear();
+    stages.reset();
     coordinator.reset();
     releaser.reset();
     halls.reset();
@@ -183,6 +187,8 @@
   std::unique_ptr<wg::ResultReleaser> releaser;
   std::unique_ptr<wg::HallProber> halls;
   std::unique_ptr<wg::StageCoordinator> coordinator;
+  wg::PeerClient peers{ "a key of the tests", "test" };
+  std::unique_ptr<wg::StageClient> stages;
   std::string address;
   std::vector<Exchange> held;
   std::vector<std::string> released;
@@ -305,3 +311,15 @@
   CHECK(f.ended[1] == 1);
   CHECK(f.coordinator->IsIdle());
 }
+
+TEST_CASE("Results are given up by a box that does not know their maker")
+{
+  Fixture f;
+  f.thread.Do([&] {
+    // Another box had them made: the maker has registered there only.
+    f.directory.endpoints.clear();
+    f.stages->Release("svc", { f.address + "/r1.0#1", f.address + "/r1.1#2" });
+    return true;
+  });
+  CHECK(f.Eventually([&] { return f.released.size() == 2; }));
+}
