Gateway: the room of a result is free once its maker confirms it

Room was counted as free when a release was sent, not when it had arrived, and at once for calls that were cut but made all the same. Ruled out: servers refusing as full (0 and 5 calls); halls that may not be crossed (0.03 to 0.3 of 5). Change: the results that take room are a ledger of their own; an entry goes when its maker confirms or its lifetime is over; what a cut call may have made and what an endpoint evidently holds besides is entered without a name; a lack of room pauses nothing. Also: wgCostTest names the request that failed and its reason.

--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -239,9 +239,8 @@
     boost::asio::post(loop_, [this, body = request.body] {
       wire::ReleaseResults release;
       if (release.ParseFromString(body)) {
-        coordinator_.Release(release.service(), std::vector<std::string>(
-                                                  release.handles().begin(),
-                                                  release.handles().end()));
+        coordinator_.Release(std::vector<std::string>(
+          release.handles().begin(), release.handles().end()));
       }
     });
     respond("");
--- a/Source/Gateway/wgResultReleaser.cxx
+++ b/Source/Gateway/wgResultReleaser.cxx
@@ -7,6 +7,8 @@
 namespace wg {
 namespace {
 
+namespace http = boost::beast::http;
+
 /** Results that are given up within this time go in one call. */
 constexpr auto GatherTime = std::chrono::milliseconds(10);
 
@@ -57,9 +59,22 @@
   }
   const std::uint64_t number = nextCall_++;
   HttpCallHandler handler;
-  handler.onHead = [](const HttpHead&) { return true; };
+  auto status = std::make_shared<unsigned>(0);
+  handler.onHead = [status](const HttpHead& head) {
+    *status = head.result_int();
+    return true;
+  };
   handler.onBody = [](absl::string_view) {};
-  handler.onEnd = [this, number](HttpCallEnd) { calls_.erase(number); };
+  handler.onEnd = [this, number, status, handles](HttpCallEnd end) {
+    const bool gone = end == HttpCallEnd::Complete &&
+                      *status == static_cast<unsigned>(http::status::ok);
+    const std::vector<std::string> confirmed = handles;
+    ResultReleaser& self = *this;
+    self.calls_.erase(number); // and with it this handler
+    if (gone && self.confirmed_) {
+      self.confirmed_(confirmed);
+    }
+  };
   calls_[number] = client_.Start(address, PrintRequest(std::move(request)), {},
                                  std::move(handler));
 }
--- a/Source/Gateway/wgResultReleaser.h
+++ b/Source/Gateway/wgResultReleaser.h
@@ -2,9 +2,11 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <boost/asio/steady_timer.hpp>
@@ -27,6 +29,10 @@
                  const Dialect& dialect);
   void Release(absl::Span<const std::string> handles);
 
+  using Confirmed = std::function<void(absl::Span<const std::string>)>;
+  /** \brief Is told of handles that their maker says are gone. */
+  void OnConfirmed(Confirmed confirmed) { confirmed_ = std::move(confirmed); }
+
 private:
   void Flush();
   void Send(const std::string& address,
@@ -40,6 +46,7 @@
   std::map<std::string, std::vector<std::string>> pending_; // by address
   std::map<std::uint64_t, std::unique_ptr<HttpCall>> calls_;
   std::uint64_t nextCall_ = 1;
+  Confirmed confirmed_;
 };
 
 } // namespace wg
--- a/Source/Gateway/wgStageClient.cxx
+++ b/Source/Gateway/wgStageClient.cxx
@@ -212,7 +212,7 @@
   for (auto& [service, handles] : std::exchange(released_, {})) {
     const GatewayMember* coordinator = Choose(service);
     if (coordinator == nullptr) {
-      own_.Release(service, handles);
+      own_.Release(handles);
       continue;
     }
     wire::ReleaseResults release;
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <set>
 
 #include <boost/asio/post.hpp>
 
@@ -15,14 +16,17 @@
 
 constexpr auto PumpPeriod = std::chrono::milliseconds(30);
 constexpr int MaxPieceAttempts = 4;
-constexpr absl::Duration ExpiryPeriod = absl::Milliseconds(200);
 constexpr absl::Duration BacklogLogPeriod = absl::Seconds(1);
 constexpr double MsInSecond = 1e3;
 constexpr double LateFactor = 3.0;
 constexpr double LateMarginSeconds = 0.35;
 constexpr absl::Duration FullPause = absl::Milliseconds(60);
 constexpr absl::Duration CutOffPause = absl::Milliseconds(60);
-constexpr absl::Duration NoRoomPause = absl::Milliseconds(200);
+constexpr absl::Duration FailedPause = absl::Milliseconds(200);
+/** For so long an endpoint that lacked room is taken to hold more than is
+ * known here.
+ */
+constexpr absl::Duration NoRoomMemory = absl::Milliseconds(400);
 
 ItemResult MakeResult(ItemResult::State state)
 {
@@ -48,6 +52,8 @@
   , log_(log)
   , pumpTimer_(loop)
 {
+  releaser_.OnConfirmed(
+    [this](absl::Span<const std::string> handles) { OnReleased(handles); });
 }
 
 void StageCoordinator::SetTable(std::shared_ptr<const RouteTable> table)
@@ -128,8 +134,7 @@
   }
   const auto dropped = TakePieces(PoolOf(state.service), state.tickets);
   metrics_.Count("stage_pieces_dropped", dropped.size());
-  // Last: it may make calls, which must not find what is cancelled.
-  Release(state.service, made);
+  Release(made);
 }
 
 void StageCoordinator::NoteDirectory()
@@ -178,7 +183,9 @@
 {
   StagePool& pool = PoolOf(service);
   const Elapsed now = ElapsedNow();
-  ExpireResults(service);
+  for (const KeptResult& gone : TakeExpired(results_[service], now)) {
+    FreeRoom(service, gone.endpoint, gone.bytes);
+  }
   for (const StagePiece& late : TakeLatePieces(pool, now)) {
     Settle(late.ticket, MakeResult(ItemResult::LATE));
   }
@@ -202,46 +209,28 @@
   }
 }
 
-void StageCoordinator::KeepResult(const OpenCall& open,
-                                  const StagePiece& piece,
-                                  const std::string& handle)
-{
-  const Elapsed until =
-    ElapsedNow() + PoolOf(open.service).limits.resultLifetime;
-  results_[open.service].kept[handle] = { open.call.server, piece.resultBytes,
-                                          until };
-}
-
-/** Their maker has given these up by itself. */
-void StageCoordinator::ExpireResults(const std::string& service)
+/** The room of a result is free once its maker says so: a call that is sent
+ * earlier finds it taken.
+ */
+void StageCoordinator::OnReleased(absl::Span<const std::string> handles)
 {
-  ServiceResults& results = results_[service];
-  const Elapsed now = ElapsedNow();
-  if (now < results.nextExpiry) {
-    return;
-  }
-  results.nextExpiry = now + ExpiryPeriod;
-  for (auto it = results.kept.begin(); it != results.kept.end();) {
-    auto current = it++;
-    if (now >= current->second.until) {
-      FreeRoom(service, current->second.server, current->second.bytes);
-      results.kept.erase(current);
+  std::set<std::string> freed;
+  for (const std::string& handle : handles) {
+    for (auto& [service, ledger] : results_) {
+      if (const auto result = TakeResult(ledger, handle)) {
+        FreeRoom(service, result->endpoint, result->bytes);
+        freed.insert(service);
+      }
     }
   }
+  for (const std::string& service : freed) {
+    Pump(service);
+  }
 }
 
-void StageCoordinator::Release(const std::string& service,
-                               absl::Span<const std::string> handles)
+void StageCoordinator::Release(absl::Span<const std::string> handles)
 {
-  ServiceResults& results = results_[service];
-  for (const std::string& handle : handles) {
-    auto node = results.kept.extract(handle);
-    if (!node.empty()) {
-      FreeRoom(service, node.mapped().server, node.mapped().bytes);
-    }
-  }
   releaser_.Release(handles);
-  Pump(service);
 }
 
 /** While pieces wait, time alone may free an endpoint or end a request. */
@@ -455,8 +444,15 @@
         FindEndpoint(directory_, open.call.server)) {
     NoteAttempt(*endpoint, true, ElapsedNow());
   }
+  const Elapsed until =
+    ElapsedNow() + PoolOf(open.service).limits.resultLifetime;
   for (StagePiece& piece : open.call.pieces) {
-    FreeRoom(open.service, open.call.server, piece.resultBytes);
+    if (sent) { // it may be made all the same
+      KeepUnnamed(results_[open.service],
+                  { open.call.server, piece.resultBytes, until });
+    } else {
+      FreeRoom(open.service, open.call.server, piece.resultBytes);
+    }
     Repeat(open.service, std::move(piece), sent);
   }
 }
@@ -487,23 +483,38 @@
   metrics_.NoteLatency("stage_call", now - open.started);
   LogCall(open, "answered");
   for (std::size_t i = 0; i < open.call.pieces.size(); ++i) {
-    StagePiece& piece = open.call.pieces[i];
-    ItemResult& result = Value(results)[i];
-    if (result.state() == ItemResult::DONE) {
-      KeepResult(open, piece, result.handle());
-    } else {
-      FreeRoom(open.service, open.call.server, piece.resultBytes);
-    }
-    if (result.state() != ItemResult::FAILED) {
-      Settle(piece.ticket, std::move(result));
-      continue;
-    }
+    TakeResultOf(open, open.call.pieces[i], std::move(Value(results)[i]));
+  }
+}
+
+void StageCoordinator::TakeResultOf(OpenCall& open, StagePiece& piece,
+                                    ItemResult result)
+{
+  const Elapsed now = ElapsedNow();
+  const auto state = result.state();
+  KeptResult kept{ open.call.server, piece.resultBytes, now };
+  if (state == ItemResult::DONE) {
+    kept.until += PoolOf(open.service).limits.resultLifetime;
+    KeepResult(results_[open.service], result.handle(), kept);
+  } else if (state == ItemResult::NO_ROOM) {
+    kept.until += NoRoomMemory;
+    KeepUnnamed(results_[open.service], kept);
+  } else {
+    FreeRoom(open.service, open.call.server, piece.resultBytes);
+  }
+  if (state != ItemResult::FAILED && state != ItemResult::NO_ROOM) {
+    Settle(piece.ticket, std::move(result));
+    return;
+  }
+  if (state == ItemResult::NO_ROOM) {
+    metrics_.Count("stage_pieces_no_room");
+  } else {
     metrics_.Count("stage_pieces_failed");
-    if (server != nullptr) {
-      server->avoidUntil = now + NoRoomPause;
+    if (StageServer* server = ServerOf(open)) {
+      server->avoidUntil = now + FailedPause;
     }
-    Repeat(open.service, std::move(piece), true);
   }
+  Repeat(open.service, std::move(piece), true);
 }
 
 /** Lets a piece wait again, if the attempts and the budget allow it. */
@@ -526,23 +537,12 @@
   PoolOf(service).waiting.push_back(std::move(piece));
 }
 
-void StageCoordinator::ForgetResult(const std::string& handle)
-{
-  for (auto& [service, results] : results_) {
-    auto node = results.kept.extract(handle);
-    if (!node.empty()) {
-      FreeRoom(service, node.mapped().server, node.mapped().bytes);
-    }
-  }
-}
-
 void StageCoordinator::Settle(std::uint64_t ticket, ItemResult result)
 {
   auto owner = owners_.find(ticket);
   if (owner == owners_.end()) {
     if (result.state() == ItemResult::DONE) {
       releaser_.Release({ result.handle() });
-      ForgetResult(result.handle());
     }
     return;
   }
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -18,6 +18,7 @@
 #include "wgHallProber.h"
 #include "wgHttpClient.h"
 #include "wgPeer.pb.h"
+#include "wgResultLedger.h"
 #include "wgResultReleaser.h"
 #include "wgRetryWindow.h"
 #include "wgStagePool.h"
@@ -53,8 +54,7 @@
   void Cancel(const std::string& box, std::uint64_t work);
 
   /** \brief These results are no longer needed. */
-  void Release(const std::string& service,
-               absl::Span<const std::string> handles);
+  void Release(absl::Span<const std::string> handles);
 
   /** \brief A hall is cut off: what is at work there is made elsewhere. */
   void NoteHallCut(const std::string& hall);
@@ -92,25 +92,9 @@
     std::string body;
   };
 
-  /** \brief A result that takes room at its maker. */
-  struct KeptResult
-  {
-    std::string server;
-    std::int64_t bytes = 0;
-    Elapsed until;
-  };
-  struct ServiceResults
-  {
-    std::map<std::string, KeptResult> kept; // by handle
-    Elapsed nextExpiry;
-  };
-
   void FreeRoom(const std::string& service, const std::string& server,
                 std::int64_t bytes);
-  void KeepResult(const OpenCall& open, const StagePiece& piece,
-                  const std::string& handle);
-  void ForgetResult(const std::string& handle);
-  void ExpireResults(const std::string& service);
+  void OnReleased(absl::Span<const std::string> handles);
   StagePool& PoolOf(const std::string& service);
   void SyncServers(const std::string& service, StagePool& pool);
   void Pump(const std::string& service);
@@ -120,6 +104,8 @@
   void OnCallEnd(std::uint64_t number, HttpCallEnd end);
   void OnCallLate(std::uint64_t number);
   void TakeAnswer(OpenCall& open);
+  void TakeResultOf(OpenCall& open, StagePiece& piece,
+                    wire::StageItemResult result);
   void FailCall(OpenCall& open, bool sent);
   void Repeat(const std::string& service, StagePiece piece, bool sent);
   void Settle(std::uint64_t ticket, wire::StageItemResult result);
@@ -139,7 +125,7 @@
   RetryRules rules_;
   std::shared_ptr<const RouteTable> table_;
   std::map<std::string, StagePool> pools_;
-  std::map<std::string, ServiceResults> results_;
+  std::map<std::string, ResultLedger> results_; // by service
   std::map<std::string, RetryWindow> retries_;
   std::map<std::string, Elapsed> backlogLogged_;
   std::map<WorkKey, Work> works_;
--- a/Tests/Gateway/wgStageCoordinatorTest.cxx
+++ b/Tests/Gateway/wgStageCoordinatorTest.cxx
@@ -43,7 +43,9 @@
   for (absl::string_view line :
        absl::StrSplit(body, '\n', absl::SkipEmpty())) {
     ItemResult result;
-    result.set_state(line == "error" ? ItemResult::FAILED : ItemResult::DONE);
+    result.set_state(line == "error"  ? ItemResult::FAILED
+                     : line == "room" ? ItemResult::NO_ROOM
+                                      : ItemResult::DONE);
     result.set_handle(std::string(line));
     results.push_back(result);
   }
@@ -195,6 +197,7 @@
   std::map<std::uint64_t, int> ended;
   std::map<std::uint64_t, wg::wire::StageReply> replies;
   int made = 0;
+  bool confirms = true; // that results are gone
 
 private:
   void OnCall(const Exchange& exchange)
@@ -204,7 +207,7 @@
            absl::StrSplit(exchange->Request().body(), '\n')) {
         released.emplace_back(handle);
       }
-      exchange->Respond(wg::MakeResponse(200, "", ""));
+      exchange->Respond(wg::MakeResponse(confirms ? 200 : 503, "", ""));
       return;
     }
     held.push_back(exchange);
@@ -258,7 +261,7 @@
   CHECK(AllDone(f.replies[3], 2));
   CHECK(f.ended[4] == 0);
   f.thread.Do([&] {
-    f.coordinator->Release("svc", { f.replies[3].results(0).handle() });
+    f.coordinator->Release({ f.replies[3].results(0).handle() });
     return true;
   });
   CHECK(f.AnswerNext() == "r4.0\n");
@@ -323,3 +326,42 @@
   });
   CHECK(f.Eventually([&] { return f.released.size() == 2; }));
 }
+
+TEST_CASE("Room is free only once its maker has confirmed it")
+{
+  Fixture f;
+  f.Submit(1, 3);
+  f.AnswerNext();
+  CHECK(f.Eventually([&] { return f.ended[1] == 1; }));
+  f.Submit(2, 3); // room for four results in all
+  CHECK(f.AnswerNext() == "r2.0\n");
+  f.thread.Do([&] {
+    f.confirms = false;
+    f.coordinator->Release({ f.replies[1].results(0).handle() });
+    return true;
+  });
+  CHECK(f.Eventually([&] { return f.released.size() == 1; }));
+  absl::SleepFor(absl::Milliseconds(100));
+  CHECK(f.thread.Do([&] { return f.held.empty(); }));
+  f.thread.Do([&] {
+    f.confirms = true;
+    f.coordinator->Release({ f.replies[1].results(1).handle() });
+    return true;
+  });
+  CHECK(f.AnswerNext() == "r2.1\n");
+}
+
+TEST_CASE("An endpoint that lacked room still gets what fits")
+{
+  Fixture f;
+  f.Submit(1, 2);
+  // It holds more than is known here: two of four places.
+  CHECK(f.AnswerNext("room") == "r1.0\nr1.1\n");
+  // The others are used at once, not after a pause.
+  CHECK(f.AnswerNext() == "r1.0\nr1.1\n");
+  CHECK(f.Eventually([&] { return f.ended[1] == 1; }));
+  f.Submit(2, 1);
+  CHECK(f.thread.Do([&] { return f.held.empty(); }));
+  // What is not known here is not taken to stay for ever.
+  CHECK(f.AnswerNext() == "r2.0\n");
+}
--- a/Tests/Process/wgCostTest.cxx
+++ b/Tests/Process/wgCostTest.cxx
@@ -76,6 +76,11 @@
     Await("callers that go on", [&] { return callers.Count() > before + 40; });
   }
   const std::vector<CallerRecord> records = callers.Stop();
+  for (const CallerRecord& record : records) {
+    INFO("request " << record.request << ", run: " << record.run
+                    << ", answer: " << record.error);
+    CHECK(record.status == 200);
+  }
   REQUIRE(CountOk(records) == static_cast<int>(records.size()));
   std::uint64_t tokens = 0;
   for (const CallerRecord& record : records) {
