Gateway: a piece is late when what comes after it can no longer be in time

Cause: pieces of early stages were taken to be in time until the request's own aim was over, however much had still to follow: in bursts servers worked first on what was late already. Change: a work says what its request takes at least after it (calls of the stages that follow, reading the prompt); order, room and crossing between halls go by that; what is dropped does not. A box without a document asks for one every 100 ms (it was heard a second after its start, 0.7 s after the control boxes were back).

--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -122,7 +122,9 @@
     links_.erase(link.address);
     return;
   }
-  const int doublings = std::min(link.failures++, MostDoublings);
+  // A box without a document refuses everything: it asks on.
+  const int most = held_ == 0 ? 0 : MostDoublings;
+  const int doublings = std::min(link.failures++, most);
   link.pause->expires_after(FirstPause * (1 << doublings));
   link.pause->async_wait(
     [this, address = link.address](boost::system::error_code error) {
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -103,7 +103,10 @@
   bool ReadDeadline();
   void ReadPrompt();
   bool ReadStages();
+  double OwnSeconds(std::size_t stage) const;
+  double ReadSeconds() const;
   double ExpectedSeconds() const;
+  double SecondsAfter(std::size_t stage) const;
   bool RefuseIfHopeless();
   Elapsed Due() const;
 
--- a/Source/Gateway/wgGatewayRequestStages.cxx
+++ b/Source/Gateway/wgGatewayRequestStages.cxx
@@ -42,6 +42,29 @@
   return true;
 }
 
+/** What a call of a stage takes for its pieces alone; nothing if it is left
+ * out.
+ */
+double GatewayRequest::OwnSeconds(std::size_t stage) const
+{
+  const auto service = table_->services.find(route_->stages[stage].service);
+  const bool runs = stages_[stage].pieces > 0 &&
+                    service != table_->services.end() &&
+                    service->second.stage.has_value();
+  return runs ? ExpectedCallSeconds(
+                  *service->second.stage,
+                  static_cast<std::size_t>(stages_[stage].pieces))
+              : 0.0;
+}
+
+/** The part of the prompt that no endpoint can hold yet. */
+double GatewayRequest::ReadSeconds() const
+{
+  const std::int64_t ownTokens =
+    prompt_.parts.empty() ? prompt_.tokensIn : prompt_.parts.back().tokens;
+  return static_cast<double>(ownTokens) * shared_.speed.secondsPerToken;
+}
+
 /** How long the first byte would take if it went on as it goes now. */
 double GatewayRequest::ExpectedSeconds() const
 {
@@ -49,27 +72,29 @@
   double longest = 0.0;
   for (std::size_t i = 0; i < stages_.size(); ++i) {
     const RouteStage& planned = route_->stages[i];
-    double begin = 0.0;
     for (const std::size_t before : planned.after) {
-      begin = std::max(begin, until[before]);
+      until[i] = std::max(until[i], until[before]);
     }
-    const auto service = table_->services.find(planned.service);
-    const bool runs = stages_[i].pieces > 0 &&
-                      service != table_->services.end() &&
-                      service->second.stage.has_value();
-    until[i] = begin;
-    if (runs) {
-      const auto pieces = static_cast<std::size_t>(stages_[i].pieces);
-      until[i] += absl::ToDoubleSeconds(shared_.stages.Waiting(
-                    shared_.stages.PlaceWork(planned.service, resultHall_))) +
-                  ExpectedCallSeconds(*service->second.stage, pieces);
+    if (const double own = OwnSeconds(i); own > 0.0) {
+      const StagePoolKey pool =
+        shared_.stages.PlaceWork(planned.service, resultHall_);
+      until[i] += absl::ToDoubleSeconds(shared_.stages.Waiting(pool)) + own;
     }
     longest = std::max(longest, until[i]);
   }
-  const std::int64_t ownTokens =
-    prompt_.parts.empty() ? prompt_.tokensIn : prompt_.parts.back().tokens;
-  return longest +
-         static_cast<double>(ownTokens) * shared_.speed.secondsPerToken;
+  return longest + ReadSeconds();
+}
+
+/** What comes after a stage takes at least, if nothing waits. */
+double GatewayRequest::SecondsAfter(std::size_t stage) const
+{
+  std::vector<double> after(stages_.size(), 0.0); // from a stage's end
+  for (std::size_t i = stages_.size(); i-- > stage;) {
+    for (const std::size_t before : route_->stages[i].after) {
+      after[before] = std::max(after[before], OwnSeconds(i) + after[i]);
+    }
+  }
+  return after[stage] + ReadSeconds();
 }
 
 /** Stages, one after the other, until all are done. */
@@ -157,6 +182,8 @@
   work.set_stage(static_cast<std::uint32_t>(stage));
   work.set_left_ms(absl::ToInt64Milliseconds(giveUp_ - now));
   work.set_due_ms(absl::ToInt64Milliseconds(Due() - now));
+  work.set_after_ms(
+    absl::ToInt64Milliseconds(absl::Seconds(SecondsAfter(stage))));
   work.set_rank(static_cast<std::uint32_t>(std::max(0, route_->rank)));
   work.set_result_bytes(planned.resultBytes);
   PlaceWork(stage, work);
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -105,6 +105,7 @@
     piece.resultBytes = work.result_bytes();
     piece.crossingBytes = work.crossing_bytes();
     piece.due = now + absl::Milliseconds(work.due_ms());
+    piece.finishBy = piece.due - absl::Milliseconds(work.after_ms());
     piece.deadline = now + absl::Milliseconds(work.left_ms());
     piece.rank = static_cast<int>(work.rank());
     owners_[piece.ticket] = { key, i };
@@ -409,9 +410,10 @@
                         { "slowness", SlownessNow(server, now) },
                         { "avoided", server.avoidUntil > now } });
   }
-  const auto late =
-    std::count_if(pool.waiting.begin(), pool.waiting.end(),
-                  [now](const StagePiece& piece) { return piece.due <= now; });
+  const auto late = std::count_if(pool.waiting.begin(), pool.waiting.end(),
+                                  [&pool, now](const StagePiece& piece) {
+                                    return IsLate(piece, pool.limits, now);
+                                  });
   log_.Write(LogWeight::Notable, "stage_backlog",
              { { "service", key.service },
                { "hall", key.hall },
--- a/Source/Gateway/wgStagePool.cxx
+++ b/Source/Gateway/wgStagePool.cxx
@@ -24,15 +24,16 @@
 constexpr double LeastSlowness = 0.5;
 constexpr double MostSlowness = 20.0;
 
-bool GoesBefore(const StagePiece& a, const StagePiece& b, Elapsed now)
+bool GoesBefore(const StagePiece& a, const StagePiece& b,
+                const StageLimits& limits, Elapsed now)
 {
-  const bool aLate = a.due <= now;
-  const bool bLate = b.due <= now;
+  const bool aLate = IsLate(a, limits, now);
+  const bool bLate = IsLate(b, limits, now);
   if (aLate != bLate) {
     return bLate;
   }
-  const Elapsed aTime = a.due + a.rank * RankLead;
-  const Elapsed bTime = b.due + b.rank * RankLead;
+  const Elapsed aTime = a.finishBy + a.rank * RankLead;
+  const Elapsed bTime = b.finishBy + b.rank * RankLead;
   return aTime != bTime ? aTime < bTime : a.ticket < b.ticket;
 }
 
@@ -69,7 +70,7 @@
 bool HasRoom(const StageServer& server, const StageLimits& limits,
              const StagePiece& piece, Elapsed now)
 {
-  const double share = piece.due <= now ? LateRoomShare : 1.0;
+  const double share = IsLate(piece, limits, now) ? LateRoomShare : 1.0;
   const auto room =
     static_cast<std::int64_t>(static_cast<double>(limits.roomBytes) * share);
   return limits.roomBytes == 0 || server.roomUsed + piece.resultBytes <= room;
@@ -105,7 +106,7 @@
   }
   const absl::Duration call =
     absl::Seconds(ExpectedCallSeconds(pool.limits, pool.limits.batch));
-  return now < piece.due && now >= piece.due - 2 * call;
+  return now < piece.finishBy && now >= piece.finishBy - 2 * call;
 }
 
 /** The free endpoint where a piece would be done first; null when there is
@@ -161,6 +162,11 @@
 
 } // namespace
 
+bool IsLate(const StagePiece& piece, const StageLimits& limits, Elapsed now)
+{
+  return now + absl::Seconds(ExpectedCallSeconds(limits, 1)) > piece.finishBy;
+}
+
 double ExpectedCallSeconds(const StageLimits& limits, std::size_t pieces)
 {
   return limits.callSeconds +
@@ -178,8 +184,8 @@
     return std::nullopt;
   }
   std::sort(waiting.begin(), waiting.end(),
-            [now](const StagePiece& a, const StagePiece& b) {
-              return GoesBefore(a, b, now);
+            [&pool, now](const StagePiece& a, const StagePiece& b) {
+              return GoesBefore(a, b, pool.limits, now);
             });
   const std::size_t count = std::min(waiting.size(), pool.limits.batch);
   StageServer* server = nullptr;
@@ -250,9 +256,10 @@
   if (usable == 0) {
     return ExpectedCallSeconds(pool.limits, pool.limits.batch);
   }
-  const auto ahead =
-    std::count_if(pool.waiting.begin(), pool.waiting.end(),
-                  [now](const StagePiece& piece) { return piece.due > now; });
+  const auto ahead = std::count_if(pool.waiting.begin(), pool.waiting.end(),
+                                   [&pool, now](const StagePiece& piece) {
+                                     return !IsLate(piece, pool.limits, now);
+                                   });
   const double fullCalls = std::floor(static_cast<double>(ahead) /
                                       static_cast<double>(pool.limits.batch));
   const double each = ExpectedCallSeconds(pool.limits, pool.limits.batch);
--- a/Source/Gateway/wgStagePool.h
+++ b/Source/Gateway/wgStagePool.h
@@ -30,6 +30,7 @@
   std::int64_t resultBytes = 0;
   Elapsed arrived;
   Elapsed due;      // when its request ought to be answered
+  Elapsed finishBy; // when it must be made for that; due or earlier
   Elapsed deadline; // when its request is given up
   int rank = 0;
   int attempts = 0;
@@ -70,6 +71,11 @@
   double expectedSeconds = 0.0;
 };
 
+/** \brief Whether its request can no longer be answered when it ought to be,
+ * even if it were made at once.
+ */
+bool IsLate(const StagePiece& piece, const StageLimits& limits, Elapsed now);
+
 /** \brief The next call, or nothing while all endpoints are at work, have no
  * room, or would not be done sooner than one that is about to be free.
  *
--- a/Source/Gateway/wgStagePoolKey.cxx
+++ b/Source/Gateway/wgStagePoolKey.cxx
@@ -18,9 +18,9 @@
 {
   std::map<std::string, int> counts;
   for (const auto& [id, endpoint] : directory.endpoints) {
-    const bool counts_here = endpoint.service == service &&
-                             endpoint.state != wire::Registration::GONE;
-    if (counts_here) {
+    const bool belongs = endpoint.service == service &&
+                         endpoint.state != wire::Registration::GONE;
+    if (belongs) {
       ++counts[endpoint.hall];
     }
   }
--- a/Tests/Gateway/wgStagePoolTest.cxx
+++ b/Tests/Gateway/wgStagePoolTest.cxx
@@ -27,6 +27,7 @@
   wg::StagePiece piece;
   piece.ticket = ticket;
   piece.due = due;
+  piece.finishBy = due;
   piece.deadline = due + absl::Seconds(10);
   return piece;
 }
@@ -198,3 +199,17 @@
   // All of it late by then; the calls are overdue by 1.9 s.
   CHECK(wg::ExpectedWaitSeconds(pool, Now + absl::Seconds(2)) == Approx(1.9));
 }
+
+TEST_CASE("What can't be in time any more goes after what still can")
+{
+  wg::StagePool pool = MakePool(1);
+  pool.limits.batch = 1;
+  // A call takes 0.16 s: the first would end 10 ms after it has to.
+  pool.waiting.push_back(MakePiece(1, Now + absl::Seconds(1)));
+  pool.waiting.back().finishBy = Now + absl::Milliseconds(150);
+  pool.waiting.push_back(MakePiece(2, Now + absl::Seconds(1)));
+  pool.waiting.back().finishBy = Now + absl::Milliseconds(800);
+  CHECK(Tickets(*wg::NextStageCall(pool, Now)) ==
+        std::vector<std::uint64_t>{ 2 });
+  CHECK(wg::TakeLatePieces(pool, Now).empty()); // it is made all the same
+}
