--- a/Source/Gateway/wgResultReleaser.cxx
+++ b/Source/Gateway/wgResultReleaser.cxx
@@ -68,11 +68,10 @@
   handler.onEnd = [this, number, status, handles](HttpCallEnd end) {
     const bool gone = end == HttpCallEnd::Complete &&
                       *status == static_cast<unsigned>(http::status::ok);
-    const std::vector<std::string> confirmed = handles;
-    ResultReleaser& self = *this;
-    self.calls_.erase(number); // and with it this handler
-    if (gone && self.confirmed_) {
-      self.confirmed_(confirmed);
+    // Until the end: this handler is part of the call.
+    const auto call = calls_.extract(number);
+    if (gone && confirmed_) {
+      confirmed_(handles);
     }
   };
   calls_[number] = client_.Start(address, PrintRequest(std::move(request)), {},
