Tests: a fault soak of gateways and control boxes

Real processes on loopback: pauses, kills and planned stops in series that overlap, wires to endpoints that are cut, answer nothing, are slow or reset, endpoints that refuse or hang up, documents published and read meanwhile; callers keep their connections until the process is gone. The checker reads only what callers, endpoints and the operator saw; each planted fault is found (wgPlatformSoakCheckTest). Not in it: clocks that jump, disks that stall or are full, wires between weirgate's own processes.

--- /dev/null
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -0,0 +1,226 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <filesystem>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
+
+#include "wgTestCluster.h"
+#include "wgTestPorts.h"
+
+namespace wg::test {
+
+inline std::string Local(int port)
+{
+  return absl::StrCat("127.0.0.1:", port);
+}
+
+/** \class PlatformCluster
+ * \brief Real control and gateway processes; a test stands in for endpoints.
+ */
+class PlatformCluster
+{
+public:
+  using Json = nlohmann::json;
+
+  explicit PlatformCluster(int gateways)
+  {
+    folder_ = std::filesystem::temp_directory_path() /
+              absl::StrCat("wg-platform-", ports_.Take());
+    std::filesystem::remove_all(folder_);
+    std::filesystem::create_directories(folder_);
+    for (int i = 0; i < 3; ++i) {
+      peers_.push_back(ports_.Take());
+      apis_.push_back(ports_.Take());
+      controls_.emplace_back();
+    }
+    for (int i = 0; i < gateways; ++i) {
+      listens_.push_back(ports_.Take());
+      readies_.push_back(ports_.Take());
+      gatewayPeers_.push_back(ports_.Take());
+      gateways_.emplace_back();
+    }
+    for (int i = 0; i < 3; ++i) {
+      StartControl(i, true);
+    }
+    for (int i = 0; i < gateways; ++i) {
+      StartGateway(i);
+    }
+  }
+  ~PlatformCluster()
+  {
+    gateways_.clear();
+    controls_.clear();
+    std::error_code ignored;
+    std::filesystem::remove_all(folder_, ignored);
+  }
+
+  void StartControl(int index, bool founds)
+  {
+    std::vector<std::string> arguments = Common("control", index);
+    for (const std::string& more :
+         { absl::StrCat("--peer=", Local(peers_[index])),
+           absl::StrCat("--api=", Local(apis_[index])),
+           absl::StrCat("--data=", (folder_ / Name("c", index)).string()),
+           absl::StrCat("--found=", founds ? "true" : "false"),
+           std::string("--tolerated-losses=1") }) {
+      arguments.push_back(more);
+    }
+    controls_[index] = std::make_unique<Process>(
+      arguments, (folder_ / (Name("c", index) + ".log")).string());
+  }
+  void StartGateway(int index)
+  {
+    std::vector<std::string> arguments = Common("gateway", index);
+    for (const std::string& more :
+         { absl::StrCat("--peer=", Local(gatewayPeers_[index])),
+           absl::StrCat("--listen=", Local(listens_[index])),
+           absl::StrCat("--ready=", Local(readies_[index])),
+           std::string("--retry-slack=50"), std::string("--settle-ms=300"),
+           std::string("--grace-s=8") }) {
+      arguments.push_back(more);
+    }
+    gateways_[index] = std::make_unique<Process>(
+      arguments, (folder_ / (Name("g", index) + ".log")).string());
+  }
+
+  /** The status of what an operator's call to one control box got; 0: none. */
+  int Publish(int control, const std::string& document)
+  {
+    httplib::Client client("127.0.0.1", apis_[control]);
+    const auto reply = client.Put("/-/config", document, "application/json");
+    return reply ? reply->status : 0;
+  }
+  std::string ReadBack(int control)
+  {
+    httplib::Client client("127.0.0.1", apis_[control]);
+    const auto reply = client.Get("/-/config");
+    return reply && reply->status == 200 ? reply->body : "";
+  }
+  int Ready(int gateway)
+  {
+    httplib::Client client("127.0.0.1", readies_[gateway]);
+    const auto reply = client.Get("/-/readyz");
+    return reply ? reply->status : 0;
+  }
+  httplib::Result Send(int gateway, const std::string& path,
+                       const std::string& id, const std::string& key = "k1")
+  {
+    httplib::Client client("127.0.0.1", listens_[gateway]);
+    client.set_read_timeout(20);
+    httplib::Headers headers = { { "Host", "one.example" },
+                                 { "X-Weirgate-Attempt-Id", id },
+                                 { "X-Weirgate-Deadline-Ms", "15000" },
+                                 { "X-Weirgate-Tenant", "forged" },
+                                 { "Authorization", "Token " + key } };
+    if (path.rfind("/s/", 0) == 0) {
+      headers.emplace("X-Weirgate-Token-Usage", "100,20");
+      headers.emplace("X-Weirgate-Prompt-Prefix", "aa:60,bb:40");
+      headers.emplace("X-Weirgate-Chunk-Count", "2,3");
+      headers.emplace("X-Weirgate-Chunk-Key", "file");
+    }
+    return client.Post(path, headers, "body of " + id, "text/plain");
+  }
+  void AwaitServing()
+  {
+    Await("the first document",
+          [this] { return Publish(0, Document(1)) == 200; });
+    for (std::size_t i = 0; i < gateways_.size(); ++i) {
+      Await("a ready gateway",
+            [this, i] { return Ready(static_cast<int>(i)) == 200; });
+    }
+  }
+  static std::string Document(int number)
+  {
+    Json document{
+      { "version", number },
+      { "routes",
+        { { { "name", "plain" },
+            { "host", "one.example" },
+            { "pathPrefix", "/p/" },
+            { "type", "non_idempotent" },
+            { "timeoutMs", 15000 },
+            { "service", "plain" },
+            { "maxAttempts", 1 } },
+          { { "name", "stream" },
+            { "host", "one.example" },
+            { "pathPrefix", "/s/" },
+            { "type", "streaming" },
+            { "timeoutMs", 15000 },
+            { "latencyGoalMs", 9000 },
+            { "service", "llm" },
+            { "maxAttempts", 1 },
+            { "phases",
+              { { { "service", "enc" },
+                  { "afterRevision", Json::array() },
+                  { "sizeBytes", 1000 } },
+                { { "service", "enc" },
+                  { "afterRevision", { 0 } },
+                  { "sizeBytes", 1000 } } } } } } },
+      { "services",
+        { { { "name", "plain" } },
+          { { "name", "llm" }, { "engine", { { "capacity", 4 } } } },
+          { { "name", "enc" },
+            { "segments",
+              { { "capacity", 1 },
+                { "batch", 8 },
+                { "callMs", 50.0 },
+                { "itemMs", 1.0 },
+                { "headroomMb", 1.0 } } } } } },
+      { "tenants", { { { "name", "t1" }, { "apiKeys", { "k1" } } } } }
+    };
+    if (number > 1) {
+      Json added = document["routes"][0];
+      added["name"] = "added";
+      added["pathPrefix"] = absl::StrCat("/p", number, "/");
+      document["routes"].push_back(added);
+    }
+    return document.dump();
+  }
+
+  Process& Control(int index) { return *controls_[index]; }
+  Process& Gateway(int index) { return *gateways_[index]; }
+  int Api(int index) const { return apis_[index]; }
+  int Listen(int index) const { return listens_[index]; }
+  int FreePort() { return ports_.Take(); }
+  int Gateways() const { return static_cast<int>(gateways_.size()); }
+  static constexpr int Controls = 3;
+
+private:
+  static std::string Name(const std::string& kind, int index)
+  {
+    return absl::StrCat(kind, index);
+  }
+  std::vector<std::string> Common(const std::string& role, int index)
+  {
+    std::vector<std::string> controls;
+    for (const int port : peers_) {
+      controls.push_back(Local(port));
+    }
+    return { WG_DAEMON,
+             "--role=" + role,
+             absl::StrCat("--box=", role, index),
+             "--hall=h1",
+             "--peer-key=a key of the tests",
+             "--controls=" + absl::StrJoin(controls, ",") };
+  }
+
+  TestPorts ports_;
+  std::filesystem::path folder_;
+  std::vector<int> peers_;
+  std::vector<int> apis_;
+  std::vector<int> listens_;
+  std::vector<int> readies_;
+  std::vector<int> gatewayPeers_;
+  std::vector<std::unique_ptr<Process>> controls_;
+  std::vector<std::unique_ptr<Process>> gateways_;
+};
+
+} // namespace wg::test
--- /dev/null
+++ b/Tests/Platform/wgPlatformSoak.cxx
@@ -0,0 +1,449 @@
+// SPDX-License-Identifier: Apache-2.0
+// Real gateways and control boxes under random faults from outside: signals
+// in series that overlap, wires that are cut, slow, reset or pass one way
+// only, endpoints that refuse or hang up, documents that change meanwhile.
+// Callers go on with open connections; the checker judges what they, the
+// endpoints and the operator saw. A seed gives the same faults again, not the
+// same run: the processes are real.
+#include <atomic>
+#include <csignal>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+
+#include <tclap/CmdLine.h>
+
+#include "absl/time/clock.h"
+
+#include "wgPlatformCluster.h"
+#include "wgPlatformSoakCheck.h"
+#include "wgPlatformStandin.h"
+
+namespace {
+
+using wg::test::Forwarder;
+using wg::test::Local;
+using wg::test::PlatformCluster;
+using wg::test::PlatformStandin;
+using wg::test::Process;
+using wg::test::SoakRecord;
+using wg::test::SoakRequest;
+using wg::test::StandinConduct;
+using Random = std::mt19937_64;
+
+constexpr int Gateways = 3;
+constexpr int CallerThreads = 6;
+constexpr int StatusOk = 200;
+constexpr absl::Duration RecoveryLimit = absl::Seconds(15);
+/** All boxes answer for so long after the faults; then they are asked. */
+constexpr absl::Duration Settling = absl::Seconds(1);
+
+int Draw(Random& random, int least, int most)
+{
+  return std::uniform_int_distribution<int>(least, most)(random);
+}
+
+/** An endpoint behind a wire that a fault can cut. */
+struct Endpoint
+{
+  Endpoint(const std::string& id, std::string of, int port)
+    : standin(id)
+    , wire(port, standin.Port())
+    , service(std::move(of))
+  {
+    standin.AppearAt(Local(port));
+  }
+  PlatformStandin standin;
+  Forwarder wire;
+  std::string service;
+};
+
+/** What all threads of a run share. */
+struct Run
+{
+  explicit Run(std::uint64_t seedOfRun)
+    : seed(seedOfRun)
+    , cluster(Gateways)
+  {
+    for (const char* service : { "llm", "enc", "plain" }) {
+      for (int i = 0; i < 2; ++i) {
+        endpoints.push_back(std::make_unique<Endpoint>(
+          absl::StrCat("i-", service, i), service, cluster.FreePort()));
+      }
+    }
+  }
+  std::uint64_t seed;
+  PlatformCluster cluster;
+  std::vector<std::unique_ptr<Endpoint>> endpoints;
+  std::atomic<bool> stopping{ false };
+  std::atomic<std::int64_t> acknowledged{ 1 };
+  std::atomic<int> next{ 0 };
+  std::mutex mutex;
+  SoakRecord record;
+};
+
+std::string ExpectedBody(const std::string& id, bool streams)
+{
+  if (!streams) {
+    return absl::StrCat(id, "|body of ", id);
+  }
+  std::string events;
+  for (int i = 1; i <= 4; ++i) {
+    absl::StrAppend(&events, "id: ", i, "\ndata: ", id, "\n\n");
+  }
+  return events;
+}
+
+httplib::Headers FieldsOf(const std::string& id, bool streams)
+{
+  httplib::Headers fields = { { "Host", "one.example" },
+                              { "X-Weirgate-Attempt-Id", id },
+                              { "X-Weirgate-Deadline-Ms", "3000" },
+                              { "Authorization", "Token k1" } };
+  if (streams) {
+    fields.emplace("X-Weirgate-Token-Usage", "100,20");
+    fields.emplace("X-Weirgate-Prompt-Prefix", "aa:60,bb:40");
+    fields.emplace("X-Weirgate-Chunk-Count", "2,3");
+    fields.emplace("X-Weirgate-Chunk-Key", "file");
+  }
+  return fields;
+}
+
+SoakRequest SendOne(Run& run, httplib::Client& client, bool streams)
+{
+  SoakRequest request;
+  request.id = absl::StrCat(run.seed, "-", ++run.next);
+  request.expected = ExpectedBody(request.id, streams);
+  const auto reply =
+    client.Post(streams ? "/s/x" : "/p/x", FieldsOf(request.id, streams),
+                "body of " + request.id, "text/plain");
+  if (reply) {
+    request.status = reply->status;
+    request.body = reply->body;
+    request.sealedBy = reply->get_header_value("X-Weirgate-Server-Seal");
+  }
+  const std::lock_guard<std::mutex> lock(run.mutex);
+  run.record.requests.push_back(request);
+  return request;
+}
+
+/** Connections stay open until their gateway is gone. */
+void SendRequests(Run& run, int thread)
+{
+  Random random(run.seed * 1000 + static_cast<std::uint64_t>(thread));
+  std::vector<std::unique_ptr<httplib::Client>> clients;
+  for (int i = 0; i < Gateways; ++i) {
+    clients.push_back(
+      std::make_unique<httplib::Client>("127.0.0.1", run.cluster.Listen(i)));
+    clients.back()->set_keep_alive(true);
+    clients.back()->set_connection_timeout(1);
+    clients.back()->set_read_timeout(4);
+  }
+  while (!run.stopping) {
+    const auto gateway = static_cast<std::size_t>(Draw(random, 0, 2));
+    const SoakRequest request =
+      SendOne(run, *clients[gateway], Draw(random, 0, 1) == 0);
+    if (request.status != StatusOk) {
+      absl::SleepFor(absl::Milliseconds(Draw(random, 5, 60)));
+    }
+  }
+}
+
+void SendHeartbeats(Run& run)
+{
+  Random random(run.seed + 7);
+  while (!run.stopping) {
+    for (const auto& endpoint : run.endpoints) {
+      for (int tries = 0; tries < 3 && !run.stopping; ++tries) {
+        const int api = run.cluster.Api(Draw(random, 0, 2));
+        if (endpoint->standin.Register(api, endpoint->service)) {
+          break;
+        }
+      }
+    }
+    absl::SleepFor(absl::Milliseconds(200));
+  }
+}
+
+/** An order without a clear answer is sent again, to any control box. */
+void PublishDocuments(Run& run)
+{
+  Random random(run.seed + 8);
+  int number = 1;
+  while (!run.stopping) {
+    absl::SleepFor(absl::Milliseconds(Draw(random, 100, 900)));
+    ++number;
+    for (int tries = 0; tries < 8 && !run.stopping; ++tries) {
+      const int control = Draw(random, 0, 2);
+      const std::string document = PlatformCluster::Document(number);
+      if (run.cluster.Publish(control, document) == StatusOk) {
+        run.acknowledged = std::max<std::int64_t>(run.acknowledged, number);
+        break;
+      }
+    }
+  }
+}
+
+void ReadDocuments(Run& run)
+{
+  Random random(run.seed + 9);
+  while (!run.stopping) {
+    const std::int64_t before = run.acknowledged;
+    const std::string read = run.cluster.ReadBack(Draw(random, 0, 2));
+    if (!read.empty()) {
+      const auto document = nlohmann::json::parse(read);
+      const std::lock_guard<std::mutex> lock(run.mutex);
+      run.record.reads.push_back({ before, document["version"] });
+    }
+    absl::SleepFor(absl::Milliseconds(100));
+  }
+}
+
+/** Faults that overlap; each is undone at its own time. */
+class Faults
+{
+public:
+  explicit Faults(Run& run)
+    : run_(run)
+    , random_(run.seed)
+  {
+  }
+
+  void Go(absl::Duration time)
+  {
+    const absl::Time end = absl::Now() + time;
+    while (absl::Now() < end) {
+      UndoDue(absl::Now());
+      Begin();
+      absl::SleepFor(absl::Milliseconds(Draw(random_, 100, 700)));
+    }
+    UndoDue(absl::InfiniteFuture());
+  }
+
+private:
+  void Begin()
+  {
+    switch (Draw(random_, 0, 9)) {
+      case 0:
+      case 1:
+      case 2:
+        Disturb("gateway", Draw(random_, 0, Gateways - 1));
+        return;
+      case 3:
+      case 4:
+        Disturb("control", Draw(random_, 0, 2));
+        return;
+      case 5:
+      case 6:
+      case 7:
+        DisturbWire();
+        return;
+      default:
+        DisturbEndpoint();
+        return;
+    }
+  }
+
+  bool Take(const std::string& what) { return taken_.insert(what).second; }
+  void Later(const std::string& what, int ms, std::function<void()> undo)
+  {
+    undo_.emplace(absl::Now() + absl::Milliseconds(ms),
+                  [this, what, undo = std::move(undo)] {
+                    undo();
+                    taken_.erase(what);
+                  });
+  }
+  void UndoDue(absl::Time now)
+  {
+    while (!undo_.empty() && undo_.begin()->first <= now) {
+      const auto undo = std::move(undo_.begin()->second);
+      undo_.erase(undo_.begin());
+      undo();
+    }
+  }
+
+  /** A process is paused, killed, or stopped as planned. */
+  void Disturb(const std::string& role, int index)
+  {
+    const std::string name = absl::StrCat(role, index);
+    if (!Take(name)) {
+      return;
+    }
+    const bool isGateway = role == "gateway";
+    Process& process =
+      isGateway ? run_.cluster.Gateway(index) : run_.cluster.Control(index);
+    const int kind = Draw(random_, 0, 2);
+    const int ms = Draw(random_, 100, 1800);
+    if (kind == 0) {
+      process.Signal(SIGSTOP);
+      Later(name, ms, [&process] { process.Signal(SIGCONT); });
+      return;
+    }
+    const bool planned = kind == 1;
+    process.Signal(planned ? SIGTERM : SIGKILL);
+    Later(name, ms, [this, isGateway, index, &process] {
+      process.Kill(); // whatever of it is left
+      if (isGateway) {
+        run_.cluster.StartGateway(index);
+      } else {
+        run_.cluster.StartControl(index, false);
+      }
+    });
+  }
+
+  void DisturbWire()
+  {
+    const int index =
+      Draw(random_, 0, static_cast<int>(run_.endpoints.size()) - 1);
+    const std::string name = absl::StrCat("wire", index);
+    Forwarder& wire = run_.endpoints[static_cast<std::size_t>(index)]->wire;
+    const int kind = Draw(random_, 0, 3);
+    if (kind == 0) {
+      wire.Reset();
+      return;
+    }
+    if (!Take(name)) {
+      return;
+    }
+    if (kind == 1) {
+      wire.Cut();
+    } else if (kind == 2) {
+      wire.CutAnswers();
+    } else {
+      wire.Delay(Draw(random_, 5, 80));
+    }
+    Later(name, Draw(random_, 100, 2500), [&wire] { wire.Mend(); });
+  }
+
+  void DisturbEndpoint()
+  {
+    const int index =
+      Draw(random_, 0, static_cast<int>(run_.endpoints.size()) - 1);
+    const std::string name = absl::StrCat("conduct", index);
+    if (!Take(name)) {
+      return;
+    }
+    PlatformStandin& standin =
+      run_.endpoints[static_cast<std::size_t>(index)]->standin;
+    standin.SetConduct(Draw(random_, 0, 1) == 0 ? StandinConduct::Refuse
+                                                : StandinConduct::HangUp);
+    Later(name, Draw(random_, 100, 1500),
+          [&standin] { standin.SetConduct(StandinConduct::Answer); });
+  }
+
+  Run& run_;
+  Random random_;
+  std::set<std::string> taken_;
+  std::multimap<absl::Time, std::function<void()>> undo_;
+};
+
+/** With everything whole again each gateway must serve both kinds. */
+void AskAtEnd(Run& run)
+{
+  for (int i = 0; i < Gateways; ++i) {
+    httplib::Client client("127.0.0.1", run.cluster.Listen(i));
+    client.set_read_timeout(4);
+    for (const bool streams : { false, true }) {
+      const bool serves = wg::test::WaitFor(
+        [&] { return SendOne(run, client, streams).status == StatusOk; },
+        RecoveryLimit);
+      run.record.unservedAtEnd += serves ? 0 : 1;
+    }
+  }
+  std::string read;
+  const bool isRead = wg::test::WaitFor(
+    [&] {
+      read = run.cluster.ReadBack(0);
+      return !read.empty();
+    },
+    RecoveryLimit);
+  run.record.readAtEnd =
+    isRead ? nlohmann::json::parse(read)["version"].get<std::int64_t>() : 0;
+  run.record.acknowledged = run.acknowledged;
+}
+
+void GatherRuns(Run& run)
+{
+  for (const auto& endpoint : run.endpoints) {
+    for (const auto& [id, runs] : endpoint->standin.RunsByRequest()) {
+      run.record.runs[id] += runs;
+    }
+    run.record.unsoundPieces += endpoint->standin.UnsoundPieces();
+  }
+}
+
+std::vector<std::string> RunSeed(std::uint64_t seed, int seconds)
+{
+  Run run(seed);
+  run.cluster.AwaitServing();
+  std::thread heartbeats([&run] { SendHeartbeats(run); });
+  std::vector<std::thread> threads;
+  for (int i = 0; i < CallerThreads; ++i) {
+    threads.emplace_back([&run, i] { SendRequests(run, i); });
+  }
+  threads.emplace_back([&run] { PublishDocuments(run); });
+  threads.emplace_back([&run] { ReadDocuments(run); });
+  Faults(run).Go(absl::Seconds(seconds));
+  absl::SleepFor(Settling);
+  run.stopping = true;
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  heartbeats.join();
+  run.stopping = false;
+  std::thread again([&run] { SendHeartbeats(run); });
+  AskAtEnd(run);
+  run.stopping = true;
+  again.join();
+  GatherRuns(run);
+  int served = 0;
+  for (const SoakRequest& request : run.record.requests) {
+    served += request.status == StatusOk ? 1 : 0;
+  }
+  std::printf(
+    "seed %llu: %zu requests, %d served, %lld documents, %zu "
+    "reads\n",
+    static_cast<unsigned long long>(seed), run.record.requests.size(), served,
+    static_cast<long long>(run.record.acknowledged), run.record.reads.size());
+  return CheckSoak(run.record);
+}
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+  try {
+    TCLAP::CmdLine line("Soaks gateways and control boxes in faults.");
+    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "The first seed.", false,
+                                        1, "number", line);
+    TCLAP::ValueArg<int> seeds("", "seeds", "How many seeds.", false, 1,
+                               "number", line);
+    TCLAP::ValueArg<int> seconds("", "seconds", "Seconds of faults a seed.",
+                                 false, 10, "seconds", line);
+    line.parse(argc, argv);
+    int broken = 0;
+    for (int i = 0; i < seeds.getValue(); ++i) {
+      const std::uint64_t now =
+        seed.getValue() + static_cast<std::uint64_t>(i);
+      const auto findings = RunSeed(now, seconds.getValue());
+      for (const std::string& finding : findings) {
+        std::printf("seed %llu: %s\n", static_cast<unsigned long long>(now),
+                    finding.c_str());
+      }
+      broken += findings.empty() ? 0 : 1;
+      std::fflush(stdout);
+    }
+    std::printf("%d of %d seeds broke a promise.\n", broken, seeds.getValue());
+    return broken == 0 ? 0 : 1;
+  } catch (const TCLAP::ArgException& error) {
+    std::fprintf(stderr, "%s\n", error.error().c_str());
+    return 2;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "%s\n", error.what());
+    return 2;
+  }
+}
--- /dev/null
+++ b/Tests/Platform/wgPlatformSoakCheck.h
@@ -0,0 +1,45 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+
+namespace wg::test {
+
+/** \brief What one caller saw of a request. */
+struct SoakRequest
+{
+  std::string id;
+  std::string expected; // the whole body of a success
+  int status = 0;       // 0: no whole answer came
+  std::string body;
+  std::string sealedBy; // the endpoint that signed a success
+};
+
+/** \brief What one reader of the document saw. */
+struct SoakRead
+{
+  std::int64_t acknowledgedBefore = 0; // the highest, well before the read
+  std::int64_t number = 0;
+};
+
+/** \brief All that was seen from outside. */
+struct SoakRecord
+{
+  std::vector<SoakRequest> requests;
+  std::map<std::string, int> runs; // by request, over all endpoints
+  int unsoundPieces = 0;
+  std::vector<SoakRead> reads;
+  std::int64_t acknowledged = 0; // the highest document
+  std::int64_t readAtEnd = 0;
+  int unservedAtEnd = 0; // gateways that serve nothing once all is whole
+};
+
+/** \brief A sentence for each promise that was broken. */
+std::vector<std::string> CheckSoak(const SoakRecord& record);
+
+} // namespace wg::test
--- /dev/null
+++ b/Tests/Platform/wgPlatformSoakCheckTest.cxx
@@ -0,0 +1,99 @@
+// SPDX-License-Identifier: Apache-2.0
+// The soak's checker finds each fault that is planted in a sound record.
+#include <catch2/catch.hpp>
+
+#include "wgPlatformSoakCheck.h"
+
+namespace {
+
+using wg::test::CheckSoak;
+using wg::test::SoakRecord;
+
+SoakRecord Sound()
+{
+  SoakRecord record;
+  record.requests = { { "a", "a|x", 200, "a|x", "i-1" },
+                      { "b", "b|x", 503, "", "" },
+                      { "c", "c|x", 502, "", "" },
+                      { "d", "d|x", 0, "", "" } };
+  record.runs = { { "a", 1 }, { "c", 1 } };
+  record.reads = { { 3, 3 }, { 3, 4 } };
+  record.acknowledged = 4;
+  record.readAtEnd = 4;
+  return record;
+}
+
+/** The one finding, by its first word. */
+std::string Found(const SoakRecord& record)
+{
+  const auto findings = CheckSoak(record);
+  REQUIRE(findings.size() == 1);
+  return findings[0].substr(0, findings[0].find(':'));
+}
+
+} // namespace
+
+TEST_CASE("A sound record has no finding")
+{
+  CHECK(CheckSoak(Sound()).empty());
+}
+
+TEST_CASE("Each planted fault is found")
+{
+  SoakRecord record = Sound();
+  SECTION("another request's answer")
+  {
+    record.requests[0].body = "c|x";
+    CHECK(Found(record) == "MIXED");
+  }
+  SECTION("an answer that was cut")
+  {
+    record.requests[0].body = "a|";
+    CHECK(Found(record) == "MIXED");
+  }
+  SECTION("an answer without a signature")
+  {
+    record.requests[0].sealedBy.clear();
+    CHECK(Found(record) == "MIXED");
+  }
+  SECTION("an answer without a run")
+  {
+    record.runs.erase("a");
+    CHECK(Found(record) == "MIXED");
+  }
+  SECTION("a promise that does not hold")
+  {
+    record.runs["b"] = 1;
+    CHECK(Found(record) == "REFUSED");
+  }
+  SECTION("a second run")
+  {
+    record.runs["c"] = 2;
+    CHECK(Found(record) == "TWICE");
+  }
+  SECTION("a run that nobody asked for")
+  {
+    record.runs["e"] = 1;
+    CHECK(Found(record) == "UNASKED");
+  }
+  SECTION("inputs of another request")
+  {
+    record.unsoundPieces = 1;
+    CHECK(Found(record) == "MIXED");
+  }
+  SECTION("an older document")
+  {
+    record.reads.push_back({ 4, 3 });
+    CHECK(Found(record) == "CONFIG");
+  }
+  SECTION("a lost document")
+  {
+    record.readAtEnd = 3;
+    CHECK(Found(record) == "LOST");
+  }
+  SECTION("a gateway that does not come back")
+  {
+    record.unservedAtEnd = 1;
+    CHECK(Found(record) == "RECOVER");
+  }
+}
--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -31,7 +31,8 @@
     server_ = std::make_unique<HttpServer>(
       thread_.Loop(), [this](const Exchange& e) { OnRequest(e); });
     const bool listens = Succeeded(server_->Start("127.0.0.1", 0));
-    address_ = absl::StrCat("127.0.0.1:", server_->Port());
+    port_ = server_->Port();
+    address_ = absl::StrCat("127.0.0.1:", port_);
     return listens;
   });
 }
@@ -108,6 +109,7 @@
       sound &= input.get<std::string>().find("/" + request + ".") !=
                std::string::npos;
     }
+    unsoundPieces_ += sound ? 0 : 1;
     items.push_back(
       sound ? Json{ { "handle", absl::StrCat(address_, "/", request, ".",
                                              item["phase"].get<int>(), ".",
@@ -165,6 +167,12 @@
   return found == runs_.end() ? 0 : found->second;
 }
 
+std::map<std::string, int> PlatformStandin::RunsByRequest() const
+{
+  absl::MutexLock lock(&mutex_);
+  return runs_;
+}
+
 int PlatformStandin::AllRuns() const
 {
   absl::MutexLock lock(&mutex_);
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -34,6 +34,9 @@
   ~PlatformStandin();
 
   const std::string& Address() const { return address_; }
+  int Port() const { return port_; }
+  /** \brief Registers, and names results, as if it were there. */
+  void AppearAt(const std::string& address) { address_ = address; }
   const std::string& Id() const { return id_; }
   void SetConduct(StandinConduct conduct) { conduct_ = conduct; }
   /** \brief How long a call of a stage takes. */
@@ -42,6 +45,10 @@
   void GoOn();
 
   int Runs(const std::string& request) const;
+  /** \brief How often each request was run. */
+  std::map<std::string, int> RunsByRequest() const;
+  /** \brief Pieces that were given no input or another request's. */
+  int UnsoundPieces() const { return unsoundPieces_; }
   int AllRuns() const;
   int Pieces() const { return pieces_; }
   int Released() const { return released_; }
@@ -59,10 +66,12 @@
 
   std::string id_;
   std::string address_;
+  int port_ = 0;
   std::atomic<StandinConduct> conduct_{ StandinConduct::Answer };
   std::atomic<int> callMs_{ 5 };
   std::atomic<int> pieces_{ 0 };
   std::atomic<int> released_{ 0 };
+  std::atomic<int> unsoundPieces_{ 0 };
   int sequence_ = 0;
   mutable absl::Mutex mutex_;
   std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_);
--- a/Tests/Process/wgForwarder.cxx
+++ b/Tests/Process/wgForwarder.cxx
@@ -2,6 +2,7 @@
 #include "wgForwarder.h"
 
 #include <array>
+#include <chrono>
 #include <list>
 #include <stdexcept>
 #include <vector>
@@ -48,6 +49,12 @@
   return got > 0;
 }
 
+void ResetOnClose(const FileDescriptor& socket)
+{
+  const linger atOnce{ 1, 0 };
+  setsockopt(socket.Get(), SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+}
+
 } // namespace
 
 Forwarder::Forwarder(int listenPort, int targetPort)
@@ -88,12 +95,22 @@
         wires.push_back({ std::move(near), std::move(Value(far)), false });
       }
     }
+    if (reset_.exchange(false)) {
+      for (const Wire& wire : wires) {
+        ResetOnClose(wire.near);
+        ResetOnClose(wire.far);
+      }
+      wires.clear();
+    }
     if (cut_) {
       continue;
     }
+    if (const int ms = delayMs_; ms > 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(ms));
+    }
     for (Wire& wire : wires) {
       wire.broken = !Pass(wire.near, wire.far, passed_) ||
-                    !Pass(wire.far, wire.near, passed_);
+                    (!answersCut_ && !Pass(wire.far, wire.near, passed_));
     }
     wires.remove_if([](const Wire& wire) { return wire.broken; });
   }
--- a/Tests/Process/wgForwarder.h
+++ b/Tests/Process/wgForwarder.h
@@ -22,7 +22,18 @@
   Forwarder(int listenPort, int targetPort);
   ~Forwarder();
   void Cut() { cut_ = true; }
-  void Mend() { cut_ = false; }
+  /** \brief Passes requests on and no answers. */
+  void CutAnswers() { answersCut_ = true; }
+  /** \brief Holds all that passes for so long. */
+  void Delay(int ms) { delayMs_ = ms; }
+  /** \brief Resets the connections that are open now. */
+  void Reset() { reset_ = true; }
+  void Mend()
+  {
+    cut_ = false;
+    answersCut_ = false;
+    delayMs_ = 0;
+  }
   /** \brief Bytes passed on so far, both ways. */
   std::uint64_t Passed() const { return passed_; }
 
@@ -33,6 +44,9 @@
   int targetPort_;
   FileDescriptor listening_;
   std::atomic<bool> cut_{ false };
+  std::atomic<bool> answersCut_{ false };
+  std::atomic<bool> reset_{ false };
+  std::atomic<int> delayMs_{ 0 };
   std::atomic<std::uint64_t> passed_{ 0 };
   std::atomic<bool> stopping_{ false };
   std::thread thread_;
