Gateway: work that ends while it is taken no longer leaves a name behind

Cause: found by reading. Submit passed the pool's name by reference out of the work's own record to the step that makes calls; that step first settles pieces that are late, and with the last one the record is gone. Change: the name is a local of Submit. A test submits work without time left; under the address sanitizer it shows what the old code does. Ruled out: the other callers pass names of their own or of the pools.

--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -82,13 +82,14 @@
 void StageCoordinator::Submit(const wire::StageWork& work, Done done)
 {
   const Elapsed now = ElapsedNow();
-  const WorkKey key{ work.box(), work.work() };
+  const WorkKey workKey{ work.box(), work.work() };
   Cancel(work.box(), work.work()); // sent again by who doubted this box
-  Work& state = works_[key];
-  state.pool = { work.service(), work.pool_hall() };
+  Work& state = works_[workKey];
+  const StagePoolKey key{ work.service(), work.pool_hall() };
+  state.pool = key;
   state.done = std::move(done);
   state.missing = work.items_size();
-  StagePool& pool = PoolOf(state.pool);
+  StagePool& pool = PoolOf(key);
   const auto inputs = std::make_shared<const std::vector<std::string>>(
     work.inputs().begin(), work.inputs().end());
   for (int i = 0; i < work.items_size(); ++i) {
@@ -108,7 +109,7 @@
     piece.finishBy = piece.due - absl::Milliseconds(work.after_ms());
     piece.deadline = now + absl::Milliseconds(work.left_ms());
     piece.rank = static_cast<int>(work.rank());
-    owners_[piece.ticket] = { key, i };
+    owners_[piece.ticket] = { workKey, i };
     state.tickets.push_back(piece.ticket);
     state.reply.add_results();
     NoteRequest(retries_[work.service()], now);
@@ -116,7 +117,7 @@
   }
   metrics_.Count("stage_pieces_taken",
                  static_cast<std::uint64_t>(work.items_size()));
-  Pump(state.pool);
+  Pump(key); // the work may end here
 }
 
 void StageCoordinator::Cancel(const std::string& box, std::uint64_t work)
--- a/Tests/Gateway/wgStageCoordinatorTest.cxx
+++ b/Tests/Gateway/wgStageCoordinatorTest.cxx
@@ -119,15 +119,15 @@
     server.reset();
   }
 
-  void Submit(std::uint64_t number, int pieces)
+  void Submit(std::uint64_t number, int pieces, int leftMs = 20000)
   {
-    thread.Do([this, number, pieces] {
+    thread.Do([this, number, pieces, leftMs] {
       wg::wire::StageWork work;
       work.set_box("box");
       work.set_work(number);
       work.set_service("svc");
       work.set_request(absl::StrCat("r", number));
-      work.set_left_ms(20000);
+      work.set_left_ms(leftMs);
       work.set_due_ms(20000);
       work.set_result_bytes(100);
       for (int i = 0; i < pieces; ++i) {
@@ -367,3 +367,13 @@
   // What is not known here is not taken to stay for ever.
   CHECK(f.AnswerNext() == "r2.0\n");
 }
+
+TEST_CASE("Work that is late at once ends, and others go on")
+{
+  Fixture f;
+  f.Submit(1, 2, 0); // it ends while it is taken
+  CHECK(f.Eventually([&] { return f.ended[1] == 1; }));
+  CHECK(f.replies[1].results(0).state() == ItemResult::LATE);
+  f.Submit(2, 1);
+  CHECK(f.AnswerNext() == "r2.0\n");
+}
