Tests: a lack of room is read as what it is

The test expected that "room" is read as a failure like any other. Since the room of results is counted apart it has a state of its own (NO_ROOM); the test expects that, and "error" beside it as the failure it was.

--- a/Tests/Platform/wgPlatformTest.cxx
+++ b/Tests/Platform/wgPlatformTest.cxx
@@ -180,15 +180,16 @@
   using State = wg::wire::StageItemResult;
   const auto read = wg::detail::ReadPlatformStageAnswer(
     R"({"items": [{"handle": "10.1.64.7:8080/91bd"}, {"reason": "gone"},
-        {"reason": "late"}, {"reason": "room"}, {}]})");
+        {"reason": "late"}, {"reason": "room"}, {"reason": "error"}, {}]})");
   REQUIRE(wg::Succeeded(read));
   const auto& results = wg::Value(read);
-  REQUIRE(results.size() == 5);
+  REQUIRE(results.size() == 6);
   CHECK(results[0].handle() == "10.1.64.7:8080/91bd");
   CHECK(results[1].state() == State::INPUT_GONE);
   CHECK(results[2].state() == State::LATE);
-  CHECK(results[3].state() == State::FAILED);
+  CHECK(results[3].state() == State::NO_ROOM);
   CHECK(results[4].state() == State::FAILED);
+  CHECK(results[5].state() == State::FAILED);
   for (const char* text :
        { "", "{}", "[]", R"({"items": 3})", R"({"items": ["x"]})" }) {
     CHECK_FALSE(wg::Succeeded(wg::detail::ReadPlatformStageAnswer(text)));
