Gateway: one box chooses the engines for the prompts of all

Each box chose by what it had sent itself.

Ruled out: the stages (calls were half full with 1.7 endpoints free on the mean, and late requests had been sent at 0.9 s of 1.7); telling each send to all boxes (75 boxes: 17,000 messages a second).

Change: a request asks the highest box in rendezvous order, as for stages, which knows what each engine still has to read, which parts it holds, how fast it is and how often it failed, for all boxes; it is told when reading ends. One that begins to choose learns from the others what they sent and what was placed; after a restart of all, the first in order is taken to hold parts.

--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -12,8 +12,6 @@
 constexpr absl::Duration FirstAvoidance = absl::Milliseconds(250);
 constexpr absl::Duration LongestAvoidance = absl::Seconds(4);
 constexpr absl::Duration EndedMemory = absl::Minutes(3);
-constexpr double FailureDecay = 0.85;
-constexpr double FailureMemorySeconds = 4.0;
 
 bool Supersedes(const Registration& news, const DirectoryEndpoint& known)
 {
@@ -132,17 +130,9 @@
   return newest;
 }
 
-double FailureShareNow(const DirectoryEndpoint& endpoint, Elapsed now)
-{
-  const double age = absl::ToDoubleSeconds(now - endpoint.failureNoted);
-  return endpoint.failureShare * std::exp(-age / FailureMemorySeconds);
-}
-
 void NoteAttempt(DirectoryEndpoint& endpoint, bool failed, Elapsed now)
 {
-  endpoint.failureShare = FailureDecay * FailureShareNow(endpoint, now) +
-                          (failed ? 1.0 - FailureDecay : 0.0);
-  endpoint.failureNoted = now;
+  NoteOutcome(endpoint.failures, failed, now);
   if (!failed) {
     endpoint.failuresInRow = 0;
     endpoint.avoidUntil = absl::ZeroDuration();
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -9,6 +9,7 @@
 #include "absl/strings/string_view.h"
 
 #include "wgElapsed.h"
+#include "wgFailureShare.h"
 #include "wgHallReach.h"
 #include "wgPeer.pb.h"
 
@@ -30,9 +31,8 @@
   int running = 0;           // requests of this box
   double pendingSeconds = 0; // prompt reading that this box has asked for
   int failuresInRow = 0;
-  Elapsed failureNoted;
-  double failureShare = 0.0; // of the recent attempts, decaying
-  Elapsed avoidUntil;        // after failures
+  FailureShare failures; // of this box's attempts
+  Elapsed avoidUntil;    // after failures
 };
 
 /** \brief All endpoints that this box knows. */
@@ -75,11 +75,6 @@
 const DirectoryEndpoint* FindByAddress(const Directory& directory,
                                        absl::string_view address);
 
-/** \brief The share of recent attempts that failed. It fades with time, or an
- * endpoint that failed would never be tried again.
- */
-double FailureShareNow(const DirectoryEndpoint& endpoint, Elapsed now);
-
 /** \brief Takes the end of an attempt in: failures in a row keep new work
  * away, for longer each time.
  */
--- a/Source/Gateway/wgEndpointChoice.cxx
+++ b/Source/Gateway/wgEndpointChoice.cxx
@@ -46,9 +46,7 @@
   if (prompt.parts.empty()) {
     return ranked;
   }
-  const std::size_t deepest =
-    prompt.parts.size() > 1 ? prompt.parts.size() - 2 : 0;
-  const std::string& key = prompt.parts[deepest].id;
+  const std::string& key = DeepestSharedPart(prompt).id;
   std::vector<std::pair<std::uint64_t, DirectoryEndpoint*>> weighed;
   weighed.reserve(ranked.size());
   for (DirectoryEndpoint* endpoint : ranked) {
@@ -63,6 +61,12 @@
 
 } // namespace
 
+const PromptPart& DeepestSharedPart(const PromptShape& prompt)
+{
+  const std::size_t count = prompt.parts.size();
+  return prompt.parts[count > 1 ? count - 2 : 0];
+}
+
 std::uint64_t RendezvousWeight(absl::string_view key, absl::string_view name)
 {
   const XXH64_hash_t seed = XXH64(key.data(), key.size(), 0);
@@ -98,7 +102,7 @@
     const double load =
       static_cast<double>(endpoint->running) / endpoint->slots +
       (endpoint->hall == query.hall ? 0.0 : query.otherHallSeconds) +
-      FailureShareNow(*endpoint, query.now) * FailureSeconds +
+      ShareNow(endpoint->failures, query.now) * FailureSeconds +
       absl::Uniform<double>(random, 0.0, query.otherHallSeconds / 2);
     if (load < least) {
       least = load;
@@ -131,7 +135,7 @@
       likelyHeld ? 0.0 : (ReadAgainWeight - 1.0) * sharedSeconds;
     const double finish =
       engine.pendingSeconds + read + again + engine.running * StreamSeconds +
-      FailureShareNow(engine, query.now) * FailureSeconds +
+      ShareNow(engine.failures, query.now) * FailureSeconds +
       (engine.hall == query.hall ? 0.0 : query.otherHallSeconds) +
       static_cast<double>(std::min(rank, RankedEngines)) * RankSeconds;
     if (finish < soonest) {
--- a/Source/Gateway/wgEndpointChoice.h
+++ b/Source/Gateway/wgEndpointChoice.h
@@ -28,6 +28,11 @@
   std::int64_t tokensOut = 0;
 };
 
+/** \brief The last part that other requests may have; of a prompt that has
+ * parts.
+ */
+const PromptPart& DeepestSharedPart(const PromptShape& prompt);
+
 /** \brief Reads "id:tokens,id:tokens". */
 std::vector<PromptPart> ParsePromptParts(absl::string_view text);
 
--- /dev/null
+++ b/Source/Gateway/wgEngineCoordinator.cxx
@@ -0,0 +1,140 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgEngineCoordinator.h"
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace wg {
+namespace {
+
+constexpr double MicrosInSecond = 1e6;
+constexpr double MsInSecond = 1e3;
+constexpr int MostTold = 4000;
+
+EngineQuery ReadQuery(const wire::EngineAsk& ask,
+                      const std::vector<std::string>& avoid, Elapsed now)
+{
+  EngineQuery query;
+  query.key = { ask.box(), ask.read() };
+  query.prompt.tokensIn = ask.tokens_in();
+  for (const wire::PromptPartSize& part : ask.parts()) {
+    query.prompt.parts.push_back({ part.id(), part.tokens() });
+  }
+  query.choice.now = now;
+  query.choice.hall = ask.hall();
+  query.choice.otherHallSeconds =
+    static_cast<double>(ask.other_hall_us()) / MicrosInSecond;
+  query.choice.avoid = avoid;
+  return query;
+}
+
+std::vector<DirectoryEndpoint*> EnginesOf(Directory& directory,
+                                          const StagePoolKey& key, Elapsed now)
+{
+  std::vector<DirectoryEndpoint*> engines;
+  for (DirectoryEndpoint* engine :
+       SoundEndpoints(directory, key.service, now)) {
+    if (key.hall.empty() || engine->hall == key.hall) {
+      engines.push_back(engine);
+    }
+  }
+  return engines;
+}
+
+} // namespace
+
+EngineCoordinator::EngineCoordinator(Directory& directory, bool isRestarted,
+                                     GatewayMetrics& metrics, DecisionLog& log)
+  : directory_(directory)
+  , guessUntil_(isRestarted ? ElapsedNow() + PartsHeldFor : Elapsed())
+  , metrics_(metrics)
+  , log_(log)
+{
+}
+
+wire::EngineAnswer EngineCoordinator::Place(const wire::EngineAsk& ask)
+{
+  const Elapsed now = ElapsedNow();
+  const StagePoolKey key{ ask.service(), ask.pool_hall() };
+  const std::vector<std::string> avoid(ask.avoid().begin(), ask.avoid().end());
+  EngineQuery query = ReadQuery(ask, avoid, now);
+  query.speed = speed_;
+  EnginePool& pool = pools_[key];
+  if (MissesNews(pool, now) && begin_) {
+    begin_(key);
+  }
+  pool.guessUntil = guessUntil_;
+  const EnginePlacement placed =
+    PlacePrompt(pool, EnginesOf(directory_, key, now), query);
+  metrics_.Count("engines_asked");
+  wire::EngineAnswer answer;
+  if (placed.endpoint == nullptr) {
+    return answer;
+  }
+  answer.set_endpoint(placed.endpoint->id);
+  answer.set_read_us(
+    static_cast<std::int64_t>(placed.readSeconds * MicrosInSecond));
+  answer.set_wait_us(
+    static_cast<std::int64_t>(placed.waitSeconds * MicrosInSecond));
+  log_.Write(LogWeight::Routine, "engine_chosen",
+             { { "request", ask.request() },
+               { "asked_by", ask.box() },
+               { "endpoint", placed.endpoint->id },
+               { "tokens", ask.tokens_in() },
+               { "read_ms", placed.readSeconds * MsInSecond },
+               { "wait_ms", placed.waitSeconds * MsInSecond } });
+  return answer;
+}
+
+void EngineCoordinator::Learn(const StagePoolKey& key,
+                              const wire::EnginePrompts& prompts)
+{
+  const Elapsed now = ElapsedNow();
+  EnginePool& pool = pools_[key];
+  guessUntil_ =
+    std::min(guessUntil_, now + absl::Milliseconds(prompts.guess_ms()));
+  for (const wire::EnginePrompt& prompt : prompts.prompts()) {
+    const std::vector<std::uint64_t> paths(prompt.paths().begin(),
+                                           prompt.paths().end());
+    NoteHolder(pool, paths, prompt.endpoint(),
+               now - absl::Milliseconds(prompt.age_ms()));
+  }
+  metrics_.Count("engine_prompts_learned",
+                 static_cast<std::uint64_t>(prompts.prompts_size()));
+}
+
+void EngineCoordinator::AddKnown(const StagePoolKey& key,
+                                 wire::EnginePrompts& prompts) const
+{
+  const Elapsed now = ElapsedNow();
+  const absl::Duration guesses =
+    std::max(guessUntil_ - now, absl::ZeroDuration());
+  prompts.set_guess_ms(absl::ToInt64Milliseconds(guesses));
+  auto pool = pools_.find(key);
+  if (pool == pools_.end()) {
+    return;
+  }
+  for (const auto& [path, holders] : pool->second.holders) {
+    for (const PartHolder& holder : holders) {
+      if (prompts.prompts_size() >= MostTold) {
+        return;
+      }
+      wire::EnginePrompt& prompt = *prompts.add_prompts();
+      prompt.set_endpoint(holder.engine);
+      prompt.add_paths(path);
+      prompt.set_age_ms(absl::ToInt64Milliseconds(now - holder.used));
+    }
+  }
+}
+
+void EngineCoordinator::End(const wire::EngineReadEnd& end)
+{
+  const StagePoolKey key{ end.service(), end.pool_hall() };
+  const EngineReadResult result{
+    static_cast<double>(end.took_us()) / MicrosInSecond, end.failed()
+  };
+  EndRead(pools_[key], { end.box(), end.read() }, result, ElapsedNow());
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgEngineCoordinator.h
@@ -0,0 +1,59 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <functional>
+#include <map>
+#include <utility>
+
+#include "wgDecisionLog.h"
+#include "wgDirectory.h"
+#include "wgEnginePool.h"
+#include "wgGatewayMetrics.h"
+#include "wgPeer.pb.h"
+#include "wgStagePoolKey.h"
+
+namespace wg {
+
+/** \class EngineCoordinator
+ * \brief Chooses engines for the prompts of all boxes that have chosen this
+ * one: it alone sees what all of them have sent.
+ */
+class EngineCoordinator
+{
+public:
+  /** \param isRestarted whether engines may hold what this box sent before it
+   * was started
+   */
+  EngineCoordinator(Directory& directory, bool isRestarted,
+                    GatewayMetrics& metrics, DecisionLog& log);
+
+  /** \return an answer without endpoint when there is none to choose */
+  wire::EngineAnswer Place(const wire::EngineAsk& ask);
+
+  void End(const wire::EngineReadEnd& end);
+
+  /** \brief What boxes have sent before this one was asked. */
+  void Learn(const StagePoolKey& key, const wire::EnginePrompts& prompts);
+
+  /** \brief What this box knows of a pool's engines, not all if it is much. */
+  void AddKnown(const StagePoolKey& key, wire::EnginePrompts& prompts) const;
+
+  /** \brief Is called when this box begins to choose for a pool: others know
+   * what it has missed.
+   */
+  void OnBegin(std::function<void(const StagePoolKey&)> begin)
+  {
+    begin_ = std::move(begin);
+  }
+
+private:
+  Directory& directory_;
+  Elapsed guessUntil_;
+  GatewayMetrics& metrics_;
+  DecisionLog& log_;
+  EngineSpeed speed_;
+  std::function<void(const StagePoolKey&)> begin_;
+  std::map<StagePoolKey, EnginePool> pools_;
+};
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgEnginePool.cxx
@@ -0,0 +1,310 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgEnginePool.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <numeric>
+
+#include <xxhash.h>
+
+namespace wg {
+namespace {
+
+constexpr double FailureSeconds = 2.0;
+/** Reading a shared part again is weighed above its time. */
+constexpr double ReadAgainWeight = 2.5;
+/** Boxes that choose alone rank engines so: equals are chosen likewise. */
+constexpr double RankSeconds = 0.04;
+constexpr std::size_t RankedEngines = 3;
+constexpr absl::Duration PrunePeriod = absl::Seconds(5);
+constexpr std::size_t MostParts = 20000;
+/** A box that has sent a prompt may end before it tells of its end. */
+constexpr double ForgottenFactor = 3.0;
+constexpr double ForgottenSeconds = 3.0;
+/** What an answer takes besides reading: fetches, the first step. */
+constexpr double BaseSeconds = 0.03;
+/** After such a pause another box may have been asked. */
+constexpr absl::Duration LongestPause = absl::Seconds(2);
+constexpr double SlownessWeight = 0.2;
+constexpr double SlownessMemorySeconds = 10.0;
+constexpr double LeastSlowness = 0.5;
+constexpr double MostSlowness = 10.0;
+
+double SlownessOf(const EngineLoad& load, Elapsed now)
+{
+  const double age = absl::ToDoubleSeconds(now - load.slownessNoted);
+  return 1.0 + (load.slowness - 1.0) * std::exp(-age / SlownessMemorySeconds);
+}
+
+bool Holds(const EnginePool& pool, std::uint64_t path,
+           const std::string& engine, Elapsed now)
+{
+  auto found = pool.holders.find(path);
+  return found != pool.holders.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [&engine, now](const PartHolder& holder) {
+                       return holder.engine == engine &&
+                              now - holder.used < PartsHeldFor;
+                     });
+}
+
+bool IsHeld(const EnginePool& pool, std::uint64_t path, Elapsed now)
+{
+  auto found = pool.holders.find(path);
+  return found != pool.holders.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [now](const PartHolder& holder) {
+                       return now - holder.used < PartsHeldFor;
+                     });
+}
+
+/** What an engine would read of a prompt, in tokens. */
+struct TokensToRead
+{
+  double all = 0.0;
+  double again = 0.0; // of these, what another engine holds
+};
+
+TokensToRead CountTokens(const EnginePool& pool, const EngineQuery& query,
+                         absl::Span<const std::uint64_t> paths,
+                         const std::string& engine, bool isFirst)
+{
+  const Elapsed now = query.choice.now;
+  const bool guesses = isFirst && now < pool.guessUntil;
+  TokensToRead tokens;
+  double named = 0.0;
+  bool holds = true;
+  for (std::size_t i = 0; i < paths.size(); ++i) {
+    const auto size = static_cast<double>(query.prompt.parts[i].tokens);
+    named += size;
+    const bool known = IsHeld(pool, paths[i], now);
+    const bool guessed = guesses && !known && i + 1 < paths.size();
+    holds = holds && (guessed || Holds(pool, paths[i], engine, now));
+    if (!holds) {
+      tokens.all += size;
+      tokens.again += known ? size : 0.0;
+    }
+  }
+  const auto asked = static_cast<double>(query.prompt.tokensIn);
+  tokens.all += std::max(0.0, asked - named);
+  return tokens;
+}
+
+void NoteHolderOf(EnginePool& pool, std::uint64_t path,
+                  const std::string& engine, Elapsed when)
+{
+  auto& holders = pool.holders[path];
+  auto kwhenn = std::find_if(
+    holders.begin(), holders.end(),
+    [&engine](const PartHolder& holder) { return holder.engine == engine; });
+  if (kwhenn == holders.end()) {
+    holders.push_back({ engine, when });
+  } else {
+    kwhenn->used = when;
+  }
+}
+
+void ForgetOldParts(EnginePool& pool, Elapsed now)
+{
+  if (now - pool.pruned < PrunePeriod && pool.holders.size() < MostParts) {
+    return;
+  }
+  pool.pruned = now;
+  for (auto part = pool.holders.begin(); part != pool.holders.end();) {
+    auto& holders = part->second;
+    holders.erase(std::remove_if(holders.begin(), holders.end(),
+                                 [now](const PartHolder& holder) {
+                                   return now - holder.used >= PartsHeldFor;
+                                 }),
+                  holders.end());
+    part = holders.empty() ? pool.holders.erase(part) : std::next(part);
+  }
+  if (pool.holders.size() >= MostParts) {
+    pool.holders.clear();
+  }
+}
+
+void NoteSpeed(EngineLoad& load, const EngineRead& read, double tookSeconds,
+               Elapsed now)
+{
+  const double before = SlownessOf(load, now);
+  const double expected = read.waitSeconds + read.seconds + BaseSeconds;
+  const double ratio =
+    std::clamp(before * tookSeconds / expected, LeastSlowness, MostSlowness);
+  load.slowness = before + SlownessWeight * (ratio - before);
+  load.slownessNoted = now;
+}
+
+void RemoveRead(EngineLoad& load, std::vector<EngineRead>::iterator read,
+                Elapsed now)
+{
+  if (read == load.reads.begin()) {
+    load.headFrom = now;
+  }
+  load.reads.erase(read);
+}
+
+void ForgetOldReads(EngineLoad& load, Elapsed now)
+{
+  const auto isOld = [now](const EngineRead& read) {
+    const double expected = read.waitSeconds + read.seconds;
+    return absl::ToDoubleSeconds(now - read.sent) >
+           ForgottenFactor * expected + ForgottenSeconds;
+  };
+  for (auto read = load.reads.begin(); read != load.reads.end();) {
+    if (isOld(*read)) {
+      const auto at = read - load.reads.begin();
+      RemoveRead(load, read, now);
+      read = load.reads.begin() + at;
+    } else {
+      ++read;
+    }
+  }
+}
+
+void ForgetGoneEngines(EnginePool& pool,
+                       absl::Span<DirectoryEndpoint* const> engines)
+{
+  for (auto load = pool.engines.begin(); load != pool.engines.end();) {
+    const bool serves = std::any_of(
+      engines.begin(), engines.end(),
+      [&load](const DirectoryEndpoint* e) { return e->id == load->first; });
+    load = serves || !load->second.reads.empty() ? std::next(load)
+                                                 : pool.engines.erase(load);
+  }
+}
+
+/** What an engine's place in rendezvous order adds, in seconds. */
+std::vector<double> RankedSeconds(absl::Span<DirectoryEndpoint* const> engines,
+                                  const PromptShape& prompt)
+{
+  std::vector<double> seconds(engines.size(), 0.0);
+  if (prompt.parts.empty()) {
+    return seconds;
+  }
+  const std::string& key = DeepestSharedPart(prompt).id;
+  std::vector<std::uint64_t> weights;
+  weights.reserve(engines.size());
+  for (const DirectoryEndpoint* engine : engines) {
+    weights.push_back(RendezvousWeight(key, engine->id));
+  }
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    const auto rank = static_cast<std::size_t>(std::count_if(
+      weights.begin(), weights.end(),
+      [own = weights[i]](std::uint64_t weight) { return weight > own; }));
+    seconds[i] =
+      static_cast<double>(std::min(rank, RankedEngines)) * RankSeconds;
+  }
+  return seconds;
+}
+
+} // namespace
+
+std::vector<std::uint64_t> HashPaths(const PromptShape& prompt)
+{
+  std::vector<std::uint64_t> paths;
+  std::uint64_t path = 0;
+  for (const PromptPart& part : prompt.parts) {
+    path = XXH64(part.id.data(), part.id.size(), path);
+    paths.push_back(path);
+  }
+  return paths;
+}
+
+bool MissesNews(const EnginePool& pool, Elapsed now)
+{
+  return now - pool.placed > LongestPause;
+}
+
+void NoteHolder(EnginePool& pool, absl::Span<const std::uint64_t> paths,
+                const std::string& engine, Elapsed when)
+{
+  for (const std::uint64_t path : paths) {
+    NoteHolderOf(pool, path, engine, when);
+  }
+}
+
+/** One that is late is taken to last as long again as it is late. */
+double BacklogSeconds(const EngineLoad& load, Elapsed now)
+{
+  if (load.reads.empty()) {
+    return 0.0;
+  }
+  const double head = load.reads.front().seconds;
+  const double others = std::accumulate(
+    load.reads.begin() + 1, load.reads.end(), 0.0,
+    [](double sum, const EngineRead& read) { return sum + read.seconds; });
+  const double done = absl::ToDoubleSeconds(now - load.headFrom);
+  return std::abs(head - done) + others;
+}
+
+EnginePlacement PlacePrompt(EnginePool& pool,
+                            absl::Span<DirectoryEndpoint* const> engines,
+                            const EngineQuery& query)
+{
+  const Elapsed now = query.choice.now;
+  pool.placed = now;
+  ForgetOldParts(pool, now);
+  ForgetGoneEngines(pool, engines);
+  const std::vector<std::uint64_t> paths = HashPaths(query.prompt);
+  const std::vector<double> ranked = RankedSeconds(engines, query.prompt);
+  const auto& avoid = query.choice.avoid;
+  EnginePlacement best;
+  double soonest = std::numeric_limits<double>::infinity();
+  for (std::size_t i = 0; i < engines.size(); ++i) {
+    DirectoryEndpoint* engine = engines[i];
+    if (std::find(avoid.begin(), avoid.end(), engine->id) != avoid.end()) {
+      continue;
+    }
+    EngineLoad& load = pool.engines[engine->id];
+    ForgetOldReads(load, now);
+    const TokensToRead tokens =
+      CountTokens(pool, query, paths, engine->id, ranked[i] == 0.0);
+    const double perToken =
+      query.speed.secondsPerToken * SlownessOf(load, now);
+    const double wait = BacklogSeconds(load, now);
+    const double read = tokens.all * perToken;
+    const bool isNear = engine->hall == query.choice.hall;
+    const double finish =
+      wait + read + (ReadAgainWeight - 1.0) * tokens.again * perToken +
+      (ShareNow(engine->failures, now) + ShareNow(load.failures, now)) *
+        FailureSeconds +
+      (isNear ? 0.0 : query.choice.otherHallSeconds) + ranked[i];
+    if (finish < soonest) {
+      soonest = finish;
+      best = { engine, read, wait };
+    }
+  }
+  if (best.endpoint == nullptr) {
+    return best;
+  }
+  EngineLoad& load = pool.engines[best.endpoint->id];
+  if (load.reads.empty()) {
+    load.headFrom = now;
+  }
+  load.reads.push_back({ query.key, best.readSeconds, best.waitSeconds, now });
+  NoteHolder(pool, paths, best.endpoint->id, now);
+  return best;
+}
+
+void EndRead(EnginePool& pool, const EngineReadKey& key,
+             const EngineReadResult& result, Elapsed now)
+{
+  for (auto& [id, load] : pool.engines) {
+    auto read = std::find_if(
+      load.reads.begin(), load.reads.end(),
+      [&key](const EngineRead& candidate) { return candidate.key == key; });
+    if (read == load.reads.end()) {
+      continue;
+    }
+    NoteOutcome(load.failures, result.failed, now);
+    if (result.tookSeconds > 0.0) {
+      NoteSpeed(load, *read, result.tookSeconds, now);
+    }
+    RemoveRead(load, read, now);
+    return;
+  }
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgEnginePool.h
@@ -0,0 +1,123 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "absl/types/span.h"
+
+#include "wgDirectory.h"
+#include "wgElapsed.h"
+#include "wgEndpointChoice.h"
+
+namespace wg {
+
+/** \brief Names a prompt that is being read: the box that sent it, and the
+ * box's own number for it.
+ */
+using EngineReadKey = std::pair<std::string, std::uint64_t>;
+
+/** \brief A prompt that an engine has been sent and has not yet answered. */
+struct EngineRead
+{
+  EngineReadKey key;
+  double seconds = 0.0;     // that reading it takes by itself
+  double waitSeconds = 0.0; // that it was expected to wait before
+  Elapsed sent;
+};
+
+/** \brief What an engine has to read, oldest first, and how it did lately. */
+struct EngineLoad
+{
+  std::vector<EngineRead> reads;
+  Elapsed headFrom;      // when it began with the oldest
+  double slowness = 1.0; // measured against what reading should take
+  Elapsed slownessNoted;
+  FailureShare failures; // of all boxes' attempts
+};
+
+/** \brief An engine that has read a part. */
+struct PartHolder
+{
+  std::string engine;
+  Elapsed used;
+};
+
+/** \brief What all boxes have sent to the engines of a service, as the box
+ * knows that chooses engines for them.
+ */
+struct EnginePool
+{
+  std::map<std::string, EngineLoad> engines; // by id
+  /** By a hash of a part and all before it. */
+  std::map<std::uint64_t, std::vector<PartHolder>> holders;
+  Elapsed pruned;
+  Elapsed placed; // the last prompt; none for long: another box was asked
+  /** Until then engines may hold what no box knows of: all were restarted. The
+   * first in rendezvous order is taken to hold a part, as prompts go there
+   * while nothing else is known.
+   */
+  Elapsed guessUntil;
+};
+
+/** \brief A prompt to be placed. */
+struct EngineQuery
+{
+  EngineReadKey key;
+  PromptShape prompt;
+  EngineSpeed speed;
+  ChoiceQuery choice;
+};
+
+/** \brief An engine, null when there is none, and what is expected of it. */
+struct EnginePlacement
+{
+  DirectoryEndpoint* endpoint = nullptr;
+  double readSeconds = 0.0;
+  double waitSeconds = 0.0;
+};
+
+/** \brief One hash for each part of a prompt: of its name and of all before
+ * it. What an engine has read of a part is of use only with those.
+ */
+std::vector<std::uint64_t> HashPaths(const PromptShape& prompt);
+
+/** \brief Whether prompts may have been placed by another box lately. */
+bool MissesNews(const EnginePool& pool, Elapsed now);
+
+/** \brief An engine has been sent prompts with these parts. */
+void NoteHolder(EnginePool& pool, absl::Span<const std::uint64_t> paths,
+                const std::string& engine, Elapsed when);
+
+/** \brief Parts that were not used for so long may have given way to others.
+ */
+constexpr absl::Duration PartsHeldFor = absl::Seconds(30);
+
+/** \brief Seconds until the engine has read what it was sent. */
+double BacklogSeconds(const EngineLoad& load, Elapsed now);
+
+/** \brief Chooses the engine that is expected to begin the answer first and
+ * notes the prompt as sent to it.
+ *
+ * What an engine has read lately it need not read again. Reading anew what
+ * another one holds is weighed above its time.
+ */
+EnginePlacement PlacePrompt(EnginePool& pool,
+                            absl::Span<DirectoryEndpoint* const> engines,
+                            const EngineQuery& query);
+
+/** \brief How a read ended. */
+struct EngineReadResult
+{
+  double tookSeconds = 0.0; // until the first event; 0: there was none
+  bool failed = false;
+};
+
+/** \brief The engine has begun its answer, or never will. */
+void EndRead(EnginePool& pool, const EngineReadKey& key,
+             const EngineReadResult& result, Elapsed now);
+
+} // namespace wg
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -33,6 +33,7 @@
            [this](const std::string& hall) { coordinator_.NoteHallCut(hall); })
   , coordinator_(loop_, client_, directory_, dialect_, releaser_, halls_,
                  metrics_, log_)
+  , engineCoordinator_(directory_, settings_.isRestarted, metrics_, log_)
   , stopTimer_(loop_)
 {
 }
@@ -57,11 +58,15 @@
     loop_, *peerClient_, coordinator_, directory_,
     GatewayMember{ settings_.box, settings_.hall, settings_.peerAddress },
     metrics_);
+  engines_ = std::make_unique<EngineClient>(loop_, *peerClient_, *stages_,
+                                            engineCoordinator_, directory_,
+                                            settings_.box, metrics_);
   shared_.reset(new GatewayShared{ loop_,
                                    dialect_,
                                    directory_,
                                    client_,
                                    *stages_,
+                                   *engines_,
                                    halls_,
                                    metrics_,
                                    log_,
@@ -210,10 +215,46 @@
     "\nweirgate_log_lines_left_out ", log_.LeftOut(), "\n");
 }
 
+bool GatewayNode::OnEnginePeer(const PeerRequest& request,
+                               const PeerServer::Respond& respond)
+{
+  if (request.path == "/engine") {
+    boost::asio::post(loop_, [this, body = request.body, respond] {
+      wire::EngineAsk ask;
+      const bool taken = !stopping_ && ask.ParseFromString(body);
+      respond(taken ? engineCoordinator_.Place(ask).SerializeAsString() : "");
+    });
+    return true;
+  }
+  if (request.path == "/engine-recent") {
+    boost::asio::post(loop_, [this, body = request.body, respond] {
+      wire::EnginePool pool;
+      const bool sound = pool.ParseFromString(body);
+      const StagePoolKey key{ pool.service(), pool.hall() };
+      respond(sound ? engines_->Recent(key).SerializeAsString() : "");
+    });
+    return true;
+  }
+  if (request.path == "/engine-end") {
+    boost::asio::post(loop_, [this, body = request.body] {
+      wire::EngineReadEnd end;
+      if (end.ParseFromString(body)) {
+        engineCoordinator_.End(end);
+      }
+    });
+    respond("");
+    return true;
+  }
+  return false;
+}
+
 /** Runs on the peer server's thread. */
 void GatewayNode::OnPeer(const PeerRequest& request,
                          const PeerServer::Respond& respond)
 {
+  if (OnEnginePeer(request, respond)) {
+    return;
+  }
   if (request.path == "/stage") {
     boost::asio::post(loop_, [this, body = request.body, respond] {
       wire::StageWork work;
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -11,6 +11,7 @@
 #include "wgControlFollower.h"
 #include "wgCounters.h"
 #include "wgDialect.h"
+#include "wgEngineClient.h"
 #include "wgGatewayRequest.h"
 #include "wgHttpServer.h"
 #include "wgPeerServer.h"
@@ -29,6 +30,7 @@
   KeyRing keys;
   std::vector<std::string> controls;
   RetryRules retryRules;
+  bool isRestarted = false; // and took requests before
   absl::Duration settleTime = absl::Seconds(3);
   absl::Duration stopLimit = absl::Seconds(7);
 };
@@ -58,6 +60,8 @@
   Outcome<Done> Listen();
   void OnRequest(const std::shared_ptr<HttpExchange>& exchange);
   void OnReadyRequest(const std::shared_ptr<HttpExchange>& exchange);
+  bool OnEnginePeer(const PeerRequest& request,
+                    const PeerServer::Respond& respond);
   void OnPeer(const PeerRequest& request, const PeerServer::Respond& respond);
   void OnDocument(std::uint64_t number, const std::string& content);
   void OnRegistration(const wire::Registration& registration);
@@ -81,9 +85,11 @@
   ResultReleaser releaser_;
   HallProber halls_;
   StageCoordinator coordinator_;
+  EngineCoordinator engineCoordinator_;
   std::unique_ptr<PeerClient> peerClient_;
   std::unique_ptr<PeerServer> peerServer_;
   std::unique_ptr<StageClient> stages_;
+  std::unique_ptr<EngineClient> engines_;
   std::unique_ptr<GatewayShared> shared_;
   std::unique_ptr<ControlFollower> follower_;
   std::unique_ptr<HttpServer> callers_;
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -241,9 +241,8 @@
     if (DirectoryEndpoint* endpoint =
           FindEndpoint(shared_.directory, attempt_->endpoint)) {
       --endpoint->running;
-      endpoint->pendingSeconds =
-        std::max(0.0, endpoint->pendingSeconds - attempt_->readSeconds);
     }
+    EndRead({});
     attempt_.reset();
   }
   for (Stage& stage : stages_) {
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -18,6 +18,7 @@
 #include "wgDialect.h"
 #include "wgDirectory.h"
 #include "wgEndpointChoice.h"
+#include "wgEngineClient.h"
 #include "wgEventSplitter.h"
 #include "wgGatewayMetrics.h"
 #include "wgHttpClient.h"
@@ -35,6 +36,7 @@
   Directory& directory;
   HttpClient& client;
   StageClient& stages;
+  EngineClient& engines;
   HallProber& halls;
   GatewayMetrics& metrics;
   DecisionLog& log;
@@ -68,11 +70,11 @@
   std::string body;
   Elapsed sent;
   double readSeconds = 0.0;
+  PlacedRead placed;
   bool headSeen = false;
   bool saidNotRun = false;
   bool streams = false;
   bool eventSeen = false;
-  std::size_t number = 0; // of this request's attempts
 };
 
 } // namespace detail
@@ -123,10 +125,18 @@
   std::string FinalHandles() const;
 
   void SendToEndpoint();
+  bool IsForEngine() const;
+  ChoiceQuery MakeChoiceQuery() const;
   DirectoryEndpoint* ChooseEndpointFor(double& readSeconds);
+  void AskForEngine();
+  void OnEngineChosen(const PlacedRead& placed,
+                      const wire::EngineAnswer& answer);
+  DirectoryEndpoint* FindChosen(const std::string& id);
+  void EndRead(const EngineReadResult& result);
   std::int64_t ResultBytes() const;
   HttpRequest MakeForward(const DirectoryEndpoint& endpoint) const;
-  void StartAttempt(DirectoryEndpoint& endpoint, double readSeconds);
+  void StartAttempt(DirectoryEndpoint& endpoint, double readSeconds,
+                    const PlacedRead& placed);
   bool OnHead(const HttpHead& head);
   void OnBody(absl::string_view bytes);
   void OnEvents(const std::string& events);
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -32,7 +32,13 @@
   return bytes;
 }
 
-DirectoryEndpoint* GatewayRequest::ChooseEndpointFor(double& readSeconds)
+bool GatewayRequest::IsForEngine() const
+{
+  auto known = table_->services.find(service_);
+  return known != table_->services.end() && known->second.engine.has_value();
+}
+
+ChoiceQuery GatewayRequest::MakeChoiceQuery() const
 {
   ChoiceQuery query;
   query.now = ElapsedNow();
@@ -40,12 +46,15 @@
   query.otherHallSeconds +=
     static_cast<double>(ResultBytes()) * CrossingSecondsPerByte;
   query.avoid = tried_;
+  return query;
+}
+
+DirectoryEndpoint* GatewayRequest::ChooseEndpointFor(double& readSeconds)
+{
+  const ChoiceQuery query = MakeChoiceQuery();
   const auto endpoints =
     SoundEndpoints(shared_.directory, service_, ElapsedNow());
-  auto known = table_->services.find(service_);
-  const bool isEngine =
-    known != table_->services.end() && known->second.engine.has_value();
-  if (!isEngine) {
+  if (!IsForEngine()) {
     return ChoosePlain(endpoints, query, shared_.random);
   }
   const EngineChoice choice =
@@ -60,13 +69,107 @@
     OnTimeOver();
     return;
   }
+  if (IsForEngine() && attempts_ == 0) {
+    AskForEngine();
+    return;
+  }
   double readSeconds = 0.0;
   DirectoryEndpoint* endpoint = ChooseEndpointFor(readSeconds);
   if (endpoint == nullptr) {
     AfterFailure(AttemptKnowledge::NotSent, "no_endpoint");
     return;
   }
-  StartAttempt(*endpoint, readSeconds);
+  StartAttempt(*endpoint, readSeconds, {});
+}
+
+/** Only one box sees what all boxes have sent to engines. */
+void GatewayRequest::AskForEngine()
+{
+  constexpr double microsInSecond = 1e6;
+  const ChoiceQuery query = MakeChoiceQuery();
+  wire::EngineAsk ask;
+  ask.set_request(id_);
+  ask.set_service(service_);
+  ask.set_hall(query.hall);
+  ask.set_other_hall_us(
+    static_cast<std::int64_t>(query.otherHallSeconds * microsInSecond));
+  ask.set_tokens_in(prompt_.tokensIn);
+  for (const PromptPart& part : prompt_.parts) {
+    wire::PromptPartSize& size = *ask.add_parts();
+    size.set_id(part.id);
+    size.set_tokens(part.tokens);
+  }
+  for (const std::string& endpoint : tried_) {
+    ask.add_avoid(endpoint);
+  }
+  const auto sound = SoundEndpoints(shared_.directory, service_, query.now);
+  for (const DirectoryEndpoint* endpoint :
+       ServingEndpoints(shared_.directory, service_)) {
+    if (std::find(sound.begin(), sound.end(), endpoint) == sound.end()) {
+      ask.add_avoid(endpoint->id);
+    }
+  }
+  shared_.engines.Ask(
+    std::move(ask),
+    [weak = weak_from_this(), &engines = shared_.engines](
+      const PlacedRead& placed, const wire::EngineAnswer& answer) {
+      auto self = weak.lock();
+      if (self && !self->ended_) {
+        self->OnEngineChosen(placed, answer);
+      } else {
+        engines.End(placed, {});
+      }
+    });
+}
+
+/** An engine that the box asked has named, if it is sound as far as is known
+ * here.
+ */
+DirectoryEndpoint* GatewayRequest::FindChosen(const std::string& id)
+{
+  const auto endpoints =
+    SoundEndpoints(shared_.directory, service_, ElapsedNow());
+  auto found = std::find_if(
+    endpoints.begin(), endpoints.end(),
+    [&id](const DirectoryEndpoint* endpoint) { return endpoint->id == id; });
+  return found == endpoints.end() ? nullptr : *found;
+}
+
+void GatewayRequest::OnEngineChosen(const PlacedRead& placed,
+                                    const wire::EngineAnswer& answer)
+{
+  constexpr double microsInSecond = 1e6;
+  if (giveUp_ - ElapsedNow() < LeastUseful) {
+    shared_.engines.End(placed, {});
+    OnTimeOver();
+    return;
+  }
+  if (DirectoryEndpoint* endpoint = FindChosen(answer.endpoint())) {
+    StartAttempt(*endpoint,
+                 static_cast<double>(answer.read_us()) / microsInSecond,
+                 placed);
+    return;
+  }
+  shared_.engines.End(placed, {});
+  shared_.metrics.Count("engines_chosen_alone");
+  double readSeconds = 0.0;
+  DirectoryEndpoint* endpoint = ChooseEndpointFor(readSeconds);
+  if (endpoint == nullptr) {
+    AfterFailure(AttemptKnowledge::NotSent, "no_endpoint");
+    return;
+  }
+  StartAttempt(*endpoint, readSeconds, {});
+}
+
+void GatewayRequest::EndRead(const EngineReadResult& result)
+{
+  shared_.engines.End(std::exchange(attempt_->placed, {}), result);
+  if (DirectoryEndpoint* endpoint =
+        FindEndpoint(shared_.directory, attempt_->endpoint)) {
+    endpoint->pendingSeconds =
+      std::max(0.0, endpoint->pendingSeconds - attempt_->readSeconds);
+  }
+  attempt_->readSeconds = 0.0;
 }
 
 HttpRequest GatewayRequest::MakeForward(
@@ -96,14 +199,18 @@
 }
 
 void GatewayRequest::StartAttempt(DirectoryEndpoint& endpoint,
-                                  double readSeconds)
+                                  double readSeconds, const PlacedRead& placed)
 {
   attempt_.emplace();
+  attempt_->placed = placed;
   attempt_->endpoint = endpoint.id;
   attempt_->readSeconds = readSeconds;
   attempt_->sent = ElapsedNow();
   sentAt_ = attempt_->sent;
-  attempt_->number = ++attempts_;
+  ++attempts_;
+  if (IsForEngine()) {
+    shared_.engines.NoteSent(endpoint.id, prompt_);
+  }
   ++endpoint.running;
   endpoint.pendingSeconds += readSeconds;
   HttpCallOptions options;
@@ -181,11 +288,7 @@
   const Elapsed now = ElapsedNow();
   if (!attempt_->eventSeen) {
     attempt_->eventSeen = true;
-    if (DirectoryEndpoint* endpoint =
-          FindEndpoint(shared_.directory, attempt_->endpoint)) {
-      endpoint->pendingSeconds -= attempt_->readSeconds;
-    }
-    attempt_->readSeconds = 0.0;
+    EndRead({ absl::ToDoubleSeconds(now - attempt_->sent), false });
     shared_.metrics.NoteLatency("engine_first_event", now - attempt_->sent);
   }
   if (!finalReleased_) {
@@ -290,10 +393,9 @@
   if (DirectoryEndpoint* endpoint =
         FindEndpoint(shared_.directory, attempt_->endpoint)) {
     --endpoint->running;
-    endpoint->pendingSeconds =
-      std::max(0.0, endpoint->pendingSeconds - attempt_->readSeconds);
     NoteAttempt(*endpoint, failed, ElapsedNow());
   }
+  EndRead({ 0.0, failed });
   tried_.push_back(attempt_->endpoint);
   attempt_->call->Cancel();
   attempt_.reset();
--- a/Source/Gateway/wgStageClient.cxx
+++ b/Source/Gateway/wgStageClient.cxx
@@ -91,7 +91,7 @@
   return best;
 }
 
-const GatewayMember* StageClient::Choose(const StagePoolKey& pool) const
+const GatewayMember* StageClient::CoordinatorOf(const StagePoolKey& pool) const
 {
   const GatewayMember& chosen = ChooseCoordinator(self_, members_, pool);
   return &chosen == &self_ ? nullptr : &chosen;
@@ -116,7 +116,7 @@
   ++open.tries;
   open.sent = ElapsedNow();
   const GatewayMember* member =
-    open.tries > MaxTries ? nullptr : Choose(PoolOf(open.work));
+    open.tries > MaxTries ? nullptr : CoordinatorOf(PoolOf(open.work));
   if (member == nullptr) {
     open.coordinator = self_.box;
     open.address.clear();
@@ -224,7 +224,7 @@
 {
   releaseArmed_ = false;
   for (auto& [pool, handles] : std::exchange(released_, {})) {
-    const GatewayMember* coordinator = Choose(pool);
+    const GatewayMember* coordinator = CoordinatorOf(pool);
     if (coordinator == nullptr) {
       own_.Release(handles);
       continue;
@@ -312,6 +312,13 @@
   }
 }
 
+void StageClient::Doubt(const std::string& box)
+{
+  if (GatewayMember* member = Find(box)) {
+    Ask(*member);
+  }
+}
+
 void StageClient::Ask(GatewayMember& member)
 {
   if (std::exchange(member.asked, true)) {
--- a/Source/Gateway/wgStageClient.h
+++ b/Source/Gateway/wgStageClient.h
@@ -44,6 +44,15 @@
   void SetMembers(std::vector<GatewayMember> members);
   std::size_t Members() const { return members_.size(); }
 
+  /** \brief The other boxes that are known, also those that are suspected. */
+  absl::Span<const GatewayMember> Others() const { return members_; }
+
+  /** \brief The box that works for a pool; null when it is this one. */
+  const GatewayMember* CoordinatorOf(const StagePoolKey& pool) const;
+
+  /** \brief A box did not answer in time: it is asked whether it lives. */
+  void Doubt(const std::string& box);
+
   /** \brief The pool that work is best handed to: its hall's, or another one
    * where it would wait much less.
    */
@@ -83,8 +92,6 @@
     Elapsed told;
   };
 
-  /** \return null when it is this box */
-  const GatewayMember* Choose(const StagePoolKey& pool) const;
   void Send(std::uint64_t number);
   void SendToPeer(std::uint64_t number, const OpenWork& open);
   void OnReply(std::uint64_t number, int tries, const StagePoolKey& pool,
--- a/Source/Gateway/wgStagePoolKey.cxx
+++ b/Source/Gateway/wgStagePoolKey.cxx
@@ -9,9 +9,6 @@
 namespace wg {
 namespace {
 
-/** With fewer endpoints calls of a hall alone would often be small. */
-constexpr int LeastInHall = 3;
-
 /** Silent ones count: they may be back, and pools should not come and go. */
 std::map<std::string, int> CountByHall(const Directory& directory,
                                        absl::string_view service)
@@ -36,13 +33,14 @@
 }
 
 std::vector<StagePoolKey> PoolsOf(const Directory& directory,
-                                  absl::string_view service)
+                                  absl::string_view service, int leastInHall)
 {
   const auto counts = CountByHall(directory, service);
   const bool isSplit =
-    counts.size() > 1 &&
-    std::all_of(counts.begin(), counts.end(),
-                [](const auto& count) { return count.second >= LeastInHall; });
+    counts.size() > 1 && std::all_of(counts.begin(), counts.end(),
+                                     [leastInHall](const auto& count) {
+                                       return count.second >= leastInHall;
+                                     });
   std::vector<StagePoolKey> pools;
   if (isSplit) {
     for (const auto& [hall, count] : counts) {
@@ -58,9 +56,9 @@
 }
 
 StagePoolKey ChoosePool(const Directory& directory, absl::string_view service,
-                        absl::string_view hall)
+                        absl::string_view hall, int leastInHall)
 {
-  std::vector<StagePoolKey> pools = PoolsOf(directory, service);
+  std::vector<StagePoolKey> pools = PoolsOf(directory, service, leastInHall);
   for (StagePoolKey& pool : pools) {
     if (pool.hall == hall) {
       return std::move(pool);
--- a/Source/Gateway/wgStagePoolKey.h
+++ b/Source/Gateway/wgStagePoolKey.h
@@ -27,16 +27,21 @@
 /** \brief The name that boxes rank each other by. */
 std::string NameOf(const StagePoolKey& key);
 
+/** \brief With fewer endpoints calls of a hall alone would often be small. */
+constexpr int StageEndpointsInHall = 3;
+
 /** \brief The pool for work that had best be made in the hall.
  *
- * One box can make the calls of a few endpoints; where each hall has enough of
- * a service to fill calls, each has a pool of its own.
+ * One box can make the calls of a few endpoints; where each hall has at least
+ * so many of a service, each has a pool of its own.
  */
 StagePoolKey ChoosePool(const Directory& directory, absl::string_view service,
-                        absl::string_view hall);
+                        absl::string_view hall,
+                        int leastInHall = StageEndpointsInHall);
 
 /** \brief Each pool of a service that can be reached. */
 std::vector<StagePoolKey> PoolsOf(const Directory& directory,
-                                  absl::string_view service);
+                                  absl::string_view service,
+                                  int leastInHall = StageEndpointsInHall);
 
 } // namespace wg
--- a/Tests/Gateway/wgDirectoryTest.cxx
+++ b/Tests/Gateway/wgDirectoryTest.cxx
@@ -85,8 +85,8 @@
   CHECK(wg::SoundEndpoints(directory, "svc", Now).front()->id == "e1");
   const wg::Elapsed later = Now + absl::Seconds(1);
   CHECK(wg::SoundEndpoints(directory, "svc", later).size() == 2);
-  CHECK(wg::FailureShareNow(failing, Now) == Approx(0.15));
-  CHECK(wg::FailureShareNow(failing, Now + absl::Seconds(30)) < 0.001);
+  CHECK(wg::ShareNow(failing.failures, Now) == Approx(0.15));
+  CHECK(wg::ShareNow(failing.failures, Now + absl::Seconds(30)) < 0.001);
   // When all fail, all are tried.
   wg::NoteAttempt(*wg::FindEndpoint(directory, "e1"), true, Now);
   CHECK(wg::SoundEndpoints(directory, "svc", Now).size() == 2);
--- a/Utilities/Daemon/wgSettings.cxx
+++ b/Utilities/Daemon/wgSettings.cxx
@@ -485,6 +485,7 @@
   gateway.retryRules.ratio = retryPercent_.getValue();
   gateway.retryRules.slack = retrySlack_.getValue();
   gateway.retryRules.window = absl::Seconds(retryWindow_.getValue());
+  gateway.isRestarted = found_.getValue() != "true";
   gateway.settleTime = absl::Milliseconds(settle_.getValue());
   gateway.stopLimit = graceS_.getValue() > 0
                         ? absl::Seconds(graceS_.getValue()) - GraceMargin
