Gateway: the first engine in order is kept until it has 150 ms to read

Cause: in the seconds after all boxes lost power, or when the box that chooses is another one than before, it does not know what engines hold; parts that lie at others than the first in order are read again.

Change: the first in order is left only where it would take 150 ms longer, not 40, so that most parts lie where they are looked for.

--- a/Source/Gateway/wgEnginePool.cxx
+++ b/Source/Gateway/wgEnginePool.cxx
@@ -14,8 +14,10 @@
 constexpr double FailureSeconds = 2.0;
 /** Reading a shared part again is weighed above its time. */
 constexpr double ReadAgainWeight = 2.5;
-/** Boxes that choose alone rank engines so: equals are chosen likewise. */
-constexpr double RankSeconds = 0.04;
+/** The first in rendezvous order is kept until it has so much to read: where
+ * nothing is known of what engines hold, parts are looked for there.
+ */
+constexpr double RankSeconds = 0.15;
 constexpr std::size_t RankedEngines = 3;
 constexpr absl::Duration PrunePeriod = absl::Seconds(5);
 constexpr std::size_t MostParts = 20000;
