--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -124,7 +124,9 @@
   void ReleaseAll();
   std::string FinalHandles() const;
 
+  bool HasTimeLeft() const;
   void SendToEndpoint();
+  void SendToOwnChoice();
   bool IsForEngine() const;
   ChoiceQuery MakeChoiceQuery() const;
   DirectoryEndpoint* ChooseEndpointFor(double& readSeconds);
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -32,12 +32,6 @@
   return bytes;
 }
 
-bool GatewayRequest::IsForEngine() const
-{
-  auto known = table_->services.find(service_);
-  return known != table_->services.end() && known->second.engine.has_value();
-}
-
 ChoiceQuery GatewayRequest::MakeChoiceQuery() const
 {
   ChoiceQuery query;
@@ -63,9 +57,15 @@
   return choice.endpoint;
 }
 
+/** Whether an attempt that began now could be of use. */
+bool GatewayRequest::HasTimeLeft() const
+{
+  return giveUp_ - ElapsedNow() >= LeastUseful;
+}
+
 void GatewayRequest::SendToEndpoint()
 {
-  if (giveUp_ - ElapsedNow() < LeastUseful) {
+  if (!HasTimeLeft()) {
     OnTimeOver();
     return;
   }
@@ -73,85 +73,12 @@
     AskForEngine();
     return;
   }
-  double readSeconds = 0.0;
-  DirectoryEndpoint* endpoint = ChooseEndpointFor(readSeconds);
-  if (endpoint == nullptr) {
-    AfterFailure(AttemptKnowledge::NotSent, "no_endpoint");
-    return;
-  }
-  StartAttempt(*endpoint, readSeconds, {});
+  SendToOwnChoice();
 }
 
-/** Only one box sees what all boxes have sent to engines. */
-void GatewayRequest::AskForEngine()
+/** Chooses by what this box knows itself. */
+void GatewayRequest::SendToOwnChoice()
 {
-  constexpr double microsInSecond = 1e6;
-  const ChoiceQuery query = MakeChoiceQuery();
-  wire::EngineAsk ask;
-  ask.set_request(id_);
-  ask.set_service(service_);
-  ask.set_hall(query.hall);
-  ask.set_other_hall_us(
-    static_cast<std::int64_t>(query.otherHallSeconds * microsInSecond));
-  ask.set_tokens_in(prompt_.tokensIn);
-  for (const PromptPart& part : prompt_.parts) {
-    wire::PromptPartSize& size = *ask.add_parts();
-    size.set_id(part.id);
-    size.set_tokens(part.tokens);
-  }
-  for (const std::string& endpoint : tried_) {
-    ask.add_avoid(endpoint);
-  }
-  const auto sound = SoundEndpoints(shared_.directory, service_, query.now);
-  for (const DirectoryEndpoint* endpoint :
-       ServingEndpoints(shared_.directory, service_)) {
-    if (std::find(sound.begin(), sound.end(), endpoint) == sound.end()) {
-      ask.add_avoid(endpoint->id);
-    }
-  }
-  shared_.engines.Ask(
-    std::move(ask),
-    [weak = weak_from_this(), &engines = shared_.engines](
-      const PlacedRead& placed, const wire::EngineAnswer& answer) {
-      auto self = weak.lock();
-      if (self && !self->ended_) {
-        self->OnEngineChosen(placed, answer);
-      } else {
-        engines.End(placed, {});
-      }
-    });
-}
-
-/** An engine that the box asked has named, if it is sound as far as is known
- * here.
- */
-DirectoryEndpoint* GatewayRequest::FindChosen(const std::string& id)
-{
-  const auto endpoints =
-    SoundEndpoints(shared_.directory, service_, ElapsedNow());
-  auto found = std::find_if(
-    endpoints.begin(), endpoints.end(),
-    [&id](const DirectoryEndpoint* endpoint) { return endpoint->id == id; });
-  return found == endpoints.end() ? nullptr : *found;
-}
-
-void GatewayRequest::OnEngineChosen(const PlacedRead& placed,
-                                    const wire::EngineAnswer& answer)
-{
-  constexpr double microsInSecond = 1e6;
-  if (giveUp_ - ElapsedNow() < LeastUseful) {
-    shared_.engines.End(placed, {});
-    OnTimeOver();
-    return;
-  }
-  if (DirectoryEndpoint* endpoint = FindChosen(answer.endpoint())) {
-    StartAttempt(*endpoint,
-                 static_cast<double>(answer.read_us()) / microsInSecond,
-                 placed);
-    return;
-  }
-  shared_.engines.End(placed, {});
-  shared_.metrics.Count("engines_chosen_alone");
   double readSeconds = 0.0;
   DirectoryEndpoint* endpoint = ChooseEndpointFor(readSeconds);
   if (endpoint == nullptr) {
@@ -161,17 +88,6 @@
   StartAttempt(*endpoint, readSeconds, {});
 }
 
-void GatewayRequest::EndRead(const EngineReadResult& result)
-{
-  shared_.engines.End(std::exchange(attempt_->placed, {}), result);
-  if (DirectoryEndpoint* endpoint =
-        FindEndpoint(shared_.directory, attempt_->endpoint)) {
-    endpoint->pendingSeconds =
-      std::max(0.0, endpoint->pendingSeconds - attempt_->readSeconds);
-  }
-  attempt_->readSeconds = 0.0;
-}
-
 HttpRequest GatewayRequest::MakeForward(
   const DirectoryEndpoint& endpoint) const
 {
@@ -419,8 +335,7 @@
   facts.endpointsTried = endpointsTried_;
   facts.maxAttempts = route_->maxAttempts;
   const Elapsed now = ElapsedNow();
-  facts.timeLeft =
-    giveUp_ - now > LeastUseful && connectFailures_ < MaxConnectFailures;
+  facts.timeLeft = HasTimeLeft() && connectFailures_ < MaxConnectFailures;
   double ignored = 0.0;
   facts.endpointLeft = ChooseEndpointFor(ignored) != nullptr;
   AfterAttempt next = JudgeAttempt(facts);
--- /dev/null
+++ b/Source/Gateway/wgGatewayRequestEngine.cxx
@@ -0,0 +1,102 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgGatewayRequest.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace wg {
+namespace {
+
+constexpr double MicrosInSecond = 1e6;
+
+} // namespace
+
+bool GatewayRequest::IsForEngine() const
+{
+  auto known = table_->services.find(service_);
+  return known != table_->services.end() && known->second.engine.has_value();
+}
+
+/** Only one box sees what all boxes have sent to engines. */
+void GatewayRequest::AskForEngine()
+{
+  const ChoiceQuery query = MakeChoiceQuery();
+  wire::EngineAsk ask;
+  ask.set_request(id_);
+  ask.set_service(service_);
+  ask.set_hall(query.hall);
+  ask.set_other_hall_us(
+    static_cast<std::int64_t>(query.otherHallSeconds * MicrosInSecond));
+  ask.set_tokens_in(prompt_.tokensIn);
+  for (const PromptPart& part : prompt_.parts) {
+    wire::PromptPartSize& size = *ask.add_parts();
+    size.set_id(part.id);
+    size.set_tokens(part.tokens);
+  }
+  for (const std::string& endpoint : tried_) {
+    ask.add_avoid(endpoint);
+  }
+  const auto sound = SoundEndpoints(shared_.directory, service_, query.now);
+  for (const DirectoryEndpoint* endpoint :
+       ServingEndpoints(shared_.directory, service_)) {
+    if (std::find(sound.begin(), sound.end(), endpoint) == sound.end()) {
+      ask.add_avoid(endpoint->id);
+    }
+  }
+  shared_.engines.Ask(
+    std::move(ask),
+    [weak = weak_from_this(), &engines = shared_.engines](
+      const PlacedRead& placed, const wire::EngineAnswer& answer) {
+      auto self = weak.lock();
+      if (self && !self->ended_) {
+        self->OnEngineChosen(placed, answer);
+      } else {
+        engines.End(placed, {});
+      }
+    });
+}
+
+/** An engine that the box asked has named, if it is sound as far as is known
+ * here.
+ */
+DirectoryEndpoint* GatewayRequest::FindChosen(const std::string& id)
+{
+  const auto endpoints =
+    SoundEndpoints(shared_.directory, service_, ElapsedNow());
+  auto found = std::find_if(
+    endpoints.begin(), endpoints.end(),
+    [&id](const DirectoryEndpoint* endpoint) { return endpoint->id == id; });
+  return found == endpoints.end() ? nullptr : *found;
+}
+
+void GatewayRequest::OnEngineChosen(const PlacedRead& placed,
+                                    const wire::EngineAnswer& answer)
+{
+  if (!HasTimeLeft()) {
+    shared_.engines.End(placed, {});
+    OnTimeOver();
+    return;
+  }
+  if (DirectoryEndpoint* endpoint = FindChosen(answer.endpoint())) {
+    StartAttempt(*endpoint,
+                 static_cast<double>(answer.read_us()) / MicrosInSecond,
+                 placed);
+    return;
+  }
+  shared_.engines.End(placed, {});
+  shared_.metrics.Count("engines_chosen_alone");
+  SendToOwnChoice();
+}
+
+void GatewayRequest::EndRead(const EngineReadResult& result)
+{
+  shared_.engines.End(std::exchange(attempt_->placed, {}), result);
+  if (DirectoryEndpoint* endpoint =
+        FindEndpoint(shared_.directory, attempt_->endpoint)) {
+    endpoint->pendingSeconds =
+      std::max(0.0, endpoint->pendingSeconds - attempt_->readSeconds);
+  }
+  attempt_->readSeconds = 0.0;
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -0,0 +1,265 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgStageCoordinator.h"
+
+#include <algorithm>
+#include <chrono>
+
+#include <boost/asio/post.hpp>
+
+namespace wg {
+namespace {
+
+using ItemResult = wire::StageItemResult;
+
+constexpr double MsInSecond = 1e3;
+constexpr double LateFactor = 3.0;
+constexpr double LateMarginSeconds = 0.35;
+constexpr absl::Duration FullPause = absl::Milliseconds(60);
+constexpr absl::Duration FailedPause = absl::Milliseconds(200);
+/** For so long an endpoint that lacked room is taken to hold more than is
+ * known here.
+ */
+constexpr absl::Duration NoRoomMemory = absl::Milliseconds(400);
+
+} // namespace
+
+StageServer* StageCoordinator::ServerOf(const OpenCall& open)
+{
+  auto& servers = PoolOf(open.pool).servers;
+  auto found = std::find_if(
+    servers.begin(), servers.end(),
+    [&open](const StageServer& s) { return s.id == open.call.server; });
+  return found == servers.end() ? nullptr : &*found;
+}
+
+void StageCoordinator::MakeCall(const StagePoolKey& key, StageCall call)
+{
+  const DirectoryEndpoint* endpoint = FindEndpoint(directory_, call.server);
+  const std::uint64_t number = nextCall_++;
+  const Elapsed now = ElapsedNow();
+  OpenCall& open = calls_[number];
+  open.pool = key;
+  open.call = std::move(call);
+  open.started = now;
+  if (StageServer* server = ServerOf(open)) {
+    server->calls[number] = { now, open.call.expectedSeconds };
+  }
+  HttpRequest request = dialect_.makeStageCall(open.call.pieces, now);
+  request.set(boost::beast::http::field::host, endpoint->address);
+  request.set(dialect_.fields.endpoint, endpoint->id);
+  HttpCallHandler handler;
+  handler.onHead = [this, number](const HttpHead& head) {
+    OpenCall& mine = calls_[number];
+    mine.status = head.result_int();
+    mine.saidNotRun =
+      !FieldOf(head, dialect_.fields.notRun).empty() ||
+      head.result() == boost::beast::http::status::misdirected_request;
+    return true;
+  };
+  handler.onBody = [this, number](absl::string_view bytes) {
+    calls_[number].body.append(bytes.data(), bytes.size());
+  };
+  handler.onEnd = [this, number](HttpCallEnd end) { OnCallEnd(number, end); };
+  open.http =
+    client_.Start(endpoint->address, PrintRequest(std::move(request)), {},
+                  std::move(handler));
+  for (const StagePiece& piece : open.call.pieces) {
+    metrics_.NoteLatency("stage_wait", now - piece.arrived);
+  }
+  metrics_.Count("stage_calls");
+  metrics_.Count("stage_pieces_sent", open.call.pieces.size());
+  StartTimer(number);
+}
+
+void StageCoordinator::StartTimer(std::uint64_t number)
+{
+  OpenCall& open = calls_[number];
+  const double limit =
+    open.call.expectedSeconds * LateFactor + LateMarginSeconds;
+  open.timer = std::make_unique<boost::asio::steady_timer>(
+    loop_, absl::ToChronoMilliseconds(absl::Seconds(limit)));
+  open.timer->async_wait([this, number](boost::system::error_code error) {
+    if (!error) {
+      OnCallLate(number);
+    }
+  });
+}
+
+void StageCoordinator::NoteHallCut(const std::string& hall)
+{
+  std::vector<std::uint64_t> lost;
+  for (const auto& [number, open] : calls_) {
+    const DirectoryEndpoint* endpoint =
+      FindEndpoint(directory_, open.call.server);
+    if (endpoint != nullptr && endpoint->hall == hall) {
+      lost.push_back(number);
+    }
+  }
+  // Not at once: one of the calls may have brought the news.
+  boost::asio::post(loop_, [this, lost] {
+    for (const std::uint64_t number : lost) {
+      OnCallLate(number);
+    }
+  });
+}
+
+void StageCoordinator::OnCallLate(std::uint64_t number)
+{
+  auto node = calls_.extract(number);
+  if (node.empty()) {
+    return;
+  }
+  OpenCall& open = node.mapped();
+  open.http->Cancel();
+  metrics_.Count("stage_calls_late");
+  LogCall(open, "late");
+  const StagePoolKey key = open.pool;
+  if (StageServer* server = ServerOf(open)) {
+    server->calls.erase(number);
+    NoteCallTime(
+      *server,
+      ExpectedCallSeconds(PoolOf(key).limits, open.call.pieces.size()),
+      absl::ToDoubleSeconds(ElapsedNow() - open.started), ElapsedNow());
+  }
+  FailCall(open, true);
+  Pump(key);
+}
+
+void StageCoordinator::OnCallEnd(std::uint64_t number, HttpCallEnd end)
+{
+  auto node = calls_.extract(number);
+  if (node.empty()) {
+    return;
+  }
+  OpenCall& open = node.mapped();
+  open.timer->cancel();
+  const StagePoolKey key = open.pool;
+  if (StageServer* server = ServerOf(open)) {
+    server->calls.erase(number);
+  }
+  constexpr unsigned ok = 200;
+  if (end == HttpCallEnd::Complete && open.status == ok) {
+    TakeAnswer(open);
+  } else if (end == HttpCallEnd::Complete && open.saidNotRun) {
+    metrics_.Count("stage_calls_refused");
+    LogCall(open, "refused");
+    if (StageServer* server = ServerOf(open)) {
+      server->avoidUntil = ElapsedNow() + FullPause;
+    }
+    for (StagePiece& piece : open.call.pieces) {
+      FreeRoom(key, open.call.server, piece.resultBytes);
+      Repeat(key, std::move(piece), true);
+    }
+  } else {
+    metrics_.Count("stage_calls_failed");
+    LogCall(open, "failed");
+    const DirectoryEndpoint* endpoint =
+      FindEndpoint(directory_, open.call.server);
+    if (end == HttpCallEnd::Unreached && endpoint != nullptr) {
+      halls_.Unreached(*endpoint);
+    }
+    FailCall(open, end == HttpCallEnd::Cut || end == HttpCallEnd::Refused ||
+                     end == HttpCallEnd::Complete);
+  }
+  Pump(key);
+}
+
+void StageCoordinator::LogCall(const OpenCall& open, absl::string_view end)
+{
+  const Elapsed now = ElapsedNow();
+  absl::Duration longest;
+  for (const StagePiece& piece : open.call.pieces) {
+    longest = std::max(longest, open.started - piece.arrived);
+  }
+  const auto weight =
+    end == "answered" ? LogWeight::Routine : LogWeight::Notable;
+  log_.Write(weight, "stage_call",
+             { { "service", open.pool.service },
+               { "endpoint", open.call.server },
+               { "end", std::string(end) },
+               { "first_request", open.call.pieces.front().request },
+               { "pieces", open.call.pieces.size() },
+               { "waited_ms", absl::ToInt64Milliseconds(longest) },
+               { "expected_ms", open.call.expectedSeconds * MsInSecond },
+               { "took_ms", absl::ToInt64Milliseconds(now - open.started) } });
+}
+
+void StageCoordinator::FailCall(OpenCall& open, bool sent)
+{
+  if (DirectoryEndpoint* endpoint =
+        FindEndpoint(directory_, open.call.server)) {
+    NoteAttempt(*endpoint, true, ElapsedNow());
+  }
+  const Elapsed until = ElapsedNow() + PoolOf(open.pool).limits.resultLifetime;
+  for (StagePiece& piece : open.call.pieces) {
+    if (sent) { // it may be made all the same
+      KeepUnnamed(results_[open.pool],
+                  { open.call.server, piece.resultBytes, until });
+    } else {
+      FreeRoom(open.pool, open.call.server, piece.resultBytes);
+    }
+    Repeat(open.pool, std::move(piece), sent);
+  }
+}
+
+void StageCoordinator::TakeAnswer(OpenCall& open)
+{
+  auto results = dialect_.readStageAnswer(open.body);
+  const bool sound =
+    Succeeded(results) && Value(results).size() == open.call.pieces.size();
+  if (!sound) {
+    metrics_.Count("stage_answers_unsound");
+    FailCall(open, true);
+    return;
+  }
+  const Elapsed now = ElapsedNow();
+  const double seconds = absl::ToDoubleSeconds(now - open.started);
+  StageServer* server = ServerOf(open);
+  const StageLimits& limits = PoolOf(open.pool).limits;
+  if (server != nullptr) {
+    NoteCallTime(*server, ExpectedCallSeconds(limits, open.call.pieces.size()),
+                 seconds, now);
+  }
+  if (DirectoryEndpoint* endpoint =
+        FindEndpoint(directory_, open.call.server)) {
+    NoteAttempt(*endpoint, false, now);
+    halls_.Reached(*endpoint);
+  }
+  metrics_.NoteLatency("stage_call", now - open.started);
+  LogCall(open, "answered");
+  for (std::size_t i = 0; i < open.call.pieces.size(); ++i) {
+    TakeResultOf(open, open.call.pieces[i], std::move(Value(results)[i]));
+  }
+}
+
+void StageCoordinator::TakeResultOf(OpenCall& open, StagePiece& piece,
+                                    ItemResult result)
+{
+  const Elapsed now = ElapsedNow();
+  const auto state = result.state();
+  KeptResult kept{ open.call.server, piece.resultBytes, now };
+  if (state == ItemResult::DONE) {
+    kept.until += PoolOf(open.pool).limits.resultLifetime;
+    KeepResult(results_[open.pool], result.handle(), kept);
+  } else if (state == ItemResult::NO_ROOM) {
+    kept.until += NoRoomMemory;
+    KeepUnnamed(results_[open.pool], kept);
+  } else {
+    FreeRoom(open.pool, open.call.server, piece.resultBytes);
+  }
+  if (state != ItemResult::FAILED && state != ItemResult::NO_ROOM) {
+    Settle(piece.ticket, std::move(result));
+    return;
+  }
+  if (state == ItemResult::NO_ROOM) {
+    metrics_.Count("stage_pieces_no_room");
+  } else {
+    metrics_.Count("stage_pieces_failed");
+    if (StageServer* server = ServerOf(open)) {
+      server->avoidUntil = now + FailedPause;
+    }
+  }
+  Repeat(open.pool, std::move(piece), true);
+}
+
+} // namespace wg
