Gateway: old news of a part makes it no older; what engines failed is kept

Cause, found by reading: a box that learned from others took the last told use of a part for its newest (a replacement of names had also garbled one); and what was known of an engine was dropped as soon as the box that chooses left it out for a moment, its failures with it.

Change: the newer use holds; what is known of an engine is kept for a minute. Two tests, both failing before (read again 0.25 s where nothing was to be read; a failure share of 0 where it was 0.15).

--- a/Source/Gateway/wgEnginePool.cxx
+++ b/Source/Gateway/wgEnginePool.cxx
@@ -28,6 +28,7 @@
 constexpr double BaseSeconds = 0.03;
 /** After such a pause another box may have been asked. */
 constexpr absl::Duration LongestPause = absl::Seconds(2);
+constexpr absl::Duration EngineMemory = absl::Minutes(1);
 constexpr double SlownessWeight = 0.2;
 constexpr double SlownessMemorySeconds = 10.0;
 constexpr double LeastSlowness = 0.5;
@@ -97,13 +98,13 @@
                   const std::string& engine, Elapsed when)
 {
   auto& holders = pool.holders[path];
-  auto kwhenn = std::find_if(
+  auto known = std::find_if(
     holders.begin(), holders.end(),
     [&engine](const PartHolder& holder) { return holder.engine == engine; });
-  if (kwhenn == holders.end()) {
+  if (known == holders.end()) {
     holders.push_back({ engine, when });
   } else {
-    kwhenn->used = when;
+    known->used = std::max(known->used, when);
   }
 }
 
@@ -165,15 +166,14 @@
   }
 }
 
-void ForgetGoneEngines(EnginePool& pool,
-                       absl::Span<DirectoryEndpoint* const> engines)
+/** One that is avoided for a while keeps what is known of it. */
+void ForgetOldEngines(EnginePool& pool, Elapsed now)
 {
-  for (auto load = pool.engines.begin(); load != pool.engines.end();) {
-    const bool serves = std::any_of(
-      engines.begin(), engines.end(),
-      [&load](const DirectoryEndpoint* e) { return e->id == load->first; });
-    load = serves || !load->second.reads.empty() ? std::next(load)
-                                                 : pool.engines.erase(load);
+  for (auto engine = pool.engines.begin(); engine != pool.engines.end();) {
+    const EngineLoad& load = engine->second;
+    const Elapsed noted = std::max(load.slownessNoted, load.failures.noted);
+    const bool isOld = load.reads.empty() && now - noted > EngineMemory;
+    engine = isOld ? pool.engines.erase(engine) : std::next(engine);
   }
 }
 
@@ -248,7 +248,7 @@
   const Elapsed now = query.choice.now;
   pool.placed = now;
   ForgetOldParts(pool, now);
-  ForgetGoneEngines(pool, engines);
+  ForgetOldEngines(pool, now);
   const std::vector<std::uint64_t> paths = HashPaths(query.prompt);
   const std::vector<double> ranked = RankedSeconds(engines, query.prompt);
   const auto& avoid = query.choice.avoid;
--- a/Tests/Gateway/wgEnginePoolTest.cxx
+++ b/Tests/Gateway/wgEnginePoolTest.cxx
@@ -1,5 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <random>
 #include <set>
@@ -183,6 +184,37 @@
   }
 }
 
+TEST_CASE("Old news of a part does not make it older")
+{
+  Engines engines(6);
+  wg::EnginePool pool;
+  const wg::EngineQuery query = Ask(1, "p", Now + absl::Seconds(25));
+  const auto paths = wg::HashPaths(query.prompt);
+  wg::NoteHolder(pool, paths, "e2", Now + absl::Seconds(20));
+  wg::NoteHolder(pool, paths, "e2", Now - absl::Seconds(20));
+  const auto placed = wg::PlacePrompt(pool, engines.all, query);
+  CHECK(placed.endpoint->id == "e2");
+  CHECK(placed.readSeconds == 0.0);
+}
+
+TEST_CASE("What an engine failed is known when it is chosen from again")
+{
+  Engines engines(4);
+  wg::EnginePool pool;
+  const auto first = wg::PlacePrompt(pool, engines.all, Ask(1, "p"));
+  const std::string bad = first.endpoint->id;
+  wg::EndRead(pool, { "box", 1 }, { 0.0, true }, Now);
+  std::vector<wg::DirectoryEndpoint*> others;
+  std::copy_if(engines.all.begin(), engines.all.end(),
+               std::back_inserter(others),
+               [&bad](const auto* engine) { return engine->id != bad; });
+  wg::PlacePrompt(pool, others, Ask(2, "q"));
+  CHECK(wg::ShareNow(pool.engines[bad].failures, Now) > 0.1);
+  // Not for ever: engines come and go.
+  wg::PlacePrompt(pool, others, Ask(3, "q", Now + absl::Minutes(2)));
+  CHECK(pool.engines.count(bad) == 0);
+}
+
 TEST_CASE("No engine is chosen where there is none")
 {
   wg::EnginePool pool;
