Gateway: fields that only weirgate may set are dropped; silent streams go on

Fields after a body in chunks were merged into those before it, and only the first Connection field was read, which could also take a prompt's description away. A stream on a connection that fell silent waited for its deadline. A heartbeat delayed by a cut made a replaced endpoint usable again. Ruled out: dropping everything that begins with the platform's prefix, which would take the caller's own fields (model, prompt, length hint) with it. Change: the dialect holds both lists; forwarding is a function of its own; trailers are dropped; a stream that may be resumed goes on elsewhere after five of its longest pauses if the budget allows it; an endpoint for which another answers (421) gets no work until it is heard of again; a request is given up when its caller's patience with a silent stream ends. Tests: ForwardedRequest, Platform, HttpServer, Directory, and [forged] and [silent] with real processes; the last two fail with the program before.

--- a/Source/Gateway/wgDialect.h
+++ b/Source/Gateway/wgDialect.h
@@ -32,6 +32,20 @@
   std::string inputs = "Weirgate-Inputs"; // handles of results
   std::string notRun = "Weirgate-Not-Run";
   std::string lastEvent = "Last-Event-ID";
+  /** Further fields that only weirgate may set on a request to an endpoint;
+   * a caller's are dropped.
+   */
+  std::vector<std::string> reserved;
+  /** What is passed on, or read, although a Connection field names it. */
+  std::vector<std::string> endToEnd = { "Host",
+                                        "Weirgate-Request-Id",
+                                        "Weirgate-Deadline-Ms",
+                                        "Authorization",
+                                        "Weirgate-Tokens",
+                                        "Weirgate-Prompt",
+                                        "Weirgate-Pieces",
+                                        "Weirgate-Piece-Key",
+                                        "Last-Event-ID" };
 };
 
 /** \brief How this deployment's callers, endpoints and operators speak. The
--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -54,6 +54,14 @@
   return changed;
 }
 
+void NoteReplaced(Directory& directory, absl::string_view id, Elapsed now)
+{
+  if (DirectoryEndpoint* endpoint = FindEndpoint(directory, id)) {
+    endpoint->state = Registration::SILENT;
+    endpoint->changed = now;
+  }
+}
+
 void ForgetEnded(Directory& directory, Elapsed now)
 {
   for (auto it = directory.endpoints.begin();
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -49,6 +49,12 @@
 bool MergeRegistration(Directory& directory, const wire::Registration& news,
                        Elapsed now);
 
+/** \brief Another endpoint has answered at its address: it gets no new work
+ * unless it is heard of again. A heartbeat that was delayed on the way may
+ * have come after its end.
+ */
+void NoteReplaced(Directory& directory, absl::string_view id, Elapsed now);
+
 /** \brief Forgets endpoints that ended long ago and serve nothing of ours. */
 void ForgetEnded(Directory& directory, Elapsed now);
 
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -43,6 +43,7 @@
   , table_(std::move(table))
   , over_(std::move(over))
   , timer_(shared.loop)
+  , silenceTimer_(shared.loop)
 {
 }
 
@@ -72,8 +73,14 @@
   if (RefuseIfHopeless()) {
     return;
   }
-  timer_.expires_after(
-    absl::ToChronoMilliseconds(giveUp_ - exchange_->Arrived()));
+  StartTimer();
+  SubmitStages();
+}
+
+/** Runs out when the answer would no longer be of use to the caller. */
+void GatewayRequest::StartTimer()
+{
+  timer_.expires_after(absl::ToChronoMilliseconds(AnswerBy() - ElapsedNow()));
   timer_.async_wait(
     [weak = weak_from_this()](boost::system::error_code error) {
       auto self = weak.lock();
@@ -81,7 +88,6 @@
         self->OnTimeOver();
       }
     });
-  SubmitStages();
 }
 
 bool GatewayRequest::FindRouteAndKey()
@@ -159,6 +165,16 @@
   return true;
 }
 
+/** When the answer must have begun, or, once it has, ended. */
+Elapsed GatewayRequest::AnswerBy() const
+{
+  if (streamBegun_) {
+    return giveUp_;
+  }
+  return std::min(giveUp_,
+                  exchange_->Arrived() + route_->patience - GiveUpMargin);
+}
+
 Elapsed GatewayRequest::Due() const
 {
   return exchange_->Arrived() + route_->aim;
@@ -236,6 +252,7 @@
 {
   ended_ = true;
   timer_.cancel();
+  silenceTimer_.cancel();
   if (attempt_) {
     attempt_->call->Cancel();
     if (DirectoryEndpoint* endpoint =
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -111,6 +111,8 @@
   double SecondsAfter(std::size_t stage) const;
   bool RefuseIfHopeless();
   Elapsed Due() const;
+  Elapsed AnswerBy() const;
+  void StartTimer();
 
   void SubmitStages();
   void PlaceWork(std::size_t stage, wire::StageWork& work) const;
@@ -142,6 +144,8 @@
   bool OnHead(const HttpHead& head);
   void OnBody(absl::string_view bytes);
   void OnEvents(const std::string& events);
+  void WatchStream();
+  void OnSilence();
   void OnAttemptEnd(HttpCallEnd end);
   void OnComplete();
   void AnswerWhole();
@@ -176,6 +180,7 @@
   Elapsed callerDeadline_ = absl::InfiniteDuration();
   Elapsed giveUp_;
   boost::asio::steady_timer timer_;
+  boost::asio::steady_timer silenceTimer_;
   std::optional<Attempt> attempt_;
   std::vector<std::string> tried_; // ids of endpoints
   int endpointsTried_ = 0;
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -6,6 +6,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "wgForwardedRequest.h"
+
 namespace wg {
 namespace {
 
@@ -16,6 +18,10 @@
 /** What may not be repeated is sent on connections that rested shortly. */
 constexpr absl::Duration FreshRest = absl::Milliseconds(1500);
 constexpr std::size_t MaxAnswerBytes = 32U << 20U;
+/** A stream without an event for so many of its longest pauses is taken to be
+ * cut off: a second where pauses are 200 ms, half of what callers bear.
+ */
+constexpr int SilentGaps = 5;
 /** Results that cross between halls are weighed as time. */
 constexpr double CrossingSecondsPerByte = 11e-9;
 
@@ -60,7 +66,7 @@
 /** Whether an attempt that began now could be of use. */
 bool GatewayRequest::HasTimeLeft() const
 {
-  return giveUp_ - ElapsedNow() >= LeastUseful;
+  return AnswerBy() - ElapsedNow() >= LeastUseful;
 }
 
 void GatewayRequest::SendToEndpoint()
@@ -91,27 +97,17 @@
 HttpRequest GatewayRequest::MakeForward(
   const DirectoryEndpoint& endpoint) const
 {
-  HttpRequest request = exchange_->Request();
-  RemoveConnectionFields(request);
-  const FieldNames& fields = Fields();
-  for (const std::string& name : { fields.key, fields.account, fields.rank,
-                                   fields.inputs, fields.endpoint }) {
-    request.erase(name);
-  }
-  if (!holder_.account.empty()) {
-    request.set(fields.account, holder_.account);
-  }
-  request.set(fields.endpoint, endpoint.id);
-  const absl::Duration left = giveUp_ - ElapsedNow();
-  request.set(fields.deadline, absl::StrCat(absl::ToInt64Milliseconds(left)));
+  ForwardFacts facts;
+  facts.account = holder_.account;
+  facts.endpoint = endpoint.id;
+  facts.left = giveUp_ - ElapsedNow();
   if (!stages_.empty()) {
-    request.set(fields.inputs, FinalHandles());
+    facts.inputs = FinalHandles();
   }
-  const bool resumes = streamBegun_ && !reader_.lastId.empty();
-  if (resumes) {
-    request.set(fields.lastEvent, reader_.lastId);
+  if (streamBegun_) {
+    facts.lastEvent = reader_.lastId;
   }
-  return request;
+  return MakeForwardedRequest(exchange_->Request(), Fields(), facts);
 }
 
 void GatewayRequest::StartAttempt(DirectoryEndpoint& endpoint,
@@ -214,10 +210,48 @@
     shared_.metrics.NoteLatency("first_event", now - exchange_->Arrived());
     firstEventAt_ = now;
     HttpHead head = attempt_->head;
-    RemoveConnectionFields(head);
+    RemoveConnectionFields(head, Fields().endToEnd);
     exchange_->StartStream(std::move(head));
+    StartTimer();
   }
   exchange_->WriteStream(events);
+  WatchStream();
+}
+
+/** A connection may fall silent for good without an end. */
+void GatewayRequest::WatchStream()
+{
+  const bool watched = route_->repetition == Repetition::Resumable &&
+                       route_->gapAim < absl::InfiniteDuration();
+  if (!watched) {
+    return;
+  }
+  silenceTimer_.expires_after(
+    absl::ToChronoMilliseconds(SilentGaps * route_->gapAim));
+  silenceTimer_.async_wait(
+    [weak = weak_from_this()](boost::system::error_code error) {
+      auto self = weak.lock();
+      if (!error && self) {
+        self->OnSilence();
+      }
+    });
+}
+
+/** Goes on at another endpoint if that is allowed; the silent one may still
+ * speak, so that otherwise its answer is not cut.
+ */
+void GatewayRequest::OnSilence()
+{
+  const bool allowed = !ended_ && attempt_ &&
+                       endpointsTried_ + 1 < route_->maxAttempts &&
+                       HasTimeLeft() &&
+                       HasRetry(shared_.retries[service_], shared_.retryRules,
+                                shared_.stages.Members() + 1, ElapsedNow());
+  if (!allowed) {
+    return;
+  }
+  CloseAttempt(true);
+  AfterFailure(AttemptKnowledge::MayHaveRun, "silent");
 }
 
 void GatewayRequest::OnAttemptEnd(HttpCallEnd end)
@@ -251,7 +285,7 @@
     if (!streamBegun_) {
       streamBegun_ = true;
       HttpHead head = attempt_->head;
-      RemoveConnectionFields(head);
+      RemoveConnectionFields(head, Fields().endToEnd);
       exchange_->StartStream(std::move(head));
     }
     CloseAttempt(false);
@@ -260,6 +294,12 @@
     return;
   }
   if (attempt_->saidNotRun) {
+    const bool replaced =
+      attempt_->head.result() == http::status::misdirected_request &&
+      FieldOf(attempt_->head, Fields().request) == id_;
+    if (replaced) {
+      NoteReplaced(shared_.directory, attempt_->endpoint, ElapsedNow());
+    }
     const bool inputsGone =
       attempt_->head.result() == http::status::conflict && !stages_.empty();
     CloseAttempt(attempt_->head.result() != http::status::conflict);
@@ -295,7 +335,7 @@
     AfterFailure(AttemptKnowledge::Ran, "endpoint_promised");
     return;
   }
-  RemoveConnectionFields(response);
+  RemoveConnectionFields(response, Fields().endToEnd);
   exchange_->Respond(std::move(response));
   shared_.metrics.NoteLatency("answer", ElapsedNow() - exchange_->Arrived());
   End(status < serverError ? "served" : "endpoint_failed", "");
--- a/Source/Gateway/wgGatewayRequestStages.cxx
+++ b/Source/Gateway/wgGatewayRequestStages.cxx
@@ -180,7 +180,7 @@
   work.set_service(planned.service);
   work.set_request(id_);
   work.set_stage(static_cast<std::uint32_t>(stage));
-  work.set_left_ms(absl::ToInt64Milliseconds(giveUp_ - now));
+  work.set_left_ms(absl::ToInt64Milliseconds(AnswerBy() - now));
   work.set_due_ms(absl::ToInt64Milliseconds(Due() - now));
   work.set_after_ms(
     absl::ToInt64Milliseconds(absl::Seconds(SecondsAfter(stage))));
--- a/Source/Gateway/wgRetryWindow.h
+++ b/Source/Gateway/wgRetryWindow.h
@@ -39,11 +39,11 @@
   window.requests.push_back(now);
 }
 
-/** \brief Takes a repetition out of this box's share, if there is one.
+/** \brief Whether this box's share allows one more repetition.
  * \param boxes how many share the slack
  */
-inline bool SpendRetry(RetryWindow& window, const RetryRules& rules,
-                       std::size_t boxes, Elapsed now)
+inline bool HasRetry(RetryWindow& window, const RetryRules& rules,
+                     std::size_t boxes, Elapsed now)
 {
   // The rest covers boxes that are not known, and what is under way.
   constexpr double usedShare = 0.7;
@@ -52,7 +52,14 @@
   const double allowed =
     usedShare * (rules.ratio * static_cast<double>(window.requests.size()) +
                  rules.slack / static_cast<double>(boxes == 0 ? 1 : boxes));
-  if (static_cast<double>(window.retries.size()) + 1.0 > allowed) {
+  return static_cast<double>(window.retries.size()) + 1.0 <= allowed;
+}
+
+/** \brief Takes a repetition out of this box's share, if there is one. */
+inline bool SpendRetry(RetryWindow& window, const RetryRules& rules,
+                       std::size_t boxes, Elapsed now)
+{
+  if (!HasRetry(window, rules, boxes, now)) {
     return false;
   }
   window.retries.push_back(now);
--- a/Source/Gateway/wgRouteTable.h
+++ b/Source/Gateway/wgRouteTable.h
@@ -51,6 +51,8 @@
   absl::Duration timeout = absl::InfiniteDuration();
   absl::Duration aim = absl::InfiniteDuration(); // to the first byte
   absl::Duration gapAim = absl::InfiniteDuration();
+  /** For so long a caller waits for the next event, the first one too. */
+  absl::Duration patience = absl::InfiniteDuration();
   std::vector<RouteTarget> targets;
   std::vector<RouteStage> stages;
 };
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -12,6 +12,7 @@
 using ItemResult = wire::StageItemResult;
 
 constexpr double MsInSecond = 1e3;
+constexpr unsigned MisdirectedRequest = 421; // another one answers there
 constexpr double LateFactor = 3.0;
 constexpr double LateMarginSeconds = 0.35;
 constexpr absl::Duration FullPause = absl::Milliseconds(60);
@@ -143,6 +144,9 @@
   } else if (end == HttpCallEnd::Complete && open.saidNotRun) {
     metrics_.Count("stage_calls_refused");
     LogCall(open, "refused");
+    if (open.status == MisdirectedRequest) {
+      NoteReplaced(directory_, open.call.server, ElapsedNow());
+    }
     if (StageServer* server = ServerOf(open)) {
       server->avoidUntil = ElapsedNow() + FullPause;
     }
--- a/Source/Http/wgHttpMessage.cxx
+++ b/Source/Http/wgHttpMessage.cxx
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgHttpMessage.h"
 
+#include <algorithm>
 #include <sstream>
 #include <vector>
 
@@ -8,6 +9,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 
 namespace wg {
@@ -20,6 +22,27 @@
   return { text.data(), text.size() };
 }
 
+/** The field may stand more than once. */
+std::vector<std::string> NamedByConnection(const HttpFields& fields)
+{
+  std::vector<std::string> named;
+  const auto lines = fields.equal_range(http::field::connection);
+  for (auto line = lines.first; line != lines.second; ++line) {
+    for (const auto& token : http::token_list(line->value())) {
+      named.emplace_back(token);
+    }
+  }
+  return named;
+}
+
+bool IsAmong(absl::string_view name, absl::Span<const std::string> names)
+{
+  return std::any_of(names.begin(), names.end(),
+                     [name](absl::string_view other) {
+                       return absl::EqualsIgnoreCase(name, other);
+                     });
+}
+
 } // namespace
 
 absl::string_view FieldOf(const HttpFields& fields, absl::string_view name)
@@ -39,15 +62,13 @@
   return isNumber ? value : fallback;
 }
 
-void RemoveConnectionFields(HttpFields& fields)
+void RemoveConnectionFields(HttpFields& fields,
+                            absl::Span<const std::string> endToEnd)
 {
-  std::vector<std::string> named;
-  for (const auto& token :
-       http::token_list(ToBeast(FieldOf(fields, "Connection")))) {
-    named.emplace_back(token);
-  }
-  for (const std::string& name : named) {
-    fields.erase(name);
+  for (const std::string& name : NamedByConnection(fields)) {
+    if (!IsAmong(name, endToEnd)) {
+      fields.erase(name);
+    }
   }
   for (const http::field field :
        { http::field::connection, http::field::keep_alive,
--- a/Source/Http/wgHttpMessage.h
+++ b/Source/Http/wgHttpMessage.h
@@ -11,6 +11,7 @@
 
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
+#include "absl/types/span.h"
 
 namespace wg {
 
@@ -44,8 +45,10 @@
 
 /** \brief Removes the fields that concern one connection only (RFC 9110,
  * 7.6.1), those named by Connection among them.
+ * \param endToEnd fields that stay although Connection names them
  */
-void RemoveConnectionFields(HttpFields& fields);
+void RemoveConnectionFields(HttpFields& fields,
+                            absl::Span<const std::string> endToEnd);
 
 /** \brief A whole answer with a length. */
 HttpResponse MakeResponse(unsigned status, absl::string_view contentType,
--- a/Source/Http/wgHttpServerConnection.cxx
+++ b/Source/Http/wgHttpServerConnection.cxx
@@ -93,7 +93,8 @@
   parser_.emplace();
   parser_->header_limit(static_cast<std::uint32_t>(limits.headerBytes));
   parser_->body_limit(limits.bodyBytes);
-  parser_->eager(true);
+  parser_->eager(false); // stops after the fields before the body
+  head_.reset();
   due_ = ElapsedNow() + limits.headerTimeout;
   saidContinue_ = false;
 }
@@ -116,6 +117,7 @@
       RefuseInput(error);
       return;
     }
+    NoteHead();
     if (parser_->is_done()) {
       TakeRequest();
     } else {
@@ -124,6 +126,18 @@
   }
 }
 
+/** Fields after a body in chunks are not merged into those before it. */
+void HttpServerConnection::NoteHead()
+{
+  if (parser_->eager() || !parser_->is_header_done()) {
+    return;
+  }
+  if (parser_->chunked()) {
+    head_ = parser_->get().base();
+  }
+  parser_->eager(true);
+}
+
 void HttpServerConnection::ContinueIfAsked()
 {
   if (!parser_->is_header_done() || saidContinue_) {
@@ -137,8 +151,13 @@
 
 void HttpServerConnection::TakeRequest()
 {
+  HttpRequest request = parser_->release();
+  if (head_) {
+    request.base() = std::move(*head_);
+  }
   exchange_ =
-    std::make_shared<HttpExchange>(weak_from_this(), parser_->release());
+    std::make_shared<HttpExchange>(weak_from_this(), std::move(request));
+  head_.reset();
   parser_.reset();
   answerEnded_ = false;
   server_->handler_(exchange_);
--- a/Source/Http/wgHttpServerConnection.h
+++ b/Source/Http/wgHttpServerConnection.h
@@ -51,6 +51,7 @@
   void OnRead(boost::system::error_code error, std::size_t bytes);
   void ParseInput();
   void StartParser();
+  void NoteHead();
   void ContinueIfAsked();
   void TakeRequest();
   void RefuseInput(boost::system::error_code error);
@@ -63,6 +64,8 @@
   boost::asio::ip::tcp::socket socket_;
   boost::beast::flat_buffer input_;
   std::optional<Parser> parser_;
+  /** Of a request with a body in chunks: what stood before the body. */
+  std::optional<HttpRequest::header_type> head_;
   std::shared_ptr<HttpExchange> exchange_;
   std::string output_;
   std::string writing_;
--- a/Tests/Gateway/wgDirectoryTest.cxx
+++ b/Tests/Gateway/wgDirectoryTest.cxx
@@ -62,6 +62,22 @@
   CHECK(wg::ServingEndpoints(directory, "svc").empty());
 }
 
+TEST_CASE("A delayed heartbeat does not bring work to a replaced endpoint")
+{
+  wg::Directory directory;
+  wg::MergeRegistration(directory, Told("old", 10), Now);
+  wg::MergeRegistration(directory, Told("new", 1), Now);
+  // Sent before its end, heard after the new one has registered.
+  wg::MergeRegistration(directory, Told("old", 11), Now);
+  wg::NoteReplaced(directory, "old", Now);
+  const auto serving = wg::ServingEndpoints(directory, "svc");
+  REQUIRE(serving.size() == 1);
+  CHECK(serving.front()->id == "new");
+  // If it lives after all, its next heartbeat says so.
+  wg::MergeRegistration(directory, Told("old", 12), Now);
+  CHECK(wg::ServingEndpoints(directory, "svc").size() == 2);
+}
+
 TEST_CASE("The end of an endpoint is final")
 {
   wg::Directory directory;
--- a/Tests/Gateway/wgHttpServerTest.cxx
+++ b/Tests/Gateway/wgHttpServerTest.cxx
@@ -3,9 +3,6 @@
 #include <memory>
 #include <string>
 
-#include <boost/asio/connect.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "absl/strings/match.h"
@@ -14,46 +11,11 @@
 
 #include "wgHttpServer.h"
 #include "wgLoopThread.h"
+#include "wgRawCaller.h"
 
 namespace {
 
-namespace asio = boost::asio;
-using asio::ip::tcp;
-
-/** A caller that writes and reads bytes as it likes. */
-class RawCaller
-{
-public:
-  explicit RawCaller(int port)
-    : socket_(loop_)
-  {
-    socket_.connect({ asio::ip::make_address("127.0.0.1"),
-                      static_cast<std::uint16_t>(port) });
-  }
-  void Send(const std::string& bytes)
-  {
-    boost::system::error_code ignored;
-    asio::write(socket_, asio::buffer(bytes), ignored);
-  }
-  /** Reads until the text has come, or the connection ends. */
-  std::string ReadUntil(const std::string& text)
-  {
-    boost::system::error_code error;
-    while (!error && !absl::StrContains(got_, text)) {
-      char bytes[4096];
-      const std::size_t n = socket_.read_some(asio::buffer(bytes), error);
-      got_.append(bytes, n);
-    }
-    return got_;
-  }
-  std::string ReadAll() { return ReadUntil("\x01never\x01"); }
-  void Close() { socket_.close(); }
-
-private:
-  asio::io_context loop_;
-  tcp::socket socket_;
-  std::string got_;
-};
+using wg::test::RawCaller;
 
 /** A server whose handler each test gives. */
 struct Served
@@ -117,6 +79,38 @@
   CHECK(absl::StrContains(all, "/d|"));
 }
 
+TEST_CASE("Fields after a body in chunks are not taken for those before it")
+{
+  Served served([](const Exchange& exchange) {
+    std::string names;
+    for (const auto& field : exchange->Request()) {
+      names += std::string(field.name_string()) + ",";
+    }
+    exchange->Respond(wg::MakeResponse(
+      200, "text/plain",
+      absl::StrCat(names, "|", exchange->Request().body(), "|")));
+  });
+  RawCaller caller(served.port);
+  caller.Send("POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+              "X-Before: 1\r\n\r\n3\r\nxyz\r\n");
+  absl::SleepFor(absl::Milliseconds(5));
+  caller.Send("0\r\nX-After: 2\r\nAuthorization: Token k\r\n\r\n");
+  const std::string got = caller.ReadUntil("|xyz|");
+  CHECK(absl::StrContains(got, "X-Before"));
+  CHECK_FALSE(absl::StrContains(got, "X-After"));
+  CHECK_FALSE(absl::StrContains(got, "Authorization"));
+  // The same when all of it comes at once, and the next request is sound.
+  caller.Send("POST /b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+              "\r\n3\r\nuvw\r\n0\r\nX-After: 2\r\n\r\n"
+              "POST /c HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+              "X-Third: 3\r\nConnection: close\r\n\r\nrst");
+  const std::string all = caller.ReadAll();
+  CHECK(absl::StrContains(all, "|uvw|"));
+  CHECK(absl::StrContains(all, "X-Third"));
+  CHECK(absl::StrContains(all, "|rst|"));
+  CHECK_FALSE(absl::StrContains(all, "X-After"));
+}
+
 TEST_CASE("A body may come in any pieces, after a 100 if one is asked for")
 {
   Served served(Echo);
--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -120,7 +120,7 @@
                                  { "X-Weirgate-Deadline-Ms", "15000" },
                                  { "X-Weirgate-Tenant", "forged" },
                                  { "Authorization", "Token " + key } };
-    if (path.rfind("/s/", 0) == 0) {
+    if (path.rfind("/s/", 0) == 0 || path.rfind("/r/", 0) == 0) {
       headers.emplace("X-Weirgate-Token-Usage", "100,20");
       headers.emplace("X-Weirgate-Prompt-Prefix", "aa:60,bb:40");
       headers.emplace("X-Weirgate-Chunk-Count", "2,3");
@@ -176,6 +176,14 @@
                 { "headroomMb", 1.0 } } } } } },
       { "tenants", { { { "name", "t1" }, { "apiKeys", { "k1" } } } } }
     };
+    Json resumable = document["routes"][1];
+    resumable["name"] = "resumable";
+    resumable["pathPrefix"] = "/r/";
+    resumable["streamResume"] = true;
+    resumable["maxAttempts"] = 2;
+    resumable["gapAimMs"] = 100;
+    resumable["phases"] = Json::array();
+    document["routes"].push_back(resumable);
     if (number > 1) {
       Json added = document["routes"][0];
       added["name"] = "added";
--- a/Tests/Platform/wgPlatformProcessTest.cxx
+++ b/Tests/Platform/wgPlatformProcessTest.cxx
@@ -16,6 +16,7 @@
 
 #include "wgPlatformCluster.h"
 #include "wgPlatformStandin.h"
+#include "wgRawCaller.h"
 #include "wgTestCluster.h"
 #include "wgTestPorts.h"
 
@@ -26,6 +27,7 @@
 using wg::test::PlatformCluster;
 using wg::test::PlatformStandin;
 using wg::test::Process;
+using wg::test::RawCaller;
 using wg::test::StandinConduct;
 
 /** Until a gateway has heard of the endpoints. */
@@ -74,6 +76,73 @@
   CHECK(engine.Runs("nokey") == 0);
 }
 
+TEST_CASE("What callers say for weirgate reaches no engine", "[forged]")
+{
+  PlatformCluster cluster(1);
+  PlatformStandin engine("i-llm");
+  cluster.AwaitServing();
+  REQUIRE(engine.Register(cluster.Api(0), "llm"));
+  AwaitAnswer(cluster, 0, "/r/x");
+  const std::vector<std::string> forged = { "X-Weirgate-Kv-Retention",
+                                            "X-Weirgate-Pin-Ms",
+                                            "X-Weirgate-Kv-Backup",
+                                            "Kv-From",
+                                            "kv-from",
+                                            "Kv-Fetch",
+                                            "X-Weirgate-Batch-Inputs",
+                                            "X-Weirgate-Tenant" };
+  std::string lines;
+  for (const std::string& name : forged) {
+    lines += name + ": forged\r\n";
+  }
+  const std::string request =
+    "POST /r/x HTTP/1.1\r\nHost: one.example\r\n"
+    "X-Weirgate-Attempt-Id: forging\r\nX-Weirgate-Deadline-Ms: 9000\r\n"
+    "Authorization: Token k1\r\nX-Weirgate-Token-Usage: 100,20\r\n"
+    "X-Weirgate-Prompt-Prefix: aa:60,bb:40\r\nX-Weirgate-Model: m\r\n" +
+    lines +
+    "Connection: close, X-Weirgate-Model\r\n"
+    "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n" +
+    lines + "\r\n";
+  RawCaller caller(cluster.Listen(0));
+  caller.Send(request);
+  const std::string reply = caller.ReadAll();
+  CHECK(reply.find("200 OK") != std::string::npos);
+  CHECK(engine.Runs("forging") == 1);
+  CHECK(engine.LastField("X-Weirgate-Model") == "m");
+  CHECK(engine.LastField("X-Weirgate-Tenant") == "t1");
+  for (const std::string& name : forged) {
+    CAPTURE(name);
+    CHECK(engine.LastField(name).find("forged") == std::string::npos);
+  }
+}
+
+TEST_CASE("A stream that falls silent goes on at another engine", "[silent]")
+{
+  PlatformCluster cluster(1);
+  PlatformStandin first("i-1");
+  PlatformStandin second("i-2");
+  cluster.AwaitServing();
+  REQUIRE(first.Register(cluster.Api(0), "llm"));
+  AwaitAnswer(cluster, 0, "/r/x");
+  first.SetConduct(StandinConduct::Silent);
+  REQUIRE(second.Register(cluster.Api(0), "llm"));
+  // Whichever engine is chosen first, until it is the silent one.
+  Await("the silent engine to be chosen", [&] {
+    static int number = 0;
+    const std::string id = absl::StrCat("silent", ++number);
+    const auto reply = cluster.Send(0, "/r/x", id);
+    REQUIRE(reply);
+    CHECK(reply->status == 200);
+    std::string whole;
+    for (int i = 1; i <= 4; ++i) {
+      whole += absl::StrCat("id: ", i, "\ndata: ", id, "\n\n");
+    }
+    CHECK(reply->body == whole);
+    return first.Runs(id) == 1 && second.Runs(id) == 1;
+  });
+}
+
 TEST_CASE("What may run once runs once, and promises hold", "[once]")
 {
   PlatformCluster cluster(1);
--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -93,6 +93,10 @@
     case StandinConduct::Wait:
       waiting_.push_back(exchange);
       return;
+    case StandinConduct::Silent:
+      Stream(exchange, 1, Events / 2);
+      waiting_.push_back(exchange);
+      return;
   }
 }
 
@@ -138,16 +142,24 @@
     exchange->Respond(std::move(answer));
     return;
   }
+  const int seen =
+    static_cast<int>(NumberOf(exchange->Request(), "Last-Event-Id", 0));
+  Stream(exchange, seen + 1, Events);
+  exchange->FinishStream();
+}
+
+void PlatformStandin::Stream(const Exchange& exchange, int first, int last)
+{
+  const std::string request = Field(exchange->Request(), RequestField);
   HttpHead head;
   head.result(200);
   head.set(RequestField, request);
   head.set("X-Weirgate-Server-Seal", id_);
   exchange->StartStream(std::move(head));
-  for (int i = 1; i <= Events; ++i) {
+  for (int i = first; i <= last; ++i) {
     exchange->WriteStream(
       absl::StrCat("id: ", i, "\ndata: ", request, "\n\n"));
   }
-  exchange->FinishStream();
 }
 
 void PlatformStandin::GoOn()
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -20,7 +20,8 @@
   Answer,
   Refuse, // says that it did not run it
   HangUp, // runs it, and closes without an answer
-  Wait    // runs it, and answers only when it is let go on
+  Wait,   // runs it, and answers only when it is let go on
+  Silent  // begins a stream, and says no more
 };
 
 /** \class PlatformStandin
@@ -63,6 +64,7 @@
   void OnRequest(const Exchange& exchange);
   void OnStage(const Exchange& exchange);
   void Answer(const Exchange& exchange);
+  void Stream(const Exchange& exchange, int first, int last);
 
   std::string id_;
   std::string address_;
--- a/Tests/Platform/wgPlatformTest.cxx
+++ b/Tests/Platform/wgPlatformTest.cxx
@@ -2,6 +2,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
+#include "wgForwardedRequest.h"
 #include "wgPlatformControl.h"
 #include "wgPlatformDialect.h"
 
@@ -93,6 +94,50 @@
   CHECK(table.limits.bodyBytes == 2000);
 }
 
+TEST_CASE("What callers may not say for weirgate is reserved")
+{
+  const wg::FieldNames names = wg::MakePlatformDialect().fields;
+  const std::string reserved[] = { "X-Weirgate-Expected-Version",
+                                   "X-Weirgate-Kv-Retention",
+                                   "X-Weirgate-Pin-Ms",
+                                   "X-Weirgate-Kv-Backup",
+                                   "Kv-From",
+                                   "Kv-Fetch",
+                                   "X-Weirgate-Tenant",
+                                   "X-Weirgate-Target-Instance",
+                                   "X-Weirgate-Request-Priority",
+                                   "X-Weirgate-Batch-Inputs" };
+  wg::HttpRequest asked;
+  for (const std::string& name : reserved) {
+    asked.insert(name, "forged");
+  }
+  asked.insert("X-Weirgate-Length-Hint", "80");
+  asked.insert("X-Weirgate-Model", "m");
+  asked.insert("Connection", "x-weirgate-model, Kv-From");
+  wg::ForwardFacts facts;
+  facts.left = absl::Seconds(1);
+  const auto sent = wg::MakeForwardedRequest(asked, names, facts);
+  for (const std::string& name : reserved) {
+    CAPTURE(name);
+    CHECK(sent.count(name) == 0);
+  }
+  CHECK(sent["X-Weirgate-Length-Hint"] == "80");
+  CHECK(sent["X-Weirgate-Model"] == "m");
+}
+
+TEST_CASE("A caller's patience with a stream is the longest of three")
+{
+  Json document = Document(); // aim 1 s, pauses 200 ms
+  CHECK(wg::Value(Read(document)).routes[0].patience == absl::Seconds(4));
+  document["routes"][0]["latencyGoalMs"] = 300;
+  CHECK(wg::Value(Read(document)).routes[0].patience == absl::Seconds(2));
+  document["routes"][0]["gapAimMs"] = 600;
+  CHECK(wg::Value(Read(document)).routes[0].patience ==
+        absl::Milliseconds(4800));
+  CHECK(wg::Value(Read(document)).routes[1].patience ==
+        absl::InfiniteDuration());
+}
+
 TEST_CASE("Streams and sends run once unless their route says otherwise")
 {
   Json document = Document();
