Agreement, Transport: a leader stands sooner after a restart of all

Two reasons: a pre-vote that comes before a restarted replica may vote was dropped, so that who asked waited for its next election time; and an opening packet to a box that was not up yet was sent again by the kernel after a second, with all calls to that box waiting behind it. Change: a pre-vote that came too early is answered once votes are allowed, which to who asked is a message that was long on its way; a connection that is not up within 200 ms is opened anew, and its calls wait for it.

--- a/Source/Agreement/wgElection.cxx
+++ b/Source/Agreement/wgElection.cxx
@@ -99,6 +99,9 @@
   // hold the change that made it one, and ours not yet.
   const bool mayVote = now >= r.noVoteBefore && r.role != ReplicaRole::Leader;
   if (!mayVote) {
+    if (isPreVote) {
+      r.waitingPreVote = m;
+    }
     return;
   }
   if (!isPreVote && m.term() > r.hard.term()) {
@@ -123,6 +126,18 @@
   Send(r, std::move(reply));
 }
 
+void AnswerWaitingPreVote(Replica& r, Elapsed now, absl::BitGenRef random)
+{
+  if (!r.waitingPreVote || now < r.noVoteBefore) {
+    return;
+  }
+  const wire::AgreementMessage message = *std::move(r.waitingPreVote);
+  r.waitingPreVote.reset();
+  if (r.role != ReplicaRole::Leader) {
+    OnVoteRequest(r, message, now, random);
+  }
+}
+
 void OnVoteReply(Replica& r, const wire::AgreementMessage& m, Elapsed now)
 {
   const bool isPreVote = m.kind() == Kind::PRE_VOTE_REPLY;
--- a/Source/Agreement/wgReplica.cxx
+++ b/Source/Agreement/wgReplica.cxx
@@ -76,6 +76,7 @@
 
 void OnTick(Replica& r, Elapsed now, absl::BitGenRef random)
 {
+  AnswerWaitingPreVote(r, now, random);
   if (r.role == ReplicaRole::Leader) {
     TickLeader(r, now, random);
   } else if (now >= r.electionDue) {
--- a/Source/Agreement/wgReplica.h
+++ b/Source/Agreement/wgReplica.h
@@ -100,6 +100,8 @@
   Elapsed heartbeatDue;
   Elapsed noVoteBefore; // a leader was heard, or a restart was, before it
   bool knowsMoreThanCandidate = false; // than the last that asked for a vote
+  /** Came before this replica may vote; answered once it may. */
+  std::optional<wire::AgreementMessage> waitingPreVote;
   std::set<std::uint64_t> grants;
   std::map<std::uint64_t, PeerProgress> peers;
   ReplicaActions actions;
--- a/Source/Agreement/wgReplication.cxx
+++ b/Source/Agreement/wgReplication.cxx
@@ -65,6 +65,7 @@
   BecomeFollower(r, m.term(), m.from());
   ResetElectionTimer(r, now, random);
   r.noVoteBefore = now + r.timing.minElection;
+  r.waitingPreVote.reset();
 }
 
 } // namespace
--- a/Source/Transport/wgPeerClient.cxx
+++ b/Source/Transport/wgPeerClient.cxx
@@ -2,8 +2,11 @@
 #include "wgPeerClient.h"
 
 #include <algorithm>
+#include <iterator>
+#include <utility>
 
 #include <poll.h>
+#include <sys/socket.h>
 
 #include "absl/strings/str_cat.h"
 #include "absl/synchronization/notification.h"
@@ -16,6 +19,11 @@
 constexpr int MaxPollMs = 200;
 constexpr int StatusOk = 200;
 constexpr absl::Duration SilenceBeforeReconnect = absl::Seconds(1);
+/** The kernel sends a lost opening packet again after a second; a box that
+ * starts beside this one is reached sooner by a new connection. Links take a
+ * few milliseconds.
+ */
+constexpr absl::Duration ConnectRetry = absl::Milliseconds(200);
 
 Error CallError(const std::string& address, absl::string_view what)
 {
@@ -80,6 +88,12 @@
     for (const auto& [id, call] : connection.calls) {
       soonest = std::min(soonest, call.deadline);
     }
+    for (const PendingCall& call : connection.waiting) {
+      soonest = std::min(soonest, call.deadline);
+    }
+    if (connection.session == nullptr) {
+      soonest = std::min(soonest, connection.connectBegan + ConnectRetry);
+    }
   }
   const auto left = absl::ToInt64Milliseconds(soonest - ElapsedNow());
   return static_cast<int>(std::clamp<std::int64_t>(left + 1, 0, MaxPollMs));
@@ -91,11 +105,15 @@
     std::vector<pollfd> polled = { { wakeUp_.Get(), POLLIN, 0 } };
     std::vector<std::string> addresses;
     for (const auto& [address, connection] : connections_) {
+      addresses.push_back(address);
+      if (connection.session == nullptr) {
+        polled.push_back({ connection.connecting.Get(), POLLOUT, 0 });
+        continue;
+      }
       const bool writes = connection.session->WantsWrite();
       polled.push_back({ connection.session->Socket(),
                          static_cast<short>(POLLIN | (writes ? POLLOUT : 0)),
                          0 });
-      addresses.push_back(address);
     }
     poll(polled.data(), polled.size(), PollTimeoutMs());
     if ((polled[0].revents & POLLIN) != 0) {
@@ -107,6 +125,10 @@
       if (events == 0 || found == connections_.end()) {
         continue;
       }
+      if (found->second.session == nullptr) {
+        OnConnectEvent(addresses[i]);
+        continue;
+      }
       detail::Http2Session& session = *found->second.session;
       if ((events & POLLIN) != 0) {
         found->second.lastHeard = ElapsedNow();
@@ -117,6 +139,7 @@
     }
     StartCalls();
     ExpireCalls(ElapsedNow());
+    RetryConnects(ElapsedNow());
   }
 }
 
@@ -132,30 +155,72 @@
   }
   for (auto it = connections_.begin(); it != connections_.end();) {
     auto current = it++;
-    if (current->second.session->WantsWrite()) {
-      current->second.session->Write();
+    const auto& session = current->second.session;
+    if (session != nullptr && session->WantsWrite()) {
+      session->Write();
     }
   }
 }
 
 void PeerClient::StartCall(PendingCall call)
 {
-  Connection& connection = connections_[call.address];
+  const std::string address = call.address;
+  if (connections_.count(address) == 0 && !BeginConnect(address)) {
+    call.callback(CallError(address, "can't be connected to"));
+    return;
+  }
+  Connection& connection = connections_[address];
   if (connection.session == nullptr) {
-    Outcome<SocketAddress> address = ParseSocketAddress(call.address);
-    Outcome<FileDescriptor> socket =
-      Succeeded(address) ? StartConnectTcp(Value(address))
-                         : Outcome<FileDescriptor>(Error{ Message(address) });
-    if (!Succeeded(socket)) {
-      connections_.erase(call.address);
-      call.callback(Error{ Message(socket) });
-      return;
+    connection.waiting.push_back(std::move(call));
+  } else {
+    SendCall(connection, std::move(call));
+  }
+}
+
+/** \return false when the address is unsound or there is no route to it */
+bool PeerClient::BeginConnect(const std::string& address)
+{
+  Outcome<SocketAddress> parsed = ParseSocketAddress(address);
+  Outcome<FileDescriptor> socket =
+    Succeeded(parsed) ? StartConnectTcp(Value(parsed))
+                      : Outcome<FileDescriptor>(Error{ Message(parsed) });
+  if (!Succeeded(socket)) {
+    return false;
+  }
+  Connection& connection = connections_[address];
+  connection.connecting = std::move(Value(socket));
+  connection.connectBegan = ElapsedNow();
+  return true;
+}
+
+void PeerClient::OnConnectEvent(const std::string& address)
+{
+  Connection& connection = connections_[address];
+  int error = 0;
+  socklen_t length = sizeof(error);
+  const int rc = getsockopt(connection.connecting.Get(), SOL_SOCKET, SO_ERROR,
+                            &error, &length);
+  if (rc != 0 || error != 0) {
+    Drop(address);
+    return;
+  }
+  detail::Http2Session::Listener& listener = *this;
+  connection.session = std::make_unique<detail::Http2Session>(
+    std::move(connection.connecting), detail::Http2Session::Side::Client,
+    listener);
+  connection.lastHeard = ElapsedNow();
+  for (PendingCall& call : std::exchange(connection.waiting, {})) {
+    auto found = connections_.find(address);
+    if (found == connections_.end()) {
+      call.callback(CallError(address, "closed the connection"));
+    } else {
+      SendCall(found->second, std::move(call));
     }
-    detail::Http2Session::Listener& listener = *this;
-    connection.session = std::make_unique<detail::Http2Session>(
-      std::move(Value(socket)), detail::Http2Session::Side::Client, listener);
-    connection.lastHeard = ElapsedNow();
   }
+}
+
+void PeerClient::SendCall(Connection& connection, PendingCall call)
+{
   const std::string signature =
     SignRequest(key_, who_, call.path, call.nonce, call.body);
   const std::int32_t id = connection.session->StartRequest(
@@ -169,11 +234,46 @@
   connection.calls.emplace(id, std::move(call));
 }
 
+/** Opens anew what has not been connected in time; a connection for which no
+ * call waits any more is forgotten.
+ */
+void PeerClient::RetryConnects(Elapsed now)
+{
+  std::vector<std::string> late;
+  for (const auto& [address, connection] : connections_) {
+    const bool isLate = connection.session == nullptr &&
+                        now - connection.connectBegan >= ConnectRetry;
+    if (isLate) {
+      late.push_back(address);
+    }
+  }
+  for (const std::string& address : late) {
+    const bool goesOn =
+      !connections_[address].waiting.empty() && BeginConnect(address);
+    if (!goesOn) {
+      Drop(address);
+    }
+  }
+}
+
+void PeerClient::ExpireWaiting(Connection& connection, Elapsed now,
+                               std::vector<PendingCall>& expired)
+{
+  auto& waiting = connection.waiting;
+  const auto kept = std::stable_partition(
+    waiting.begin(), waiting.end(),
+    [now](const PendingCall& call) { return call.deadline > now; });
+  expired.insert(expired.end(), std::make_move_iterator(kept),
+                 std::make_move_iterator(waiting.end()));
+  waiting.erase(kept, waiting.end());
+}
+
 void PeerClient::ExpireCalls(Elapsed now)
 {
   std::vector<PendingCall> expired;
   std::vector<std::string> silent;
   for (auto& [address, connection] : connections_) {
+    ExpireWaiting(connection, now, expired);
     const std::size_t before = expired.size();
     for (auto it = connection.calls.begin(); it != connection.calls.end();) {
       if (it->second.deadline > now) {
@@ -205,6 +305,9 @@
   if (node.empty()) {
     return;
   }
+  for (PendingCall& call : node.mapped().waiting) {
+    call.callback(CallError(address, "can't be connected to"));
+  }
   for (auto& [id, call] : node.mapped().calls) {
     call.callback(CallError(address, "closed the connection"));
   }
--- a/Source/Transport/wgPeerClient.h
+++ b/Source/Transport/wgPeerClient.h
@@ -56,7 +56,11 @@
   };
   struct Connection
   {
-    std::unique_ptr<detail::Http2Session> session;
+    /** Until it is connected: its calls wait. */
+    FileDescriptor connecting;
+    Elapsed connectBegan;
+    std::vector<PendingCall> waiting;
+    std::unique_ptr<detail::Http2Session> session; // null until connected
     std::map<std::int32_t, PendingCall> calls;
     Elapsed lastHeard;
   };
@@ -65,7 +69,13 @@
   int PollTimeoutMs() const;
   void StartCalls();
   void StartCall(PendingCall call);
+  bool BeginConnect(const std::string& address);
+  void OnConnectEvent(const std::string& address);
+  void SendCall(Connection& connection, PendingCall call);
+  void RetryConnects(Elapsed now);
   void ExpireCalls(Elapsed now);
+  static void ExpireWaiting(Connection& connection, Elapsed now,
+                            std::vector<PendingCall>& expired);
   void Drop(const std::string& address);
   void OnMessage(detail::Http2Session& session, std::int32_t stream) override;
   void OnBroken(detail::Http2Session& session, std::int32_t stream) override;
