--- a/Utilities/Rounds/CompareRound.sh
+++ b/Utilities/Rounds/CompareRound.sh
@@ -51,10 +51,9 @@
     next
   }
   /^$/ { priced = 0 }
-  /RULE|broke|broken rule/ && side == "change" && /[A-Z][A-Z]+/ {
-    if (match($0, /(MIXED|UNASKED|TWICE|REFUSED|DENIED|ROUTE|BUDGET|GONE|LOST|DRAIN|CONFIG|RECOVER|ORDER)/)) {
-      broken[day] = substr($0, RSTART, RLENGTH)
-    }
+  side == "change" && /BROKEN: / {
+    broken[day] = $0
+    sub(/.*BROKEN: /, "", broken[day])
   }
   function take(figure, value) {
     values[side, day, figure] = value
