Gateway, Control: documents not received and entries sent again are told

Ruled out: nothing yet; this changes no decision. Change: a gateway writes document_not_received and counts the bytes that other processes' answers took; a control box tells how many bytes of entries it sent again.

--- a/Source/Agreement/wgReplica.cxx
+++ b/Source/Agreement/wgReplica.cxx
@@ -60,6 +60,15 @@
   r.noVoteBefore = now + r.timing.minElection;
 }
 
+std::uint64_t BytesSentAgain(const Replica& r)
+{
+  std::uint64_t bytes = 0;
+  for (const auto& [id, peer] : r.peers) {
+    bytes += peer.sentAgain;
+  }
+  return bytes;
+}
+
 void FoundCluster(Replica& r, Elapsed now)
 {
   r.hard.set_term(1);
--- a/Source/Agreement/wgReplica.h
+++ b/Source/Agreement/wgReplica.h
@@ -46,6 +46,8 @@
   Elapsed trackedSince = -absl::InfiniteDuration();
   Elapsed lastProgress = -absl::InfiniteDuration();
   Elapsed snapshotSent = -absl::InfiniteDuration();
+  std::uint64_t sent = 0;      // the newest entry that was ever sent
+  std::uint64_t sentAgain = 0; // bytes of entries that had been sent before
 };
 
 /** \brief A message, and whether it must wait for the disk. */
@@ -107,6 +109,9 @@
   ReplicaActions actions;
 };
 
+/** \brief Bytes of entries that this leader has sent more than once. */
+std::uint64_t BytesSentAgain(const Replica& replica);
+
 /** \brief Starts a replica from what its disk holds. */
 void StartReplica(Replica& replica, Elapsed now, absl::BitGenRef random);
 
--- a/Source/Agreement/wgReplication.cxx
+++ b/Source/Agreement/wgReplication.cxx
@@ -53,6 +53,10 @@
     const wire::LogEntry& entry = r.log.At(peer.next);
     bytes += entry.change().size();
     *message.add_entries() = entry;
+    if (entry.index() <= peer.sent) {
+      peer.sentAgain += entry.change().size();
+    }
+    peer.sent = std::max(peer.sent, entry.index());
     ++peer.next;
   }
   Send(r, std::move(message), false);
--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -225,6 +225,7 @@
   AnswerFollowers(followers_, Followed(), now);
   CompactIfDue();
   NoteRole();
+  NoteResends();
   TellRolloutDuty();
 }
 
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -155,6 +155,7 @@
   std::string LeaderAddress() const;
   std::string AddressOf(std::uint64_t id) const;
   void NoteRole();
+  void NoteResends();
   void TellRolloutDuty();
 
   ControlSettings settings_;
@@ -168,6 +169,8 @@
   ReplicaActions pending_;
   bool writeFailed_ = false;
   ReplicaRole loggedRole_ = ReplicaRole::Follower;
+  std::uint64_t loggedSentAgain_ = 0; // bytes
+  Elapsed nextResendLine_;
   std::map<std::uint64_t, Waiter> waiters_;
   std::uint64_t bytesSinceSnapshot_ = 0;
   Followers followers_;
--- a/Source/Control/wgControlNodeReplica.cxx
+++ b/Source/Control/wgControlNodeReplica.cxx
@@ -16,6 +16,7 @@
 constexpr absl::Duration CallTimeout = absl::Seconds(2);
 constexpr absl::Duration SnapshotTimeout = absl::Seconds(10);
 constexpr absl::Duration JoinPeriod = absl::Milliseconds(500);
+constexpr absl::Duration ResendLinePeriod = absl::Seconds(1);
 constexpr std::uint64_t RetainedEntries = 500;
 /** What the retained entries, and those since the last snapshot, may take. */
 constexpr std::uint64_t MaxRetainedBytes = 4U << 20U;
@@ -289,6 +290,23 @@
   return replica_.leader == 0 ? std::string() : AddressOf(replica_.leader);
 }
 
+/** Entries that are sent again show a slow link or a slow box. */
+void ControlNode::NoteResends()
+{
+  const Elapsed now = ElapsedNow();
+  const std::uint64_t bytes = BytesSentAgain(replica_);
+  if (bytes == loggedSentAgain_ || now < nextResendLine_) {
+    return;
+  }
+  nextResendLine_ = now + ResendLinePeriod;
+  if (bytes > loggedSentAgain_) {
+    LogChange("replica", absl::StrCat("sent ", bytes - loggedSentAgain_,
+                                      " bytes of entries again, to ",
+                                      replica_.peers.size(), " replicas"));
+  }
+  loggedSentAgain_ = bytes;
+}
+
 void ControlNode::NoteRole()
 {
   const Elapsed now = ElapsedNow();
--- a/Source/Control/wgControlStatus.cxx
+++ b/Source/Control/wgControlStatus.cxx
@@ -44,6 +44,7 @@
            { "term", replica.hard.term() },
            { "last_index", replica.log.LastIndex() },
            { "commit", replica.commit },
+           { "sent_again_bytes", BytesSentAgain(replica) },
            { "lease", HoldsLease(replica, now) },
            { "voters", DescribeVoters(replica.voters.voters()) },
            { "learners", DescribeVoters(replica.voters.learners()) } };
--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -117,6 +117,13 @@
                { { "control", link.address }, { "why", why } });
     TellMembers();
   }
+  if (link.document > held_) {
+    log_.Write(LogWeight::Notable, "document_not_received",
+               { { "control", link.address },
+                 { "number", link.document },
+                 { "held", held_ },
+                 { "why", why } });
+  }
   const Elapsed lastKnown = std::max(link.heard, link.known);
   if (now - lastKnown > ForgetAfter && links_.size() > 3) {
     links_.erase(link.address);
@@ -171,6 +178,7 @@
 void ControlFollower::TakeDocument(Link& link, const wire::FollowReply& reply)
 {
   link.wantsDocument = false;
+  link.document = reply.document_number();
   if (reply.document_number() <= held_) {
     return;
   }
--- a/Source/Gateway/wgControlFollower.h
+++ b/Source/Gateway/wgControlFollower.h
@@ -70,6 +70,7 @@
     int failures = 0;
     bool reached = true;
     bool wantsDocument = false;
+    std::uint64_t document = 0; // the newest number that it has told
     std::unique_ptr<boost::asio::steady_timer> pause;
   };
 
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -212,6 +212,7 @@
     metrics_.Print(), "weirgate_document_number ",
     table_ == nullptr ? 0 : table_->number, "\nweirgate_endpoints_known ",
     directory_.endpoints.size(), "\nweirgate_requests_open ", requests_.size(),
+    "\nweirgate_peer_bytes_read ", peerClient_->BytesRead(),
     "\nweirgate_log_lines_left_out ", log_.LeftOut(), "\n");
 }
 
--- a/Source/Transport/wgHttp2Session.cxx
+++ b/Source/Transport/wgHttp2Session.cxx
@@ -182,6 +182,7 @@
     if (got == 0) {
       return false;
     }
+    bytesRead_ += static_cast<std::uint64_t>(got);
     if (nghttp2_session_mem_recv(session_, buffer.data(),
                                  static_cast<std::size_t>(got)) < 0) {
       return false;
--- a/Source/Transport/wgHttp2Session.h
+++ b/Source/Transport/wgHttp2Session.h
@@ -61,6 +61,8 @@
   /** \brief False once the connection is of no more use. */
   bool Read();
   bool Write();
+  /** \brief Bytes taken from the socket so far. */
+  std::uint64_t BytesRead() const { return bytesRead_; }
   Http2Stream* Find(std::int32_t stream);
   /** \brief Starts a request; a negative number when that cannot be. */
   std::int32_t StartRequest(absl::string_view path, absl::string_view who,
@@ -79,6 +81,7 @@
   nghttp2_session* session_ = nullptr;
   std::unordered_map<std::int32_t, Http2Stream> streams_;
   std::string out_;
+  std::uint64_t bytesRead_ = 0;
 };
 
 } // namespace wg::detail
--- a/Source/Transport/wgPeerClient.cxx
+++ b/Source/Transport/wgPeerClient.cxx
@@ -133,7 +133,10 @@
       if ((events & POLLIN) != 0) {
         found->second.lastHeard = ElapsedNow();
       }
-      if (!session.Read() || !session.Write()) {
+      const std::uint64_t before = session.BytesRead();
+      const bool isOpen = session.Read();
+      bytesRead_ += session.BytesRead() - before;
+      if (!isOpen || !session.Write()) {
         Drop(addresses[i]);
       }
     }
--- a/Source/Transport/wgPeerClient.h
+++ b/Source/Transport/wgPeerClient.h
@@ -44,6 +44,11 @@
                                    absl::string_view path, std::string body,
                                    absl::Duration timeout);
 
+  /** \brief Bytes that answers took so far, also those given up midway. From
+   * any thread.
+   */
+  std::uint64_t BytesRead() const { return bytesRead_; }
+
 private:
   struct PendingCall
   {
@@ -87,6 +92,7 @@
   absl::Mutex mutex_;
   std::vector<PendingCall> queued_ ABSL_GUARDED_BY(mutex_);
   std::map<std::string, Connection> connections_;
+  std::atomic<std::uint64_t> bytesRead_{ 0 };
   std::atomic<bool> stopping_{ false };
   std::thread thread_;
 };
