Agreement: entries that are on their way are not sent again

Cause: a leader took entries for lost 100 ms after the last confirmed one, and a heartbeat that overtook a large entry was refused, upon which it sent the entry again at once. Bringing others up to date with documents of 860 kB it sent 20 to 43 MB/s and was ended for its memory. Ruled out: answers to gateways (control boxes stand at 88 to 109 MB while these fail for a minute; only leaders grow beyond). Change: what is in flight to a replica is accounted for (wgInFlight). Beyond 64 kB nothing more is sent and heartbeats follow the last entry that the replica is known to hold. It is lost when the call failed, or after 100 ms and the time that it takes at 1 MB/s, doubled after each loss; the call may take as long.

--- a/Source/Agreement/wgReplica.h
+++ b/Source/Agreement/wgReplica.h
@@ -12,6 +12,7 @@
 #include "absl/time/time.h"
 
 #include "wgElapsed.h"
+#include "wgInFlight.h"
 #include "wgPeer.pb.h"
 #include "wgReplicaLog.h"
 
@@ -23,7 +24,6 @@
   absl::Duration heartbeat = absl::Milliseconds(50);
   absl::Duration minElection = absl::Milliseconds(400);
   absl::Duration maxElection = absl::Milliseconds(800);
-  absl::Duration snapshotRetry = absl::Seconds(1);
   int maxEntriesInMessage = 256;
   /** Part of minElection that a lease lasts; the rest covers clock drift. */
   double leaseShare = 0.8;
@@ -44,8 +44,7 @@
   std::uint64_t match = 0;
   Elapsed acknowledgedSend = -absl::InfiniteDuration();
   Elapsed trackedSince = -absl::InfiniteDuration();
-  Elapsed lastProgress = -absl::InfiniteDuration();
-  Elapsed snapshotSent = -absl::InfiniteDuration();
+  InFlight inFlight;
   std::uint64_t sent = 0;      // the newest entry that was ever sent
   std::uint64_t sentAgain = 0; // bytes of entries that had been sent before
 };
@@ -55,6 +54,10 @@
 {
   wire::AgreementMessage message;
   bool afterSync = true;
+  /** How long it may take; a call that ends sooner would never get a large
+   * message over a poor link.
+   */
+  absl::Duration patience = absl::ZeroDuration();
 };
 
 /** \brief What the caller must do after a step, in this order: install the
@@ -122,6 +125,9 @@
 void OnMessage(Replica& replica, const wire::AgreementMessage& message,
                Elapsed now, absl::BitGenRef random);
 
+/** \brief A message with entries or a snapshot did not reach a replica. */
+void OnNotDelivered(Replica& replica, std::uint64_t to, std::int64_t sentUs);
+
 /** \brief All that `actions` asked to be written is on the disk. */
 void OnSynced(Replica& replica);
 
--- a/Source/Agreement/wgReplicaDetail.cxx
+++ b/Source/Agreement/wgReplicaDetail.cxx
@@ -59,7 +59,6 @@
       PeerProgress fresh;
       fresh.next = r.log.LastIndex() + 1;
       fresh.trackedSince = now;
-      fresh.lastProgress = now;
       kept[voter.id()] = found == r.peers.end() ? fresh : found->second;
     }
   }
--- a/Source/Agreement/wgReplication.cxx
+++ b/Source/Agreement/wgReplication.cxx
@@ -9,7 +9,8 @@
 namespace wg::detail {
 namespace {
 
-constexpr std::size_t MaxBytesInMessage = 1U << 20U;
+/** What an entry takes in a message besides its change, about. */
+constexpr std::size_t EntryBytes = 64;
 
 enum class AppendCause
 {
@@ -17,17 +18,59 @@
   Progress
 };
 
-void SendSnapshot(Replica& r, std::uint64_t to, PeerProgress& peer,
-                  Elapsed now)
+/** Sends entries or a snapshot; heartbeats go on meanwhile. */
+void SendBulk(Replica& r, wire::AgreementMessage message, std::size_t bytes,
+              std::uint64_t last, Elapsed now)
 {
-  if (now - peer.snapshotSent < r.timing.snapshotRetry) {
+  InFlight& inFlight = r.peers[message.to()].inFlight;
+  NoteSent(inFlight, bytes, last, now);
+  Send(r, std::move(message), false);
+  r.actions.messages.back().patience = LostAfter(inFlight);
+}
+
+void SendSnapshot(Replica& r, std::uint64_t to, Elapsed now)
+{
+  if (r.peers[to].inFlight.bytes > 0) {
     return;
   }
-  peer.snapshotSent = now;
   auto message = MakeMessage(r, Kind::SNAPSHOT, to, r.hard.term());
   message.set_sent_us(absl::ToInt64Microseconds(now));
   *message.mutable_snapshot() = r.snapshot;
-  Send(r, std::move(message), false);
+  const std::size_t bytes = r.snapshot.state().size() + EntryBytes;
+  SendBulk(r, std::move(message), bytes, r.snapshot.index(), now);
+}
+
+/** As many of the next entries as may be sent now. */
+std::size_t AddEntries(const Replica& r, PeerProgress& peer,
+                       wire::AgreementMessage& message)
+{
+  const std::size_t room = RoomInFlight(peer.inFlight);
+  std::size_t bytes = 0;
+  while (r.log.Has(peer.next) && bytes < room &&
+         message.entries_size() < r.timing.maxEntriesInMessage) {
+    const wire::LogEntry& entry = r.log.At(peer.next);
+    bytes += entry.change().size() + EntryBytes;
+    *message.add_entries() = entry;
+    if (entry.index() <= peer.sent) {
+      peer.sentAgain += entry.change().size();
+    }
+    peer.sent = std::max(peer.sent, entry.index());
+    ++peer.next;
+  }
+  return bytes;
+}
+
+/** The entry that a message to the replica follows. While something large is
+ * in flight it is one that the replica is known to hold: a heartbeat overtakes
+ * what is in flight, and would be refused.
+ */
+std::uint64_t EntryBefore(const Replica& r, const PeerProgress& peer)
+{
+  if (IsLarge(peer.inFlight)) {
+    return peer.match;
+  }
+  const bool needsSnapshot = peer.next < r.log.FirstIndex();
+  return needsSnapshot ? r.log.LastIndex() : peer.next - 1;
 }
 
 void SendAppend(Replica& r, std::uint64_t to, Elapsed now, AppendCause cause)
@@ -35,31 +78,36 @@
   PeerProgress& peer = r.peers[to];
   const bool needsSnapshot = peer.next < r.log.FirstIndex();
   if (needsSnapshot) {
-    SendSnapshot(r, to, peer, now);
-    if (cause != AppendCause::Heartbeat) {
-      return; // only heartbeats until the snapshot has arrived
-    }
+    SendSnapshot(r, to, now);
+  }
+  const bool mayAdd = !needsSnapshot && !IsLarge(peer.inFlight);
+  if (!mayAdd && cause != AppendCause::Heartbeat) {
+    return;
   }
   auto message = MakeMessage(r, Kind::APPEND, to, r.hard.term());
   message.set_commit(r.commit);
   message.set_sent_us(absl::ToInt64Microseconds(now));
-  const std::uint64_t before =
-    needsSnapshot ? r.log.LastIndex() : peer.next - 1;
+  const std::uint64_t before = EntryBefore(r, peer);
   message.set_last_index(before);
   message.set_last_term(r.log.TermAt(before));
-  std::size_t bytes = 0;
-  while (!needsSnapshot && r.log.Has(peer.next) && bytes < MaxBytesInMessage &&
-         message.entries_size() < r.timing.maxEntriesInMessage) {
-    const wire::LogEntry& entry = r.log.At(peer.next);
-    bytes += entry.change().size();
-    *message.add_entries() = entry;
-    if (entry.index() <= peer.sent) {
-      peer.sentAgain += entry.change().size();
-    }
-    peer.sent = std::max(peer.sent, entry.index());
-    ++peer.next;
+  const std::size_t bytes = mayAdd ? AddEntries(r, peer, message) : 0;
+  if (bytes > 0) {
+    SendBulk(r, std::move(message), bytes, peer.next - 1, now);
+  } else {
+    Send(r, std::move(message), false);
   }
-  Send(r, std::move(message), false);
+}
+
+std::int64_t SentUs(const InFlight& inFlight)
+{
+  return absl::ToInt64Microseconds(inFlight.sent);
+}
+
+/** Begins again after the last entry that the replica is known to hold. */
+void ResendTo(PeerProgress& peer)
+{
+  NoteLost(peer.inFlight);
+  peer.next = peer.match + 1;
 }
 
 /** A message of the leader of the current term has come. */
@@ -193,14 +241,19 @@
   peer.acknowledgedSend =
     std::max(peer.acknowledgedSend, absl::Microseconds(m.sent_us()));
   if (!m.granted()) {
+    const bool isOfLarge = m.sent_us() == SentUs(peer.inFlight);
+    if (IsLarge(peer.inFlight) && !isOfLarge) {
+      return; // of a message that overtook it
+    }
     // A late refusal must not undo what is known to match.
+    peer.inFlight = {};
     peer.next = std::max(peer.match, std::min(peer.next - 1, m.match())) + 1;
     SendAppend(r, m.from(), now, AppendCause::Progress);
     return;
   }
   if (m.match() > peer.match) {
     peer.match = m.match();
-    peer.lastProgress = now;
+    NoteConfirmed(peer.inFlight, peer.match, now);
   }
   peer.next = std::max(peer.next, peer.match + 1);
   AdvanceCommit(r);
@@ -209,6 +262,18 @@
   }
 }
 
+void NotDelivered(Replica& r, std::uint64_t to, std::int64_t sentUs)
+{
+  auto found = r.peers.find(to);
+  if (found == r.peers.end()) {
+    return;
+  }
+  InFlight& inFlight = found->second.inFlight;
+  if (inFlight.bytes > 0 && sentUs == SentUs(inFlight)) {
+    ResendTo(found->second);
+  }
+}
+
 Elapsed QuorumAcknowledgedSend(const Replica& r, Elapsed now)
 {
   return QuorumValue<Elapsed>(
@@ -229,10 +294,11 @@
     return;
   }
   for (auto& [id, peer] : r.peers) {
-    const bool stalled = peer.next > peer.match + 1 &&
-                         now - peer.lastProgress > 2 * r.timing.heartbeat;
-    if (stalled) {
-      peer.next = peer.match + 1;
+    const InFlight& inFlight = peer.inFlight;
+    const bool isLost =
+      inFlight.bytes > 0 && now - inFlight.quietSince > LostAfter(inFlight);
+    if (isLost) {
+      ResendTo(peer);
     }
   }
   SendAppendToAll(r, now);
--- a/Source/Agreement/wgReplication.h
+++ b/Source/Agreement/wgReplication.h
@@ -23,6 +23,9 @@
                        Elapsed now, absl::BitGenRef random);
 void OnAppendReply(Replica& r, const wire::AgreementMessage& m, Elapsed now);
 
+/** \brief What was sent to a replica at a time will not arrive. */
+void NotDelivered(Replica& r, std::uint64_t to, std::int64_t sentUs);
+
 /** \brief The latest time at which something was sent that a quorum has
  * acknowledged.
  */
--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -269,6 +269,9 @@
                 [this](JoinCall& call) { OnJoin(call); },
                 [this](StatusCall& call) { OnStatus(call); },
                 [this](JoinAnswer& answer) { OnJoinAnswer(answer); },
+                [this](const NotDeliveredMail& mail) {
+                  OnNotDelivered(replica_, mail.to, mail.sentUs);
+                },
                 [this](ReadCall& call) {
                   call.respond(ReadOwn().SerializeAsString());
                 } },
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -112,9 +112,15 @@
   {
     wire::JoinReply reply;
   };
-  using Mail =
-    std::variant<wire::AgreementBatch, FoundRequest, ChangeRequest,
-                 FollowWaiter, JoinCall, StatusCall, JoinAnswer, ReadCall>;
+  /** \brief Entries or a snapshot that did not reach a replica. */
+  struct NotDeliveredMail
+  {
+    std::uint64_t to = 0;
+    std::int64_t sentUs = 0;
+  };
+  using Mail = std::variant<wire::AgreementBatch, FoundRequest, ChangeRequest,
+                            FollowWaiter, JoinCall, StatusCall, JoinAnswer,
+                            ReadCall, NotDeliveredMail>;
 
   /** \brief A proposed change whose author waits for the outcome. */
   struct Waiter
--- a/Source/Control/wgControlNodeReplica.cxx
+++ b/Source/Control/wgControlNodeReplica.cxx
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr absl::Duration CallTimeout = absl::Seconds(2);
-constexpr absl::Duration SnapshotTimeout = absl::Seconds(10);
 constexpr absl::Duration JoinPeriod = absl::Milliseconds(500);
 constexpr absl::Duration ResendLinePeriod = absl::Seconds(1);
 constexpr std::uint64_t RetainedEntries = 500;
@@ -166,8 +165,13 @@
 
 void ControlNode::SendMessages(bool afterSync)
 {
-  std::map<std::string, wire::AgreementBatch> batches;
-  bool hasSnapshot = false;
+  struct Batch
+  {
+    wire::AgreementBatch messages;
+    absl::Duration timeout = CallTimeout;
+    NotDeliveredMail bulk; // if it does not arrive
+  };
+  std::map<std::string, Batch> batches;
   for (OutgoingMessage& outgoing : pending_.messages) {
     if (outgoing.afterSync != afterSync) {
       continue;
@@ -177,13 +181,21 @@
       continue;
     }
     outgoing.message.set_from_address(settings_.advertise);
-    hasSnapshot |= outgoing.message.has_snapshot();
-    *batches[address].add_messages() = std::move(outgoing.message);
+    Batch& batch = batches[address];
+    batch.timeout = std::max(batch.timeout, outgoing.patience);
+    if (outgoing.patience > absl::ZeroDuration()) {
+      batch.bulk = { outgoing.message.to(), outgoing.message.sent_us() };
+    }
+    *batch.messages.add_messages() = std::move(outgoing.message);
   }
   for (const auto& [address, batch] : batches) {
-    client_->Call(address, "/agreement", batch.SerializeAsString(),
-                  hasSnapshot ? SnapshotTimeout : CallTimeout,
-                  [](const Outcome<std::string>&) {});
+    client_->Call(
+      address, "/agreement", batch.messages.SerializeAsString(), batch.timeout,
+      [this, bulk = batch.bulk](const Outcome<std::string>& reply) {
+        if (!Succeeded(reply) && bulk.to != 0) {
+          Post(bulk);
+        }
+      });
   }
   if (!afterSync) {
     auto& messages = pending_.messages;
--- a/Tests/Agreement/wgFakeCluster.cxx
+++ b/Tests/Agreement/wgFakeCluster.cxx
@@ -313,6 +313,12 @@
   }
   if (!Chance(0.03)) {
     Deliver(message);
+    return;
+  }
+  FakeBox* from = BoxOf(message.from());
+  if (from != nullptr && Chance(0.5)) { // a connection that broke tells so
+    OnNotDelivered(from->process, message.to(), message.sent_us());
+    CarryOut(*from);
   }
 }
 
