Gateway, Control: documents arrive in pieces, beside the news of endpoints

Cause: a gateway asked all control boxes for a whole document in the calls that also bring news of endpoints. These end after 1.5 s, of which up to 1 s is over before there is a document; what had come was thrown away. Above some 300 kB on links of 10 Mbit/s none ever ended, the links stayed full, and the news was lost with the document. Ruled out: the control boxes' processor (9 to 19% used) and the gateways' (0 to 1%); the agreement, which acknowledged each document within 0.7 s. Change: follow calls only tell a document's number. It is fetched compressed, in pieces of 64 kB from one control box at a time, a different one for each box; what has come stays when a call fails or another one goes on, pieces halve after a loss, and a transfer that has begun ends before a newer one begins. What is known of endpoints comes at most 100 at a time. A forwarded document's call may take as long as its bytes on a slow link.

--- a/Source/Agreement/wgInFlight.cxx
+++ b/Source/Agreement/wgInFlight.cxx
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 
+#include "wgLink.h"
+
 namespace wg::detail {
 namespace {
 
@@ -11,11 +13,8 @@
  */
 constexpr std::size_t LargeBytes = 64U << 10U;
 constexpr std::size_t MaxBytesInMessage = 1U << 20U;
-/** What may be lost is sent again after two heartbeats, and what takes long on
- * links of 10 Mbit/s when it should have arrived.
- */
+/** Two heartbeats, besides what the transfer takes. */
 constexpr absl::Duration LeastWait = absl::Milliseconds(100);
-constexpr double BytesPerSecond = 1e6;
 /** Each loss doubles the wait, so that any link gets through in the end. */
 constexpr int MaxDoublings = 6;
 
@@ -36,9 +35,7 @@
 
 absl::Duration LostAfter(const InFlight& inFlight)
 {
-  const absl::Duration transfer =
-    absl::Seconds(static_cast<double>(inFlight.bytes) / BytesPerSecond);
-  return (LeastWait + transfer) * (1 << inFlight.losses);
+  return (LeastWait + TransferTime(inFlight.bytes)) * (1 << inFlight.losses);
 }
 
 void NoteSent(InFlight& inFlight, std::size_t bytes, std::uint64_t last,
--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -131,6 +131,10 @@
     FollowWaiter waiter{ {}, {}, std::move(respond) };
     sound = waiter.request.ParseFromString(request.body);
     Post(std::move(waiter));
+  } else if (isPeer && request.path == "/document-piece") {
+    PieceCall call{ {}, std::move(respond) };
+    sound = call.request.ParseFromString(request.body);
+    Post(std::move(call));
   } else if (isPeer && request.path == "/document") {
     Post(ReadCall{ std::move(respond) });
   } else if (isPeer && request.path == "/join") {
@@ -253,8 +257,8 @@
 
 void ControlNode::Handle(Mail mail)
 {
-  std::visit(
-    Overloaded{ [this](wire::AgreementBatch& batch) {
+  std::visit(Overloaded{
+               [this](wire::AgreementBatch& batch) {
                  if (writeFailed_) {
                    return; // silent until the disk takes what is pending
                  }
@@ -263,19 +267,23 @@
                    OnMessage(replica_, message, ElapsedNow(), random_);
                  }
                },
-                [this](FoundRequest& request) { OnFound(request); },
-                [this](ChangeRequest& request) { OnChange(request); },
-                [this](FollowWaiter& waiter) { OnFollow(std::move(waiter)); },
-                [this](JoinCall& call) { OnJoin(call); },
-                [this](StatusCall& call) { OnStatus(call); },
-                [this](JoinAnswer& answer) { OnJoinAnswer(answer); },
-                [this](const NotDeliveredMail& mail) {
-                  OnNotDelivered(replica_, mail.to, mail.sentUs);
-                },
-                [this](ReadCall& call) {
-                  call.respond(ReadOwn().SerializeAsString());
-                } },
-    mail);
+               [this](FoundRequest& request) { OnFound(request); },
+               [this](ChangeRequest& request) { OnChange(request); },
+               [this](FollowWaiter& waiter) { OnFollow(std::move(waiter)); },
+               [this](JoinCall& call) { OnJoin(call); },
+               [this](StatusCall& call) { OnStatus(call); },
+               [this](JoinAnswer& answer) { OnJoinAnswer(answer); },
+               [this](const NotDeliveredMail& mail) {
+                 OnNotDelivered(replica_, mail.to, mail.sentUs);
+               },
+               [this](PieceCall& call) {
+                 call.respond(ReadPiece(packed_, state_.document, call.request)
+                                .SerializeAsString());
+               },
+               [this](ReadCall& call) {
+                 call.respond(ReadOwn().SerializeAsString());
+               } },
+             mail);
 }
 
 void ControlNode::OnFound(FoundRequest& request)
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -23,6 +23,7 @@
 #include "wgEndpointRegistry.h"
 #include "wgFollowers.h"
 #include "wgOutcome.h"
+#include "wgPackedDocuments.h"
 #include "wgPeerClient.h"
 #include "wgPeerServer.h"
 #include "wgRepair.h"
@@ -103,6 +104,11 @@
     wire::JoinRequest request;
     Respond respond;
   };
+  struct PieceCall
+  {
+    wire::DocumentPieceRequest request;
+    Respond respond;
+  };
   struct StatusCall
   {
     Respond respond;
@@ -120,7 +126,7 @@
   };
   using Mail = std::variant<wire::AgreementBatch, FoundRequest, ChangeRequest,
                             FollowWaiter, JoinCall, StatusCall, JoinAnswer,
-                            ReadCall, NotDeliveredMail>;
+                            ReadCall, PieceCall, NotDeliveredMail>;
 
   /** \brief A proposed change whose author waits for the outcome. */
   struct Waiter
@@ -180,6 +186,7 @@
   std::map<std::uint64_t, Waiter> waiters_;
   std::uint64_t bytesSinceSnapshot_ = 0;
   Followers followers_;
+  PackedDocuments packed_;
   EndpointRegistry registry_;
   std::map<std::uint64_t, JoiningReplica> joining_;
   std::map<std::uint64_t, std::string> addresses_; // of replicas, by id
--- a/Source/Control/wgControlNodeDocuments.cxx
+++ b/Source/Control/wgControlNodeDocuments.cxx
@@ -8,6 +8,7 @@
 #include <boost/asio/post.hpp>
 
 #include "wgChangeAnswer.h"
+#include "wgLink.h"
 
 namespace wg {
 namespace {
@@ -82,8 +83,10 @@
     Post(ChangeRequest{ std::move(change), respond });
     return;
   }
+  const absl::Duration timeout =
+    ForwardTimeout + TransferTime(change.publish().content().size());
   client_->Call(
-    leader, "/change", change.SerializeAsString(), ForwardTimeout,
+    leader, "/change", change.SerializeAsString(), timeout,
     [this, respond](const Outcome<std::string>& reply) {
       const std::string bytes =
         Succeeded(reply) ? Value(reply)
@@ -114,7 +117,10 @@
     answer(ReadOwn());
     return;
   }
-  client_->Call(leader, "/document", "", ForwardTimeout,
+  // The leader's may be larger, but hardly by more than the margin.
+  const absl::Duration timeout =
+    ForwardTimeout + TransferTime(state_.document.content().size());
+  client_->Call(leader, "/document", "", timeout,
                 [this, answer](const Outcome<std::string>& reply) {
                   wire::DocumentReply document;
                   const bool sound =
--- a/Source/Control/wgEndpointRegistry.cxx
+++ b/Source/Control/wgEndpointRegistry.cxx
@@ -1,11 +1,19 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgEndpointRegistry.h"
 
+#include <algorithm>
+#include <vector>
+
 namespace wg {
 namespace {
 
 using Registration = wire::Registration;
 
+/** Some 10 kB, 8 ms of a link of 10 Mbit/s: a box that starts asks all control
+ * boxes for all endpoints, and what ends in time need not be sent again.
+ */
+constexpr std::size_t MaxRegistrationsInReply = 100;
+
 bool SaysTheSame(const Registration& left, const Registration& right)
 {
   return left.state() == right.state() && left.service() == right.service() &&
@@ -82,14 +90,25 @@
                         wire::FollowReply& reply)
 {
   reply.set_registry(registry.incarnation);
-  reply.set_registrations_revision(registry.revision);
   const bool known = request.registry() == registry.incarnation;
   const std::uint64_t have = known ? request.have_registrations() : 0;
+  std::vector<const Registration*> news;
   for (const auto& [id, endpoint] : registry.endpoints) {
     if (endpoint.registration.revision() > have) {
-      *reply.add_registrations() = endpoint.registration;
+      news.push_back(&endpoint.registration);
     }
   }
+  std::sort(news.begin(), news.end(),
+            [](const Registration* left, const Registration* right) {
+              return left->revision() < right->revision();
+            });
+  const bool isAll = news.size() <= MaxRegistrationsInReply;
+  news.resize(std::min(news.size(), MaxRegistrationsInReply));
+  for (const Registration* registration : news) {
+    *reply.add_registrations() = *registration;
+  }
+  reply.set_registrations_revision(isAll ? registry.revision
+                                         : news.back()->revision());
 }
 
 } // namespace wg
--- a/Source/Control/wgEndpointRegistry.h
+++ b/Source/Control/wgEndpointRegistry.h
@@ -57,7 +57,9 @@
  */
 bool TickRegistry(EndpointRegistry& registry, Elapsed now);
 
-/** \brief Adds the registrations that a follower does not have. */
+/** \brief Adds registrations that a follower does not have, the oldest first;
+ * it asks again for what a reply does not hold.
+ */
 void RegistrationsSince(const EndpointRegistry& registry,
                         const wire::FollowRequest& request,
                         wire::FollowReply& reply);
--- a/Source/Control/wgFollowers.cxx
+++ b/Source/Control/wgFollowers.cxx
@@ -42,12 +42,7 @@
                  wire::FollowReply& reply)
 {
   const wire::FollowRequest& request = waiter.request;
-  const wire::PublishDocument& document = state.service->document;
-  reply.set_document_number(document.number());
-  const bool newer = document.number() > request.have_document();
-  if (newer && request.want_document()) {
-    reply.set_document(document.content());
-  }
+  reply.set_document_number(state.service->document.number());
   RegistrationsSince(*state.registry, request, reply);
   reply.set_followers_revision(followers.revision);
   const bool sameFollowers =
--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -2,7 +2,6 @@
 #include "wgControlFollower.h"
 
 #include <algorithm>
-#include <chrono>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -15,7 +14,11 @@
 constexpr absl::Duration ReplyMargin = absl::Milliseconds(500);
 constexpr absl::Duration HeardWithin = absl::Seconds(4);
 constexpr absl::Duration ForgetAfter = absl::Minutes(1);
-constexpr auto FirstPause = std::chrono::milliseconds(100);
+/** A box that is cut off or silent is left for another one. A piece takes 52
+ * ms on a link of 10 Mbit/s.
+ */
+constexpr absl::Duration PieceTimeout = absl::Milliseconds(800);
+constexpr absl::Duration FirstPause = absl::Milliseconds(100);
 constexpr int MostDoublings = 3;
 
 } // namespace
@@ -28,6 +31,7 @@
   , self_(std::move(self))
   , log_(log)
   , handler_(std::move(handler))
+  , piecePause_(loop)
 {
 }
 
@@ -52,16 +56,13 @@
   });
 }
 
-/** One box sends documents whole; the others are asked for what it lacks. */
-bool ControlFollower::IsPrimary(const Link& link) const
+std::uint64_t ControlFollower::NewestDocument() const
 {
-  const Elapsed now = ElapsedNow();
-  for (const auto& [address, other] : links_) {
-    if (now - other.heard < HeardWithin) {
-      return address == link.address;
-    }
+  std::uint64_t newest = held_;
+  for (const auto& [address, link] : links_) {
+    newest = std::max(newest, link.document);
   }
-  return true;
+  return newest;
 }
 
 void ControlFollower::Call(const std::string& address)
@@ -73,9 +74,7 @@
   request.set_address(self_.address);
   request.set_wants_registry(true);
   request.set_wait_ms(absl::ToInt64Milliseconds(FollowWait));
-  request.set_have_document(held_);
-  request.set_want_document(held_ == 0 || link.wantsDocument ||
-                            IsPrimary(link));
+  request.set_have_document(std::max(held_, link.document));
   request.set_registry(link.registry);
   request.set_have_registrations(link.registrations);
   request.set_have_followers(link.followers);
@@ -117,22 +116,13 @@
                { { "control", link.address }, { "why", why } });
     TellMembers();
   }
-  if (link.document > held_) {
-    log_.Write(LogWeight::Notable, "document_not_received",
-               { { "control", link.address },
-                 { "number", link.document },
-                 { "held", held_ },
-                 { "why", why } });
-  }
   const Elapsed lastKnown = std::max(link.heard, link.known);
   if (now - lastKnown > ForgetAfter && links_.size() > 3) {
     links_.erase(link.address);
     return;
   }
-  // A box without a document refuses everything: it asks on.
-  const int most = held_ == 0 ? 0 : MostDoublings;
-  const int doublings = std::min(link.failures++, most);
-  link.pause->expires_after(FirstPause * (1 << doublings));
+  link.pause->expires_after(
+    absl::ToChronoMilliseconds(PauseAfter(link.failures++)));
   link.pause->async_wait(
     [this, address = link.address](boost::system::error_code error) {
       if (!error && links_.count(address) > 0) {
@@ -141,6 +131,13 @@
     });
 }
 
+absl::Duration ControlFollower::PauseAfter(int failures) const
+{
+  // A box without a document refuses everything: it asks on.
+  const int most = held_ == 0 ? 0 : MostDoublings;
+  return FirstPause * (1 << std::min(failures, most));
+}
+
 void ControlFollower::TakeReply(Link& link, const wire::FollowReply& reply)
 {
   link.heard = ElapsedNow();
@@ -171,22 +168,93 @@
   if (!sameMembers || regained) {
     TellMembers();
   }
-  TakeDocument(link, reply);
+  link.document = reply.document_number();
+  AskPiece();
   AddControls({ reply.controls().begin(), reply.controls().end() });
 }
 
-void ControlFollower::TakeDocument(Link& link, const wire::FollowReply& reply)
+/** Asks for the next piece of a document that is newer than the one held,
+ * unless one is being asked for.
+ */
+void ControlFollower::AskPiece()
 {
-  link.wantsDocument = false;
-  link.document = reply.document_number();
-  if (reply.document_number() <= held_) {
+  std::vector<DocumentOffer> offers;
+  for (const auto& [address, link] : links_) {
+    if (link.reached) {
+      offers.push_back({ address, link.document });
+    }
+  }
+  const auto request =
+    NextPiece(transfer_, offers, held_, self_.box, ElapsedNow());
+  if (!request) {
     return;
   }
-  if (reply.document().empty()) {
-    link.wantsDocument = true; // the next call asks for it
+  const std::string source = transfer_.source;
+  peers_.Call(source, "/document-piece", request->SerializeAsString(),
+              PieceTimeout, [this, source](Outcome<std::string> reply) {
+                boost::asio::post(loop_,
+                                  [this, source, reply = std::move(reply)] {
+                                    OnPiece(source, reply);
+                                  });
+              });
+}
+
+void ControlFollower::OnPiece(const std::string& source,
+                              const Outcome<std::string>& reply)
+{
+  wire::DocumentPiece piece;
+  const Elapsed now = ElapsedNow();
+  if (!Succeeded(reply)) {
+    NotePieceLost(transfer_, now);
+    OnPieceFailure(source, Message(reply));
     return;
   }
-  handler_.onDocument(reply.document_number(), reply.document());
+  if (!piece.ParseFromString(Value(reply))) {
+    NotePieceLost(transfer_, now);
+    OnPieceFailure(source, "The reply can't be read.");
+    return;
+  }
+  const PieceOutcome outcome = TakePiece(transfer_, piece, held_, now);
+  if (const Error* error = std::get_if<Error>(&outcome)) {
+    OnPieceFailure(source, error->message);
+    return;
+  }
+  if (const auto* whole = std::get_if<ReceivedDocument>(&outcome)) {
+    OnWhole(*whole);
+  }
+  AskPiece();
+}
+
+void ControlFollower::OnPieceFailure(const std::string& source,
+                                     const std::string& why)
+{
+  log_.Write(LogWeight::Notable, "document_piece_lost",
+             { { "control", source },
+               { "number", transfer_.number },
+               { "held", held_ },
+               { "received", transfer_.received.size() },
+               { "size", transfer_.size },
+               { "why", why } });
+  piecePause_.expires_after(
+    absl::ToChronoMilliseconds(PauseAfter(transfer_.failures - 1)));
+  piecePause_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      AskPiece();
+    }
+  });
+}
+
+void ControlFollower::OnWhole(const ReceivedDocument& document)
+{
+  held_ = document.number;
+  const bool isRead = handler_.onDocument(document);
+  log_.Write(
+    LogWeight::Notable, "document_received",
+    { { "number", document.number },
+      { "bytes", document.content.size() },
+      { "packed_bytes", transfer_.size },
+      { "took_ms", absl::ToInt64Milliseconds(ElapsedNow() - transfer_.begun) },
+      { "read", isRead } });
 }
 
 /** Those that a control box which answers takes to be alive. */
--- a/Source/Gateway/wgControlFollower.h
+++ b/Source/Gateway/wgControlFollower.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "wgDecisionLog.h"
+#include "wgDocumentTransfer.h"
 #include "wgElapsed.h"
 #include "wgHttpMessage.h"
 #include "wgPeer.pb.h"
@@ -30,8 +31,8 @@
 /** \brief What is told of the control boxes' news. */
 struct FollowHandler
 {
-  std::function<void(std::uint64_t number, const std::string& content)>
-    onDocument;
+  /** A newer document; false when it can't be read. */
+  std::function<bool(const ReceivedDocument& document)> onDocument;
   std::function<void(const wire::Registration&)> onRegistration;
   /** After all registrations of one reply. */
   std::function<void()> onRegistrationsEnd;
@@ -43,7 +44,9 @@
  * are answered when there is news.
  *
  * Each control box knows only the endpoints that register with it, and any of
- * them may be cut off, so that none stands for the others.
+ * them may be cut off, so that none stands for the others. Of documents these
+ * calls only tell that there is one: a call with a large document would take
+ * longer than a lost one may go unnoticed, and hold up the news of endpoints.
  */
 class ControlFollower
 {
@@ -53,8 +56,8 @@
 
   /** \brief Follows these as well. */
   void AddControls(const std::vector<std::string>& addresses);
-  /** \brief The document in force; it need not be sent any more. */
-  void SetHeld(std::uint64_t number) { held_ = number; }
+  /** \brief The newest document that a control box has told of. */
+  std::uint64_t NewestDocument() const;
   bool HearsAny(Elapsed now) const;
 
 private:
@@ -69,7 +72,6 @@
     Elapsed known; // since when it is followed
     int failures = 0;
     bool reached = true;
-    bool wantsDocument = false;
     std::uint64_t document = 0; // the newest number that it has told
     std::unique_ptr<boost::asio::steady_timer> pause;
   };
@@ -77,17 +79,22 @@
   void Call(const std::string& address);
   void OnReply(const std::string& address, const Outcome<std::string>& reply);
   void TakeReply(Link& link, const wire::FollowReply& reply);
-  void TakeDocument(Link& link, const wire::FollowReply& reply);
+  void AskPiece();
+  void OnPiece(const std::string& source, const Outcome<std::string>& reply);
+  void OnPieceFailure(const std::string& source, const std::string& why);
+  void OnWhole(const ReceivedDocument& document);
+  absl::Duration PauseAfter(int failures) const;
   void OnFailure(Link& link, const std::string& why);
   void TellMembers();
-  bool IsPrimary(const Link& link) const;
 
   EventLoop& loop_;
   PeerClient& peers_;
   FollowerIdentity self_;
   DecisionLog& log_;
   FollowHandler handler_;
-  std::uint64_t held_ = 0;
+  std::uint64_t held_ = 0; // the newest document that was received
+  DocumentTransfer transfer_;
+  boost::asio::steady_timer piecePause_;
   std::map<std::string, Link> links_;
 };
 
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -89,9 +89,8 @@
     return listening;
   }
   FollowHandler handler;
-  handler.onDocument = [this](std::uint64_t number,
-                              const std::string& content) {
-    OnDocument(number, content);
+  handler.onDocument = [this](const ReceivedDocument& document) {
+    return OnDocument(document);
   };
   handler.onRegistration = [this](const wire::Registration& registration) {
     OnRegistration(registration);
@@ -210,7 +209,8 @@
 {
   return absl::StrCat(
     metrics_.Print(), "weirgate_document_number ",
-    table_ == nullptr ? 0 : table_->number, "\nweirgate_endpoints_known ",
+    table_ == nullptr ? 0 : table_->number, "\nweirgate_document_newest ",
+    follower_->NewestDocument(), "\nweirgate_endpoints_known ",
     directory_.endpoints.size(), "\nweirgate_requests_open ", requests_.size(),
     "\nweirgate_peer_bytes_read ", peerClient_->BytesRead(),
     "\nweirgate_log_lines_left_out ", log_.LeftOut(), "\n");
@@ -300,23 +300,24 @@
   respond("");
 }
 
-void GatewayNode::OnDocument(std::uint64_t number, const std::string& content)
+bool GatewayNode::OnDocument(const ReceivedDocument& document)
 {
-  Outcome<RouteTable> read = dialect_.readDocument(content);
+  const std::uint64_t number = document.number;
+  Outcome<RouteTable> read = dialect_.readDocument(document.content);
   if (!Succeeded(read)) {
     log_.Write(LogWeight::Notable, "document_unreadable",
                { { "number", number }, { "why", Message(read) } });
-    return;
+    return false;
   }
   auto table = std::make_shared<RouteTable>(std::move(Value(read)));
   table->number = number;
   IndexRoutes(*table);
   table_ = std::move(table);
-  follower_->SetHeld(number);
   coordinator_.SetTable(table_);
   ApplyLimits();
   log_.Write(LogWeight::Notable, "document_in_force",
              { { "number", number }, { "routes", table_->routes.size() } });
+  return true;
 }
 
 void GatewayNode::ApplyLimits()
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -63,7 +63,7 @@
   bool OnEnginePeer(const PeerRequest& request,
                     const PeerServer::Respond& respond);
   void OnPeer(const PeerRequest& request, const PeerServer::Respond& respond);
-  void OnDocument(std::uint64_t number, const std::string& content);
+  bool OnDocument(const ReceivedDocument& document);
   void OnRegistration(const wire::Registration& registration);
   void ApplyLimits();
   void RefuseNew(const std::shared_ptr<HttpExchange>& exchange,
--- a/Utilities/Setup.sh
+++ b/Utilities/Setup.sh
@@ -13,7 +13,7 @@
   build-essential catch2 clang-format clang-tidy cmake curl
   libabsl-dev libbenchmark-dev libboost-dev libcpp-httplib-dev
   liblog4cplus-dev libnghttp2-dev libprotobuf-dev libssl-dev libtclap-dev
-  libtomlplusplus-dev libtrompeloeil-cpp-dev libxxhash-dev
+  libtomlplusplus-dev libtrompeloeil-cpp-dev libxxhash-dev libzstd-dev
   ninja-build nlohmann-json3-dev pkg-config protobuf-compiler
 )
 
