Agreement: a replica that is down is sent heartbeats only

Cause: an entry to a replica that can't be connected to was sent again with each heartbeat, 819 kB each 50 ms, made anew each time. Change: after a loss only heartbeats go out until one is answered.

--- a/Source/Agreement/wgInFlight.cxx
+++ b/Source/Agreement/wgInFlight.cxx
@@ -59,8 +59,14 @@
   }
 }
 
+void NoteAnswer(InFlight& inFlight)
+{
+  inFlight.awaitsAnswer = false;
+}
+
 void NoteLost(InFlight& inFlight)
 {
+  inFlight.awaitsAnswer = true;
   inFlight.bytes = 0;
   inFlight.last = 0;
   inFlight.losses = std::min(inFlight.losses + 1, MaxDoublings);
--- a/Source/Agreement/wgInFlight.h
+++ b/Source/Agreement/wgInFlight.h
@@ -18,6 +18,10 @@
   Elapsed sent;           // when the newest of it was
   Elapsed quietSince;     // since when nothing of it has been confirmed
   int losses = 0;         // in a row, without anything confirmed between
+  /** After a loss: only heartbeats until one is answered, as the replica may
+   * be down.
+   */
+  bool awaitsAnswer = false;
 };
 
 namespace detail {
@@ -40,6 +44,9 @@
 /** \brief The replica has told that it holds all up to an index. */
 void NoteConfirmed(InFlight& inFlight, std::uint64_t match, Elapsed now);
 
+/** \brief The replica has answered something. */
+void NoteAnswer(InFlight& inFlight);
+
 /** \brief Nothing of it is expected to arrive any more. */
 void NoteLost(InFlight& inFlight);
 
--- a/Source/Agreement/wgReplication.cxx
+++ b/Source/Agreement/wgReplication.cxx
@@ -30,7 +30,8 @@
 
 void SendSnapshot(Replica& r, std::uint64_t to, Elapsed now)
 {
-  if (r.peers[to].inFlight.bytes > 0) {
+  const InFlight& inFlight = r.peers[to].inFlight;
+  if (inFlight.bytes > 0 || inFlight.awaitsAnswer) {
     return;
   }
   auto message = MakeMessage(r, Kind::SNAPSHOT, to, r.hard.term());
@@ -80,7 +81,8 @@
   if (needsSnapshot) {
     SendSnapshot(r, to, now);
   }
-  const bool mayAdd = !needsSnapshot && !IsLarge(peer.inFlight);
+  const bool mayAdd =
+    !needsSnapshot && !IsLarge(peer.inFlight) && !peer.inFlight.awaitsAnswer;
   if (!mayAdd && cause != AppendCause::Heartbeat) {
     return;
   }
@@ -240,6 +242,7 @@
   PeerProgress& peer = found->second;
   peer.acknowledgedSend =
     std::max(peer.acknowledgedSend, absl::Microseconds(m.sent_us()));
+  NoteAnswer(peer.inFlight);
   if (!m.granted()) {
     const bool isOfLarge = m.sent_us() == SentUs(peer.inFlight);
     if (IsLarge(peer.inFlight) && !isOfLarge) {
--- a/Tests/Agreement/wgReplicationTest.cxx
+++ b/Tests/Agreement/wgReplicationTest.cxx
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <random>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -99,6 +100,13 @@
       --lose;
       return;
     }
+    if (message.to() == down || message.from() == down) {
+      const std::uint64_t other = down == message.to() ? message.from() : 0;
+      if (other != 0) { // no connection, told at once
+        wg::OnNotDelivered(replicas[other - 1], down, message.sent_us());
+      }
+      return;
+    }
     network.push_back({ message, isLarge ? now + largeTakes : now });
   }
 
@@ -112,7 +120,8 @@
   std::vector<Replica> replicas;
   std::vector<OnItsWay> network;
   absl::Duration largeTakes = absl::ZeroDuration();
-  int lose = 0; // large messages that never arrive
+  int lose = 0;           // large messages that never arrive
+  std::uint64_t down = 0; // the replica that can't be connected to
   int largeSent = 0;
 };
 
@@ -156,3 +165,21 @@
   }
   CHECK(voters.largeSent == 6);
 }
+
+TEST_CASE(
+  "A replica that is down is sent an entry once, and again when it is back")
+{
+  Voters voters;
+  Replica& leader = *voters.Leader();
+  voters.down = leader.self.id() == 1 ? 2 : 1;
+  const auto index =
+    wg::Propose(leader, std::string(LargeEntry, 'x'), voters.now);
+  REQUIRE(index);
+  voters.Run(absl::Seconds(5));
+  CHECK(leader.commit >= *index);
+  CHECK(voters.largeSent == 2); // one for each of the two others
+  const std::uint64_t back = std::exchange(voters.down, 0);
+  voters.Run(absl::Milliseconds(300));
+  CHECK(voters.largeSent == 3);
+  CHECK(voters.replicas[back - 1].log.LastIndex() >= *index);
+}
