Tests: a large configuration over a poor link to the product's own entries

Cause: the class of fault that kept large documents from gateways, looked for elsewhere: an entry's call for the configuration ends a second after its wait. Figures: 6,000 boxes, 280 kB, 50 kB/s for three entries: in force at none after 60 s.

--- a/Tests/Process/wgEntryFailuresTest.cxx
+++ b/Tests/Process/wgEntryFailuresTest.cxx
@@ -150,6 +150,33 @@
   CheckAll(cluster, records);
 }
 
+TEST_CASE("a large configuration reaches an entry over a poor link",
+          "[poor-link]")
+{
+  // A configuration that takes longer on a link than a call may last was
+  // asked for from its beginning for ever, as large documents were by
+  // gateways. One of 6,000 boxes, 280 kB, over 50 kB/s was not in force at an
+  // entry after a minute; a call ended a second after its wait.
+  TestCluster cluster;
+  const std::uint64_t before = cluster.RevisionAtEntry(0);
+  cluster.AddBoxes(6000);
+  Await("the configuration at all entries", [&] {
+    return cluster.RevisionAtEntry(0) > before &&
+           cluster.RevisionAtEntry(1) > before &&
+           cluster.RevisionAtEntry(2) > before;
+  });
+  constexpr double poorLink = 50e3; // bytes a second
+  cluster.LimitAnswers(poorLink);
+  // All, as an entry would tell another one over a better link.
+  for (int entry : { 0, 1, 2 }) {
+    cluster.Entry(entry).Kill();
+  }
+  for (int entry : { 0, 1, 2 }) {
+    cluster.StartEntry(entry);
+  }
+  CHECK(WaitFor([&] { return cluster.RevisionAtEntry(0) > before; }));
+}
+
 TEST_CASE("a key is run once while control leaders die", "[claims]")
 {
   TestCluster cluster;
--- a/Tests/Process/wgTestCluster.cxx
+++ b/Tests/Process/wgTestCluster.cxx
@@ -571,6 +571,22 @@
   Apply();
 }
 
+void TestCluster::AddBoxes(int count)
+{
+  for (int i = 0; i < count; ++i) {
+    boxLines_.push_back(absl::StrCat("elsewhere-", i));
+  }
+  Apply();
+}
+
+void TestCluster::LimitAnswers(double bytesPerSecond)
+{
+  const auto rate = std::make_shared<LinkRate>(bytesPerSecond);
+  for (const std::unique_ptr<Forwarder>& wire : wires_) {
+    wire->LimitAnswers(rate);
+  }
+}
+
 void TestCluster::AddEndpointAt(const std::string& group, int port)
 {
   endpointLines_.push_back(
--- a/Tests/Process/wgTestCluster.h
+++ b/Tests/Process/wgTestCluster.h
@@ -121,6 +121,12 @@
 
   /** \brief Adds a box to the configuration that does not run. */
   void AddBox(const std::string& name);
+  /** \brief Adds many such boxes with one change. */
+  void AddBoxes(int count);
+  /** \brief What control boxes answer goes over one link of so many bytes a
+   * second.
+   */
+  void LimitAnswers(double bytesPerSecond);
   /** \brief Adds an endpoint that a test serves itself, as "group-port". */
   void AddEndpointAt(const std::string& group, int port);
   /** \brief Whether entry 0 has got a load report of an endpoint. */
