Entry, Control: a large configuration reaches an entry over a poor link

Cause: an entry asked for its configuration whole, in the call that also brings its news, which ends a second after its wait: the fault of large documents in the product's own path. Ruled out: the agreement; the boxes hold the configuration. Change: the waiting call tells the revision only. The configuration is asked for by a call of its own, compressed; one that ends too soon doubles the next one's time up to a minute. Operators' and entries' changes may take as long as their bytes on a slow link. How an entry comes by its configuration is a file of its own.

--- a/Source/Control/wgFollowers.cxx
+++ b/Source/Control/wgFollowers.cxx
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "wgCompression.h"
 #include "wgConfigText.h"
 
 namespace wg {
@@ -64,6 +65,17 @@
   }
 }
 
+/** What came after the revision that a follower has, or all. */
+std::string PackConfig(const ServiceState& service,
+                       const wire::FollowRequest& request)
+{
+  wire::FollowReply reply;
+  if (!ChangesSince(service, request.have_revision(), reply)) {
+    reply.set_toml(PrintConfig(service.config));
+  }
+  return Compress(reply.SerializeAsString());
+}
+
 bool Answer(const Followers& followers, const FollowWaiter& waiter,
             const FollowedState& state, Elapsed now)
 {
@@ -72,14 +84,13 @@
     return false;
   }
   const Config& config = state.service->config;
-  const std::uint64_t have = waiter.request.have_revision();
   wire::FollowReply reply;
   reply.set_revision(config.revision);
   reply.set_known(config.revision > 0);
   reply.set_age_ms(absl::ToInt64Milliseconds(state.age));
-  const bool newer = config.revision > have;
-  if (newer && !ChangesSince(*state.service, have, reply)) {
-    reply.set_toml(PrintConfig(config));
+  const bool newer = config.revision > waiter.request.have_revision();
+  if (newer && waiter.request.wants_config()) {
+    reply.set_packed(PackConfig(*state.service, waiter.request));
   }
   if (waiter.request.wants_registry()) {
     AddRegistry(followers, waiter, state, now, reply);
--- a/Source/Entry/wgChangeClient.cxx
+++ b/Source/Entry/wgChangeClient.cxx
@@ -5,6 +5,8 @@
 
 #include "absl/time/clock.h"
 
+#include "wgLink.h"
+
 namespace wg {
 namespace {
 
@@ -62,7 +64,8 @@
   std::string address = CurrentLeader();
   Result result = Unavailable();
   while (!address.empty() && ElapsedNow() < until) {
-    const absl::Duration wait = std::min(OneCall, until - ElapsedNow());
+    const absl::Duration oneCall = OneCall + TransferTime(body.size());
+    const absl::Duration wait = std::min(oneCall, until - ElapsedNow());
     const Outcome<std::string> reply =
       client_.CallAndWait(address, "/change", body, wait);
     Result answer;
--- a/Source/Entry/wgEntryNode.cxx
+++ b/Source/Entry/wgEntryNode.cxx
@@ -12,8 +12,6 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 
-#include "wgChange.h"
-#include "wgConfigText.h"
 #include "wgEntryStatus.h"
 #include "wgJson.h"
 #include "wgLog.h"
@@ -24,10 +22,6 @@
 constexpr absl::Duration TickPeriod = absl::Milliseconds(10);
 constexpr absl::Duration WatchPeriod = absl::Milliseconds(500);
 constexpr absl::Duration WatchTimeout = absl::Milliseconds(300);
-constexpr absl::Duration FollowWait = absl::Seconds(2);
-constexpr absl::Duration FollowGrace = absl::Seconds(1);
-constexpr absl::Duration FollowRetry = absl::Milliseconds(200);
-constexpr absl::Duration MaxReplicaAge = absl::Seconds(1);
 constexpr absl::Duration StopPoll = absl::Milliseconds(20);
 constexpr std::int64_t MaxReportedLoad = 1000000;
 constexpr std::size_t MaxAccountsTold = 400;
@@ -197,84 +191,6 @@
   return cut;
 }
 
-/** One round of asking for a newer configuration: the first replica that
- * hears its leader is waited on.
- */
-void EntryNode::FollowConfig()
-{
-  const bool upToDate =
-    std::any_of(settings_.controls.begin(), settings_.controls.end(),
-                [this](const std::string& control) {
-                  return ending_ || FollowFrom(control, FollowWait);
-                });
-  // A replica that is cut off may know less than a neighbour does.
-  for (const std::string& neighbour : NewerNeighbours()) {
-    FollowFrom(neighbour, absl::ZeroDuration());
-  }
-  if (!upToDate) {
-    absl::SleepFor(FollowRetry);
-  }
-}
-
-/** The entries in reach that have a newer configuration in force. */
-std::vector<std::string> EntryNode::NewerNeighbours()
-{
-  absl::MutexLock lock(&board_.members.mutex);
-  const Membership& membership = board_.members.membership;
-  std::vector<std::string> neighbours;
-  for (const KnownMember* known : AliveMembers(membership, ElapsedNow())) {
-    const bool newer = known->member.revision() > membership.self.revision();
-    if (newer) {
-      neighbours.push_back(known->member.address());
-    }
-  }
-  return neighbours;
-}
-
-bool EntryNode::FollowFrom(const std::string& address, absl::Duration wait)
-{
-  const std::shared_ptr<const Config> present = CurrentConfig(board_);
-  wire::FollowRequest request;
-  request.set_box(settings_.box);
-  request.set_hall(settings_.hall);
-  request.set_have_revision(present == nullptr ? 0 : present->revision);
-  request.set_wait_ms(absl::ToInt64Milliseconds(wait));
-  const Outcome<std::string> bytes = client_->CallAndWait(
-    address, "/follow", request.SerializeAsString(), wait + FollowGrace);
-  wire::FollowReply reply;
-  const bool answered =
-    Succeeded(bytes) && reply.ParseFromString(Value(bytes)) && reply.known();
-  if (!answered) {
-    return false;
-  }
-  const bool current =
-    reply.age_ms() < absl::ToInt64Milliseconds(MaxReplicaAge);
-  if (reply.revision() <= request.have_revision()) {
-    if (current) {
-      ConfirmConfig(board_);
-    }
-    return current;
-  }
-  if (!reply.toml().empty()) {
-    Outcome<Config> config = ReadConfig(reply.toml());
-    if (Succeeded(config)) {
-      Value(config).revision = reply.revision();
-      PutInForce(board_, std::move(Value(config)));
-    }
-    return Succeeded(config) && current;
-  }
-  Config config = *present;
-  for (const wire::Change& change : reply.changes()) {
-    Outcome<Config> next = ApplyConfigChange(config, change);
-    if (!Succeeded(next)) {
-      return false;
-    }
-    config = std::move(Value(next));
-  }
-  PutInForce(board_, std::move(config));
-  return current;
-}
-
 void EntryNode::Gossip()
 {
   SendGossip(gossipSocket_);
@@ -434,21 +350,6 @@
   absl::SleepFor(TickPeriod);
 }
 
-std::string EntryNode::AnswerFollow(const std::string& body)
-{
-  wire::FollowRequest request;
-  wire::FollowReply reply;
-  const std::shared_ptr<const Config> config = CurrentConfig(board_);
-  if (request.ParseFromString(body) && config != nullptr) {
-    reply.set_known(true);
-    reply.set_revision(config->revision);
-    if (config->revision > request.have_revision()) {
-      reply.set_toml(PrintConfig(*config));
-    }
-  }
-  return reply.SerializeAsString();
-}
-
 void EntryNode::HandlePeer(const PeerRequest& request,
                            const PeerServer::Respond& respond)
 {
--- a/Source/Entry/wgEntryNode.h
+++ b/Source/Entry/wgEntryNode.h
@@ -3,6 +3,7 @@
 
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -11,6 +12,7 @@
 #include "wgCallerServer.h"
 #include "wgChangeClient.h"
 #include "wgEndpointClient.h"
+#include "wgPeer.pb.h"
 #include "wgPeerServer.h"
 
 namespace wg {
@@ -51,6 +53,11 @@
   void FollowConfig();
   /** \brief True when the address is up to date itself. */
   bool FollowFrom(const std::string& address, absl::Duration wait);
+  std::optional<wire::FollowReply> AskFollowed(
+    const std::string& address, const wire::FollowRequest& request,
+    absl::Duration timeout);
+  bool FetchConfig(const std::string& address, wire::FollowRequest request,
+                   const std::shared_ptr<const Config>& present);
   std::vector<std::string> NewerNeighbours();
   void Gossip();
   void SendGossip(const FileDescriptor& socket);
@@ -67,6 +74,8 @@
   Blackboard board_;
   FileDescriptor gossipSocket_;
   std::unique_ptr<PeerClient> client_;
+  absl::Duration fetchTime_ =
+    absl::Seconds(1); // that a configuration may take
   std::unique_ptr<ChangeClient> changes_;
   std::unique_ptr<ClaimEnder> claimEnder_;
   EndpointClient endpoints_;
--- a/Utilities/Client/wgClientCalls.cxx
+++ b/Utilities/Client/wgClientCalls.cxx
@@ -6,6 +6,8 @@
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 
+#include "wgLink.h"
+
 namespace wg {
 namespace {
 
@@ -45,10 +47,12 @@
                    "--servers.");
   const absl::Time end = absl::Now() + settings.timeout;
   std::vector<std::string> order = settings.servers;
+  const std::string body = change.SerializeAsString();
+  const absl::Duration oneCall = OneCall + TransferTime(body.size());
   while (absl::Now() < end && !order.empty()) {
     for (std::size_t i = 0; i < order.size(); ++i) {
-      const auto bytes = client.CallAndWait(
-        order[i], "/change", change.SerializeAsString(), OneCall);
+      const auto bytes =
+        client.CallAndWait(order[i], "/change", body, oneCall);
       Result answer;
       const bool answered = Succeeded(bytes) &&
                             answer.ParseFromString(Value(bytes)) &&
