Gateway: what callers give a first try is learned, not taken from the route

Time-outs are the operators' and may change; nothing promises that they are callers' deadlines. Change: a gateway learns the most time that a route's callers have left, over 30 s and up to the time-out (wgCallerDeadlines).

--- /dev/null
+++ b/Source/Gateway/wgCallerDeadlines.cxx
@@ -0,0 +1,52 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgCallerDeadlines.h"
+
+#include <algorithm>
+
+#include "absl/container/flat_hash_set.h"
+
+namespace wg {
+namespace {
+
+/** A request with less of its time left than this has been refused before: a
+ * first try has lost but its way here, a few milliseconds.
+ */
+constexpr double ComebackShare = 0.9;
+/** Callers come back within their own deadlines, of 5 to 15 s. */
+constexpr absl::Duration DeadlineMemory = absl::Seconds(30);
+
+} // namespace
+
+Elapsed FirstTried(CallerDeadline& deadline, const Route& route,
+                   Elapsed arrived, absl::Duration given)
+{
+  if (!route.isStream) {
+    return arrived;
+  }
+  // One caller's far deadline says nothing of others: beyond its route's
+  // time-out no request is held.
+  const absl::Duration useful = std::min(given, route.timeout);
+  const bool forgotten = arrived - deadline.seen > DeadlineMemory;
+  if (forgotten || useful >= ComebackShare * deadline.longest) {
+    deadline.longest = forgotten ? useful : std::max(deadline.longest, useful);
+    deadline.seen = arrived;
+    return arrived;
+  }
+  return arrived - (deadline.longest - useful);
+}
+
+void ForgetRoutes(CallerDeadlines& deadlines, const RouteTable& table)
+{
+  absl::flat_hash_set<absl::string_view> names;
+  for (const Route& route : table.routes) {
+    names.insert(route.name);
+  }
+  for (auto it = deadlines.begin(); it != deadlines.end();) {
+    auto current = it++;
+    if (!names.contains(current->first)) {
+      deadlines.erase(current);
+    }
+  }
+}
+
+} // namespace wg
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -74,6 +74,7 @@
                                    settings_.retryRules,
                                    {},
                                    {},
+                                   {},
                                    {} });
   coordinator_.SetRetryRules(settings_.retryRules);
   peerServer_ = std::make_unique<PeerServer>(
@@ -314,6 +315,7 @@
   IndexRoutes(*table);
   table_ = std::move(table);
   coordinator_.SetTable(table_);
+  ForgetRoutes(shared_->deadlines, *table_);
   ApplyLimits();
   log_.Write(LogWeight::Notable, "document_in_force",
              { { "number", number }, { "routes", table_->routes.size() } });
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -127,8 +127,9 @@
   if (ms >= 0) {
     callerDeadline_ = exchange_->Arrived() + absl::Milliseconds(ms);
   }
-  firstTried_ = FirstTried(*route_, exchange_->Arrived(),
-                           callerDeadline_ - exchange_->Arrived());
+  firstTried_ =
+    FirstTried(shared_.deadlines[route_->name], *route_, exchange_->Arrived(),
+               callerDeadline_ - exchange_->Arrived());
   giveUp_ = std::min({ callerDeadline_ - GiveUpMargin,
                        exchange_->Arrived() + route_->timeout - GiveUpMargin,
                        exchange_->Arrived() + LongestHeld });
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -14,6 +14,7 @@
 #include "absl/random/random.h"
 
 #include "wgAttemptRules.h"
+#include "wgCallerDeadlines.h"
 #include "wgDecisionLog.h"
 #include "wgDialect.h"
 #include "wgDirectory.h"
@@ -45,6 +46,7 @@
   EngineSpeed speed;
   absl::BitGen random;
   std::map<std::string, RetryWindow> retries; // by service
+  CallerDeadlines deadlines;
 };
 
 namespace detail {
--- a/Source/Gateway/wgRouteTable.cxx
+++ b/Source/Gateway/wgRouteTable.cxx
@@ -10,11 +10,6 @@
 namespace wg {
 namespace {
 
-/** A request with less of its time left than this has been refused before: a
- * first try has lost but its way here, a few milliseconds.
- */
-constexpr double ComebackShare = 0.9;
-
 /** A host without its port. */
 std::string HostName(absl::string_view host)
 {
@@ -70,13 +65,6 @@
   return route.targets.back().service;
 }
 
-Elapsed FirstTried(const Route& route, Elapsed arrived, absl::Duration given)
-{
-  const bool cameBack =
-    route.isStream && given < ComebackShare * route.timeout;
-  return cameBack ? arrived - (route.timeout - given) : arrived;
-}
-
 std::vector<std::size_t> FinalStages(absl::Span<const RouteStage> stages)
 {
   std::vector<bool> isFinal(stages.size(), true);
--- a/Source/Gateway/wgRouteTable.h
+++ b/Source/Gateway/wgRouteTable.h
@@ -12,8 +12,6 @@
 #include "absl/time/time.h"
 #include "absl/types/span.h"
 
-#include "wgElapsed.h"
-
 namespace wg {
 
 /** \brief What may be repeated of the requests of a route. */
@@ -128,12 +126,6 @@
  */
 const std::string& ChooseTarget(const Route& route, double draw);
 
-/** \brief When the caller of a stream first sent it: one that leaves clearly
- * less time than the route allows has been refused before.
- * \param given the time until the caller's deadline, from its arrival
- */
-Elapsed FirstTried(const Route& route, Elapsed arrived, absl::Duration given);
-
 /** \brief The stages that no other comes after. */
 std::vector<std::size_t> FinalStages(absl::Span<const RouteStage> stages);
 
