Tests: the soak has documents that grow and poor links to control boxes

Cause: the soak's documents had 1 kB and its control boxes no links, so that it could not show that large documents don't arrive. Change: a quarter of the documents has up to 3,000 routes more; links to control boxes are cut, reset, delayed, or share 30 to 300 kB/s; at the end each gateway must have the newest document in force.

--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -115,6 +115,13 @@
     }
   }
 
+  void LiftLimit()
+  {
+    for (const std::unique_ptr<Forwarder>& link : links_) {
+      link->LimitAnswers(nullptr);
+    }
+  }
+
   /** The status of what an operator's call to one control box got; 0: none. */
   int Publish(int control, const std::string& document)
   {
@@ -161,7 +168,8 @@
             [this, i] { return Ready(static_cast<int>(i)) == 200; });
     }
   }
-  static std::string Document(int number)
+  /** \param moreRoutes so many for others, 250 bytes each */
+  static std::string Document(int number, int moreRoutes = 0)
   {
     Json document{
       { "version", number },
@@ -214,11 +222,21 @@
       added["pathPrefix"] = absl::StrCat("/p", number, "/");
       document["routes"].push_back(added);
     }
+    std::uint64_t name = 1;
+    for (int i = 0; i < moreRoutes; ++i) {
+      Json route = document["routes"][0];
+      name = name * 6364136223846793005U + 1442695040888963407U;
+      route["name"] = absl::StrCat("r-", absl::Hex(name));
+      route["pathPrefix"] = absl::StrCat("/", absl::Hex(name >> 16U), "/");
+      document["routes"].push_back(route);
+    }
     return document.dump();
   }
 
   Process& Control(int index) { return *controls_[index]; }
   Process& Gateway(int index) { return *gateways_[index]; }
+  /** What other processes reach a control box over, if there are links. */
+  Forwarder& ControlLink(int index) { return *links_[index]; }
   int Api(int index) const { return apis_[index]; }
   int Listen(int index) const { return listens_[index]; }
   int FreePort() { return ports_.Take(); }
--- a/Tests/Platform/wgPlatformProcessTest.cxx
+++ b/Tests/Platform/wgPlatformProcessTest.cxx
@@ -48,21 +48,8 @@
  */
 constexpr double PoorLink = 200e3; // bytes a second
 
-/** A document with some 1 MB of routes, all but the first for others. */
-std::string LargeDocument(int number)
-{
-  constexpr int routes = 4000;
-  Json document = Json::parse(PlatformCluster::Document(number));
-  std::uint64_t name = 1;
-  for (int i = 0; i < routes; ++i) {
-    Json route = document["routes"][0];
-    name = name * 6364136223846793005U + 1442695040888963407U;
-    route["name"] = absl::StrCat("r-", absl::Hex(name));
-    route["pathPrefix"] = absl::StrCat("/", absl::Hex(name >> 16U), "/");
-    document["routes"].push_back(route);
-  }
-  return document.dump();
-}
+/** Some 1 MB. */
+constexpr int ManyRoutes = 4000;
 
 bool IsServed(PlatformCluster& cluster, const std::string& path)
 {
@@ -104,8 +91,8 @@
   REQUIRE(plain.Register(cluster.Api(0), "plain"));
   AwaitAnswer(cluster, 0, "/p/x");
   cluster.LimitAnswers(PoorLink);
-  REQUIRE(cluster.Publish(0, LargeDocument(2)) == 200);
-  REQUIRE(cluster.Publish(1, LargeDocument(3)) == 200);
+  REQUIRE(cluster.Publish(0, PlatformCluster::Document(2, ManyRoutes)) == 200);
+  REQUIRE(cluster.Publish(1, PlatformCluster::Document(3, ManyRoutes)) == 200);
   const absl::Duration limit = absl::Seconds(5);
   CHECK(TimeUntil(limit, [&] { return IsServed(cluster, "/p3/x"); }) < limit);
   cluster.Gateway(0).Kill();
@@ -130,7 +117,7 @@
     return staying.AllRuns() > 0 && leaving.AllRuns() > 0;
   });
   cluster.LimitAnswers(PoorLink);
-  REQUIRE(cluster.Publish(0, LargeDocument(2)) == 200);
+  REQUIRE(cluster.Publish(0, PlatformCluster::Document(2, ManyRoutes)) == 200);
   absl::SleepFor(absl::Milliseconds(100));
   REQUIRE(leaving.Register(cluster.Api(2), "plain", "draining"));
   absl::SleepFor(absl::Milliseconds(1500));
--- a/Tests/Platform/wgPlatformSoak.cxx
+++ b/Tests/Platform/wgPlatformSoak.cxx
@@ -1,7 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 // Real gateways and control boxes under random faults from outside: signals
 // in series that overlap, wires that are cut, slow, reset or pass one way
-// only, endpoints that refuse or hang up, documents that change meanwhile.
+// only, endpoints that refuse or hang up, documents that change and grow
+// meanwhile, links to control boxes that are cut, reset, slow or poor.
 // Callers go on with open connections; the checker judges what they, the
 // endpoints and the operator saw. A seed gives the same faults again, not the
 // same run: the processes are real.
@@ -38,6 +39,7 @@
 constexpr int Gateways = 3;
 constexpr int CallerThreads = 6;
 constexpr int StatusOk = 200;
+constexpr int MostRoutes = 3000; // of a document, some 750 kB
 constexpr absl::Duration RecoveryLimit = absl::Seconds(15);
 /** All boxes answer for so long after the faults; then they are asked. */
 constexpr absl::Duration Settling = absl::Seconds(1);
@@ -67,7 +69,7 @@
 {
   explicit Run(std::uint64_t seedOfRun)
     : seed(seedOfRun)
-    , cluster(Gateways)
+    , cluster(Gateways, true)
   {
     for (const char* service : { "llm", "enc", "plain" }) {
       for (int i = 0; i < 2; ++i) {
@@ -113,14 +115,14 @@
   return fields;
 }
 
-SoakRequest SendOne(Run& run, httplib::Client& client, bool streams)
+SoakRequest SendOne(Run& run, httplib::Client& client, bool streams,
+                    const std::string& path)
 {
   SoakRequest request;
   request.id = absl::StrCat(run.seed, "-", ++run.next);
   request.expected = ExpectedBody(request.id, streams);
-  const auto reply =
-    client.Post(streams ? "/s/x" : "/p/x", FieldsOf(request.id, streams),
-                "body of " + request.id, "text/plain");
+  const auto reply = client.Post(path, FieldsOf(request.id, streams),
+                                 "body of " + request.id, "text/plain");
   if (reply) {
     request.status = reply->status;
     request.body = reply->body;
@@ -131,6 +133,11 @@
   return request;
 }
 
+SoakRequest SendOne(Run& run, httplib::Client& client, bool streams)
+{
+  return SendOne(run, client, streams, streams ? "/s/x" : "/p/x");
+}
+
 /** Connections stay open until their gateway is gone. */
 void SendRequests(Run& run, int thread)
 {
@@ -177,9 +184,11 @@
   while (!run.stopping) {
     absl::SleepFor(absl::Milliseconds(Draw(random, 100, 900)));
     ++number;
+    const bool isLarge = Draw(random, 0, 3) == 0;
+    const std::string document = PlatformCluster::Document(
+      number, isLarge ? Draw(random, 100, MostRoutes) : 0);
     for (int tries = 0; tries < 8 && !run.stopping; ++tries) {
       const int control = Draw(random, 0, 2);
-      const std::string document = PlatformCluster::Document(number);
       if (run.cluster.Publish(control, document) == StatusOk) {
         run.acknowledged = std::max<std::int64_t>(run.acknowledged, number);
         break;
@@ -227,7 +236,7 @@
 private:
   void Begin()
   {
-    switch (Draw(random_, 0, 9)) {
+    switch (Draw(random_, 0, 12)) {
       case 0:
       case 1:
       case 2:
@@ -242,6 +251,13 @@
       case 7:
         DisturbWire();
         return;
+      case 8:
+      case 9:
+        DisturbControlLink();
+        return;
+      case 10:
+        ImpairLinks();
+        return;
       default:
         DisturbEndpoint();
         return;
@@ -319,6 +335,41 @@
     Later(name, Draw(random_, 100, 2500), [&wire] { wire.Mend(); });
   }
 
+  /** Cuts a control box off, or delays or resets what goes to it. */
+  void DisturbControlLink()
+  {
+    const int index = Draw(random_, 0, PlatformCluster::Controls - 1);
+    const std::string name = absl::StrCat("link", index);
+    Forwarder& link = run_.cluster.ControlLink(index);
+    const int kind = Draw(random_, 0, 3);
+    if (kind == 0) {
+      link.Reset();
+      return;
+    }
+    if (!Take(name)) {
+      return;
+    }
+    if (kind == 1) {
+      link.Cut();
+    } else if (kind == 2) {
+      link.CutAnswers();
+    } else {
+      link.Delay(Draw(random_, 5, 40));
+    }
+    Later(name, Draw(random_, 100, 2500), [&link] { link.Mend(); });
+  }
+
+  /** All that control boxes answer shares a poor link. */
+  void ImpairLinks()
+  {
+    if (!Take("links")) {
+      return;
+    }
+    run_.cluster.LimitAnswers(1000.0 * Draw(random_, 30, 300));
+    Later("links", Draw(random_, 500, 4000),
+          [this] { run_.cluster.LiftLimit(); });
+  }
+
   void DisturbEndpoint()
   {
     const int index =
@@ -341,6 +392,20 @@
   std::multimap<absl::Time, std::function<void()>> undo_;
 };
 
+/** Each gateway must have the newest document in force. */
+void AskForNewest(Run& run)
+{
+  const std::string added = absl::StrCat("/p", run.record.readAtEnd, "/x");
+  for (int i = 0; i < Gateways && run.record.readAtEnd > 1; ++i) {
+    httplib::Client client("127.0.0.1", run.cluster.Listen(i));
+    client.set_read_timeout(4);
+    const bool isInForce = wg::test::WaitFor(
+      [&] { return SendOne(run, client, false, added).status == StatusOk; },
+      RecoveryLimit);
+    run.record.unservedAtEnd += isInForce ? 0 : 1;
+  }
+}
+
 /** With everything whole again each gateway must serve both kinds. */
 void AskAtEnd(Run& run)
 {
@@ -364,6 +429,7 @@
   run.record.readAtEnd =
     isRead ? nlohmann::json::parse(read)["version"].get<std::int64_t>() : 0;
   run.record.acknowledged = run.acknowledged;
+  AskForNewest(run);
 }
 
 void GatherRuns(Run& run)
