--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -131,8 +131,8 @@
     FollowWaiter waiter{ {}, {}, std::move(respond) };
     sound = waiter.request.ParseFromString(request.body);
     Post(std::move(waiter));
-  } else if (isPeer && request.path == "/document-piece") {
-    PieceCall call{ {}, std::move(respond) };
+  } else if (isPeer && request.path == "/document-chunk") {
+    ChunkCall call{ {}, std::move(respond) };
     sound = call.request.ParseFromString(request.body);
     Post(std::move(call));
   } else if (isPeer && request.path == "/document") {
@@ -276,8 +276,8 @@
                [this](const NotDeliveredMail& mail) {
                  OnNotDelivered(replica_, mail.to, mail.sentUs);
                },
-               [this](PieceCall& call) {
-                 call.respond(ReadPiece(packed_, state_.document, call.request)
+               [this](ChunkCall& call) {
+                 call.respond(ReadChunk(packed_, state_.document, call.request)
                                 .SerializeAsString());
                },
                [this](ReadCall& call) {
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -104,9 +104,9 @@
     wire::JoinRequest request;
     Respond respond;
   };
-  struct PieceCall
+  struct ChunkCall
   {
-    wire::DocumentPieceRequest request;
+    wire::DocumentChunkRequest request;
     Respond respond;
   };
   struct StatusCall
@@ -126,7 +126,7 @@
   };
   using Mail = std::variant<wire::AgreementBatch, FoundRequest, ChangeRequest,
                             FollowWaiter, JoinCall, StatusCall, JoinAnswer,
-                            ReadCall, PieceCall, NotDeliveredMail>;
+                            ReadCall, ChunkCall, NotDeliveredMail>;
 
   /** \brief A proposed change whose author waits for the outcome. */
   struct Waiter
--- a/Source/Control/wgPackedDocuments.cxx
+++ b/Source/Control/wgPackedDocuments.cxx
@@ -13,7 +13,7 @@
  */
 constexpr std::size_t KeptDocuments = 3;
 /** A reply that is no larger leaves room for others on the connection. */
-constexpr std::uint32_t MaxPieceBytes = 256U << 10U;
+constexpr std::uint32_t MaxChunkBytes = 256U << 10U;
 
 void Pack(PackedDocuments& packed, const wire::PublishDocument& newest)
 {
@@ -31,13 +31,13 @@
 
 } // namespace
 
-wire::DocumentPiece ReadPiece(PackedDocuments& packed,
+wire::DocumentChunk ReadChunk(PackedDocuments& packed,
                               const wire::PublishDocument& newest,
-                              const wire::DocumentPieceRequest& request)
+                              const wire::DocumentChunkRequest& request)
 {
-  wire::DocumentPiece piece;
+  wire::DocumentChunk chunk;
   if (newest.number() == 0) {
-    return piece;
+    return chunk;
   }
   Pack(packed, newest);
   const auto& recent = packed.recent;
@@ -49,13 +49,13 @@
     found != recent.end() && request.offset() <= found->bytes.size();
   const PackedDocument& document = isKept ? *found : recent.back();
   const std::uint64_t offset = isKept ? request.offset() : 0;
-  piece.set_number(document.number);
-  piece.set_offset(offset);
-  piece.set_size(document.bytes.size());
-  piece.set_digest(document.digest);
-  piece.set_content(
-    document.bytes.substr(offset, std::min(request.most(), MaxPieceBytes)));
-  return piece;
+  chunk.set_number(document.number);
+  chunk.set_offset(offset);
+  chunk.set_size(document.bytes.size());
+  chunk.set_digest(document.digest);
+  chunk.set_content(
+    document.bytes.substr(offset, std::min(request.most(), MaxChunkBytes)));
+  return chunk;
 }
 
 } // namespace wg
--- a/Source/Control/wgPackedDocuments.h
+++ b/Source/Control/wgPackedDocuments.h
@@ -23,11 +23,11 @@
   std::deque<PackedDocument> recent;
 };
 
-/** \brief A piece of the document that is asked for, as long as that is kept,
+/** \brief A chunk of the document that is asked for, as long as that is kept,
  * else of the newest one; empty while there is none.
  */
-wire::DocumentPiece ReadPiece(PackedDocuments& packed,
+wire::DocumentChunk ReadChunk(PackedDocuments& packed,
                               const wire::PublishDocument& newest,
-                              const wire::DocumentPieceRequest& request);
+                              const wire::DocumentChunkRequest& request);
 
 } // namespace wg
--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -14,10 +14,10 @@
 constexpr absl::Duration ReplyMargin = absl::Milliseconds(500);
 constexpr absl::Duration HeardWithin = absl::Seconds(4);
 constexpr absl::Duration ForgetAfter = absl::Minutes(1);
-/** A box that is cut off or silent is left for another one. A piece takes 52
+/** A box that is cut off or silent is left for another one. A chunk takes 52
  * ms on a link of 10 Mbit/s.
  */
-constexpr absl::Duration PieceTimeout = absl::Milliseconds(800);
+constexpr absl::Duration ChunkTimeout = absl::Milliseconds(800);
 constexpr absl::Duration FirstPause = absl::Milliseconds(100);
 constexpr int MostDoublings = 3;
 
@@ -31,7 +31,7 @@
   , self_(std::move(self))
   , log_(log)
   , handler_(std::move(handler))
-  , piecePause_(loop)
+  , chunkPause_(loop)
 {
 }
 
@@ -169,14 +169,14 @@
     TellMembers();
   }
   link.document = reply.document_number();
-  AskPiece();
+  AskChunk();
   AddControls({ reply.controls().begin(), reply.controls().end() });
 }
 
-/** Asks for the next piece of a document that is newer than the one held,
+/** Asks for the next chunk of a document that is newer than the one held,
  * unless one is being asked for.
  */
-void ControlFollower::AskPiece()
+void ControlFollower::AskChunk()
 {
   std::vector<DocumentOffer> offers;
   for (const auto& [address, link] : links_) {
@@ -185,61 +185,61 @@
     }
   }
   const auto request =
-    NextPiece(transfer_, offers, held_, self_.box, ElapsedNow());
+    NextChunk(transfer_, offers, held_, self_.box, ElapsedNow());
   if (!request) {
     return;
   }
   const std::string source = transfer_.source;
-  peers_.Call(source, "/document-piece", request->SerializeAsString(),
-              PieceTimeout, [this, source](Outcome<std::string> reply) {
+  peers_.Call(source, "/document-chunk", request->SerializeAsString(),
+              ChunkTimeout, [this, source](Outcome<std::string> reply) {
                 boost::asio::post(loop_,
                                   [this, source, reply = std::move(reply)] {
-                                    OnPiece(source, reply);
+                                    OnChunk(source, reply);
                                   });
               });
 }
 
-void ControlFollower::OnPiece(const std::string& source,
+void ControlFollower::OnChunk(const std::string& source,
                               const Outcome<std::string>& reply)
 {
-  wire::DocumentPiece piece;
+  wire::DocumentChunk chunk;
   const Elapsed now = ElapsedNow();
   if (!Succeeded(reply)) {
-    NotePieceLost(transfer_, now);
-    OnPieceFailure(source, Message(reply));
+    NoteChunkLost(transfer_, now);
+    OnChunkFailure(source, Message(reply));
     return;
   }
-  if (!piece.ParseFromString(Value(reply))) {
-    NotePieceLost(transfer_, now);
-    OnPieceFailure(source, "The reply can't be read.");
+  if (!chunk.ParseFromString(Value(reply))) {
+    NoteChunkLost(transfer_, now);
+    OnChunkFailure(source, "The reply can't be read.");
     return;
   }
-  const PieceOutcome outcome = TakePiece(transfer_, piece, held_, now);
+  const ChunkOutcome outcome = TakeChunk(transfer_, chunk, held_, now);
   if (const Error* error = std::get_if<Error>(&outcome)) {
-    OnPieceFailure(source, error->message);
+    OnChunkFailure(source, error->message);
     return;
   }
   if (const auto* whole = std::get_if<ReceivedDocument>(&outcome)) {
     OnWhole(*whole);
   }
-  AskPiece();
+  AskChunk();
 }
 
-void ControlFollower::OnPieceFailure(const std::string& source,
+void ControlFollower::OnChunkFailure(const std::string& source,
                                      const std::string& why)
 {
-  log_.Write(LogWeight::Notable, "document_piece_lost",
+  log_.Write(LogWeight::Notable, "document_chunk_lost",
              { { "control", source },
                { "number", transfer_.number },
                { "held", held_ },
                { "received", transfer_.received.size() },
                { "size", transfer_.size },
                { "why", why } });
-  piecePause_.expires_after(
+  chunkPause_.expires_after(
     absl::ToChronoMilliseconds(PauseAfter(transfer_.failures - 1)));
-  piecePause_.async_wait([this](boost::system::error_code error) {
+  chunkPause_.async_wait([this](boost::system::error_code error) {
     if (!error) {
-      AskPiece();
+      AskChunk();
     }
   });
 }
--- a/Source/Gateway/wgControlFollower.h
+++ b/Source/Gateway/wgControlFollower.h
@@ -79,9 +79,9 @@
   void Call(const std::string& address);
   void OnReply(const std::string& address, const Outcome<std::string>& reply);
   void TakeReply(Link& link, const wire::FollowReply& reply);
-  void AskPiece();
-  void OnPiece(const std::string& source, const Outcome<std::string>& reply);
-  void OnPieceFailure(const std::string& source, const std::string& why);
+  void AskChunk();
+  void OnChunk(const std::string& source, const Outcome<std::string>& reply);
+  void OnChunkFailure(const std::string& source, const std::string& why);
   void OnWhole(const ReceivedDocument& document);
   absl::Duration PauseAfter(int failures) const;
   void OnFailure(Link& link, const std::string& why);
@@ -94,7 +94,7 @@
   FollowHandler handler_;
   std::uint64_t held_ = 0; // the newest document that was received
   DocumentTransfer transfer_;
-  boost::asio::steady_timer piecePause_;
+  boost::asio::steady_timer chunkPause_;
   std::map<std::string, Link> links_;
 };
 
--- a/Source/Gateway/wgDocumentTransfer.cxx
+++ b/Source/Gateway/wgDocumentTransfer.cxx
@@ -13,13 +13,13 @@
 /** 52 ms of a link of 10 Mbit/s; news on the same connection waits for no
  * more. Smaller after a loss, so that any link gets through.
  */
-constexpr std::uint32_t MostPieceBytes = 64U << 10U;
-constexpr std::uint32_t LeastPieceBytes = 2U << 10U;
-/** A piece that came sooner may be followed by a larger one. */
-constexpr absl::Duration QuickPiece = absl::Milliseconds(100);
+constexpr std::uint32_t MostChunkBytes = 64U << 10U;
+constexpr std::uint32_t LeastChunkBytes = 2U << 10U;
+/** A chunk that came sooner may be followed by a larger one. */
+constexpr absl::Duration QuickChunk = absl::Milliseconds(100);
 /** A control box that gave no answer is asked last for so long. */
 constexpr absl::Duration AvoidAfterFailure = absl::Seconds(5);
-/** As many bytes as the platform's documents may have. */
+/** Twice what control boxes take from operators. */
 constexpr std::size_t MaxDocumentBytes = 64U << 20U;
 
 bool FailedLately(const DocumentTransfer& transfer, const std::string& source,
@@ -64,31 +64,31 @@
   return Error{ std::move(why) };
 }
 
-void BeginAgain(DocumentTransfer& transfer, const wire::DocumentPiece& piece)
+void BeginAgain(DocumentTransfer& transfer, const wire::DocumentChunk& chunk)
 {
-  transfer.number = piece.number();
-  transfer.digest = piece.digest();
-  transfer.size = piece.size();
+  transfer.number = chunk.number();
+  transfer.digest = chunk.digest();
+  transfer.size = chunk.size();
   transfer.received.clear();
   transfer.begun = transfer.askedAt;
 }
 
 bool IsOfSame(const DocumentTransfer& transfer,
-              const wire::DocumentPiece& piece)
+              const wire::DocumentChunk& chunk)
 {
-  return piece.number() == transfer.number &&
-         piece.digest() == transfer.digest && piece.size() == transfer.size;
+  return chunk.number() == transfer.number &&
+         chunk.digest() == transfer.digest && chunk.size() == transfer.size;
 }
 
 /** All bytes are there; ready for another document afterwards. */
-PieceOutcome Unpack(DocumentTransfer& transfer, const std::string& source,
+ChunkOutcome Unpack(DocumentTransfer& transfer, const std::string& source,
                     Elapsed now)
 {
   const bool isWhole = Digest(transfer.received) == transfer.digest;
   auto content =
     isWhole
       ? Decompress(transfer.received, MaxDocumentBytes)
-      : Outcome<std::string>(Error{ "The pieces don't make the document." });
+      : Outcome<std::string>(Error{ "The chunks don't make the document." });
   const std::uint64_t number = std::exchange(transfer.number, 0);
   transfer.received = {};
   if (!Succeeded(content)) {
@@ -99,7 +99,7 @@
 
 } // namespace
 
-std::optional<wire::DocumentPieceRequest> NextPiece(
+std::optional<wire::DocumentChunkRequest> NextChunk(
   DocumentTransfer& transfer, absl::Span<const DocumentOffer> offers,
   std::uint64_t held, absl::string_view box, Elapsed now)
 {
@@ -112,43 +112,43 @@
     return std::nullopt;
   }
   transfer.askedAt = now;
-  wire::DocumentPieceRequest request;
+  wire::DocumentChunkRequest request;
   request.set_number(transfer.number);
   request.set_offset(transfer.received.size());
-  request.set_most(transfer.pieceBytes);
+  request.set_most(transfer.chunkBytes);
   return request;
 }
 
-PieceOutcome TakePiece(DocumentTransfer& transfer,
-                       const wire::DocumentPiece& piece, std::uint64_t held,
+ChunkOutcome TakeChunk(DocumentTransfer& transfer,
+                       const wire::DocumentChunk& chunk, std::uint64_t held,
                        Elapsed now)
 {
   const std::string source = std::exchange(transfer.source, {});
-  if (piece.number() <= held || piece.content().empty()) {
+  if (chunk.number() <= held || chunk.content().empty()) {
     return Fail(transfer, source, now,
                 "The control box does not have the document.");
   }
-  if (!IsOfSame(transfer, piece)) {
-    BeginAgain(transfer, piece);
+  if (!IsOfSame(transfer, chunk)) {
+    BeginAgain(transfer, chunk);
   }
-  if (piece.offset() != transfer.received.size()) {
-    return MorePieces{};
+  if (chunk.offset() != transfer.received.size()) {
+    return MoreChunks{};
   }
-  transfer.received.append(piece.content());
+  transfer.received.append(chunk.content());
   transfer.failures = 0;
-  if (now - transfer.askedAt < QuickPiece) {
-    transfer.pieceBytes = std::min(2 * transfer.pieceBytes, MostPieceBytes);
+  if (now - transfer.askedAt < QuickChunk) {
+    transfer.chunkBytes = std::min(2 * transfer.chunkBytes, MostChunkBytes);
   }
   if (transfer.received.size() < transfer.size) {
-    return MorePieces{};
+    return MoreChunks{};
   }
   return Unpack(transfer, source, now);
 }
 
-void NotePieceLost(DocumentTransfer& transfer, Elapsed now)
+void NoteChunkLost(DocumentTransfer& transfer, Elapsed now)
 {
   const std::string source = std::exchange(transfer.source, {});
-  transfer.pieceBytes = std::max(transfer.pieceBytes / 2, LeastPieceBytes);
+  transfer.chunkBytes = std::max(transfer.chunkBytes / 2, LeastChunkBytes);
   Fail(transfer, source, now, "");
 }
 
--- a/Source/Gateway/wgDocumentTransfer.h
+++ b/Source/Gateway/wgDocumentTransfer.h
@@ -23,7 +23,7 @@
   std::uint64_t number = 0;
 };
 
-/** \brief A document that a gateway is taking in, piece by piece from one
+/** \brief A document that a gateway is taking in, chunk by chunk from one
  * control box at a time. What has arrived stays when a call fails or another
  * control box goes on; a transfer that has begun is ended before a newer
  * document is asked for, so that a series of changes can't keep a gateway from
@@ -36,7 +36,7 @@
   std::uint64_t size = 0; // packed, in bytes
   std::string received;   // packed
   std::string source;     // asked now; empty: none
-  std::uint32_t pieceBytes = 64U << 10U;
+  std::uint32_t chunkBytes = 64U << 10U;
   Elapsed askedAt;
   Elapsed begun;
   int failures = 0;                      // in a row
@@ -50,29 +50,29 @@
   std::string content;
 };
 
-/** \brief The next piece is to be asked for. */
-struct MorePieces
+/** \brief The next chunk is to be asked for. */
+struct MoreChunks
 {
 };
 
-using PieceOutcome = std::variant<MorePieces, ReceivedDocument, Error>;
+using ChunkOutcome = std::variant<MoreChunks, ReceivedDocument, Error>;
 
 /** \brief What to ask which control box for, if there is anything to ask for
  * and nothing is being asked.
  * \param held the newest document that was received
  */
-std::optional<wire::DocumentPieceRequest> NextPiece(
+std::optional<wire::DocumentChunkRequest> NextChunk(
   DocumentTransfer& transfer, absl::Span<const DocumentOffer> offers,
   std::uint64_t held, absl::string_view box, Elapsed now);
 
 /** \brief Takes in the answer of the box that was asked. After an error the
- * next piece is to be asked for as after a lost one.
+ * next chunk is to be asked for as after a lost one.
  */
-PieceOutcome TakePiece(DocumentTransfer& transfer,
-                       const wire::DocumentPiece& piece, std::uint64_t held,
+ChunkOutcome TakeChunk(DocumentTransfer& transfer,
+                       const wire::DocumentChunk& chunk, std::uint64_t held,
                        Elapsed now);
 
 /** \brief The box that was asked gave no answer. */
-void NotePieceLost(DocumentTransfer& transfer, Elapsed now);
+void NoteChunkLost(DocumentTransfer& transfer, Elapsed now);
 
 } // namespace wg
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -61,21 +61,9 @@
   engines_ = std::make_unique<EngineClient>(loop_, *peerClient_, *stages_,
                                             engineCoordinator_, directory_,
                                             settings_.box, metrics_);
-  shared_.reset(new GatewayShared{ loop_,
-                                   dialect_,
-                                   directory_,
-                                   client_,
-                                   *stages_,
-                                   *engines_,
-                                   halls_,
-                                   metrics_,
-                                   log_,
-                                   settings_.hall,
-                                   settings_.retryRules,
-                                   {},
-                                   {},
-                                   {},
-                                   {} });
+  shared_.reset(new GatewayShared{ loop_, dialect_, directory_, client_,
+                                   *stages_, *engines_, halls_, metrics_, log_,
+                                   settings_.hall, settings_.retryRules });
   coordinator_.SetRetryRules(settings_.retryRules);
   peerServer_ = std::make_unique<PeerServer>(
     settings_.keys,
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -43,10 +43,10 @@
   DecisionLog& log;
   std::string hall;
   RetryRules retryRules;
-  EngineSpeed speed;
-  absl::BitGen random;
-  std::map<std::string, RetryWindow> retries; // by service
-  CallerDeadlines deadlines;
+  EngineSpeed speed{};
+  absl::BitGen random{};
+  std::map<std::string, RetryWindow> retries{}; // by service
+  CallerDeadlines deadlines{};
 };
 
 namespace detail {
--- a/Tests/Gateway/wgDocumentTransferTest.cxx
+++ b/Tests/Gateway/wgDocumentTransferTest.cxx
@@ -17,8 +17,8 @@
 using wg::DocumentOffer;
 using wg::DocumentTransfer;
 using wg::Elapsed;
-using wg::wire::DocumentPiece;
-using wg::wire::DocumentPieceRequest;
+using wg::wire::DocumentChunk;
+using wg::wire::DocumentChunkRequest;
 
 const Elapsed Start = absl::Seconds(10);
 
@@ -33,16 +33,16 @@
   return content;
 }
 
-DocumentPiece PieceOf(std::uint64_t number, const std::string& packed,
-                      const DocumentPieceRequest& request)
+DocumentChunk ChunkOf(std::uint64_t number, const std::string& packed,
+                      const DocumentChunkRequest& request)
 {
-  DocumentPiece piece;
-  piece.set_number(number);
-  piece.set_offset(request.offset());
-  piece.set_size(packed.size());
-  piece.set_digest(wg::Digest(packed));
-  piece.set_content(packed.substr(request.offset(), request.most()));
-  return piece;
+  DocumentChunk chunk;
+  chunk.set_number(number);
+  chunk.set_offset(request.offset());
+  chunk.set_size(packed.size());
+  chunk.set_digest(wg::Digest(packed));
+  chunk.set_content(packed.substr(request.offset(), request.most()));
+  return chunk;
 }
 
 std::vector<DocumentOffer> Offers(std::size_t count, std::uint64_t number)
@@ -70,17 +70,17 @@
     bool isWhole = false;
     for (int calls = 0; calls < 2000 && !isWhole; ++calls) {
       now += absl::Milliseconds(50);
-      const auto request = wg::NextPiece(transfer, offers, 6, "box", now);
+      const auto request = wg::NextChunk(transfer, offers, 6, "box", now);
       REQUIRE(request);
-      CHECK_FALSE(wg::NextPiece(transfer, offers, 6, "box", now)); // one only
+      CHECK_FALSE(wg::NextChunk(transfer, offers, 6, "box", now)); // one only
       if (random() % 3 == 0) {
         now += absl::Milliseconds(800);
-        wg::NotePieceLost(transfer, now);
+        wg::NoteChunkLost(transfer, now);
         continue;
       }
-      const DocumentPiece piece = PieceOf(7, packed, *request);
-      sent += piece.content().size();
-      const auto outcome = wg::TakePiece(transfer, piece, 6, now);
+      const DocumentChunk chunk = ChunkOf(7, packed, *request);
+      sent += chunk.content().size();
+      const auto outcome = wg::TakeChunk(transfer, chunk, 6, now);
       if (const auto* whole = std::get_if<wg::ReceivedDocument>(&outcome)) {
         CHECK(whole->number == 7);
         CHECK(whole->content == content);
@@ -92,7 +92,7 @@
   }
 }
 
-TEST_CASE("Pieces become as small as a link needs")
+TEST_CASE("Chunks become as small as a link needs")
 {
   // A link that carries 4 kB within a call's time.
   const std::string packed = wg::Compress(Content(1, 100000));
@@ -103,15 +103,15 @@
   int calls = 0;
   while (!isWhole && calls < 100) {
     ++calls;
-    const auto request = wg::NextPiece(transfer, offers, 0, "box", now);
+    const auto request = wg::NextChunk(transfer, offers, 0, "box", now);
     REQUIRE(request);
     now += absl::Milliseconds(800);
     if (request->most() > 4096) {
-      wg::NotePieceLost(transfer, now);
+      wg::NoteChunkLost(transfer, now);
       continue;
     }
     const auto outcome =
-      wg::TakePiece(transfer, PieceOf(7, packed, *request), 0, now);
+      wg::TakeChunk(transfer, ChunkOf(7, packed, *request), 0, now);
     isWhole = std::holds_alternative<wg::ReceivedDocument>(outcome);
   }
   CHECK(isWhole);
@@ -126,18 +126,18 @@
   Elapsed now = Start;
   bool isWhole = false;
   for (int calls = 0; calls < 20 && !isWhole; ++calls) {
-    // A newer document with each piece.
+    // A newer document with each chunk.
     const auto offers = Offers(3, number++);
-    const auto request = wg::NextPiece(transfer, offers, 6, "box", now);
+    const auto request = wg::NextChunk(transfer, offers, 6, "box", now);
     REQUIRE(request);
     CHECK(request->number() == (calls == 0 ? 0U : 7U));
     now += absl::Milliseconds(50);
     const auto outcome =
-      wg::TakePiece(transfer, PieceOf(7, packed, *request), 6, now);
+      wg::TakeChunk(transfer, ChunkOf(7, packed, *request), 6, now);
     isWhole = std::holds_alternative<wg::ReceivedDocument>(outcome);
   }
   CHECK(isWhole);
-  const auto next = wg::NextPiece(transfer, Offers(3, number), 7, "box", now);
+  const auto next = wg::NextChunk(transfer, Offers(3, number), 7, "box", now);
   REQUIRE(next);
   CHECK(next->number() == 0);
   CHECK(next->offset() == 0);
@@ -149,22 +149,22 @@
   const std::string newer = wg::Compress(Content(2, 1000));
   const auto offers = Offers(1, 9);
   DocumentTransfer transfer;
-  auto request = wg::NextPiece(transfer, offers, 6, "box", Start);
+  auto request = wg::NextChunk(transfer, offers, 6, "box", Start);
   REQUIRE(request);
-  wg::TakePiece(transfer, PieceOf(7, old, *request), 6, Start);
-  request = wg::NextPiece(transfer, offers, 6, "box", Start);
+  wg::TakeChunk(transfer, ChunkOf(7, old, *request), 6, Start);
+  request = wg::NextChunk(transfer, offers, 6, "box", Start);
   REQUIRE(request);
   CHECK(request->offset() > 0);
-  const auto outcome = wg::TakePiece(
-    transfer, PieceOf(9, newer, DocumentPieceRequest()), 6, Start);
-  // An empty piece would be no answer.
+  const auto outcome = wg::TakeChunk(
+    transfer, ChunkOf(9, newer, DocumentChunkRequest()), 6, Start);
+  // An empty chunk would be no answer.
   CHECK(std::holds_alternative<wg::Error>(outcome));
-  request = wg::NextPiece(transfer, offers, 6, "box", Start);
+  request = wg::NextChunk(transfer, offers, 6, "box", Start);
   REQUIRE(request);
-  DocumentPieceRequest fromItsBeginning;
+  DocumentChunkRequest fromItsBeginning;
   fromItsBeginning.set_most(request->most());
   const auto whole =
-    wg::TakePiece(transfer, PieceOf(9, newer, fromItsBeginning), 6, Start);
+    wg::TakeChunk(transfer, ChunkOf(9, newer, fromItsBeginning), 6, Start);
   REQUIRE(std::holds_alternative<wg::ReceivedDocument>(whole));
   CHECK(std::get<wg::ReceivedDocument>(whole).number == 9);
 }
@@ -177,12 +177,12 @@
   second += wg::Compress(""); // an empty frame behind it
   const auto offers = Offers(2, 7);
   DocumentTransfer transfer;
-  auto request = wg::NextPiece(transfer, offers, 6, "box", Start);
+  auto request = wg::NextChunk(transfer, offers, 6, "box", Start);
   REQUIRE(request);
-  wg::TakePiece(transfer, PieceOf(7, first, *request), 6, Start);
-  request = wg::NextPiece(transfer, offers, 6, "box", Start);
+  wg::TakeChunk(transfer, ChunkOf(7, first, *request), 6, Start);
+  request = wg::NextChunk(transfer, offers, 6, "box", Start);
   REQUIRE(request);
-  wg::TakePiece(transfer, PieceOf(7, second, *request), 6, Start);
+  wg::TakeChunk(transfer, ChunkOf(7, second, *request), 6, Start);
   CHECK(transfer.received.empty());
 }
 
@@ -191,13 +191,13 @@
   const std::string packed = "no frame";
   const auto offers = Offers(1, 7);
   DocumentTransfer transfer;
-  const auto request = wg::NextPiece(transfer, offers, 6, "box", Start);
+  const auto request = wg::NextChunk(transfer, offers, 6, "box", Start);
   REQUIRE(request);
   const auto outcome =
-    wg::TakePiece(transfer, PieceOf(7, packed, *request), 6, Start);
+    wg::TakeChunk(transfer, ChunkOf(7, packed, *request), 6, Start);
   CHECK(std::holds_alternative<wg::Error>(outcome));
   CHECK(transfer.failures == 1);
-  CHECK(wg::NextPiece(transfer, offers, 6, "box", Start));
+  CHECK(wg::NextChunk(transfer, offers, 6, "box", Start));
 }
 
 TEST_CASE("Boxes ask different control boxes, and not those that failed")
@@ -208,11 +208,11 @@
   for (int i = 0; i < boxes; ++i) {
     const std::string box = absl::StrCat("box-", i);
     DocumentTransfer transfer;
-    REQUIRE(wg::NextPiece(transfer, offers, 6, box, Start));
+    REQUIRE(wg::NextChunk(transfer, offers, 6, box, Start));
     ++asked[transfer.source];
     const std::string failed = transfer.source;
-    wg::NotePieceLost(transfer, Start);
-    REQUIRE(wg::NextPiece(transfer, offers, 6, box, Start));
+    wg::NoteChunkLost(transfer, Start);
+    REQUIRE(wg::NextChunk(transfer, offers, 6, box, Start));
     CHECK(transfer.source != failed);
   }
   CHECK(asked.size() == offers.size());
@@ -221,5 +221,5 @@
   }
   // One that has not heard of the document is not asked.
   DocumentTransfer transfer;
-  CHECK_FALSE(wg::NextPiece(transfer, Offers(6, 6), 6, "box", Start));
+  CHECK_FALSE(wg::NextChunk(transfer, Offers(6, 6), 6, "box", Start));
 }
--- a/Tests/Platform/wgPlatformProcessTest.cxx
+++ b/Tests/Platform/wgPlatformProcessTest.cxx
@@ -43,9 +43,21 @@
   });
 }
 
-/** What a gateway of a grown site hears the control boxes by, 10 Mbit/s are
- * 1,250,000 bytes a second; a poor link carries less.
- */
+/** One gateway that serves the plain route from one endpoint. */
+struct PlainSite
+{
+  explicit PlainSite(bool links = false)
+    : cluster(1, links)
+  {
+    cluster.AwaitServing();
+    REQUIRE(plain.Register(cluster.Api(0), "plain"));
+    AwaitAnswer(cluster, 0, "/p/x");
+  }
+  PlatformCluster cluster;
+  PlatformStandin plain{ "i-1" };
+};
+
+/** Less than the slowest links in use, of 10 Mbit/s. */
 constexpr double PoorLink = 200e3; // bytes a second
 
 /** Some 1 MB. */
@@ -85,11 +97,8 @@
   // from all control boxes within 1.6 s, 85 boxes alike. After all boxes had
   // lost power none of them got a document at all, and every request was
   // refused with "no_document".
-  PlatformCluster cluster(1, true);
-  PlatformStandin plain("i-1");
-  cluster.AwaitServing();
-  REQUIRE(plain.Register(cluster.Api(0), "plain"));
-  AwaitAnswer(cluster, 0, "/p/x");
+  PlainSite site(true);
+  PlatformCluster& cluster = site.cluster;
   cluster.LimitAnswers(PoorLink);
   REQUIRE(cluster.Publish(0, PlatformCluster::Document(2, ManyRoutes)) == 200);
   REQUIRE(cluster.Publish(1, PlatformCluster::Document(3, ManyRoutes)) == 200);
@@ -229,11 +238,9 @@
 
 TEST_CASE("What may run once runs once, and promises hold", "[once]")
 {
-  PlatformCluster cluster(1);
-  PlatformStandin plain("i-1");
-  cluster.AwaitServing();
-  REQUIRE(plain.Register(cluster.Api(0), "plain"));
-  AwaitAnswer(cluster, 0, "/p/x");
+  PlainSite site;
+  PlatformCluster& cluster = site.cluster;
+  PlatformStandin& plain = site.plain;
   plain.SetConduct(StandinConduct::HangUp);
   const auto cut = cluster.Send(0, "/p/x", "cut");
   REQUIRE(cut);
@@ -319,11 +326,9 @@
 
 TEST_CASE("A planned stop cuts nothing", "[stop]")
 {
-  PlatformCluster cluster(1);
-  PlatformStandin plain("i-1");
-  cluster.AwaitServing();
-  REQUIRE(plain.Register(cluster.Api(0), "plain"));
-  AwaitAnswer(cluster, 0, "/p/x");
+  PlainSite site;
+  PlatformCluster& cluster = site.cluster;
+  PlatformStandin& plain = site.plain;
   plain.SetConduct(StandinConduct::Wait);
   std::unique_ptr<httplib::Result> reply;
   std::thread caller([&] {
@@ -348,11 +353,9 @@
 {
   // A balancer that finds most boxes of a hall stopping uses them all: a
   // request that came late was cut off when the grace was over.
-  PlatformCluster cluster(1);
-  PlatformStandin plain("i-1");
-  cluster.AwaitServing();
-  REQUIRE(plain.Register(cluster.Api(0), "plain"));
-  AwaitAnswer(cluster, 0, "/p/x");
+  PlainSite site;
+  PlatformCluster& cluster = site.cluster;
+  PlatformStandin& plain = site.plain;
   plain.SetConduct(StandinConduct::Wait);
   std::unique_ptr<httplib::Result> reply;
   std::thread caller([&] {
