Gateway: until callers' deadlines are known a route's time-out stands for them

Cause: with deadlines learned from nothing, requests that come back right after a restart of all were taken for first tries. Change: a route's time-out is taken for the deadline until for 10 s no caller has left as much; then the longest that is seen holds.

--- a/Source/Gateway/wgCallerDeadlines.cxx
+++ b/Source/Gateway/wgCallerDeadlines.cxx
@@ -12,8 +12,10 @@
  * first try has lost but its way here, a few milliseconds.
  */
 constexpr double ComebackShare = 0.9;
-/** Callers come back within their own deadlines, of 5 to 15 s. */
-constexpr absl::Duration DeadlineMemory = absl::Seconds(30);
+/** Of a route that is in use first tries come more often, also while many come
+ * back after a restart of all.
+ */
+constexpr absl::Duration DeadlineMemory = absl::Seconds(10);
 
 } // namespace
 
@@ -23,16 +25,23 @@
   if (!route.isStream) {
     return arrived;
   }
+  if (!deadline.isKnown) {
+    // After a restart of all most requests have come back. To take the first
+    // ones seen for first tries cost .0054 of worth (error .0023; 45 paired
+    // days without processor time).
+    deadline = { true, route.timeout, arrived };
+  }
   // One caller's far deadline says nothing of others: beyond its route's
   // time-out no request is held.
   const absl::Duration useful = std::min(given, route.timeout);
+  const absl::Duration usual = std::min(deadline.longest, route.timeout);
   const bool forgotten = arrived - deadline.seen > DeadlineMemory;
-  if (forgotten || useful >= ComebackShare * deadline.longest) {
-    deadline.longest = forgotten ? useful : std::max(deadline.longest, useful);
+  if (forgotten || useful >= ComebackShare * usual) {
+    deadline.longest = forgotten ? useful : std::max(usual, useful);
     deadline.seen = arrived;
     return arrived;
   }
-  return arrived - (deadline.longest - useful);
+  return arrived - (usual - useful);
 }
 
 void ForgetRoutes(CallerDeadlines& deadlines, const RouteTable& table)
