Tests: reads of a large document over a poor link; the soak ends with one

Cause: the soak, whose last document now comes over a poor link, found that control boxes could not read it back: the class of fault of large documents once more.

--- a/Source/Gateway/wgCallerDeadlines.cxx
+++ b/Source/Gateway/wgCallerDeadlines.cxx
@@ -26,9 +26,8 @@
     return arrived;
   }
   if (!deadline.isKnown) {
-    // After a restart of all most requests have come back. To take the first
-    // ones seen for first tries cost .0054 of worth (error .0023; 45 paired
-    // days without processor time).
+    // After a restart of all most requests have come back; a gateway would
+    // take the first ones that it sees for first tries.
     deadline = { true, route.timeout, arrived };
   }
   // One caller's far deadline says nothing of others: beyond its route's
--- a/Tests/Platform/wgPlatformProcessTest.cxx
+++ b/Tests/Platform/wgPlatformProcessTest.cxx
@@ -109,6 +109,26 @@
   CHECK(TimeUntil(limit, [&] { return cluster.Ready(0) == 200; }) < limit);
 }
 
+TEST_CASE("Every control box reads a large document back over a poor link",
+          "[large-read]")
+{
+  // A control box that does not lead had the leader send the whole document
+  // for each read, though it holds it: 750 kB over 100 kB/s did not come in
+  // the 1.65 s of a call, and the operator was told for 15 s that the box
+  // could not be sure: "112 was acknowledged, 0 is held."
+  PlatformCluster cluster(1, true);
+  cluster.AwaitServing();
+  const std::string document = PlatformCluster::Document(2, ManyRoutes);
+  REQUIRE(cluster.Publish(0, document) == 200);
+  cluster.LimitAnswers(PoorLink);
+  const absl::Duration limit = absl::Seconds(5);
+  for (int control = 0; control < PlatformCluster::Controls; ++control) {
+    CAPTURE(control);
+    const auto isRead = [&] { return cluster.ReadBack(control) == document; };
+    CHECK(TimeUntil(limit, isRead) < limit);
+  }
+}
+
 TEST_CASE("An endpoint's leaving is heard beside a large document",
           "[large-news]")
 {
--- a/Tests/Platform/wgPlatformSoak.cxx
+++ b/Tests/Platform/wgPlatformSoak.cxx
@@ -39,7 +39,10 @@
 constexpr int Gateways = 3;
 constexpr int CallerThreads = 6;
 constexpr int StatusOk = 200;
-constexpr int MostRoutes = 3000; // of a document, some 750 kB
+constexpr int MostRoutes = 3000;   // of a document, some 750 kB
+constexpr double PoorLink = 100e3; // bytes a second
+/** Documents without a clear answer may have numbers up to this far above. */
+constexpr int LastStep = 100;
 constexpr absl::Duration RecoveryLimit = absl::Seconds(15);
 /** All boxes answer for so long after the faults; then they are asked. */
 constexpr absl::Duration Settling = absl::Seconds(1);
@@ -392,6 +395,19 @@
   std::multimap<absl::Time, std::function<void()>> undo_;
 };
 
+/** One more large document, over poor links that stay so. */
+void PublishLast(Run& run)
+{
+  run.cluster.LimitAnswers(PoorLink);
+  const auto number = static_cast<int>(run.acknowledged) + LastStep;
+  const std::string document = PlatformCluster::Document(number, MostRoutes);
+  const bool isTaken = wg::test::WaitFor(
+    [&] { return run.cluster.Publish(number % 3, document) == StatusOk; },
+    RecoveryLimit);
+  run.record.unservedAtEnd += isTaken ? 0 : 1;
+  run.acknowledged = isTaken ? number : run.acknowledged.load();
+}
+
 /** Each gateway must have the newest document in force. */
 void AskForNewest(Run& run)
 {
@@ -419,6 +435,7 @@
       run.record.unservedAtEnd += serves ? 0 : 1;
     }
   }
+  PublishLast(run);
   std::string read;
   const bool isRead = wg::test::WaitFor(
     [&] {
