Agreement, Wire: what is known to be committed is kept over a restart

Ruled out: that the boxes that take requests were late themselves (up at 46.52 to 46.65 s, document at 47.30); a shorter election (a replica may not vote within the time for which a lease may last). Change: the hard state holds the commit index. It is written with whatever else is written, and 250 ms after it advanced when nothing else was. Before: the two tests fail (commit 0 after a start). A read of the document is still refused without a lease.

--- a/Source/Agreement/wgReplica.cxx
+++ b/Source/Agreement/wgReplica.cxx
@@ -35,6 +35,19 @@
     [id](const wire::Voter& voter) { return voter.id() == id; });
 }
 
+/** Most of what commits is followed by nothing that must be written. */
+void KeepCommit(Replica& r, Elapsed now)
+{
+  if (r.commit <= r.hard.commit()) {
+    r.commitKeepDue = absl::InfiniteDuration();
+    return;
+  }
+  if (r.commitKeepDue == absl::InfiniteDuration()) {
+    r.commitKeepDue = now + r.timing.keepCommitAfter;
+  }
+  r.actions.saveHardState |= now >= r.commitKeepDue;
+}
+
 } // namespace
 
 bool IsVoter(const wire::VoterSet& voters, std::uint64_t id)
@@ -51,7 +64,10 @@
 {
   r.role = ReplicaRole::Follower;
   r.leader = 0;
-  r.commit = r.snapshot.index();
+  // Without what was known to be committed, nothing after the snapshot is
+  // applied until a leader stands: 0.3 s after all boxes had lost power.
+  r.commit =
+    std::max(r.snapshot.index(), std::min(r.hard.commit(), r.log.LastIndex()));
   r.applied = r.snapshot.index();
   r.synced = r.log.LastIndex();
   RecomputeVoters(r);
@@ -86,6 +102,7 @@
 void OnTick(Replica& r, Elapsed now, absl::BitGenRef random)
 {
   AnswerWaitingPreVote(r, now, random);
+  KeepCommit(r, now);
   if (r.role == ReplicaRole::Leader) {
     TickLeader(r, now, random);
   } else if (now >= r.electionDue) {
@@ -224,6 +241,11 @@
 {
   ReplicaActions taken = std::move(r.actions);
   r.actions = {};
+  const bool keepsCommit = taken.NeedsSync() && r.commit > r.hard.commit();
+  if (keepsCommit) {
+    r.hard.set_commit(r.commit);
+    taken.saveHardState = true;
+  }
   return taken;
 }
 
--- a/Source/Agreement/wgReplica.h
+++ b/Source/Agreement/wgReplica.h
@@ -25,6 +25,10 @@
   absl::Duration minElection = absl::Milliseconds(400);
   absl::Duration maxElection = absl::Milliseconds(800);
   int maxEntriesInMessage = 256;
+  /** What is known to be committed is written at the latest after this time.
+   * A change takes some 50 ms, so that it does not wait for this write.
+   */
+  absl::Duration keepCommitAfter = absl::Milliseconds(250);
   /** Part of minElection that a lease lasts; the rest covers clock drift. */
   double leaseShare = 0.8;
 };
@@ -101,6 +105,7 @@
   std::uint64_t synced = 0;
   wire::VoterSet voters;
   std::uint64_t votersIndex = 0;
+  Elapsed commitKeepDue = absl::InfiniteDuration();
   Elapsed electionDue;
   Elapsed heartbeatDue;
   Elapsed noVoteBefore; // a leader was heard, or a restart was, before it
--- a/Tests/Agreement/wgReplicationTest.cxx
+++ b/Tests/Agreement/wgReplicationTest.cxx
@@ -183,3 +183,42 @@
   CHECK(voters.largeSent == 3);
   CHECK(voters.replicas[back - 1].log.LastIndex() >= *index);
 }
+
+TEST_CASE("A replica that starts again applies what it knew to be committed")
+{
+  // All boxes lost power. The control boxes were back within 0.4 s, and each
+  // had the document on its disk, but none applied it until a leader stood,
+  // 0.28 s after the last of them; the boxes that take requests had nothing
+  // to serve by until then:
+  //   "control: started" at 46.61, 46.70, 46.85, 46.94 and 47.01 s,
+  //   "replica: leader in term 5" and "document_in_force" at 47.29 s.
+  Voters voters;
+  const auto index = wg::Propose(*voters.Leader(), "change", voters.now);
+  REQUIRE(index);
+  voters.Run(absl::Seconds(1));
+  for (const Replica& before : voters.replicas) {
+    Replica again;
+    again.self = before.self;
+    again.cluster = before.cluster;
+    again.hard = before.hard; // as its disk has it
+    again.log = before.log;
+    again.snapshot = before.snapshot;
+    wg::StartReplica(again, voters.now, voters.random);
+    CHECK(again.commit >= *index);
+    while (const auto* entry = wg::NextCommitted(again)) {
+      wg::Applied(again, entry->index());
+    }
+    CHECK(again.applied >= *index);
+  }
+}
+
+TEST_CASE("What is known to be committed reaches no further than the log")
+{
+  Voters voters;
+  wg::Propose(*voters.Leader(), "change", voters.now);
+  voters.Run(absl::Seconds(1));
+  Replica again = *voters.Leader();
+  again.log.TruncateFrom(again.log.LastIndex());
+  wg::StartReplica(again, voters.now, voters.random);
+  CHECK(again.commit == again.log.LastIndex());
+}
