Control, Gateway: an old end without its start ends nothing that serves now

Cause: found by reading. An end that does not tell its start is kept by the control box that took it for two minutes. A gateway that starts meanwhile hears of it after the start that serves now, which another control box tells, and would have ended that for good. Ruled out: the time of day of the control box against the start's (clocks differ and step). Change: an end is told with how long ago it was; it ends what the gateway has known since before. After a restart of a control box it counts as long ago. Before: the new case of Directory ends the start that serves. After: it serves; the others hold. Conclusion: a gateway that starts within the silence of an endpoint that has ended without telling its start may use it until it is silent.

--- a/Source/Control/wgEndpointRegistry.cxx
+++ b/Source/Control/wgEndpointRegistry.cxx
@@ -116,8 +116,9 @@
   for (const Registration& registration : remembered.endpoints()) {
     RegisteredEndpoint& known =
       registry.endpoints[IdentityOf(StartOf(registration))];
+    const bool isGone = registration.state() == Registration::GONE;
     known.registration = registration;
-    known.heard = now;
+    known.heard = isGone ? now - registry.timing.forgetAfter / 2 : now;
     known.remembered = true;
     Publish(registry, known.registration);
   }
@@ -144,29 +145,34 @@
 }
 
 void RegistrationsSince(const EndpointRegistry& registry,
-                        const wire::FollowRequest& request,
+                        const wire::FollowRequest& request, Elapsed now,
                         wire::FollowReply& reply)
 {
   reply.set_registry(registry.incarnation);
   const bool known = request.registry() == registry.incarnation;
   const std::uint64_t have = known ? request.have_registrations() : 0;
-  std::vector<const Registration*> news;
+  std::vector<const RegisteredEndpoint*> news;
   for (const auto& [id, endpoint] : registry.endpoints) {
     if (endpoint.registration.revision() > have) {
-      news.push_back(&endpoint.registration);
+      news.push_back(&endpoint);
     }
   }
-  std::sort(news.begin(), news.end(),
-            [](const Registration* left, const Registration* right) {
-              return left->revision() < right->revision();
-            });
+  std::sort(
+    news.begin(), news.end(),
+    [](const RegisteredEndpoint* left, const RegisteredEndpoint* right) {
+      return left->registration.revision() < right->registration.revision();
+    });
   const bool isAll = news.size() <= MaxRegistrationsInReply;
   news.resize(std::min(news.size(), MaxRegistrationsInReply));
-  for (const Registration* registration : news) {
-    *reply.add_registrations() = *registration;
+  for (const RegisteredEndpoint* endpoint : news) {
+    Registration& told = *reply.add_registrations();
+    told = endpoint->registration;
+    if (told.state() == Registration::GONE) {
+      told.set_ended_ago_ms(absl::ToInt64Milliseconds(now - endpoint->heard));
+    }
   }
-  reply.set_registrations_revision(isAll ? registry.revision
-                                         : news.back()->revision());
+  reply.set_registrations_revision(
+    isAll ? registry.revision : news.back()->registration.revision());
 }
 
 } // namespace wg
--- a/Source/Control/wgEndpointRegistry.h
+++ b/Source/Control/wgEndpointRegistry.h
@@ -68,7 +68,8 @@
 wire::RememberedEndpoints RememberEndpoints(const EndpointRegistry& registry);
 
 /** \brief Takes in what the process before knew. Each endpoint counts as
- * heard now, so that one that says nothing falls silent as usual.
+ * heard now, so that one that says nothing falls silent as usual; those that
+ * are gone count as gone for long.
  */
 void RecallEndpoints(EndpointRegistry& registry,
                      const wire::RememberedEndpoints& remembered, Elapsed now);
@@ -83,7 +84,7 @@
  * it asks again for what a reply does not hold.
  */
 void RegistrationsSince(const EndpointRegistry& registry,
-                        const wire::FollowRequest& request,
+                        const wire::FollowRequest& request, Elapsed now,
                         wire::FollowReply& reply);
 
 } // namespace wg
--- a/Source/Control/wgFollowers.cxx
+++ b/Source/Control/wgFollowers.cxx
@@ -44,7 +44,7 @@
 {
   const wire::FollowRequest& request = waiter.request;
   reply.set_document_number(state.service->document.number());
-  RegistrationsSince(*state.registry, request, reply);
+  RegistrationsSince(*state.registry, request, now, reply);
   reply.set_followers_revision(followers.revision);
   const bool sameFollowers =
     request.registry() == state.registry->incarnation &&
--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -61,11 +61,14 @@
   }
 }
 
-/** Of all known starts, as it was not told which one has ended. */
-void EndStarts(Directory& directory, const std::string& name, Elapsed now)
-{
-  for (DirectoryEndpoint* start : StartsOf(directory, name)) {
-    if (start->state != Registration::GONE) {
+/** It was not told which start has ended: those that were known by then. A box
+ * that has just started hears of old ends after what serves now.
+ */
+void EndStarts(Directory& directory, const Registration& news, Elapsed now)
+{
+  const Elapsed ended = now - absl::Milliseconds(news.ended_ago_ms());
+  for (DirectoryEndpoint* start : StartsOf(directory, news.endpoint())) {
+    if (start->state != Registration::GONE && start->known <= ended) {
       start->state = Registration::GONE;
       start->changed = now;
     }
@@ -106,12 +109,13 @@
   }
   known.id = id;
   known.start = start;
+  known.known = isNew ? now : known.known;
   const bool changed = TakeNews(known, news, isNew, now);
   if (isNew && !known.hall.empty()) {
     NoteHall(directory.reach, known.hall);
   }
   if (news.state() == Registration::GONE && start.bornMs == 0) {
-    EndStarts(directory, start.name, now);
+    EndStarts(directory, news, now);
   }
   JudgeStarts(directory, start.name);
   return changed;
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -31,6 +31,7 @@
   std::uint64_t sequence = 0;
   Elapsed warmFrom;       // until then it is slow
   Elapsed changed;        // when its state last changed
+  Elapsed known;          // since when this box knows of it
   bool overtaken = false; // by a later start of the same name
 
   int running = 0;           // requests of this box
@@ -49,7 +50,8 @@
 
 /** \brief Takes what a control box tells of an endpoint. Between control
  * boxes the endpoint's own sequence decides. Its end is final for that start;
- * an end of which the start was not told is the end of all known ones.
+ * an end of which the start was not told is the end of those that were known
+ * here by then.
  * \return whether the state of a start changed
  */
 bool MergeRegistration(Directory& directory, const wire::Registration& news,
--- a/Tests/Control/wgEndpointRegistryTest.cxx
+++ b/Tests/Control/wgEndpointRegistryTest.cxx
@@ -47,7 +47,7 @@
   request.set_registry(registry.incarnation);
   request.set_have_registrations(revision);
   wg::wire::FollowReply reply;
-  wg::RegistrationsSince(registry, request, reply);
+  wg::RegistrationsSince(registry, request, Now + absl::Seconds(1), reply);
   return reply;
 }
 
@@ -171,6 +171,7 @@
   REQUIRE(reply.registrations_size() == 2);
   for (const Registration& told : reply.registrations()) {
     CHECK(told.state() == Registration::GONE);
+    CHECK(told.ended_ago_ms() == 1000);
   }
   CHECK(IsNews(registry, Heartbeat(1, std::int64_t{ 2000 }), Now));
 }
@@ -238,6 +239,7 @@
   CHECK(reply.registrations(0).endpoint() == "e");
   CHECK(reply.registrations(0).state() == Registration::READY);
   CHECK(reply.registrations(1).state() == Registration::GONE);
+  CHECK(reply.registrations(1).ended_ago_ms() > 30000);
   SECTION("one that is heard again is told at once")
   {
     CHECK(IsNews(registry, Heartbeat(8, std::int64_t{ 1000 }), Now));
--- a/Tests/Gateway/wgDirectoryTest.cxx
+++ b/Tests/Gateway/wgDirectoryTest.cxx
@@ -161,6 +161,18 @@
   REQUIRE(wg::ServingEndpoints(directory, "svc").size() == 1);
 }
 
+TEST_CASE("An old end without its start does not end what serves now")
+{
+  // A box that starts hears from one control box of the start that serves,
+  // and from another one of the end, a minute ago, of the start before it.
+  wg::Directory directory;
+  wg::MergeRegistration(directory, Told("e", 1, 2000), Now);
+  Registration gone = Told("e", 0, 0, Registration::GONE);
+  gone.set_ended_ago_ms(60000);
+  wg::MergeRegistration(directory, gone, Now + absl::Milliseconds(5));
+  CHECK(wg::ServingEndpoints(directory, "svc").size() == 1);
+}
+
 TEST_CASE("A start whose clock was set back serves once the other is silent")
 {
   wg::Directory directory;
