Gateway, Tests: another writer's service under a known start; soak with starts

Cause: found while the soak was given other writers' heartbeats. A control box that had not heard of an endpoint took one under its name with another service and a high sequence for news, and gateways for the endpoint's own: it lost its work until it had counted as far. Ruled out: the registry's own check (it knows only what it was told). Change: a gateway does not take another service under a known start. Before: the new case of Directory loses the endpoint.

--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -15,8 +15,20 @@
 constexpr absl::Duration LongestAvoidance = absl::Seconds(4);
 constexpr absl::Duration EndedMemory = absl::Minutes(3);
 
+/** A start never changes its service. A control box that has not heard of it
+ * can't know that what it is told under its name is another writer's.
+ */
+bool IsForeign(const Registration& news, const DirectoryEndpoint& known)
+{
+  return news.state() != Registration::GONE && !known.service.empty() &&
+         news.service() != known.service;
+}
+
 bool Supersedes(const Registration& news, const DirectoryEndpoint& known)
 {
+  if (IsForeign(news, known)) {
+    return false;
+  }
   if (known.state == Registration::GONE) {
     return false;
   }
--- a/Tests/Gateway/wgDirectoryTest.cxx
+++ b/Tests/Gateway/wgDirectoryTest.cxx
@@ -209,6 +209,24 @@
   CHECK(wg::ServingEndpoints(directory, "svc").size() == 1);
 }
 
+TEST_CASE("Another service under a known start changes nothing")
+{
+  // Told to a control box that had not heard of the endpoint.
+  wg::Directory directory;
+  wg::MergeRegistration(directory, Told("e", 10), Now);
+  Registration foreign = Told("e", 1000000);
+  foreign.set_service("other");
+  foreign.set_address("127.0.0.1:9");
+  CHECK_FALSE(wg::MergeRegistration(directory, foreign, Now));
+  foreign.set_state(Registration::SILENT);
+  CHECK_FALSE(wg::MergeRegistration(directory, foreign, Now));
+  REQUIRE(wg::ServingEndpoints(directory, "svc").size() == 1);
+  CHECK(wg::ServingEndpoints(directory, "other").empty());
+  // Its own heartbeats are still taken.
+  CHECK(wg::MergeRegistration(directory, Told("e", 11, Registration::LEAVING),
+                              Now));
+}
+
 TEST_CASE("Failures keep work away for a while, and fade")
 {
   wg::Directory directory = Serving(2);
--- a/Tests/Platform/wgPlatformSoak.cxx
+++ b/Tests/Platform/wgPlatformSoak.cxx
@@ -179,6 +179,42 @@
   }
 }
 
+/** What other writers send, to the names of endpoints too. */
+void SendForeignHeartbeat(Run& run, Random& random)
+{
+  const std::string bodies[] = {
+    R"({"service": "plain", "address": "127.0.0.1:1", "state": "warm"})",
+    R"({"service": 7, "sequence": "many"})",
+    R"({"service": "other", "address": "127.0.0.1:1", "zone": "h1",
+        "version": "v1", "capacity": 4, "state": "ready", "warmupLeftMs": 0,
+        "sequence": 1000000})",
+    std::string(4096, '['),
+    std::string("\xff\xfe", 2),
+    ""
+  };
+  const std::string& body = bodies[Draw(random, 0, 5)];
+  const std::string name = Draw(random, 0, 1) == 0 ? "i-foreign" : "i-plain0";
+  httplib::Client client("127.0.0.1", run.cluster.Api(Draw(random, 0, 2)));
+  client.set_read_timeout(1);
+  client.Put("/-/instances/" + name, body, "application/json");
+}
+
+/** Endpoints start again under their names. Its draws are its own, so that
+ * seeds without it give the faults that they always gave.
+ */
+void StartEndpointsAgain(Run& run)
+{
+  Random random(run.seed + 9);
+  std::int64_t born = absl::ToUnixMillis(absl::Now());
+  while (!run.stopping) {
+    const int index =
+      Draw(random, 0, static_cast<int>(run.endpoints.size()) - 1);
+    run.endpoints[static_cast<std::size_t>(index)]->standin.BornAt(++born);
+    SendForeignHeartbeat(run, random);
+    absl::SleepFor(absl::Milliseconds(Draw(random, 100, 900)));
+  }
+}
+
 /** An order without a clear answer is sent again, to any control box. */
 void PublishDocuments(Run& run)
 {
@@ -459,7 +495,7 @@
   }
 }
 
-std::vector<std::string> RunSeed(std::uint64_t seed, int seconds)
+std::vector<std::string> RunSeed(std::uint64_t seed, int seconds, bool starts)
 {
   Run run(seed);
   run.cluster.AwaitServing();
@@ -470,6 +506,9 @@
   }
   threads.emplace_back([&run] { PublishDocuments(run); });
   threads.emplace_back([&run] { ReadDocuments(run); });
+  if (starts) {
+    threads.emplace_back([&run] { StartEndpointsAgain(run); });
+  }
   Faults(run).Go(absl::Seconds(seconds));
   absl::SleepFor(Settling);
   run.stopping = true;
@@ -507,12 +546,18 @@
                                "number", line);
     TCLAP::ValueArg<int> seconds("", "seconds", "Seconds of faults a seed.",
                                  false, 10, "seconds", line);
+    TCLAP::SwitchArg starts(
+      "", "starts",
+      "Endpoints start again under their names, and others "
+      "send heartbeats too.",
+      line);
     line.parse(argc, argv);
     int broken = 0;
     for (int i = 0; i < seeds.getValue(); ++i) {
       const std::uint64_t now =
         seed.getValue() + static_cast<std::uint64_t>(i);
-      const auto findings = RunSeed(now, seconds.getValue());
+      const auto findings =
+        RunSeed(now, seconds.getValue(), starts.getValue());
       for (const std::string& finding : findings) {
         std::printf("seed %llu: %s\n", static_cast<unsigned long long>(now),
                     finding.c_str());
--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -44,9 +44,18 @@
   server_.reset();
 }
 
+void PlatformStandin::StartAgainIfTold()
+{
+  if (const std::int64_t born = nextBornMs_.exchange(0); born != 0) {
+    bornMs_ = born;
+    sequence_ = 0;
+  }
+}
+
 bool PlatformStandin::Register(int apiPort, const std::string& service,
                                const std::string& state)
 {
+  StartAgainIfTold();
   Json heartbeat{ { "service", service }, { "address", address_ },
                   { "zone", "h1" },       { "version", "v1" },
                   { "capacity", 4 },      { "state", state },
@@ -60,8 +69,9 @@
   return reply && reply->status == 200;
 }
 
-bool PlatformStandin::Leave(int apiPort) const
+bool PlatformStandin::Leave(int apiPort)
 {
+  StartAgainIfTold();
   const std::string body =
     bornMs_ == 0 ? "" : Json{ { "born", bornMs_ } }.dump();
   httplib::Client client("127.0.0.1", apiPort);
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -59,12 +59,15 @@
   /** \brief Registers with a control box; whether it was acknowledged. */
   bool Register(int apiPort, const std::string& service,
                 const std::string& state = "ready");
-  /** \brief Tells from now on when it started, Unix time in ms. */
-  void BornAt(std::int64_t ms) { bornMs_ = ms; }
+  /** \brief Tells from its next heartbeat on that it started then, Unix time
+   * in ms, and counts its heartbeats anew. From any thread.
+   */
+  void BornAt(std::int64_t ms) { nextBornMs_ = ms; }
   /** \brief Says that it ends; whether it was acknowledged. */
-  bool Leave(int apiPort) const;
+  bool Leave(int apiPort);
 
 private:
+  void StartAgainIfTold();
   using Exchange = std::shared_ptr<HttpExchange>;
   void OnRequest(const Exchange& exchange);
   void OnStage(const Exchange& exchange);
@@ -81,6 +84,7 @@
   std::atomic<int> unsoundPieces_{ 0 };
   int sequence_ = 0;
   std::int64_t bornMs_ = 0; // 0: it does not tell
+  std::atomic<std::int64_t> nextBornMs_{ 0 };
   mutable absl::Mutex mutex_;
   std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_);
   HttpRequest last_ ABSL_GUARDED_BY(mutex_);
