Gateway: which requests an endpoint had when it ended, and that it ended

Cause: no line told which requests are the same under other ids, nor whether an endpoint at which attempts were cut off had ended or only broken them off; it was taken to be silent 4.1 s later, from its heartbeats. Change: a fingerprint of account, host, path and body on the line of a request that was sent and not served; after a cut a box tries to connect and tells endpoint_ended with the fingerprints that it had there. One that leaves or says that it ends tells nothing.

--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -31,6 +31,7 @@
   , releaser_(loop_, client_, directory_, dialect_)
   , halls_(loop_, directory_, log_,
            [this](const std::string& hall) { OnHallCut(hall); })
+  , crashes_(loop_, directory_, log_, metrics_, [](const EndedEndpoint&) {})
   , coordinator_(loop_, client_, directory_, dialect_, releaser_, halls_,
                  metrics_, log_)
   , engineCoordinator_(directory_, settings_.isRestarted, metrics_, log_)
@@ -62,9 +63,9 @@
   engines_ = std::make_unique<EngineClient>(loop_, *peerClient_, *stages_,
                                             engineCoordinator_, directory_,
                                             settings_.box, metrics_);
-  shared_.reset(new GatewayShared{ loop_, dialect_, directory_, client_,
-                                   *stages_, *engines_, halls_, metrics_, log_,
-                                   settings_.hall, settings_.retryRules });
+  shared_.reset(new GatewayShared{
+    loop_, dialect_, directory_, client_, *stages_, *engines_, halls_,
+    crashes_, metrics_, log_, settings_.hall, settings_.retryRules });
   coordinator_.SetRetryRules(settings_.retryRules);
   peerServer_ = std::make_unique<PeerServer>(
     settings_.keys,
@@ -85,7 +86,10 @@
   handler.onRegistration = [this](const wire::Registration& registration) {
     OnRegistration(registration);
   };
-  handler.onRegistrationsEnd = [this] { coordinator_.NoteDirectory(); };
+  handler.onRegistrationsEnd = [this] {
+    coordinator_.NoteDirectory();
+    crashes_.NoteDirectory();
+  };
   handler.onMembers = [this](std::vector<GatewayMember> members) {
     stages_->SetMembers(std::move(members));
   };
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -10,6 +10,8 @@
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_split.h"
 
+#include "wgRequestFingerprint.h"
+
 namespace wg {
 namespace {
 
@@ -113,6 +115,23 @@
   return true;
 }
 
+/** The same for the same request under any id, at any box. */
+const std::string& GatewayRequest::Fingerprint() const
+{
+  if (!fingerprint_.empty()) {
+    return fingerprint_;
+  }
+  const HttpRequest& request = exchange_->Request();
+  RequestContent content;
+  content.account =
+    holder_.account.empty() ? FieldOf(request, Fields().key) : holder_.account;
+  content.host = FieldOf(request, "Host");
+  content.target = { request.target().data(), request.target().size() };
+  content.body = request.body();
+  fingerprint_ = FingerprintOf(content);
+  return fingerprint_;
+}
+
 bool GatewayRequest::ReadDeadline()
 {
   constexpr std::int64_t noDeadline = -1;
@@ -340,6 +359,9 @@
     fields["route"] = route_->name;
     fields["service"] = service_;
   }
+  if (!usual && attempts_ > 0) {
+    fields["fingerprint"] = PrintFingerprint(Fingerprint());
+  }
   if (!tried_.empty()) {
     fields["endpoints"] = tried_;
   }
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -15,6 +15,7 @@
 
 #include "wgAttemptRules.h"
 #include "wgCallerDeadlines.h"
+#include "wgCrashWatch.h"
 #include "wgDecisionLog.h"
 #include "wgDialect.h"
 #include "wgDirectory.h"
@@ -40,6 +41,7 @@
   StageClient& stages;
   EngineClient& engines;
   HallProber& halls;
+  CrashWatch& crashes;
   GatewayMetrics& metrics;
   DecisionLog& log;
   std::string hall;
@@ -106,6 +108,7 @@
 
   const FieldNames& Fields() const { return shared_.dialect.fields; }
   bool FindRouteAndKey();
+  const std::string& Fingerprint() const;
   bool ReadDeadline();
   void ReadPrompt();
   bool ReadStages();
@@ -178,6 +181,7 @@
   Over over_;
   const Route* route_ = nullptr;
   std::string id_;
+  mutable std::string fingerprint_; // once it was asked for
   std::string service_;
   KeyHolder holder_;
   PromptShape prompt_;
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -270,6 +270,9 @@
   if (end == HttpCallEnd::Unreached && endpoint != nullptr) {
     shared_.halls.Unreached(*endpoint);
   }
+  if (end == HttpCallEnd::Cut) {
+    shared_.crashes.Cut(attempt_->endpoint, Fingerprint());
+  }
   CloseAttempt(true);
   AfterFailure(unreached ? AttemptKnowledge::NotSent
                          : AttemptKnowledge::MayHaveRun,
@@ -280,6 +283,7 @@
 {
   constexpr unsigned serverError = 500;
   const unsigned status = attempt_->head.result_int();
+  shared_.crashes.Alive(attempt_->endpoint);
   if (attempt_->streams) {
     OnEvents(std::exchange(reader_.partial, {}));
     if (!streamBegun_) {
