Base, Gateway, Control, Http: time goes on while a box is suspended

Cause: the monotonic clock does not count the time for which a box is suspended. A leader kept its lease over it; timers of event loops ended so much later. Change: ElapsedNow reads CLOCK_BOOTTIME; LoopTimer is a timer by it, whose loop looks at least every 250 ms, in place of Boost's steady timers everywhere. Trying a connection stands once (ConnectionProbe), for halls and for ended endpoints. Ruled out: polls between our processes, which end after 500 ms at the latest. Before: both cases of LoopTimer fail with the monotonic clock; after: none.

--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -12,7 +12,6 @@
 
 #include "absl/base/thread_annotations.h"
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "absl/random/random.h"
 #include "absl/synchronization/mutex.h"
@@ -24,6 +23,7 @@
 #include "wgEndpointFile.h"
 #include "wgEndpointRegistry.h"
 #include "wgFollowers.h"
+#include "wgLoopTimer.h"
 #include "wgOutcome.h"
 #include "wgPackedDocuments.h"
 #include "wgPeerClient.h"
@@ -225,7 +225,7 @@
   std::shared_ptr<const Config> rolloutConfig_; // as the runner has it
 
   boost::asio::io_context loop_;
-  boost::asio::steady_timer tick_{ loop_ };
+  LoopTimer tick_{ loop_ };
   absl::Mutex mutex_;
   std::vector<Mail> mail_ ABSL_GUARDED_BY(mutex_);
   bool stepPosted_ ABSL_GUARDED_BY(mutex_) = false;
--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgControlFollower.h"
 
+#include "wgLoopTimer.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -44,7 +46,7 @@
     }
     found->second.address = address;
     found->second.known = ElapsedNow();
-    found->second.pause = std::make_unique<boost::asio::steady_timer>(loop_);
+    found->second.pause = std::make_unique<LoopTimer>(loop_);
     Call(address);
   }
 }
--- a/Source/Gateway/wgControlFollower.h
+++ b/Source/Gateway/wgControlFollower.h
@@ -8,12 +8,11 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "wgDecisionLog.h"
 #include "wgDocumentTransfer.h"
 #include "wgElapsed.h"
 #include "wgHttpMessage.h"
+#include "wgLoopTimer.h"
 #include "wgPeer.pb.h"
 #include "wgPeerClient.h"
 #include "wgStageClient.h"
@@ -77,7 +76,7 @@
     int failures = 0;
     bool reached = true;
     std::uint64_t document = 0; // the newest number that it has told
-    std::unique_ptr<boost::asio::steady_timer> pause;
+    std::unique_ptr<LoopTimer> pause;
   };
 
   void Call(const std::string& address);
@@ -98,7 +97,7 @@
   FollowHandler handler_;
   std::uint64_t held_ = 0; // the newest document that was received
   DocumentTransfer transfer_;
-  boost::asio::steady_timer chunkPause_;
+  LoopTimer chunkPause_;
   std::map<std::string, Link> links_;
 };
 
--- a/Source/Gateway/wgCrashWatch.cxx
+++ b/Source/Gateway/wgCrashWatch.cxx
@@ -5,40 +5,23 @@
 #include <memory>
 #include <utility>
 
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
-
 #include <nlohmann/json.hpp>
 
+#include "wgConnectionProbe.h"
+#include "wgLoopTimer.h"
 #include "wgRequestFingerprint.h"
-#include "wgSocketAddress.h"
 
 namespace wg {
 namespace {
 
-using boost::asio::ip::tcp;
-
 /** A process that ends closes its connections before its port, some
  * milliseconds apart; a connection that is lost on a link is tried once more.
  */
 constexpr auto ProbeDelay = std::chrono::milliseconds(20);
-constexpr auto ProbeTimeout = std::chrono::milliseconds(200);
 constexpr int MaxProbes = 2;
 /** Of an endpoint with 64 requests a line would have 2 kB. */
 constexpr std::size_t MaxLoggedRequests = 8;
 
-/** A connection that is tried, and the time that it may take. */
-struct ProbeConnection
-{
-  explicit ProbeConnection(EventLoop& loop)
-    : socket(loop)
-    , timer(loop)
-  {
-  }
-  tcp::socket socket;
-  boost::asio::steady_timer timer;
-};
-
 } // namespace
 
 CrashWatch::CrashWatch(EventLoop& loop, Directory& directory, DecisionLog& log,
@@ -61,7 +44,7 @@
 
 void CrashWatch::ProbeSoon(const std::string& endpoint)
 {
-  auto timer = std::make_shared<boost::asio::steady_timer>(loop_, ProbeDelay);
+  auto timer = std::make_shared<LoopTimer>(loop_, ProbeDelay);
   timer->async_wait([this, timer, endpoint](boost::system::error_code error) {
     if (!error) {
       Probe(endpoint);
@@ -76,33 +59,16 @@
   if (cut == cuts_.endpoints.end() || known == nullptr) {
     return;
   }
-  const Outcome<tcp::endpoint> address = ParseTcpEndpoint(known->address);
-  if (!Succeeded(address) || ++cut->second.probes > MaxProbes) {
+  if (++cut->second.probes > MaxProbes) {
     return;
   }
-  auto probe = std::make_shared<ProbeConnection>(loop_);
-  probe->timer.expires_after(ProbeTimeout);
-  probe->timer.async_wait([probe](boost::system::error_code error) {
-    if (!error) {
-      boost::system::error_code ignored;
-      probe->socket.close(ignored);
+  ProbeAddress(loop_, known->address, [this, endpoint](ProbeResult result) {
+    if (result == ProbeResult::Refused) {
+      Tell(TakeEnded(cuts_, endpoint));
+    } else {
+      ProbeSoon(endpoint);
     }
   });
-  probe->socket.async_connect(
-    Value(address), [this, probe, endpoint](boost::system::error_code error) {
-      probe->timer.cancel();
-      OnProbe(endpoint, error == boost::asio::error::connection_refused ||
-                          error == boost::asio::error::connection_reset);
-    });
-}
-
-void CrashWatch::OnProbe(const std::string& endpoint, bool isRefused)
-{
-  if (isRefused) {
-    Tell(TakeEnded(cuts_, endpoint));
-  } else {
-    ProbeSoon(endpoint);
-  }
 }
 
 void CrashWatch::NoteDirectory()
--- a/Source/Gateway/wgCrashWatch.h
+++ b/Source/Gateway/wgCrashWatch.h
@@ -36,7 +36,6 @@
 private:
   void ProbeSoon(const std::string& endpoint);
   void Probe(const std::string& endpoint);
-  void OnProbe(const std::string& endpoint, bool isRefused);
   void Tell(const std::vector<EndedEndpoint>& ended);
 
   EventLoop& loop_;
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -6,8 +6,6 @@
 #include <unordered_set>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "wgControlFollower.h"
 #include "wgCounters.h"
 #include "wgCrashTracker.h"
@@ -15,6 +13,7 @@
 #include "wgEngineClient.h"
 #include "wgGatewayRequest.h"
 #include "wgHttpServer.h"
+#include "wgLoopTimer.h"
 #include "wgPeerServer.h"
 
 namespace wg {
@@ -101,7 +100,7 @@
   std::unique_ptr<HttpServer> metricsServer_;
   std::shared_ptr<const RouteTable> table_;
   std::unordered_set<std::shared_ptr<GatewayRequest>> requests_;
-  boost::asio::steady_timer stopTimer_;
+  LoopTimer stopTimer_;
   Elapsed stopBegan_;
   bool stopping_ = false;
   bool gaveUp_ = false;
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -9,8 +9,6 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "absl/random/random.h"
 
 #include "wgAttemptRules.h"
@@ -25,6 +23,7 @@
 #include "wgGatewayMetrics.h"
 #include "wgHttpClient.h"
 #include "wgHttpServer.h"
+#include "wgLoopTimer.h"
 #include "wgRetryWindow.h"
 #include "wgStageClient.h"
 #include "wgStagePlan.h"
@@ -198,8 +197,8 @@
   Elapsed callerDeadline_ = absl::InfiniteDuration();
   Elapsed giveUp_;
   Elapsed firstTried_; // when its caller first sent it, as far as is known
-  boost::asio::steady_timer timer_;
-  boost::asio::steady_timer silenceTimer_;
+  LoopTimer timer_;
+  LoopTimer silenceTimer_;
   std::optional<Attempt> attempt_;
   std::vector<std::string> tried_; // ids of endpoints
   int endpointsTried_ = 0;
--- a/Source/Gateway/wgHallProber.cxx
+++ b/Source/Gateway/wgHallProber.cxx
@@ -5,31 +5,14 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/ip/tcp.hpp>
-
 #include "absl/random/distributions.h"
 
-#include "wgSocketAddress.h"
+#include "wgConnectionProbe.h"
 
 namespace wg {
 namespace {
 
-using boost::asio::ip::tcp;
-
 constexpr auto ProbePeriod = std::chrono::milliseconds(250);
-constexpr auto ProbeTimeout = std::chrono::milliseconds(200);
-
-/** A connection that is tried, and the time that it may take. */
-struct ProbeConnection
-{
-  explicit ProbeConnection(EventLoop& loop)
-    : socket(loop)
-    , timer(loop)
-  {
-  }
-  tcp::socket socket;
-  boost::asio::steady_timer timer;
-};
 
 } // namespace
 
@@ -101,24 +84,10 @@
 
 void HallProber::Connect(const DirectoryEndpoint& endpoint)
 {
-  const Outcome<tcp::endpoint> address = ParseTcpEndpoint(endpoint.address);
-  if (!Succeeded(address)) {
-    return;
-  }
-  auto probe = std::make_shared<ProbeConnection>(loop_);
-  probe->timer.expires_after(ProbeTimeout);
-  probe->timer.async_wait([probe](boost::system::error_code error) {
-    if (!error) {
-      boost::system::error_code ignored;
-      probe->socket.close(ignored);
-    }
-  });
-  probe->socket.async_connect(
-    Value(address),
-    [this, probe, id = endpoint.id](boost::system::error_code error) {
-      probe->timer.cancel();
+  ProbeAddress(
+    loop_, endpoint.address, [this, id = endpoint.id](ProbeResult result) {
       const DirectoryEndpoint* reached = FindEndpoint(directory_, id);
-      if (!error && reached != nullptr) {
+      if (result == ProbeResult::Connected && reached != nullptr) {
         Reached(*reached);
       }
     });
--- a/Source/Gateway/wgHallProber.h
+++ b/Source/Gateway/wgHallProber.h
@@ -6,13 +6,12 @@
 #include <memory>
 #include <string>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "absl/random/random.h"
 
 #include "wgDecisionLog.h"
 #include "wgDirectory.h"
 #include "wgHttpMessage.h"
+#include "wgLoopTimer.h"
 
 namespace wg {
 
@@ -42,7 +41,7 @@
   DecisionLog& log_;
   OnCut onCut_;
   absl::BitGen random_;
-  boost::asio::steady_timer timer_;
+  LoopTimer timer_;
   bool armed_ = false;
 };
 
--- a/Source/Gateway/wgResultReleaser.h
+++ b/Source/Gateway/wgResultReleaser.h
@@ -9,13 +9,12 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "absl/types/span.h"
 
 #include "wgDialect.h"
 #include "wgDirectory.h"
 #include "wgHttpClient.h"
+#include "wgLoopTimer.h"
 
 namespace wg {
 
@@ -41,7 +40,7 @@
   HttpClient& client_;
   Directory& directory_;
   const Dialect& dialect_;
-  boost::asio::steady_timer timer_;
+  LoopTimer timer_;
   bool armed_ = false;
   std::map<std::string, std::vector<std::string>> pending_; // by address
   std::map<std::uint64_t, std::unique_ptr<HttpCall>> calls_;
--- a/Source/Gateway/wgStageClient.h
+++ b/Source/Gateway/wgStageClient.h
@@ -9,12 +9,11 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "wgElapsed.h"
 #include "wgGatewayMember.h"
 #include "wgGatewayMetrics.h"
 #include "wgHttpMessage.h"
+#include "wgLoopTimer.h"
 #include "wgPeer.pb.h"
 #include "wgPeerClient.h"
 #include "wgStageCoordinator.h"
@@ -131,9 +130,9 @@
   std::map<std::string, Elapsed> silentUntil_; // by hall
   std::uint64_t nextWork_;
   std::map<StagePoolKey, std::vector<std::string>> released_;
-  boost::asio::steady_timer releaseTimer_;
+  LoopTimer releaseTimer_;
   bool releaseArmed_ = false;
-  boost::asio::steady_timer watchTimer_;
+  LoopTimer watchTimer_;
   bool watchArmed_ = false;
 };
 
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -9,8 +9,6 @@
 #include <utility>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
-
 #include "wgCrashTracker.h"
 #include "wgDecisionLog.h"
 #include "wgDialect.h"
@@ -18,6 +16,7 @@
 #include "wgGatewayMetrics.h"
 #include "wgHallProber.h"
 #include "wgHttpClient.h"
+#include "wgLoopTimer.h"
 #include "wgPeer.pb.h"
 #include "wgResultLedger.h"
 #include "wgResultReleaser.h"
@@ -88,7 +87,7 @@
     StageCall call;
     Elapsed started;
     std::unique_ptr<HttpCall> http;
-    std::unique_ptr<boost::asio::steady_timer> timer;
+    std::unique_ptr<LoopTimer> timer;
     unsigned status = 0;
     bool saidNotRun = false;
     std::string body;
@@ -141,7 +140,7 @@
   std::map<std::uint64_t, OpenCall> calls_;
   std::uint64_t nextCall_ = 1;
   std::uint64_t nextTicket_ = 1;
-  boost::asio::steady_timer pumpTimer_;
+  LoopTimer pumpTimer_;
   bool pumpArmed_ = false;
 };
 
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgStageCoordinator.h"
 
+#include "wgLoopTimer.h"
+
 #include <algorithm>
 #include <chrono>
 
@@ -77,7 +79,7 @@
   OpenCall& open = calls_[number];
   const double limit =
     open.call.expectedSeconds * LateFactor + LateMarginSeconds;
-  open.timer = std::make_unique<boost::asio::steady_timer>(
+  open.timer = std::make_unique<LoopTimer>(
     loop_, absl::ToChronoMilliseconds(absl::Seconds(limit)));
   open.timer->async_wait([this, number](boost::system::error_code error) {
     if (!error) {
--- a/Source/Http/wgHttpClientConnection.h
+++ b/Source/Http/wgHttpClientConnection.h
@@ -6,12 +6,12 @@
 #include <string>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include "wgElapsed.h"
 #include "wgHttpClient.h"
+#include "wgLoopTimer.h"
 
 namespace wg {
 namespace detail {
@@ -63,7 +63,7 @@
   EventLoop& loop_;
   std::string address_;
   boost::asio::ip::tcp::socket socket_;
-  boost::asio::steady_timer connectTimer_;
+  LoopTimer connectTimer_;
   boost::beast::flat_buffer input_;
   std::optional<Parser> parser_;
   HttpCallHandler handler_;
--- a/Source/Http/wgHttpServer.h
+++ b/Source/Http/wgHttpServer.h
@@ -8,10 +8,10 @@
 #include <unordered_map>
 
 #include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "wgElapsed.h"
 #include "wgHttpMessage.h"
+#include "wgLoopTimer.h"
 #include "wgOutcome.h"
 
 namespace wg {
@@ -106,7 +106,7 @@
   Handler handler_;
   HttpLimits limits_;
   boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::steady_timer sweepTimer_;
+  LoopTimer sweepTimer_;
   bool sweepArmed_ = false;
   bool draining_ = false;
   Elapsed restUntil_ = absl::InfiniteDuration();
--- a/Tests/Gateway/wgStageCoordinatorTest.cxx
+++ b/Tests/Gateway/wgStageCoordinatorTest.cxx
@@ -4,7 +4,6 @@
 #include <string>
 #include <vector>
 
-#include <boost/asio/steady_timer.hpp>
 #include <catch2/catch.hpp>
 
 #include "absl/strings/str_cat.h"
@@ -14,6 +13,7 @@
 
 #include "wgHttpServer.h"
 #include "wgLoopThread.h"
+#include "wgLoopTimer.h"
 #include "wgStageClient.h"
 #include "wgStageCoordinator.h"
 
--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -1,10 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgPlatformStandin.h"
 
+#include "wgLoopTimer.h"
+
 #include <utility>
 
 #include <boost/asio/post.hpp>
-#include <boost/asio/steady_timer.hpp>
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
@@ -77,7 +78,7 @@
   boost::asio::post(thread_.Loop(), [this] {
     waiting_.clear();
     server_.reset();
-    auto timer = std::make_shared<boost::asio::steady_timer>(
+    auto timer = std::make_shared<wg::LoopTimer>(
       thread_.Loop(), std::chrono::milliseconds(downMs_));
     timer->async_wait([this, timer](boost::system::error_code error) {
       if (!error) {
@@ -194,7 +195,7 @@
                                              item["segment"].get<int>()) } }
             : Json{ { "reason", "error" } });
   }
-  auto timer = std::make_shared<boost::asio::steady_timer>(
+  auto timer = std::make_shared<wg::LoopTimer>(
     thread_.Loop(), std::chrono::milliseconds(callMs_));
   timer->async_wait([exchange, timer, items](boost::system::error_code) {
     exchange->Respond(MakeResponse(200, "application/json",
--- a/Utilities/Daemon/wgDaemon.cxx
+++ b/Utilities/Daemon/wgDaemon.cxx
@@ -10,11 +10,11 @@
 #include <poll.h>
 
 #include <boost/asio/signal_set.hpp>
-#include <boost/asio/steady_timer.hpp>
 
 #include "absl/time/clock.h"
 
 #include "wgControlMetrics.h"
+#include "wgLoopTimer.h"
 #include "wgPlatformControl.h"
 #include "wgPlatformDialect.h"
 #include "wgSettingsFile.h"
@@ -91,7 +91,7 @@
 
   wg::SettingsWatch watch_;
   Take take_;
-  boost::asio::steady_timer timer_;
+  wg::LoopTimer timer_;
 };
 
 /** Calls `stop` for the first signal to end, and has the file read again. */
