Control, Decision: an endpoint that goes on to send heartbeats has not ended

Cause: where a cut resets connections, endpoints behind it look to have ended. Change: a control box that hears two heartbeats more of a start that was taken to have ended outweighs what was concluded from it. Ruled out: leaving out endpoints of other halls (then two thirds of real ends are known 4 s later), or a cut hall (it is found by connections that time out, not by those reset).

--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -16,6 +16,7 @@
 #include "absl/random/random.h"
 #include "absl/synchronization/mutex.h"
 
+#include "wgBeatsAfterEnd.h"
 #include "wgControlStatus.h"
 #include "wgCounters.h"
 #include "wgCrashEvidence.h"
@@ -211,6 +212,7 @@
   PackedDocuments packed_;
   EndpointRegistry registry_;
   CrashEvidence crashes_;
+  BeatsAfterEnd beatsAfterEnd_;
   std::unique_ptr<EndpointFile> endpointFile_;
   std::uint64_t keptRevision_ = 0;
   std::uint64_t keptCrashes_ = 0; // their revision
--- a/Source/Control/wgControlNodeDocuments.cxx
+++ b/Source/Control/wgControlNodeDocuments.cxx
@@ -160,7 +160,11 @@
 {
   const HeartbeatTaken taken =
     TakeHeartbeat(registry_, heartbeat, ElapsedNow());
-  if (taken == HeartbeatTaken::News) {
+  const bool isSound =
+    taken == HeartbeatTaken::News || taken == HeartbeatTaken::Known;
+  const bool showsLife =
+    isSound && NoteBeatAfterEnd(beatsAfterEnd_, crashes_, heartbeat);
+  if (taken == HeartbeatTaken::News || showsLife) {
     AnswerFollowers(followers_, Followed(), ElapsedNow());
   }
   return taken;
--- a/Source/Decision/wgCrashEvidence.cxx
+++ b/Source/Decision/wgCrashEvidence.cxx
@@ -13,15 +13,28 @@
 using Ends = std::set<std::string>;                // of endpoints
 using EndsByRequest = std::map<std::string, Ends>; // those that count
 
+/** Those of requests with enough of them; most have one or two. Records of a
+ * request stand together.
+ */
 EndsByRequest CountedEnds(const CrashEvidence& evidence)
 {
-  EndsByRequest ends;
-  for (const auto& [key, record] : evidence.records) {
-    if (!record.outweighed) {
-      ends[key.request].insert(key.endpoint);
+  EndsByRequest all;
+  const auto& records = evidence.records;
+  for (auto it = records.begin(); it != records.end();) {
+    const std::string& request = it->first.request;
+    std::vector<const std::string*> ends;
+    for (; it != records.end() && it->first.request == request; ++it) {
+      if (!it->second.outweighed) {
+        ends.push_back(&it->first.endpoint);
+      }
+    }
+    if (ends.size() >= evidence.rules.endsToQuarantine) {
+      for (const std::string* endpoint : ends) {
+        all[request].insert(*endpoint);
+      }
     }
   }
-  return ends;
+  return all;
 }
 
 /** Requests with enough ends, the one with most of them first. */
@@ -150,6 +163,28 @@
   return isNews;
 }
 
+bool IsTakenToHaveEnded(const CrashEvidence& evidence,
+                        absl::string_view endpoint)
+{
+  const auto& records = evidence.records;
+  return std::any_of(records.begin(), records.end(), [&](const auto& pair) {
+    return pair.first.endpoint == endpoint && !pair.second.outweighed;
+  });
+}
+
+bool NoteLives(CrashEvidence& evidence, absl::string_view endpoint)
+{
+  bool isNews = false;
+  for (auto& [key, record] : evidence.records) {
+    if (key.endpoint == endpoint && !record.outweighed) {
+      record.outweighed = true;
+      NoteChange(evidence, record);
+      isNews = true;
+    }
+  }
+  return isNews;
+}
+
 bool IsSuspect(const CrashEvidence& evidence, absl::string_view request)
 {
   for (auto it = evidence.records.lower_bound({ std::string(request), "" });
--- a/Source/Decision/wgCrashEvidence.h
+++ b/Source/Decision/wgCrashEvidence.h
@@ -28,7 +28,7 @@
 struct CrashRecord
 {
   Elapsed noted;           // when it was first noted anywhere, by this clock
-  bool outweighed = false; // the request was answered all the same, later
+  bool outweighed = false; // the request was answered, or the start lives
   std::uint64_t revision = 0; // of the evidence, when this last changed
 };
 
@@ -77,6 +77,16 @@
  */
 bool NoteAnswered(CrashEvidence& evidence, absl::string_view request);
 
+/** \brief Whether it counts against any request that this start has ended. */
+bool IsTakenToHaveEnded(const CrashEvidence& evidence,
+                        absl::string_view endpoint);
+
+/** \brief The start lives: it was cut off, which looks like an end from where
+ * connections to it are reset.
+ * \return whether that was news
+ */
+bool NoteLives(CrashEvidence& evidence, absl::string_view endpoint);
+
 /** \brief Whether crashes count against it. */
 bool IsSuspect(const CrashEvidence& evidence, absl::string_view request);
 bool IsQuarantined(const CrashEvidence& evidence, absl::string_view request);
--- /dev/null
+++ b/Tests/Control/wgBeatsAfterEndTest.cxx
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <string>
+
+#include <catch2/catch.hpp>
+
+#include "absl/strings/str_cat.h"
+
+#include "wgBeatsAfterEnd.h"
+
+using wg::BeatsAfterEnd;
+using wg::CrashEvidence;
+using wg::IsQuarantined;
+using wg::NoteBeatAfterEnd;
+
+namespace {
+
+wg::wire::Registration Beat(const std::string& endpoint, int sequence,
+                            std::int64_t born = 0)
+{
+  wg::wire::Registration beat;
+  beat.set_endpoint(endpoint);
+  beat.set_sequence(static_cast<std::uint64_t>(sequence));
+  beat.set_born_ms(born);
+  return beat;
+}
+
+/** A request that was cut off at three endpoints. */
+struct Site
+{
+  Site()
+  {
+    for (int i = 1; i <= 3; ++i) {
+      wg::wire::Crash crash;
+      crash.set_request("a");
+      crash.set_endpoint(absl::StrCat("e", i));
+      MergeCrash(evidence, crash, absl::Hours(1));
+    }
+  }
+  CrashEvidence evidence;
+  BeatsAfterEnd beats;
+};
+
+} // namespace
+
+TEST_CASE("An endpoint that goes on to send heartbeats has not ended",
+          "[beats]")
+{
+  Site site;
+  REQUIRE(IsQuarantined(site.evidence, "a"));
+  CHECK_FALSE(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 7)));
+  CHECK_FALSE(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 8)));
+  CHECK(IsQuarantined(site.evidence, "a"));
+  CHECK(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 9)));
+  CHECK_FALSE(IsQuarantined(site.evidence, "a"));
+  CHECK_FALSE(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 19)));
+}
+
+TEST_CASE("Heartbeats on their way, and those of a later start, show nothing",
+          "[beats]")
+{
+  Site site;
+  NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 7));
+  NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 8));
+  for (int sequence = 1; sequence < 20; ++sequence) {
+    NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", sequence, 99));
+    NoteBeatAfterEnd(site.beats, site.evidence, Beat("e9", sequence));
+  }
+  CHECK(IsQuarantined(site.evidence, "a"));
+}
--- a/Tests/Platform/wgPlatformCrashTest.cxx
+++ b/Tests/Platform/wgPlatformCrashTest.cxx
@@ -28,17 +28,24 @@
 class Endpoints
 {
 public:
-  Endpoints(PlatformCluster& cluster, const std::string& service, int count)
+  Endpoints(PlatformCluster& cluster, const std::string& service, int count,
+            bool onlyCutOff = false)
   {
     for (int i = 0; i < count; ++i) {
       all_.push_back(
         std::make_unique<PlatformStandin>(absl::StrCat(service, "-", i)));
       all_.back()->EndsUnder(EndingText, DownMs);
+      if (onlyCutOff) {
+        all_.back()->IsOnlyCutOff();
+      }
     }
-    heart_ = std::thread([this, &cluster, service] {
+    // Three sends of a test come between two heartbeats of what only looks
+    // to have ended; what has ended is known again soon after it is back.
+    const absl::Duration period = absl::Milliseconds(onlyCutOff ? 900 : 150);
+    heart_ = std::thread([this, &cluster, service, period] {
       while (!stopping_) {
         Beat(cluster, service);
-        absl::SleepFor(absl::Milliseconds(150));
+        absl::SleepFor(period);
       }
     });
   }
@@ -71,7 +78,7 @@
   {
     for (std::size_t i = 0; i < all_.size(); ++i) {
       const int control = static_cast<int>(i) % PlatformCluster::Controls;
-      if (all_[i]->IsUp()) {
+      if (all_[i]->Beats()) {
         all_[i]->Register(cluster.Api(control), service);
       }
     }
@@ -184,6 +191,34 @@
   CheckKeptAway("/r/x", cluster, engines);
 }
 
+TEST_CASE("A request that met cut connections is not kept away for long",
+          "[cut]")
+{
+  // A hall was cut off, and connections to it were reset. From outside each
+  // of its endpoints looked to have ended, 18 within 170 ms:
+  //   "event":"endpoint_ended", "found_by":"no_connection"
+  // and a request that had been sent to four of them was quarantined. They
+  // all went on to send heartbeats.
+  PlatformCluster cluster(Gateways);
+  const bool onlyCutOff = true;
+  Endpoints engines(cluster, "llm", 6, onlyCutOff);
+  cluster.AwaitServing();
+  AwaitInnocents(cluster, "/r/x");
+  Resender resender(cluster, "/r/x");
+  constexpr int unavailable = 503;
+  Await("the request to be kept away", [&] {
+    absl::SleepFor(absl::Milliseconds(200));
+    return resender.Send() == unavailable && engines.Ends() >= EndsAllowed;
+  });
+  Await("it to be sent again", [&] {
+    absl::SleepFor(absl::Milliseconds(200));
+    return resender.Send() != unavailable;
+  });
+  const int before = engines.Ends();
+  resender.Send();
+  CHECK(engines.Ends() > before);
+}
+
 TEST_CASE("A request that ends a stage's endpoints is kept away from them",
           "[stages]")
 {
--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -73,7 +73,10 @@
   if (!isUp_.exchange(false)) {
     return;
   }
-  BornAt(FirstBornMs + ++ends_);
+  ++ends_;
+  if (!onlyCutOff_) {
+    BornAt(FirstBornMs + ends_);
+  }
   // Not from within the server that is to go.
   boost::asio::post(thread_.Loop(), [this] {
     waiting_.clear();
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -49,10 +49,14 @@
    * `born` one higher, and knows nothing. Call before anything is sent.
    */
   void EndsUnder(std::string text, int downMs);
+  /** \brief It is not ended but cut off so: it lives, and its heartbeats
+   * arrive. Call before anything is sent.
+   */
+  void IsOnlyCutOff() { onlyCutOff_ = true; }
   /** \brief How often it has ended so. */
   int Ends() const { return ends_; }
-  /** \brief What it is sent while it is up, by the id of the request. */
   bool IsUp() const { return isUp_; }
+  bool Beats() const { return isUp_ || onlyCutOff_; }
   /** \brief Answers what waits. */
   void GoOn();
 
@@ -97,6 +101,7 @@
   std::atomic<int> unsoundPieces_{ 0 };
   std::string endsUnder_; // empty: nothing ends it
   int downMs_ = 0;
+  bool onlyCutOff_ = false;
   std::atomic<int> ends_{ 0 };
   std::atomic<bool> isUp_{ true };
   int sequence_ = 0;
