--- a/Source/Base/wgLoopTimer.h
+++ b/Source/Base/wgLoopTimer.h
@@ -21,6 +21,7 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<ElapsedClock>;
+  // NOLINTNEXTLINE(readability-identifier-naming): the standard's name
   static constexpr bool is_steady = true;
 
   // NOLINTNEXTLINE(readability-identifier-naming): the standard's name
--- a/Tests/Base/wgLoopTimerTest.cxx
+++ b/Tests/Base/wgLoopTimerTest.cxx
@@ -15,7 +15,7 @@
 namespace {
 
 /** For how long the box was suspended, in seconds. */
-std::atomic<int> suspendedSeconds{ 0 };
+std::atomic<int> SuspendedSeconds{ 0 };
 
 } // namespace
 
@@ -26,7 +26,7 @@
 {
   const long result = syscall(SYS_clock_gettime, clock, now);
   if (clock == CLOCK_BOOTTIME) {
-    now->tv_sec += suspendedSeconds;
+    now->tv_sec += SuspendedSeconds;
   }
   return static_cast<int>(result);
 }
@@ -36,9 +36,9 @@
   // A control box led, was suspended for longer than its lease, and another
   // one led; by the monotonic clock it held its lease still.
   const wg::Elapsed before = wg::ElapsedNow();
-  suspendedSeconds = 7;
+  SuspendedSeconds = 7;
   CHECK(wg::ElapsedNow() - before >= absl::Seconds(7));
-  suspendedSeconds = 0;
+  SuspendedSeconds = 0;
 }
 
 TEST_CASE("A timer that ended while its box was suspended ends at once",
@@ -54,8 +54,8 @@
     [&ended](boost::system::error_code error) { ended = !error; });
   loop.run_for(std::chrono::milliseconds(50));
   REQUIRE_FALSE(ended);
-  suspendedSeconds = 11;
+  SuspendedSeconds = 11;
   loop.run_for(std::chrono::milliseconds(1000));
   CHECK(ended);
-  suspendedSeconds = 0;
+  SuspendedSeconds = 0;
 }
