Gateway: nothing that may have run is said not to have run; held requests' lines

Cause, found by reading: stages that could not be made anew were answered 503 whatever an earlier attempt may have done. Only what may be resumed could meet it. The line of a request that is kept away has its fingerprint, by which its ends are found. No test brings the first about.

--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -248,6 +248,10 @@
 void GatewayRequest::SayNotRun(absl::string_view reason)
 {
   constexpr unsigned unavailable = 503;
+  if (mayHaveRun_) { // at an earlier attempt, before its stages were made anew
+    SayMayHave(reason);
+    return;
+  }
   absl::Duration wait = RetryAfterDefault;
   if (route_ != nullptr) {
     for (const RouteStage& stage : route_->stages) {
@@ -379,7 +383,7 @@
     fields["route"] = route_->name;
     fields["service"] = service_;
   }
-  if (!usual && attempts_ > 0) {
+  if (!usual && (attempts_ > 0 || reason == KeptAwayReason)) {
     fields["fingerprint"] = PrintFingerprint(Fingerprint());
   }
   if (!tried_.empty()) {
