--- a/Source/Control/wgControlMetrics.cxx
+++ b/Source/Control/wgControlMetrics.cxx
@@ -49,7 +49,9 @@
     absl::StrCat(counters_.Print(), "weirgate_endpoints_known ",
                  gauges.endpoints, "\nweirgate_followers ", gauges.followers,
                  "\nweirgate_document_number ", gauges.documentNumber,
-                 "\nweirgate_leads ", gauges.leads ? 1 : 0, "\n")));
+                 "\nweirgate_leads ", gauges.leads ? 1 : 0,
+                 "\nweirgate_hall_orders ", gauges.hallOrders,
+                 "\nweirgate_halls_evacuated ", gauges.hallsEvacuated, "\n")));
 }
 
 } // namespace wg
--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -272,6 +272,7 @@
   TickReplica();
   CarryOutActions();
   ApplyCommitted();
+  NoteHallOrders();
   const Elapsed now = ElapsedNow();
   TickFollowers(followers_, now);
   TickRegistry(registry_, now);
@@ -314,6 +315,7 @@
                  }
                  for (const auto& message : batch.messages()) {
                    addresses_[message.from()] = message.from_address();
+                   levels_[message.from()] = message.knows();
                    OnMessage(replica_, message, ElapsedNow(), random_);
                  }
                },
@@ -332,9 +334,7 @@
                                 .SerializeAsString());
                },
                [this](ReadCall& call) {
-                 wire::DocumentReply reply = ReadOwn();
-                 reply.clear_content();
-                 call.respond(reply.SerializeAsString());
+                 call.respond(ReadOwn().SerializeAsString());
                } },
              mail);
 }
@@ -377,6 +377,15 @@
                         settings_.advertise));
     return;
   }
+  if (!IsAppliedByAll(LevelOf(request.change))) {
+    request.respond(
+      PrintChangeResult(wire::ChangeResult::UNAVAILABLE,
+                        "A control box runs an older program, which does not "
+                        "know such orders; send it again once all are "
+                        "updated.",
+                        settings_.advertise));
+    return;
+  }
   if (request.change.has_take_claim()) {
     request.change.mutable_take_claim()->set_now_ms(
       clockAtLead_ + absl::ToInt64Milliseconds(now - leadSince_));
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -52,6 +52,10 @@
   std::uint64_t compactAfter = 2000; // applied entries between snapshots
   /** The first of `controls` founds the cluster if its folder is fresh. */
   bool foundAtStart = false;
+  /** What this box tells others that it applies; less than it does holds
+   * newer kinds of changes back while boxes are updated one after the other.
+   */
+  ChangeLevel changeLevel = OwnChangeLevel;
   RegistryTiming registry;
 };
 
@@ -62,6 +66,8 @@
   std::size_t followers = 0;
   std::uint64_t documentNumber = 0; // that this box has applied
   bool leads = false;
+  std::uint64_t hallOrders = 0; // number of the newest that it has applied
+  std::size_t hallsEvacuated = 0;
 };
 
 /** \class ControlNode
@@ -88,6 +94,12 @@
    * Called on the loop, as are all below.
    */
   void Publish(wire::PublishDocument document, const PublishAnswer& answer);
+  /** \brief Has a hall's endpoints get no new work, or get it again; the
+   * answer is as for Publish. An order that holds already is acknowledged
+   * again.
+   */
+  void OrderHall(const std::string& hall, bool evacuate,
+                 const PublishAnswer& answer);
   /** \brief Reads the newest document, if it is sure to be the newest. */
   void ReadDocument(const ReadAnswer& answer);
   HeartbeatTaken Register(const wire::Registration& heartbeat);
@@ -179,6 +191,11 @@
   void FailWaiters();
   FollowedState Followed() const;
   std::vector<std::string> KnownControls() const;
+  void SendToLeader(const wire::Change& change, absl::Duration timeout,
+                    const PublishAnswer& answer);
+  void ReadAtLeader(const ReadAnswer& answer);
+  bool IsAppliedByAll(ChangeLevel level) const;
+  void NoteHallOrders();
   wire::DocumentReply ReadOwn() const;
   wire::DocumentReply ReadConfirmed(const wire::DocumentReply& newest) const;
   bool IsWholeAtFirst() const;
@@ -219,6 +236,8 @@
   Elapsed nextKeep_;
   std::map<std::uint64_t, JoiningReplica> joining_;
   std::map<std::uint64_t, std::string> addresses_; // of replicas, by id
+  std::map<std::uint64_t, std::uint32_t> levels_;  // of those heard, by id
+  HallOrders notedHalls_; // as endpoints' followers were told
   Elapsed nextJoinAsk_;
   Elapsed leaderHeard_;
   std::int64_t clockAtLead_ = 0;
--- a/Source/Control/wgControlNodeDocuments.cxx
+++ b/Source/Control/wgControlNodeDocuments.cxx
@@ -2,19 +2,27 @@
 // A control box's part for gateways, endpoints and operators' documents.
 #include "wgControlNode.h"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 
+#include "absl/strings/str_cat.h"
+
 #include "wgChangeAnswer.h"
 #include "wgLink.h"
+#include "wgLog.h"
 
 namespace wg {
 namespace {
 
 constexpr absl::Duration JoinerMemory = absl::Seconds(10);
 constexpr absl::Duration ForwardTimeout = absl::Milliseconds(900);
+/** Replicas that run answer a leader within its heartbeats of 50 ms; the rest
+ * is for links that lose packets. Operators wait for some seconds.
+ */
+constexpr absl::Duration UnheardAfter = absl::Seconds(2);
 
 } // namespace
 
@@ -30,6 +38,10 @@
   gauges.followers = followers_.boxes.size();
   gauges.documentNumber = state_.document.number();
   gauges.leads = replica_.role == ReplicaRole::Leader;
+  gauges.hallOrders = state_.halls.newest;
+  gauges.hallsEvacuated = static_cast<std::size_t>(
+    std::count_if(state_.halls.halls.begin(), state_.halls.halls.end(),
+                  [](const auto& pair) { return pair.second.evacuated; }));
   return gauges;
 }
 
@@ -82,6 +94,93 @@
   wire::Change change;
   change.set_author(settings_.box);
   *change.mutable_publish() = std::move(document);
+  SendToLeader(
+    change, ForwardTimeout + TransferTime(change.publish().content().size()),
+    answer);
+}
+
+/** What the order is based on is read first: a copy of it that was held up on
+ * its way to the leader must not undo a later one.
+ */
+void ControlNode::OrderHall(const std::string& hall, bool evacuate,
+                            const PublishAnswer& answer)
+{
+  ReadAtLeader([this, hall, evacuate,
+                answer](const wire::DocumentReply& newest) {
+    wire::ChangeResult result;
+    if (!newest.sure() || !newest.knows_hall_orders()) {
+      result.set_verdict(wire::ChangeResult::UNAVAILABLE);
+      result.set_message(
+        newest.sure() ? "The leader runs an older program; send the order "
+                        "again once it is updated."
+                      : "No leader can be reached now; send the order again.");
+      answer(result);
+      return;
+    }
+    const HallOrder known =
+      FindHallOrder(FromWire(newest.hall_orders()), hall);
+    if (known.evacuated == evacuate) {
+      result.set_verdict(wire::ChangeResult::ACCEPTED);
+      answer(result);
+      return;
+    }
+    wire::Change change;
+    change.set_author(settings_.box);
+    change.mutable_order_hall()->set_hall(hall);
+    change.mutable_order_hall()->set_evacuate(evacuate);
+    change.mutable_order_hall()->set_seen(known.number);
+    SendToLeader(change, ForwardTimeout, answer);
+  });
+}
+
+/** Those that vote, or will: with one that skipped a change their states would
+ * differ. One that was not heard of since this box leads is down, and what it
+ * runs once it is back is not known; a leader that waited for it could take no
+ * order while a box is lost.
+ */
+bool ControlNode::IsAppliedByAll(ChangeLevel level) const
+{
+  const auto isApplied = [&](const wire::Voter& voter) {
+    if (voter.id() == replica_.self.id()) {
+      return settings_.changeLevel >= level;
+    }
+    const auto told = levels_.find(voter.id());
+    return told == levels_.end()
+             ? ElapsedNow() - leadSince_ > UnheardAfter
+             : told->second >= static_cast<std::uint32_t>(level);
+  };
+  const auto& voters = replica_.voters.voters();
+  const auto& learners = replica_.voters.learners();
+  return level == ChangeLevel::First ||
+         (std::all_of(voters.begin(), voters.end(), isApplied) &&
+          std::all_of(learners.begin(), learners.end(), isApplied));
+}
+
+/** After orders were applied, or came with a snapshot. */
+void ControlNode::NoteHallOrders()
+{
+  if (state_.halls.newest == notedHalls_.newest) {
+    return;
+  }
+  for (const auto& [hall, order] : state_.halls.halls) {
+    if (order.number <= notedHalls_.newest) {
+      continue;
+    }
+    LogChange("hall",
+              absl::StrCat(hall,
+                           order.evacuated ? " gets no new work, order "
+                                           : " may get work again, order ",
+                           order.number));
+    NoteHallOrder(registry_, hall, order.evacuated);
+  }
+  notedHalls_ = state_.halls;
+}
+
+/** To the leader, if that is another box. */
+void ControlNode::SendToLeader(const wire::Change& change,
+                               absl::Duration timeout,
+                               const PublishAnswer& answer)
+{
   auto respond = [answer](const std::string& bytes) {
     wire::ChangeResult result;
     result.ParseFromString(bytes);
@@ -91,11 +190,9 @@
   const bool forward = replica_.role != ReplicaRole::Leader &&
                        !leader.empty() && leader != settings_.advertise;
   if (!forward) {
-    Post(ChangeRequest{ std::move(change), respond });
+    Post(ChangeRequest{ change, respond });
     return;
   }
-  const absl::Duration timeout =
-    ForwardTimeout + TransferTime(change.publish().content().size());
   client_->Call(
     leader, "/change", change.SerializeAsString(), timeout,
     [this, respond](const Outcome<std::string>& reply) {
@@ -114,12 +211,21 @@
   if (applied && HoldsLease(replica_, ElapsedNow())) {
     reply.set_sure(true);
     reply.set_number(state_.document.number());
-    reply.set_content(state_.document.content());
+    reply.set_knows_hall_orders(true);
+    *reply.mutable_hall_orders() = ToWire(state_.halls);
   }
   return reply;
 }
 
 void ControlNode::ReadDocument(const ReadAnswer& answer)
+{
+  ReadAtLeader([this, answer](const wire::DocumentReply& newest) {
+    answer(ReadConfirmed(newest));
+  });
+}
+
+/** What the leader holds, without the document's content. */
+void ControlNode::ReadAtLeader(const ReadAnswer& answer)
 {
   const std::string leader = LeaderAddress();
   const bool own = replica_.role == ReplicaRole::Leader || leader.empty() ||
@@ -136,9 +242,8 @@
                   if (!sound) {
                     newest.Clear();
                   }
-                  boost::asio::post(loop_, [this, answer, newest] {
-                    answer(ReadConfirmed(newest));
-                  });
+                  boost::asio::post(loop_,
+                                    [answer, newest] { answer(newest); });
                 });
 }
 
--- a/Source/Control/wgControlNodeReplica.cxx
+++ b/Source/Control/wgControlNodeReplica.cxx
@@ -181,6 +181,8 @@
       continue;
     }
     outgoing.message.set_from_address(settings_.advertise);
+    outgoing.message.set_knows(
+      static_cast<std::uint32_t>(settings_.changeLevel));
     Batch& batch = batches[address];
     batch.timeout = std::max(batch.timeout, outgoing.patience);
     if (outgoing.patience > absl::ZeroDuration()) {
--- a/Source/Control/wgEndpointRegistry.cxx
+++ b/Source/Control/wgEndpointRegistry.cxx
@@ -20,12 +20,18 @@
  */
 constexpr std::size_t MaxEndpoints = 10000;
 
+/** For so long an endpoint that may be cold and says nothing is taken to be;
+ * longer than the 3 s that engines in use need, and than their heartbeats take
+ * to come.
+ */
+constexpr std::int64_t AssumedWarmupMs = 10000;
+
 /** Another control box was told between the two: when it no longer hears of
  * the endpoint, boxes that follow go by the newest heartbeat that they know.
  */
 bool IsAfterGap(const RegisteredEndpoint& known, const Registration& heartbeat)
 {
-  return known.remembered ||
+  return known.tellNext ||
          heartbeat.sequence() > known.registration.sequence() + 1;
 }
 
@@ -68,7 +74,7 @@
   known.registration = heartbeat;
   known.registration.set_revision(revision);
   known.heard = now;
-  known.remembered = false;
+  known.tellNext = false;
   if (isNews) {
     Publish(registry, known.registration);
   }
@@ -101,6 +107,25 @@
   return isNews;
 }
 
+void NoteHallOrder(EndpointRegistry& registry, absl::string_view hall,
+                   bool evacuated)
+{
+  for (auto& [id, endpoint] : registry.endpoints) {
+    Registration& registration = endpoint.registration;
+    const bool serves = registration.state() == Registration::READY ||
+                        registration.state() == Registration::LEAVING;
+    if (registration.hall() != hall || !serves) {
+      continue;
+    }
+    if (!evacuated) {
+      registration.set_warmup_ms(
+        std::max(registration.warmup_ms(), AssumedWarmupMs));
+    }
+    endpoint.tellNext = true;
+    Publish(registry, registration);
+  }
+}
+
 wire::RememberedEndpoints RememberEndpoints(const EndpointRegistry& registry)
 {
   wire::RememberedEndpoints remembered;
@@ -119,7 +144,7 @@
     const bool isGone = registration.state() == Registration::GONE;
     known.registration = registration;
     known.heard = isGone ? now - registry.timing.forgetAfter / 2 : now;
-    known.remembered = true;
+    known.tellNext = true;
     Publish(registry, known.registration);
   }
 }
--- a/Source/Control/wgEndpointRegistry.h
+++ b/Source/Control/wgEndpointRegistry.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 
+#include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 
 #include "wgElapsed.h"
@@ -27,7 +28,10 @@
 {
   wire::Registration registration;
   Elapsed heard;
-  bool remembered = false; // from before this process; not heard since
+  /** Its next heartbeat is news, whatever it says: what is known is from
+   * before this process, or may no longer hold.
+   */
+  bool tellNext = false;
 };
 
 /** \brief The endpoints that have registered with one control process. It is
@@ -64,6 +68,13 @@
 bool TakeLeave(EndpointRegistry& registry, const EndpointStart& start,
                Elapsed now);
 
+/** \brief An order on the hall has come. Gateways that know no such orders
+ * hear of its endpoints again; if work may be sent there again, those are
+ * taken to be cold until their next heartbeat.
+ */
+void NoteHallOrder(EndpointRegistry& registry, absl::string_view hall,
+                   bool evacuated);
+
 /** \brief All that is known, to be remembered over a restart. */
 wire::RememberedEndpoints RememberEndpoints(const EndpointRegistry& registry);
 
--- a/Source/Control/wgFollowers.cxx
+++ b/Source/Control/wgFollowers.cxx
@@ -24,6 +24,38 @@
   return now < box.liveUntil;
 }
 
+bool HasHallNews(const wire::FollowRequest& request,
+                 const FollowedState& state)
+{
+  return request.knows_hall_orders() &&
+         state.service->halls.newest > request.have_hall_orders();
+}
+
+/** A gateway that knows no orders on halls leaves silent endpoints alone. Once
+ * the hall is back it goes by the endpoint's next heartbeat, which is newer.
+ */
+void HideEvacuated(const HallOrders& halls, wire::FollowReply& reply)
+{
+  for (wire::Registration& told : *reply.mutable_registrations()) {
+    const bool isHidden = told.state() != wire::Registration::GONE &&
+                          IsEvacuated(halls, told.hall());
+    if (isHidden) {
+      told.set_state(wire::Registration::SILENT);
+    }
+  }
+}
+
+void AddHallOrders(const wire::FollowRequest& request,
+                   const FollowedState& state, wire::FollowReply& reply)
+{
+  if (HasHallNews(request, state)) {
+    *reply.mutable_hall_orders() = ToWire(state.service->halls);
+  }
+  if (!request.knows_hall_orders()) {
+    HideEvacuated(state.service->halls, reply);
+  }
+}
+
 bool HasNews(const Followers& followers, const FollowWaiter& waiter,
              const FollowedState& state)
 {
@@ -35,6 +67,9 @@
     return false;
   }
   const EndpointRegistry& registry = *state.registry;
+  if (HasHallNews(request, state)) {
+    return true;
+  }
   const bool hasCrashes = request.wants_crashes() &&
                           request.have_crashes() != state.crashes->revision;
   if (hasCrashes) {
@@ -69,6 +104,7 @@
   const wire::FollowRequest& request = waiter.request;
   reply.set_document_number(state.service->document.number());
   RegistrationsSince(*state.registry, request, now, reply);
+  AddHallOrders(request, state, reply);
   reply.set_followers_revision(followers.revision);
   const bool sameFollowers =
     request.registry() == state.registry->incarnation &&
--- a/Source/Control/wgServiceState.cxx
+++ b/Source/Control/wgServiceState.cxx
@@ -173,6 +173,24 @@
   return Accepted(state.config.revision);
 }
 
+/** Needs no id: it names the order that its author saw. */
+Result ApplyOrderHall(ServiceState& state, const wire::OrderHall& order)
+{
+  switch (TakeHallOrder(state.halls, order)) {
+    case HallOrderTaken::Holds:
+      return Accepted(state.config.revision);
+    case HallOrderTaken::Overtaken:
+      return Refused(state.config.revision,
+                     absl::StrCat("Another order on hall ", order.hall(),
+                                  " came first; look at it and send this one "
+                                  "again."));
+    case HallOrderTaken::Refused:
+      break;
+  }
+  return Refused(state.config.revision,
+                 "The order names no hall, or there are too many halls.");
+}
+
 /** What changes the state but not the configuration, or nothing. */
 std::optional<Result> ApplyUnrevised(ServiceState& state,
                                      const wire::Change& change)
@@ -211,6 +229,12 @@
 
 } // namespace
 
+ChangeLevel LevelOf(const wire::Change& change)
+{
+  return change.has_order_hall() ? ChangeLevel::HallOrders
+                                 : ChangeLevel::First;
+}
+
 std::string MakeChangeId()
 {
   absl::BitGen random;
@@ -229,6 +253,9 @@
   if (change.has_publish()) {
     return ApplyPublish(state, change.publish());
   }
+  if (change.has_order_hall()) {
+    return ApplyOrderHall(state, change.order_hall());
+  }
   return ApplyOnce(state, change);
 }
 
@@ -281,6 +308,7 @@
   }
   *image.mutable_replacement() = state.replacement;
   *image.mutable_document() = state.document;
+  *image.mutable_hall_orders() = ToWire(state.halls);
   return image.SerializeAsString();
 }
 
@@ -315,6 +343,7 @@
   }
   state.replacement = image.replacement();
   state.document = image.document();
+  state.halls = FromWire(image.hall_orders());
   return state;
 }
 
--- a/Source/Control/wgServiceState.h
+++ b/Source/Control/wgServiceState.h
@@ -12,6 +12,7 @@
 #include "absl/time/time.h"
 
 #include "wgConfig.h"
+#include "wgHallOrders.h"
 #include "wgOutcome.h"
 #include "wgPeer.pb.h"
 
@@ -71,12 +72,28 @@
   std::map<std::string, std::uint64_t> fences;
   wire::ReplaceBox replacement;   // the last that an operator asked for
   wire::PublishDocument document; // number 0: none yet
-  std::int64_t clockMs = 0;       // elapsed time of the leaders, added up
+  HallOrders halls;
+  std::int64_t clockMs = 0; // elapsed time of the leaders, added up
 };
 
 /** \brief How long a claim is kept, in milliseconds of `clockMs`. */
 constexpr std::int64_t ClaimMemoryMs = 24LL * 3600 * 1000;
 
+/** \brief The kinds of changes that a program applies, as control boxes tell
+ * each other: a kind that one of them would skip must not be proposed.
+ */
+enum class ChangeLevel : std::uint32_t
+{
+  First = 0, // what the first programs apply; they tell no level
+  HallOrders = 1
+};
+
+/** \brief What this program applies. */
+constexpr ChangeLevel OwnChangeLevel = ChangeLevel::HallOrders;
+
+/** \brief What a program must apply to have this change in its log. */
+ChangeLevel LevelOf(const wire::Change& change);
+
 /** \brief A new id in the form that ApplyChange asks for: "<ms>-<random>". */
 std::string MakeChangeId();
 
--- /dev/null
+++ b/Source/Decision/wgHallOrders.cxx
@@ -0,0 +1,66 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgHallOrders.h"
+
+namespace wg {
+namespace {
+
+/** Sites have three to five; every control box and gateway keeps them all. */
+constexpr std::size_t MaxHalls = 1000;
+
+} // namespace
+
+HallOrderTaken TakeHallOrder(HallOrders& orders, const wire::OrderHall& order)
+{
+  const HallOrder known = FindHallOrder(orders, order.hall());
+  if (known.evacuated == order.evacuate()) {
+    return HallOrderTaken::Holds;
+  }
+  if (known.number != order.seen()) {
+    return HallOrderTaken::Overtaken;
+  }
+  const bool isFull = known.number == 0 && orders.halls.size() >= MaxHalls;
+  if (order.hall().empty() || isFull) {
+    return HallOrderTaken::Refused;
+  }
+  orders.halls[order.hall()] = { order.evacuate(), ++orders.newest };
+  return HallOrderTaken::Holds;
+}
+
+bool IsEvacuated(const HallOrders& orders, absl::string_view hall)
+{
+  return FindHallOrder(orders, hall).evacuated;
+}
+
+HallOrder FindHallOrder(const HallOrders& orders, absl::string_view hall)
+{
+  if (orders.halls.empty()) {
+    return {};
+  }
+  const auto found = orders.halls.find(std::string(hall));
+  return found == orders.halls.end() ? HallOrder{} : found->second;
+}
+
+wire::HallOrders ToWire(const HallOrders& orders)
+{
+  wire::HallOrders told;
+  told.set_newest(orders.newest);
+  for (const auto& [hall, order] : orders.halls) {
+    wire::HallOrder& out = *told.add_halls();
+    out.set_hall(hall);
+    out.set_evacuated(order.evacuated);
+    out.set_number(order.number);
+  }
+  return told;
+}
+
+HallOrders FromWire(const wire::HallOrders& orders)
+{
+  HallOrders read;
+  read.newest = orders.newest();
+  for (const wire::HallOrder& in : orders.halls()) {
+    read.halls[in.hall()] = { in.evacuated(), in.number() };
+  }
+  return read;
+}
+
+} // namespace wg
--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -82,6 +82,8 @@
   request.set_have_followers(link.followers);
   request.set_wants_crashes(true);
   request.set_have_crashes(link.crashes);
+  request.set_knows_hall_orders(true);
+  request.set_have_hall_orders(hallOrders_);
   peers_.Call(
     address, "/follow", request.SerializeAsString(), FollowWait + ReplyMargin,
     [this, address](Outcome<std::string> reply) {
@@ -157,6 +159,10 @@
   link.registrations = reply.registrations_revision();
   link.followers = reply.followers_revision();
   link.crashes = reply.crashes_revision();
+  if (reply.hall_orders().newest() > hallOrders_) {
+    hallOrders_ = reply.hall_orders().newest();
+    handler_.onHallOrders(FromWire(reply.hall_orders()));
+  }
   for (const wire::Registration& registration : reply.registrations()) {
     handler_.onRegistration(registration);
   }
--- a/Source/Gateway/wgControlFollower.h
+++ b/Source/Gateway/wgControlFollower.h
@@ -11,6 +11,7 @@
 #include "wgDecisionLog.h"
 #include "wgDocumentTransfer.h"
 #include "wgElapsed.h"
+#include "wgHallOrders.h"
 #include "wgHttpMessage.h"
 #include "wgLoopTimer.h"
 #include "wgPeer.pb.h"
@@ -30,6 +31,8 @@
 /** \brief What is told of the control boxes' news. */
 struct FollowHandler
 {
+  /** Orders on halls, before the endpoints of the same reply. */
+  std::function<void(const HallOrders&)> onHallOrders;
   /** A newer document; false when it can't be read. */
   std::function<bool(const ReceivedDocument& document)> onDocument;
   std::function<void(const wire::Registration&)> onRegistration;
@@ -95,7 +98,8 @@
   FollowerIdentity self_;
   DecisionLog& log_;
   FollowHandler handler_;
-  std::uint64_t held_ = 0; // the newest document that was received
+  std::uint64_t held_ = 0;       // the newest document that was received
+  std::uint64_t hallOrders_ = 0; // number of the newest that was heard
   DocumentTransfer transfer_;
   LoopTimer chunkPause_;
   std::map<std::string, Link> links_;
--- a/Source/Gateway/wgCutAttempts.cxx
+++ b/Source/Gateway/wgCutAttempts.cxx
@@ -28,7 +28,7 @@
   return std::any_of(all.begin(), all.end(), [&](const auto& pair) {
     const DirectoryEndpoint& other = pair.second;
     return other.id != endpoint.id && other.address == endpoint.address &&
-           other.known >= since && TakesNewWork(other);
+           other.known >= since && IsCurrent(other);
   });
 }
 
--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -102,6 +102,8 @@
   known.address = news.address();
   known.hall = news.hall();
   known.slots = std::max(1, static_cast<int>(news.slots()));
+  known.coldUntilHeard =
+    known.coldUntilHeard && news.sequence() <= known.sequence;
   known.sequence = news.sequence();
   known.warmFrom = now + absl::Milliseconds(news.warmup_ms());
   return changed;
@@ -158,11 +160,63 @@
   }
 }
 
-bool TakesNewWork(const DirectoryEndpoint& endpoint)
+std::vector<std::string> MergeHallOrders(Directory& directory,
+                                         const HallOrders& news, Elapsed now)
+{
+  std::vector<std::string> changed;
+  if (news.newest <= directory.halls.newest) {
+    return changed;
+  }
+  for (const auto& [hall, order] : news.halls) {
+    if (order.number > directory.halls.newest) {
+      changed.push_back(hall);
+    }
+  }
+  directory.halls = news;
+  directory.hallsHeard = now;
+  for (auto& [id, endpoint] : directory.endpoints) {
+    const bool isBack = !IsEvacuated(directory.halls, endpoint.hall) &&
+                        std::find(changed.begin(), changed.end(),
+                                  endpoint.hall) != changed.end();
+    endpoint.coldUntilHeard |= isBack;
+  }
+  return changed;
+}
+
+bool IsCurrent(const DirectoryEndpoint& endpoint)
 {
   return endpoint.state == Registration::READY && !endpoint.overtaken;
 }
 
+bool TakesNewWork(const Directory& directory,
+                  const DirectoryEndpoint& endpoint)
+{
+  return IsCurrent(endpoint) && !IsEvacuated(directory.halls, endpoint.hall);
+}
+
+bool IsEvacuatedWhole(const Directory& directory, absl::string_view service)
+{
+  if (directory.halls.halls.empty()) {
+    return false;
+  }
+  bool isEvacuated = false;
+  for (const auto& [id, endpoint] : directory.endpoints) {
+    if (endpoint.service != service || !IsCurrent(endpoint)) {
+      continue;
+    }
+    if (!IsEvacuated(directory.halls, endpoint.hall)) {
+      return false;
+    }
+    isEvacuated = true;
+  }
+  return isEvacuated;
+}
+
+bool IsCold(const DirectoryEndpoint& endpoint, Elapsed now)
+{
+  return endpoint.coldUntilHeard || now < endpoint.warmFrom;
+}
+
 bool IsOver(const Directory& directory, const std::string& id)
 {
   auto found = directory.endpoints.find(id);
@@ -182,7 +236,8 @@
   std::vector<DirectoryEndpoint*> serving;
   for (auto& [id, endpoint] : directory.endpoints) {
     const bool isThere = hall.empty() || endpoint.hall == hall;
-    if (isThere && endpoint.service == service && TakesNewWork(endpoint)) {
+    if (isThere && endpoint.service == service &&
+        TakesNewWork(directory, endpoint)) {
       serving.push_back(&endpoint);
     }
   }
@@ -215,9 +270,9 @@
 {
   const DirectoryEndpoint* newest = nullptr;
   for (const auto& [id, endpoint] : directory.endpoints) {
-    const bool better = endpoint.address == address &&
-                        (newest == nullptr ||
-                         (!TakesNewWork(*newest) && TakesNewWork(endpoint)));
+    const bool better =
+      endpoint.address == address &&
+      (newest == nullptr || (!IsCurrent(*newest) && IsCurrent(endpoint)));
     if (better) {
       newest = &endpoint;
     }
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -11,6 +11,7 @@
 #include "wgElapsed.h"
 #include "wgEndpointStart.h"
 #include "wgFailureShare.h"
+#include "wgHallOrders.h"
 #include "wgHallReach.h"
 #include "wgPeer.pb.h"
 
@@ -29,7 +30,11 @@
   int slots = 1;
   wire::Registration::State state = wire::Registration::READY;
   std::uint64_t sequence = 0;
-  Elapsed warmFrom;       // until then it is slow
+  Elapsed warmFrom; // until then it is cold, see IsCold
+  /** Its hall has just been given work again: until its next heartbeat it is
+   * taken to be cold.
+   */
+  bool coldUntilHeard = false;
   Elapsed changed;        // when its state last changed
   Elapsed known;          // since when this box knows of it
   bool overtaken = false; // by a later start of the same name
@@ -46,6 +51,8 @@
 {
   std::map<std::string, DirectoryEndpoint> endpoints; // by identity
   HallReach reach;
+  HallOrders halls;   // operators' orders, as the control boxes told
+  Elapsed hallsHeard; // when a new order was last heard
 };
 
 /** \brief Takes what a control box tells of an endpoint. Between control
@@ -66,12 +73,34 @@
 /** \brief Forgets endpoints that ended long ago and serve nothing of ours. */
 void ForgetEnded(Directory& directory, Elapsed now);
 
-/** \brief Whether new work may be sent there: it is ready, and no later start
- * of the same name is known to serve or to have ended. One that has fallen
- * silent does not count: a clock that was set back gives the start after it
- * an earlier time.
+/** \brief Takes in what a control box tells of orders on halls; what is not
+ * newer than what is known changes nothing.
+ * \return the halls for which another order holds now
  */
-bool TakesNewWork(const DirectoryEndpoint& endpoint);
+std::vector<std::string> MergeHallOrders(Directory& directory,
+                                         const HallOrders& news, Elapsed now);
+
+/** \brief Whether it is there and ready, and no later start of the same name
+ * is known to serve or to have ended. One that has fallen silent does not
+ * count: a clock that was set back gives the start after it an earlier time.
+ */
+bool IsCurrent(const DirectoryEndpoint& endpoint);
+
+/** \brief Whether new work may be sent there: it is current, and no operator
+ * has ordered otherwise for its hall.
+ */
+bool TakesNewWork(const Directory& directory,
+                  const DirectoryEndpoint& endpoint);
+
+/** \brief Whether the service has endpoints, all of them in halls that get no
+ * new work.
+ */
+bool IsEvacuatedWhole(const Directory& directory, absl::string_view service);
+
+/** \brief Whether it may be cold: for some seconds after a start it is slow,
+ * and falls over when it is sent too much.
+ */
+bool IsCold(const DirectoryEndpoint& endpoint, Elapsed now);
 
 /** \brief The endpoints of a service that take new work. */
 std::vector<DirectoryEndpoint*> ServingEndpoints(Directory& directory,
--- a/Source/Gateway/wgEngineCoordinator.cxx
+++ b/Source/Gateway/wgEngineCoordinator.cxx
@@ -53,6 +53,13 @@
 {
 }
 
+ColdBounds EngineCoordinator::ColdBoundsOf(const std::string& service) const
+{
+  ColdBounds bounds = coldBounds_;
+  bounds.perSecond = table_ == nullptr ? 0.0 : ColdRateOf(*table_, service);
+  return bounds;
+}
+
 wire::EngineAnswer EngineCoordinator::Place(const wire::EngineAsk& ask)
 {
   const Elapsed now = ElapsedNow();
@@ -60,6 +67,7 @@
   const std::vector<std::string> avoid(ask.avoid().begin(), ask.avoid().end());
   EngineQuery query = ReadQuery(ask, avoid, now);
   query.speed = speed_;
+  query.cold = ColdBoundsOf(key.service);
   EnginePool& pool = pools_[key];
   if (MissesNews(pool, now) && begin_) {
     begin_(key);
--- a/Source/Gateway/wgEngineCoordinator.h
+++ b/Source/Gateway/wgEngineCoordinator.h
@@ -3,6 +3,8 @@
 
 #include <functional>
 #include <map>
+#include <memory>
+#include <string>
 #include <utility>
 
 #include "wgDecisionLog.h"
@@ -10,6 +12,7 @@
 #include "wgEnginePool.h"
 #include "wgGatewayMetrics.h"
 #include "wgPeer.pb.h"
+#include "wgRouteTable.h"
 #include "wgStagePoolKey.h"
 
 namespace wg {
@@ -32,6 +35,13 @@
 
   void End(const wire::EngineReadEnd& end);
 
+  void SetTable(std::shared_ptr<const RouteTable> table)
+  {
+    table_ = std::move(table);
+  }
+  /** \param bounds without the rate, which each service has for itself */
+  void SetColdBounds(const ColdBounds& bounds) { coldBounds_ = bounds; }
+
   /** \brief What boxes have sent before this one was asked. */
   void Learn(const StagePoolKey& key, const wire::EnginePrompts& prompts);
 
@@ -47,6 +57,8 @@
   }
 
 private:
+  ColdBounds ColdBoundsOf(const std::string& service) const;
+
   Directory& directory_;
   Elapsed guessUntil_;
   GatewayMetrics& metrics_;
@@ -54,6 +66,8 @@
   EngineSpeed speed_;
   std::function<void(const StagePoolKey&)> begin_;
   std::map<StagePoolKey, EnginePool> pools_;
+  std::shared_ptr<const RouteTable> table_;
+  ColdBounds coldBounds_;
 };
 
 } // namespace wg
--- a/Source/Gateway/wgEnginePool.cxx
+++ b/Source/Gateway/wgEnginePool.cxx
@@ -166,17 +166,37 @@
   }
 }
 
+bool IsUnsent(const EngineLoad& load, Elapsed now)
+{
+  return load.sends.times.empty() ||
+         now - load.sends.times.back() >= RateWindow;
+}
+
 /** One that is avoided for a while keeps what is known of it. */
 void ForgetOldEngines(EnginePool& pool, Elapsed now)
 {
   for (auto engine = pool.engines.begin(); engine != pool.engines.end();) {
     const EngineLoad& load = engine->second;
     const Elapsed noted = std::max(load.slownessNoted, load.failures.noted);
-    const bool isOld = load.reads.empty() && now - noted > EngineMemory;
+    const bool isOld =
+      load.reads.empty() && now - noted > EngineMemory && IsUnsent(load, now);
     engine = isOld ? pool.engines.erase(engine) : std::next(engine);
   }
 }
 
+/** Whether the engine bears one more prompt now, be it cold or not. */
+bool BearsMore(EngineLoad& load, const DirectoryEndpoint& engine,
+               const EngineQuery& query)
+{
+  if (query.cold.perSecond <= 0.0) {
+    return true;
+  }
+  const Elapsed now = query.choice.now;
+  const SendRates rates = RatesOf(query.cold);
+  return IsWithinRate(
+    load.sends, IsCold(engine, now) ? rates.toCold : rates.toOthers, now);
+}
+
 /** What an engine's place in rendezvous order adds, in seconds. */
 std::vector<double> RankedSeconds(absl::Span<DirectoryEndpoint* const> engines,
                                   const PromptShape& prompt)
@@ -261,6 +281,9 @@
     }
     EngineLoad& load = pool.engines[engine->id];
     ForgetOldReads(load, now);
+    if (!BearsMore(load, *engine, query)) {
+      continue;
+    }
     const TokensToRead tokens =
       CountTokens(pool, query, paths, engine->id, ranked[i] == 0.0);
     const double perToken =
@@ -285,6 +308,9 @@
   if (load.reads.empty()) {
     load.headFrom = now;
   }
+  if (query.cold.perSecond > 0.0) {
+    load.sends.times.push_back(now);
+  }
   load.reads.push_back({ query.key, best.readSeconds, best.waitSeconds, now });
   NoteHolder(pool, paths, best.endpoint->id, now);
   return best;
--- a/Source/Gateway/wgEnginePool.h
+++ b/Source/Gateway/wgEnginePool.h
@@ -9,6 +9,7 @@
 
 #include "absl/types/span.h"
 
+#include "wgColdRate.h"
 #include "wgDirectory.h"
 #include "wgElapsed.h"
 #include "wgEndpointChoice.h"
@@ -37,6 +38,7 @@
   double slowness = 1.0; // measured against what reading should take
   Elapsed slownessNoted;
   FailureShare failures; // of all boxes' attempts
+  RecentSends sends;     // while its service's endpoints may be cold
 };
 
 /** \brief An engine that has read a part. */
@@ -70,6 +72,7 @@
   PromptShape prompt;
   EngineSpeed speed;
   ChoiceQuery choice;
+  ColdBounds cold;
 };
 
 /** \brief An engine, null when there is none, and what is expected of it. */
@@ -102,8 +105,9 @@
 /** \brief Chooses the engine that is expected to begin the answer first and
  * notes the prompt as sent to it.
  *
- * What an engine has read lately it need not read again. Reading anew what
- * another one holds is weighed above its time.
+ * An engine that has been sent as much as it bears while it is cold is passed
+ * over. What an engine has read lately it need not read again. Reading anew
+ * what another one holds is weighed above its time.
  */
 EnginePlacement PlacePrompt(EnginePool& pool,
                             absl::Span<DirectoryEndpoint* const> engines,
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -68,6 +68,7 @@
     loop_, dialect_, directory_, client_, *stages_, *engines_, halls_,
     crashes_, metrics_, log_, settings_.hall, settings_.retryRules });
   coordinator_.SetRetryRules(settings_.retryRules);
+  engineCoordinator_.SetColdBounds(settings_.coldBounds);
   peerServer_ = std::make_unique<PeerServer>(
     settings_.keys,
     [this](const PeerRequest& request, const PeerServer::Respond& respond) {
@@ -84,6 +85,9 @@
   handler.onDocument = [this](const ReceivedDocument& document) {
     return OnDocument(document);
   };
+  handler.onHallOrders = [this](const HallOrders& orders) {
+    OnHallOrders(orders);
+  };
   handler.onRegistration = [this](const wire::Registration& registration) {
     OnRegistration(registration);
   };
@@ -210,7 +214,8 @@
     metrics_.Print(), "weirgate_document_number ",
     table_ == nullptr ? 0 : table_->number, "\nweirgate_document_newest ",
     follower_->NewestDocument(), "\nweirgate_endpoints_known ",
-    directory_.endpoints.size(), "\nweirgate_requests_open ", requests_.size(),
+    directory_.endpoints.size(), "\nweirgate_hall_orders ",
+    directory_.halls.newest, "\nweirgate_requests_open ", requests_.size(),
     "\nweirgate_requests_kept_away ", crashes_.KeptAway(),
     "\nweirgate_peer_bytes_read ", peerClient_->BytesRead(),
     "\nweirgate_log_lines_left_out ", log_.LeftOut(), "\n");
@@ -314,6 +319,7 @@
   IndexRoutes(*table);
   table_ = std::move(table);
   coordinator_.SetTable(table_);
+  engineCoordinator_.SetTable(table_);
   ForgetRoutes(shared_->deadlines, *table_);
   ApplyLimits();
   log_.Write(LogWeight::Notable, "document_in_force",
@@ -338,6 +344,20 @@
   boost::asio::post(loop_, [this, hall] { stages_->NoteHallCut(hall); });
 }
 
+/** From now on nothing new is sent to endpoints of an evacuated hall. */
+void GatewayNode::OnHallOrders(const HallOrders& orders)
+{
+  for (const std::string& hall :
+       MergeHallOrders(directory_, orders, ElapsedNow())) {
+    const HallOrder order = FindHallOrder(directory_.halls, hall);
+    log_.Write(LogWeight::Notable,
+               order.evacuated ? "hall_evacuated" : "hall_returned",
+               { { "hall", hall }, { "order", order.number } });
+    metrics_.Count(order.evacuated ? "halls_evacuated" : "halls_returned");
+  }
+  coordinator_.NoteDirectory();
+}
+
 void GatewayNode::OnRegistration(const wire::Registration& registration)
 {
   const Elapsed now = ElapsedNow();
@@ -365,7 +385,7 @@
 /** No route leads to it until a document names its service. */
 void GatewayNode::NoteUnknownService(const DirectoryEndpoint& endpoint)
 {
-  const bool isUnknown = table_ != nullptr && TakesNewWork(endpoint) &&
+  const bool isUnknown = table_ != nullptr && IsCurrent(endpoint) &&
                          table_->services.count(endpoint.service) == 0;
   if (isUnknown) {
     metrics_.Count("endpoints_of_unknown_service");
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -30,6 +30,7 @@
   KeyRing keys;
   std::vector<std::string> controls;
   RetryRules retryRules;
+  ColdBounds coldBounds;    // but for the rate, which each service has
   bool isRestarted = false; // and took requests before
   absl::Duration settleTime = absl::Seconds(3);
   absl::Duration stopLimit = absl::Seconds(7);
@@ -65,6 +66,7 @@
   void OnPeer(const PeerRequest& request, const PeerServer::Respond& respond);
   bool OnDocument(const ReceivedDocument& document);
   void OnHallCut(const std::string& hall);
+  void OnHallOrders(const HallOrders& orders);
   void OnRegistration(const wire::Registration& registration);
   void NoteUnknownService(const DirectoryEndpoint& endpoint);
   void ApplyLimits();
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -64,14 +64,12 @@
   service_ =
     ChooseTarget(*route_, absl::Uniform<double>(shared_.random, 0.0, 1.0));
   NoteRequest(shared_.retries[service_], ElapsedNow());
-  double ignored = 0.0;
-  const DirectoryEndpoint* planned = ChooseEndpointFor(ignored);
-  if (planned == nullptr) {
+  PlanHall();
+  if (resultHall_.empty()) {
     SayNotRun("no_endpoint"); // before any work on its stages
     return;
   }
-  resultHall_ = planned->hall;
-  if (RefuseIfHopeless()) {
+  if (RefuseIfEvacuated() || RefuseIfHopeless()) {
     return;
   }
   StartTimer();
@@ -180,6 +178,34 @@
   (void)absl::SimpleAtoi(tokens.second, &prompt_.tokensOut);
 }
 
+/** Where an engine is likely to want the results of its stages; as before
+ * where no endpoint is left.
+ */
+void GatewayRequest::PlanHall()
+{
+  double ignored = 0.0;
+  const auto endpoints =
+    IsForEngine() ? SoundEndpoints(shared_.directory, service_, ElapsedNow())
+                  : WarmEndpoints();
+  const DirectoryEndpoint* planned = ChooseEndpointFor(endpoints, ignored);
+  resultHall_ = planned == nullptr ? resultHall_ : planned->hall;
+}
+
+/** One of its stages could be made nowhere. */
+bool GatewayRequest::RefuseIfEvacuated()
+{
+  for (std::size_t i = 0; i < stages_.size(); ++i) {
+    const bool isStuck =
+      !stages_[i].done &&
+      IsEvacuatedWhole(shared_.directory, route_->stages[i].service);
+    if (isStuck) {
+      SayNotRun("evacuated");
+      return true;
+    }
+  }
+  return false;
+}
+
 /** What can't be answered when it ought to be is refused before any work on
  * it, with when to come back. One that came back is not refused again for it.
  */
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -119,6 +119,8 @@
   double ReadSeconds() const;
   StagePlan MakePlan() const;
   std::vector<double> ToldWaits() const;
+  void PlanHall();
+  bool RefuseIfEvacuated();
   bool RefuseIfHopeless();
   bool CameBack() const;
   bool IsFirstWork() const;
@@ -145,7 +147,9 @@
   void SendToOwnChoice();
   bool IsForEngine() const;
   ChoiceQuery MakeChoiceQuery() const;
-  DirectoryEndpoint* ChooseEndpointFor(double& readSeconds);
+  std::vector<DirectoryEndpoint*> WarmEndpoints() const;
+  DirectoryEndpoint* ChooseEndpointFor(
+    absl::Span<DirectoryEndpoint* const> endpoints, double& readSeconds);
   void AskForEngine();
   void OnEngineChosen(const PlacedRead& placed,
                       const wire::EngineAnswer& answer);
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -49,11 +49,27 @@
   return query;
 }
 
-DirectoryEndpoint* GatewayRequest::ChooseEndpointFor(double& readSeconds)
+/** Without asking the box that counts what all send, none is sent to endpoints
+ * that may be cold.
+ */
+std::vector<DirectoryEndpoint*> GatewayRequest::WarmEndpoints() const
+{
+  const Elapsed now = ElapsedNow();
+  auto endpoints = SoundEndpoints(shared_.directory, service_, now);
+  if (ColdRateOf(*table_, service_) > 0.0) {
+    endpoints.erase(std::remove_if(endpoints.begin(), endpoints.end(),
+                                   [now](const DirectoryEndpoint* endpoint) {
+                                     return IsCold(*endpoint, now);
+                                   }),
+                    endpoints.end());
+  }
+  return endpoints;
+}
+
+DirectoryEndpoint* GatewayRequest::ChooseEndpointFor(
+  absl::Span<DirectoryEndpoint* const> endpoints, double& readSeconds)
 {
   const ChoiceQuery query = MakeChoiceQuery();
-  const auto endpoints =
-    SoundEndpoints(shared_.directory, service_, ElapsedNow());
   if (!IsForEngine()) {
     return ChoosePlain(endpoints, query, shared_.random);
   }
@@ -90,7 +106,8 @@
 void GatewayRequest::SendToOwnChoice()
 {
   double readSeconds = 0.0;
-  DirectoryEndpoint* endpoint = ChooseEndpointFor(readSeconds);
+  DirectoryEndpoint* endpoint =
+    ChooseEndpointFor(WarmEndpoints(), readSeconds);
   if (endpoint == nullptr) {
     AfterFailure(AttemptKnowledge::NotSent, "no_endpoint");
     return;
@@ -396,7 +413,7 @@
   const Elapsed now = ElapsedNow();
   facts.timeLeft = HasTimeLeft() && connectFailures_ < MaxConnectFailures;
   double ignored = 0.0;
-  facts.endpointLeft = ChooseEndpointFor(ignored) != nullptr;
+  facts.endpointLeft = ChooseEndpointFor(WarmEndpoints(), ignored) != nullptr;
   AfterAttempt next = JudgeAttempt(facts);
   const bool spends = next == AfterAttempt::SendAgain && sent;
   if (spends && !SpendRetry(shared_.retries[service_], shared_.retryRules,
--- a/Source/Gateway/wgGatewayRequestStages.cxx
+++ b/Source/Gateway/wgGatewayRequestStages.cxx
@@ -115,6 +115,9 @@
     SayNotRun(KeptAwayReason);
     return;
   }
+  if (IsEvacuated(shared_.directory.halls, resultHall_)) {
+    PlanHall();
+  }
   const int longest = LongestLeft();
   const bool isFirst = IsFirstWork();
   bool allDone = true;
@@ -251,18 +254,27 @@
 }
 
 /** Once, where another pool is told to wait less; otherwise the request is
- * refused. Nothing of the stage has been made.
+ * refused. Work for a hall that may get none any more is placed anew each
+ * time; some of its pieces may have been made there.
  */
 void GatewayRequest::PlaceElsewhere(std::size_t stage)
 {
   Stage& state = stages_[stage];
   const StagePoolKey other =
     shared_.stages.PlaceWork(route_->stages[stage].service, resultHall_);
+  const bool isEvacuated =
+    IsEvacuated(shared_.directory.halls, state.pool.hall);
   const bool isSame = other.hall == state.pool.hall;
-  if (isSame || std::exchange(placedElsewhere_, true)) {
-    SayNotRun("overload");
+  const bool mayMove =
+    !isSame && (isEvacuated || !std::exchange(placedElsewhere_, true));
+  if (!mayMove) {
+    SayNotRun(isEvacuated ? "evacuated" : "overload");
+    return;
+  }
+  if (RefuseIfEvacuated()) {
     return;
   }
+  ReleaseStage(stage);
   shared_.metrics.Count("stage_works_placed_elsewhere");
   state.submitted = false;
   SubmitStages();
--- a/Source/Gateway/wgHallProber.cxx
+++ b/Source/Gateway/wgHallProber.cxx
@@ -67,7 +67,7 @@
   std::map<std::string, std::vector<const DirectoryEndpoint*>> candidates;
   for (const auto& [id, endpoint] : directory_.endpoints) {
     const bool asked =
-      IsCutOff(directory_.reach, endpoint.hall) && TakesNewWork(endpoint);
+      IsCutOff(directory_.reach, endpoint.hall) && IsCurrent(endpoint);
     if (asked) {
       candidates[endpoint.hall].push_back(&endpoint);
     }
--- a/Source/Gateway/wgRouteTable.cxx
+++ b/Source/Gateway/wgRouteTable.cxx
@@ -50,6 +50,12 @@
   return nullptr;
 }
 
+double ColdRateOf(const RouteTable& table, const std::string& service)
+{
+  const auto found = table.services.find(service);
+  return found == table.services.end() ? 0.0 : found->second.coldPerSecond;
+}
+
 const std::string& ChooseTarget(const Route& route, double draw)
 {
   const double sum = std::accumulate(
--- a/Source/Gateway/wgRouteTable.h
+++ b/Source/Gateway/wgRouteTable.h
@@ -81,6 +81,8 @@
 {
   std::string name;
   int maxConnections = 1000; // to one endpoint, from all boxes together
+  /** Requests a second that a cold endpoint takes; 0: none ever is cold. */
+  double coldPerSecond = 0.0;
   std::optional<StageLimits> stage;
   std::optional<EngineLimits> engine;
 };
@@ -121,6 +123,11 @@
 const Route* FindRoute(const RouteTable& table, absl::string_view host,
                        absl::string_view path);
 
+/** \brief Requests a second that a cold endpoint of the service takes; 0 if
+ * its endpoints are never cold, or the service is not known.
+ */
+double ColdRateOf(const RouteTable& table, const std::string& service);
+
 /** \brief The service that a request goes to, by the targets' weights.
  * \param draw from 0 to less than 1
  */
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -22,6 +22,11 @@
 constexpr double MsInSecond = 1e3;
 constexpr absl::Duration BacklogLogPeriod = absl::Seconds(1);
 constexpr absl::Duration CutOffPause = absl::Milliseconds(60);
+/** All boxes hear of an order on a hall within some milliseconds of each
+ * other; one that is told to place its work elsewhere before it has heard of
+ * it would choose the same hall again.
+ */
+constexpr absl::Duration AskersHear = absl::Milliseconds(100);
 
 /** What all pieces of a work have in common. */
 StagePiece MakePiece(const wire::StageWork& work, Elapsed now)
@@ -124,13 +129,59 @@
                { "would_wait_ms", wait * MsInSecond },
                { "may_wait_ms", work.admit_ms() },
                { "waiting", pool.waiting.size() } });
+  RefuseWork(work, absl::Seconds(wait), done);
+  return true;
+}
+
+/** Whoever asks may not have heard of the order on the hall yet. */
+bool StageCoordinator::RefuseIfEvacuated(const wire::StageWork& work,
+                                         const Done& done)
+{
+  if (!IsEvacuated(directory_.halls, work.pool_hall())) {
+    return false;
+  }
+  metrics_.Count("stage_works_for_evacuated_halls");
+  log_.Write(LogWeight::Routine, "stage_work_evacuated",
+             { { "request", work.request() },
+               { "service", work.service() },
+               { "hall", work.pool_hall() } });
+  RefuseWork(work, absl::ZeroDuration(), done);
+  return true;
+}
+
+/** Nothing of it has been made. */
+void StageCoordinator::RefuseWork(const wire::StageWork& work,
+                                  absl::Duration wait, const Done& done)
+{
   wire::StageReply reply;
   for (int i = 0; i < work.items_size(); ++i) {
     reply.add_results()->set_state(ItemResult::REFUSED);
   }
-  reply.set_waiting_ms(absl::ToInt64Milliseconds(absl::Seconds(wait)));
+  reply.set_waiting_ms(absl::ToInt64Milliseconds(wait));
   boost::asio::post(loop_, [done, reply] { done(reply); });
-  return true;
+}
+
+/** What waits for endpoints of a hall that gets no new work is placed
+ * elsewhere by who asked for it.
+ */
+void StageCoordinator::RefuseStranded(const StagePoolKey& key, StagePool& pool)
+{
+  const bool isStranded = IsEvacuated(directory_.halls, key.hall) &&
+                          ElapsedNow() >= directory_.hallsHeard + AskersHear;
+  if (!isStranded || pool.waiting.empty()) {
+    return;
+  }
+  std::vector<std::uint64_t> tickets;
+  std::transform(pool.waiting.begin(), pool.waiting.end(),
+                 std::back_inserter(tickets),
+                 [](const StagePiece& piece) { return piece.ticket; });
+  log_.Write(LogWeight::Notable, "stage_pieces_evacuated",
+             { { "service", key.service },
+               { "hall", key.hall },
+               { "pieces", tickets.size() } });
+  for (const std::uint64_t ticket : tickets) {
+    Settle(ticket, MakeResult(ItemResult::REFUSED));
+  }
 }
 
 void StageCoordinator::Submit(const wire::StageWork& work, Done done)
@@ -138,7 +189,7 @@
   const Elapsed now = ElapsedNow();
   const WorkKey workKey{ work.box(), work.work() };
   Cancel(work.box(), work.work()); // sent again by who doubted this box
-  if (RefuseIfFull(work, done)) {
+  if (RefuseIfEvacuated(work, done) || RefuseIfFull(work, done)) {
     return;
   }
   Work& state = works_[workKey];
@@ -233,6 +284,7 @@
   for (const KeptResult& gone : TakeExpired(results_[key], now)) {
     FreeRoom(key, gone.endpoint, gone.bytes);
   }
+  RefuseStranded(key, pool);
   GiveUpHopeless(pool, now);
   SyncServers(key, pool);
   while (auto call = NextStageCall(pool, now)) {
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -94,6 +94,10 @@
   };
 
   bool RefuseIfFull(const wire::StageWork& work, const Done& done);
+  bool RefuseIfEvacuated(const wire::StageWork& work, const Done& done);
+  void RefuseWork(const wire::StageWork& work, absl::Duration wait,
+                  const Done& done);
+  void RefuseStranded(const StagePoolKey& key, StagePool& pool);
   void FreeRoom(const StagePoolKey& key, const std::string& server,
                 std::int64_t bytes);
   void OnReleased(absl::Span<const std::string> handles);
--- a/Source/Gateway/wgStagePoolKey.cxx
+++ b/Source/Gateway/wgStagePoolKey.cxx
@@ -45,7 +45,9 @@
   std::vector<StagePoolKey> pools;
   if (isSplit) {
     for (const auto& [hall, count] : counts) {
-      if (!IsCutOff(directory.reach, hall)) {
+      const bool isOpen = !IsCutOff(directory.reach, hall) &&
+                          !IsEvacuated(directory.halls, hall);
+      if (isOpen) {
         pools.push_back({ std::string(service), hall });
       }
     }
--- a/Source/Gateway/wgStagePoolKey.h
+++ b/Source/Gateway/wgStagePoolKey.h
@@ -39,7 +39,7 @@
                         absl::string_view hall,
                         int leastInHall = StageEndpointsInHall);
 
-/** \brief Each pool of a service that can be reached. */
+/** \brief Each pool of a service that can be reached and may get work. */
 std::vector<StagePoolKey> PoolsOf(const Directory& directory,
                                   absl::string_view service,
                                   int leastInHall = StageEndpointsInHall);
--- a/Tests/Control/wgServiceStateTest.cxx
+++ b/Tests/Control/wgServiceStateTest.cxx
@@ -201,3 +201,19 @@
   CHECK_FALSE(wg::ChangesSince(state, 2, far));
   CHECK_FALSE(wg::ChangesSince(state, 0, far));
 }
+
+TEST_CASE("Orders on halls are part of a snapshot, and need no id")
+{
+  wg::ServiceState state;
+  wg::wire::Change change;
+  change.mutable_order_hall()->set_hall("h1");
+  change.mutable_order_hall()->set_evacuate(true);
+  CHECK(wg::LevelOf(change) == wg::ChangeLevel::HallOrders);
+  REQUIRE(wg::ApplyChange(state, change).verdict() == ChangeResult::ACCEPTED);
+  change.mutable_order_hall()->set_evacuate(false); // it saw no order
+  CHECK(wg::ApplyChange(state, change).verdict() == ChangeResult::REJECTED);
+  auto loaded = wg::LoadState(wg::SaveState(state));
+  REQUIRE(wg::Succeeded(loaded));
+  CHECK(wg::Value(loaded).halls.newest == 1);
+  CHECK(wg::IsEvacuated(wg::Value(loaded).halls, "h1"));
+}
--- /dev/null
+++ b/Tests/Decision/wgHallOrdersTest.cxx
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <catch2/catch.hpp>
+
+#include "absl/strings/str_cat.h"
+
+#include "wgHallOrders.h"
+
+namespace {
+
+using wg::HallOrderTaken;
+
+wg::wire::OrderHall Order(const std::string& hall, bool evacuate,
+                          std::uint64_t seen)
+{
+  wg::wire::OrderHall order;
+  order.set_hall(hall);
+  order.set_evacuate(evacuate);
+  order.set_seen(seen);
+  return order;
+}
+
+} // namespace
+
+TEST_CASE("An order that is sent again stays one order")
+{
+  wg::HallOrders orders;
+  REQUIRE(TakeHallOrder(orders, Order("h1", true, 0)) ==
+          HallOrderTaken::Holds);
+  CHECK(TakeHallOrder(orders, Order("h1", true, 0)) == HallOrderTaken::Holds);
+  CHECK(orders.newest == 1);
+  CHECK(wg::IsEvacuated(orders, "h1"));
+  CHECK_FALSE(wg::IsEvacuated(orders, "h2"));
+}
+
+TEST_CASE("A late copy of an order does not undo what came after it")
+{
+  // Two operators, or one that sends again what it takes to be lost: the copy
+  // is based on what held before the hall was taken back.
+  wg::HallOrders orders;
+  TakeHallOrder(orders, Order("h1", true, 0));
+  REQUIRE(TakeHallOrder(orders, Order("h1", false, 1)) ==
+          HallOrderTaken::Holds);
+  CHECK(TakeHallOrder(orders, Order("h1", true, 0)) ==
+        HallOrderTaken::Overtaken);
+  CHECK_FALSE(wg::IsEvacuated(orders, "h1"));
+  CHECK(TakeHallOrder(orders, Order("h1", true, 2)) == HallOrderTaken::Holds);
+  CHECK(wg::FindHallOrder(orders, "h1").number == 3);
+}
+
+TEST_CASE("Orders that name no hall, or too many halls, are refused")
+{
+  wg::HallOrders orders;
+  CHECK(TakeHallOrder(orders, Order("", true, 0)) == HallOrderTaken::Refused);
+  for (int i = 0; i < 1000; ++i) {
+    REQUIRE(TakeHallOrder(orders, Order(absl::StrCat("h", i), true, 0)) ==
+            HallOrderTaken::Holds);
+  }
+  CHECK(TakeHallOrder(orders, Order("one-more", true, 0)) ==
+        HallOrderTaken::Refused);
+  CHECK(TakeHallOrder(orders, Order("h7", false, 8)) == HallOrderTaken::Holds);
+}
+
+TEST_CASE("Orders are told whole")
+{
+  wg::HallOrders orders;
+  TakeHallOrder(orders, Order("h1", true, 0));
+  TakeHallOrder(orders, Order("h2", true, 0));
+  TakeHallOrder(orders, Order("h1", false, 1));
+  const wg::HallOrders read = wg::FromWire(wg::ToWire(orders));
+  CHECK(read.newest == 3);
+  CHECK(wg::FindHallOrder(read, "h1").number == 3);
+  CHECK_FALSE(wg::IsEvacuated(read, "h1"));
+  CHECK(wg::IsEvacuated(read, "h2"));
+}
--- a/Tests/Gateway/wgDirectoryTest.cxx
+++ b/Tests/Gateway/wgDirectoryTest.cxx
@@ -62,11 +62,11 @@
   CHECK_FALSE(wg::MergeRegistration(directory, Told("e", 9), Now));
   // One control box missed it since heartbeat 8; another heard number 10.
   wg::MergeRegistration(directory, Told("e", 8, Registration::SILENT), Now);
-  CHECK(wg::TakesNewWork(*wg::FindEndpoint(directory, "e")));
+  CHECK(wg::IsCurrent(*wg::FindEndpoint(directory, "e")));
   wg::MergeRegistration(directory, Told("e", 10, Registration::SILENT), Now);
-  CHECK_FALSE(wg::TakesNewWork(*wg::FindEndpoint(directory, "e")));
+  CHECK_FALSE(wg::IsCurrent(*wg::FindEndpoint(directory, "e")));
   wg::MergeRegistration(directory, Told("e", 11), Now);
-  CHECK(wg::TakesNewWork(*wg::FindEndpoint(directory, "e")));
+  CHECK(wg::IsCurrent(*wg::FindEndpoint(directory, "e")));
   wg::MergeRegistration(directory, Told("e", 12, Registration::LEAVING), Now);
   CHECK(wg::ServingEndpoints(directory, "svc").empty());
 }
@@ -370,3 +370,71 @@
   CHECK(parts[1].tokens == 410);
   CHECK(wg::ParsePromptParts("").empty());
 }
+
+namespace {
+
+wg::HallOrders Ordered(std::uint64_t number, bool evacuated)
+{
+  wg::HallOrders orders;
+  orders.newest = number;
+  orders.halls["h1"] = { evacuated, number };
+  return orders;
+}
+
+} // namespace
+
+TEST_CASE("An order on a hall holds for its endpoints, known or new")
+{
+  wg::Directory directory;
+  const wg::Elapsed now = absl::Seconds(10);
+  wg::wire::Registration news;
+  news.set_endpoint("e");
+  news.set_service("svc");
+  news.set_hall("h1");
+  news.set_sequence(4);
+  news.set_state(wg::wire::Registration::READY);
+  wg::MergeRegistration(directory, news, now);
+  REQUIRE(wg::ServingEndpoints(directory, "svc").size() == 1);
+  CHECK(wg::MergeHallOrders(directory, Ordered(3, true), now) ==
+        std::vector<std::string>{ "h1" });
+  CHECK(wg::ServingEndpoints(directory, "svc").empty());
+  CHECK(wg::SoundEndpoints(directory, "svc", now).empty());
+  CHECK(wg::IsEvacuatedWhole(directory, "svc"));
+  CHECK_FALSE(wg::IsEvacuatedWhole(directory, "other"));
+  news.set_endpoint("new");
+  wg::MergeRegistration(directory, news, now);
+  CHECK(wg::ServingEndpoints(directory, "svc").empty());
+  // What another control box still tells of before is old.
+  CHECK(wg::MergeHallOrders(directory, Ordered(2, false), now).empty());
+  CHECK(wg::ServingEndpoints(directory, "svc").empty());
+  CHECK(wg::MergeHallOrders(directory, Ordered(5, false), now).size() == 1);
+  CHECK(wg::ServingEndpoints(directory, "svc").size() == 2);
+}
+
+TEST_CASE("Endpoints of a hall that was taken back are cold until they are "
+          "heard")
+{
+  wg::Directory directory;
+  const wg::Elapsed now = absl::Seconds(10);
+  wg::wire::Registration news;
+  news.set_endpoint("e");
+  news.set_service("svc");
+  news.set_hall("h1");
+  news.set_sequence(4);
+  news.set_state(wg::wire::Registration::READY);
+  wg::MergeRegistration(directory, news, now);
+  const wg::DirectoryEndpoint& endpoint = *wg::FindEndpoint(directory, "e");
+  CHECK_FALSE(wg::IsCold(endpoint, now));
+  wg::MergeHallOrders(directory, Ordered(1, true), now);
+  wg::MergeHallOrders(directory, Ordered(2, false), now);
+  CHECK(wg::IsCold(endpoint, now + absl::Seconds(60)));
+  news.set_state(wg::wire::Registration::SILENT); // says nothing of it
+  wg::MergeRegistration(directory, news, now);
+  CHECK(wg::IsCold(endpoint, now));
+  news.set_state(wg::wire::Registration::READY);
+  news.set_sequence(5);
+  news.set_warmup_ms(2000);
+  wg::MergeRegistration(directory, news, now);
+  CHECK(wg::IsCold(endpoint, now + absl::Milliseconds(1999)));
+  CHECK_FALSE(wg::IsCold(endpoint, now + absl::Milliseconds(2001)));
+}
--- a/Tests/Gateway/wgEnginePoolTest.cxx
+++ b/Tests/Gateway/wgEnginePoolTest.cxx
@@ -330,3 +330,67 @@
 }
 
 } // namespace
+
+TEST_CASE("An engine is sent no more than it bears while it may be cold")
+{
+  // Bounds of a site in use: 9.1 * 1.5 + 5 = 18.65 in any second, of all
+  // boxes. Two boxes may each believe that they choose.
+  wg::Directory directory;
+  for (const char* name : { "cold", "warm" }) {
+    wg::wire::Registration news;
+    news.set_endpoint(name);
+    news.set_service("svc");
+    news.set_hall("h");
+    news.set_sequence(1);
+    news.set_state(wg::wire::Registration::READY);
+    news.set_warmup_ms(name == std::string("cold") ? 60000 : 0);
+    wg::MergeRegistration(directory, news, absl::Seconds(1));
+  }
+  std::vector<wg::DirectoryEndpoint*> engines =
+    wg::ServingEndpoints(directory, "svc");
+  wg::EnginePool pool;
+  std::map<std::string, int> sent;
+  int passedOver = 0;
+  for (int i = 0; i < 100; ++i) { // 100 prompts in 0.8 s
+    wg::EngineQuery query;
+    query.key = { "box", static_cast<std::uint64_t>(i) };
+    query.prompt.tokensIn = 100;
+    query.choice.now = absl::Seconds(10) + absl::Milliseconds(8 * i);
+    query.cold = { 9.1, 1.5, 5.0 };
+    const auto placed = wg::PlacePrompt(pool, engines, query);
+    if (placed.endpoint == nullptr) {
+      ++passedOver;
+    } else {
+      ++sent[placed.endpoint->id];
+    }
+  }
+  CHECK(sent["cold"] == 9);
+  CHECK(sent["warm"] == 13); // it may have turned cold unheard
+  CHECK(passedOver == 100 - 9 - 13);
+  // A second later there is room again.
+  wg::EngineQuery query;
+  query.key = { "box", 1000 };
+  query.choice.now = absl::Seconds(13);
+  query.cold = { 9.1, 1.5, 5.0 };
+  CHECK(wg::PlacePrompt(pool, engines, query).endpoint != nullptr);
+}
+
+TEST_CASE("Where endpoints are never cold, an engine is sent what comes")
+{
+  wg::Directory directory;
+  wg::wire::Registration news;
+  news.set_endpoint("e");
+  news.set_service("svc");
+  news.set_hall("h");
+  news.set_sequence(1);
+  news.set_state(wg::wire::Registration::READY);
+  wg::MergeRegistration(directory, news, absl::Seconds(1));
+  const auto engines = wg::ServingEndpoints(directory, "svc");
+  wg::EnginePool pool;
+  for (int i = 0; i < 100; ++i) {
+    wg::EngineQuery query;
+    query.key = { "box", static_cast<std::uint64_t>(i) };
+    query.choice.now = absl::Seconds(10);
+    REQUIRE(wg::PlacePrompt(pool, engines, query).endpoint != nullptr);
+  }
+}
--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -77,19 +77,23 @@
     std::filesystem::remove_all(folder_, ignored);
   }
 
-  void StartControl(int index, bool founds)
+  /** \param more flags of this start alone */
+  void StartControl(int index, bool founds,
+                    const std::vector<std::string>& more = {})
   {
     std::vector<std::string> arguments = Common("control", index);
     arguments.push_back("--hall=h1");
-    for (const std::string& more :
+    for (const std::string& flag :
          { absl::StrCat("--peer=", Local(peers_[index])),
            absl::StrCat("--advertise=", Local(reached_[index])),
            absl::StrCat("--api=", Local(apis_[index])),
            absl::StrCat("--data=", (folder_ / Name("c", index)).string()),
            absl::StrCat("--found=", founds ? "true" : "false"),
-           std::string("--tolerated-losses=1") }) {
-      arguments.push_back(more);
+           std::string("--tolerated-losses=1"),
+           std::string("--halls=h1,h2") }) {
+      arguments.push_back(flag);
     }
+    arguments.insert(arguments.end(), more.begin(), more.end());
     controls_[index] = std::make_unique<Process>(
       arguments, (folder_ / (Name("c", index) + ".log")).string());
   }
@@ -106,6 +110,7 @@
            absl::StrCat("--listen=", Local(listens_[index])),
            absl::StrCat("--ready=", Local(readies_[index])),
            std::string("--retry-slack=50"), std::string("--settle-ms=300"),
+           std::string("--cold-overrun=1.5"), std::string("--cold-slack=5"),
            std::string("--grace-s=8") }) {
       arguments.push_back(more);
     }
@@ -138,6 +143,14 @@
     const auto reply = client.Put("/-/config", document, "application/json");
     return reply ? reply->status : 0;
   }
+  /** The status of what an operator's order on a hall got; 0: none. */
+  int OrderHall(int control, const std::string& hall, bool evacuate)
+  {
+    httplib::Client client("127.0.0.1", apis_[control]);
+    const std::string path = "/-/evacuations/" + hall;
+    const auto reply = evacuate ? client.Post(path) : client.Delete(path);
+    return reply ? reply->status : 0;
+  }
   std::string ReadBack(int control)
   {
     httplib::Client client("127.0.0.1", apis_[control]);
--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -103,10 +103,11 @@
                                const std::string& state)
 {
   StartAgainIfTold();
-  Json heartbeat{ { "service", service }, { "address", address_ },
-                  { "zone", "h1" },       { "version", "v1" },
-                  { "capacity", 4 },      { "state", state },
-                  { "warmupLeftMs", 0 },  { "sequence", ++sequence_ } };
+  Json heartbeat{ { "service", service },     { "address", address_ },
+                  { "zone", hall_ },          { "version", "v1" },
+                  { "capacity", 4 },          { "state", state },
+                  { "sequence", ++sequence_ } };
+  heartbeat["warmupLeftMs"] = warmupMs_.load();
   if (bornMs_ != 0) {
     heartbeat["born"] = bornMs_;
   }
@@ -116,6 +117,12 @@
   return reply && reply->status == 200;
 }
 
+std::vector<absl::Time> PlatformStandin::Arrivals() const
+{
+  absl::MutexLock lock(&mutex_);
+  return arrivals_;
+}
+
 bool PlatformStandin::Leave(int apiPort)
 {
   StartAgainIfTold();
@@ -130,6 +137,10 @@
 void PlatformStandin::OnRequest(const Exchange& exchange)
 {
   const HttpRequest& request = exchange->Request();
+  if (request.target() != "/-/stage-free") {
+    absl::MutexLock lock(&mutex_);
+    arrivals_.push_back(absl::Now());
+  }
   if (request.target() == "/-/stage-run") {
     OnStage(exchange);
     return;
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -6,9 +6,12 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
 
 #include "wgHttpServer.h"
 #include "wgLoopThread.h"
@@ -37,6 +40,12 @@
 
   const std::string& Address() const { return address_; }
   int Port() const { return port_; }
+  /** \brief The hall that it tells; h1 unless it is set. */
+  void SetHall(std::string hall) { hall_ = std::move(hall); }
+  /** \brief What it tells of how much longer it is cold. */
+  void SetWarmupMs(int ms) { warmupMs_ = ms; }
+  /** \brief When requests and calls of stages reached it. */
+  std::vector<absl::Time> Arrivals() const;
   /** \brief Registers, and names results, as if it were there. */
   void AppearAt(const std::string& address) { address_ = address; }
   const std::string& Id() const { return id_; }
@@ -93,6 +102,8 @@
 
   std::string id_;
   std::string address_;
+  std::string hall_ = "h1";
+  std::atomic<int> warmupMs_{ 0 };
   int port_ = 0;
   std::atomic<StandinConduct> conduct_{ StandinConduct::Answer };
   std::atomic<int> callMs_{ 5 };
@@ -109,6 +120,7 @@
   std::atomic<std::int64_t> nextBornMs_{ 0 };
   mutable absl::Mutex mutex_;
   std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_);
+  std::vector<absl::Time> arrivals_ ABSL_GUARDED_BY(mutex_);
   HttpRequest last_ ABSL_GUARDED_BY(mutex_);
   LoopThread thread_;
   std::vector<Exchange> waiting_; // on the loop
--- a/Utilities/Daemon/wgDaemon.cxx
+++ b/Utilities/Daemon/wgDaemon.cxx
@@ -130,22 +130,23 @@
   return 0;
 }
 
-int RunControl(wg::ControlSettings settings, const std::string& api,
-               const std::string& metricsAddress, const std::string& file)
+int RunControl(wg::DaemonSettings& daemon)
 {
+  wg::ControlSettings& settings = std::get<wg::ControlSettings>(daemon.role);
   wg::Counters counters;
   wg::DecisionLog log(settings.box, "control");
   wg::ControlNode node(std::move(settings), counters);
-  wg::PlatformControl platform(node, counters, log);
-  if (!api.empty()) {
-    if (auto started = platform.Start(api); !wg::Succeeded(started)) {
+  wg::PlatformControl platform(node, counters, log,
+                               { daemon.halls.begin(), daemon.halls.end() });
+  if (!daemon.api.empty()) {
+    if (auto started = platform.Start(daemon.api); !wg::Succeeded(started)) {
       std::cerr << wg::Message(started) << "\n";
       return ExitCannotStart;
     }
   }
   wg::ControlMetrics metrics(node, counters);
-  if (!metricsAddress.empty()) {
-    if (auto started = metrics.Start(metricsAddress);
+  if (!daemon.metrics.empty()) {
+    if (auto started = metrics.Start(daemon.metrics);
         !wg::Succeeded(started)) {
       std::cerr << wg::Message(started) << "\n";
       return ExitCannotStart;
@@ -158,7 +159,7 @@
   wg::LogChange("control", "started");
   wg::EventLoop signalLoop(1);
   boost::asio::signal_set signals(signalLoop, SIGTERM, SIGINT, SIGHUP);
-  FileFollower follower(signalLoop, file,
+  FileFollower follower(signalLoop, daemon.settingsFile,
                         [&node](const std::vector<std::string>& controls) {
                           node.AddControls(controls);
                         });
@@ -193,6 +194,5 @@
   if (auto* gateway = std::get_if<wg::GatewaySettings>(&checked.role)) {
     return RunGateway(std::move(*gateway), checked.settingsFile);
   }
-  return RunControl(std::move(std::get<wg::ControlSettings>(checked.role)),
-                    checked.api, checked.metrics, checked.settingsFile);
+  return RunControl(checked);
 }
--- a/Utilities/Daemon/wgSettings.cxx
+++ b/Utilities/Daemon/wgSettings.cxx
@@ -111,6 +111,20 @@
                      "control: boxes with a disk that may be lost at once, "
                      "0 to 2, in place of --voters; -1: not given",
                      -1))
+    , halls_(Text("halls",
+                  "control: all halls that operators may name in orders, "
+                  "separated by commas; empty: any",
+                  ""))
+    , changeLevel_(Number("change-level",
+                          "control: newest kind of changes that it takes part "
+                          "in, 0 to 1; 1: orders on halls",
+                          static_cast<long>(OwnChangeLevel)))
+    , coldOverrun_(Real("cold-overrun",
+                        "gateway: how many times the rate of their service "
+                        "cold endpoints bear for a second, 1 to 100",
+                        1))
+    , coldSlack_(
+        Real("cold-slack", "gateway: requests that they bear beyond it", 0))
     , retryPercent_(Real("retry-ratio",
                          "gateway: repetitions at a service, as a share of "
                          "its requests",
@@ -268,6 +282,10 @@
   TextFlag log_;
   NumberFlag voters_;
   NumberFlag losses_;
+  TextFlag halls_;
+  NumberFlag changeLevel_;
+  RealFlag coldOverrun_;
+  RealFlag coldSlack_;
   RealFlag retryPercent_;
   RealFlag retrySlack_;
   RealFlag retryWindow_;
@@ -333,12 +351,17 @@
 
 Outcome<Done> Flags::CheckRanges() const
 {
-  const std::array<Outcome<Done>, 9> checks = {
-    CheckRange(losses_, -1, 2),          CheckRange(heartbeat_, 1, 600000),
-    CheckRange(voters_, 1, 5),           CheckRange(compact_, 10, 1000000),
-    CheckRange(spare_, 0, 86400),        CheckRange(connections_, 1, 4000),
-    CheckRange(body_, 1, 64L << 20),     CheckRange(settle_, 0, 600000),
+  const std::array<Outcome<Done>, 10> checks = {
+    CheckRange(losses_, -1, 2),
+    CheckRange(heartbeat_, 1, 600000),
+    CheckRange(voters_, 1, 5),
+    CheckRange(compact_, 10, 1000000),
+    CheckRange(spare_, 0, 86400),
+    CheckRange(connections_, 1, 4000),
+    CheckRange(body_, 1, 64L << 20),
+    CheckRange(settle_, 0, 600000),
     CheckRange(stopLimit_, 0, 86400000),
+    CheckRange(changeLevel_, 0, static_cast<long>(OwnChangeLevel)),
   };
   for (const Outcome<Done>& check : checks) {
     if (!Succeeded(check)) {
@@ -448,6 +471,13 @@
     return Error{ "--retry-ratio, --retry-slack and --grace-s must not be "
                   "below 0, and --retry-window-s must be above it." };
   }
+  constexpr double mostOverrun = 100;
+  const bool isOverrunSound =
+    coldOverrun_.getValue() >= 1 && coldOverrun_.getValue() <= mostOverrun;
+  if (!isOverrunSound || coldSlack_.getValue() < 0) {
+    return Error{ "--cold-overrun must be a number from 1 to 100, and "
+                  "--cold-slack must not be below 0." };
+  }
   return CheckEntry();
 }
 
@@ -485,6 +515,8 @@
   gateway.retryRules.ratio = retryPercent_.getValue();
   gateway.retryRules.slack = retrySlack_.getValue();
   gateway.retryRules.window = absl::Seconds(retryWindow_.getValue());
+  gateway.coldBounds.overrun = coldOverrun_.getValue();
+  gateway.coldBounds.slack = coldSlack_.getValue();
   gateway.isRestarted = found_.getValue() != "true";
   gateway.settleTime = absl::Milliseconds(settle_.getValue());
   gateway.stopLimit = graceS_.getValue() > 0
@@ -514,10 +546,12 @@
                          ? absl::InfiniteDuration()
                          : absl::Seconds(spare_.getValue());
   control.compactAfter = static_cast<std::uint64_t>(compact_.getValue());
+  control.changeLevel = static_cast<ChangeLevel>(changeLevel_.getValue());
   control.foundAtStart = found_.getValue() == "true";
   control.registry.silentAfter =
     absl::Milliseconds(heartbeat_.getValue()) * missedHeartbeats;
   settings.api = api_.getValue();
+  settings.halls = List(halls_);
   settings.metrics = metrics_.getValue();
   settings.role = std::move(control);
   return CheckControl();
--- a/Utilities/Daemon/wgSettings.h
+++ b/Utilities/Daemon/wgSettings.h
@@ -3,6 +3,7 @@
 
 #include <string>
 #include <variant>
+#include <vector>
 
 #include "wgControlNode.h"
 #include "wgEntryNode.h"
@@ -16,7 +17,8 @@
 struct DaemonSettings
 {
   std::variant<EntrySettings, GatewaySettings, ControlSettings> role;
-  std::string api;          // control: where the platform's calls come in
+  std::string api; // control: where the platform's calls come in
+  std::vector<std::string> halls; // control: that orders may name
   std::string metrics;      // control: where metrics are served; empty: none
   std::string settingsFile; // empty: none
   LogFormat logFormat = LogFormat::Text;
