--- a/Source/Config/wgLanguage.cxx
+++ b/Source/Config/wgLanguage.cxx
@@ -17,13 +17,13 @@
 
 namespace x3 = boost::spirit::x3;
 
-constexpr std::array<const char*, 11> Verbs = { "show",  "explain", "set",
-                                                "drain", "undrain", "apply",
-                                                "wait",  "order",   "rollout",
-                                                "stop",  "replace" };
-constexpr std::array<const char*, 9> Tables = {
-  "endpoints", "groups",   "accounts", "boxes",   "requests",
-  "cost",      "replicas", "config",   "rollouts"
+constexpr std::array<const char*, 13> Verbs = {
+  "show",  "explain", "set",  "drain",   "undrain",  "apply", "wait",
+  "order", "rollout", "stop", "replace", "evacuate", "return"
+};
+constexpr std::array<const char*, 10> Tables = {
+  "endpoints", "groups",   "accounts", "boxes",    "requests",
+  "cost",      "replicas", "config",   "rollouts", "halls"
 };
 constexpr std::array<const char*, 4> Orders = { "model", "adapter", "version",
                                                 "role" };
@@ -342,6 +342,10 @@
   if (verb == "replace") {
     return ParseReplace(reader);
   }
+  if (verb == "evacuate" || verb == "return") {
+    return HallCommand{ reader.Take("a hall's name").text,
+                        verb == "evacuate" };
+  }
   reader.Expect("revision");
   return WaitCommand{ reader.TakeNumber<std::uint64_t>("a revision") };
 }
--- a/Source/Config/wgLanguage.h
+++ b/Source/Config/wgLanguage.h
@@ -60,6 +60,13 @@
   std::uint64_t baseRevision = 0;
 };
 
+/** \brief evacuate HALL, return HALL */
+struct HallCommand
+{
+  std::string hall;
+  bool evacuate = true;
+};
+
 /** \brief apply FILE [at revision N] */
 struct ApplyCommand
 {
@@ -112,7 +119,7 @@
 using Command =
   std::variant<ShowCommand, ExplainCommand, SetAccountCommand, DrainCommand,
                ApplyCommand, WaitCommand, OrderCommand, RolloutCommand,
-               StopRolloutCommand, ReplaceCommand, FoundCommand>;
+               StopRolloutCommand, ReplaceCommand, FoundCommand, HallCommand>;
 
 /** \brief A word that is wrong, where it stands, and what it might be. */
 struct LanguageError
--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -424,6 +424,8 @@
   status["storage"] = writeFailed_ ? "failing" : "sound";
   status["age_ms"] = absl::ToInt64Milliseconds(now - leaderHeard_);
   status["boxes"] = DescribeBoxes(followers_.boxes, now);
+  status["halls"] = DescribeHalls(state_.halls);
+  status["change_level"] = static_cast<std::uint32_t>(settings_.changeLevel);
   status["quarantined"] = crashes_.quarantined.size();
   status["rollouts"] = rollouts_->Describe();
   status["config"] = PrintPublicConfig(state_.config);
--- a/Source/Control/wgControlStatus.cxx
+++ b/Source/Control/wgControlStatus.cxx
@@ -64,6 +64,17 @@
   return rows;
 }
 
+nlohmann::json DescribeHalls(const HallOrders& orders)
+{
+  nlohmann::json rows = nlohmann::json::array();
+  for (const auto& [hall, order] : orders.halls) {
+    rows.push_back({ { "hall", hall },
+                     { "evacuated", order.evacuated },
+                     { "number", order.number } });
+  }
+  return rows;
+}
+
 std::string PrintPublicConfig(Config config)
 {
   for (AccountConfig& account : config.accounts) {
--- a/Source/Control/wgControlStatus.h
+++ b/Source/Control/wgControlStatus.h
@@ -7,6 +7,7 @@
 #include <nlohmann/json.hpp>
 
 #include "wgConfig.h"
+#include "wgHallOrders.h"
 #include "wgReplica.h"
 
 namespace wg {
@@ -30,6 +31,9 @@
 nlohmann::json DescribeBoxes(const std::map<std::string, FollowerBox>& boxes,
                              Elapsed now);
 
+/** \brief A row for each hall that operators have given orders on. */
+nlohmann::json DescribeHalls(const HallOrders& orders);
+
 /** \brief The configuration in force without the accounts' keys. */
 std::string PrintPublicConfig(Config config);
 
--- a/Source/Control/wgFollowers.cxx
+++ b/Source/Control/wgFollowers.cxx
@@ -45,17 +45,6 @@
   }
 }
 
-void AddHallOrders(const wire::FollowRequest& request,
-                   const FollowedState& state, wire::FollowReply& reply)
-{
-  if (HasHallNews(request, state)) {
-    *reply.mutable_hall_orders() = ToWire(state.service->halls);
-  }
-  if (!request.knows_hall_orders()) {
-    HideEvacuated(state.service->halls, reply);
-  }
-}
-
 bool HasNews(const Followers& followers, const FollowWaiter& waiter,
              const FollowedState& state)
 {
@@ -63,13 +52,13 @@
   if (state.service->config.revision > request.have_revision()) {
     return true;
   }
+  if (HasHallNews(request, state)) {
+    return true;
+  }
   if (!request.wants_registry()) {
     return false;
   }
   const EndpointRegistry& registry = *state.registry;
-  if (HasHallNews(request, state)) {
-    return true;
-  }
   const bool hasCrashes = request.wants_crashes() &&
                           request.have_crashes() != state.crashes->revision;
   if (hasCrashes) {
@@ -104,7 +93,9 @@
   const wire::FollowRequest& request = waiter.request;
   reply.set_document_number(state.service->document.number());
   RegistrationsSince(*state.registry, request, now, reply);
-  AddHallOrders(request, state, reply);
+  if (!request.knows_hall_orders()) {
+    HideEvacuated(state.service->halls, reply);
+  }
   reply.set_followers_revision(followers.revision);
   const bool sameFollowers =
     request.registry() == state.registry->incarnation &&
@@ -152,6 +143,9 @@
   if (newer && waiter.request.wants_config()) {
     reply.set_packed(PackConfig(*state.service, waiter.request));
   }
+  if (HasHallNews(waiter.request, state)) {
+    *reply.mutable_hall_orders() = ToWire(state.service->halls);
+  }
   if (waiter.request.wants_registry()) {
     AddRegistry(followers, waiter, state, now, reply);
   }
--- a/Source/Control/wgServiceState.cxx
+++ b/Source/Control/wgServiceState.cxx
@@ -173,9 +173,25 @@
   return Accepted(state.config.revision);
 }
 
+/** Whether the configuration has the hall; one without halls knows none of
+ * those whose endpoints register themselves.
+ */
+bool MayNameHall(const Config& config, const std::string& name)
+{
+  return config.halls.empty() ||
+         std::any_of(
+           config.halls.begin(), config.halls.end(),
+           [&name](const HallConfig& hall) { return hall.name == name; });
+}
+
 /** Needs no id: it names the order that its author saw. */
 Result ApplyOrderHall(ServiceState& state, const wire::OrderHall& order)
 {
+  if (!MayNameHall(state.config, order.hall())) {
+    return Refused(state.config.revision,
+                   absl::StrCat("There is no hall \"", order.hall(),
+                                "\"; \"show config\" lists them."));
+  }
   switch (TakeHallOrder(state.halls, order)) {
     case HallOrderTaken::Holds:
       return Accepted(state.config.revision);
--- a/Source/Decision/wgEndpointState.cxx
+++ b/Source/Decision/wgEndpointState.cxx
@@ -121,7 +121,8 @@
 
 bool TakesNewWork(const EndpointState& endpoint)
 {
-  return !endpoint.drained && endpoint.saysReady && !IsLeaving(endpoint) &&
+  return !endpoint.drained && !endpoint.evacuated && endpoint.saysReady &&
+         !IsLeaving(endpoint) &&
          endpoint.silentWatches < SilentWatchesToStop &&
          endpoint.health.state != HealthState::Ejected;
 }
--- a/Source/Decision/wgEndpointState.h
+++ b/Source/Decision/wgEndpointState.h
@@ -58,6 +58,7 @@
   int port = 0;
   int slots = 1;
   bool drained = false;       // by an operator
+  bool evacuated = false;     // its hall, by an operator
   bool listedLeaving = false; // by the platform's list
   bool saysLeaving = false;   // by its own word
   bool saysReady = true;      // false while it loads what it was ordered to
--- a/Source/Entry/wgBlackboard.cxx
+++ b/Source/Entry/wgBlackboard.cxx
@@ -55,8 +55,16 @@
   return merged;
 }
 
+void ApplyHallOrders(GroupState& group, const HallOrders& orders)
+{
+  for (EndpointState& endpoint : group.endpoints) {
+    endpoint.evacuated = IsEvacuated(orders, endpoint.hall);
+  }
+}
+
 void ApplyToGroups(GroupTable& table, const Config& config,
-                   const std::string& ownHall, Elapsed now)
+                   const HallOrders& orders, const std::string& ownHall,
+                   Elapsed now)
 {
   absl::MutexLock lock(&table.mutex);
   for (const GroupConfig& group : config.groups) {
@@ -65,6 +73,7 @@
     state.priorSeconds = group.expectedMs / MillisecondsPerSecond;
     state.endpoints =
       MergeEndpoints(config, ownHall, group.name, state.endpoints);
+    ApplyHallOrders(state, orders);
     DispatchGroup(table, state, now);
   }
 }
@@ -122,7 +131,8 @@
     return false;
   }
   blackboard.config.confirmed = now;
-  ApplyToGroups(blackboard.groups, config, blackboard.hall, now);
+  ApplyToGroups(blackboard.groups, config, blackboard.config.halls,
+                blackboard.hall, now);
   LogChange("config",
             absl::StrCat("revision ", config.revision, " is in force"));
   {
@@ -134,6 +144,37 @@
   return true;
 }
 
+std::uint64_t NewestHallOrder(Blackboard& blackboard)
+{
+  absl::MutexLock lock(&blackboard.config.mutex);
+  return blackboard.config.halls.newest;
+}
+
+void PutHallOrders(Blackboard& blackboard, HallOrders orders)
+{
+  const Elapsed now = ElapsedNow();
+  absl::MutexLock lock(&blackboard.config.mutex);
+  if (orders.newest <= blackboard.config.halls.newest) {
+    return;
+  }
+  for (const auto& [hall, order] : orders.halls) {
+    const bool isNew = order.number > blackboard.config.halls.newest;
+    if (isNew) {
+      LogChange("hall",
+                absl::StrCat(hall,
+                             order.evacuated ? " gets no new work, order "
+                                             : " may get work again, order ",
+                             order.number));
+    }
+  }
+  blackboard.config.halls = std::move(orders);
+  absl::MutexLock groups(&blackboard.groups.mutex);
+  for (auto& [name, group] : blackboard.groups.groups) {
+    ApplyHallOrders(group, blackboard.config.halls);
+    DispatchGroup(blackboard.groups, group, now);
+  }
+}
+
 void ConfirmConfig(Blackboard& blackboard)
 {
   absl::MutexLock lock(&blackboard.config.mutex);
--- a/Source/Entry/wgBlackboard.h
+++ b/Source/Entry/wgBlackboard.h
@@ -20,6 +20,7 @@
 #include "wgCostLedger.h"
 #include "wgCounters.h"
 #include "wgDispatch.h"
+#include "wgHallOrders.h"
 #include "wgMembership.h"
 #include "wgRequestRecord.h"
 #include "wgShares.h"
@@ -39,6 +40,7 @@
   absl::Mutex mutex;
   std::shared_ptr<const Config> config ABSL_GUARDED_BY(mutex);
   Elapsed confirmed ABSL_GUARDED_BY(mutex); // last heard to be the newest
+  HallOrders halls ABSL_GUARDED_BY(mutex);
 };
 
 /** \brief All endpoint groups with their queues, and who waits in them. */
@@ -105,6 +107,12 @@
  */
 bool PutInForce(Blackboard& blackboard, Config config);
 
+/** \brief Number of the newest order on a hall that is in force here. */
+std::uint64_t NewestHallOrder(Blackboard& blackboard);
+
+/** \brief Puts operators' orders on halls in force, if they are newer. */
+void PutHallOrders(Blackboard& blackboard, HallOrders orders);
+
 /** \brief Notes that the present configuration was found to be the newest. */
 void ConfirmConfig(Blackboard& blackboard);
 
--- a/Source/Entry/wgEntryNodeConfig.cxx
+++ b/Source/Entry/wgEntryNodeConfig.cxx
@@ -71,7 +71,12 @@
   request.set_hall(settings_.hall);
   request.set_have_revision(present == nullptr ? 0 : present->revision);
   request.set_wait_ms(absl::ToInt64Milliseconds(wait));
+  request.set_knows_hall_orders(true);
+  request.set_have_hall_orders(NewestHallOrder(board_));
   const auto news = AskFollowed(address, request, wait + FollowGrace);
+  if (news && news->has_hall_orders()) {
+    PutHallOrders(board_, FromWire(news->hall_orders()));
+  }
   if (!news || !news->known()) {
     return false;
   }
--- a/Source/Entry/wgEntryStatus.cxx
+++ b/Source/Entry/wgEntryStatus.cxx
@@ -18,6 +18,9 @@
   if (endpoint.drained) {
     return "drained";
   }
+  if (endpoint.evacuated) {
+    return "evacuated";
+  }
   if (IsLeaving(endpoint)) {
     return "leaving";
   }
--- a/Utilities/Client/wgClient.cxx
+++ b/Utilities/Client/wgClient.cxx
@@ -2,6 +2,7 @@
 #include "wgClientCalls.h"
 #include "wgClientView.h"
 
+#include <algorithm>
 #include <cstdlib>
 #include <fstream>
 #include <iostream>
@@ -105,6 +106,26 @@
     return Propose(std::move(change));
   }
 
+  /** Based on the order that holds now: two operators do not undo each
+   * other's by chance, and a resend of this one changes nothing.
+   */
+  int operator()(const wg::HallCommand& command)
+  {
+    std::uint64_t seen = 0;
+    for (const Json& status : wg::FetchStatuses(client_, settings_)) {
+      for (const Json& row : status.value("halls", Json::array())) {
+        if (row.value("hall", "") == command.hall) {
+          seen = std::max(seen, row.value("number", std::uint64_t{ 0 }));
+        }
+      }
+    }
+    wg::wire::Change change;
+    change.mutable_order_hall()->set_hall(command.hall);
+    change.mutable_order_hall()->set_evacuate(command.evacuate);
+    change.mutable_order_hall()->set_seen(seen);
+    return Propose(std::move(change));
+  }
+
   int operator()(const wg::ApplyCommand& apply)
   {
     std::ifstream file(apply.file);
@@ -308,7 +329,8 @@
   TCLAP::CmdLine line(
     "Asks weirgate what is happening and changes what "
     "should happen. Commands: show, explain, set, drain, "
-    "undrain, apply, wait, order, rollout, stop, replace, found.",
+    "undrain, apply, wait, order, rollout, stop, replace, evacuate, "
+    "return, found.",
     ' ', WG_VERSION);
   TCLAP::ValueArg<std::string> servers(
     "", "servers",
--- a/Utilities/Client/wgClientView.cxx
+++ b/Utilities/Client/wgClientView.cxx
@@ -62,7 +62,7 @@
     { "endpoints", "endpoint" }, { "groups", "group" },
     { "accounts", "account" },   { "boxes", "box" },
     { "requests", "request" },   { "replicas", "box" },
-    { "rollouts", "group" }
+    { "rollouts", "group" },     { "halls", "hall" }
   };
   auto found = fields.find(table);
   return found == fields.end() ? std::string() : found->second;
@@ -101,8 +101,8 @@
     if (table == "replicas") {
       if (status.value("role", "") == "control") {
         Json row = status;
-        for (const char* nested :
-             { "voters", "learners", "boxes", "rollouts", "config" }) {
+        for (const char* nested : { "voters", "learners", "boxes", "rollouts",
+                                    "halls", "config" }) {
           row.erase(nested);
         }
         rows.push_back(std::move(row));
@@ -191,7 +191,7 @@
                          const std::vector<Json>& statuses)
 {
   Json rows = GatherRows(show.table, statuses);
-  if (show.table == "boxes") {
+  if (show.table == "boxes" || show.table == "halls") {
     rows = KeepFreshest(rows, IdentityField(show.table));
   }
   std::vector<std::string> fields = { show.groupBy, show.orderBy };
