--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -34,10 +34,13 @@
   /** \param links whether other processes reach the control boxes over links
    * that a test can hold up
    * \param halls of the gateways; h1 where none is named
+   * \param daemon the program at first, see SetDaemon
    */
   explicit PlatformCluster(int gateways, bool links = false,
-                           std::vector<std::string> halls = {})
-    : halls_(std::move(halls))
+                           std::vector<std::string> halls = {},
+                           std::string daemon = {})
+    : daemon_(std::move(daemon))
+    , halls_(std::move(halls))
   {
     folder_ = std::filesystem::temp_directory_path() /
               absl::StrCat("wg-platform-", ports_.Take());
@@ -89,14 +92,21 @@
            absl::StrCat("--api=", Local(apis_[index])),
            absl::StrCat("--data=", (folder_ / Name("c", index)).string()),
            absl::StrCat("--found=", founds ? "true" : "false"),
-           std::string("--tolerated-losses=1"),
-           std::string("--halls=h1,h2") }) {
+           std::string("--tolerated-losses=1") }) {
       arguments.push_back(flag);
     }
+    if (daemon_.empty()) {
+      arguments.emplace_back("--halls=h1,h2");
+    }
     arguments.insert(arguments.end(), more.begin(), more.end());
     controls_[index] = std::make_unique<Process>(
       arguments, (folder_ / (Name("c", index) + ".log")).string());
   }
+  /** \brief What starts from now on is another program, with the flags that
+   * the first programs know; empty: this one again.
+   */
+  void SetDaemon(std::string path) { daemon_ = std::move(path); }
+
   void StartGateway(int index)
   {
     std::vector<std::string> arguments = Common("gateway", index);
@@ -110,10 +120,13 @@
            absl::StrCat("--listen=", Local(listens_[index])),
            absl::StrCat("--ready=", Local(readies_[index])),
            std::string("--retry-slack=50"), std::string("--settle-ms=300"),
-           std::string("--cold-overrun=1.5"), std::string("--cold-slack=5"),
            std::string("--grace-s=8") }) {
       arguments.push_back(more);
     }
+    if (daemon_.empty()) {
+      arguments.emplace_back("--cold-overrun=1.5");
+      arguments.emplace_back("--cold-slack=5");
+    }
     gateways_[index] = std::make_unique<Process>(
       arguments, (folder_ / (Name("g", index) + ".log")).string());
   }
@@ -282,11 +295,13 @@
     for (const int port : reached_) {
       controls.push_back(Local(port));
     }
-    return { WG_DAEMON, "--role=" + role, absl::StrCat("--box=", role, index),
+    return { daemon_.empty() ? WG_DAEMON : daemon_, "--role=" + role,
+             absl::StrCat("--box=", role, index),
              "--peer-key=a key of the tests",
              "--controls=" + absl::StrJoin(controls, ",") };
   }
 
+  std::string daemon_; // empty: the one that was built with the tests
   std::vector<std::string> halls_;
   TestPorts ports_;
   std::filesystem::path folder_;
