Gateway: a box that begins to choose sends nothing to cold engines at first

Cause, by reading: boxes that have just started, and do not know each other yet, each believe that they choose; three of them would hand out three times the rate of a cold engine, which bears two. A box that takes over counts from nothing, too. Test: EnginePool, a box that begins to choose; without the change it sends at once.

--- a/Source/Gateway/wgEngineCoordinator.cxx
+++ b/Source/Gateway/wgEngineCoordinator.cxx
@@ -69,8 +69,11 @@
   query.speed = speed_;
   query.cold = ColdBoundsOf(key.service);
   EnginePool& pool = pools_[key];
-  if (MissesNews(pool, now) && begin_) {
-    begin_(key);
+  if (MissesNews(pool, now)) {
+    BeginToChoose(pool, now);
+    if (begin_) {
+      begin_(key);
+    }
   }
   pool.guessUntil = guessUntil_;
   const EnginePlacement placed =
--- a/Source/Gateway/wgEnginePool.cxx
+++ b/Source/Gateway/wgEnginePool.cxx
@@ -185,16 +185,19 @@
 }
 
 /** Whether the engine bears one more prompt now, be it cold or not. */
-bool BearsMore(EngineLoad& load, const DirectoryEndpoint& engine,
-               const EngineQuery& query)
+bool BearsMore(const EnginePool& pool, EngineLoad& load,
+               const DirectoryEndpoint& engine, const EngineQuery& query)
 {
   if (query.cold.perSecond <= 0.0) {
     return true;
   }
   const Elapsed now = query.choice.now;
   const SendRates rates = RatesOf(query.cold);
-  return IsWithinRate(
-    load.sends, IsCold(engine, now) ? rates.toCold : rates.toOthers, now);
+  if (!IsCold(engine, now)) {
+    return IsWithinRate(load.sends, rates.toOthers, now);
+  }
+  return now - pool.begun >= RateWindow &&
+         IsWithinRate(load.sends, rates.toCold, now);
 }
 
 /** What an engine's place in rendezvous order adds, in seconds. */
@@ -234,6 +237,11 @@
   return paths;
 }
 
+void BeginToChoose(EnginePool& pool, Elapsed now)
+{
+  pool.begun = now;
+}
+
 bool MissesNews(const EnginePool& pool, Elapsed now)
 {
   return now - pool.placed > LongestPause;
@@ -281,7 +289,7 @@
     }
     EngineLoad& load = pool.engines[engine->id];
     ForgetOldReads(load, now);
-    if (!BearsMore(load, *engine, query)) {
+    if (!BearsMore(pool, load, *engine, query)) {
       continue;
     }
     const TokensToRead tokens =
--- a/Source/Gateway/wgEnginePool.h
+++ b/Source/Gateway/wgEnginePool.h
@@ -58,6 +58,7 @@
   std::map<std::uint64_t, std::vector<PartHolder>> holders;
   Elapsed pruned;
   Elapsed placed; // the last prompt; none for long: another box was asked
+  Elapsed begun;  // when this box began to choose
   /** Until then engines may hold what no box knows of: all were restarted. The
    * first in rendezvous order is taken to hold a part, as prompts go there
    * while nothing else is known.
@@ -88,6 +89,13 @@
  */
 std::vector<std::uint64_t> HashPaths(const PromptShape& prompt);
 
+/** \brief This box begins to choose. For a RateWindow it sends nothing to cold
+ * engines: the box before it may have sent all that they bear, and boxes that
+ * have just started, and do not know each other yet, each believe that they
+ * choose.
+ */
+void BeginToChoose(EnginePool& pool, Elapsed now);
+
 /** \brief Whether prompts may have been placed by another box lately. */
 bool MissesNews(const EnginePool& pool, Elapsed now);
 
--- a/Tests/Gateway/wgEnginePoolTest.cxx
+++ b/Tests/Gateway/wgEnginePoolTest.cxx
@@ -375,6 +375,31 @@
   CHECK(wg::PlacePrompt(pool, engines, query).endpoint != nullptr);
 }
 
+TEST_CASE("A box that begins to choose sends nothing to cold engines at first")
+{
+  // Boxes that have just started and do not know each other yet each choose
+  // for themselves: three of them would send three times 5 a second to an
+  // engine that bears 12.5.
+  wg::Directory directory;
+  wg::wire::Registration news;
+  news.set_endpoint("e");
+  news.set_service("svc");
+  news.set_hall("h");
+  news.set_sequence(1);
+  news.set_state(wg::wire::Registration::READY);
+  news.set_warmup_ms(60000);
+  wg::MergeRegistration(directory, news, absl::Seconds(1));
+  const auto engines = wg::ServingEndpoints(directory, "svc");
+  wg::EnginePool pool;
+  wg::EngineQuery query;
+  query.cold = { 5.0, 1.5, 5.0 };
+  wg::BeginToChoose(pool, absl::Seconds(10));
+  query.choice.now = absl::Seconds(11);
+  CHECK(wg::PlacePrompt(pool, engines, query).endpoint == nullptr);
+  query.choice.now = absl::Seconds(12);
+  CHECK(wg::PlacePrompt(pool, engines, query).endpoint != nullptr);
+}
+
 TEST_CASE("Where endpoints are never cold, an engine is sent what comes")
 {
   wg::Directory directory;
