Gateway: requests reserve capacity at all pools of their stages before any work

Cause: in a burst, boxes admitted by the waits that they had been told, some requests a second each; only the first stage's coordinator saw what all of them admitted. Pools of second stages had 2,300 pieces waiting in each hall, and 918 requests were refused 1.7 s (median) after they had come.

Change: a pool's coordinator forecasts when work would start, behind what waits and what it has granted to boxes (wgPoolForecast), and grants capacity for it or says when there is some. A box asks the coordinators of all stages of a request at once (wgChainAdmission, wgReservationClient) and admits it if all grant; half of the time that its chain can wait is used. Requests that came back and can only be late go behind all that is in time.

--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -68,10 +68,12 @@
   engines_ = std::make_unique<EngineClient>(loop_, *peerClient_, *stages_,
                                             engineCoordinator_, directory_,
                                             settings_.box, metrics_);
-  shared_.reset(new GatewayShared{ loop_, dialect_, directory_, client_,
-                                   *stages_, *engines_, halls_, crashes_,
-                                   terms_, permits_, metrics_, log_,
-                                   settings_.hall, settings_.retryRules });
+  reservations_ = std::make_unique<ReservationClient>(
+    loop_, *peerClient_, *stages_, coordinator_, settings_.box, metrics_);
+  shared_.reset(new GatewayShared{
+    loop_, dialect_, directory_, client_, *stages_, *reservations_, *engines_,
+    halls_, crashes_, terms_, permits_, metrics_, log_, settings_.hall,
+    settings_.retryRules, settings_.admission });
   coordinator_.SetRetryRules(settings_.retryRules);
   engineCoordinator_.SetColdBounds(settings_.coldBounds);
   peerServer_ = std::make_unique<PeerServer>(
@@ -283,11 +285,36 @@
   return false;
 }
 
+bool GatewayNode::OnReservationPeer(const PeerRequest& request,
+                                    const PeerServer::Respond& respond)
+{
+  if (request.path == "/stage-reserve") {
+    boost::asio::post(loop_, [this, body = request.body, respond] {
+      wire::StageReserve ask;
+      const bool taken = !stopping_ && ask.ParseFromString(body);
+      respond(taken ? coordinator_.Reserve(ask).SerializeAsString() : "");
+    });
+    return true;
+  }
+  if (request.path == "/stage-reserve-end") {
+    boost::asio::post(loop_, [this, body = request.body] {
+      wire::StageReserveEnd end;
+      if (end.ParseFromString(body)) {
+        coordinator_.EndReservations(end);
+      }
+    });
+    respond("");
+    return true;
+  }
+  return false;
+}
+
 /** Runs on the peer server's thread. */
 void GatewayNode::OnPeer(const PeerRequest& request,
                          const PeerServer::Respond& respond)
 {
-  if (OnEnginePeer(request, respond) || OnLimitPeer(request, respond)) {
+  if (OnEnginePeer(request, respond) || OnLimitPeer(request, respond) ||
+      OnReservationPeer(request, respond)) {
     return;
   }
   if (request.path == "/stage") {
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -30,6 +30,7 @@
   KeyRing keys;
   std::vector<std::string> controls;
   RetryRules retryRules;
+  StageAdmission admission = StageAdmission::ByBox;
   ColdBounds coldBounds;    // but for the rate, which each service has
   bool isRestarted = false; // and took requests before
   absl::Duration settleTime = absl::Seconds(3);
@@ -65,6 +66,8 @@
                     const PeerServer::Respond& respond);
   bool OnLimitPeer(const PeerRequest& request,
                    const PeerServer::Respond& respond);
+  bool OnReservationPeer(const PeerRequest& request,
+                         const PeerServer::Respond& respond);
   void OnPeer(const PeerRequest& request, const PeerServer::Respond& respond);
   bool OnDocument(const ReceivedDocument& document);
   void OnHallCut(const std::string& hall);
@@ -99,6 +102,7 @@
   std::unique_ptr<PeerServer> peerServer_;
   std::unique_ptr<StageClient> stages_;
   std::unique_ptr<EngineClient> engines_;
+  std::unique_ptr<ReservationClient> reservations_;
   std::unique_ptr<GatewayShared> shared_;
   std::unique_ptr<ControlFollower> follower_;
   std::unique_ptr<HttpServer> callers_;
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -69,7 +69,15 @@
     SayNotRun(WhyNoEndpoint()); // before any work on its stages
     return;
   }
-  if (RefuseIfEvacuated() || RefuseIfHopeless()) {
+  if (RefuseIfEvacuated()) {
+    return;
+  }
+  if (IsAdmittedByChain()) {
+    StartTimer();
+    AskForChain();
+    return;
+  }
+  if (RefuseIfHopeless()) {
     return;
   }
   StartTimer();
@@ -235,7 +243,7 @@
  */
 absl::Duration GatewayRequest::MayWait(std::size_t stage) const
 {
-  if (CameBack() || stagesRestarted_) {
+  if (CameBack() || stagesRestarted_ || IsAdmittedByChain()) {
     return absl::ZeroDuration();
   }
   std::vector<double> waits = ToldWaits();
@@ -256,6 +264,9 @@
 
 Elapsed GatewayRequest::Due() const
 {
+  if (isAdmittedLate_) {
+    return exchange_->Arrived();
+  }
   return firstTried_ + route_->aim;
 }
 
@@ -285,6 +296,9 @@
                               stage.service, resultHall_)));
     }
   }
+  if (reason == PoolFullReason) {
+    wait = std::max(RetryAfterDefault, poolRetry_);
+  }
   if (reason == KeptAwayReason) {
     wait = RetryAfterKeptAway;
   }
@@ -364,6 +378,7 @@
       shared_.stages.Cancel(stage.work);
     }
   }
+  EndReservations();
   ReleaseAll();
   shared_.metrics.Count(absl::StrCat("outcome_", outcome));
   if (!reason.empty()) {
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -13,6 +13,7 @@
 
 #include "wgAttemptRules.h"
 #include "wgCallerDeadlines.h"
+#include "wgChainAdmission.h"
 #include "wgCrashTracker.h"
 #include "wgDecisionLog.h"
 #include "wgDialect.h"
@@ -24,6 +25,7 @@
 #include "wgHttpClient.h"
 #include "wgHttpServer.h"
 #include "wgLoopTimer.h"
+#include "wgReservationClient.h"
 #include "wgRetryWindow.h"
 #include "wgSendPermits.h"
 #include "wgStageClient.h"
@@ -32,6 +34,14 @@
 
 namespace wg {
 
+/** \brief Who judges whether the stages of a request can be served in time.
+ */
+enum class StageAdmission
+{
+  ByBox,  // each box, by the waits that it was told
+  ByChain // the coordinators of the pools of all its stages
+};
+
 /** \brief What all requests of a box share; on its loop. */
 struct GatewayShared
 {
@@ -40,6 +50,7 @@
   Directory& directory;
   HttpClient& client;
   StageClient& stages;
+  ReservationClient& reservations;
   EngineClient& engines;
   HallProber& halls;
   CrashTracker& crashes;
@@ -49,6 +60,7 @@
   DecisionLog& log;
   std::string hall;
   RetryRules retryRules;
+  StageAdmission admission = StageAdmission::ByBox;
   EngineSpeed speed{};
   absl::BitGen random{};
   std::map<std::string, RetryWindow> retries{}; // by service
@@ -67,6 +79,7 @@
   Elapsed submittedAt;
   Elapsed doneAt;
   StagePoolKey pool; // that has made them
+  AskedReservation reserved;
   std::vector<std::string> handles;
   std::vector<std::string> makers; // identities of the endpoints with them
 };
@@ -98,6 +111,11 @@
   "endpoints_limited";
 inline constexpr absl::string_view EndpointsRestReason = "endpoints_rest";
 
+/** \brief Why a request is refused for which a pool of its stages has no
+ * capacity.
+ */
+inline constexpr absl::string_view PoolFullReason = "pool_full";
+
 /** \class GatewayRequest
  * \brief A caller's request from its arrival to the end of its answer: the
  * stages before it, the attempts at endpoints, what the caller is told.
@@ -140,8 +158,21 @@
   Elapsed AnswerBy() const;
   void StartTimer();
 
+  bool IsAdmittedByChain() const;
+  std::vector<double> FullCallSeconds() const;
+  void AskForChain();
+  wire::StageReserve MakeReserve(std::size_t stage) const;
+  void OnChainAnswers(
+    absl::Span<const std::optional<wire::StageReserveAnswer>> answers);
+  void RefuseChain(const ChainVerdict& verdict);
+  std::optional<std::string> FindOtherHall(absl::Duration wait) const;
+  void EndReservations();
+  void LogAdmission(const ChainVerdict& verdict,
+                    absl::Span<const PoolAnswer> answers) const;
+
   void SubmitStages();
   void PlaceWork(std::size_t stage, wire::StageWork& work) const;
+  void ChooseStagePool(std::size_t stage, wire::StageWork& work);
   int LongestLeft() const;
   bool IsReady(std::size_t stage) const;
   wire::StageWork MakeWork(std::size_t stage);
@@ -215,6 +246,10 @@
   std::vector<Stage> stages_;
   std::vector<int> stagesToEnd_;
   StagePlan plan_;
+  ChainWindows windows_;
+  absl::Duration poolRetry_; // when pools that refused have capacity
+  bool askedElsewhere_ = false;
+  bool isAdmittedLate_ = false; // behind what can still be in time
   Elapsed callerDeadline_ = absl::InfiniteDuration();
   Elapsed giveUp_;
   Elapsed firstTried_; // when its caller first sent it, as far as is known
--- a/Source/Gateway/wgGatewayRequestStages.cxx
+++ b/Source/Gateway/wgGatewayRequestStages.cxx
@@ -174,6 +174,23 @@
   work.set_crossing_bytes(most->second);
 }
 
+/** The pool that has granted capacity for the work, if it is where the work
+ * is best made.
+ */
+void GatewayRequest::ChooseStagePool(std::size_t stage, wire::StageWork& work)
+{
+  Stage& state = stages_[stage];
+  const std::string& service = route_->stages[stage].service;
+  state.pool = IsAdmittedByChain()
+                 ? ChoosePool(shared_.directory, service, work.hall())
+                 : shared_.stages.PlaceWork(service, work.hall());
+  work.set_pool_hall(state.pool.hall);
+  if (state.reserved.number != 0 &&
+      state.reserved.pool.hall == state.pool.hall) {
+    work.set_reservation(std::exchange(state.reserved, {}).number);
+  }
+}
+
 wire::StageWork GatewayRequest::MakeWork(std::size_t stage)
 {
   const RouteStage& planned = route_->stages[stage];
@@ -190,8 +207,7 @@
   work.set_rank(static_cast<std::uint32_t>(std::max(0, route_->rank)));
   work.set_result_bytes(planned.resultBytes);
   PlaceWork(stage, work);
-  stages_[stage].pool = shared_.stages.PlaceWork(planned.service, work.hall());
-  work.set_pool_hall(stages_[stage].pool.hall);
+  ChooseStagePool(stage, work);
   for (const std::size_t before : planned.after) {
     for (const std::string& input : stages_[before].handles) {
       work.add_inputs(input);
@@ -312,6 +328,7 @@
   stagesRestarted_ = true;
   shared_.metrics.Count("stages_restarted");
   ReleaseAll();
+  EndReservations();
   finalReleased_ = false;
   for (Stage& stage : stages_) {
     if (stage.work != 0) {
--- a/Source/Gateway/wgStageClient.cxx
+++ b/Source/Gateway/wgStageClient.cxx
@@ -208,8 +208,7 @@
     return;
   }
   const OpenWork& open = node.mapped();
-  backlogs_[PoolOf(open.work)] = { absl::Milliseconds(reply.waiting_ms()),
-                                   ElapsedNow() };
+  NoteWaiting(PoolOf(open.work), absl::Milliseconds(reply.waiting_ms()));
   open.done(reply);
 }
 
@@ -485,6 +484,11 @@
               [](const Outcome<std::string>&) {});
 }
 
+void StageClient::NoteWaiting(const StagePoolKey& pool, absl::Duration waiting)
+{
+  backlogs_[pool] = { waiting, ElapsedNow() };
+}
+
 absl::Duration StageClient::Waiting(const StagePoolKey& pool) const
 {
   auto found = backlogs_.find(pool);
--- a/Source/Gateway/wgStageClient.h
+++ b/Source/Gateway/wgStageClient.h
@@ -85,6 +85,9 @@
   void Release(const StagePoolKey& pool,
                absl::Span<const std::string> handles);
 
+  /** \brief A coordinator has told how long new work of its pool waits. */
+  void NoteWaiting(const StagePoolKey& pool, absl::Duration waiting);
+
   /** \brief How long new work of a pool waits, as last told. */
   absl::Duration Waiting(const StagePoolKey& pool) const;
 
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -187,9 +187,77 @@
   }
 }
 
+wire::StageReserveAnswer StageCoordinator::Reserve(
+  const wire::StageReserve& ask)
+{
+  const Elapsed now = ElapsedNow();
+  const StagePoolKey key{ ask.service(), ask.pool_hall() };
+  const bool isSound = IsSound(ask);
+  if (!isSound || IsEvacuated(directory_.halls, key.hall)) {
+    metrics_.Count(isSound ? "stage_reservations_for_evacuated_halls"
+                           : "stage_reservations_unsound");
+    wire::StageReserveAnswer refused;
+    refused.set_retry_ms(1);
+    return refused;
+  }
+  StagePool& pool = PoolOf(key);
+  SyncServers(key, pool);
+  StageReservations& reservations = reservations_[key];
+  DropOldReservations(reservations, now);
+  const wire::StageReserveAnswer answer =
+    wg::Reserve(pool, reservations, ask, now);
+  metrics_.Count(!answer.granted() ? "stage_reservations_refused"
+                 : answer.late()   ? "stage_reservations_late"
+                                   : "stage_reservations_granted");
+  LogReservation(ask, answer, pool, reservations);
+  return answer;
+}
+
+void StageCoordinator::DropOldReservations(StageReservations& reservations,
+                                           Elapsed now)
+{
+  const std::size_t dropped = DropExpired(reservations, now);
+  if (dropped > 0) {
+    metrics_.Count("stage_reservations_expired", dropped);
+  }
+}
+
+void StageCoordinator::EndReservations(const wire::StageReserveEnd& end)
+{
+  auto found = reservations_.find({ end.service(), end.pool_hall() });
+  if (found == reservations_.end()) {
+    return;
+  }
+  for (const std::uint64_t number : end.numbers()) {
+    found->second.held.erase({ end.box(), number });
+  }
+}
+
+void StageCoordinator::LogReservation(const wire::StageReserve& ask,
+                                      const wire::StageReserveAnswer& answer,
+                                      const StagePool& pool,
+                                      const StageReservations& reservations)
+{
+  log_.Write(LogWeight::Routine, "stage_reservation",
+             { { "request", ask.request() },
+               { "service", ask.service() },
+               { "hall", ask.pool_hall() },
+               { "granted", answer.granted() },
+               { "late", answer.late() },
+               { "would_wait_ms", answer.clear_ms() },
+               { "start_by_ms", ask.start_by_ms() },
+               { "retry_ms", answer.retry_ms() },
+               { "waiting", pool.waiting.size() },
+               { "reserved", reservations.held.size() } });
+}
+
 void StageCoordinator::Submit(const wire::StageWork& work, Done done)
 {
   const Elapsed now = ElapsedNow();
+  if (work.reservation() != 0) {
+    reservations_[{ work.service(), work.pool_hall() }].held.erase(
+      { work.box(), work.reservation() });
+  }
   const WorkKey workKey{ work.box(), work.work() };
   Cancel(work.box(), work.work()); // sent again by who doubted this box
   if (RefuseIfEvacuated(work, done) || RefuseIfFull(work, done)) {
@@ -301,9 +369,13 @@
   RefuseStranded(key, pool);
   GiveUpHopeless(pool, now);
   SyncServers(key, pool);
+  BusyRate& busy = reservations_[key].busy;
+  NoteBusy(busy, busy.isBusy, now);
   while (auto call = NextStageCall(pool, now)) {
+    NoteStarted(busy, static_cast<double>(call->pieces.size()));
     MakeCall(key, std::move(*call));
   }
+  NoteBusy(busy, pool.waiting.size() >= pool.limits.batch, now);
   if (!pool.waiting.empty()) {
     LogBacklog(key, pool);
     ArmPump();
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -24,6 +24,7 @@
 #include "wgSendPermits.h"
 #include "wgStagePool.h"
 #include "wgStagePoolKey.h"
+#include "wgStageReservations.h"
 #include "wgTermsTracker.h"
 
 namespace wg {
@@ -52,6 +53,12 @@
    */
   void Submit(const wire::StageWork& work, Done done);
 
+  /** \brief Grants capacity of a pool to work that a box will submit, or
+   * refuses it.
+   */
+  wire::StageReserveAnswer Reserve(const wire::StageReserve& ask);
+  void EndReservations(const wire::StageReserveEnd& end);
+
   /** \brief Pieces that wait are dropped; results of those at work are given
    * up as they come.
    */
@@ -125,6 +132,11 @@
   void NoteMaker(std::uint64_t ticket, const std::string& endpoint);
   void DropRest(const Work& work);
   void EndWork(const WorkKey& key);
+  void DropOldReservations(StageReservations& reservations, Elapsed now);
+  void LogReservation(const wire::StageReserve& ask,
+                      const wire::StageReserveAnswer& answer,
+                      const StagePool& pool,
+                      const StageReservations& reservations);
   void LogBacklog(const StagePoolKey& key, const StagePool& pool);
   void LogCall(const OpenCall& open, absl::string_view end);
   StageServer* ServerOf(const OpenCall& open);
@@ -144,6 +156,7 @@
   std::shared_ptr<const RouteTable> table_;
   std::map<StagePoolKey, StagePool> pools_;
   std::map<StagePoolKey, ResultLedger> results_;
+  std::map<StagePoolKey, StageReservations> reservations_;
   std::map<std::string, RetryWindow> retries_; // by service
   std::map<StagePoolKey, Elapsed> backlogLogged_;
   std::map<WorkKey, Work> works_;
--- a/Source/Gateway/wgStagePool.cxx
+++ b/Source/Gateway/wgStagePool.cxx
@@ -14,6 +14,9 @@
  * taken.
  */
 constexpr absl::Duration RankLead = absl::Milliseconds(1500);
+/** Beyond the order of any piece that is in time. */
+constexpr absl::Duration LateOrder = absl::Hours(1);
+constexpr absl::Duration LateRankOrder = absl::Minutes(10);
 /** Less than this may move between halls. */
 constexpr std::int64_t LargeCrossingBytes = 100000;
 /** A call counts for so much in the spare share: the last 20 mostly. */
@@ -345,6 +348,39 @@
          limits.pieceSeconds * static_cast<double>(pieces);
 }
 
+Elapsed ServiceOrderInTime(Elapsed finishBy, int rank)
+{
+  return finishBy + rank * RankLead;
+}
+
+Elapsed ServiceOrderLate(Elapsed now, int rank)
+{
+  return now + LateOrder + rank * LateRankOrder;
+}
+
+Elapsed ServiceOrder(const StagePiece& piece, const StageLimits& limits,
+                     Elapsed now)
+{
+  return IsLate(piece, limits, now)
+           ? ServiceOrderLate(now, piece.rank) + TimeAfter(piece)
+           : ServiceOrderInTime(piece.finishBy, piece.rank);
+}
+
+PoolRate ExpectedRate(const StagePool& pool, Elapsed now)
+{
+  PoolRate rate;
+  rate.piecesPerCall = static_cast<double>(pool.limits.batch);
+  rate.secondsUntilFree = TimeBacklog(pool, now).soonest;
+  const double call = ExpectedCallSeconds(pool.limits, pool.limits.batch);
+  for (const StageServer& server : pool.servers) {
+    if (IsOpen(server, now)) {
+      rate.piecesPerSecond += pool.limits.slots * rate.piecesPerCall /
+                              (call * std::max(1.0, SlownessNow(server, now)));
+    }
+  }
+  return rate;
+}
+
 std::optional<StageCall> NextStageCall(StagePool& pool, Elapsed now)
 {
   const std::size_t count = std::min(pool.waiting.size(), pool.limits.batch);
--- a/Source/Gateway/wgStagePool.h
+++ b/Source/Gateway/wgStagePool.h
@@ -11,6 +11,7 @@
 #include "absl/types/span.h"
 
 #include "wgElapsed.h"
+#include "wgPoolForecast.h"
 #include "wgRouteTable.h"
 
 namespace wg {
@@ -105,6 +106,20 @@
 /** \brief What a call of so many pieces should take, in seconds. */
 double ExpectedCallSeconds(const StageLimits& limits, std::size_t pieces);
 
+/** \brief A time by which pieces are served, the least first: of those in
+ * time when they must be made, with a lead by rank; later than all of these
+ * for those that are late.
+ */
+Elapsed ServiceOrder(const StagePiece& piece, const StageLimits& limits,
+                     Elapsed now);
+
+/** \brief The same for a piece that has yet to come. */
+Elapsed ServiceOrderInTime(Elapsed finishBy, int rank);
+Elapsed ServiceOrderLate(Elapsed now, int rank);
+
+/** \brief How fast the pool starts pieces in full calls. */
+PoolRate ExpectedRate(const StagePool& pool, Elapsed now);
+
 /** \brief How long a piece that came now would wait, in seconds. Late pieces
  * do not count, as they give way.
  */
--- a/Utilities/Daemon/wgSettings.cxx
+++ b/Utilities/Daemon/wgSettings.cxx
@@ -119,6 +119,11 @@
                           "control: newest kind of changes that it takes part "
                           "in, 0 to 1; 1: orders on halls",
                           static_cast<long>(OwnChangeLevel)))
+    , admission_(Text("stage-admission",
+                      "gateway: who judges whether a request's stages can be "
+                      "served in time: box (each box by the waits it was "
+                      "told) or chain (the coordinators of all its pools)",
+                      "box"))
     , coldOverrun_(Real("cold-overrun",
                         "gateway: how many times the rate of their service "
                         "cold endpoints bear for a second, 1 to 100",
@@ -284,6 +289,7 @@
   NumberFlag losses_;
   TextFlag halls_;
   NumberFlag changeLevel_;
+  TextFlag admission_;
   RealFlag coldOverrun_;
   RealFlag coldSlack_;
   RealFlag retryPercent_;
@@ -471,6 +477,10 @@
     return Error{ "--retry-ratio, --retry-slack and --grace-s must not be "
                   "below 0, and --retry-window-s must be above it." };
   }
+  const std::string& admission = admission_.getValue();
+  if (admission != "box" && admission != "chain") {
+    return Error{ "--stage-admission must be box or chain." };
+  }
   constexpr double mostOverrun = 100;
   const bool isOverrunSound =
     coldOverrun_.getValue() >= 1 && coldOverrun_.getValue() <= mostOverrun;
@@ -515,6 +525,9 @@
   gateway.retryRules.ratio = retryPercent_.getValue();
   gateway.retryRules.slack = retrySlack_.getValue();
   gateway.retryRules.window = absl::Seconds(retryWindow_.getValue());
+  gateway.admission = admission_.getValue() == "chain"
+                        ? StageAdmission::ByChain
+                        : StageAdmission::ByBox;
   gateway.coldBounds.overrun = coldOverrun_.getValue();
   gateway.coldBounds.slack = coldSlack_.getValue();
   gateway.isRestarted = found_.getValue() != "true";
