Decision: when inputs may be released, and how much an endpoint is sent

Cause: results occupy room at the endpoints of a stage while the next stage waits and runs, although a call fetches its inputs at its start; and an endpoint that has refused results for lack of room goes on being filled by the coordinator's own record of its room.

Ruled out: a continuously growing bound after a refusal. It sends single pieces to an endpoint at once, each of which takes a whole call.

Change: wgResultRoom decides by pure functions. Inputs are released once no piece of their work waits and all its calls have run for half of their expected time, unless a call is overdue, an endpoint may refuse results, or inputs were missed lately. An endpoint that refused results is sent what its answer proves to fit; every 400 ms as much as was refused is tried beside it.

--- /dev/null
+++ b/Source/Decision/wgResultRoom.cxx
@@ -0,0 +1,76 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgResultRoom.h"
+
+#include <algorithm>
+
+namespace wg {
+namespace {
+
+/** Sizes come from other boxes. More than this is no size of results, and
+ * sums of a few of them still fit.
+ */
+constexpr std::int64_t MaxBytes = std::int64_t{ 1 } << 50;
+
+std::int64_t Sane(std::int64_t bytes)
+{
+  return std::clamp<std::int64_t>(bytes, 0, MaxBytes);
+}
+
+} // namespace
+
+InputVerdict JudgeInputs(int waiting, absl::Span<const InputUse> calls,
+                         Elapsed lastLoss, Elapsed now)
+{
+  if (waiting > 0) {
+    return InputVerdict::TooEarly;
+  }
+  if (now < lastLoss + InputLossMemory) {
+    return InputVerdict::RecentLoss;
+  }
+  for (const InputUse& call : calls) {
+    if (call.lacksRoom) {
+      return InputVerdict::RoomShort;
+    }
+    if (now - call.started > call.expected) {
+      return InputVerdict::CallOverdue;
+    }
+  }
+  const bool allFetched =
+    std::all_of(calls.begin(), calls.end(), [now](const InputUse& call) {
+      return now - call.started >= FetchedAfterShare * call.expected;
+    });
+  return allFetched ? InputVerdict::Release : InputVerdict::TooEarly;
+}
+
+RoomEvidence EvidenceOf(const RoomAnswer& answer, Elapsed now)
+{
+  const std::int64_t recorded =
+    std::max(Sane(answer.recordedAtSend), Sane(answer.recordedAtEnd));
+  RoomEvidence evidence;
+  evidence.isKnown = true;
+  evidence.held = Sane(recorded - Sane(answer.notMade));
+  evidence.refused = Sane(answer.refused);
+  evidence.smallestRefused = Sane(answer.smallestRefused);
+  evidence.noted = now;
+  return evidence;
+}
+
+bool IsRoomShort(const RoomEvidence& evidence, Elapsed now)
+{
+  return evidence.isKnown && now < evidence.noted + RoomBoundMemory;
+}
+
+std::int64_t RoomBound(const RoomEvidence& evidence, Elapsed now)
+{
+  if (!IsRoomShort(evidence, now)) {
+    return UnboundedRoom;
+  }
+  const auto periods = static_cast<std::int64_t>(
+    absl::FDivDuration(now - evidence.noted, RoomRetryPeriod));
+  if (periods <= 0) { // one more such result did not fit
+    return evidence.held + evidence.smallestRefused - 1;
+  }
+  return evidence.held + periods * evidence.refused;
+}
+
+} // namespace wg
