Gateway: the ledger knows for 2 s which results are gone

Cause: inputs that are released before their stage ends are released again when it ends; each time would cost a call to their maker.

Change: GoneResults holds hashes of handles whose end their maker has confirmed. A handle that is made again is forgotten, as a request that executes its stages again may get the same names.

--- a/Source/Gateway/wgResultLedger.cxx
+++ b/Source/Gateway/wgResultLedger.cxx
@@ -3,12 +3,22 @@
 
 #include <utility>
 
+#include "absl/hash/hash.h"
 #include "absl/strings/str_cat.h"
 
 namespace wg {
 namespace {
 
 constexpr absl::Duration ExpiryPeriod = absl::Milliseconds(100);
+/** Some hundred entries a second come; looking through them takes longer than
+ * any of them is worth.
+ */
+constexpr absl::Duration GoneExpiryPeriod = absl::Milliseconds(500);
+
+std::uint64_t KeyOf(absl::string_view handle)
+{
+  return absl::Hash<absl::string_view>()(handle);
+}
 
 } // namespace
 
@@ -50,4 +60,25 @@
   return expired;
 }
 
+void NoteGone(GoneResults& gone, absl::string_view handle, Elapsed now)
+{
+  if (now >= gone.nextExpiry) {
+    gone.nextExpiry = now + GoneExpiryPeriod;
+    absl::erase_if(gone.until,
+                   [now](const auto& entry) { return now >= entry.second; });
+  }
+  gone.until[KeyOf(handle)] = now + GoneMemory;
+}
+
+void ForgetGone(GoneResults& gone, absl::string_view handle)
+{
+  gone.until.erase(KeyOf(handle));
+}
+
+bool IsGone(const GoneResults& gone, absl::string_view handle, Elapsed now)
+{
+  const auto found = gone.until.find(KeyOf(handle));
+  return found != gone.until.end() && now < found->second;
+}
+
 } // namespace wg
--- a/Source/Gateway/wgResultLedger.h
+++ b/Source/Gateway/wgResultLedger.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "absl/container/flat_hash_map.h"
 #include "absl/strings/string_view.h"
 
 #include "wgElapsed.h"
@@ -34,8 +35,7 @@
                 KeptResult result);
 
 /** \brief Enters room that is taken by what nobody can name: a call that was
- * cut off may still have been made, and an endpoint that lacks room holds
- * more than is known here.
+ * cut off may still have been made.
  */
 void KeepUnnamed(ResultLedger& ledger, KeptResult result);
 
@@ -48,4 +48,27 @@
  */
 std::vector<KeptResult> TakeExpired(ResultLedger& ledger, Elapsed now);
 
+/** \brief Results that their makers have lately confirmed to be gone. Inputs
+ * that are released early are released again when their stage ends; each time
+ * would cost a call to their maker.
+ */
+struct GoneResults
+{
+  absl::flat_hash_map<std::uint64_t, Elapsed> until; // by hash of the handle
+  Elapsed nextExpiry;
+};
+
+/** \brief Longer than from the time that a call has fetched its inputs to the
+ * time that its time-out ends it: 2.5 times the expected time and 0.35 s, with
+ * calls of up to 0.6 s.
+ */
+constexpr absl::Duration GoneMemory = absl::Seconds(2);
+
+void NoteGone(GoneResults& gone, absl::string_view handle, Elapsed now);
+
+/** \brief A result of that name has been made again. */
+void ForgetGone(GoneResults& gone, absl::string_view handle);
+
+bool IsGone(const GoneResults& gone, absl::string_view handle, Elapsed now);
+
 } // namespace wg
--- a/Tests/Gateway/wgResultLedgerTest.cxx
+++ b/Tests/Gateway/wgResultLedgerTest.cxx
@@ -36,3 +36,19 @@
   CHECK(second[0].bytes == 20);
   CHECK(ledger.kept.empty());
 }
+
+TEST_CASE("What is gone is known for a while, unless it is made again")
+{
+  // A result that a restarted request makes again may bear the same name: its
+  // release must reach its maker.
+  wg::GoneResults gone;
+  wg::NoteGone(gone, "a", Now);
+  wg::NoteGone(gone, "b", Now);
+  CHECK(wg::IsGone(gone, "a", Now + wg::GoneMemory / 2));
+  CHECK_FALSE(wg::IsGone(gone, "c", Now));
+  wg::ForgetGone(gone, "a");
+  CHECK_FALSE(wg::IsGone(gone, "a", Now));
+  CHECK_FALSE(wg::IsGone(gone, "b", Now + wg::GoneMemory));
+  wg::NoteGone(gone, "d", Now + wg::GoneMemory);
+  CHECK(gone.until.size() == 1); // "b" takes no memory any more
+}
