Gateway: coordinators release fetched inputs and respect refusals of results

Cause: the endpoints of a stage were full of results that the calls of the next stage had already fetched. After an answer `room` the coordinator counted each refused piece as held for 400 ms and sent the others to the same endpoint at once.

Ruled out: repeating a piece whose inputs were released. It would wait, take a place in a call, and be answered `gone`.

Change: for works that name the pool of their inputs (`input_service`), the coordinator releases the inputs through the coordinator of that pool once they are fetched. If a call then fails, the work ends at once with INPUT_GONE. A handle that is known to be gone is not passed on to its maker again. A refusal for lack of room bounds what its endpoint is sent.

--- a/Source/Gateway/wgStageClient.cxx
+++ b/Source/Gateway/wgStageClient.cxx
@@ -53,6 +53,10 @@
   , watchTimer_(loop)
 {
   membersChanged_ = ElapsedNow();
+  own_.OnInputsFetched(
+    [this](const StagePoolKey& pool, absl::Span<const std::string> handles) {
+      Release(pool, handles);
+    });
 }
 
 void StageClient::NoteMembersChanged()
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -200,6 +200,7 @@
   state.pool = key;
   state.done = std::move(done);
   state.missing = work.items_size();
+  KeepInputs(work, state);
   StagePool& pool = PoolOf(key);
   const auto inputs = std::make_shared<const std::vector<std::string>>(
     work.inputs().begin(), work.inputs().end());
@@ -301,6 +302,7 @@
   RefuseStranded(key, pool);
   GiveUpHopeless(pool, now);
   SyncServers(key, pool);
+  BoundRoom(pool, now);
   while (auto call = NextStageCall(pool, now)) {
     MakeCall(key, std::move(*call));
   }
@@ -339,6 +341,7 @@
 {
   std::set<StagePoolKey> freed;
   for (const std::string& handle : handles) {
+    NoteGone(gone_, handle, ElapsedNow());
     for (auto& [key, ledger] : results_) {
       if (const auto result = TakeResult(ledger, handle)) {
         FreeRoom(key, result->endpoint, result->bytes);
@@ -353,7 +356,12 @@
 
 void StageCoordinator::Release(absl::Span<const std::string> handles)
 {
-  releaser_.Release(handles);
+  std::vector<std::string> kept;
+  std::copy_if(handles.begin(), handles.end(), std::back_inserter(kept),
+               [this, now = ElapsedNow()](const std::string& handle) {
+                 return !IsGone(gone_, handle, now);
+               });
+  releaser_.Release(kept);
 }
 
 /** While pieces wait, time alone may free an endpoint or end a request. */
@@ -383,11 +391,13 @@
   logged = now;
   nlohmann::json servers = nlohmann::json::array();
   for (const StageServer& server : pool.servers) {
-    servers.push_back({ { "endpoint", server.id },
-                        { "calls", server.calls.size() },
-                        { "room_used", server.roomUsed },
-                        { "slowness", SlownessNow(server, now) },
-                        { "avoided", server.avoidUntil > now } });
+    servers.push_back(
+      { { "endpoint", server.id },
+        { "calls", server.calls.size() },
+        { "room_used", server.roomUsed },
+        { "room_short", IsRoomShort(server.roomEvidence, now) },
+        { "slowness", SlownessNow(server, now) },
+        { "avoided", server.avoidUntil > now } });
   }
   const auto late = std::count_if(pool.waiting.begin(), pool.waiting.end(),
                                   [&pool, now](const StagePiece& piece) {
@@ -406,7 +416,8 @@
 void StageCoordinator::Repeat(const StagePoolKey& key, StagePiece piece,
                               bool sent)
 {
-  if (owners_.find(piece.ticket) == owners_.end()) {
+  if (owners_.find(piece.ticket) == owners_.end() ||
+      EndIfInputsReleased(piece)) {
     return;
   }
   piece.attempts += sent ? 1 : 0;
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -20,6 +20,7 @@
 #include "wgPeer.pb.h"
 #include "wgResultLedger.h"
 #include "wgResultReleaser.h"
+#include "wgResultRoom.h"
 #include "wgRetryWindow.h"
 #include "wgSendPermits.h"
 #include "wgStagePool.h"
@@ -57,6 +58,13 @@
    */
   void Cancel(const std::string& box, std::uint64_t work);
 
+  using InputsFetched = std::function<void(
+    const StagePoolKey& pool, absl::Span<const std::string> handles)>;
+  /** \brief Is told of inputs that calls have fetched, and of the pool that
+   * made them: they can be released before their stage has ended.
+   */
+  void OnInputsFetched(InputsFetched fetched);
+
   /** \brief These results are no longer needed. */
   void Release(absl::Span<const std::string> handles);
 
@@ -78,11 +86,16 @@
     int missing = 0;
     std::vector<std::uint64_t> tickets;
     Done done;
+    std::string request;
+    StagePoolKey inputPool;          // that made the inputs
+    std::vector<std::string> inputs; // that may be released early
+    bool inputsReleased = false;
   };
   struct PieceOwner
   {
     WorkKey work;
     int index = 0;
+    std::uint64_t call = 0; // that the piece is in; 0: none yet
   };
   struct OpenCall
   {
@@ -91,6 +104,8 @@
     Elapsed started;
     std::unique_ptr<HttpCall> http;
     std::unique_ptr<LoopTimer> timer;
+    std::unique_ptr<LoopTimer> fetchedTimer; // until its inputs are fetched
+    std::int64_t recordedAtSend = 0; // bytes at the endpoint, with its own
     unsigned status = 0;
     bool saidNotRun = false;
     std::string body;
@@ -128,6 +143,17 @@
   void LogBacklog(const StagePoolKey& key, const StagePool& pool);
   void LogCall(const OpenCall& open, absl::string_view end);
   StageServer* ServerOf(const OpenCall& open);
+  void KeepInputs(const wire::StageWork& work, Work& state);
+  void NoteInCall(std::uint64_t number);
+  std::vector<WorkKey> WorksOf(const OpenCall& open) const;
+  void ReleaseInputsOf(absl::Span<const WorkKey> works);
+  InputVerdict JudgeInputsOf(const Work& work);
+  void TryReleaseInputs(Work& work);
+  bool EndIfInputsReleased(const StagePiece& piece);
+  void NoteInputGone(const StagePiece& piece);
+  void NoteRoomAnswer(const OpenCall& open,
+                      absl::Span<const wire::StageItemResult> results);
+  static void BoundRoom(StagePool& pool, Elapsed now);
 
   EventLoop& loop_;
   HttpClient& client_;
@@ -149,6 +175,9 @@
   std::map<WorkKey, Work> works_;
   std::map<std::uint64_t, PieceOwner> owners_; // by ticket
   std::map<std::uint64_t, OpenCall> calls_;
+  InputsFetched inputsFetched_;
+  std::map<StagePoolKey, Elapsed> inputLosses_; // the last of each pool
+  GoneResults gone_;
   std::uint64_t nextCall_ = 1;
   std::uint64_t nextTicket_ = 1;
   LoopTimer pumpTimer_;
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -19,10 +19,6 @@
 constexpr double LateMarginSeconds = 0.35;
 constexpr absl::Duration FullPause = absl::Milliseconds(60);
 constexpr absl::Duration FailedPause = absl::Milliseconds(200);
-/** For so long an endpoint that lacked room is taken to hold more than is
- * known here.
- */
-constexpr absl::Duration NoRoomMemory = absl::Milliseconds(400);
 
 } // namespace
 
@@ -78,6 +74,7 @@
   metrics_.Count("stage_calls");
   metrics_.Count("stage_pieces_sent", open.call.pieces.size());
   StartTimer(number);
+  NoteInCall(number);
 }
 
 void StageCoordinator::StartTimer(std::uint64_t number)
@@ -253,9 +250,12 @@
   }
   metrics_.NoteLatency("stage_call", now - open.started);
   LogCall(open, "answered");
+  NoteRoomAnswer(open, Value(results));
+  const std::vector<WorkKey> works = WorksOf(open);
   for (std::size_t i = 0; i < open.call.pieces.size(); ++i) {
     TakeResultOf(open, open.call.pieces[i], std::move(Value(results)[i]));
   }
+  ReleaseInputsOf(works); // where all other calls have fetched theirs
 }
 
 void StageCoordinator::TakeResultOf(OpenCall& open, StagePiece& piece,
@@ -267,13 +267,14 @@
   if (state == ItemResult::DONE) {
     kept.until += PoolOf(open.pool).limits.resultLifetime;
     KeepResult(results_[open.pool], result.handle(), kept);
+    ForgetGone(gone_, result.handle());
     NoteMaker(piece.ticket, open.call.server);
-  } else if (state == ItemResult::NO_ROOM) {
-    kept.until += NoRoomMemory;
-    KeepUnnamed(results_[open.pool], kept);
   } else {
     FreeRoom(open.pool, open.call.server, piece.resultBytes);
   }
+  if (state == ItemResult::INPUT_GONE) {
+    NoteInputGone(piece);
+  }
   if (state != ItemResult::FAILED && state != ItemResult::NO_ROOM) {
     Settle(piece.ticket, std::move(result));
     return;
--- a/Source/Gateway/wgStagePool.cxx
+++ b/Source/Gateway/wgStagePool.cxx
@@ -99,8 +99,9 @@
 bool HasRoom(const StageServer& server, const StageLimits& limits,
              const StagePiece& piece)
 {
-  return limits.roomBytes == 0 ||
-         server.roomUsed + piece.resultBytes <= limits.roomBytes;
+  const std::int64_t used = server.roomUsed + piece.resultBytes;
+  return used <= server.roomBound &&
+         (limits.roomBytes == 0 || used <= limits.roomBytes);
 }
 
 /** Whether much would have to move between halls. */
--- a/Source/Gateway/wgStagePool.h
+++ b/Source/Gateway/wgStagePool.h
@@ -11,6 +11,7 @@
 #include "absl/types/span.h"
 
 #include "wgElapsed.h"
+#include "wgResultRoom.h"
 #include "wgRouteTable.h"
 
 namespace wg {
@@ -54,6 +55,8 @@
   Elapsed avoidUntil;        // after failures
   Elapsed closedUntil;       // it takes no more calls than it has had
   std::int64_t roomUsed = 0; // bytes of results that it keeps or makes
+  RoomEvidence roomEvidence; // of its last answer that refused results
+  std::int64_t roomBound = UnboundedRoom;        // what this allows now
   std::map<std::uint64_t, StageCallState> calls; // by number of the call
 };
 
--- a/Tests/Gateway/wgStageCoordinatorTest.cxx
+++ b/Tests/Gateway/wgStageCoordinatorTest.cxx
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
@@ -425,3 +426,290 @@
   f.AnswerNext();
   CHECK(f.ended[3] == 1);
 }
+
+namespace {
+
+// Calls of these tests take a second: their inputs are fetched after half of
+// it.
+constexpr absl::Duration BeforeFetched = absl::Milliseconds(250);
+constexpr absl::Duration AfterFetched = absl::Milliseconds(800);
+
+struct InputWork
+{
+  std::uint64_t number = 0;
+  int pieces = 1;
+  std::string inputService = "svc";
+};
+
+std::vector<std::string> InputsOf(const Fixture& f, std::uint64_t number)
+{
+  return { absl::StrCat(f.address, "/in", number, "#0"),
+           absl::StrCat(f.address, "/in", number, "#1") };
+}
+
+void SubmitWithInputs(Fixture& f, const InputWork& asked,
+                      const std::vector<std::string>& inputs)
+{
+  f.thread.Do([&f, &asked, &inputs] {
+    wg::wire::StageWork work;
+    work.set_box("box");
+    work.set_work(asked.number);
+    work.set_service("svc");
+    work.set_request(absl::StrCat("r", asked.number));
+    work.set_left_ms(20000);
+    work.set_due_ms(20000);
+    work.set_result_bytes(100);
+    work.set_input_service(asked.inputService);
+    for (const std::string& input : inputs) {
+      work.add_inputs(input);
+    }
+    for (int i = 0; i < asked.pieces; ++i) {
+      work.add_items()->set_piece(static_cast<std::uint32_t>(i));
+    }
+    f.coordinator->Submit(work,
+                          [&f, number = asked.number](const auto& reply) {
+                            ++f.ended[number];
+                            f.replies[number] = reply;
+                          });
+    return true;
+  });
+}
+
+void SubmitWithInputs(Fixture& f, const InputWork& asked)
+{
+  SubmitWithInputs(f, asked, InputsOf(f, asked.number));
+}
+
+bool IsHeld(Fixture& f, std::size_t calls = 1)
+{
+  return f.Eventually([&f, calls] { return f.held.size() == calls; });
+}
+
+std::size_t CountReleased(Fixture& f)
+{
+  return f.thread.Do([&f] { return f.released.size(); });
+}
+
+/** Only on the loop. */
+bool IsCountedHere(const Fixture& f, absl::string_view counter)
+{
+  return absl::StrContains(f.metrics.Print(),
+                           absl::StrCat("\"", counter, "\""));
+}
+
+bool IsCounted(Fixture& f, absl::string_view counter)
+{
+  return f.thread.Do([&f, counter] { return IsCountedHere(f, counter); });
+}
+
+/** Answers the held call with these lines; "made" stands for a result. */
+void AnswerWith(Fixture& f, std::size_t held,
+                const std::vector<std::string>& lines)
+{
+  f.thread.Do([&f, held, &lines] {
+    std::string answer;
+    for (const std::string& line : lines) {
+      absl::StrAppend(
+        &answer,
+        line == "made" ? absl::StrCat(f.address, "/#", ++f.made) : line, "\n");
+    }
+    const Exchange exchange = f.held[held];
+    f.held.erase(f.held.begin() + static_cast<std::ptrdiff_t>(held));
+    exchange->Respond(wg::MakeResponse(200, "", answer));
+    return true;
+  });
+}
+
+void SetLimits(Fixture& f, int slots, std::size_t batch,
+               std::int64_t roomBytes, absl::Duration resultLifetime)
+{
+  f.thread.Do([=, &f] {
+    auto table = std::make_shared<wg::RouteTable>();
+    wg::RoutedService& service = table->services["svc"];
+    service.stage.emplace();
+    service.stage->slots = slots;
+    service.stage->batch = batch;
+    service.stage->callSeconds = 1.0;
+    service.stage->roomBytes = roomBytes;
+    service.stage->resultLifetime = resultLifetime;
+    f.coordinator->SetTable(table);
+    return true;
+  });
+}
+
+} // namespace
+
+TEST_CASE("Inputs are released once all calls of a work have fetched them")
+{
+  // They filled the endpoints of the stage before while this one ran.
+  Fixture f;
+  SubmitWithInputs(f, { 1, 4 }); // three pieces a call
+  REQUIRE(IsHeld(f));
+  absl::SleepFor(AfterFetched);
+  CHECK(CountReleased(f) == 0); // a piece waits and needs them
+  f.AnswerNext();
+  REQUIRE(IsHeld(f));
+  absl::SleepFor(BeforeFetched);
+  CHECK(CountReleased(f) == 0);
+  CHECK(f.Eventually([&] { return f.released == InputsOf(f, 1); }));
+  CHECK(f.ended[1] == 0);
+  f.AnswerNext();
+  CHECK(f.Eventually([&] { return f.ended[1] == 1; }));
+  CHECK(AllDone(f.replies[1], 4));
+}
+
+TEST_CASE("Inputs are not released early unless their pool is named")
+{
+  // Other stages may need them.
+  Fixture f;
+  SubmitWithInputs(f, { 1, 1, "" });
+  REQUIRE(IsHeld(f));
+  absl::SleepFor(AfterFetched);
+  CHECK(CountReleased(f) == 0);
+  f.AnswerNext();
+  CHECK(f.Eventually([&] { return f.ended[1] == 1; }));
+}
+
+TEST_CASE("A call that fails after its inputs were released ends its work")
+{
+  // Its pieces would be sent again, wait, and find their inputs gone.
+  Fixture f;
+  SubmitWithInputs(f, { 1, 2 });
+  CHECK(f.Eventually([&] { return f.released.size() == 2; }));
+  REQUIRE(IsHeld(f));
+  AnswerWith(f, 0, { "error", "error" });
+  REQUIRE(f.Eventually([&] { return f.ended[1] == 1; }));
+  CHECK(f.replies[1].results(0).state() == ItemResult::INPUT_GONE);
+  CHECK(f.thread.Do([&] { return f.coordinator->IsIdle(); }));
+  f.Submit(2, 1);
+  CHECK(f.AnswerNext() == "r2.0\n");
+}
+
+TEST_CASE("A call that fails before its inputs were released is made again")
+{
+  Fixture f;
+  SubmitWithInputs(f, { 1, 2 });
+  REQUIRE(IsHeld(f));
+  AnswerWith(f, 0, { "error", "error" });
+  CHECK(f.AnswerNext() == "r1.0\nr1.1\n");
+  CHECK(f.Eventually([&] { return f.ended[1] == 1; }));
+  CHECK(AllDone(f.replies[1], 2));
+}
+
+TEST_CASE("Inputs of a call that takes longer than expected are kept")
+{
+  Fixture f;
+  SetLimits(f, 2, 1, 1000, absl::Seconds(4));
+  f.Submit(1, 1);
+  REQUIRE(IsHeld(f));
+  SubmitWithInputs(f, { 2, 2 });
+  REQUIRE(IsHeld(f, 2)); // one piece waits
+  absl::SleepFor(AfterFetched);
+  AnswerWith(f, 0, { "made" });
+  REQUIRE(IsHeld(f, 2));
+  // The first call is late when the second one has fetched its inputs.
+  CHECK(f.Eventually(
+    [&] { return IsCountedHere(f, "stage_inputs_kept_call_overdue"); }));
+  CHECK(CountReleased(f) == 0);
+  AnswerWith(f, 0, { "made" });
+  CHECK(f.Eventually([&] { return f.released == InputsOf(f, 2); }));
+  CHECK(f.ended[2] == 0);
+  f.AnswerNext();
+  CHECK(f.Eventually([&] { return f.ended[2] == 1; }));
+}
+
+TEST_CASE("Inputs that an endpoint missed are kept from then on")
+{
+  // Two coordinators of a pool queue calls behind each other: half of the
+  // expected time is over before such a call has begun.
+  Fixture f;
+  SubmitWithInputs(f, { 1, 1 });
+  CHECK(f.Eventually([&] { return f.released.size() == 2; }));
+  f.AnswerNext("gone");
+  REQUIRE(f.Eventually([&] { return f.ended[1] == 1; }));
+  CHECK(f.replies[1].results(0).state() == ItemResult::INPUT_GONE);
+  CHECK(IsCounted(f, "stage_inputs_missed"));
+  SubmitWithInputs(f, { 2, 1 });
+  REQUIRE(IsHeld(f));
+  absl::SleepFor(AfterFetched);
+  CHECK(CountReleased(f) == 2);
+  CHECK(IsCounted(f, "stage_inputs_kept_recent_loss"));
+  f.AnswerNext();
+  CHECK(f.Eventually([&] { return f.ended[2] == 1; }));
+}
+
+TEST_CASE("Inputs that were released early are released again without harm")
+{
+  // Room that is freed twice would be filled beyond what the endpoint has.
+  Fixture f;
+  SetLimits(f, 1, 10, 400, absl::Seconds(4));
+  f.Submit(1, 1);
+  f.AnswerNext();
+  REQUIRE(f.Eventually([&] { return f.ended[1] == 1; }));
+  const std::vector<std::string> made{ f.replies[1].results(0).handle() };
+  SubmitWithInputs(f, { 2, 1 }, made);
+  CHECK(f.Eventually([&] { return f.released == made; }));
+  f.AnswerNext();
+  REQUIRE(f.Eventually([&] { return f.ended[2] == 1; }));
+  f.thread.Do([&] {
+    f.stages->Release({ "svc", "" }, made);
+    return true;
+  });
+  absl::SleepFor(absl::Milliseconds(100));
+  f.Submit(3, 4);
+  CHECK(f.AnswerNext() == "r3.0\nr3.1\nr3.2\n"); // one result is kept
+  CHECK(f.released == made); // its maker was not asked twice
+}
+
+TEST_CASE("Inputs whose release is lost lapse")
+{
+  Fixture f;
+  SetLimits(f, 1, 10, 200, absl::Seconds(2));
+  f.Submit(1, 1);
+  f.AnswerNext();
+  REQUIRE(f.Eventually([&] { return f.ended[1] == 1; }));
+  const absl::Time made = absl::Now();
+  f.confirms = false;
+  SubmitWithInputs(f, { 2, 1 }, { f.replies[1].results(0).handle() });
+  CHECK(f.Eventually([&] { return f.released.size() == 1; }));
+  f.Submit(3, 1);
+  f.AnswerNext();
+  REQUIRE(f.Eventually([&] { return f.ended[2] == 1; }));
+  CHECK(f.thread.Do([&] { return f.held.empty(); })); // room for two results
+  CHECK(f.AnswerNext() == "r3.0\n");
+  CHECK(absl::Now() - made > absl::Milliseconds(1500));
+}
+
+TEST_CASE("An endpoint is not filled beyond what its last answer proves")
+{
+  // Room is recorded for four results: the endpoint holds more than that.
+  Fixture f;
+  f.Submit(1, 3);
+  REQUIRE(IsHeld(f));
+  AnswerWith(f, 0, { "made", "room", "room" });
+  absl::SleepFor(BeforeFetched);
+  CHECK(f.thread.Do([&] { return f.held.empty(); }));
+  CHECK(IsCounted(f, "stage_calls_short_of_room"));
+  // It is tried again with as much as was refused, and not more.
+  f.Submit(2, 2);
+  CHECK(f.AnswerNext() == "r1.1\nr1.2\n");
+  CHECK(f.Eventually([&] { return f.ended[1] == 1; }));
+  CHECK(AllDone(f.replies[1], 3));
+}
+
+TEST_CASE("Released results are room also where an endpoint was full")
+{
+  Fixture f;
+  f.Submit(1, 1);
+  f.AnswerNext();
+  REQUIRE(f.Eventually([&] { return f.ended[1] == 1; }));
+  f.Submit(2, 1);
+  f.AnswerNext("room"); // nothing fits beside the first result
+  f.thread.Do([&] {
+    f.coordinator->Release({ f.replies[1].results(0).handle() });
+    return true;
+  });
+  const absl::Time released = absl::Now();
+  CHECK(f.AnswerNext() == "r2.0\n");
+  CHECK(absl::Now() - released < absl::Milliseconds(300)); // not a period
+}
