--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -142,6 +142,8 @@
 
   void SubmitStages();
   void PlaceWork(std::size_t stage, wire::StageWork& work) const;
+  bool MayReleaseInputs(std::size_t stage) const;
+  void NameInputPool(std::size_t stage, wire::StageWork& work) const;
   int LongestLeft() const;
   bool IsReady(std::size_t stage) const;
   wire::StageWork MakeWork(std::size_t stage);
--- a/Source/Gateway/wgGatewayRequestStages.cxx
+++ b/Source/Gateway/wgGatewayRequestStages.cxx
@@ -174,6 +174,41 @@
   work.set_crossing_bytes(most->second);
 }
 
+/** Whether the stage alone needs its inputs, and one pool made them all. A
+ * request whose stages are executed again keeps its inputs to their end: it
+ * could not execute them once more.
+ */
+bool GatewayRequest::MayReleaseInputs(std::size_t stage) const
+{
+  const auto& after = route_->stages[stage].after;
+  if (stagesRestarted_ || after.empty()) {
+    return false;
+  }
+  const StagePoolKey& pool = stages_[after.front()].pool;
+  return std::all_of(
+    after.begin(), after.end(), [this, &pool](std::size_t before) {
+      const auto successors =
+        std::count_if(route_->stages.begin(), route_->stages.end(),
+                      [before](const RouteStage& next) {
+                        return std::find(next.after.begin(), next.after.end(),
+                                         before) != next.after.end();
+                      });
+      const StagePoolKey& other = stages_[before].pool;
+      return successors == 1 && !(other < pool) && !(pool < other);
+    });
+}
+
+void GatewayRequest::NameInputPool(std::size_t stage,
+                                   wire::StageWork& work) const
+{
+  if (work.inputs().empty() || !MayReleaseInputs(stage)) {
+    return;
+  }
+  const StagePoolKey& pool = stages_[route_->stages[stage].after.front()].pool;
+  work.set_input_service(pool.service);
+  work.set_input_hall(pool.hall);
+}
+
 wire::StageWork GatewayRequest::MakeWork(std::size_t stage)
 {
   const RouteStage& planned = route_->stages[stage];
@@ -197,6 +232,7 @@
       work.add_inputs(input);
     }
   }
+  NameInputPool(stage, work);
   for (int i = 0; i < stages_[stage].pieces; ++i) {
     wire::StageItem& item = *work.add_items();
     item.set_piece(static_cast<std::uint32_t>(i));
