--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -79,6 +79,7 @@
   Elapsed submittedAt;
   Elapsed doneAt;
   StagePoolKey pool; // that has made them
+  bool roomScarce = false; // in that pool
   AskedReservation reserved;
   std::vector<std::string> handles;
   std::vector<std::string> makers; // identities of the endpoints with them
@@ -173,6 +174,8 @@
   void SubmitStages();
   void PlaceWork(std::size_t stage, wire::StageWork& work) const;
   void ChooseStagePool(std::size_t stage, wire::StageWork& work);
+  bool MayReleaseInputs(std::size_t stage) const;
+  void NameInputPool(std::size_t stage, wire::StageWork& work) const;
   int LongestLeft() const;
   bool IsReady(std::size_t stage) const;
   wire::StageWork MakeWork(std::size_t stage);
--- a/Source/Gateway/wgStagePool.cxx
+++ b/Source/Gateway/wgStagePool.cxx
@@ -102,8 +102,9 @@
 bool HasRoom(const StageServer& server, const StageLimits& limits,
              const StagePiece& piece)
 {
-  return limits.roomBytes == 0 ||
-         server.roomUsed + piece.resultBytes <= limits.roomBytes;
+  const std::int64_t used = server.roomUsed + piece.resultBytes;
+  return used <= server.roomBound &&
+         (limits.roomBytes == 0 || used <= limits.roomBytes);
 }
 
 /** Whether much would have to move between halls. */
@@ -342,6 +343,16 @@
   return now + absl::Seconds(ExpectedCallSeconds(limits, 1)) > piece.finishBy;
 }
 
+bool IsRoomScarce(const StagePool& pool)
+{
+  std::int64_t used = 0;
+  for (const StageServer& server : pool.servers) {
+    used += server.roomUsed;
+  }
+  return IsRoomScarce(used, pool.limits.roomBytes *
+                              static_cast<std::int64_t>(pool.servers.size()));
+}
+
 double ExpectedCallSeconds(const StageLimits& limits, std::size_t pieces)
 {
   return limits.callSeconds +
--- a/Source/Gateway/wgStagePool.h
+++ b/Source/Gateway/wgStagePool.h
@@ -12,6 +12,7 @@
 
 #include "wgElapsed.h"
 #include "wgPoolForecast.h"
+#include "wgResultRoom.h"
 #include "wgRouteTable.h"
 
 namespace wg {
@@ -55,6 +56,8 @@
   Elapsed avoidUntil;        // after failures
   Elapsed closedUntil;       // it takes no more calls than it has had
   std::int64_t roomUsed = 0; // bytes of results that it keeps or makes
+  RoomEvidence roomEvidence; // of its last answer that refused results
+  std::int64_t roomBound = UnboundedRoom;        // what this allows now
   std::map<std::uint64_t, StageCallState> calls; // by number of the call
 };
 
@@ -103,6 +106,9 @@
 std::vector<StagePiece> TakePieces(StagePool& pool,
                                    absl::Span<const std::uint64_t> tickets);
 
+/** \brief Whether results take much of the room that its endpoints have. */
+bool IsRoomScarce(const StagePool& pool);
+
 /** \brief What a call of so many pieces should take, in seconds. */
 double ExpectedCallSeconds(const StageLimits& limits, std::size_t pieces);
 
--- a/Tests/Decision/wgPoolForecastTest.cxx
+++ b/Tests/Decision/wgPoolForecastTest.cxx
@@ -76,7 +76,7 @@
     const double start = std::max(clock, arrives);
     clock = start + PiecesOfWork / PiecesPerSecond;
     // The work that is being started is not among those that have not.
-    const double allowed = PiecesOfWork / PiecesPerSecond;
+    const double allowed = 1.01 * PiecesOfWork / PiecesPerSecond;
     burst.late +=
       start > absl::ToDoubleSeconds(work.startBy - Now) + allowed ? 1 : 0;
     open.emplace_back(start, work);
@@ -91,10 +91,13 @@
 // to the same capacity, and most of what they admit ends late.
 TEST_CASE("A burst is admitted as far as the pool serves it in time")
 {
-  const Burst reserved =
-    PlayBurst([](const auto& pending, const auto& work, wg::Elapsed now) {
-      return wg::ForecastWork(Rate(), pending, work, now).isInTime;
-    });
+  wg::PoolRate rate = Rate();
+  rate.piecesPerCall = PiecesOfWork; // the burst is served work by work
+  const auto byForecast = [&rate](const auto& pending, const auto& work,
+                                  wg::Elapsed now) {
+    return wg::ForecastWork(rate, pending, work, now).isInTime;
+  };
+  const Burst reserved = PlayBurst(byForecast);
   const double most = PiecesPerSecond / PiecesOfWork *
                       (BurstSeconds + absl::ToDoubleSeconds(MayWait));
   CHECK(reserved.late == 0);
