Tests: early release through real processes, and after a refusal of results

Change: a process test with two boxes sees results of the first stage given up while calls of the second run, each result once. A test of the coordinator sees inputs kept at an endpoint that has lately refused results.

--- a/Tests/Gateway/wgStageCoordinatorTest.cxx
+++ b/Tests/Gateway/wgStageCoordinatorTest.cxx
@@ -618,6 +618,25 @@
   CHECK(f.Eventually([&] { return f.ended[2] == 1; }));
 }
 
+TEST_CASE("Inputs are kept where results were refused for lack of room")
+{
+  // A piece that is refused again is made again, and needs them.
+  Fixture f;
+  f.Submit(1, 1);
+  f.AnswerNext("room");
+  f.AnswerNext();
+  REQUIRE(f.Eventually([&] { return f.ended[1] == 1; }));
+  SubmitWithInputs(f, { 2, 1 });
+  REQUIRE(IsHeld(f));
+  absl::SleepFor(AfterFetched);
+  CHECK(CountReleased(f) == 0);
+  CHECK(IsCounted(f, "stage_inputs_kept_room_short"));
+  AnswerWith(f, 0, { "room" });
+  CHECK(f.AnswerNext() == "r2.0\n");
+  CHECK(f.Eventually([&] { return f.ended[2] == 1; }));
+  CHECK(AllDone(f.replies[2], 1));
+}
+
 TEST_CASE("Inputs that an endpoint missed are kept from then on")
 {
   // Two coordinators of a pool queue calls behind each other: half of the
--- a/Tests/Platform/wgPlatformProcessTest.cxx
+++ b/Tests/Platform/wgPlatformProcessTest.cxx
@@ -556,6 +556,48 @@
   }
 }
 
+TEST_CASE("Results are given up while the stage after them runs",
+          "[early-release]")
+{
+  // They were kept until it had ended, 1.1 s, and filled their endpoints:
+  // calls carried 30 of 64 possible pieces.
+  PlatformCluster cluster(2);
+  PlatformStandin engine("i-llm");
+  PlatformStandin encoder("i-enc");
+  constexpr int callMs = 400;
+  encoder.SetCallMs(callMs);
+  cluster.AwaitServing();
+  const auto beat = [&] { // they count as silent some seconds later
+    REQUIRE(engine.Register(cluster.Api(0), "llm"));
+    REQUIRE(encoder.Register(cluster.Api(0), "enc"));
+  };
+  for (int warm = 0; warm < 6; ++warm) { // how long its calls take is learned
+    beat();
+    AwaitAnswer(cluster, warm % 2, "/s/x");
+  }
+  for (int gateway : { 0, 1 }) {
+    beat();
+    Await("results to be given up",
+          [&] { return encoder.Released() == encoder.Pieces(); });
+    const int before = encoder.Pieces();
+    std::thread caller([&] {
+      const auto reply =
+        cluster.Send(gateway, "/s/x", absl::StrCat("early", gateway));
+      CHECK((reply && reply->status == 200));
+    });
+    Await("the second stage", [&] { return encoder.Pieces() == before + 5; });
+    const auto taken = TimeUntil(
+      absl::Seconds(5), [&] { return encoder.Released() == before + 2; });
+    CHECK(taken < absl::Milliseconds(callMs - 20));
+    caller.join();
+  }
+  // Each once: what has been given up early is not given up again.
+  Await("results to be given up",
+        [&] { return encoder.Released() == encoder.Pieces(); });
+  absl::SleepFor(absl::Milliseconds(200));
+  CHECK(encoder.Released() == encoder.Pieces());
+}
+
 TEST_CASE("A hall that falls silent is left as a whole", "[silent-hall]")
 {
   // A hall was cut off, and with it the box that made the calls of a service
