Gateway: boxes tell their shares of a core, coordinators are chosen by them

Cause: the choice of a pool's coordinator takes a box of 0.09 core for one of 0.3.

Change: setting cpu-share (template: limits.cpuQuota; empty: not told) travels in FollowRequest to the control boxes, and in their lists to all gateways. A value that can't be read is ignored, shown in the start line and counted: a hint must not keep a box from starting. A change of a share increments the revision of the list, and counts as a change of members, so that a new coordinator of limits begins with care.

Lists of control boxes of an older version tell no share: of several lists the larger share holds, and one that was told stays in effect.

--- a/Source/Control/wgControlMetrics.cxx
+++ b/Source/Control/wgControlMetrics.cxx
@@ -46,12 +46,13 @@
   const ControlGauges gauges = node_.Gauges();
   exchange->Respond(MakeResponse(
     static_cast<unsigned>(http::status::ok), "text/plain",
-    absl::StrCat(counters_.Print(), "weirgate_endpoints_known ",
-                 gauges.endpoints, "\nweirgate_followers ", gauges.followers,
-                 "\nweirgate_document_number ", gauges.documentNumber,
-                 "\nweirgate_leads ", gauges.leads ? 1 : 0,
-                 "\nweirgate_hall_orders ", gauges.hallOrders,
-                 "\nweirgate_halls_evacuated ", gauges.hallsEvacuated, "\n")));
+    absl::StrCat(
+      counters_.Print(), "weirgate_endpoints_known ", gauges.endpoints,
+      "\nweirgate_followers ", gauges.followers, "\nweirgate_document_number ",
+      gauges.documentNumber, "\nweirgate_leads ", gauges.leads ? 1 : 0,
+      "\nweirgate_hall_orders ", gauges.hallOrders,
+      "\nweirgate_halls_evacuated ", gauges.hallsEvacuated,
+      "\nweirgate_box_shares_unsound ", gauges.unsoundShares, "\n")));
 }
 
 } // namespace wg
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -68,6 +68,7 @@
   bool leads = false;
   std::uint64_t hallOrders = 0; // number of the newest that it has applied
   std::size_t hallsEvacuated = 0;
+  std::uint64_t unsoundShares = 0;
 };
 
 /** \class ControlNode
--- a/Source/Control/wgControlNodeDocuments.cxx
+++ b/Source/Control/wgControlNodeDocuments.cxx
@@ -42,6 +42,7 @@
   gauges.hallsEvacuated = static_cast<std::size_t>(
     std::count_if(state_.halls.halls.begin(), state_.halls.halls.end(),
                   [](const auto& pair) { return pair.second.evacuated; }));
+  gauges.unsoundShares = followers_.unsoundShares;
   return gauges;
 }
 
--- a/Source/Control/wgControlStatus.h
+++ b/Source/Control/wgControlStatus.h
@@ -20,6 +20,7 @@
   Elapsed heard;
   std::string address = {}; // empty: it shares no work
   Elapsed liveUntil = absl::ZeroDuration();
+  std::uint32_t cpuMilli = 0; // share of a core, in thousandths; 0: not told
 };
 
 absl::string_view Name(ReplicaRole role);
--- a/Source/Control/wgFollowers.cxx
+++ b/Source/Control/wgFollowers.cxx
@@ -6,6 +6,7 @@
 
 #include "wgCompression.h"
 #include "wgConfigText.h"
+#include "wgCoordinatorChoice.h"
 
 namespace wg {
 namespace {
@@ -24,6 +25,19 @@
   return now < box.liveUntil;
 }
 
+/** A box that tells none, or what can't be one, keeps the share that it told
+ * before.
+ */
+std::uint32_t TakeShare(Followers& followers, std::uint32_t known,
+                        std::uint32_t told)
+{
+  if (IsSoundShare(told)) {
+    return told;
+  }
+  followers.unsoundShares += told == 0 ? 0 : 1;
+  return known;
+}
+
 bool HasHallNews(const wire::FollowRequest& request,
                  const FollowedState& state)
 {
@@ -109,6 +123,7 @@
       follower.set_box(name);
       follower.set_hall(box.hall);
       follower.set_address(box.address);
+      follower.set_cpu_milli(box.cpuMilli);
     }
   }
   for (const std::string& control : state.controls) {
@@ -166,9 +181,12 @@
     absl::Milliseconds(std::max<std::int64_t>(request.wait_ms(), 0)), MaxWait);
   waiter.until = now + wait;
   FollowerBox& box = followers.boxes[request.box()];
-  const bool isNew = !IsLive(box, now) || box.address != request.address();
-  box = { request.hall(), request.have_revision(), now, request.address(),
-          waiter.until + LateAfter };
+  const std::uint32_t share =
+    TakeShare(followers, box.cpuMilli, request.cpu_milli());
+  const bool isNew = !IsLive(box, now) || box.address != request.address() ||
+                     box.cpuMilli != share;
+  box = { request.hall(),    request.have_revision(),  now,
+          request.address(), waiter.until + LateAfter, share };
   if (isNew && request.wants_registry()) {
     ++followers.revision;
   }
--- a/Source/Control/wgFollowers.h
+++ b/Source/Control/wgFollowers.h
@@ -28,8 +28,9 @@
 struct Followers
 {
   std::map<std::string, FollowerBox> boxes;
-  std::uint64_t revision = 0; // of the set of live boxes
+  std::uint64_t revision = 0; // of the live boxes and their shares of a core
   std::vector<FollowWaiter> waiting;
+  std::uint64_t unsoundShares = 0; // impossible ones that were ignored
 };
 
 /** \brief What followers are told of. */
--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -74,6 +74,7 @@
   request.set_box(self_.box);
   request.set_hall(self_.hall);
   request.set_address(self_.address);
+  request.set_cpu_milli(self_.cpuMilli);
   request.set_wants_registry(true);
   request.set_wait_ms(absl::ToInt64Milliseconds(FollowWait));
   request.set_have_document(std::max(held_, link.document));
@@ -170,13 +171,9 @@
     handler_.onRegistrationsEnd();
   }
   if (!sameMembers) {
-    link.members.clear();
-    for (const wire::Follower& follower : reply.followers()) {
-      link.members.push_back(
-        { follower.box(), follower.hall(), follower.address(), {} });
-    }
+    TakeFollowers(link, reply);
   }
-  if (!sameMembers || regained) {
+  if (!sameMembers || regained || HasUnsettled(shares_)) {
     TellMembers();
   }
   handler_.onReply(link.address, reply);
@@ -185,6 +182,22 @@
   AddControls({ reply.controls().begin(), reply.controls().end() });
 }
 
+void ControlFollower::TakeFollowers(Link& link, const wire::FollowReply& reply)
+{
+  link.members.clear();
+  for (const wire::Follower& follower : reply.followers()) {
+    GatewayMember& member = link.members.emplace_back();
+    member.box = follower.box();
+    member.hall = follower.hall();
+    member.address = follower.address();
+    if (IsSoundShare(follower.cpu_milli())) {
+      member.cpuMilli = follower.cpu_milli();
+    } else if (follower.cpu_milli() != 0 && handler_.onUnsoundShare) {
+      handler_.onUnsoundShare();
+    }
+  }
+}
+
 /** Asks for the next chunk of a document that is newer than the one held,
  * unless one is being asked for.
  */
@@ -279,14 +292,22 @@
       continue;
     }
     for (const GatewayMember& member : link.members) {
-      if (member.box != self_.box) {
-        members[member.box] = member;
+      if (member.box == self_.box) {
+        continue;
       }
+      // Lists of older versions tell no share. Of two shares the larger holds
+      // until all lists tell the new one, so that the choice changes once.
+      GatewayMember& merged = members[member.box];
+      const std::uint32_t share = std::max(merged.cpuMilli, member.cpuMilli);
+      merged = member;
+      merged.cpuMilli = share;
     }
   }
+  SettleShares(shares_, now);
   std::vector<GatewayMember> list;
   list.reserve(members.size());
   for (auto& [box, member] : members) {
+    member.cpuMilli = NoteShare(shares_, box, member.cpuMilli, now);
     list.push_back(std::move(member));
   }
   handler_.onMembers(std::move(list));
--- a/Source/Gateway/wgControlFollower.h
+++ b/Source/Gateway/wgControlFollower.h
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "wgCoordinatorChoice.h"
 #include "wgDecisionLog.h"
 #include "wgDocumentTransfer.h"
 #include "wgElapsed.h"
@@ -26,6 +27,7 @@
   std::string box;
   std::string hall;
   std::string address;
+  std::uint32_t cpuMilli = 0; // share of a core, in thousandths; 0: not told
 };
 
 /** \brief What is told of the control boxes' news. */
@@ -39,6 +41,8 @@
   /** After all registrations of one reply. */
   std::function<void()> onRegistrationsEnd;
   std::function<void(std::vector<GatewayMember>)> onMembers;
+  /** A box was listed with an impossible share of a core; it is ignored. */
+  std::function<void()> onUnsoundShare;
   /** Each reply, after the parts above. */
   std::function<void(const std::string& control, const wire::FollowReply&)>
     onReply;
@@ -91,6 +95,7 @@
   void OnWhole(const ReceivedDocument& document);
   absl::Duration PauseAfter(int failures) const;
   void OnFailure(Link& link, const std::string& why);
+  void TakeFollowers(Link& link, const wire::FollowReply& reply);
   void TellMembers();
 
   EventLoop& loop_;
@@ -103,6 +108,7 @@
   DocumentTransfer transfer_;
   LoopTimer chunkPause_;
   std::map<std::string, Link> links_;
+  BoxShares shares_;
 };
 
 } // namespace wg
--- a/Source/Gateway/wgGatewayMember.cxx
+++ b/Source/Gateway/wgGatewayMember.cxx
@@ -1,8 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgGatewayMember.h"
 
-#include <utility>
+#include <vector>
 
+#include "wgCoordinatorChoice.h"
 #include "wgEndpointChoice.h"
 
 namespace wg {
@@ -12,18 +13,20 @@
   const StagePoolKey& pool, const std::set<std::string>& silentHalls)
 {
   const std::string name = NameOf(pool);
-  const auto order = [&](const GatewayMember& member) {
+  const auto describe = [&](const GatewayMember& member, bool isAlive) {
     const bool isNear = pool.hall.empty() || member.hall == pool.hall;
-    return std::make_pair(isNear, RendezvousWeight(name, member.box));
+    return CoordinatorCandidate{ RendezvousWeight(name, member.box),
+                                 member.cpuMilli, isNear, isAlive };
   };
-  const GatewayMember* best = &self;
+  std::vector<CoordinatorCandidate> candidates;
+  candidates.reserve(others.size() + 1);
+  candidates.push_back(describe(self, true));
   for (const GatewayMember& member : others) {
     const bool isSilent = member.suspect || silentHalls.count(member.hall) > 0;
-    if (!isSilent && order(member) > order(*best)) {
-      best = &member;
-    }
+    candidates.push_back(describe(member, !isSilent));
   }
-  return *best;
+  const std::size_t chosen = ChooseByShare(candidates);
+  return chosen == 0 ? self : others[chosen - 1];
 }
 
 } // namespace wg
--- a/Source/Gateway/wgGatewayMember.h
+++ b/Source/Gateway/wgGatewayMember.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <cstdint>
 #include <set>
 #include <string>
 
@@ -21,12 +22,13 @@
   Elapsed heard{};      // when it last answered this box
   bool suspect = false; // until it answers again
   bool asked = false;   // whether it lives, and the answer is still to come
+  std::uint32_t cpuMilli = 0; // share of a core, in thousandths; 0: not told
 };
 
 /** \brief The box that makes the calls of a pool: of those that are not
- * suspected the highest in rendezvous order, in the pool's hall where there
- * are any. The box that asks is among the candidates; boxes of silent halls
- * are not.
+ * suspected the first in rendezvous order weighted by the boxes' shares of a
+ * core (ChooseByShare), in the pool's hall where there are any. The box that
+ * asks is among the candidates; boxes of silent halls are not.
  */
 const GatewayMember& ChooseCoordinator(
   const GatewayMember& self, absl::Span<const GatewayMember> others,
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -25,6 +25,7 @@
 
 GatewayNode::GatewayNode(GatewaySettings settings, const Dialect& dialect)
   : settings_(std::move(settings))
+  , cpuMilli_(ReadCpuShare(settings_.cpuShare))
   , dialect_(dialect)
   , log_(settings_.box, "gateway")
   , client_(loop_)
@@ -59,10 +60,10 @@
   peerClient_ = std::make_unique<PeerClient>(
     settings_.keys[std::string(PeerName)], PeerName);
   crashes_.SetPeers(*peerClient_);
-  stages_ = std::make_unique<StageClient>(
-    loop_, *peerClient_, coordinator_, directory_,
-    GatewayMember{ settings_.box, settings_.hall, settings_.peerAddress },
-    metrics_);
+  GatewayMember self{ settings_.box, settings_.hall, settings_.peerAddress };
+  self.cpuMilli = cpuMilli_;
+  stages_ = std::make_unique<StageClient>(loop_, *peerClient_, coordinator_,
+                                          directory_, self, metrics_);
   permits_.SetPeers(*peerClient_, *stages_);
   directory_.reach.own = settings_.hall;
   engines_ = std::make_unique<EngineClient>(loop_, *peerClient_, *stages_,
@@ -107,13 +108,21 @@
   handler.onMembers = [this](std::vector<GatewayMember> members) {
     stages_->SetMembers(std::move(members));
   };
+  handler.onUnsoundShare = [this] { metrics_.Count("box_shares_unsound"); };
   follower_ = std::make_unique<ControlFollower>(
     loop_, *peerClient_,
-    FollowerIdentity{ settings_.box, settings_.hall, settings_.peerAddress },
+    FollowerIdentity{ settings_.box, settings_.hall, settings_.peerAddress,
+                      cpuMilli_ },
     log_, std::move(handler));
   follower_->AddControls(settings_.controls);
+  if (!settings_.cpuShare.empty() && cpuMilli_ == 0) {
+    metrics_.Count("cpu_share_unsound");
+  }
   log_.Write(LogWeight::Notable, "start",
-             { { "hall", settings_.hall }, { "listen", settings_.listen } });
+             { { "hall", settings_.hall },
+               { "listen", settings_.listen },
+               { "cpu_share", settings_.cpuShare },
+               { "cpu_milli", cpuMilli_ } });
   return Done{};
 }
 
@@ -220,7 +229,8 @@
     table_ == nullptr ? 0 : table_->number, "\nweirgate_document_newest ",
     follower_->NewestDocument(), "\nweirgate_endpoints_known ",
     directory_.endpoints.size(), "\nweirgate_hall_orders ",
-    directory_.halls.newest, "\nweirgate_requests_open ", requests_.size(),
+    directory_.halls.newest, "\nweirgate_cpu_milli ", cpuMilli_,
+    "\nweirgate_requests_open ", requests_.size(),
     "\nweirgate_requests_kept_away ", crashes_.KeptAway(),
     "\nweirgate_peer_bytes_read ", peerClient_->BytesRead(),
     "\nweirgate_log_lines_left_out ", log_.LeftOut(), "\n");
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -31,6 +31,7 @@
   std::vector<std::string> controls;
   RetryRules retryRules;
   ColdBounds coldBounds;    // but for the rate, which each service has
+  std::string cpuShare;     // of a core, as set; empty: not told
   bool isRestarted = false; // and took requests before
   absl::Duration settleTime = absl::Seconds(3);
   absl::Duration stopLimit = absl::Seconds(7);
@@ -81,6 +82,7 @@
   std::string PrintMetrics() const;
 
   GatewaySettings settings_;
+  std::uint32_t cpuMilli_; // 0: not told
   const Dialect& dialect_;
   EventLoop loop_{ 1 };
   Counters counters_;
--- a/Source/Gateway/wgStageClient.cxx
+++ b/Source/Gateway/wgStageClient.cxx
@@ -87,6 +87,7 @@
     member.asked = known->asked;
     member.heard = known->heard;
     isChanged |= known->suspect && !member.suspect;
+    isChanged |= known->cpuMilli != member.cpuMilli; // may move coordinators
     *known = std::move(member);
   }
   if (isChanged) {
--- a/Tests/Control/wgFollowersTest.cxx
+++ b/Tests/Control/wgFollowersTest.cxx
@@ -152,3 +152,75 @@
   REQUIRE(next);
   CHECK(Find(*next, "e-h1")->warmup_ms() == 0);
 }
+
+namespace {
+
+/** A gateway's call, and what it is told at once. */
+std::optional<wg::wire::FollowReply> AskAs(ControlBox& box,
+                                           const std::string& name,
+                                           std::uint32_t cpuMilli,
+                                           wg::wire::FollowRequest request)
+{
+  request.set_box(name);
+  request.set_hall("h1");
+  request.set_address("10.0.0.1:1");
+  request.set_cpu_milli(cpuMilli);
+  request.set_wants_registry(true);
+  request.set_wait_ms(1000);
+  std::optional<wg::wire::FollowReply> told;
+  wg::FollowWaiter waiter{ request, {}, [&told](const std::string& bytes) {
+                            REQUIRE(told.emplace().ParseFromString(bytes));
+                          } };
+  wg::TakeFollow(box.followers, std::move(waiter),
+                 { &box.service, &box.registry, &box.crashes, {}, {} },
+                 box.now);
+  box.followers.waiting.clear();
+  return told;
+}
+
+std::uint32_t ShareIn(const wg::wire::FollowReply& reply,
+                      const std::string& box)
+{
+  for (const wg::wire::Follower& follower : reply.followers()) {
+    if (follower.box() == box) {
+      return follower.cpu_milli();
+    }
+  }
+  FAIL("not listed: " << box);
+  return 0;
+}
+
+} // namespace
+
+TEST_CASE("A box's share of a core is told to the others, and when it changes")
+{
+  ControlBox box;
+  AskAs(box, "large", 300, {});
+  const auto first = AskAs(box, "small", 90, {});
+  REQUIRE(first);
+  CHECK(ShareIn(*first, "large") == 300);
+  CHECK(ShareIn(*first, "small") == 90);
+  CHECK_FALSE(AskAs(box, "small", 90, After(*first)));
+  AskAs(box, "large", 500, {});
+  const auto second = AskAs(box, "small", 90, After(*first));
+  REQUIRE(second);
+  CHECK(ShareIn(*second, "large") == 500);
+}
+
+TEST_CASE("A box that tells no share, or an impossible one, keeps the last")
+{
+  ControlBox box;
+  AskAs(box, "large", 300, {});
+  AskAs(box, "older", 0, {});
+  const auto first = AskAs(box, "small", 90, {});
+  REQUIRE(first);
+  CHECK(ShareIn(*first, "older") == 0);
+  AskAs(box, "large", 0, {});
+  AskAs(box, "large", 4000000000U, {});
+  CHECK(box.followers.unsoundShares == 1);
+  // Nothing has changed: nobody is told.
+  CHECK_FALSE(AskAs(box, "small", 90, After(*first)));
+  const auto whole = AskAs(box, "small", 90, {});
+  REQUIRE(whole);
+  CHECK(ShareIn(*whole, "large") == 300);
+}
--- a/Utilities/Daemon/wgSettings.cxx
+++ b/Utilities/Daemon/wgSettings.cxx
@@ -125,6 +125,10 @@
                         1))
     , coldSlack_(
         Real("cold-slack", "gateway: requests that they bear beyond it", 0))
+    , cpuShare_(Text("cpu-share",
+                     "gateway: this box's share of a core, such as 0.09; "
+                     "empty: not told",
+                     ""))
     , retryPercent_(Real("retry-ratio",
                          "gateway: repetitions at a service, as a share of "
                          "its requests",
@@ -286,6 +290,7 @@
   NumberFlag changeLevel_;
   RealFlag coldOverrun_;
   RealFlag coldSlack_;
+  TextFlag cpuShare_;
   RealFlag retryPercent_;
   RealFlag retrySlack_;
   RealFlag retryWindow_;
@@ -517,6 +522,7 @@
   gateway.retryRules.window = absl::Seconds(retryWindow_.getValue());
   gateway.coldBounds.overrun = coldOverrun_.getValue();
   gateway.coldBounds.slack = coldSlack_.getValue();
+  gateway.cpuShare = cpuShare_.getValue();
   gateway.isRestarted = found_.getValue() != "true";
   gateway.settleTime = absl::Milliseconds(settle_.getValue());
   gateway.stopLimit = graceS_.getValue() > 0
