Tests: a share is kept beyond the settling time once its control box is lost

Seen: with the rule taken away by which a share stays where lists name none, the test still passed, as it looked 0.7 s after the loss and changes settle for 2 s. It now looks after 2.7 s and fails without the rule.

--- a/Tests/Gateway/wgUnevenBoxesTest.cxx
+++ b/Tests/Gateway/wgUnevenBoxesTest.cxx
@@ -266,7 +266,7 @@
     REQUIRE(small.WaitForShare(300));
     // The newer one is lost: the older one's list tells no share.
     newer.reset();
-    absl::SleepFor(absl::Milliseconds(700));
+    absl::SleepFor(wg::ShareSettleTime + absl::Milliseconds(700));
     const auto shares = small.Shares();
     CHECK(shares.back() == 300);
     int changes = 0;
