--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -32,6 +32,7 @@
   RetryRules retryRules;
   StageAdmission admission = StageAdmission::ByBox;
   ColdBounds coldBounds;    // but for the rate, which each service has
+  std::string cpuShare;     // of a core, as set; empty: not told
   bool isRestarted = false; // and took requests before
   absl::Duration settleTime = absl::Seconds(3);
   absl::Duration stopLimit = absl::Seconds(7);
@@ -84,6 +85,7 @@
   std::string PrintMetrics() const;
 
   GatewaySettings settings_;
+  std::uint32_t cpuMilli_; // 0: not told
   const Dialect& dialect_;
   EventLoop loop_{ 1 };
   Counters counters_;
--- a/Utilities/Daemon/wgSettings.cxx
+++ b/Utilities/Daemon/wgSettings.cxx
@@ -130,6 +130,10 @@
                         1))
     , coldSlack_(
         Real("cold-slack", "gateway: requests that they bear beyond it", 0))
+    , cpuShare_(Text("cpu-share",
+                     "gateway: this box's share of a core, such as 0.09; "
+                     "empty: not told",
+                     ""))
     , retryPercent_(Real("retry-ratio",
                          "gateway: repetitions at a service, as a share of "
                          "its requests",
@@ -292,6 +296,7 @@
   TextFlag admission_;
   RealFlag coldOverrun_;
   RealFlag coldSlack_;
+  TextFlag cpuShare_;
   RealFlag retryPercent_;
   RealFlag retrySlack_;
   RealFlag retryWindow_;
@@ -530,6 +535,7 @@
                         : StageAdmission::ByBox;
   gateway.coldBounds.overrun = coldOverrun_.getValue();
   gateway.coldBounds.slack = coldSlack_.getValue();
+  gateway.cpuShare = cpuShare_.getValue();
   gateway.isRestarted = found_.getValue() != "true";
   gateway.settleTime = absl::Milliseconds(settle_.getValue());
   gateway.stopLimit = graceS_.getValue() > 0
