Decision: shares of accounts in the work of a pool

Waiting work has no accounts: in a burst of which one account sends half, all accounts lose alike.

Decaying sums were ruled out: what a call was charged can't be taken back exactly once it has decayed.

Each case of wgAccountSharesTest was seen to fail with one rule of the module taken away (contention, margin, weights, window, settlement, validity, the unnamed account, what is left over given on).

--- /dev/null
+++ b/Tests/Decision/wgAccountSharesTest.cxx
@@ -0,0 +1,266 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <random>
+#include <string>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "absl/strings/str_cat.h"
+
+#include "wgAccountShares.h"
+
+namespace {
+
+using wg::Elapsed;
+
+constexpr Elapsed Now = absl::Seconds(1000);
+constexpr absl::Duration LongWait = absl::Seconds(1);
+const absl::Duration Step = wg::AccountWindow / wg::AccountSteps;
+
+bool Exceeds(const wg::AccountShares& shares,
+             const wg::AccountDemands& demands, const std::string& account)
+{
+  return UsesOnlyLeftovers(JudgeAccounts(shares, demands, LongWait, Now),
+                           account);
+}
+
+} // namespace
+
+TEST_CASE("Accounts are compared only while the pool is contended")
+{
+  wg::AccountShares shares;
+  ChargeWork(shares, { "large", 900.0 }, Now);
+  ChargeWork(shares, { "small", 100.0 }, Now);
+  const wg::AccountDemands demands = { { "large", { 500.0 } },
+                                       { "small", { 500.0 } } };
+  CHECK(
+    JudgeAccounts(shares, demands, wg::ContendedWait, Now).exceeded.empty());
+  const auto standings = JudgeAccounts(
+    shares, demands, wg::ContendedWait + absl::Milliseconds(1), Now);
+  CHECK(UsesOnlyLeftovers(standings, "large"));
+  CHECK_FALSE(UsesOnlyLeftovers(standings, "small"));
+  CHECK_FALSE(UsesOnlyLeftovers(standings, "unknown"));
+}
+
+TEST_CASE("A single account, or none, never exceeds a share")
+{
+  wg::AccountShares shares;
+  CHECK(JudgeAccounts(shares, {}, LongWait, Now).exceeded.empty());
+  ChargeWork(shares, { "", 900.0 }, Now);
+  CHECK(JudgeAccounts(shares, {}, LongWait, Now).exceeded.empty());
+  CHECK(JudgeAccounts(shares, { { "", { 5000.0 } } }, LongWait, Now)
+          .exceeded.empty());
+}
+
+TEST_CASE("Work without an account counts towards one unnamed account")
+{
+  wg::AccountShares shares;
+  for (int i = 0; i < 10; ++i) {
+    ChargeWork(shares, { "", 100.0 }, Now);
+  }
+  ChargeWork(shares, { "a", 100.0 }, Now);
+  CHECK(wg::UsedMs(shares, "", Now) == Approx(1000.0));
+  const wg::AccountDemands demands = { { "", { 100.0 } }, { "a", { 900.0 } } };
+  CHECK(Exceeds(shares, demands, ""));
+  CHECK_FALSE(Exceeds(shares, demands, "a"));
+}
+
+TEST_CASE("What accounts with little demand leave goes to the others")
+{
+  // 1,000 ms: 100 to the first, which wants no more, 450 to each of the
+  // others.
+  wg::AccountShares shares;
+  ChargeWork(shares, { "little", 80.0 }, Now);
+  ChargeWork(shares, { "middle", 350.0 }, Now);
+  ChargeWork(shares, { "much", 570.0 }, Now);
+  const wg::AccountDemands demands = { { "little", { 20.0 } },
+                                       { "middle", { 400.0 } },
+                                       { "much", { 400.0 } } };
+  const auto standings = JudgeAccounts(shares, demands, LongWait, Now);
+  REQUIRE(standings.exceeded.size() == 1);
+  CHECK(standings.exceeded.at("much").used == Approx(570.0));
+  CHECK(standings.exceeded.at("much").share == Approx(450.0));
+}
+
+TEST_CASE("Shares follow weights")
+{
+  // 900 ms by weights of 2 and 1: 600 and 300.
+  wg::AccountShares shares;
+  ChargeWork(shares, { "double", 550.0, 2.0 }, Now);
+  ChargeWork(shares, { "single", 350.0, 1.0 }, Now);
+  const wg::AccountDemands demands = { { "double", { 2000.0, 2.0 } },
+                                       { "single", { 2000.0, 1.0 } } };
+  CHECK_FALSE(Exceeds(shares, demands, "double"));
+  CHECK(Exceeds(shares, demands, "single"));
+}
+
+TEST_CASE("Accounts that differ by a few pieces are not held back")
+{
+  // 1 % above the share is chance: a call carries dozens of pieces.
+  wg::AccountShares shares;
+  ChargeWork(shares, { "a", 1020.0 }, Now);
+  ChargeWork(shares, { "b", 1000.0 }, Now);
+  const wg::AccountDemands demands = { { "a", { 2000.0 } },
+                                       { "b", { 2000.0 } } };
+  CHECK(JudgeAccounts(shares, demands, LongWait, Now).exceeded.empty());
+}
+
+TEST_CASE("Work leaves the window step by step")
+{
+  wg::AccountShares shares;
+  ChargeWork(shares, { "a", 100.0 }, Now);
+  ChargeWork(shares, { "a", 200.0 }, Now + Step);
+  CHECK(UsedMs(shares, "a", Now + Step) == Approx(300.0));
+  CHECK(UsedMs(shares, "a", Now + wg::AccountWindow - Step) == Approx(300.0));
+  CHECK(UsedMs(shares, "a", Now + wg::AccountWindow) == Approx(200.0));
+  CHECK(UsedMs(shares, "a", Now + wg::AccountWindow + Step) == 0.0);
+  CHECK(UsedMs(shares, "a", Now + absl::Hours(1)) == 0.0);
+  SECTION("and so after a pause, in steps that are used again")
+  {
+    const Elapsed later = Now + 3 * wg::AccountWindow;
+    ChargeWork(shares, { "a", 50.0 }, later);
+    CHECK(UsedMs(shares, "a", later) == Approx(50.0));
+  }
+  SECTION("accounts without work in it are forgotten")
+  {
+    ChargeWork(shares, { "b", 50.0 }, Now + 2 * wg::AccountWindow);
+    CHECK(shares.accounts.size() == 1);
+    CHECK(shares.accounts.contains("b"));
+  }
+}
+
+TEST_CASE("What was charged for a call is replaced by what it took")
+{
+  wg::AccountShares shares;
+  const wg::AccountWork call{ "a", 300.0 };
+  ChargeWork(shares, call, Now);
+  ChargeWork(shares, { "a", 100.0 }, Now);
+  SECTION("it took longer")
+  {
+    CHECK(SettleWork(shares, call, 700.0, Now, Now + Step));
+    CHECK(UsedMs(shares, "a", Now + Step) == Approx(800.0));
+    // The whole of it leaves the window with the step that it began in.
+    CHECK(UsedMs(shares, "a", Now + wg::AccountWindow) == 0.0);
+  }
+  SECTION("it was not run")
+  {
+    CHECK(SettleWork(shares, call, 0.0, Now, Now + Step));
+    CHECK(UsedMs(shares, "a", Now + Step) == Approx(100.0));
+  }
+  SECTION("it ended after its step had left the window")
+  {
+    const Elapsed later = Now + wg::AccountWindow + Step;
+    ChargeWork(shares, { "a", 70.0 }, later);
+    CHECK(SettleWork(shares, call, 0.0, Now, later));
+    CHECK(UsedMs(shares, "a", later) == Approx(70.0));
+  }
+  SECTION("the account was forgotten meanwhile")
+  {
+    CHECK(SettleWork(shares, { "gone", 300.0 }, 0.0, Now, Now + Step));
+    CHECK(UsedMs(shares, "gone", Now + Step) == 0.0);
+  }
+}
+
+TEST_CASE("Invalid work changes nothing")
+{
+  wg::AccountShares shares;
+  const wg::AccountWork call{ "a", 100.0 };
+  REQUIRE(ChargeWork(shares, call, Now));
+  const double nan = std::numeric_limits<double>::quiet_NaN();
+  const double infinite = std::numeric_limits<double>::infinity();
+  for (const double bad : { nan, infinite, -infinite, -1.0, 1e9, 1e300 }) {
+    CAPTURE(bad);
+    CHECK_FALSE(ChargeWork(shares, { "a", bad }, Now));
+    CHECK_FALSE(ChargeWork(shares, { "new", bad }, Now));
+    CHECK_FALSE(ChargeWork(shares, { "a", 1.0, bad - 2.0 }, Now));
+    CHECK_FALSE(SettleWork(shares, call, bad, Now, Now));
+    CHECK_FALSE(SettleWork(shares, { "a", bad }, 1.0, Now, Now));
+    // Such demand counts as none, and does not spread to other accounts.
+    const wg::AccountDemands demands = { { "a", { bad } }, { "b", { 50.0 } } };
+    CHECK_FALSE(Exceeds(shares, demands, "b"));
+  }
+  CHECK_FALSE(SettleWork(shares, call, 1.0, Now + Step, Now)); // future
+  CHECK_FALSE(ChargeWork(shares, { "a", 1.0 }, -Step));
+  CHECK(UsedMs(shares, "a", Now) == Approx(100.0));
+  CHECK(shares.accounts.size() == 1);
+}
+
+TEST_CASE("Work that is told of late counts in the newest step")
+{
+  wg::AccountShares shares;
+  ChargeWork(shares, { "a", 100.0 }, Now);
+  ChargeWork(shares, { "a", 10.0 }, Now - absl::Seconds(1));
+  CHECK(UsedMs(shares, "a", Now + wg::AccountWindow - Step) == Approx(110.0));
+}
+
+TEST_CASE("Shares of any accounts are those of weighted max-min")
+{
+  std::mt19937_64 random(7);
+  std::uniform_real_distribution<double> ms(0.0, 1000.0);
+  std::uniform_real_distribution<double> weight(0.5, 4.0);
+  std::uniform_int_distribution<int> coin(0, 1);
+  for (int round = 0; round < 300; ++round) {
+    struct Account
+    {
+      std::string name;
+      double used, waiting, weight;
+    };
+    std::vector<Account> accounts(2 + random() % 30);
+    wg::AccountShares shares;
+    wg::AccountDemands demands;
+    double used = 0.0;
+    for (std::size_t i = 0; i < accounts.size(); ++i) {
+      Account& a = accounts[i];
+      a = { absl::StrCat("account-", i), coin(random) * ms(random),
+            coin(random) * ms(random), weight(random) };
+      used += a.used;
+      if (a.used > 0.0) {
+        ChargeWork(shares, { a.name, a.used, a.weight }, Now);
+      }
+    }
+    for (const Account& a : accounts) {
+      if (a.waiting > 0.0) {
+        demands[a.name] = { a.waiting, a.weight };
+      }
+    }
+    // The level by bisection: the least that gives out all that was used.
+    double low = 0.0;
+    double high = 1e6;
+    for (int i = 0; i < 100; ++i) {
+      const double level = (low + high) / 2;
+      double given = 0.0;
+      for (const Account& a : accounts) {
+        given += std::min(a.used + a.waiting, level * a.weight);
+      }
+      (given < used - 1e-6 ? low : high) = level;
+    }
+    const auto standings = JudgeAccounts(shares, demands, LongWait, Now);
+    for (const Account& a : accounts) {
+      CAPTURE(round, a.name, a.used, a.waiting, a.weight, high);
+      const bool exceeds = UsesOnlyLeftovers(standings, a.name);
+      if (a.used > 1.06 * high * a.weight) {
+        CHECK(exceeds);
+      }
+      if (a.used < 1.04 * high * a.weight) {
+        CHECK_FALSE(exceeds);
+      }
+    }
+    CHECK(standings.exceeded.size() < accounts.size());
+  }
+}
+
+TEST_CASE("The accounts furthest above their shares are told first")
+{
+  wg::AccountStandings standings;
+  for (int i = 0; i < 9; ++i) {
+    standings.exceeded[absl::StrCat("account-", i)] = { 200.0 + i * 10.0,
+                                                        150.0 };
+  }
+  CHECK(MostExceeding(standings, 2) ==
+        std::vector<std::string>{ "account-8", "account-7" });
+  CHECK(MostExceeding(standings, 20).size() == 9);
+  CHECK(wg::MostExceeding({}, 5).empty());
+}
