Stages: accounts above their shares go behind others of their rank

Pieces are ordered by time and rank, whoever sends them: of a burst of 2.4 times what a pool serves, half of it from one of 16 accounts, every account gets the same two fifths.

Calls are charged to the accounts of their pieces as they are made, and settled by what they took. Keys stay per piece: the order is strict and weak, and linear to make. Comparing accounts within the comparison was ruled out: it is not transitive across ranks, as these are joined by time.

--- a/Source/Gateway/wgStagePool.cxx
+++ b/Source/Gateway/wgStagePool.cxx
@@ -7,6 +7,8 @@
 #include <tuple>
 #include <utility>
 
+#include "absl/container/btree_map.h"
+
 namespace wg {
 namespace {
 
@@ -22,6 +24,7 @@
  * waits behind a burst would be given up for good.
  */
 constexpr double LeastSpare = 0.02;
+constexpr double MsInSecond = 1e3;
 constexpr double SlownessWeight = 0.3;
 constexpr double SlownessMemorySeconds = 2.0;
 constexpr double LeastSlowness = 0.5;
@@ -37,16 +40,18 @@
 struct PieceOrder
 {
   bool late = false;
-  int rank = 0;        // of what is late
-  absl::Duration time; // in time: until when; late: what comes after it
+  int rank = 0;          // of what is late
+  absl::Duration time;   // in time: until when; late: what comes after it
+  bool exceeds = false;  // of an account above its share
+  absl::Duration within; // of such: its own time, where `time` is a later one
   std::uint64_t ticket = 0;
   std::size_t index = 0; // where it stands now
 };
 
 bool GoesBefore(const PieceOrder& a, const PieceOrder& b)
 {
-  return std::tie(a.late, a.rank, a.time, a.ticket) <
-         std::tie(b.late, b.rank, b.time, b.ticket);
+  return std::tie(a.late, a.rank, a.time, a.exceeds, a.within, a.ticket) <
+         std::tie(b.late, b.rank, b.time, b.exceeds, b.within, b.ticket);
 }
 
 /** Of those that are late anyway, what is nearest to its end goes first. */
@@ -58,10 +63,67 @@
   order.rank = order.late ? piece.rank : 0;
   order.time =
     order.late ? TimeAfter(piece) : piece.finishBy + piece.rank * RankLead;
+  order.within = order.time;
   order.ticket = piece.ticket;
   return order;
 }
 
+/** Orders pieces while some accounts exceed their shares. Pieces of these
+ * take the latest time of the others as theirs: each piece still has a key of
+ * its own, which keeps the order strict and weak and its cost linear, and the
+ * pieces of the others keep their order, also across ranks.
+ */
+class ShareOrder
+{
+public:
+  explicit ShareOrder(const AccountStandings& standings)
+    : standings_(standings)
+  {
+  }
+
+  bool IsNeeded() const { return !standings_.exceeded.empty(); }
+
+  /** To be called for all pieces before any is moved back. Pieces of one work
+   * stand together mostly: their account is looked up once.
+   */
+  void Note(const StagePiece& piece, PieceOrder& order)
+  {
+    if (account_ == nullptr || *account_ != piece.account) {
+      account_ = &piece.account;
+      exceeds_ = UsesOnlyLeftovers(standings_, piece.account);
+    }
+    order.exceeds = exceeds_;
+    if (!exceeds_) {
+      auto [found, isNew] =
+        latest_.try_emplace({ order.late, piece.rank }, order.time);
+      found->second = std::max(found->second, order.time);
+    }
+  }
+
+  /** Also behind better ranks: pieces that exceed in a worse rank would
+   * otherwise go before those in a better one.
+   */
+  void MoveBack(const StagePiece& piece, PieceOrder& order) const
+  {
+    if (!order.exceeds) {
+      return;
+    }
+    for (const auto& [group, time] : latest_) {
+      const auto [late, rank] = group;
+      const bool counts =
+        late == order.late && (late ? rank == piece.rank : rank <= piece.rank);
+      order.time = counts ? std::max(order.time, time) : order.time;
+    }
+  }
+
+private:
+  const AccountStandings& standings_;
+  const std::string* account_ = nullptr;
+  bool exceeds_ = false;
+  /** Of the pieces that do not exceed, by whether they are late, and rank. */
+  absl::btree_map<std::pair<bool, int>, absl::Duration> latest_;
+};
+
 /** A call that is late is taken to last as long again as it is late. */
 double BusySeconds(const StageServer& server, Elapsed now)
 {
@@ -265,29 +327,6 @@
   return batch;
 }
 
-/** Boxes have a tenth of a core: each piece is judged once, not in each
- * comparison.
- */
-void SortWaiting(StagePool& pool, Elapsed now)
-{
-  std::vector<PieceOrder> orders;
-  orders.reserve(pool.waiting.size());
-  for (const StagePiece& piece : pool.waiting) {
-    orders.push_back(OrderOf(piece, pool.limits, now));
-    orders.back().index = orders.size() - 1;
-  }
-  if (std::is_sorted(orders.begin(), orders.end(), GoesBefore)) {
-    return;
-  }
-  std::sort(orders.begin(), orders.end(), GoesBefore);
-  std::vector<StagePiece> sorted;
-  sorted.reserve(orders.size());
-  for (const PieceOrder& order : orders) {
-    sorted.push_back(std::move(pool.waiting[order.index]));
-  }
-  pool.waiting = std::move(sorted);
-}
-
 /** What the wait of a piece follows from. */
 struct BacklogTimes
 {
@@ -332,6 +371,75 @@
   return times.soonest + fullCalls * each / static_cast<double>(times.usable);
 }
 
+/** Of each piece that waits, regardless of accounts. */
+std::vector<PieceOrder> ListOrders(const StagePool& pool, Elapsed now)
+{
+  std::vector<PieceOrder> orders;
+  orders.reserve(pool.waiting.size());
+  for (const StagePiece& piece : pool.waiting) {
+    orders.push_back(OrderOf(piece, pool.limits, now));
+    orders.back().index = orders.size() - 1;
+  }
+  return orders;
+}
+
+/** Moves back what exceeds its share, where anything does. */
+void OrderByShares(StagePool& pool, absl::Span<PieceOrder> orders, Elapsed now)
+{
+  const AccountStandings standings = JudgeAccounts(pool, now);
+  ShareOrder shares(standings);
+  if (shares.IsNeeded()) {
+    for (PieceOrder& order : orders) {
+      shares.Note(pool.waiting[order.index], order);
+    }
+    for (PieceOrder& order : orders) {
+      shares.MoveBack(pool.waiting[order.index], order);
+    }
+  }
+  for (const PieceOrder& order : orders) {
+    pool.waiting[order.index].exceeds = order.exceeds;
+  }
+}
+
+/** Boxes have a tenth of a core: each piece is judged once, not in each
+ * comparison.
+ */
+void SortWaiting(StagePool& pool, Elapsed now)
+{
+  std::vector<PieceOrder> orders = ListOrders(pool, now);
+  OrderByShares(pool, absl::MakeSpan(orders), now);
+  if (std::is_sorted(orders.begin(), orders.end(), GoesBefore)) {
+    return;
+  }
+  std::sort(orders.begin(), orders.end(), GoesBefore);
+  std::vector<StagePiece> sorted;
+  sorted.reserve(orders.size());
+  for (const PieceOrder& order : orders) {
+    sorted.push_back(std::move(pool.waiting[order.index]));
+  }
+  pool.waiting = std::move(sorted);
+}
+
+/** What part of a call is each account's, by its pieces. */
+absl::flat_hash_map<absl::string_view, double> DivideCall(
+  const StageCall& call)
+{
+  const double part = 1.0 / static_cast<double>(call.pieces.size());
+  absl::flat_hash_map<absl::string_view, double> parts;
+  for (const StagePiece& piece : call.pieces) {
+    parts[piece.account] += part;
+  }
+  return parts;
+}
+
+void ChargeStageCall(StagePool& pool, const StageCall& call, Elapsed now)
+{
+  for (const auto& [account, part] : DivideCall(call)) {
+    ChargeWork(pool.shares,
+               { account, part * call.expectedSeconds * MsInSecond }, now);
+  }
+}
+
 } // namespace
 
 bool IsLate(const StagePiece& piece, const StageLimits& limits, Elapsed now)
@@ -362,9 +470,54 @@
   call.pieces = TakeBatch(pool, *server, now);
   call.expectedSeconds = SlownessNow(*server, now) *
                          ExpectedCallSeconds(pool.limits, call.pieces.size());
+  call.exceeding = static_cast<std::size_t>(
+    std::count_if(call.pieces.begin(), call.pieces.end(),
+                  [](const StagePiece& piece) { return piece.exceeds; }));
+  ChargeStageCall(pool, call, now);
   return call;
 }
 
+bool SettleStageCall(StagePool& pool, const StageCall& call, double seconds,
+                     Elapsed started, Elapsed now)
+{
+  bool isValid = true;
+  for (const auto& [account, part] : DivideCall(call)) {
+    const AccountWork charged{ account,
+                               part * call.expectedSeconds * MsInSecond };
+    isValid &= SettleWork(pool.shares, charged, part * seconds * MsInSecond,
+                          started, now);
+  }
+  return isValid;
+}
+
+AccountDemands DemandsOf(const StagePool& pool)
+{
+  const double msOfPiece =
+    ExpectedCallSeconds(pool.limits, pool.limits.batch) * MsInSecond /
+    static_cast<double>(pool.limits.batch);
+  AccountDemands demands;
+  AccountDemand* demand = nullptr;
+  const std::string* account = nullptr;
+  for (const StagePiece& piece : pool.waiting) {
+    if (account == nullptr || *account != piece.account) {
+      account = &piece.account;
+      demand = &demands[piece.account];
+    }
+    demand->ms += msOfPiece;
+  }
+  return demands;
+}
+
+AccountStandings JudgeAccounts(const StagePool& pool, Elapsed now)
+{
+  const absl::Duration wait = absl::Seconds(WaitSeconds(
+    pool, TimeBacklog(pool, now), static_cast<double>(pool.waiting.size())));
+  if (wait <= ContendedWait) { // spares the demands
+    return {};
+  }
+  return JudgeAccounts(pool.shares, DemandsOf(pool), wait, now);
+}
+
 std::vector<StagePiece> TakeHopelessPieces(StagePool& pool, Elapsed now)
 {
   SortWaiting(pool, now);
@@ -418,12 +571,30 @@
 double ExpectedWaitSeconds(const StagePool& pool, const StagePiece& piece,
                            std::size_t piecesOfWork, Elapsed now)
 {
-  const PieceOrder own = OrderOf(piece, pool.limits, now);
-  const auto ahead = static_cast<std::size_t>(
-    std::count_if(pool.waiting.begin(), pool.waiting.end(),
-                  [&pool, &own, now](const StagePiece& other) {
-                    return GoesBefore(OrderOf(other, pool.limits, now), own);
-                  }));
+  return ExpectedWaitSeconds(pool, piece, piecesOfWork,
+                             JudgeAccounts(pool, now), now);
+}
+
+double ExpectedWaitSeconds(const StagePool& pool, const StagePiece& piece,
+                           std::size_t piecesOfWork,
+                           const AccountStandings& standings, Elapsed now)
+{
+  std::vector<PieceOrder> orders = ListOrders(pool, now);
+  PieceOrder own = OrderOf(piece, pool.limits, now);
+  ShareOrder shares(standings);
+  if (shares.IsNeeded()) {
+    for (PieceOrder& order : orders) {
+      shares.Note(pool.waiting[order.index], order);
+    }
+    shares.Note(piece, own);
+    for (PieceOrder& order : orders) {
+      shares.MoveBack(pool.waiting[order.index], order);
+    }
+    shares.MoveBack(piece, own);
+  }
+  const auto ahead = static_cast<std::size_t>(std::count_if(
+    orders.begin(), orders.end(),
+    [&own](const PieceOrder& order) { return GoesBefore(order, own); }));
   const std::size_t last = ahead + piecesOfWork - 1;
   return WaitSeconds(pool, TimeBacklog(pool, now), static_cast<double>(last));
 }
--- a/Source/Gateway/wgStagePool.h
+++ b/Source/Gateway/wgStagePool.h
@@ -10,6 +10,7 @@
 
 #include "absl/types/span.h"
 
+#include "wgAccountShares.h"
 #include "wgElapsed.h"
 #include "wgRouteTable.h"
 
@@ -24,6 +25,7 @@
   std::uint32_t stage = 0;
   std::uint32_t piece = 0;
   std::string key;
+  std::string account; // that the work is done for; empty: none was given
   /** Handles of results, the same for all pieces of a work; null: none. */
   std::shared_ptr<const std::vector<std::string>> inputs;
   std::string hall;               // where it had best be made
@@ -35,6 +37,8 @@
   Elapsed deadline; // when its request is given up
   int rank = 0;
   int attempts = 0;
+  /** Whether its account was above its share when it was last judged. */
+  bool exceeds = false;
 };
 
 /** \brief A call that is at work at an endpoint. */
@@ -65,7 +69,8 @@
   std::vector<StageServer> servers;
   /** Of the places of the last calls, what pieces in time left free. */
   double spareShare = 1.0;
-  Elapsed judgedAt; // when it was last looked for hopeless pieces
+  AccountShares shares; // the work of accounts, charged as calls are made
+  Elapsed judgedAt;     // when it was last looked for hopeless pieces
 };
 
 /** \brief A call to be made now. Its pieces no longer wait. */
@@ -74,6 +79,7 @@
   std::string server;
   std::vector<StagePiece> pieces;
   double expectedSeconds = 0.0;
+  std::size_t exceeding = 0; // pieces of accounts above their shares
 };
 
 /** \brief Whether its request can no longer be answered when it ought to be,
@@ -85,13 +91,34 @@
  * room, or would not be done sooner than one that is about to be free.
  *
  * Pieces of requests that can still be answered when they ought to be go
- * before those that can't, and of these the earliest due first. All that
- * waits goes into one call, up to the batch: a call takes long even for one
- * piece, and pieces gather while all endpoints are at work. A piece that
- * would move much between halls waits a while for an endpoint in its own.
+ * before those that can't, and of these the earliest due first. While the
+ * pool is contended, pieces of accounts above their shares go behind all
+ * others of their rank and of better ones. All that waits goes into one call,
+ * up to the batch: a call takes long even for one piece, and pieces gather
+ * while all endpoints are at work. A piece that would move much between halls
+ * waits a while for an endpoint in its own.
+ *
+ * The call is charged to the accounts of its pieces with what it should take.
  */
 std::optional<StageCall> NextStageCall(StagePool& pool, Elapsed now);
 
+/** \brief Replaces what was charged for a call by what it took.
+ * \param seconds 0 for a call that was not run
+ * \return false if that is not valid: what was charged is kept
+ */
+bool SettleStageCall(StagePool& pool, const StageCall& call, double seconds,
+                     Elapsed started, Elapsed now);
+
+/** \brief The work that waits, by account. Valid until `pool.waiting`
+ * changes.
+ */
+AccountDemands DemandsOf(const StagePool& pool);
+
+/** \brief The accounts that exceed their shares now. The pool's wait counts
+ * late pieces too, as accounts compete for the places that are left to them.
+ */
+AccountStandings JudgeAccounts(const StagePool& pool, Elapsed now);
+
 /** \brief Takes out the pieces whose requests are known to end unserved:
  * behind what goes before them, they and what comes after them would be made
  * only after their requests are given up.
@@ -116,6 +143,11 @@
 double ExpectedWaitSeconds(const StagePool& pool, const StagePiece& piece,
                            std::size_t piecesOfWork, Elapsed now);
 
+/** \brief The same, where accounts have been judged already. */
+double ExpectedWaitSeconds(const StagePool& pool, const StagePiece& piece,
+                           std::size_t piecesOfWork,
+                           const AccountStandings& standings, Elapsed now);
+
 /** \brief Takes the time of a call into the endpoint's slowness. */
 void NoteCallTime(StageServer& server, double expected, double seconds,
                   Elapsed now);
--- a/Tests/Gateway/wgStagePoolTest.cxx
+++ b/Tests/Gateway/wgStagePoolTest.cxx
@@ -1,4 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <algorithm>
+#include <limits>
+#include <random>
+#include <string>
+#include <utility>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include "wgStagePool.h"
@@ -331,3 +338,419 @@
   REQUIRE(call);
   CHECK(call->server == "s0");
 }
+
+namespace {
+
+constexpr int Accounts = 16;
+constexpr int PiecesOfWork = 6;
+constexpr double BurstDemand = 2.4; // of what the pool serves
+
+/** A pool of five endpoints that serves 816 pieces a second. */
+wg::StagePool MakeBurstPool()
+{
+  wg::StagePool pool;
+  pool.limits.batch = 64;
+  pool.limits.callSeconds = 0.2;
+  pool.limits.pieceSeconds = 0.003;
+  for (int i = 0; i < 5; ++i) {
+    wg::StageServer server;
+    server.id = "s" + std::to_string(i);
+    pool.servers.push_back(server);
+  }
+  return pool;
+}
+
+/** Account 0 sends `largest` of the works, the others the same each. */
+int DrawAccount(double largest, std::mt19937_64& random)
+{
+  std::uniform_real_distribution<double> share(0.0, 1.0);
+  std::uniform_int_distribution<int> other(1, Accounts - 1);
+  return share(random) < largest ? 0 : other(random);
+}
+
+struct ReplayLoad
+{
+  double largest = 0.5; // the share of the works that account 0 sends
+  int chatsInTen = 0;   // chats of rank 1; the others are summaries of rank 2
+  unsigned seed = 1;
+};
+
+struct ReplayWork
+{
+  int account = 0;
+  int missing = PiecesOfWork;
+  wg::Elapsed finishBy;
+  bool inBurst = false;
+  bool refused = false;
+  bool late = false;
+};
+
+/** Plays 3 s of 0.7 of what the pool serves, a burst of 6 s, and 4 s of rest.
+ * Works are refused as by the coordinator, at three quarters of their aim.
+ */
+class BurstReplay
+{
+public:
+  BurstReplay(const ReplayLoad& load, bool tellsAccounts)
+    : load_(load)
+    , tellsAccounts_(tellsAccounts)
+    , random_(load.seed)
+  {
+    for (int ms = 0; ms < 13000; ms += 5) {
+      Tick(ms);
+    }
+  }
+
+  /** The share of an account's works in the burst that were in time. */
+  double Served(int account) const
+  {
+    return ServedOf(
+      [account](const ReplayWork& w) { return w.account == account; });
+  }
+  double ServedOfAll() const
+  {
+    return ServedOf([](const ReplayWork&) { return true; });
+  }
+  double ServedOfSmallest() const
+  {
+    double least = 1.0;
+    for (int account = 1; account < Accounts; ++account) {
+      least = std::min(least, Served(account));
+    }
+    return least;
+  }
+
+private:
+  using Calls = std::vector<std::pair<wg::Elapsed, wg::StageCall>>;
+
+  template <class Counts>
+  double ServedOf(Counts counts) const
+  {
+    int all = 0;
+    int served = 0;
+    for (const ReplayWork& work : works_) {
+      if (work.inBurst && counts(work)) {
+        ++all;
+        served += work.missing == 0 && !work.refused && !work.late ? 1 : 0;
+      }
+    }
+    return static_cast<double>(served) / std::max(all, 1);
+  }
+
+  void Tick(int ms)
+  {
+    const wg::Elapsed now = Now + absl::Milliseconds(ms);
+    EndCalls(now);
+    const bool inBurst = ms >= 3000 && ms < 9000;
+    const double demand = inBurst ? BurstDemand : ms < 3000 ? 0.7 : 0.0;
+    std::poisson_distribution<int> works(demand * 816 / PiecesOfWork * 0.005);
+    for (int i = demand > 0.0 ? works(random_) : 0; i > 0; --i) {
+      Submit(inBurst, now);
+    }
+    if (ms % 25 == 0) {
+      wg::TakeHopelessPieces(pool_, now);
+    }
+    while (auto call = wg::NextStageCall(pool_, now)) {
+      for (wg::StageServer& server : pool_.servers) {
+        if (server.id == call->server) {
+          server.calls[++calls_] = { now, call->expectedSeconds };
+        }
+      }
+      running_.emplace_back(now, std::move(*call));
+    }
+  }
+
+  void Submit(bool inBurst, wg::Elapsed now)
+  {
+    std::uniform_int_distribution<int> tenth(0, 9);
+    const bool isChat = tenth(random_) < load_.chatsInTen;
+    const absl::Duration aim = absl::Milliseconds(isChat ? 1500 : 3000);
+    ReplayWork work;
+    work.account = DrawAccount(load_.largest, random_);
+    work.inBurst = inBurst;
+    wg::StagePiece piece;
+    piece.ticket = std::numeric_limits<std::uint64_t>::max();
+    piece.rank = isChat ? 1 : 2;
+    piece.due = now + aim;
+    piece.finishBy = piece.due - absl::Milliseconds(400);
+    piece.deadline = now + absl::Seconds(isChat ? 15 : 6);
+    piece.account =
+      tellsAccounts_ ? "account-" + std::to_string(work.account) : "";
+    work.finishBy = piece.finishBy;
+    work.refused =
+      absl::Seconds(wg::ExpectedWaitSeconds(pool_, piece, PiecesOfWork, now)) >
+      0.75 * aim;
+    for (int i = 0; i < PiecesOfWork && !work.refused; ++i) {
+      piece.ticket = works_.size() * PiecesOfWork + i;
+      pool_.waiting.push_back(piece);
+    }
+    works_.push_back(work);
+  }
+
+  void EndCalls(wg::Elapsed now)
+  {
+    Calls left;
+    for (auto& [started, call] : running_) {
+      if (now < started + absl::Seconds(call.expectedSeconds)) {
+        left.emplace_back(started, std::move(call));
+        continue;
+      }
+      for (wg::StageServer& server : pool_.servers) {
+        if (server.id == call.server) {
+          server.calls.clear();
+        }
+      }
+      for (const wg::StagePiece& piece : call.pieces) {
+        ReplayWork& work = works_[piece.ticket / PiecesOfWork];
+        --work.missing;
+        work.late |= now > work.finishBy;
+      }
+      wg::SettleStageCall(pool_, call, call.expectedSeconds, started, now);
+    }
+    running_ = std::move(left);
+  }
+
+  ReplayLoad load_;
+  bool tellsAccounts_;
+  std::mt19937_64 random_;
+  wg::StagePool pool_ = MakeBurstPool();
+  std::vector<ReplayWork> works_;
+  Calls running_;
+  std::uint64_t calls_ = 0;
+};
+
+/** Pieces of three accounts and ranks, some of them late; five endpoints at
+ * work, and one that is free.
+ */
+wg::StagePool DrawPool(std::mt19937_64& random, std::size_t pieces)
+{
+  wg::StagePool pool = MakeBurstPool();
+  pool.limits.batch = 1; // each call tells the next piece of the order
+  std::uniform_int_distribution<int> number(0, 2);
+  std::uniform_int_distribution<int> ms(-500, 3000);
+  for (std::size_t i = 0; i < pieces; ++i) {
+    wg::StagePiece piece = MakePiece(i, Now + absl::Milliseconds(ms(random)));
+    piece.finishBy -= absl::Milliseconds(100 * number(random));
+    piece.account = "account-" + std::to_string(number(random));
+    piece.rank = number(random);
+    pool.waiting.push_back(piece);
+  }
+  return pool;
+}
+
+/** Judging orders what waits, and gives up nothing with such deadlines. */
+std::vector<wg::StagePiece> InOrder(wg::StagePool pool)
+{
+  for (wg::StagePiece& piece : pool.waiting) {
+    piece.deadline = Now + absl::Hours(1);
+  }
+  CHECK(wg::TakeHopelessPieces(pool, Now).empty());
+  return pool.waiting;
+}
+
+std::vector<std::uint64_t> Tickets(const std::vector<wg::StagePiece>& pieces)
+{
+  std::vector<std::uint64_t> tickets;
+  for (const wg::StagePiece& piece : pieces) {
+    tickets.push_back(piece.ticket);
+  }
+  return tickets;
+}
+
+std::vector<std::uint64_t> TicketsWithoutAccounts(wg::StagePool pool)
+{
+  for (wg::StagePiece& piece : pool.waiting) {
+    piece.account.clear();
+  }
+  return Tickets(InOrder(std::move(pool)));
+}
+
+} // namespace
+
+TEST_CASE("A large account does not crowd out others in a burst")
+{
+  // Half of a burst of 2.4 times what the pool serves is from one of 16
+  // accounts. Without shares, all accounts are served alike, and two of five
+  // works of the small ones are in time.
+  ReplayLoad load;
+  load.seed = GENERATE(1U, 2U, 3U);
+  const BurstReplay before(load, false);
+  const BurstReplay after(load, true);
+  CAPTURE(load.seed);
+  CAPTURE(before.ServedOfAll(), before.ServedOfSmallest(), before.Served(0));
+  CAPTURE(after.ServedOfAll(), after.ServedOfSmallest(), after.Served(0));
+  CHECK(after.ServedOfSmallest() > 1.5 * before.ServedOfSmallest());
+  CHECK(after.ServedOfAll() > 0.95 * before.ServedOfAll());
+}
+
+TEST_CASE("Its urgent work goes before less urgent work of others only")
+{
+  ReplayLoad load;
+  load.chatsInTen = 3;
+  load.seed = GENERATE(1U, 2U, 3U);
+  const BurstReplay before(load, false);
+  const BurstReplay after(load, true);
+  CAPTURE(load.seed);
+  CAPTURE(before.ServedOfAll(), before.ServedOfSmallest(), before.Served(0));
+  CAPTURE(after.ServedOfAll(), after.ServedOfSmallest(), after.Served(0));
+  CHECK(after.ServedOfSmallest() > 1.2 * before.ServedOfSmallest());
+  CHECK(after.ServedOfAll() > 0.95 * before.ServedOfAll());
+}
+
+TEST_CASE("Accounts of equal demand lose nothing by being compared")
+{
+  ReplayLoad load;
+  load.largest = 1.0 / Accounts;
+  load.seed = GENERATE(1U, 2U, 3U);
+  const BurstReplay before(load, false);
+  const BurstReplay after(load, true);
+  CAPTURE(load.seed);
+  CAPTURE(before.ServedOfAll(), before.ServedOfSmallest());
+  CAPTURE(after.ServedOfAll(), after.ServedOfSmallest());
+  CHECK(after.ServedOfAll() > 0.95 * before.ServedOfAll());
+}
+
+TEST_CASE("Work of accounts above their shares goes behind others of its rank")
+{
+  std::mt19937_64 random(3);
+  for (int round = 0; round < 50; ++round) {
+    CAPTURE(round);
+    wg::StagePool pool = DrawPool(random, 600);
+    wg::ChargeWork(pool.shares, { "account-0", 5000.0 }, Now);
+    wg::ChargeWork(pool.shares, { "account-1", 1000.0 }, Now);
+    const std::vector<wg::StagePiece> order = InOrder(pool);
+    const auto exceeds = [](const wg::StagePiece& piece) {
+      return piece.account == "account-0";
+    };
+    // No piece of account 0 before one of others of its rank, or a better one.
+    std::size_t wrong = 0;
+    for (std::size_t i = 0; i < order.size(); ++i) {
+      for (std::size_t j = i + 1; j < order.size() && exceeds(order[i]); ++j) {
+        wrong += !exceeds(order[j]) && order[j].rank <= order[i].rank &&
+                     wg::IsLate(order[i], pool.limits, Now) ==
+                       wg::IsLate(order[j], pool.limits, Now)
+                   ? 1
+                   : 0;
+      }
+    }
+    CHECK(wrong == 0);
+    CHECK(std::is_partitioned(order.begin(), order.end(),
+                              [&pool](const wg::StagePiece& piece) {
+                                return !wg::IsLate(piece, pool.limits, Now);
+                              }));
+    // The pieces of others stand as they would without the account.
+    std::vector<wg::StagePiece> others = order;
+    others.erase(std::remove_if(others.begin(), others.end(), exceeds),
+                 others.end());
+    wg::StagePool rest = pool;
+    rest.waiting = others;
+    CHECK(Tickets(others) == TicketsWithoutAccounts(rest));
+    // The order is one of the pieces, not of how they stood before.
+    std::shuffle(pool.waiting.begin(), pool.waiting.end(), random);
+    CHECK(Tickets(InOrder(pool)) == Tickets(order));
+  }
+}
+
+TEST_CASE("An account above its share has its urgent work done first")
+{
+  // Its less urgent piece, due early, would go before its urgent one, which
+  // stands behind the urgent work of others that is due late.
+  wg::StagePool pool = MakePool(1);
+  pool.limits.batch = 1;
+  pool.waiting.push_back(MakePiece(1, Now + absl::Milliseconds(400)));
+  pool.waiting.back().account = "large";
+  pool.waiting.back().rank = 1;
+  pool.waiting.push_back(MakePiece(2, Now + absl::Milliseconds(500)));
+  pool.waiting.back().account = "large";
+  pool.waiting.push_back(MakePiece(3, Now + absl::Seconds(3)));
+  pool.waiting.back().account = "small";
+  wg::ChargeWork(pool.shares, { "large", 1000.0 }, Now);
+  CHECK(Tickets(InOrder(pool)) == std::vector<std::uint64_t>{ 3, 2, 1 });
+}
+
+TEST_CASE("The order has no accounts while the pool is not contended")
+{
+  std::mt19937_64 random(4);
+  for (int round = 0; round < 50; ++round) {
+    wg::StagePool pool = DrawPool(random, 20);
+    pool.limits.batch = 64; // all go into one call
+    wg::ChargeWork(pool.shares, { "account-0", 100.0 }, Now);
+    CHECK(Tickets(InOrder(pool)) == TicketsWithoutAccounts(pool));
+  }
+}
+
+TEST_CASE("The order has no accounts where all work is of one, or of none")
+{
+  std::mt19937_64 random(5);
+  for (const std::string account : { "", "account-0" }) {
+    wg::StagePool pool = DrawPool(random, 600);
+    for (wg::StagePiece& piece : pool.waiting) {
+      piece.account = account;
+    }
+    wg::ChargeWork(pool.shares, { account, 5000.0 }, Now);
+    CHECK(Tickets(InOrder(pool)) == TicketsWithoutAccounts(pool));
+    SECTION("others had their work done before")
+    {
+      wg::ChargeWork(pool.shares, { "account-1", 1000.0 }, Now);
+      CHECK(Tickets(InOrder(pool)) == TicketsWithoutAccounts(pool));
+    }
+  }
+}
+
+TEST_CASE("A call is charged to accounts by their pieces, and settled")
+{
+  wg::StagePool pool = MakePool(1); // a call of four takes 0.19 s
+  for (std::uint64_t i = 1; i <= 4; ++i) {
+    pool.waiting.push_back(MakePiece(i, Now + absl::Seconds(1)));
+    pool.waiting.back().account = i == 1 ? "a" : "b";
+  }
+  const auto call = wg::NextStageCall(pool, Now);
+  REQUIRE(call);
+  CHECK(wg::UsedMs(pool.shares, "a", Now) == Approx(47.5));
+  CHECK(wg::UsedMs(pool.shares, "b", Now) == Approx(142.5));
+  const wg::Elapsed end = Now + absl::Milliseconds(400);
+  SECTION("it took longer")
+  {
+    CHECK(wg::SettleStageCall(pool, *call, 0.4, Now, end));
+    CHECK(wg::UsedMs(pool.shares, "a", end) == Approx(100.0));
+    CHECK(wg::UsedMs(pool.shares, "b", end) == Approx(300.0));
+  }
+  SECTION("it was not run")
+  {
+    CHECK(wg::SettleStageCall(pool, *call, 0.0, Now, end));
+    CHECK(wg::UsedMs(pool.shares, "a", end) == 0.0);
+    CHECK(wg::UsedMs(pool.shares, "b", end) == 0.0);
+  }
+  SECTION("its time is not valid")
+  {
+    CHECK_FALSE(wg::SettleStageCall(pool, *call, -1.0, Now, end));
+    CHECK(wg::UsedMs(pool.shares, "a", end) == Approx(47.5));
+  }
+}
+
+TEST_CASE("New work of an account above its share waits for all others")
+{
+  // Calls of one piece of 0.16 s at one endpoint; eight pieces of another
+  // account wait, all due after the new one.
+  wg::StagePool pool = MakePool(1);
+  pool.limits.batch = 1;
+  for (std::uint64_t i = 1; i <= 8; ++i) {
+    pool.waiting.push_back(MakePiece(i, Now + absl::Seconds(3)));
+    pool.waiting.back().account = "small";
+  }
+  wg::StagePiece piece = MakePiece(99, Now + absl::Seconds(2));
+  piece.account = "large";
+  CHECK(wg::ExpectedWaitSeconds(pool, piece, 1, Now) == Approx(0.0));
+  wg::ChargeWork(pool.shares, { "large", 1000.0 }, Now);
+  CHECK(wg::ExpectedWaitSeconds(pool, piece, 1, Now) == Approx(1.28));
+  piece.account = "small";
+  CHECK(wg::ExpectedWaitSeconds(pool, piece, 1, Now) == Approx(0.0));
+}
+
+TEST_CASE("A coordinator without history treats all accounts alike")
+{
+  std::mt19937_64 random(6);
+  const wg::StagePool pool = DrawPool(random, 600);
+  CHECK(wg::JudgeAccounts(pool, Now).exceeded.empty());
+  CHECK(Tickets(InOrder(pool)) == TicketsWithoutAccounts(pool));
+}
