Stages: works carry their account, and calls are settled to accounts

The box that took a request names its account in StageWork; the coordinator puts it on the pieces, and settles each call by its time, or by nothing where it was not run. Its backlog line names the five accounts furthest above their shares; a refused work's line tells its account. Counters: stage_pieces_sent_over_share, stage_works_refused_over_share, stage_accounts_invalid, stage_charges_invalid.

A name of more than 256 bytes counts as none, since each waiting piece holds it.

The new cases of wgStageCoordinatorTest were seen to fail without the account, the charge, the settlement and the bound. That the gateway sets the account has no test of its own.

--- a/Source/Gateway/wgGatewayRequestStages.cxx
+++ b/Source/Gateway/wgGatewayRequestStages.cxx
@@ -181,6 +181,7 @@
   wire::StageWork work;
   work.set_service(planned.service);
   work.set_request(id_);
+  work.set_account(holder_.account);
   work.set_fingerprint(Fingerprint());
   work.set_stage(static_cast<std::uint32_t>(stage));
   work.set_left_ms(absl::ToInt64Milliseconds(AnswerBy() - now));
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -21,6 +21,7 @@
 constexpr int MaxPieceAttempts = 4;
 constexpr double MsInSecond = 1e3;
 constexpr absl::Duration BacklogLogPeriod = absl::Seconds(1);
+constexpr std::size_t MostAccountsLogged = 5; // the line stays short
 constexpr absl::Duration CutOffPause = absl::Milliseconds(60);
 /** All boxes hear of an order on a hall within some milliseconds of each
  * other; one that is told to place its work elsewhere before it has heard of
@@ -28,6 +29,9 @@
  */
 constexpr absl::Duration AskersHear = absl::Milliseconds(100);
 
+/** Each piece that waits holds the name. Longer ones count as none given. */
+constexpr std::size_t LongestAccount = 256;
+
 /** What all pieces of a work have in common. */
 StagePiece MakePiece(const wire::StageWork& work, Elapsed now)
 {
@@ -44,6 +48,9 @@
   piece.finishBy = piece.due - absl::Milliseconds(work.after_ms());
   piece.deadline = now + absl::Milliseconds(work.left_ms());
   piece.rank = static_cast<int>(work.rank());
+  if (work.account().size() <= LongestAccount) {
+    piece.account = work.account();
+  }
   return piece;
 }
 
@@ -118,20 +125,25 @@
   const StagePoolKey key{ work.service(), work.pool_hall() };
   StagePool& pool = PoolOf(key);
   SyncServers(key, pool);
-  const double wait =
-    ExpectedWaitSeconds(pool, MakePiece(work, now),
-                        static_cast<std::size_t>(work.items_size()), now);
+  const AccountStandings standings = JudgeAccounts(pool, now);
+  const StagePiece piece = MakePiece(work, now);
+  const double wait = ExpectedWaitSeconds(
+    pool, piece, static_cast<std::size_t>(work.items_size()), standings, now);
   if (absl::Seconds(wait) <= absl::Milliseconds(work.admit_ms())) {
     return false;
   }
+  const bool exceeds = UsesOnlyLeftovers(standings, piece.account);
   metrics_.Count("stage_works_refused");
+  metrics_.Count("stage_works_refused_over_share", exceeds ? 1 : 0);
   log_.Write(LogWeight::Routine, "stage_work_refused",
              { { "request", work.request() },
                { "service", key.service },
                { "hall", key.hall },
                { "would_wait_ms", wait * MsInSecond },
                { "may_wait_ms", work.admit_ms() },
-               { "waiting", pool.waiting.size() } });
+               { "waiting", pool.waiting.size() },
+               { "account", piece.account },
+               { "over_share", exceeds } });
   RefuseWork(work, absl::Seconds(wait), done);
   return true;
 }
@@ -195,6 +207,9 @@
   if (RefuseIfEvacuated(work, done) || RefuseIfFull(work, done)) {
     return;
   }
+  if (work.account().size() > LongestAccount) {
+    metrics_.Count("stage_accounts_invalid");
+  }
   Work& state = works_[workKey];
   const StagePoolKey key{ work.service(), work.pool_hall() };
   state.pool = key;
@@ -399,6 +414,8 @@
                { "waiting", pool.waiting.size() },
                { "late", late },
                { "room", pool.limits.roomBytes },
+               { "over_share",
+                 MostExceeding(JudgeAccounts(pool, now), MostAccountsLogged) },
                { "servers", std::move(servers) } });
 }
 
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -119,6 +119,7 @@
   void TakeResultOf(OpenCall& open, StagePiece& piece,
                     wire::StageItemResult result);
   void NoteCutCall(const OpenCall& open);
+  void SettleCall(const OpenCall& open, bool wasRun);
   void FailCall(OpenCall& open, bool sent);
   void Repeat(const StagePoolKey& key, StagePiece piece, bool sent);
   void Settle(std::uint64_t ticket, wire::StageItemResult result);
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -77,6 +77,7 @@
   }
   metrics_.Count("stage_calls");
   metrics_.Count("stage_pieces_sent", open.call.pieces.size());
+  metrics_.Count("stage_pieces_sent_over_share", open.call.exceeding);
   StartTimer(number);
 }
 
@@ -130,6 +131,7 @@
       ExpectedCallSeconds(PoolOf(key).limits, open.call.pieces.size()),
       absl::ToDoubleSeconds(ElapsedNow() - open.started), ElapsedNow());
   }
+  SettleCall(open, true);
   FailCall(open, true);
   Pump(key);
 }
@@ -147,6 +149,10 @@
     server->calls.erase(number);
   }
   constexpr unsigned ok = 200;
+  const bool isSent = end == HttpCallEnd::Cut || end == HttpCallEnd::Refused ||
+                      end == HttpCallEnd::Complete;
+  SettleCall(open, isSent && !(end == HttpCallEnd::Complete &&
+                               open.status != ok && open.saidNotRun));
   if (end == HttpCallEnd::Complete && open.status == ok) {
     TakeAnswer(open);
   } else if (end == HttpCallEnd::Complete && open.saidNotRun) {
@@ -173,12 +179,25 @@
     if (end == HttpCallEnd::Cut) {
       NoteCutCall(open);
     }
-    FailCall(open, end == HttpCallEnd::Cut || end == HttpCallEnd::Refused ||
-                     end == HttpCallEnd::Complete);
+    FailCall(open, isSent);
   }
   Pump(key);
 }
 
+/** Accounts pay for what a call took, and for nothing if it was not run. To be
+ * called while the call still has its pieces.
+ */
+void StageCoordinator::SettleCall(const OpenCall& open, bool wasRun)
+{
+  const Elapsed now = ElapsedNow();
+  const double seconds =
+    wasRun ? absl::ToDoubleSeconds(now - open.started) : 0.0;
+  if (!SettleStageCall(PoolOf(open.pool), open.call, seconds, open.started,
+                       now)) {
+    metrics_.Count("stage_charges_invalid");
+  }
+}
+
 /** One of its pieces may have ended the endpoint. */
 void StageCoordinator::NoteCutCall(const OpenCall& open)
 {
--- a/Tests/Gateway/wgStageCoordinatorTest.cxx
+++ b/Tests/Gateway/wgStageCoordinatorTest.cxx
@@ -6,6 +6,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
@@ -425,3 +426,71 @@
   f.AnswerNext();
   CHECK(f.ended[3] == 1);
 }
+
+namespace {
+
+/** Work of one account, due when all other work is. */
+void SubmitFor(Fixture& f, const std::string& account, std::uint64_t number,
+               int pieces)
+{
+  f.thread.Do([&f, account, number, pieces] {
+    wg::wire::StageWork work;
+    work.set_box("box");
+    work.set_work(number);
+    work.set_service("svc");
+    work.set_request(absl::StrCat("r", number));
+    work.set_account(account);
+    work.set_left_ms(20000);
+    work.set_due_ms(20000);
+    work.set_result_bytes(100);
+    for (int i = 0; i < pieces; ++i) {
+      work.add_items()->set_piece(static_cast<std::uint32_t>(i));
+    }
+    f.coordinator->Submit(work, [](const auto&) {});
+    return true;
+  });
+}
+
+} // namespace
+
+TEST_CASE("Work of an account above its share lets others go first")
+{
+  // Fails where the account is not taken from the work, or calls are not
+  // charged.
+  Fixture f;
+  SubmitFor(f, "large", 1, 1);
+  REQUIRE(f.Eventually([&] { return f.held.size() == 1; }));
+  SubmitFor(f, "large", 2, 3);
+  SubmitFor(f, "small", 3, 1);
+  CHECK(f.AnswerNext() == "r1.0\n");
+  CHECK(f.AnswerNext() == "r3.0\nr2.0\nr2.1\n");
+  CHECK(absl::StrContains(f.metrics.Print(), "stage_pieces_sent_over_share"));
+}
+
+TEST_CASE("A call that was not run is charged to nobody")
+{
+  Fixture f;
+  SubmitFor(f, "large", 1, 1);
+  REQUIRE(f.Eventually([&] { return f.held.size() == 1; }));
+  SubmitFor(f, "large", 2, 2);
+  SubmitFor(f, "small", 3, 1);
+  f.thread.Do([&f] {
+    wg::HttpResponse refusal = wg::MakeResponse(503, "", "");
+    refusal.set(f.dialect.fields.notRun, "true");
+    f.held.front()->Respond(std::move(refusal));
+    f.held.clear();
+    return true;
+  });
+  CHECK(f.AnswerNext() == "r1.0\nr2.0\nr2.1\n");
+}
+
+TEST_CASE("An account's name that is too long counts as none")
+{
+  Fixture f;
+  SubmitFor(f, std::string(300, 'x'), 1, 1);
+  REQUIRE(f.Eventually([&] { return f.held.size() == 1; }));
+  SubmitFor(f, "", 2, 3);
+  SubmitFor(f, "small", 3, 1);
+  f.AnswerNext();
+  CHECK(f.AnswerNext() == "r3.0\nr2.0\nr2.1\n");
+}
