--- a/Tests/Bench/wgBench.cxx
+++ b/Tests/Bench/wgBench.cxx
@@ -16,6 +16,7 @@
 #include "wgPeerAuth.h"
 #include "wgReplicaStore.h"
 #include "wgServiceState.h"
+#include "wgStagePool.h"
 
 namespace {
 
@@ -266,6 +267,82 @@
 }
 BENCHMARK(SignOneMessage)->Arg(100)->Arg(1000)->Arg(10000);
 
+/** A coordinator's judging of what waits in a contended pool, by accounts: as
+ * many pieces as waited in the worst second seen, one of two of one account.
+ * With one account it is judged as without any. The time is for all pieces.
+ */
+void JudgeWaitingPieces(benchmark::State& state)
+{
+  constexpr int pieces = 2300;
+  const wg::Elapsed now = absl::Seconds(100);
+  std::mt19937_64 random(1);
+  std::uniform_int_distribution<std::int64_t> account(0, state.range(0) - 1);
+  std::uniform_int_distribution<int> ms(0, 3000);
+  wg::StagePool pool;
+  pool.limits.batch = 64;
+  pool.limits.callSeconds = 0.2;
+  pool.limits.pieceSeconds = 0.003;
+  pool.servers.resize(5);
+  for (int i = 0; i < pieces; ++i) {
+    wg::StagePiece piece;
+    piece.ticket = static_cast<std::uint64_t>(i);
+    piece.account = absl::StrCat("account-", i % 2 == 0 ? 0 : account(random));
+    piece.rank = i % 3;
+    piece.due = now + absl::Milliseconds(ms(random));
+    piece.finishBy = piece.due;
+    piece.deadline = now + absl::Hours(1);
+    pool.waiting.push_back(piece);
+  }
+  const std::size_t before = AllocatedBytes();
+  for (std::int64_t i = 0; i < state.range(0); ++i) {
+    wg::ChargeWork(pool.shares, { absl::StrCat("account-", i), 100.0 }, now);
+  }
+  wg::ChargeWork(pool.shares, { "account-0", 5000.0 }, now);
+  state.counters["bytes_per_account"] =
+    static_cast<double>(AllocatedBytes() - before) /
+    static_cast<double>(state.range(0));
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(wg::TakeHopelessPieces(pool, now));
+  }
+  state.SetItemsProcessed(state.iterations() * pieces);
+  state.counters["exceeding"] =
+    static_cast<double>(wg::JudgeAccounts(pool, now).exceeded.size());
+}
+BENCHMARK(JudgeWaitingPieces)
+  ->Arg(1)
+  ->Arg(16)
+  ->Arg(10000)
+  ->Unit(benchmark::kMicrosecond);
+
+/** How long new work would wait, as each submitted work is judged. */
+void JudgeNewWork(benchmark::State& state)
+{
+  const wg::Elapsed now = absl::Seconds(100);
+  wg::StagePool pool;
+  pool.limits.batch = 64;
+  pool.limits.callSeconds = 0.2;
+  pool.limits.pieceSeconds = 0.003;
+  pool.servers.resize(5);
+  wg::StagePiece piece;
+  for (int i = 0; i < 2300; ++i) {
+    piece.ticket = static_cast<std::uint64_t>(i);
+    piece.account = absl::StrCat("account-", i % state.range(0));
+    piece.finishBy = now + absl::Milliseconds(i);
+    piece.due = piece.finishBy;
+    pool.waiting.push_back(piece);
+    wg::ChargeWork(pool.shares, { piece.account, 100.0 }, now);
+  }
+  wg::ChargeWork(pool.shares, { "account-0", 5000.0 }, now);
+  for (auto _ : state) {
+    benchmark::DoNotOptimize(wg::ExpectedWaitSeconds(pool, piece, 6, now));
+  }
+}
+BENCHMARK(JudgeNewWork)
+  ->Arg(1)
+  ->Arg(16)
+  ->Arg(10000)
+  ->Unit(benchmark::kMicrosecond);
+
 void WriteAndSync(benchmark::State& state)
 {
   std::string pattern =
