Platform, Decision: read the load that endpoints report

No component read X-Weirgate-Server-Load, so that an endpoint whose machine is busy, or that runs the work of others, looked like any other.

Dialect::readLoad reads the field: three or four decimal numbers up to 1e6. Anything else, a pace of 0 and a field that occurs twice are unreadable; they are counted (load_reports_unreadable) and leave the previous report, which continues to age. Averaging two fields was ruled out: one of them must be false. TermsTracker::Heard keeps the report in DirectoryEndpoint with its time and the identity of its start. Nothing uses it yet.

The type is EndpointLoadReport, as wgEndpointState.h has a LoadReport already.

--- a/Source/Gateway/wgDialect.h
+++ b/Source/Gateway/wgDialect.h
@@ -7,6 +7,7 @@
 #include "absl/strings/string_view.h"
 #include "absl/types/span.h"
 
+#include "wgEndpointLoad.h"
 #include "wgEndpointTerms.h"
 #include "wgHttpMessage.h"
 #include "wgOutcome.h"
@@ -72,6 +73,10 @@
    * deployment's endpoints ask nothing.
    */
   SenderTerms (*readTerms)(const HttpHead& head) = nullptr;
+  /** \brief The load that the head of an endpoint's answer reports; null: this
+   * deployment's endpoints report none.
+   */
+  EndpointLoadReport (*readLoad)(const HttpHead& head) = nullptr;
   /** \brief Where a result lies, IP:port. */
   std::string (*addressOfResult)(absl::string_view handle) = nullptr;
 };
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -9,6 +9,7 @@
 #include "absl/strings/string_view.h"
 
 #include "wgElapsed.h"
+#include "wgEndpointLoad.h"
 #include "wgEndpointStart.h"
 #include "wgEndpointTerms.h"
 #include "wgFailureShare.h"
@@ -46,6 +47,7 @@
   FailureShare failures; // of this box's attempts
   Elapsed avoidUntil;    // after failures
   EndpointTerms terms;   // that it has told
+  KnownLoad load;        // that it has reported
   Elapsed deniedUntil;   // no request may be sent within its limit
 };
 
--- a/Source/Gateway/wgTermsTracker.cxx
+++ b/Source/Gateway/wgTermsTracker.cxx
@@ -16,6 +16,9 @@
                          Elapsed sent)
 {
   DirectoryEndpoint* known = FindEndpoint(directory_, endpoint);
+  if (known != nullptr) {
+    TakeLoadOf(*known, head);
+  }
   if (dialect_.readTerms == nullptr || known == nullptr) {
     return;
   }
@@ -35,6 +38,26 @@
   }
 }
 
+void TermsTracker::TakeLoadOf(DirectoryEndpoint& endpoint,
+                              const HttpHead& head)
+{
+  if (dialect_.readLoad == nullptr) {
+    return;
+  }
+  const EndpointLoadReport report = dialect_.readLoad(head);
+  TakeLoad(endpoint.load, report, endpoint.id, ElapsedNow());
+  if (!report.isUnreadable) {
+    return;
+  }
+  metrics_.Count("load_reports_unreadable");
+  // An endpoint that errs does so in every answer: one line for each start.
+  if (endpoint.load.unreadable == 1) {
+    log_.Write(
+      LogWeight::Notable, "endpoint_load_unreadable",
+      { { "endpoint", endpoint.id }, { "service", endpoint.service } });
+  }
+}
+
 bool TermsTracker::HeardLimit(DirectoryEndpoint& endpoint,
                               std::optional<double> perSecond, Elapsed told)
 {
--- a/Source/Gateway/wgTermsTracker.h
+++ b/Source/Gateway/wgTermsTracker.h
@@ -15,7 +15,8 @@
 
 /** \class TermsTracker
  * \brief Keeps in the directory what endpoints ask of those that send to them,
- * as the heads of their answers say it; on the loop.
+ * and the load that they report, as the heads of their answers say it; on the
+ * loop.
  */
 class TermsTracker
 {
@@ -37,6 +38,7 @@
   void OnAnswer(Answered answered) { answered_ = std::move(answered); }
 
 private:
+  void TakeLoadOf(DirectoryEndpoint& endpoint, const HttpHead& head);
   void OnChange(DirectoryEndpoint& endpoint, const TermsChange& change,
                 Elapsed now);
   void Tell(const DirectoryEndpoint& endpoint, const TermsChange& change,
--- /dev/null
+++ b/Tests/Decision/wgEndpointLoadTest.cxx
@@ -0,0 +1,97 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <catch2/catch.hpp>
+
+#include "wgEndpointLoad.h"
+
+namespace {
+
+using wg::Elapsed;
+using wg::EndpointLoadReport;
+using wg::KnownLoad;
+using wg::ReportTrust;
+
+constexpr Elapsed Now = absl::Seconds(100);
+
+EndpointLoadReport Report(double running, double pace)
+{
+  wg::EndpointLoad load;
+  load.running = running;
+  load.slots = 1.0;
+  load.pace = pace;
+  return { load, false };
+}
+
+Elapsed After(int ms)
+{
+  return Now + absl::Milliseconds(ms);
+}
+
+} // namespace
+
+// Guards against a report that froze long ago being used for new calls.
+TEST_CASE("A reported load is used while it is fresh")
+{
+  KnownLoad known;
+  CHECK(LoadNow(known, "e", Now) == nullptr);
+  TakeLoad(known, Report(1.0, 2.5), "e", Now);
+  REQUIRE(LoadNow(known, "e", After(200)) != nullptr);
+  CHECK(LoadNow(known, "e", After(200))->pace == 2.5);
+  CHECK(LoadNow(known, "e", After(201)) == nullptr);
+  // From the future: the clock of a box never goes back by itself.
+  CHECK(LoadNow(known, "e", Now - absl::Milliseconds(1)) == nullptr);
+}
+
+// Guards against what an earlier start reported being held against the next.
+TEST_CASE("A reported load holds for the start that reported it")
+{
+  KnownLoad known;
+  TakeLoad(known, Report(1.0, 2.5), "e@1", Now);
+  CHECK(LoadNow(known, "e@1", Now) != nullptr);
+  CHECK(LoadNow(known, "e@2", Now) == nullptr);
+}
+
+// Guards against a damaged report renewing or erasing the one before it.
+TEST_CASE("A missing or unreadable report leaves the one before to age")
+{
+  KnownLoad known;
+  TakeLoad(known, Report(1.0, 2.5), "e", Now);
+  TakeLoad(known, {}, "e", After(100));
+  CHECK(known.unreadable == 0);
+  TakeLoad(known, { {}, true }, "e", After(150));
+  CHECK(known.unreadable == 1);
+  CHECK(LoadNow(known, "e", After(200)) != nullptr);
+  CHECK(LoadNow(known, "e", After(250)) == nullptr);
+}
+
+// Guards against an endpoint that attracts calls by a report that lies.
+TEST_CASE("Reports that three calls in a row contradict are ignored for 5 s")
+{
+  ReportTrust trust;
+  const auto note = [&trust](double took) {
+    return NoteReportedCall(trust, 0.4, took, Now);
+  };
+  SECTION("calls take longer")
+  {
+    CHECK_FALSE(note(0.8));
+    CHECK_FALSE(note(1.0));
+    CHECK(IsTrusted(trust, Now));
+    CHECK(note(2.0));
+    CHECK_FALSE(IsTrusted(trust, After(4999)));
+    CHECK(IsTrusted(trust, After(5000)));
+  }
+  SECTION("calls take less: it keeps work away without need")
+  {
+    CHECK_FALSE(note(0.2));
+    CHECK_FALSE(note(0.1));
+    CHECK(note(0.2));
+  }
+  SECTION("not in a row")
+  {
+    for (int i = 0; i < 5; ++i) {
+      CHECK_FALSE(note(1.0));
+      CHECK_FALSE(note(1.0));
+      CHECK_FALSE(note(0.4));
+    }
+    CHECK(IsTrusted(trust, Now));
+  }
+}
--- a/Tests/Platform/wgPlatformTest.cxx
+++ b/Tests/Platform/wgPlatformTest.cxx
@@ -301,3 +301,69 @@
   CHECK(read(503, { { "Retry-After", "-2" } }).unreadable == 1);
   CHECK(read(503, { { "Retry-After", "9999999999" } }).rest == absl::Hours(1));
 }
+
+// Guards against numbers that a reader of less strictness accepts, and that
+// would then steer the choice of endpoints.
+TEST_CASE("The load that endpoints report is read strictly")
+{
+  const auto read = [](const std::vector<std::string>& values,
+                       unsigned status = 200) {
+    wg::HttpHead head;
+    head.result(status);
+    for (const std::string& value : values) {
+      head.insert("x-weirgate-server-load", value);
+    }
+    const auto readLoad = wg::MakePlatformDialect().readLoad;
+    REQUIRE(readLoad != nullptr);
+    return readLoad(head);
+  };
+  SECTION("three numbers, or four")
+  {
+    const wg::EndpointLoadReport three = read({ "2,5,64" });
+    REQUIRE(three.load);
+    CHECK(three.load->running == 2.0);
+    CHECK(three.load->waiting == 5.0);
+    CHECK(three.load->slots == 64.0);
+    CHECK_FALSE(three.load->pace);
+    CHECK(read({ " 1, 0, 1, 250 " }).load->pace == 2.5);
+    CHECK(read({ "0,0,1000000,.5" }).load->pace == 0.005);
+    CHECK_FALSE(read({ "0,0,1,100" }).isUnreadable);
+  }
+  SECTION("an answer of any status")
+  {
+    CHECK(read({ "1,2,3" }, 503).load->waiting == 2.0);
+  }
+  SECTION("none is no fault")
+  {
+    CHECK_FALSE(read({}).load);
+    CHECK_FALSE(read({}).isUnreadable);
+  }
+  SECTION("anything else is unreadable")
+  {
+    for (const char* bad :
+         { "",          "1",           "1,2",
+           "1,2,",      ",1,2",        "1,,2",
+           "1,2,3,",    "1,2,3,4,5",   "1,2,3,-4",
+           "+1,2,3",    "1e1,2,3",     "1,2,inf",
+           "nan,2,3",   "1,2,3,nan",   "1;2;3",
+           "1 2 3",     "1,2,1000001", "1,2,3,1000000.5",
+           "1.2.3,4,5", "1,2,.",       "0x1,2,3",
+           "1,2,3,0",   "1,2,3,0.0",   "1,2,99999999999999999999999999",
+           "1,2,3%" }) {
+      CAPTURE(bad);
+      CHECK_FALSE(read({ bad }).load);
+      CHECK(read({ bad }).isUnreadable);
+    }
+  }
+  SECTION("two of which one must be false")
+  {
+    CHECK_FALSE(read({ "0,0,1,100", "1,4,1,500" }).load);
+    CHECK(read({ "0,0,1,100", "1,4,1,500" }).isUnreadable);
+  }
+}
+
+// Guards against a dialect without such a field being read.
+TEST_CASE("The product's own dialect reads no load")
+{
+  CHECK(wg::Dialect().readLoad == nullptr);
+}
