Standin, Tests: stand-ins report their load and their pace

Without it no test met an endpoint that reports what it is doing, as all endpoints of the platform do in answers of every status.

The stand-in engine reports requests running and waiting, slots, and its slowness in percent; the platform's stand-in reports the calls and requests at work, and a pace once a test sets one, which then also sets how long its calls take. A test can set a false report instead.

--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -19,6 +19,8 @@
 
 constexpr const char* RequestField = "X-Weirgate-Attempt-Id";
 constexpr int Events = 4;
+constexpr int Slots = 4;
+constexpr int UsualPace = 100; // percent
 constexpr std::int64_t FirstBornMs = 1700000000000;
 
 std::string Field(const HttpRequest& request, const char* name)
@@ -105,7 +107,7 @@
   StartAgainIfTold();
   Json heartbeat{ { "service", service },     { "address", address_ },
                   { "zone", hall_ },          { "version", "v1" },
-                  { "capacity", 4 },          { "state", state },
+                  { "capacity", Slots },      { "state", state },
                   { "sequence", ++sequence_ } };
   heartbeat["warmupLeftMs"] = warmupMs_.load();
   if (bornMs_ != 0) {
@@ -224,6 +226,15 @@
   if (leaving_) {
     head.set("Server-Leaving", "1");
   }
+  head.set("X-Weirgate-Server-Load", report_.empty() ? Load() : report_);
+}
+
+std::string PlatformStandin::Load() const
+{
+  const std::size_t running =
+    static_cast<std::size_t>(callsAtWork_) + waiting_.size();
+  const std::string counts = absl::StrCat(running, ",0,", Slots);
+  return pace_ == 0 ? counts : absl::StrCat(counts, ",", pace_.load());
 }
 
 /** A result's name tells of what request and stage it is. */
@@ -254,9 +265,12 @@
                                              item["segment"].get<int>()) } }
             : Json{ { "reason", "error" } });
   }
+  const int pace = pace_ == 0 ? UsualPace : pace_.load();
   auto timer = std::make_shared<wg::LoopTimer>(
-    thread_.Loop(), std::chrono::milliseconds(callMs_));
+    thread_.Loop(), std::chrono::milliseconds(callMs_ * pace / UsualPace));
+  ++callsAtWork_;
   timer->async_wait([this, exchange, timer, items](boost::system::error_code) {
+    --callsAtWork_;
     HttpResponse answer =
       MakeResponse(200, "application/json", Json{ { "items", items } }.dump());
     AddTerms(answer);
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -68,8 +68,17 @@
   void RefuseNext() { refusesNext_ = true; }
   /** \brief When it refused requests and calls of stages. */
   std::vector<absl::Time> Refusals() const;
-  /** \brief How long a call of a stage takes. */
+  /** \brief How long a call of a stage takes at the usual pace. */
   void SetCallMs(int ms) { callMs_ = ms; }
+  /** \brief Calls of stages take so many percent of their usual time, and
+   * each answer reports it; 0: as usual, and no answer reports a pace.
+   */
+  void SetPace(int percent) { pace_ = percent; }
+  /** \brief Each answer reports this as its load, whatever the load is: a
+   * report that lies, is frozen or can't be read. Call before anything is
+   * sent; empty: the load as it is.
+   */
+  void SetReport(std::string load) { report_ = std::move(load); }
   /** \brief A request with this in its body, or a piece of a request with
    * this in its id, ends it as a crash does: its connections are closed and
    * nothing listens any more. It starts again after so long, with what is
@@ -117,6 +126,7 @@
   void OnStage(const Exchange& exchange);
   void Refuse(const Exchange& exchange);
   void AddTerms(HttpHead& head) const;
+  std::string Load() const;
   void Answer(const Exchange& exchange);
   void Stream(const Exchange& exchange, int first, int last);
 
@@ -127,6 +137,9 @@
   int port_ = 0;
   std::atomic<StandinConduct> conduct_{ StandinConduct::Answer };
   std::atomic<int> callMs_{ 5 };
+  std::atomic<int> pace_{ 0 };
+  std::string report_;
+  int callsAtWork_ = 0; // on the loop
   std::atomic<double> limit_{ -1.0 };
   std::atomic<bool> leaving_{ false };
   std::atomic<double> rest_{ 0.0 };
--- a/Tests/Process/wgStandinTest.cxx
+++ b/Tests/Process/wgStandinTest.cxx
@@ -147,3 +147,21 @@
     call.join();
   }
 }
+
+// Guards against tests in which endpoints are slow and do not report it.
+TEST_CASE("answers of every status report the load and the pace")
+{
+  TestPorts ports;
+  Engine engine(ports);
+  engine.Post("/v1/fault", { { "slowness", 2.5 }, { "fail_next", 1 } });
+  httplib::Client client("127.0.0.1", engine.Port());
+  const std::string field = "X-Weirgate-Server-Load";
+  const auto failed =
+    client.Post("/v1/completions", R"({"prompt":"x"})", "application/json");
+  REQUIRE(failed);
+  CHECK(failed->status == 500);
+  CHECK(failed->get_header_value(field) == "0,0,2,250");
+  const auto health = client.Get("/v1/load");
+  REQUIRE(health);
+  CHECK(health->get_header_value(field) == "0,0,2,250");
+}
--- a/Utilities/Standin/wgStandinEngine.cxx
+++ b/Utilities/Standin/wgStandinEngine.cxx
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cmath>
 #include <functional>
 #include <vector>
 
@@ -123,6 +124,10 @@
   AddRoutes();
   AddCacheRoutes();
   AddAdminRoutes();
+  // In answers of every status, as the platform's endpoints send it.
+  server_.set_post_routing_handler([this](const Request&, Response& response) {
+    response.set_header("X-Weirgate-Server-Load", LoadField());
+  });
   if (!BindForBursts(server_, "127.0.0.1", settings_.port)) {
     return false;
   }
@@ -213,6 +218,14 @@
                });
 }
 
+std::string StandinEngine::LoadField()
+{
+  constexpr double percent = 100.0;
+  absl::MutexLock lock(&mutex_);
+  return absl::StrCat(running_, ",", waiting_.size(), ",", settings_.slots,
+                      ",", std::llround(faults_.slowness * percent));
+}
+
 Json StandinEngine::Load()
 {
   absl::MutexLock lock(&mutex_);
--- a/Utilities/Standin/wgStandinEngine.h
+++ b/Utilities/Standin/wgStandinEngine.h
@@ -82,6 +82,8 @@
   void CountRun(const Request& request);
   /** \brief Puts the ids on an answer; true when a fault makes them wrong. */
   bool Echo(const Request& request, Response& response);
+  /** \brief Requests running, waiting, slots, and the pace in percent. */
+  std::string LoadField();
   nlohmann::json Load();
   /** \brief False while an order is being carried out; then calls fail. */
   bool IsReady() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
