Stage pool: calls follow the pace and the work that endpoints report

The expected time of a call took no notice of what the endpoint had reported with its last answer, so that calls went to machines that had just said they are 2.5 times slower, and behind the work of another box that believes it is the coordinator.

A pace up to 200 ms old multiplies the expected time of the next call; one between 0.8 and 1.25 does not, as call times differ by as much anyway. What the pace explains is left out of the measured slowness, or one cause would be counted twice. Requests beyond this pool's own, and beyond the one that was answered, make an endpoint busy for their expected time, at most 1 s. Three calls in a row that take twice or half the reported time end the belief in the reports for 5 s (load_reports_contradicted). Counting the answered request as another's was ruled out: whether endpoints count it is not specified, and each answer would then make its endpoint look busy.

--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -288,6 +288,7 @@
       std::max({ known->avoidUntil, endpoint->avoidUntil,
                  isCut ? ElapsedNow() + CutOffPause : Elapsed() });
     known->closedUntil = ClosedUntil(*endpoint, key);
+    TakeReport(*known, endpoint->load, ElapsedNow());
   }
 }
 
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -115,6 +115,7 @@
   void StartTimer(std::uint64_t number);
   void OnCallEnd(std::uint64_t number, HttpCallEnd end);
   void OnCallLate(std::uint64_t number);
+  void NoteTimeOf(const OpenCall& open, StageServer& server);
   void TakeAnswer(OpenCall& open);
   void TakeResultOf(OpenCall& open, StagePiece& piece,
                     wire::StageItemResult result);
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -112,6 +112,21 @@
   });
 }
 
+void StageCoordinator::NoteTimeOf(const OpenCall& open, StageServer& server)
+{
+  const Elapsed now = ElapsedNow();
+  const bool isContradicted =
+    NoteCallTime(server, PoolOf(open.pool).limits, open.call,
+                 absl::ToDoubleSeconds(now - open.started), now);
+  if (isContradicted) {
+    metrics_.Count("load_reports_contradicted");
+    log_.Write(LogWeight::Notable, "endpoint_load_contradicted",
+               { { "endpoint", server.id },
+                 { "service", open.pool.service },
+                 { "pace", open.call.pace } });
+  }
+}
+
 void StageCoordinator::OnCallLate(std::uint64_t number)
 {
   auto node = calls_.extract(number);
@@ -125,10 +140,7 @@
   const StagePoolKey key = open.pool;
   if (StageServer* server = ServerOf(open)) {
     server->calls.erase(number);
-    NoteCallTime(
-      *server,
-      ExpectedCallSeconds(PoolOf(key).limits, open.call.pieces.size()),
-      absl::ToDoubleSeconds(ElapsedNow() - open.started), ElapsedNow());
+    NoteTimeOf(open, *server);
   }
   FailCall(open, true);
   Pump(key);
@@ -239,12 +251,8 @@
   }
   const Elapsed now = ElapsedNow();
   crashes_.Alive(open.call.server);
-  const double seconds = absl::ToDoubleSeconds(now - open.started);
-  StageServer* server = ServerOf(open);
-  const StageLimits& limits = PoolOf(open.pool).limits;
-  if (server != nullptr) {
-    NoteCallTime(*server, ExpectedCallSeconds(limits, open.call.pieces.size()),
-                 seconds, now);
+  if (StageServer* server = ServerOf(open)) {
+    NoteTimeOf(open, *server);
   }
   if (DirectoryEndpoint* endpoint =
         FindEndpoint(directory_, open.call.server)) {
--- a/Source/Gateway/wgStagePool.cxx
+++ b/Source/Gateway/wgStagePool.cxx
@@ -27,6 +27,18 @@
 constexpr double LeastSlowness = 0.5;
 constexpr double MostSlowness = 20.0;
 
+/** What is reported beyond this is not believed; as MostSlowness. */
+constexpr double MostPace = 20.0;
+constexpr double LeastPace = 0.5;
+/** Times of calls of one kind vary by about this much at a sound endpoint: a
+ * lesser difference in pace is no reason to choose another one.
+ */
+constexpr double UnclearPace = 1.25;
+/** After this a call is made in any case: only its answer brings news of an
+ * endpoint that goes on to report work of others.
+ */
+constexpr double LongestOthersSeconds = 1.0;
+
 /** What comes after it takes at least. */
 absl::Duration TimeAfter(const StagePiece& piece)
 {
@@ -62,6 +74,13 @@
   return order;
 }
 
+/** Whether there is a report that is fresh and not contradicted. */
+bool IsBelieved(const StageReports& reports, Elapsed now)
+{
+  return reports.load && now - reports.load->reported <= ReportMemory &&
+         IsTrusted(reports.trust, now);
+}
+
 /** A call that is late is taken to last as long again as it is late. */
 double BusySeconds(const StageServer& server, Elapsed now)
 {
@@ -74,6 +93,14 @@
   return longest;
 }
 
+/** Until it has a free slot, for the work of this pool and of others. */
+double BusySeconds(const StageServer& server, const StageLimits& limits,
+                   Elapsed now)
+{
+  return std::max(BusySeconds(server, now),
+                  OthersBusySeconds(server, limits, now));
+}
+
 bool IsOpen(const StageServer& server, Elapsed now)
 {
   return server.avoidUntil <= now && server.closedUntil <= now;
@@ -82,7 +109,7 @@
 bool IsFree(const StageServer& server, const StageLimits& limits, Elapsed now)
 {
   return server.calls.size() < static_cast<std::size_t>(limits.slots) &&
-         IsOpen(server, now);
+         IsOpen(server, now) && OthersBusySeconds(server, limits, now) <= 0.0;
 }
 
 /** When a call of so many pieces would be done there, in seconds. */
@@ -91,9 +118,10 @@
 {
   const double busy =
     server.calls.size() < static_cast<std::size_t>(limits.slots)
-      ? 0.0
-      : BusySeconds(server, now);
-  return busy + SlownessNow(server, now) * ExpectedCallSeconds(limits, pieces);
+      ? OthersBusySeconds(server, limits, now)
+      : BusySeconds(server, limits, now);
+  return busy + SlownessNow(server, now) * ReportedPace(server, now) *
+                  ExpectedCallSeconds(limits, pieces);
 }
 
 bool HasRoom(const StageServer& server, const StageLimits& limits,
@@ -309,7 +337,8 @@
     }
     ++times.usable;
     const bool isFree = IsFree(server, pool.limits, now);
-    soonest = std::min(soonest, isFree ? 0.0 : BusySeconds(server, now));
+    soonest =
+      std::min(soonest, isFree ? 0.0 : BusySeconds(server, pool.limits, now));
   }
   if (times.usable > 0) {
     times.soonest = soonest;
@@ -332,6 +361,13 @@
   return times.soonest + fullCalls * each / static_cast<double>(times.usable);
 }
 
+void NoteReportOf(StageCall& call, const StageServer& server, Elapsed now)
+{
+  call.pace = ReportedPace(server, now);
+  call.followsReport =
+    IsBelieved(server.reports, now) && server.reports.load->pace.has_value();
+}
+
 } // namespace
 
 bool IsLate(const StagePiece& piece, const StageLimits& limits, Elapsed now)
@@ -360,7 +396,8 @@
   StageCall call;
   call.server = server->id;
   call.pieces = TakeBatch(pool, *server, now);
-  call.expectedSeconds = SlownessNow(*server, now) *
+  NoteReportOf(call, *server, now);
+  call.expectedSeconds = SlownessNow(*server, now) * call.pace *
                          ExpectedCallSeconds(pool.limits, call.pieces.size());
   return call;
 }
@@ -445,4 +482,72 @@
   server.slownessNoted = now;
 }
 
+void TakeReport(StageServer& server, const KnownLoad& known, Elapsed now)
+{
+  const EndpointLoad* load = LoadNow(known, server.id, now);
+  StageReports& reports = server.reports;
+  if (load == nullptr ||
+      (reports.load && load->reported <= reports.load->reported)) {
+    return;
+  }
+  reports.load = *load;
+  // Calls on the way there are counted as well, and one for the request that
+  // was answered: a call of this pool must never look like another's.
+  constexpr int answered = 1;
+  const auto own = std::count_if(
+    server.calls.begin(), server.calls.end(), [load](const auto& call) {
+      return call.second.started <= load->reported;
+    });
+  reports.othersWork = std::max(0.0, load->running + load->waiting -
+                                       static_cast<double>(own + answered));
+}
+
+double ReportedPace(const StageServer& server, Elapsed now)
+{
+  const StageReports& reports = server.reports;
+  if (!IsBelieved(reports, now) || !reports.load->pace) {
+    return 1.0;
+  }
+  const double pace = std::clamp(*reports.load->pace, LeastPace, MostPace);
+  const bool isClear = pace > UnclearPace || pace < 1.0 / UnclearPace;
+  return isClear ? pace : 1.0;
+}
+
+/** The calls of others are taken to be full, and the one at work to be half
+ * done.
+ */
+double OthersBusySeconds(const StageServer& server, const StageLimits& limits,
+                         Elapsed now)
+{
+  const StageReports& reports = server.reports;
+  if (!reports.load || !IsTrusted(reports.trust, now)) {
+    return 0.0;
+  }
+  const auto slots = static_cast<double>(std::max(1, limits.slots));
+  const auto own = static_cast<double>(server.calls.size());
+  if (reports.othersWork + own < slots) {
+    return 0.0;
+  }
+  constexpr double leftOfFirst = 0.5;
+  const double calls = std::max(0.0, reports.othersWork - leftOfFirst) / slots;
+  const double work = std::min(
+    calls * ExpectedCallSeconds(limits, limits.batch), LongestOthersSeconds);
+  const double age = absl::ToDoubleSeconds(now - reports.load->reported);
+  return std::max(0.0, work - age);
+}
+
+bool NoteCallTime(StageServer& server, const StageLimits& limits,
+                  const StageCall& call, double seconds, Elapsed now)
+{
+  const double usual = ExpectedCallSeconds(limits, call.pieces.size());
+  const double reported = usual * call.pace;
+  // A pace explains no more than the time that the call took, or an endpoint
+  // would seem fast after it had reported that it is slow.
+  const double explained =
+    reported > usual ? std::clamp(seconds, usual, reported) : reported;
+  NoteCallTime(server, explained, seconds, now);
+  return call.followsReport &&
+         NoteReportedCall(server.reports.trust, reported, seconds, now);
+}
+
 } // namespace wg
--- a/Source/Gateway/wgStagePool.h
+++ b/Source/Gateway/wgStagePool.h
@@ -11,6 +11,7 @@
 #include "absl/types/span.h"
 
 #include "wgElapsed.h"
+#include "wgEndpointLoad.h"
 #include "wgRouteTable.h"
 
 namespace wg {
@@ -44,6 +45,14 @@
   double expectedSeconds = 0.0;
 };
 
+/** \brief What an endpoint reports of itself, as the pool uses it. */
+struct StageReports
+{
+  std::optional<EndpointLoad> load; // of the last report that was taken in
+  ReportTrust trust;
+  double othersWork = 0.0; // calls of others that it reported with the load
+};
+
 /** \brief An endpoint as the pool sees it. */
 struct StageServer
 {
@@ -55,6 +64,7 @@
   Elapsed closedUntil;       // it takes no more calls than it has had
   std::int64_t roomUsed = 0; // bytes of results that it keeps or makes
   std::map<std::uint64_t, StageCallState> calls; // by number of the call
+  StageReports reports;
 };
 
 /** \brief The pieces that wait for a service, and its endpoints. */
@@ -74,6 +84,8 @@
   std::string server;
   std::vector<StagePiece> pieces;
   double expectedSeconds = 0.0;
+  double pace = 1.0;          // that its endpoint reported when it was made
+  bool followsReport = false; // whether there was a report with a pace
 };
 
 /** \brief Whether its request can no longer be answered when it ought to be,
@@ -116,6 +128,29 @@
 double ExpectedWaitSeconds(const StagePool& pool, const StagePiece& piece,
                            std::size_t piecesOfWork, Elapsed now);
 
+/** \brief Takes in what the endpoint has reported, if it is news. This pool's
+ * calls, and the request that was answered with the report, are not work of
+ * others.
+ */
+void TakeReport(StageServer& server, const KnownLoad& known, Elapsed now);
+
+/** \brief How long work takes there now by its own report, as a multiple of
+ * the usual time; 1 without a report that is fresh and believed, and for
+ * differences that are within the spread of call times.
+ */
+double ReportedPace(const StageServer& server, Elapsed now);
+
+/** \brief Seconds until it has done the work of others that it reported. */
+double OthersBusySeconds(const StageServer& server, const StageLimits& limits,
+                         Elapsed now);
+
+/** \brief Takes the time of a call into the endpoint's slowness, less what the
+ * pace explains that it reported, and compares it with that report.
+ * \return whether its reports are ignored from now on
+ */
+bool NoteCallTime(StageServer& server, const StageLimits& limits,
+                  const StageCall& call, double seconds, Elapsed now);
+
 /** \brief Takes the time of a call into the endpoint's slowness. */
 void NoteCallTime(StageServer& server, double expected, double seconds,
                   Elapsed now);
--- a/Tests/Gateway/wgStagePoolTest.cxx
+++ b/Tests/Gateway/wgStagePoolTest.cxx
@@ -331,3 +331,184 @@
   REQUIRE(call);
   CHECK(call->server == "s0");
 }
+
+namespace {
+
+wg::KnownLoad Reported(const wg::StageServer& server, double running,
+                       std::optional<double> pace, wg::Elapsed when)
+{
+  wg::EndpointLoadReport report;
+  report.load = wg::EndpointLoad();
+  report.load->running = running;
+  report.load->slots = 1.0;
+  report.load->pace = pace;
+  wg::KnownLoad known;
+  wg::TakeLoad(known, report, server.id, when);
+  return known;
+}
+
+/** A call of four pieces, 0.19 s at the usual pace. */
+wg::StageCall FullCall(double pace, bool followsReport)
+{
+  wg::StageCall call;
+  call.pieces.resize(4);
+  call.pace = pace;
+  call.followsReport = followsReport;
+  return call;
+}
+
+} // namespace
+
+// Guards against calls to an endpoint that has just reported that its machine
+// is busy, while another one is free.
+TEST_CASE("A call goes where the reported pace is as usual")
+{
+  wg::StagePool pool = MakePool(2);
+  pool.servers[1].hall = pool.servers[0].hall;
+  pool.waiting.push_back(MakePiece(1, Now + absl::Seconds(60)));
+  const auto report = [&pool](double pace) {
+    TakeReport(pool.servers[0], Reported(pool.servers[0], 0, pace, Now), Now);
+  };
+  SECTION("it takes 2.5 times as long at the first")
+  {
+    report(2.5);
+    const auto call = wg::NextStageCall(pool, Now + absl::Milliseconds(200));
+    CHECK(call->server == "s1");
+    CHECK(call->expectedSeconds == Approx(0.16));
+  }
+  SECTION("the report is old")
+  {
+    report(2.5);
+    CHECK(wg::NextStageCall(pool, Now + absl::Milliseconds(201))->server ==
+          "s0");
+  }
+  SECTION("what calls differ by anyway")
+  {
+    report(1.2);
+    CHECK(wg::NextStageCall(pool, Now)->server == "s0");
+  }
+  SECTION("the timer of the call allows for the pace")
+  {
+    report(2.5);
+    pool.servers[1].avoidUntil = Now + absl::Seconds(1);
+    const auto call = wg::NextStageCall(pool, Now);
+    CHECK(call->server == "s0");
+    CHECK(call->expectedSeconds == Approx(0.4));
+    CHECK(call->pace == 2.5);
+  }
+}
+
+// Guards against a call that waits at an endpoint behind the work of another
+// box that believes it is the coordinator.
+TEST_CASE("An endpoint that works for others is busy for their time")
+{
+  wg::StagePool pool = MakePool(2);
+  pool.servers[1].hall = pool.servers[0].hall;
+  wg::StageServer& first = pool.servers[0];
+  const auto report = [&first](double running, wg::Elapsed when) {
+    TakeReport(first, Reported(first, running, std::nullopt, when), when);
+  };
+  pool.waiting.push_back(MakePiece(1, Now + absl::Seconds(60)));
+  SECTION("two run, one of them has just been answered")
+  {
+    report(2.0, Now);
+    CHECK(wg::OthersBusySeconds(first, pool.limits, Now) == Approx(0.095));
+    CHECK(wg::NextStageCall(pool, Now)->server == "s1");
+  }
+  SECTION("until they are done")
+  {
+    report(2.0, Now);
+    const wg::Elapsed later = Now + absl::Milliseconds(96);
+    CHECK(wg::NextStageCall(pool, later)->server == "s0");
+  }
+  SECTION("nor for ever if it goes on to say so: no call would show it")
+  {
+    report(1000.0, Now);
+    CHECK(wg::OthersBusySeconds(first, pool.limits, Now) == Approx(1.0));
+    const wg::Elapsed later = Now + absl::Milliseconds(1001);
+    CHECK(wg::NextStageCall(pool, later)->server == "s0");
+  }
+  SECTION("the request that was answered is not another's")
+  {
+    report(1.0, Now);
+    CHECK(wg::NextStageCall(pool, Now)->server == "s0");
+  }
+  SECTION("nor is a call of this pool")
+  {
+    pool.limits.slots = 2;
+    first.calls[7] = { Now - absl::Milliseconds(50), 0.19 };
+    report(2.0, Now);
+    CHECK(wg::OthersBusySeconds(first, pool.limits, Now) == 0.0);
+  }
+  SECTION("an earlier start's report is not taken")
+  {
+    wg::KnownLoad known = Reported(first, 9.0, 5.0, Now);
+    known.load->start = "s0 of before";
+    TakeReport(first, known, Now);
+    CHECK(wg::NextStageCall(pool, Now)->server == "s0");
+  }
+}
+
+// Guards against an endpoint that gains or loses calls by a false report.
+TEST_CASE("A report that calls contradict loses its weight")
+{
+  wg::StagePool pool = MakePool(1);
+  wg::StageServer& server = pool.servers[0];
+  const auto report = [&server](double pace, wg::Elapsed when) {
+    TakeReport(server, Reported(server, 0, pace, when), when);
+  };
+  SECTION("it says that it is fast, and takes five times as long")
+  {
+    for (int i = 0; i < 3; ++i) {
+      const wg::Elapsed then = Now + absl::Seconds(i);
+      report(0.5, then);
+      REQUIRE(wg::ReportedPace(server, then) == 0.5);
+      const bool ends =
+        wg::NoteCallTime(server, pool.limits, FullCall(0.5, true), 0.95, then);
+      CHECK(ends == (i == 2));
+    }
+    const wg::Elapsed later = Now + absl::Seconds(3);
+    report(0.5, later);
+    CHECK(wg::ReportedPace(server, later) == 1.0);
+    // Its measured slowness remains.
+    CHECK(wg::SlownessNow(server, later) > 2.0);
+  }
+  SECTION("it is frozen at idle while others use it")
+  {
+    for (int i = 0; i < 3; ++i) {
+      const wg::Elapsed then = Now + absl::Milliseconds(500 * i);
+      report(1.0, then);
+      wg::NoteCallTime(server, pool.limits, FullCall(1.0, true), 0.475, then);
+    }
+    // What the times show counts as if there were no report.
+    const wg::Elapsed then = Now + absl::Milliseconds(1000);
+    wg::StageServer silent;
+    for (int i = 0; i < 3; ++i) {
+      wg::NoteCallTime(silent, 0.19, 0.475, Now + absl::Milliseconds(500 * i));
+    }
+    CHECK(wg::SlownessNow(server, then) ==
+          Approx(wg::SlownessNow(silent, then)));
+    report(1.0, then + absl::Milliseconds(10));
+    CHECK_FALSE(wg::IsTrusted(server.reports.trust, then));
+  }
+  SECTION("it says that it is slow, and is not: it does not seem fast then")
+  {
+    for (int i = 0; i < 3; ++i) {
+      wg::NoteCallTime(server, pool.limits, FullCall(5.0, true), 0.19, Now);
+    }
+    CHECK_FALSE(wg::IsTrusted(server.reports.trust, Now));
+    CHECK(wg::SlownessNow(server, Now) == Approx(1.0));
+  }
+}
+
+// Guards against one cause of slowness being counted twice.
+TEST_CASE("What the reported pace explains is not the endpoint's slowness")
+{
+  wg::StagePool pool = MakePool(1);
+  wg::StageServer& server = pool.servers[0];
+  for (int i = 0; i < 5; ++i) {
+    wg::NoteCallTime(server, pool.limits, FullCall(2.5, true), 0.475, Now);
+  }
+  CHECK(wg::SlownessNow(server, Now) == Approx(1.0));
+  CHECK(wg::IsTrusted(server.reports.trust, Now));
+}
--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -280,6 +280,13 @@
   Forwarder& ControlLink(int index) { return *links_[index]; }
   int Api(int index) const { return apis_[index]; }
   int Listen(int index) const { return listens_[index]; }
+  /** What a gateway's metrics say; empty: no answer. */
+  std::string Metrics(int gateway)
+  {
+    httplib::Client client("127.0.0.1", readies_[gateway]);
+    const auto reply = client.Get("/metrics");
+    return reply && reply->status == 200 ? reply->body : "";
+  }
   int FreePort() { return ports_.Take(); }
   int Gateways() const { return static_cast<int>(gateways_.size()); }
   static constexpr int Controls = 3;
