Engine pool: lasting speed, transient slowness and faults told apart

One number with a memory of 10 s stood for an engine that is always slower (0.7 to 1.7 of the mean), for a machine that is busy for 600 ms (2.5 times) and for a fault (5 times for 6 s): the first was forgotten, the second and third were held against an engine long after.

wgEndpointSpeed keeps the three apart, each with a confidence. An engine begins at the median of its peers, and engines that do not clearly differ all get the same factor. A faulty one gets single prompts until two of them are sound (engine_faulty, engine_sound, engines_judged_*, engine_probes).

A longer memory of the one number was ruled out: it holds busy moments against engines for as long. So was judging engines without regard to their peers: in a burst all are slow.

--- a/Source/Gateway/wgEngineCoordinator.cxx
+++ b/Source/Gateway/wgEngineCoordinator.cxx
@@ -100,6 +100,9 @@
   const absl::Duration limited = LeaveOutLimited(engines, key);
   const EnginePlacement placed = PlacePrompt(pool, engines, query);
   metrics_.Count("engines_asked");
+  if (placed.isProbe) {
+    metrics_.Count("engine_probes");
+  }
   wire::EngineAnswer answer;
   answer.set_limited_ms(absl::ToInt64Milliseconds(limited));
   if (placed.endpoint == nullptr) {
@@ -169,7 +172,25 @@
   const EngineReadResult result{
     static_cast<double>(end.took_us()) / MicrosInSecond, end.failed()
   };
-  EndRead(pools_[key], { end.box(), end.read() }, result, ElapsedNow());
+  const auto judged =
+    EndRead(pools_[key], { end.box(), end.read() }, result, ElapsedNow());
+  if (judged) {
+    LogJudgement(key, *judged);
+  }
+}
+
+void EngineCoordinator::LogJudgement(const StagePoolKey& key,
+                                     const EngineJudgement& judged)
+{
+  metrics_.Count(judged.isFaulty ? "engines_judged_faulty"
+                                 : "engines_judged_sound");
+  log_.Write(LogWeight::Notable,
+             judged.isFaulty ? "engine_faulty" : "engine_sound",
+             { { "endpoint", judged.engine },
+               { "service", key.service },
+               { "hall", key.hall },
+               { "took_factor", judged.tookFactor },
+               { "lasting_factor", judged.lasting } });
 }
 
 } // namespace wg
--- a/Source/Gateway/wgEngineCoordinator.h
+++ b/Source/Gateway/wgEngineCoordinator.h
@@ -59,6 +59,7 @@
   }
 
 private:
+  void LogJudgement(const StagePoolKey& key, const EngineJudgement& judged);
   ColdBounds ColdBoundsOf(const std::string& service) const;
   absl::Duration LeaveOutLimited(std::vector<DirectoryEndpoint*>& engines,
                                  const StagePoolKey& pool);
--- a/Source/Gateway/wgEnginePool.cxx
+++ b/Source/Gateway/wgEnginePool.cxx
@@ -29,15 +29,56 @@
 /** After such a pause another box may have been asked. */
 constexpr absl::Duration LongestPause = absl::Seconds(2);
 constexpr absl::Duration EngineMemory = absl::Minutes(1);
-constexpr double SlownessWeight = 0.2;
-constexpr double SlownessMemorySeconds = 10.0;
-constexpr double LeastSlowness = 0.5;
-constexpr double MostSlowness = 10.0;
 
-double SlownessOf(const EngineLoad& load, Elapsed now)
+PeerSpeeds PeersOf(absl::Span<EngineLoad* const> loads, Elapsed now)
 {
-  const double age = absl::ToDoubleSeconds(now - load.slownessNoted);
-  return 1.0 + (load.slowness - 1.0) * std::exp(-age / SlownessMemorySeconds);
+  std::vector<const EndpointSpeed*> speeds;
+  speeds.reserve(loads.size());
+  std::transform(loads.begin(), loads.end(), std::back_inserter(speeds),
+                 [](const EngineLoad* load) { return &load->speed; });
+  return SummarizeSpeeds(speeds, now);
+}
+
+std::vector<EngineLoad*> LoadsOf(EnginePool& pool,
+                                 absl::Span<DirectoryEndpoint* const> engines)
+{
+  std::vector<EngineLoad*> loads;
+  loads.reserve(engines.size());
+  std::transform(engines.begin(), engines.end(), std::back_inserter(loads),
+                 [&pool](const DirectoryEndpoint* engine) {
+                   return &pool.engines[engine->id];
+                 });
+  return loads;
+}
+
+std::vector<EngineLoad*> LoadsOf(EnginePool& pool)
+{
+  std::vector<EngineLoad*> loads;
+  loads.reserve(pool.engines.size());
+  std::transform(pool.engines.begin(), pool.engines.end(),
+                 std::back_inserter(loads),
+                 [](auto& engine) { return &engine.second; });
+  return loads;
+}
+
+/** Ejecting more would leave the others with more than twice their work, and
+ * a cause that most engines share is not a fault of one.
+ */
+bool AreMostFaulty(absl::Span<EngineLoad* const> loads)
+{
+  const auto faulty =
+    std::count_if(loads.begin(), loads.end(),
+                  [](const EngineLoad* load) { return load->speed.isFaulty; });
+  return 2 * static_cast<std::size_t>(faulty) > loads.size();
+}
+
+/** Seconds until it has read what it was sent if it held no part. */
+double WholeBacklogSeconds(const EngineLoad& load)
+{
+  return std::accumulate(load.reads.begin(), load.reads.end(), 0.0,
+                         [](double sum, const EngineRead& read) {
+                           return sum + read.wholeSeconds;
+                         });
 }
 
 bool Holds(const EnginePool& pool, std::uint64_t path,
@@ -128,15 +169,22 @@
   }
 }
 
-void NoteSpeed(EngineLoad& load, const EngineRead& read, double tookSeconds,
-               Elapsed now)
+/** How long a read took by its usual time. What it takes besides reading is no
+ * matter of the engine's speed, and a read that is shorter than that shows
+ * nothing of it.
+ */
+std::optional<SpeedSample> SampleOf(const EngineRead& read, double tookSeconds)
 {
-  const double before = SlownessOf(load, now);
-  const double expected = read.waitSeconds + read.seconds + BaseSeconds;
-  const double ratio =
-    std::clamp(before * tookSeconds / expected, LeastSlowness, MostSlowness);
-  load.slowness = before + SlownessWeight * (ratio - before);
-  load.slownessNoted = now;
+  const double expected = read.waitSeconds + read.seconds;
+  if (tookSeconds <= 0.0 || expected < BaseSeconds) {
+    return std::nullopt;
+  }
+  const double spent = std::max(tookSeconds - BaseSeconds, 0.0);
+  SpeedSample sample;
+  sample.factor = read.factor * spent / expected;
+  const double whole = read.wholeWaitSeconds + read.wholeSeconds;
+  sample.leastFactor = read.factor * spent / std::max(whole, expected);
+  return sample;
 }
 
 void RemoveRead(EngineLoad& load, std::vector<EngineRead>::iterator read,
@@ -177,9 +225,11 @@
 {
   for (auto engine = pool.engines.begin(); engine != pool.engines.end();) {
     const EngineLoad& load = engine->second;
-    const Elapsed noted = std::max(load.slownessNoted, load.failures.noted);
-    const bool isOld =
-      load.reads.empty() && now - noted > EngineMemory && IsUnsent(load, now);
+    const bool isMeasured =
+      load.speed.samples > 0.0 && now - load.speed.noted <= SpeedMemory;
+    const bool isOld = load.reads.empty() && !isMeasured &&
+                       now - load.failures.noted > EngineMemory &&
+                       IsUnsent(load, now);
     engine = isOld ? pool.engines.erase(engine) : std::next(engine);
   }
 }
@@ -200,6 +250,15 @@
          IsWithinRate(load.sends, rates.toCold, now);
 }
 
+/** A placement and what it was chosen by. */
+struct Expected
+{
+  EnginePlacement placement;
+  double finish = std::numeric_limits<double>::infinity();
+  double factor = 1.0; // of the engine's speed
+  double wholeSeconds = 0.0;
+};
+
 /** What an engine's place in rendezvous order adds, in seconds. */
 std::vector<double> RankedSeconds(absl::Span<DirectoryEndpoint* const> engines,
                                   const PromptShape& prompt)
@@ -280,22 +339,25 @@
   const std::vector<std::uint64_t> paths = HashPaths(query.prompt);
   const std::vector<double> ranked = RankedSeconds(engines, query.prompt);
   const auto& avoid = query.choice.avoid;
-  EnginePlacement best;
-  double soonest = std::numeric_limits<double>::infinity();
+  const std::vector<EngineLoad*> loads = LoadsOf(pool, engines);
+  const PeerSpeeds peers = PeersOf(loads, now);
+  const bool areMostFaulty = AreMostFaulty(loads);
+  Expected best;
+  Expected bestEjected;
   for (std::size_t i = 0; i < engines.size(); ++i) {
     DirectoryEndpoint* engine = engines[i];
     if (std::find(avoid.begin(), avoid.end(), engine->id) != avoid.end()) {
       continue;
     }
-    EngineLoad& load = pool.engines[engine->id];
+    EngineLoad& load = *loads[i];
     ForgetOldReads(load, now);
     if (!BearsMore(pool, load, *engine, query)) {
       continue;
     }
     const TokensToRead tokens =
       CountTokens(pool, query, paths, engine->id, ranked[i] == 0.0);
-    const double perToken =
-      query.speed.secondsPerToken * SlownessOf(load, now);
+    const double factor = ExpectedFactor(load.speed, peers, now);
+    const double perToken = query.speed.secondsPerToken * factor;
     const double wait = BacklogSeconds(load, now);
     const double read = tokens.all * perToken;
     const bool isNear = engine->hall == query.choice.hall;
@@ -304,28 +366,45 @@
       (ShareNow(engine->failures, now) + ShareNow(load.failures, now)) *
         FailureSeconds +
       (isNear ? 0.0 : query.choice.otherHallSeconds) + ranked[i];
-    if (finish < soonest) {
-      soonest = finish;
-      best = { engine, read, wait };
+    const bool isEjected =
+      !areMostFaulty && IsEjected(load.speed, load.reads.size(), now);
+    Expected& soonest = isEjected ? bestEjected : best;
+    if (finish < soonest.finish) {
+      // What it holds is certain by what it was sent, and else a guess.
+      const double whole =
+        now < pool.guessUntil
+          ? static_cast<double>(query.prompt.tokensIn) * perToken
+          : read;
+      soonest = { { engine, read, wait, load.speed.isFaulty },
+                  finish,
+                  factor,
+                  std::max(whole, read) };
     }
   }
-  if (best.endpoint == nullptr) {
-    return best;
+  if (best.placement.endpoint == nullptr) {
+    best = bestEjected;
   }
-  EngineLoad& load = pool.engines[best.endpoint->id];
+  if (best.placement.endpoint == nullptr) {
+    return best.placement;
+  }
+  EngineLoad& load = pool.engines[best.placement.endpoint->id];
   if (load.reads.empty()) {
     load.headFrom = now;
   }
   if (query.cold.perSecond > 0.0) {
     load.sends.times.push_back(now);
   }
-  load.reads.push_back({ query.key, best.readSeconds, best.waitSeconds, now });
-  NoteHolder(pool, paths, best.endpoint->id, now);
-  return best;
+  load.reads.push_back({ query.key, best.placement.readSeconds,
+                         best.placement.waitSeconds, now, best.factor,
+                         best.wholeSeconds, WholeBacklogSeconds(load) });
+  NoteHolder(pool, paths, best.placement.endpoint->id, now);
+  return best.placement;
 }
 
-void EndRead(EnginePool& pool, const EngineReadKey& key,
-             const EngineReadResult& result, Elapsed now)
+std::optional<EngineJudgement> EndRead(EnginePool& pool,
+                                       const EngineReadKey& key,
+                                       const EngineReadResult& result,
+                                       Elapsed now)
 {
   for (auto& [id, load] : pool.engines) {
     auto read = std::find_if(
@@ -335,12 +414,23 @@
       continue;
     }
     NoteOutcome(load.failures, result.failed, now);
-    if (result.tookSeconds > 0.0) {
-      NoteSpeed(load, *read, result.tookSeconds, now);
-    }
+    const std::optional<SpeedSample> sample =
+      SampleOf(*read, result.tookSeconds);
     RemoveRead(load, read, now);
-    return;
+    if (!sample) {
+      NoteNoSample(load.speed, now);
+      return std::nullopt;
+    }
+    const PeerSpeeds peers = PeersOf(LoadsOf(pool), now);
+    const double lasting = LastingSpeed(load.speed, peers).factor;
+    const SpeedChange change = NoteSpeed(load.speed, peers, *sample, now);
+    if (change == SpeedChange::None) {
+      return std::nullopt;
+    }
+    return EngineJudgement{ id, change == SpeedChange::Faulty, lasting,
+                            sample->factor };
   }
+  return std::nullopt;
 }
 
 } // namespace wg
--- a/Source/Gateway/wgEnginePool.h
+++ b/Source/Gateway/wgEnginePool.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,6 +14,7 @@
 #include "wgDirectory.h"
 #include "wgElapsed.h"
 #include "wgEndpointChoice.h"
+#include "wgEndpointSpeed.h"
 
 namespace wg {
 
@@ -28,6 +30,9 @@
   double seconds = 0.0;     // that reading it takes by itself
   double waitSeconds = 0.0; // that it was expected to wait before
   Elapsed sent;
+  double factor = 1.0;           // that the engine's speed was taken to be
+  double wholeSeconds = 0.0;     // reading, if it held no part
+  double wholeWaitSeconds = 0.0; // and what was sent before
 };
 
 /** \brief What an engine has to read, oldest first, and how it did lately. */
@@ -35,8 +40,7 @@
 {
   std::vector<EngineRead> reads;
   Elapsed headFrom;      // when it began with the oldest
-  double slowness = 1.0; // measured against what reading should take
-  Elapsed slownessNoted;
+  EndpointSpeed speed;   // measured against what reading should take
   FailureShare failures; // of all boxes' attempts
   RecentSends sends;     // while its service's endpoints may be cold
 };
@@ -82,6 +86,7 @@
   DirectoryEndpoint* endpoint = nullptr;
   double readSeconds = 0.0;
   double waitSeconds = 0.0;
+  bool isProbe = false; // of an engine that is judged faulty
 };
 
 /** \brief One hash for each part of a prompt: of its name and of all before
@@ -114,8 +119,10 @@
  * notes the prompt as sent to it.
  *
  * An engine that has been sent as much as it bears while it is cold is passed
- * over. What an engine has read lately it need not read again. Reading anew
- * what another one holds is weighed above its time.
+ * over. One that is judged faulty gets single prompts that probe it, unless
+ * most are faulty or no other may be chosen. What an engine has read lately it
+ * need not read again. Reading anew what another one holds is weighed above
+ * its time.
  */
 EnginePlacement PlacePrompt(EnginePool& pool,
                             absl::Span<DirectoryEndpoint* const> engines,
@@ -128,8 +135,19 @@
   bool failed = false;
 };
 
+/** \brief What a read has changed in the judgement of an engine. */
+struct EngineJudgement
+{
+  std::string engine;
+  bool isFaulty = false;   // or sound again
+  double lasting = 1.0;    // its lasting speed
+  double tookFactor = 1.0; // this read's time by its usual time
+};
+
 /** \brief The engine has begun its answer, or never will. */
-void EndRead(EnginePool& pool, const EngineReadKey& key,
-             const EngineReadResult& result, Elapsed now);
+std::optional<EngineJudgement> EndRead(EnginePool& pool,
+                                       const EngineReadKey& key,
+                                       const EngineReadResult& result,
+                                       Elapsed now);
 
 } // namespace wg
--- a/Tests/Gateway/wgEnginePoolTest.cxx
+++ b/Tests/Gateway/wgEnginePoolTest.cxx
@@ -419,3 +419,107 @@
     REQUIRE(wg::PlacePrompt(pool, engines, query).endpoint != nullptr);
   }
 }
+
+// Guards against an engine at fault that goes on to get prompts, or that is
+// never tried again.
+TEST_CASE("An engine at fault gets single prompts until it is sound")
+{
+  Engines engines(3);
+  wg::EnginePool pool;
+  std::uint64_t last = 0;
+  const auto ask = [&](absl::Span<wg::DirectoryEndpoint* const> among,
+                       wg::Elapsed now) {
+    wg::EngineQuery query;
+    query.key = { "box", ++last };
+    query.prompt.tokensIn = 15000;
+    query.choice.now = now;
+    query.choice.hall = "h";
+    return wg::PlacePrompt(pool, among, query);
+  };
+  const auto end = [&](double factor, wg::Elapsed now) {
+    const double took = 0.03 + 15000 * PerToken * factor;
+    return wg::EndRead(pool, { "box", last }, { took, false }, now);
+  };
+  const auto all = absl::MakeSpan(engines.all);
+  wg::Elapsed now = Now;
+  for (int i = 0; i < 10; ++i) {
+    for (std::size_t engine = 0; engine < 3; ++engine) {
+      now += absl::Milliseconds(250);
+      ask(all.subspan(engine, 1), now - absl::Milliseconds(240));
+      CHECK_FALSE(end(1.0, now));
+    }
+  }
+  const auto fail = [&](std::size_t engine) {
+    std::optional<wg::EngineJudgement> judged;
+    for (int i = 0; i < 3; ++i) {
+      CHECK_FALSE(judged);
+      now += absl::Milliseconds(500);
+      ask(all.subspan(engine, 1), now - absl::Milliseconds(490));
+      judged = end(5.0, now);
+    }
+    return judged;
+  };
+  const auto judged = fail(0);
+  REQUIRE(judged);
+  CHECK(judged->engine == "e0");
+  CHECK(judged->isFaulty);
+  SECTION("it gets nothing for a second, however busy the others are")
+  {
+    for (int i = 0; i < 40; ++i) {
+      CHECK(ask(all, now).endpoint->id != "e0");
+    }
+  }
+  SECTION("it gets one prompt then, and others once it is sound")
+  {
+    now += absl::Milliseconds(1010);
+    const auto probe = ask(all.first(1), now);
+    CHECK(probe.isProbe);
+    for (int i = 0; i < 10; ++i) {
+      const auto other = ask(all, now);
+      CHECK(other.endpoint->id != "e0");
+      CHECK_FALSE(other.isProbe);
+    }
+    last -= 10;
+    CHECK_FALSE(end(1.0, now + absl::Milliseconds(280)));
+    last += 10;
+    now += absl::Milliseconds(300);
+    CHECK(ask(all.first(1), now).isProbe);
+    const auto sound = end(1.0, now + absl::Milliseconds(280));
+    REQUIRE(sound);
+    CHECK_FALSE(sound->isFaulty);
+    CHECK_FALSE(ask(all.first(1), now + absl::Milliseconds(300)).isProbe);
+  }
+  SECTION("where no other may be chosen it is")
+  {
+    CHECK(ask(all.first(1), now).endpoint->id == "e0");
+  }
+  SECTION("where most are faulty none is left out")
+  {
+    now += absl::Seconds(2);
+    fail(1);
+    std::set<std::string> chosen;
+    for (int i = 0; i < 40; ++i) {
+      chosen.insert(ask(all, now).endpoint->id);
+    }
+    CHECK(chosen.size() == 3);
+  }
+}
+
+// Guards against measurements of an engine that ended being kept for ever.
+TEST_CASE("What was measured of an engine is forgotten after SpeedMemory")
+{
+  Engines engines(2);
+  wg::EnginePool pool;
+  const std::string first =
+    wg::PlacePrompt(pool, engines.all, Ask(1, "p")).endpoint->id;
+  wg::EndRead(pool, { "box", 1 }, { 0.3, false }, Now);
+  std::vector<wg::DirectoryEndpoint*> others;
+  std::copy_if(engines.all.begin(), engines.all.end(),
+               std::back_inserter(others),
+               [&first](const auto* engine) { return engine->id != first; });
+  wg::PlacePrompt(pool, others, Ask(2, "q", Now + wg::SpeedMemory));
+  CHECK(pool.engines.count(first) == 1);
+  wg::PlacePrompt(pool, others,
+                  Ask(3, "q", Now + wg::SpeedMemory + absl::Seconds(1)));
+  CHECK(pool.engines.count(first) == 0);
+}
