--- a/Tests/Decision/wgEndpointSpeedTest.cxx
+++ b/Tests/Decision/wgEndpointSpeedTest.cxx
@@ -181,6 +181,21 @@
   }
 }
 
+// Guards against a long fault becoming the speed that soundness is judged by.
+TEST_CASE("A fault does not become the lasting speed")
+{
+  Fleet fleet({ 1.0, 1.0, 1.0 });
+  fleet.Work(0.0, 20.0, 0.0, 3);
+  for (int i = 0; i < 3; ++i) {
+    fleet.Note(0, 5.0, 20.0 + i);
+  }
+  REQUIRE(fleet.Of(0).isFaulty);
+  for (int i = 0; i < 120; ++i) {
+    CHECK(fleet.Note(0, 5.0, 23.0 + i) == SpeedChange::None);
+  }
+  CHECK(wg::LastingSpeed(fleet.Of(0), fleet.Peers(143.0)).factor < 1.1);
+}
+
 // Guards against the ejection of engines because all have too much to do, or
 // because prompts took longer than reckoned.
 TEST_CASE("What is explained otherwise is no fault")
@@ -239,5 +254,6 @@
     CHECK(std::isfinite(expected));
     CHECK(expected > 0.1);
     CHECK(expected <= 20.0);
+    CHECK(std::isfinite(wg::LastingSpeed(speed, none).factor));
   }
 }
