--- a/Source/Gateway/wgStagePool.h
+++ b/Source/Gateway/wgStagePool.h
@@ -12,6 +12,7 @@
 
 #include "wgAccountShares.h"
 #include "wgElapsed.h"
+#include "wgEndpointLoad.h"
 #include "wgPoolForecast.h"
 #include "wgResultRoom.h"
 #include "wgRouteTable.h"
@@ -50,6 +51,14 @@
   double expectedSeconds = 0.0;
 };
 
+/** \brief What an endpoint reports of itself, as the pool uses it. */
+struct StageReports
+{
+  std::optional<EndpointLoad> load; // of the last report that was taken in
+  ReportTrust trust;
+  double othersWork = 0.0; // calls of others that it reported with the load
+};
+
 /** \brief An endpoint as the pool sees it. */
 struct StageServer
 {
@@ -63,6 +72,7 @@
   RoomEvidence roomEvidence; // of its last answer that refused results
   std::int64_t roomBound = UnboundedRoom;        // what this allows now
   std::map<std::uint64_t, StageCallState> calls; // by number of the call
+  StageReports reports;
 };
 
 /** \brief The pieces that wait for a service, and its endpoints. */
@@ -83,7 +93,9 @@
   std::string server;
   std::vector<StagePiece> pieces;
   double expectedSeconds = 0.0;
-  std::size_t exceeding = 0; // pieces of accounts above their shares
+  std::size_t exceeding = 0;  // pieces of accounts above their shares
+  double pace = 1.0;          // that its endpoint reported when it was made
+  bool followsReport = false; // whether there was a report with a pace
 };
 
 /** \brief Whether its request can no longer be answered when it ought to be,
@@ -168,6 +180,28 @@
 double ExpectedWaitSeconds(const StagePool& pool, const StagePiece& piece,
                            std::size_t piecesOfWork,
                            const AccountStandings& standings, Elapsed now);
+/** \brief Takes in what the endpoint has reported, if it is news. This pool's
+ * calls, and the request that was answered with the report, are not work of
+ * others.
+ */
+void TakeReport(StageServer& server, const KnownLoad& known, Elapsed now);
+
+/** \brief How long work takes there now by its own report, as a multiple of
+ * the usual time; 1 without a report that is fresh and believed, and for
+ * differences that are within the spread of call times.
+ */
+double ReportedPace(const StageServer& server, Elapsed now);
+
+/** \brief Seconds until it has done the work of others that it reported. */
+double OthersBusySeconds(const StageServer& server, const StageLimits& limits,
+                         Elapsed now);
+
+/** \brief Takes the time of a call into the endpoint's slowness, less what the
+ * pace explains that it reported, and compares it with that report.
+ * \return whether its reports are ignored from now on
+ */
+bool NoteCallTime(StageServer& server, const StageLimits& limits,
+                  const StageCall& call, double seconds, Elapsed now);
 
 /** \brief Takes the time of a call into the endpoint's slowness. */
 void NoteCallTime(StageServer& server, double expected, double seconds,
