--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -78,7 +78,7 @@
   std::uint64_t work = 0;
   Elapsed submittedAt;
   Elapsed doneAt;
-  StagePoolKey pool; // that has made them
+  StagePoolKey pool;       // that has made them
   bool roomScarce = false; // in that pool
   AskedReservation reserved;
   std::vector<std::string> handles;
--- a/Tests/Gateway/wgStagePoolTest.cxx
+++ b/Tests/Gateway/wgStagePoolTest.cxx
@@ -755,7 +755,6 @@
   CHECK(Tickets(InOrder(pool)) == TicketsWithoutAccounts(pool));
 }
 
-
 namespace {
 
 wg::KnownLoad Reported(const wg::StageServer& server, double running,
