--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -216,8 +216,7 @@
   SyncServers(key, pool);
   StageReservations& reservations = reservations_[key];
   DropOldReservations(reservations, now);
-  const wire::StageReserveAnswer answer =
-    wg::Reserve(pool, reservations, ask, now);
+  wire::StageReserveAnswer answer = wg::Reserve(pool, reservations, ask, now);
   metrics_.Count(!answer.granted() ? "stage_reservations_refused"
                  : answer.late()   ? "stage_reservations_late"
                                    : "stage_reservations_granted");
--- a/Tests/Gateway/wgReservationClientTest.cxx
+++ b/Tests/Gateway/wgReservationClientTest.cxx
@@ -65,7 +65,7 @@
   {
     return thread.Do([this, other] {
       for (int i = 0;; ++i) {
-        const std::string name = absl::StrCat("svc", i);
+        std::string name = absl::StrCat("svc", i);
         const bool isOther = stages->CoordinatorOf({ name, "h" }) != nullptr;
         if (isOther == other) {
           return name;
