--- a/Source/Decision/wgChainAdmission.cxx
+++ b/Source/Decision/wgChainAdmission.cxx
@@ -14,7 +14,7 @@
 constexpr double UsedShare = 0.9;
 constexpr double GuessShare = 0.5;
 /** Of the time that a chain can wait in all. A queue serves no more for being
- * longer: with all of it the pools were kept so full that half of what was
+ * longer: with all of it the pools were kept so full that a third of what was
  * admitted in a burst ended late.
  */
 constexpr double WaitShare = 0.5;
