Gateway: an unanswered request for capacity is no sign that its coordinator is gone

Ruled out: a rate that was measured too low for good (retry_ms and waits of the refusing pools fit what waited).

Change: no doubt from it; the works that the box is sent are watched as before. A pool with free places is taken at its full rate; endpoints are compared with the directory at most every 25 ms; accounts are judged only where a pool is contended.

--- a/Source/Gateway/wgReservationClient.cxx
+++ b/Source/Gateway/wgReservationClient.cxx
@@ -70,8 +70,7 @@
   }
   peers_.Call(
     member->address, "/stage-reserve", ask.SerializeAsString(), AskTimeout,
-    [this, box = member->box, pool, index,
-     open](const Outcome<std::string>& reply) {
+    [this, pool, index, open](const Outcome<std::string>& reply) {
       std::optional<wire::StageReserveAnswer> answer;
       wire::StageReserveAnswer parsed;
       // A box that stops, or of an older version, answers with nothing.
@@ -79,10 +78,11 @@
       if (isAnswer && parsed.ParseFromString(Value(reply))) {
         answer = parsed;
       }
-      boost::asio::post(loop_, [this, box, pool, index, open, answer] {
+      boost::asio::post(loop_, [this, pool, index, open, answer] {
+        // Not taken as a sign that the box is gone: while it is overloaded,
+        // others would begin to make the pool's calls beside it.
         if (!answer) {
           metrics_.Count("stage_reservations_unanswered");
-          stages_.Doubt(box);
         }
         Take(pool, index, open, answer);
       });
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -18,6 +18,10 @@
  * hundred pieces (reckoned): a hundredth of it at this period.
  */
 constexpr absl::Duration JudgePeriod = absl::Milliseconds(25);
+/** Requests for capacity come up to some hundred times a second, and the pump
+ * compares the pool with the directory as well.
+ */
+constexpr absl::Duration SyncPeriod = absl::Milliseconds(25);
 constexpr int MaxPieceAttempts = 4;
 constexpr double MsInSecond = 1e3;
 constexpr absl::Duration BacklogLogPeriod = absl::Seconds(1);
@@ -213,9 +217,12 @@
     return refused;
   }
   StagePool& pool = PoolOf(key);
-  SyncServers(key, pool);
   StageReservations& reservations = reservations_[key];
-  DropOldReservations(reservations, now);
+  if (now - reservations.serversSynced >= SyncPeriod) {
+    reservations.serversSynced = now;
+    SyncServers(key, pool);
+    DropOldReservations(reservations, now);
+  }
   wire::StageReserveAnswer answer = wg::Reserve(pool, reservations, ask, now);
   metrics_.Count(!answer.granted() ? "stage_reservations_refused"
                  : answer.late()   ? "stage_reservations_late"
--- a/Source/Gateway/wgStageReservations.cxx
+++ b/Source/Gateway/wgStageReservations.cxx
@@ -40,6 +40,9 @@
                              const StageReservations& reservations,
                              absl::Duration wait, Elapsed now)
 {
+  if (wait <= ContendedWait) { // spares the demands
+    return {};
+  }
   constexpr double msInSecond = 1e3;
   const double msOfPiece =
     ExpectedCallSeconds(pool.limits, pool.limits.batch) * msInSecond /
@@ -65,6 +68,34 @@
   }
 }
 
+/** Nothing waits, and at least half of the endpoints that take calls are free.
+ */
+bool HasFreePlaces(const StagePool& pool, Elapsed now)
+{
+  std::size_t open = 0;
+  std::size_t free = 0;
+  for (const StageServer& server : pool.servers) {
+    const bool isOpen = server.avoidUntil <= now && server.closedUntil <= now;
+    open += isOpen ? 1 : 0;
+    free += isOpen && server.calls.empty() ? 1 : 0;
+  }
+  return pool.waiting.empty() && free > 0 && 2 * free >= open;
+}
+
+/** By what the pool did lately, if it was busy. A pool with free places is
+ * taken at its full rate: one that was slow before a change of its endpoints
+ * or of its coordinator would refuse work that it can serve.
+ */
+PoolRate RateOf(const StagePool& pool, StageReservations& reservations,
+                Elapsed now)
+{
+  // What waited may have been cancelled since the last call was made.
+  reservations.busy.isBusy &= pool.waiting.size() >= pool.limits.batch;
+  const PoolRate expected = ExpectedRate(pool, now);
+  return HasFreePlaces(pool, now) ? expected
+                                  : ObservedRate(expected, reservations.busy);
+}
+
 struct Judged
 {
   bool granted = false;
@@ -101,7 +132,9 @@
     MoveBehind(pending, now, judged.work);
   }
   const PoolRate left =
-    RateLeft(rate, reservations.demand, judged.work.rank, now);
+    HasFreePlaces(pool, now)
+      ? rate
+      : RateLeft(rate, reservations.demand, judged.work.rank, now);
   const WorkForecast forecast = ForecastWork(left, pending, judged.work, now);
   judged.wait = forecast.wait;
   judged.granted =
@@ -163,8 +196,7 @@
     NoteDemand(reservations.demand, static_cast<int>(ask.rank()),
                static_cast<double>(ask.pieces()), now);
   }
-  const PoolRate rate =
-    ObservedRate(ExpectedRate(pool, now), reservations.busy);
+  const PoolRate rate = RateOf(pool, reservations, now);
   const std::vector<PendingWork> pending = PendingOf(pool, reservations, now);
   const Judged judged = Judge(rate, pool, reservations, pending, ask, now);
   wire::StageReserveAnswer answer;
--- a/Source/Gateway/wgStageReservations.h
+++ b/Source/Gateway/wgStageReservations.h
@@ -31,6 +31,7 @@
   RankDemand demand;
   BusyRate busy;
   PromisedReturns promised;
+  Elapsed serversSynced; // when its endpoints were last compared
 };
 
 /** \brief What the pool has to do: pieces that wait and reserved work. */
--- a/Tests/Gateway/wgStageReservationsTest.cxx
+++ b/Tests/Gateway/wgStageReservationsTest.cxx
@@ -148,3 +148,21 @@
   const auto small = wg::Reserve(pool, reservations, ask(3, "small"), Now);
   CHECK(large.clear_ms() > small.clear_ms() + 300);
 }
+
+// Failure: a pool that was slow while it was busy refuses work with all its
+// places free.
+TEST_CASE("A pool with free places is taken at its full rate")
+{
+  wg::StagePool pool = MakePool();
+  wg::StageReservations reservations;
+  wg::NoteBusy(reservations.busy, true, Now - absl::Seconds(2));
+  wg::NoteBusy(reservations.busy, true, Now);
+  wg::wire::StageReserve urgent = Ask(1, -1); // refused, but asked for
+  REQUIRE_FALSE(wg::Reserve(pool, reservations, urgent, Now).granted());
+  wg::wire::StageReserve first = Ask(2, 1500);
+  first.set_rank(1);
+  REQUIRE(wg::Reserve(pool, reservations, first, Now).granted());
+  wg::wire::StageReserve second = Ask(3, 1500);
+  second.set_rank(1);
+  CHECK(wg::Reserve(pool, reservations, second, Now).granted());
+}
