--- a/Tests/Gateway/wgStageReservationsTest.cxx
+++ b/Tests/Gateway/wgStageReservationsTest.cxx
@@ -119,7 +119,8 @@
   CHECK_FALSE(wg::IsSound(ask));
   ask.set_pieces(1000000);
   CHECK_FALSE(wg::IsSound(ask));
-  ask = Ask(1, std::numeric_limits<std::int64_t>::max());
+  ask = Ask(1, 500);
+  ask.set_start_by_ms(std::numeric_limits<std::int64_t>::max());
   CHECK_FALSE(wg::IsSound(ask));
   ask = Ask(1, 500);
   ask.set_earliest_ms(-5);
