--- a/Tests/Gateway/wgStageCoordinatorTest.cxx
+++ b/Tests/Gateway/wgStageCoordinatorTest.cxx
@@ -770,7 +770,10 @@
   SubmitFor(f, "small", 3, 1);
   CHECK(f.AnswerNext() == "r1.0\n");
   CHECK(f.AnswerNext() == "r3.0\nr2.0\nr2.1\n");
-  CHECK(absl::StrContains(f.metrics.Print(), "stage_pieces_sent_over_share"));
+  CHECK(f.thread.Do([&f] {
+    return absl::StrContains(f.metrics.Print(),
+                             "stage_pieces_sent_over_share");
+  }));
 }
 
 TEST_CASE("A call that was not run is charged to nobody")
