--- a/Tests/Process/wgStandinTest.cxx
+++ b/Tests/Process/wgStandinTest.cxx
@@ -155,7 +155,7 @@
   Engine engine(ports);
   engine.Post("/v1/fault", { { "slowness", 2.5 }, { "fail_next", 1 } });
   httplib::Client client("127.0.0.1", engine.Port());
-  const std::string field = "X-Weirgate-Server-Load";
+  const std::string field = "Weirgate-Load";
   const auto failed =
     client.Post("/v1/completions", R"({"prompt":"x"})", "application/json");
   REQUIRE(failed);
--- a/Utilities/Standin/wgStandinEngine.cxx
+++ b/Utilities/Standin/wgStandinEngine.cxx
@@ -126,7 +126,7 @@
   AddAdminRoutes();
   // In answers of every status, as the platform's endpoints send it.
   server_.set_post_routing_handler([this](const Request&, Response& response) {
-    response.set_header("X-Weirgate-Server-Load", LoadField());
+    response.set_header("Weirgate-Load", LoadField());
   });
   if (!BindForBursts(server_, "127.0.0.1", settings_.port)) {
     return false;
