Gateway: endpoints are found by an index of service, hall and address

Each registration that was heard looked for ended endpoints among all.

Ruled out: a larger bound or a longer period, which hold at one size only.

Change: the directory keeps its endpoints by service, by service and hall, and by address, and takes them out of these where they end or are overtaken. A choice for a hall's pool looks at the hall's endpoints. Ended ones are looked for every 3 s. A box that begins to choose for a hall's pool asks the hall's boxes what they sent, no longer all boxes.

The order of candidates is as before, by identity.

--- a/Source/Gateway/wgCutAttempts.cxx
+++ b/Source/Gateway/wgCutAttempts.cxx
@@ -20,18 +20,6 @@
   return { id, foundBy, { cut.requests.begin(), cut.requests.end() } };
 }
 
-/** Another start that serves where this one did, known since the cut. */
-bool HasSuccessor(const Directory& directory,
-                  const DirectoryEndpoint& endpoint, Elapsed since)
-{
-  const auto& all = directory.endpoints;
-  return std::any_of(all.begin(), all.end(), [&](const auto& pair) {
-    const DirectoryEndpoint& other = pair.second;
-    return other.id != endpoint.id && other.address == endpoint.address &&
-           other.known >= since && IsCurrent(other);
-  });
-}
-
 std::optional<EndFoundBy> HowEnded(const Directory& directory,
                                    const DirectoryEndpoint& endpoint,
                                    Elapsed since)
--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -62,6 +62,96 @@
          later.state != Registration::SILENT;
 }
 
+void RemoveFromServices(DirectoryIndex& index, const std::string& id,
+                        const DirectoryIndex::Entry& entry)
+{
+  auto service = index.byService.find(entry.service);
+  service->second.erase(id);
+  auto halls = index.byHall.find(entry.service);
+  auto hall = halls->second.find(entry.hall);
+  hall->second.erase(id);
+  if (hall->second.empty()) {
+    halls->second.erase(hall);
+  }
+  if (service->second.empty()) {
+    index.byService.erase(service);
+    index.byHall.erase(halls);
+  }
+}
+
+void RemoveFromAddresses(DirectoryIndex& index, const std::string& id,
+                         const DirectoryIndex::Entry& entry)
+{
+  auto found = index.byAddress.find(entry.address);
+  found->second.erase(id);
+  if (found->second.empty()) {
+    index.byAddress.erase(found);
+  }
+}
+
+/** Lists the endpoint under what it is now. */
+void IndexEndpoint(Directory& directory, DirectoryEndpoint& endpoint)
+{
+  DirectoryIndex& index = directory.index;
+  const bool isPresent =
+    endpoint.state != Registration::GONE && !endpoint.overtaken;
+  auto [found, isNew] = index.entries.try_emplace(endpoint.id);
+  DirectoryIndex::Entry& entry = found->second;
+  const bool isMoved = entry.isPresent != isPresent ||
+                       entry.service != endpoint.service ||
+                       entry.hall != endpoint.hall;
+  if (isMoved && entry.isPresent) {
+    RemoveFromServices(index, endpoint.id, entry);
+  }
+  if (isMoved && isPresent) {
+    index.byService[endpoint.service][endpoint.id] = &endpoint;
+    index.byHall[endpoint.service][endpoint.hall][endpoint.id] = &endpoint;
+  }
+  const bool isReaddressed = isNew || entry.address != endpoint.address;
+  if (isReaddressed && !isNew) {
+    RemoveFromAddresses(index, endpoint.id, entry);
+  }
+  if (isReaddressed) {
+    index.byAddress[endpoint.address][endpoint.id] = &endpoint;
+  }
+  if (isMoved || isReaddressed) {
+    entry = { endpoint.service, endpoint.hall, endpoint.address, isPresent };
+  }
+}
+
+void RemoveFromIndex(Directory& directory, const std::string& id)
+{
+  DirectoryIndex& index = directory.index;
+  auto found = index.entries.find(id);
+  if (found->second.isPresent) {
+    RemoveFromServices(index, id, found->second);
+  }
+  RemoveFromAddresses(index, id, found->second);
+  index.entries.erase(found);
+}
+
+const EndpointsById* FindService(const Directory& directory,
+                                 absl::string_view service)
+{
+  auto found = directory.index.byService.find(service);
+  return found == directory.index.byService.end() ? nullptr : &found->second;
+}
+
+const EndpointsById* FindInHall(const Directory& directory,
+                                absl::string_view service,
+                                absl::string_view hall)
+{
+  if (hall.empty()) {
+    return FindService(directory, service);
+  }
+  auto halls = directory.index.byHall.find(service);
+  if (halls == directory.index.byHall.end()) {
+    return nullptr;
+  }
+  auto found = halls->second.find(hall);
+  return found == halls->second.end() ? nullptr : &found->second;
+}
+
 void JudgeStarts(Directory& directory, const std::string& name)
 {
   const auto starts = StartsOf(directory, name);
@@ -70,6 +160,7 @@
                                    [start](const DirectoryEndpoint* other) {
                                      return Overtakes(*other, *start);
                                    });
+    IndexEndpoint(directory, *start);
   }
 }
 
@@ -145,6 +236,7 @@
 
 void ForgetEnded(Directory& directory, Elapsed now)
 {
+  directory.forgetSteps += directory.endpoints.size();
   for (auto it = directory.endpoints.begin();
        it != directory.endpoints.end();) {
     auto current = it++;
@@ -155,12 +247,48 @@
     if (ended && endpoint.running == 0 &&
         now - endpoint.changed > EndedMemory) {
       const std::string name = endpoint.start.name;
+      RemoveFromIndex(directory, current->first);
       directory.endpoints.erase(current);
       JudgeStarts(directory, name);
     }
   }
 }
 
+void ForgetEndedIfDue(Directory& directory, Elapsed now)
+{
+  if (now - directory.forgotten < EndedCheckPeriod) {
+    return;
+  }
+  directory.forgotten = now;
+  ForgetEnded(directory, now);
+}
+
+std::map<std::string, int> CountByHall(const Directory& directory,
+                                       absl::string_view service)
+{
+  std::map<std::string, int> counts;
+  auto halls = directory.index.byHall.find(service);
+  if (halls != directory.index.byHall.end()) {
+    for (const auto& [hall, endpoints] : halls->second) {
+      counts[hall] = static_cast<int>(endpoints.size());
+    }
+  }
+  return counts;
+}
+
+bool HasSuccessor(const Directory& directory,
+                  const DirectoryEndpoint& endpoint, Elapsed since)
+{
+  const auto found = directory.index.byAddress.find(endpoint.address);
+  return found != directory.index.byAddress.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [&](const auto& pair) {
+                       const DirectoryEndpoint& other = *pair.second;
+                       return other.id != endpoint.id &&
+                              other.known >= since && IsCurrent(other);
+                     });
+}
+
 std::vector<std::string> MergeHallOrders(Directory& directory,
                                          const HallOrders& news, Elapsed now)
 {
@@ -207,12 +335,16 @@
   if (directory.halls.halls.empty()) {
     return false;
   }
+  const EndpointsById* endpoints = FindService(directory, service);
+  if (endpoints == nullptr) {
+    return false;
+  }
   bool isEvacuated = false;
-  for (const auto& [id, endpoint] : directory.endpoints) {
-    if (endpoint.service != service || !IsCurrent(endpoint)) {
+  for (const auto& [id, endpoint] : *endpoints) {
+    if (!IsCurrent(*endpoint)) {
       continue;
     }
-    if (!IsEvacuated(directory.halls, endpoint.hall)) {
+    if (!IsEvacuated(directory.halls, endpoint->hall)) {
       return false;
     }
     isEvacuated = true;
@@ -234,10 +366,14 @@
                                  absl::string_view service, Elapsed now)
 {
   Elapsed soonest = absl::InfiniteDuration();
-  for (const auto& [id, endpoint] : directory.endpoints) {
-    if (endpoint.service == service && TakesNewWork(directory, endpoint)) {
+  const EndpointsById* endpoints = FindService(directory, service);
+  if (endpoints == nullptr) {
+    return absl::ZeroDuration();
+  }
+  for (const auto& [id, endpoint] : *endpoints) {
+    if (TakesNewWork(directory, *endpoint)) {
       soonest = std::min(
-        soonest, std::max(endpoint.deniedUntil, endpoint.terms.restUntil));
+        soonest, std::max(endpoint->deniedUntil, endpoint->terms.restUntil));
     }
   }
   return soonest == absl::InfiniteDuration()
@@ -262,21 +398,47 @@
                                                  absl::string_view hall)
 {
   std::vector<DirectoryEndpoint*> serving;
-  for (auto& [id, endpoint] : directory.endpoints) {
-    const bool isThere = hall.empty() || endpoint.hall == hall;
-    if (isThere && endpoint.service == service &&
-        TakesNewWork(directory, endpoint)) {
-      serving.push_back(&endpoint);
+  const EndpointsById* endpoints = FindInHall(directory, service, hall);
+  if (endpoints == nullptr) {
+    return serving;
+  }
+  serving.reserve(endpoints->size());
+  for (const auto& [id, endpoint] : *endpoints) {
+    if (TakesNewWork(directory, *endpoint)) {
+      serving.push_back(endpoint);
     }
   }
   return serving;
 }
 
+bool IsSound(const Directory& directory, const DirectoryEndpoint& endpoint,
+             Elapsed now, Sender sender)
+{
+  const bool maySend = sender == Sender::ThisBox
+                         ? MaySendNow(directory, endpoint, now)
+                         : TakesNewWork(directory, endpoint);
+  return maySend && endpoint.avoidUntil <= now &&
+         !IsCutOff(directory.reach, endpoint.hall);
+}
+
+bool IsAnySound(const Directory& directory, absl::string_view service,
+                Elapsed now, Sender sender)
+{
+  const EndpointsById* endpoints = FindService(directory, service);
+  return endpoints != nullptr &&
+         std::any_of(endpoints->begin(), endpoints->end(),
+                     [&](const auto& pair) {
+                       return IsSound(directory, *pair.second, now, sender);
+                     });
+}
+
 std::vector<DirectoryEndpoint*> SoundEndpoints(Directory& directory,
                                                absl::string_view service,
-                                               Elapsed now, Sender sender)
+                                               Elapsed now, Sender sender,
+                                               absl::string_view hall)
 {
-  std::vector<DirectoryEndpoint*> open = ServingEndpoints(directory, service);
+  std::vector<DirectoryEndpoint*> open =
+    ServingEndpoints(directory, service, hall);
   if (sender == Sender::ThisBox) {
     open.erase(std::remove_if(open.begin(), open.end(),
                               [&](const DirectoryEndpoint* endpoint) {
@@ -285,12 +447,15 @@
                open.end());
   }
   std::vector<DirectoryEndpoint*> sound;
+  sound.reserve(open.size());
   std::copy_if(open.begin(), open.end(), std::back_inserter(sound),
-               [&directory, now](const DirectoryEndpoint* endpoint) {
-                 return endpoint->avoidUntil <= now &&
-                        !IsCutOff(directory.reach, endpoint->hall);
+               [&](const DirectoryEndpoint* endpoint) {
+                 return IsSound(directory, *endpoint, now, sender);
                });
-  return sound.empty() ? open : sound;
+  const bool useAll =
+    sound.empty() &&
+    (hall.empty() || !IsAnySound(directory, service, now, sender));
+  return useAll ? open : sound;
 }
 
 DirectoryEndpoint* FindEndpoint(Directory& directory, absl::string_view id)
@@ -302,13 +467,14 @@
 const DirectoryEndpoint* FindByAddress(const Directory& directory,
                                        absl::string_view address)
 {
+  const auto found = directory.index.byAddress.find(address);
+  if (found == directory.index.byAddress.end()) {
+    return nullptr;
+  }
   const DirectoryEndpoint* newest = nullptr;
-  for (const auto& [id, endpoint] : directory.endpoints) {
-    const bool better =
-      endpoint.address == address &&
-      (newest == nullptr || (!IsCurrent(*newest) && IsCurrent(endpoint)));
-    if (better) {
-      newest = &endpoint;
+  for (const auto& [id, endpoint] : found->second) {
+    if (newest == nullptr || (!IsCurrent(*newest) && IsCurrent(*endpoint))) {
+      newest = endpoint;
     }
   }
   return newest;
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -2,10 +2,12 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <string>
 #include <vector>
 
+#include "absl/container/btree_map.h"
 #include "absl/strings/string_view.h"
 
 #include "wgElapsed.h"
@@ -51,10 +53,44 @@
   Elapsed deniedUntil;   // no request may be sent within its limit
 };
 
-/** \brief All endpoints that this box knows. */
+/** \brief Endpoints in the order of their identities. */
+using EndpointsById = absl::btree_map<absl::string_view, DirectoryEndpoint*>;
+
+/** \brief Endpoints by what they are looked for, so that a choice walks those
+ * of one service or hall and not all that are known. Those that ended or were
+ * overtaken are found by their address alone.
+ */
+struct DirectoryIndex
+{
+  /** What an endpoint is listed under. */
+  struct Entry
+  {
+    std::string service;
+    std::string hall;
+    std::string address;
+    bool isPresent = false; // in byService and byHall
+  };
+  std::map<std::string, EndpointsById, std::less<>> byService;
+  std::map<std::string, std::map<std::string, EndpointsById, std::less<>>,
+           std::less<>>
+    byHall; // by service, then hall; no empty ones
+  std::map<std::string, EndpointsById, std::less<>> byAddress;
+  std::map<std::string, Entry> entries; // by identity
+};
+
+/** \brief All endpoints that this box knows; they are added by
+ * MergeRegistration. It can't be copied, as its index points into it.
+ */
 struct Directory
 {
+  Directory() = default;
+  Directory(Directory&&) = default;
+  Directory& operator=(Directory&&) = default;
+
   std::map<std::string, DirectoryEndpoint> endpoints; // by identity
+  DirectoryIndex index;
+  Elapsed forgotten;             // when ended ones were last looked for
+  std::uint64_t forgetSteps = 0; // endpoints that were looked at for it
   HallReach reach;
   HallOrders halls;   // operators' orders, as the control boxes told
   Elapsed hallsHeard; // when a new order was last heard
@@ -76,10 +112,28 @@
 void NoteReplaced(Directory& directory, absl::string_view id, Elapsed now);
 
 /** \brief Forgets endpoints that ended long ago and serve nothing of ours, and
- * that others said long ago that they leave.
+ * that others said long ago that they leave. It walks all endpoints.
  */
 void ForgetEnded(Directory& directory, Elapsed now);
 
+/** \brief The same, at most once every EndedCheckPeriod. */
+void ForgetEndedIfDue(Directory& directory, Elapsed now);
+
+/** \brief A sixtieth of the time for which ended endpoints are remembered. */
+constexpr absl::Duration EndedCheckPeriod = absl::Seconds(3);
+
+/** \brief How many endpoints of a service each hall has. Silent ones count:
+ * they may be back, and pools should not come and go.
+ */
+std::map<std::string, int> CountByHall(const Directory& directory,
+                                       absl::string_view service);
+
+/** \brief Whether another start that serves is known at the address, which
+ * this box has heard of since then.
+ */
+bool HasSuccessor(const Directory& directory,
+                  const DirectoryEndpoint& endpoint, Elapsed since);
+
 /** \brief Takes in what a control box tells of orders on halls; what is not
  * newer than what is known changes nothing.
  * \return the halls for which another order holds now
@@ -133,12 +187,25 @@
   AnyBox
 };
 
-/** \brief Of the endpoints that may be sent to, those that are neither avoided
- * for their failures nor cut off, or all when there are none.
+/** \brief Of the endpoints that may be sent to, the sound ones, or all when
+ * the service has no sound one. Those in one hall; in all where the hall's
+ * name is empty.
+ */
+std::vector<DirectoryEndpoint*> SoundEndpoints(Directory& directory,
+                                               absl::string_view service,
+                                               Elapsed now,
+                                               Sender sender = Sender::ThisBox,
+                                               absl::string_view hall = "");
+
+/** \brief Whether the endpoint may be sent to and is neither avoided for its
+ * failures nor cut off.
  */
-std::vector<DirectoryEndpoint*> SoundEndpoints(
-  Directory& directory, absl::string_view service, Elapsed now,
-  Sender sender = Sender::ThisBox);
+bool IsSound(const Directory& directory, const DirectoryEndpoint& endpoint,
+             Elapsed now, Sender sender = Sender::ThisBox);
+
+/** \brief Whether any endpoint of the service is sound. */
+bool IsAnySound(const Directory& directory, absl::string_view service,
+                Elapsed now, Sender sender = Sender::ThisBox);
 
 /** \brief Whether it takes only so many requests a second: each needs a
  * permit, see SendPermits.
--- a/Source/Gateway/wgEngineClient.cxx
+++ b/Source/Gateway/wgEngineClient.cxx
@@ -34,7 +34,9 @@
   own_.OnBegin([this](const StagePoolKey& pool) { Gather(pool); });
 }
 
-/** What a pool's engines hold is known by the boxes that sent it. */
+/** What a pool's engines hold is known by the boxes that sent it: those of its
+ * hall, where it has one.
+ */
 void EngineClient::Gather(const StagePoolKey& pool)
 {
   metrics_.Count("engine_coordinations_begun");
@@ -44,7 +46,8 @@
   asked.set_hall(pool.hall);
   const std::string body = asked.SerializeAsString();
   for (const GatewayMember& member : members_.Others()) {
-    if (member.suspect) {
+    const bool isElsewhere = !pool.hall.empty() && member.hall != pool.hall;
+    if (member.suspect || isElsewhere) {
       continue;
     }
     peers_.Call(
--- a/Source/Gateway/wgEngineCoordinator.cxx
+++ b/Source/Gateway/wgEngineCoordinator.cxx
@@ -29,19 +29,6 @@
   return query;
 }
 
-std::vector<DirectoryEndpoint*> EnginesOf(Directory& directory,
-                                          const StagePoolKey& key, Elapsed now)
-{
-  std::vector<DirectoryEndpoint*> engines;
-  for (DirectoryEndpoint* engine :
-       SoundEndpoints(directory, key.service, now, Sender::AnyBox)) {
-    if (key.hall.empty() || engine->hall == key.hall) {
-      engines.push_back(engine);
-    }
-  }
-  return engines;
-}
-
 } // namespace
 
 EngineCoordinator::EngineCoordinator(Directory& directory,
@@ -96,7 +83,8 @@
     }
   }
   pool.guessUntil = guessUntil_;
-  std::vector<DirectoryEndpoint*> engines = EnginesOf(directory_, key, now);
+  std::vector<DirectoryEndpoint*> engines =
+    SoundEndpoints(directory_, key.service, now, Sender::AnyBox, key.hall);
   const absl::Duration limited = LeaveOutLimited(engines, key);
   const EnginePlacement placed = PlacePrompt(pool, engines, query);
   metrics_.Count("engines_asked");
--- a/Source/Gateway/wgEnginePool.cxx
+++ b/Source/Gateway/wgEnginePool.cxx
@@ -2,7 +2,9 @@
 #include "wgEnginePool.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
+#include <functional>
 #include <limits>
 #include <numeric>
 
@@ -259,7 +261,9 @@
   double wholeSeconds = 0.0;
 };
 
-/** What an engine's place in rendezvous order adds, in seconds. */
+/** What an engine's place in rendezvous order adds, in seconds. Only the first
+ * few places differ, so that the engines need not be sorted.
+ */
 std::vector<double> RankedSeconds(absl::Span<DirectoryEndpoint* const> engines,
                                   const PromptShape& prompt)
 {
@@ -273,12 +277,14 @@
   for (const DirectoryEndpoint* engine : engines) {
     weights.push_back(RendezvousWeight(key, engine->id));
   }
+  std::array<std::uint64_t, RankedEngines> largest{};
+  std::partial_sort_copy(weights.begin(), weights.end(), largest.begin(),
+                         largest.end(), std::greater<>());
   for (std::size_t i = 0; i < engines.size(); ++i) {
-    const auto rank = static_cast<std::size_t>(std::count_if(
-      weights.begin(), weights.end(),
-      [own = weights[i]](std::uint64_t weight) { return weight > own; }));
-    seconds[i] =
-      static_cast<double>(std::min(rank, RankedEngines)) * RankSeconds;
+    const auto rank = std::count_if(
+      largest.begin(), largest.end(),
+      [own = weights[i]](std::uint64_t weight) { return weight > own; });
+    seconds[i] = static_cast<double>(rank) * RankSeconds;
   }
   return seconds;
 }
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -203,6 +203,7 @@
   void AskForEngine();
   void OnEngineChosen(const PlacedRead& placed,
                       const wire::EngineAnswer& answer);
+  void AddUnsound(wire::EngineAsk& ask);
   DirectoryEndpoint* FindChosen(const std::string& id);
   void DenyLimited(const StagePoolKey& pool, absl::Duration wait);
   void EndRead(const EngineReadResult& result);
--- a/Source/Gateway/wgGatewayRequestEngine.cxx
+++ b/Source/Gateway/wgGatewayRequestEngine.cxx
@@ -36,13 +36,7 @@
   for (const std::string& endpoint : tried_) {
     ask.add_avoid(endpoint);
   }
-  const auto sound = SoundEndpoints(shared_.directory, service_, query.now);
-  for (const DirectoryEndpoint* endpoint :
-       ServingEndpoints(shared_.directory, service_)) {
-    if (std::find(sound.begin(), sound.end(), endpoint) == sound.end()) {
-      ask.add_avoid(endpoint->id);
-    }
-  }
+  AddUnsound(ask);
   shared_.engines.Ask(
     std::move(ask),
     [weak = weak_from_this(), &engines = shared_.engines](
@@ -56,17 +50,39 @@
     });
 }
 
+/** Engines of the pool that this box would not send to. */
+void GatewayRequest::AddUnsound(wire::EngineAsk& ask)
+{
+  const Elapsed now = ElapsedNow();
+  Directory& directory = shared_.directory;
+  const bool isAnySound = IsAnySound(directory, service_, now);
+  const StagePoolKey pool =
+    ChoosePool(directory, service_, ask.hall(), EnginesInHall);
+  for (const DirectoryEndpoint* endpoint :
+       ServingEndpoints(directory, service_, pool.hall)) {
+    const bool maySend = isAnySound ? IsSound(directory, *endpoint, now)
+                                    : MaySendNow(directory, *endpoint, now);
+    if (!maySend) {
+      ask.add_avoid(endpoint->id);
+    }
+  }
+}
+
 /** An engine that the box asked has named, if it is sound as far as is known
- * here.
+ * here, or no engine is.
  */
 DirectoryEndpoint* GatewayRequest::FindChosen(const std::string& id)
 {
-  const auto endpoints =
-    SoundEndpoints(shared_.directory, service_, ElapsedNow());
-  auto found = std::find_if(
-    endpoints.begin(), endpoints.end(),
-    [&id](const DirectoryEndpoint* endpoint) { return endpoint->id == id; });
-  return found == endpoints.end() ? nullptr : *found;
+  const Elapsed now = ElapsedNow();
+  Directory& directory = shared_.directory;
+  DirectoryEndpoint* chosen = FindEndpoint(directory, id);
+  if (chosen == nullptr || chosen->service != service_ ||
+      !MaySendNow(directory, *chosen, now)) {
+    return nullptr;
+  }
+  const bool maySend =
+    IsSound(directory, *chosen, now) || !IsAnySound(directory, service_, now);
+  return maySend ? chosen : nullptr;
 }
 
 void GatewayRequest::OnEngineChosen(const PlacedRead& placed,
--- a/Source/Gateway/wgStageClient.cxx
+++ b/Source/Gateway/wgStageClient.cxx
@@ -8,6 +8,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include "absl/container/flat_hash_map.h"
+
 namespace wg {
 namespace {
 
@@ -79,20 +81,26 @@
 {
   const Elapsed now = ElapsedNow();
   bool isChanged = false;
+  absl::flat_hash_map<std::string, std::size_t> places;
+  for (std::size_t i = 0; i < members_.size(); ++i) {
+    places[members_[i].box] = i;
+  }
   for (GatewayMember& member : members) {
     member.told = now;
-    GatewayMember* known = Find(member.box);
-    if (known == nullptr) {
+    const auto [place, isNew] =
+      places.try_emplace(member.box, members_.size());
+    if (isNew) {
       isChanged = true;
       members_.push_back(std::move(member));
       continue;
     }
-    member.suspect = known->suspect && known->address == member.address;
-    member.asked = known->asked;
-    member.heard = known->heard;
-    isChanged |= known->suspect && !member.suspect;
-    isChanged |= known->cpuMilli != member.cpuMilli; // may move coordinators
-    *known = std::move(member);
+    GatewayMember& known = members_[place->second];
+    member.suspect = known.suspect && known.address == member.address;
+    member.asked = known.asked;
+    member.heard = known.heard;
+    isChanged |= known.suspect && !member.suspect;
+    isChanged |= known.cpuMilli != member.cpuMilli; // may move coordinators
+    known = std::move(member);
   }
   if (isChanged) {
     NoteMembersChanged();
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -8,6 +8,9 @@
 
 #include <boost/asio/post.hpp>
 
+#include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
+
 namespace wg {
 namespace {
 
@@ -352,27 +355,29 @@
 {
   const auto serving = ServingEndpoints(directory_, key.service, key.hall);
   auto& servers = pool.servers;
+  absl::flat_hash_set<absl::string_view> servingIds;
+  for (const DirectoryEndpoint* endpoint : serving) {
+    servingIds.insert(endpoint->id);
+  }
   servers.erase(std::remove_if(servers.begin(), servers.end(),
-                               [&serving](const StageServer& server) {
-                                 return std::none_of(
-                                   serving.begin(), serving.end(),
-                                   [&server](const DirectoryEndpoint* e) {
-                                     return e->id == server.id;
-                                   });
+                               [&servingIds](const StageServer& server) {
+                                 return !servingIds.contains(server.id);
                                }),
                 servers.end());
+  absl::flat_hash_map<std::string, std::size_t> places;
+  for (std::size_t i = 0; i < servers.size(); ++i) {
+    places[servers[i].id] = i;
+  }
   for (const DirectoryEndpoint* endpoint : serving) {
-    auto known = std::find_if(servers.begin(), servers.end(),
-                              [endpoint](const StageServer& server) {
-                                return server.id == endpoint->id;
-                              });
-    if (known == servers.end()) {
+    const auto [place, isNew] =
+      places.try_emplace(endpoint->id, servers.size());
+    if (isNew) {
       StageServer server;
       server.id = endpoint->id;
       server.hall = endpoint->hall;
       servers.push_back(std::move(server));
-      known = servers.end() - 1;
     }
+    StageServer* known = &servers[place->second];
     const bool isCut = IsCutOff(directory_.reach, endpoint->hall);
     known->avoidUntil =
       std::max({ known->avoidUntil, endpoint->avoidUntil,
--- a/Source/Gateway/wgStagePoolKey.cxx
+++ b/Source/Gateway/wgStagePoolKey.cxx
@@ -2,31 +2,10 @@
 #include "wgStagePoolKey.h"
 
 #include <algorithm>
-#include <map>
 
 #include "absl/strings/str_cat.h"
 
 namespace wg {
-namespace {
-
-/** Silent ones count: they may be back, and pools should not come and go. */
-std::map<std::string, int> CountByHall(const Directory& directory,
-                                       absl::string_view service)
-{
-  std::map<std::string, int> counts;
-  for (const auto& [id, endpoint] : directory.endpoints) {
-    const bool belongs = endpoint.service == service &&
-                         endpoint.state != wire::Registration::GONE &&
-                         !endpoint.overtaken;
-    if (belongs) {
-      ++counts[endpoint.hall];
-    }
-  }
-  return counts;
-}
-
-} // namespace
-
 std::string NameOf(const StagePoolKey& key)
 {
   return key.hall.empty() ? key.service
--- a/Tests/Gateway/wgEnginePoolTest.cxx
+++ b/Tests/Gateway/wgEnginePoolTest.cxx
@@ -258,9 +258,9 @@
   constexpr double perSecond = 60.0;
   Engines engines(12);
   wg::EnginePool shared;
-  std::vector<Engines> own(boxes, Engines(12));
-  for (Engines& view : own) {
-    view.all = wg::ServingEndpoints(view.directory, "svc");
+  std::vector<Engines> own;
+  for (int i = 0; i < boxes; ++i) {
+    own.emplace_back(12);
   }
   struct Pending
   {
--- a/Tests/Gateway/wgStageCoordinatorTest.cxx
+++ b/Tests/Gateway/wgStageCoordinatorTest.cxx
@@ -333,7 +333,7 @@
   Fixture f;
   f.thread.Do([&] {
     // Another box had them made: the maker has registered there only.
-    f.directory.endpoints.clear();
+    f.directory = {};
     f.stages->Release({ "svc", "" },
                       { f.address + "/r1.0#1", f.address + "/r1.1#2" });
     return true;
--- a/Tests/Gateway/wgStagePoolKeyTest.cxx
+++ b/Tests/Gateway/wgStagePoolKeyTest.cxx
@@ -14,12 +14,13 @@
          Registration::State state = Registration::READY)
 {
   for (int i = 0; i < count; ++i) {
-    wg::DirectoryEndpoint endpoint;
-    endpoint.id = absl::StrCat(hall, directory.endpoints.size());
-    endpoint.service = "enc";
-    endpoint.hall = hall;
-    endpoint.state = state;
-    directory.endpoints[endpoint.id] = endpoint;
+    Registration heartbeat;
+    heartbeat.set_endpoint(absl::StrCat(hall, directory.endpoints.size()));
+    heartbeat.set_service("enc");
+    heartbeat.set_hall(hall);
+    heartbeat.set_state(state);
+    heartbeat.set_sequence(1);
+    wg::MergeRegistration(directory, heartbeat, absl::ZeroDuration());
   }
 }
 
