Control: news is found by revision, and boxes are told as changes

Cause: a reply to a follower walked and sorted all endpoints for a page of 100; the registry had 10,000 places where the fleet has 10,003 endpoints; each tick walked all of them, 66 times a second; the list of boxes went whole to all boxes at each change, which at the start of 986 boxes is boxes cubed.

Change: an index by revision, one by the time at which an endpoint may be silent, and one of ended endpoints. Where the registry is full, the one that ended longest ago gives way. The bound is 65,536, 64 MB of the smallest control box (1 kB each, reckoned): 20,000 endpoints that are all replaced twice within the time for which ended ones are remembered. A follower that asks so is told which boxes came, changed or went; older ones get the list as before. News to all followers is spread over 250 us for each of them, so that in a burst one answer tells more.

--- a/Source/Control/wgControlStatus.cxx
+++ b/Source/Control/wgControlStatus.cxx
@@ -55,6 +55,9 @@
 {
   nlohmann::json rows = nlohmann::json::array();
   for (const auto& [box, follower] : boxes) {
+    if (follower.isControl) {
+      continue;
+    }
     rows.push_back(
       { { "box", box },
         { "hall", follower.hall },
--- a/Source/Control/wgControlStatus.h
+++ b/Source/Control/wgControlStatus.h
@@ -21,6 +21,9 @@
   std::string address = {}; // empty: it shares no work
   Elapsed liveUntil = absl::ZeroDuration();
   std::uint32_t cpuMilli = 0; // share of a core, in thousandths; 0: not told
+  Elapsed toldNews = -absl::InfiniteDuration(); // when it was last
+  bool isOwed = false;    // more of it than one answer holds
+  bool isControl = false; // another control box
 };
 
 absl::string_view Name(ReplicaRole role);
--- a/Source/Control/wgEndpointRegistry.cxx
+++ b/Source/Control/wgEndpointRegistry.cxx
@@ -2,7 +2,9 @@
 #include "wgEndpointRegistry.h"
 
 #include <algorithm>
-#include <vector>
+#include <iterator>
+
+#include "absl/strings/match.h"
 
 namespace wg {
 namespace {
@@ -14,12 +16,6 @@
  */
 constexpr std::size_t MaxRegistrationsInReply = 100;
 
-/** Thirty times the endpoints of the largest site known, at 1 kB each
- * (reckoned from the bounds of their fields): whoever makes names up must not
- * take a control box's memory.
- */
-constexpr std::size_t MaxEndpoints = 10000;
-
 /** For so long an endpoint that may be cold and says nothing is taken to be;
  * longer than the 3 s that engines in use need, and than their heartbeats take
  * to come.
@@ -43,9 +39,108 @@
          (left.warmup_ms() > 0) == (right.warmup_ms() > 0);
 }
 
-void Publish(EndpointRegistry& registry, Registration& registration)
+bool IsEnded(const RegisteredEndpoint& endpoint)
+{
+  return endpoint.registration.state() == Registration::GONE ||
+         endpoint.registration.state() == Registration::SILENT;
+}
+
+void RemoveFromIndex(EndpointRegistry& registry, const std::string& id,
+                     const RegisteredEndpoint& endpoint)
+{
+  RegistryIndex& index = registry.index;
+  index.all.erase(endpoint.registration.revision());
+  index.own.erase(endpoint.registration.revision());
+  index.watched.erase({ endpoint.heard, id });
+  index.ended.erase({ endpoint.heard, id });
+}
+
+void AddToIndex(EndpointRegistry& registry, const std::string& id,
+                const RegisteredEndpoint& endpoint)
+{
+  RegistryIndex& index = registry.index;
+  index.all[endpoint.registration.revision()] = &endpoint;
+  if (endpoint.isOwn) {
+    index.own[endpoint.registration.revision()] = &endpoint;
+  }
+  if (IsEnded(endpoint)) {
+    index.ended.insert({ endpoint.heard, id });
+  } else if (endpoint.isOwn) {
+    index.watched.insert({ endpoint.heard, id });
+  }
+}
+
+/** Changes one that is listed; it is news where `isNews`. */
+template <class Change>
+void Update(EndpointRegistry& registry, const std::string& id,
+            RegisteredEndpoint& endpoint, bool isNews, Change change)
 {
-  registration.set_revision(++registry.revision);
+  RemoveFromIndex(registry, id, endpoint);
+  const std::uint64_t revision = endpoint.registration.revision();
+  change();
+  endpoint.registration.set_revision(isNews ? ++registry.revision : revision);
+  AddToIndex(registry, id, endpoint);
+}
+
+void Erase(EndpointRegistry& registry, const std::string& id)
+{
+  auto found = registry.endpoints.find(id);
+  RemoveFromIndex(registry, id, found->second);
+  registry.endpoints.erase(found);
+}
+
+/** Where there is no room, the one that ended longest ago gives way. */
+bool MakeRoom(EndpointRegistry& registry)
+{
+  if (registry.endpoints.size() < MostEndpoints) {
+    return true;
+  }
+  if (registry.index.ended.empty()) {
+    return false;
+  }
+  Erase(registry, std::string(registry.index.ended.begin()->second));
+  return true;
+}
+
+void EndOne(EndpointRegistry& registry, const std::string& id,
+            RegisteredEndpoint& endpoint, bool isOwn, Elapsed ended)
+{
+  Update(registry, id, endpoint, true, [&] {
+    endpoint.registration.set_state(Registration::GONE);
+    endpoint.heard = ended;
+    endpoint.isOwn = isOwn;
+  });
+}
+
+/** Ends the named start, or all that are known where it was not told. */
+bool EndStarts(EndpointRegistry& registry, const EndpointStart& start,
+               bool isOwn, Elapsed ended)
+{
+  const std::string id = IdentityOf(start);
+  if (registry.endpoints.count(id) == 0) {
+    if (!MakeRoom(registry)) {
+      return false;
+    }
+    RegisteredEndpoint& endpoint = registry.endpoints[id];
+    endpoint.registration.set_endpoint(start.name);
+    endpoint.registration.set_born_ms(start.bornMs);
+  }
+  bool isNews = false;
+  for (auto it = registry.endpoints.lower_bound(start.name);
+       it != registry.endpoints.end() &&
+       absl::StartsWith(it->first, start.name);
+       ++it) {
+    const Registration& registration = it->second.registration;
+    const bool ends =
+      registration.endpoint() == start.name &&
+      (start.bornMs == 0 || registration.born_ms() == start.bornMs) &&
+      registration.state() != Registration::GONE;
+    if (ends) {
+      EndOne(registry, it->first, it->second, isOwn, ended);
+      isNews = true;
+    }
+  }
+  return isNews;
 }
 
 } // namespace
@@ -55,7 +150,7 @@
 {
   const std::string id = IdentityOf(StartOf(heartbeat));
   const bool isNew = registry.endpoints.count(id) == 0;
-  if (isNew && registry.endpoints.size() >= MaxEndpoints) {
+  if (isNew && !MakeRoom(registry)) {
     return HeartbeatTaken::TooMany;
   }
   RegisteredEndpoint& known = registry.endpoints[id];
@@ -68,43 +163,58 @@
   if (!isNew && known.registration.service() != heartbeat.service()) {
     return HeartbeatTaken::Foreign;
   }
-  const bool isNews = isNew || IsAfterGap(known, heartbeat) ||
+  // The other control boxes learn who watches it from now on.
+  const bool isNews = isNew || !known.isOwn || IsAfterGap(known, heartbeat) ||
                       !SaysTheSame(known.registration, heartbeat);
-  const std::uint64_t revision = known.registration.revision();
-  known.registration = heartbeat;
-  known.registration.set_revision(revision);
-  known.heard = now;
-  known.tellNext = false;
-  if (isNews) {
-    Publish(registry, known.registration);
-  }
+  Update(registry, id, known, isNews, [&] {
+    known.registration = heartbeat;
+    known.heard = now;
+    known.tellNext = false;
+    known.isOwn = true;
+  });
   return isNews ? HeartbeatTaken::News : HeartbeatTaken::Known;
 }
 
 bool TakeLeave(EndpointRegistry& registry, const EndpointStart& start,
                Elapsed now)
 {
-  const std::string id = IdentityOf(start);
-  const bool isFull = registry.endpoints.size() >= MaxEndpoints;
-  if (isFull && registry.endpoints.count(id) == 0) {
-    return false;
+  return EndStarts(registry, start, true, now);
+}
+
+bool TakeTold(EndpointRegistry& registry, const Registration& told,
+              Elapsed now)
+{
+  const EndpointStart start = StartOf(told);
+  if (told.state() == Registration::GONE) {
+    return EndStarts(registry, start, false,
+                     now - absl::Milliseconds(told.ended_ago_ms()));
   }
-  registry.endpoints[id].registration.set_endpoint(start.name);
-  registry.endpoints[id].registration.set_born_ms(start.bornMs);
-  bool isNews = false;
-  for (auto& [known, endpoint] : registry.endpoints) {
-    Registration& registration = endpoint.registration;
-    const bool ends =
-      registration.endpoint() == start.name &&
-      (start.bornMs == 0 || registration.born_ms() == start.bornMs);
-    if (ends && registration.state() != Registration::GONE) {
-      registration.set_state(Registration::GONE);
-      endpoint.heard = now;
-      Publish(registry, registration);
-      isNews = true;
+  const std::string id = IdentityOf(start);
+  auto found = registry.endpoints.find(id);
+  if (found == registry.endpoints.end()) {
+    if (!MakeRoom(registry)) {
+      return false;
+    }
+    found = registry.endpoints.try_emplace(id).first;
+  } else {
+    const Registration& known = found->second.registration;
+    const bool isSilence = told.state() == Registration::SILENT &&
+                           known.state() != Registration::SILENT &&
+                           told.sequence() == known.sequence();
+    const bool isNewer = known.state() != Registration::GONE &&
+                         known.service() == told.service() &&
+                         (told.sequence() > known.sequence() || isSilence);
+    if (!isNewer) {
+      return false;
     }
   }
-  return isNews;
+  RegisteredEndpoint& endpoint = found->second;
+  Update(registry, id, endpoint, true, [&] {
+    endpoint.registration = told;
+    endpoint.heard = now;
+    endpoint.isOwn = false;
+  });
+  return true;
 }
 
 void NoteHallOrder(EndpointRegistry& registry, absl::string_view hall,
@@ -117,20 +227,21 @@
     if (registration.hall() != hall || !serves) {
       continue;
     }
-    if (!evacuated) {
-      registration.set_warmup_ms(
-        std::max(registration.warmup_ms(), AssumedWarmupMs));
-    }
-    endpoint.tellNext = true;
-    Publish(registry, registration);
+    Update(registry, id, endpoint, true, [&] {
+      if (!evacuated) {
+        registration.set_warmup_ms(
+          std::max(registration.warmup_ms(), AssumedWarmupMs));
+      }
+      endpoint.tellNext = true;
+    });
   }
 }
 
 wire::RememberedEndpoints RememberEndpoints(const EndpointRegistry& registry)
 {
   wire::RememberedEndpoints remembered;
-  for (const auto& [id, endpoint] : registry.endpoints) {
-    *remembered.add_endpoints() = endpoint.registration;
+  for (const auto& [revision, endpoint] : registry.index.own) {
+    *remembered.add_endpoints() = endpoint->registration;
   }
   return remembered;
 }
@@ -139,32 +250,36 @@
                      const wire::RememberedEndpoints& remembered, Elapsed now)
 {
   for (const Registration& registration : remembered.endpoints()) {
-    RegisteredEndpoint& known =
-      registry.endpoints[IdentityOf(StartOf(registration))];
+    if (!MakeRoom(registry)) {
+      return;
+    }
+    const std::string id = IdentityOf(StartOf(registration));
+    RegisteredEndpoint& known = registry.endpoints[id];
     const bool isGone = registration.state() == Registration::GONE;
-    known.registration = registration;
-    known.heard = isGone ? now - registry.timing.forgetAfter / 2 : now;
-    known.tellNext = true;
-    Publish(registry, known.registration);
+    Update(registry, id, known, true, [&] {
+      known.registration = registration;
+      known.heard = isGone ? now - registry.timing.forgetAfter / 2 : now;
+      known.tellNext = true;
+      known.isOwn = true;
+    });
   }
 }
 
 bool TickRegistry(EndpointRegistry& registry, Elapsed now)
 {
+  RegistryIndex& index = registry.index;
   bool isNews = false;
-  for (auto it = registry.endpoints.begin(); it != registry.endpoints.end();) {
-    auto current = it++;
-    RegisteredEndpoint& known = current->second;
-    const absl::Duration silence = now - known.heard;
-    const bool ended = known.registration.state() == Registration::GONE ||
-                       known.registration.state() == Registration::SILENT;
-    if (ended && silence > registry.timing.forgetAfter) {
-      registry.endpoints.erase(current);
-    } else if (!ended && silence > registry.timing.silentAfter) {
-      known.registration.set_state(Registration::SILENT);
-      Publish(registry, known.registration);
-      isNews = true;
-    }
+  while (!index.watched.empty() &&
+         now - index.watched.begin()->first > registry.timing.silentAfter) {
+    const std::string id = index.watched.begin()->second;
+    RegisteredEndpoint& silent = registry.endpoints[id];
+    Update(registry, id, silent, true,
+           [&silent] { silent.registration.set_state(Registration::SILENT); });
+    isNews = true;
+  }
+  while (!index.ended.empty() &&
+         now - index.ended.begin()->first > registry.timing.forgetAfter) {
+    Erase(registry, std::string(index.ended.begin()->second));
   }
   return isNews;
 }
@@ -176,28 +291,25 @@
   reply.set_registry(registry.incarnation);
   const bool known = request.registry() == registry.incarnation;
   const std::uint64_t have = known ? request.have_registrations() : 0;
-  std::vector<const RegisteredEndpoint*> news;
-  for (const auto& [id, endpoint] : registry.endpoints) {
-    if (endpoint.registration.revision() > have) {
-      news.push_back(&endpoint);
+  const bool isControl = !request.control_address().empty();
+  const RegistryIndex::ByRevision& revisions =
+    isControl ? registry.index.own : registry.index.all;
+  auto next = revisions.upper_bound(have);
+  std::uint64_t last = registry.revision;
+  for (; next != revisions.end(); ++next) {
+    if (static_cast<std::size_t>(reply.registrations_size()) ==
+        MaxRegistrationsInReply) {
+      last = std::prev(next)->first;
+      break;
     }
-  }
-  std::sort(
-    news.begin(), news.end(),
-    [](const RegisteredEndpoint* left, const RegisteredEndpoint* right) {
-      return left->registration.revision() < right->registration.revision();
-    });
-  const bool isAll = news.size() <= MaxRegistrationsInReply;
-  news.resize(std::min(news.size(), MaxRegistrationsInReply));
-  for (const RegisteredEndpoint* endpoint : news) {
+    const RegisteredEndpoint& endpoint = *next->second;
     Registration& told = *reply.add_registrations();
-    told = endpoint->registration;
+    told = endpoint.registration;
     if (told.state() == Registration::GONE) {
-      told.set_ended_ago_ms(absl::ToInt64Milliseconds(now - endpoint->heard));
+      told.set_ended_ago_ms(absl::ToInt64Milliseconds(now - endpoint.heard));
     }
   }
-  reply.set_registrations_revision(
-    isAll ? registry.revision : news.back()->registration.revision());
+  reply.set_registrations_revision(last);
 }
 
 } // namespace wg
--- a/Source/Control/wgEndpointRegistry.h
+++ b/Source/Control/wgEndpointRegistry.h
@@ -4,7 +4,10 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
 
+#include "absl/container/btree_map.h"
+#include "absl/container/btree_set.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 
@@ -32,10 +35,28 @@
    * before this process, or may no longer hold.
    */
   bool tellNext = false;
+  /** Its newest heartbeat or end came to this box, which watches for silence
+   * and tells the other control boxes.
+   */
+  bool isOwn = false;
+};
+
+/** \brief Registered endpoints by when something is due for them, so that no
+ * call or tick walks them all.
+ */
+struct RegistryIndex
+{
+  using ByRevision = absl::btree_map<std::uint64_t, const RegisteredEndpoint*>;
+  using ByTime = absl::btree_set<std::pair<Elapsed, std::string>>;
+  ByRevision all;
+  ByRevision own; // of these, the own ones
+  ByTime watched; // own ones that may fall silent, by when they were heard
+  ByTime ended;   // silent and gone ones, by when they were heard
 };
 
-/** \brief The endpoints that have registered with one control process. It is
- * not replicated: endpoints register again with whichever box answers.
+/** \brief The endpoints that have registered with one control process, or
+ * that another one has told of. It is not replicated: endpoints register again
+ * with whichever box answers.
  */
 struct EndpointRegistry
 {
@@ -43,8 +64,15 @@
   std::uint64_t incarnation = 0; // drawn at the start of the process
   std::uint64_t revision = 0;
   std::map<std::string, RegisteredEndpoint> endpoints; // by identity
+  RegistryIndex index;
 };
 
+/** \brief The most endpoints that are kept, ended ones included: 64 MB of the
+ * smallest control box's 256 MB, at 1 kB each (reckoned from the bounds of
+ * their fields). Whoever makes names up must not take all of its memory.
+ */
+constexpr std::size_t MostEndpoints = 65536;
+
 /** \brief What became of a heartbeat. */
 enum class HeartbeatTaken
 {
@@ -68,6 +96,13 @@
 bool TakeLeave(EndpointRegistry& registry, const EndpointStart& start,
                Elapsed now);
 
+/** \brief Takes in what another control box tells of an endpoint. It is told
+ * to gateways that follow this box, but to no other control box. \return
+ * whether it is news
+ */
+bool TakeTold(EndpointRegistry& registry, const wire::Registration& told,
+              Elapsed now);
+
 /** \brief An order on the hall has come. Gateways that know no such orders
  * hear of its endpoints again; if work may be sent there again, those are
  * taken to be cold until their next heartbeat.
@@ -75,7 +110,7 @@
 void NoteHallOrder(EndpointRegistry& registry, absl::string_view hall,
                    bool evacuated);
 
-/** \brief All that is known, to be remembered over a restart. */
+/** \brief The own endpoints, to be remembered over a restart. */
 wire::RememberedEndpoints RememberEndpoints(const EndpointRegistry& registry);
 
 /** \brief Takes in what the process before knew. Each endpoint counts as
@@ -92,7 +127,8 @@
 bool TickRegistry(EndpointRegistry& registry, Elapsed now);
 
 /** \brief Adds registrations that a follower does not have, the oldest first;
- * it asks again for what a reply does not hold.
+ * it asks again for what a reply does not hold. Another control box is told of
+ * the own ones.
  */
 void RegistrationsSince(const EndpointRegistry& registry,
                         const wire::FollowRequest& request, Elapsed now,
--- a/Source/Control/wgFollowers.cxx
+++ b/Source/Control/wgFollowers.cxx
@@ -2,6 +2,7 @@
 #include "wgFollowers.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 #include "wgCompression.h"
@@ -16,6 +17,12 @@
 /** Beyond its own wait, how late a box may ask again. */
 constexpr absl::Duration LateAfter = absl::Milliseconds(1500);
 constexpr absl::Duration ForgetAfter = absl::Minutes(10);
+/** Boxes that no longer ask are looked for at this period. */
+constexpr absl::Duration TickPeriod = absl::Milliseconds(100);
+/** Answers are spread only where a round of them takes longer than this. */
+constexpr absl::Duration LeastGap = absl::Milliseconds(15);
+/** Who lists the boxes that follow this control box itself. */
+const std::string OwnTeller; // NOLINT(cert-err58-cpp)
 
 /** Some 20 kB, 16 ms of a link of 10 Mbit/s. */
 constexpr std::size_t MaxCrashesInReply = 200;
@@ -59,6 +66,26 @@
   }
 }
 
+bool IsControl(const wire::FollowRequest& request)
+{
+  return !request.control_address().empty();
+}
+
+const BoxList& ListFor(const Followers& followers,
+                       const wire::FollowRequest& request)
+{
+  return IsControl(request) ? followers.own : followers.all;
+}
+
+bool HasRegistrations(const EndpointRegistry& registry,
+                      const wire::FollowRequest& request)
+{
+  const RegistryIndex::ByRevision& revisions =
+    IsControl(request) ? registry.index.own : registry.index.all;
+  return !revisions.empty() &&
+         revisions.rbegin()->first > request.have_registrations();
+}
+
 bool HasNews(const Followers& followers, const FollowWaiter& waiter,
              const FollowedState& state)
 {
@@ -80,8 +107,8 @@
   }
   return state.service->document.number() > request.have_document() ||
          request.registry() != registry.incarnation ||
-         request.have_registrations() != registry.revision ||
-         request.have_followers() != followers.revision;
+         HasRegistrations(registry, request) ||
+         request.have_followers() != ListFor(followers, request).revision;
 }
 
 void AddCrashes(const FollowWaiter& waiter, const FollowedState& state,
@@ -100,7 +127,44 @@
   }
 }
 
-void AddRegistry(const Followers& followers, const FollowWaiter& waiter,
+/** \return whether that is all of them */
+bool AddFollowers(const Followers& followers, const FollowWaiter& waiter,
+                  const FollowedState& state, wire::FollowReply& reply)
+{
+  const wire::FollowRequest& request = waiter.request;
+  const BoxList& list = ListFor(followers, request);
+  const bool isKnown = request.registry() == state.registry->incarnation;
+  if (request.takes_follower_changes()) {
+    return AddChangedBoxes(list, isKnown ? request.have_followers() : 0,
+                           reply);
+  }
+  if (isKnown && request.have_followers() == list.revision) {
+    reply.set_followers_revision(list.revision);
+  } else {
+    AddBoxes(list, reply);
+  }
+  return true;
+}
+
+void AddControls(const wire::FollowRequest& request,
+                 const FollowedState& state, wire::FollowReply& reply)
+{
+  reply.set_controls_digest(state.controlsDigest);
+  const bool isKnown = state.controlsDigest != 0 &&
+                       request.have_controls() == state.controlsDigest;
+  if (isKnown) {
+    return;
+  }
+  for (const std::string& control : state.controls) {
+    reply.add_controls(control);
+  }
+  for (const std::string& hall : state.controlHalls) {
+    reply.add_control_halls(hall);
+  }
+}
+
+/** \return whether the reply tells all that there is */
+bool AddRegistry(const Followers& followers, const FollowWaiter& waiter,
                  const FollowedState& state, Elapsed now,
                  wire::FollowReply& reply)
 {
@@ -110,25 +174,11 @@
   if (!request.knows_hall_orders()) {
     HideEvacuated(state.service->halls, reply);
   }
-  reply.set_followers_revision(followers.revision);
-  const bool sameFollowers =
-    request.registry() == state.registry->incarnation &&
-    request.have_followers() == followers.revision;
-  if (!sameFollowers) {
-    for (const auto& [name, box] : followers.boxes) {
-      if (box.address.empty() || !IsLive(box, now)) {
-        continue;
-      }
-      wire::Follower& follower = *reply.add_followers();
-      follower.set_box(name);
-      follower.set_hall(box.hall);
-      follower.set_address(box.address);
-      follower.set_cpu_milli(box.cpuMilli);
-    }
-  }
-  for (const std::string& control : state.controls) {
-    reply.add_controls(control);
-  }
+  const bool isAllRegistrations =
+    reply.registrations_revision() == state.registry->revision;
+  const bool isAllFollowers = AddFollowers(followers, waiter, state, reply);
+  AddControls(request, state, reply);
+  return isAllRegistrations && isAllFollowers;
 }
 
 /** What came after the revision that a follower has, or all. */
@@ -142,13 +192,16 @@
   return Compress(reply.SerializeAsString());
 }
 
-bool Answer(const Followers& followers, const FollowWaiter& waiter,
+bool Answer(Followers& followers, const FollowWaiter& waiter,
             const FollowedState& state, Elapsed now)
 {
-  const bool waits = !HasNews(followers, waiter, state) && now < waiter.until;
-  if (waits) {
+  const bool hasNews =
+    now >= waiter.notBefore && HasNews(followers, waiter, state);
+  if (!hasNews && now < waiter.until) {
     return false;
   }
+  FollowerBox& box = followers.boxes[waiter.request.box()];
+  box.toldNews = hasNews ? now : box.toldNews;
   const Config& config = state.service->config;
   wire::FollowReply reply;
   reply.set_revision(config.revision);
@@ -162,7 +215,7 @@
     *reply.mutable_hall_orders() = ToWire(state.service->halls);
   }
   if (waiter.request.wants_registry()) {
-    AddRegistry(followers, waiter, state, now, reply);
+    box.isOwed = !AddRegistry(followers, waiter, state, now, reply);
   }
   if (waiter.request.wants_crashes()) {
     AddCrashes(waiter, state, now, reply);
@@ -173,6 +226,42 @@
 
 } // namespace
 
+absl::Duration AnswerGap(const Followers& followers)
+{
+  const absl::Duration round =
+    AnswerTime * static_cast<std::int64_t>(followers.live);
+  return round > LeastGap ? round : absl::ZeroDuration();
+}
+
+void TakeListed(Followers& followers, const std::string& control,
+                const wire::FollowReply& reply, Elapsed now)
+{
+  std::set<std::string> listed;
+  for (const wire::Follower& box : reply.followers()) {
+    listed.insert(box.box());
+    if (box.gone()) {
+      UnlistBox(followers.all, control, box.box(), now);
+    } else {
+      ListBox(followers.all, control, box, now);
+    }
+  }
+  const bool isWhole =
+    !reply.followers_are_changes() && reply.followers_size() > 0;
+  if (!isWhole) {
+    return;
+  }
+  for (const auto& [name, entry] : followers.all.boxes) {
+    if (listed.count(name) == 0) {
+      UnlistBox(followers.all, control, name, now);
+    }
+  }
+}
+
+void DropListed(Followers& followers, const std::string& control, Elapsed now)
+{
+  UnlistAll(followers.all, control, now);
+}
+
 void TakeFollow(Followers& followers, FollowWaiter waiter,
                 const FollowedState& state, Elapsed now)
 {
@@ -181,15 +270,23 @@
     absl::Milliseconds(std::max<std::int64_t>(request.wait_ms(), 0)), MaxWait);
   waiter.until = now + wait;
   FollowerBox& box = followers.boxes[request.box()];
-  const std::uint32_t share =
-    TakeShare(followers, box.cpuMilli, request.cpu_milli());
-  const bool isNew = !IsLive(box, now) || box.address != request.address() ||
-                     box.cpuMilli != share;
-  box = { request.hall(),    request.have_revision(),  now,
-          request.address(), waiter.until + LateAfter, share };
-  if (isNew && request.wants_registry()) {
-    ++followers.revision;
+  box.hall = request.hall();
+  box.revision = request.have_revision();
+  box.heard = now;
+  box.address = request.address();
+  box.liveUntil = waiter.until + LateAfter;
+  box.isControl = IsControl(request);
+  box.cpuMilli = TakeShare(followers, box.cpuMilli, request.cpu_milli());
+  if (request.wants_registry() && !box.address.empty()) {
+    wire::Follower listed;
+    listed.set_box(request.box());
+    listed.set_hall(box.hall);
+    listed.set_address(box.address);
+    listed.set_cpu_milli(box.cpuMilli);
+    ListBox(followers.own, OwnTeller, listed, now);
+    ListBox(followers.all, OwnTeller, listed, now);
   }
+  waiter.notBefore = box.isOwed ? now : box.toldNews + AnswerGap(followers);
   const bool answered = Answer(followers, waiter, state, now);
   if (!answered && followers.waiting.size() < MaxWaiting) {
     followers.waiting.push_back(std::move(waiter));
@@ -209,19 +306,28 @@
 
 void TickFollowers(Followers& followers, Elapsed now)
 {
+  if (now - followers.ticked < TickPeriod) {
+    return;
+  }
+  followers.ticked = now;
+  followers.live = 0;
   for (auto it = followers.boxes.begin(); it != followers.boxes.end();) {
     auto current = it++;
     FollowerBox& box = current->second;
+    followers.live += IsLive(box, now) ? 1 : 0;
     const bool expired = box.liveUntil != absl::ZeroDuration() &&
                          !box.address.empty() && !IsLive(box, now);
     if (expired) {
       box.address.clear();
-      ++followers.revision;
+      UnlistBox(followers.own, OwnTeller, current->first, now);
+      UnlistBox(followers.all, OwnTeller, current->first, now);
     }
     if (now - box.heard > ForgetAfter) {
       followers.boxes.erase(current);
     }
   }
+  ForgetGone(followers.own, ForgetAfter, now);
+  ForgetGone(followers.all, ForgetAfter, now);
 }
 
 } // namespace wg
