Control, Gateway: a box follows few of many control boxes

Cause: each box followed every control box.

Ruled out: longer waits, which only divide the calls; gossip between boxes, which would make a box of .12 core pass on what it does not need.

Change: where there are more than six control boxes, each tells the others what it heard itself of endpoints, boxes and crashes, in the calls that gateways use; nothing is passed on further. Who heard an endpoint last watches for its silence. A box follows two control boxes of its hall and one of another, by rendezvous hashing; one that is not reached is replaced by the next. Up to six are all followed and tell each other nothing, as before.

Over real processes, eight control boxes: pages of 400 endpoints and an end that another one heard, control boxes killed in the midst of a list and back, suspended, a word that comes late.

--- a/Source/Control/wgControlMetrics.cxx
+++ b/Source/Control/wgControlMetrics.cxx
@@ -52,7 +52,8 @@
       gauges.documentNumber, "\nweirgate_leads ", gauges.leads ? 1 : 0,
       "\nweirgate_hall_orders ", gauges.hallOrders,
       "\nweirgate_halls_evacuated ", gauges.hallsEvacuated,
-      "\nweirgate_box_shares_unsound ", gauges.unsoundShares, "\n")));
+      "\nweirgate_box_shares_unsound ", gauges.unsoundShares,
+      "\nweirgate_controls_exchanged ", gauges.controlsExchanged, "\n")));
 }
 
 } // namespace wg
--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -84,6 +84,7 @@
     [this](wire::Change change, RolloutRunner::Answer answer) {
       ProposeOwn(std::move(change), std::move(answer));
     });
+  StartExchange();
   registry_.timing = settings_.registry;
   registry_.incarnation = identity;
   RecallKnownEndpoints();
@@ -133,6 +134,19 @@
   endpointFile_->Keep(std::move(known), absl::Now());
 }
 
+/** News that came together goes out together: at each of a thousand calls a
+ * second all that wait would be looked at.
+ */
+void ControlNode::AnswerIfDue()
+{
+  const Elapsed now = ElapsedNow();
+  if (now < nextAnswers_) {
+    return;
+  }
+  nextAnswers_ = now + absl::FromChrono(TickPeriod);
+  AnswerFollowers(followers_, Followed(), now);
+}
+
 void ControlNode::FoundIfAsked()
 {
   const bool first = !settings_.controls.empty() &&
@@ -155,6 +169,7 @@
   endpointFile_.reset();
   server_.reset();
   client_.reset();
+  exchange_.reset(); // the client's thread posts its answers
 }
 
 void ControlNode::HandlePeer(const PeerRequest& request, Respond respond)
@@ -277,7 +292,8 @@
   TickFollowers(followers_, now);
   TickRegistry(registry_, now);
   KeepKnownEndpoints();
-  AnswerFollowers(followers_, Followed(), now);
+  NoteControls();
+  AnswerIfDue();
   CompactIfDue();
   NoteRole();
   NoteResends();
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -29,6 +29,7 @@
 #include "wgPackedDocuments.h"
 #include "wgPeerClient.h"
 #include "wgPeerServer.h"
+#include "wgRegistryExchange.h"
 #include "wgRepair.h"
 #include "wgReplica.h"
 #include "wgReplicaStore.h"
@@ -69,6 +70,7 @@
   std::uint64_t hallOrders = 0; // number of the newest that it has applied
   std::size_t hallsEvacuated = 0;
   std::uint64_t unsoundShares = 0;
+  std::size_t controlsExchanged = 0; // other control boxes that are heard
 };
 
 /** \class ControlNode
@@ -192,6 +194,10 @@
   void FailWaiters();
   FollowedState Followed() const;
   std::vector<std::string> KnownControls() const;
+  void NoteControls();
+  void StartExchange();
+  void OnExchanged(const std::string& control, const wire::FollowReply& news);
+  void AnswerIfDue();
   void SendToLeader(const wire::Change& change, absl::Duration timeout,
                     const PublishAnswer& answer);
   void ReadAtLeader(const ReadAnswer& answer);
@@ -227,6 +233,14 @@
   std::map<std::uint64_t, Waiter> waiters_;
   std::uint64_t bytesSinceSnapshot_ = 0;
   Followers followers_;
+  Elapsed nextAnswers_;
+  /** Of control boxes, as gateways are told. */
+  std::vector<std::string> toldControls_;
+  std::vector<std::string> toldHalls_; // in the order of toldControls_
+  std::uint64_t controlsDigest_ = 0;
+  Elapsed nextControls_;
+  std::map<std::string, std::string> controlHalls_; // by address
+  std::unique_ptr<RegistryExchange> exchange_;
   PackedDocuments packed_;
   EndpointRegistry registry_;
   CrashEvidence crashes_;
--- a/Source/Control/wgControlNodeDocuments.cxx
+++ b/Source/Control/wgControlNodeDocuments.cxx
@@ -10,7 +10,10 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "absl/hash/hash.h"
+
 #include "wgChangeAnswer.h"
+#include "wgControlChoice.h"
 #include "wgLink.h"
 #include "wgLog.h"
 
@@ -18,6 +21,8 @@
 namespace {
 
 constexpr absl::Duration JoinerMemory = absl::Seconds(10);
+/** How often the list of control boxes is made anew. */
+constexpr absl::Duration ControlsPeriod = absl::Milliseconds(100);
 constexpr absl::Duration ForwardTimeout = absl::Milliseconds(900);
 /** Replicas that run answer a leader within its heartbeats of 50 ms; the rest
  * is for links that lose packets. Operators wait for some seconds.
@@ -28,6 +33,10 @@
 
 void ControlNode::OnFollow(FollowWaiter waiter)
 {
+  const wire::FollowRequest& request = waiter.request;
+  if (!request.control_address().empty()) {
+    controlHalls_[request.control_address()] = request.hall();
+  }
   TakeFollow(followers_, std::move(waiter), Followed(), ElapsedNow());
 }
 
@@ -43,13 +52,67 @@
     std::count_if(state_.halls.halls.begin(), state_.halls.halls.end(),
                   [](const auto& pair) { return pair.second.evacuated; }));
   gauges.unsoundShares = followers_.unsoundShares;
+  gauges.controlsExchanged = exchange_->Reached();
   return gauges;
 }
 
 FollowedState ControlNode::Followed() const
 {
-  return { &state_, &registry_, &crashes_, KnownControls(),
-           ElapsedNow() - leaderHeard_ };
+  return { &state_,
+           &registry_,
+           &crashes_,
+           toldControls_,
+           ElapsedNow() - leaderHeard_,
+           toldHalls_,
+           controlsDigest_ };
+}
+
+/** Where there are many, they tell each other what boxes tell them. */
+void ControlNode::NoteControls()
+{
+  const Elapsed now = ElapsedNow();
+  if (now < nextControls_) {
+    return;
+  }
+  nextControls_ = now + ControlsPeriod;
+  toldControls_ = KnownControls();
+  toldHalls_.clear();
+  for (const std::string& address : toldControls_) {
+    toldHalls_.push_back(controlHalls_[address]);
+  }
+  controlsDigest_ = absl::HashOf(toldControls_, toldHalls_) | 1U;
+  if (toldControls_.size() > MostFollowedWhole) {
+    exchange_->Follow(toldControls_);
+  }
+}
+
+void ControlNode::StartExchange()
+{
+  ExchangeHandler handler;
+  handler.onReply = [this](const std::string& control,
+                           const wire::FollowReply& news) {
+    OnExchanged(control, news);
+  };
+  handler.onLost = [this](const std::string& control) {
+    DropListed(followers_, control, ElapsedNow());
+  };
+  exchange_ = std::make_unique<RegistryExchange>(
+    loop_, *client_, settings_.box, settings_.hall, settings_.advertise,
+    std::move(handler));
+  controlHalls_[settings_.advertise] = settings_.hall;
+}
+
+void ControlNode::OnExchanged(const std::string& control,
+                              const wire::FollowReply& news)
+{
+  const Elapsed now = ElapsedNow();
+  for (const wire::Registration& told : news.registrations()) {
+    TakeTold(registry_, told, now);
+  }
+  TakeListed(followers_, control, news, now);
+  for (const wire::Crash& crash : news.crashes()) {
+    MergeCrash(crashes_, crash, now);
+  }
 }
 
 /** Voters, learners, and those that ask to join, without any twice. */
@@ -268,19 +331,15 @@
     TakeHeartbeat(registry_, heartbeat, ElapsedNow());
   const bool isSound =
     taken == HeartbeatTaken::News || taken == HeartbeatTaken::Known;
-  const bool showsLife =
-    isSound && NoteBeatAfterEnd(beatsAfterEnd_, crashes_, heartbeat);
-  if (taken == HeartbeatTaken::News || showsLife) {
-    AnswerFollowers(followers_, Followed(), ElapsedNow());
+  if (isSound) {
+    NoteBeatAfterEnd(beatsAfterEnd_, crashes_, heartbeat);
   }
   return taken;
 }
 
 void ControlNode::Unregister(const EndpointStart& start)
 {
-  if (TakeLeave(registry_, start, ElapsedNow())) {
-    AnswerFollowers(followers_, Followed(), ElapsedNow());
-  }
+  TakeLeave(registry_, start, ElapsedNow());
 }
 
 void ControlNode::AddControls(std::vector<std::string> addresses)
--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -1,13 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgControlFollower.h"
 
-#include "wgLoopTimer.h"
-
 #include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 
+#include "wgControlChoice.h"
+#include "wgLoopTimer.h"
+
 namespace wg {
 namespace {
 
@@ -21,7 +22,15 @@
  */
 constexpr absl::Duration ChunkTimeout = absl::Milliseconds(800);
 constexpr absl::Duration FirstPause = absl::Milliseconds(100);
+/** A box that starts has the whole list from one control box before the next
+ * one sends it again: 1 MB takes a link of 10 Mbit/s 0.8 s.
+ */
+constexpr absl::Duration ListTime = absl::Milliseconds(800);
 constexpr int MostDoublings = 3;
+/** Lists of members are handed on at most so often: merging those of all
+ * control boxes takes a box some microseconds a member.
+ */
+constexpr absl::Duration MembersPeriod = absl::Milliseconds(100);
 
 } // namespace
 
@@ -34,21 +43,86 @@
   , log_(log)
   , handler_(std::move(handler))
   , chunkPause_(loop)
+  , membersTimer_(loop)
+{
+}
+
+void ControlFollower::AddControls(const std::vector<std::string>& addresses,
+                                  const std::vector<std::string>& halls)
+{
+  bool isChanged = false;
+  for (std::size_t i = 0; i < addresses.size(); ++i) {
+    auto [found, isNew] = links_.try_emplace(addresses[i]);
+    Link& link = found->second;
+    const std::string hall = i < halls.size() ? halls[i] : "";
+    isChanged |= isNew || (!hall.empty() && hall != link.hall);
+    link.hall = hall.empty() ? link.hall : hall;
+    if (isNew) {
+      link.address = addresses[i];
+      link.known = ElapsedNow();
+      link.pause = std::make_unique<LoopTimer>(loop_);
+    }
+  }
+  if (isChanged) {
+    Choose();
+  }
+}
+
+std::size_t ControlFollower::Followed() const
 {
+  return static_cast<std::size_t>(
+    std::count_if(links_.begin(), links_.end(), [](const auto& pair) {
+      return pair.second.isChosen && pair.second.reached;
+    }));
 }
 
-void ControlFollower::AddControls(const std::vector<std::string>& addresses)
+/** One that is no longer chosen is left after the call that is under way; one
+ * that is not reached is asked on until it is.
+ */
+void ControlFollower::Choose()
 {
-  for (const std::string& address : addresses) {
-    auto [found, isNew] = links_.try_emplace(address);
-    if (!isNew) {
+  std::vector<ControlCandidate> candidates;
+  std::vector<Link*> links;
+  for (auto& [address, link] : links_) {
+    candidates.push_back({ address, link.hall, link.reached });
+    links.push_back(&link);
+    link.isChosen = !link.reached;
+  }
+  const std::vector<std::size_t> chosen =
+    ChooseControls(candidates, self_.box, self_.hall);
+  const Elapsed now = ElapsedNow();
+  const bool hasList =
+    std::any_of(chosen.begin(), chosen.end(), [&links, now](std::size_t i) {
+      return links[i]->isActive && links[i]->reached &&
+             now - links[i]->followed > ListTime;
+    });
+  const bool isSpread = !hasList && candidates.size() > MostFollowedWhole;
+  absl::Duration wait = absl::ZeroDuration();
+  for (const std::size_t i : chosen) {
+    Link& link = *links[i];
+    link.isChosen = true;
+    if (std::exchange(link.isActive, true)) {
       continue;
     }
-    found->second.address = address;
-    found->second.known = ElapsedNow();
-    found->second.pause = std::make_unique<LoopTimer>(loop_);
-    Call(address);
+    link.followed = now;
+    CallAfter(link, wait);
+    wait += isSpread ? ListTime : absl::ZeroDuration();
+  }
+}
+
+void ControlFollower::CallAfter(Link& link, absl::Duration wait)
+{
+  if (wait == absl::ZeroDuration()) {
+    Call(link.address);
+    return;
   }
+  link.pause->expires_after(absl::ToChronoMilliseconds(wait));
+  link.pause->async_wait(
+    [this, address = link.address](boost::system::error_code error) {
+      if (!error && links_.count(address) > 0) {
+        Call(address);
+      }
+    });
 }
 
 bool ControlFollower::HearsAny(Elapsed now) const
@@ -85,6 +159,8 @@
   request.set_have_crashes(link.crashes);
   request.set_knows_hall_orders(true);
   request.set_have_hall_orders(hallOrders_);
+  request.set_takes_follower_changes(true);
+  request.set_have_controls(link.controls);
   peers_.Call(
     address, "/follow", request.SerializeAsString(), FollowWait + ReplyMargin,
     [this, address](Outcome<std::string> reply) {
@@ -112,7 +188,11 @@
     return;
   }
   TakeReply(link, news);
-  Call(address);
+  if (link.isChosen) {
+    Call(address);
+  } else {
+    link.isActive = false;
+  }
 }
 
 void ControlFollower::OnFailure(Link& link, const std::string& why)
@@ -121,21 +201,15 @@
   if (std::exchange(link.reached, false)) {
     log_.Write(LogWeight::Notable, "control_lost",
                { { "control", link.address }, { "why", why } });
-    TellMembers();
+    Choose();
+    TellMembersSoon();
   }
   const Elapsed lastKnown = std::max(link.heard, link.known);
   if (now - lastKnown > ForgetAfter && links_.size() > 3) {
     links_.erase(link.address);
     return;
   }
-  link.pause->expires_after(
-    absl::ToChronoMilliseconds(PauseAfter(link.failures++)));
-  link.pause->async_wait(
-    [this, address = link.address](boost::system::error_code error) {
-      if (!error && links_.count(address) > 0) {
-        Call(address);
-      }
-    });
+  CallAfter(link, PauseAfter(link.failures++));
 }
 
 absl::Duration ControlFollower::PauseAfter(int failures) const
@@ -153,9 +227,13 @@
   if (regained) {
     log_.Write(LogWeight::Notable, "control_regained",
                { { "control", link.address } });
+    Choose();
   }
   const bool sameMembers = link.registry == reply.registry() &&
                            link.followers == reply.followers_revision();
+  if (link.registry != reply.registry()) {
+    link.members.clear();
+  }
   link.registry = reply.registry();
   link.registrations = reply.registrations_revision();
   link.followers = reply.followers_revision();
@@ -174,19 +252,27 @@
     TakeFollowers(link, reply);
   }
   if (!sameMembers || regained || HasUnsettled(shares_)) {
-    TellMembers();
+    TellMembersSoon();
   }
   handler_.onReply(link.address, reply);
   link.document = reply.document_number();
   AskChunk();
-  AddControls({ reply.controls().begin(), reply.controls().end() });
+  link.controls = reply.controls_digest();
+  AddControls({ reply.controls().begin(), reply.controls().end() },
+              { reply.control_halls().begin(), reply.control_halls().end() });
 }
 
 void ControlFollower::TakeFollowers(Link& link, const wire::FollowReply& reply)
 {
-  link.members.clear();
+  if (!reply.followers_are_changes()) {
+    link.members.clear();
+  }
   for (const wire::Follower& follower : reply.followers()) {
-    GatewayMember& member = link.members.emplace_back();
+    if (follower.gone()) {
+      link.members.erase(follower.box());
+      continue;
+    }
+    GatewayMember& member = link.members[follower.box()];
     member.box = follower.box();
     member.hall = follower.hall();
     member.address = follower.address();
@@ -205,7 +291,7 @@
 {
   std::vector<DocumentOffer> offers;
   for (const auto& [address, link] : links_) {
-    if (link.reached) {
+    if (link.reached && link.isChosen) {
       offers.push_back({ address, link.document });
     }
   }
@@ -282,17 +368,38 @@
       { "read", isRead } });
 }
 
+void ControlFollower::TellMembersSoon()
+{
+  if (std::exchange(membersPending_, true)) {
+    return;
+  }
+  const absl::Duration wait = std::max(
+    membersTold_ + MembersPeriod - ElapsedNow(), absl::ZeroDuration());
+  if (wait == absl::ZeroDuration()) {
+    TellMembers();
+    return;
+  }
+  membersTimer_.expires_after(absl::ToChronoMilliseconds(wait));
+  membersTimer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      TellMembers();
+    }
+  });
+}
+
 /** Those that a control box which answers takes to be alive. */
 void ControlFollower::TellMembers()
 {
   const Elapsed now = ElapsedNow();
+  membersPending_ = false;
+  membersTold_ = now;
   std::map<std::string, GatewayMember> members;
   for (const auto& [address, link] : links_) {
     if (!link.reached || now - link.heard > HeardWithin) {
       continue;
     }
-    for (const GatewayMember& member : link.members) {
-      if (member.box == self_.box) {
+    for (const auto& [box, member] : link.members) {
+      if (box == self_.box) {
         continue;
       }
       // Lists of older versions tell no share. Of two shares the larger holds
--- a/Source/Gateway/wgControlFollower.h
+++ b/Source/Gateway/wgControlFollower.h
@@ -49,11 +49,12 @@
 };
 
 /** \class ControlFollower
- * \brief Follows every known control box at the same time with calls that
- * are answered when there is news.
+ * \brief Follows control boxes with calls that are answered when there is
+ * news: all of them where there are few, else those of ChooseControls.
  *
- * Each control box knows only the endpoints that register with it, and any of
- * them may be cut off, so that none stands for the others. Of documents these
+ * Where there are few, each control box knows only the endpoints that register
+ * with it; where there are many they tell each other. Any of them may be cut
+ * off, so that none stands for the others. Of documents these
  * calls only tell that there is one: a call with a large document would take
  * longer than a lost one may go unnoticed, and hold up the news of endpoints.
  */
@@ -63,8 +64,14 @@
   ControlFollower(EventLoop& loop, PeerClient& peers, FollowerIdentity self,
                   DecisionLog& log, FollowHandler handler);
 
-  /** \brief Follows these as well. */
-  void AddControls(const std::vector<std::string>& addresses);
+  /** \brief These may be followed as well.
+   * \param halls in the order of the addresses; fewer, or empty ones, where
+   * they are not known
+   */
+  void AddControls(const std::vector<std::string>& addresses,
+                   const std::vector<std::string>& halls = {});
+  /** \brief How many control boxes are followed now. */
+  std::size_t Followed() const;
   /** \brief The newest document that a control box has told of. */
   std::uint64_t NewestDocument() const;
   bool HearsAny(Elapsed now) const;
@@ -73,19 +80,26 @@
   struct Link
   {
     std::string address;
+    std::string hall;      // empty: not known
+    bool isChosen = false; // see ChooseControls
+    bool isActive = false; // a call or a pause before the next is under way
+    std::uint64_t controls = 0; // digest of those that it has told
     std::uint64_t registry = 0;
     std::uint64_t registrations = 0;
     std::uint64_t followers = 0;
-    std::uint64_t crashes = 0; // revision
-    std::vector<GatewayMember> members;
+    std::uint64_t crashes = 0;                    // revision
+    std::map<std::string, GatewayMember> members; // by box
     Elapsed heard = -absl::InfiniteDuration();
-    Elapsed known; // since when it is followed
+    Elapsed known;    // since when this box knows of it
+    Elapsed followed; // since when it was last chosen
     int failures = 0;
     bool reached = true;
     std::uint64_t document = 0; // the newest number that it has told
     std::unique_ptr<LoopTimer> pause;
   };
 
+  void Choose();
+  void CallAfter(Link& link, absl::Duration wait);
   void Call(const std::string& address);
   void OnReply(const std::string& address, const Outcome<std::string>& reply);
   void TakeReply(Link& link, const wire::FollowReply& reply);
@@ -97,6 +111,7 @@
   void OnFailure(Link& link, const std::string& why);
   void TakeFollowers(Link& link, const wire::FollowReply& reply);
   void TellMembers();
+  void TellMembersSoon();
 
   EventLoop& loop_;
   PeerClient& peers_;
@@ -109,6 +124,9 @@
   LoopTimer chunkPause_;
   std::map<std::string, Link> links_;
   BoxShares shares_;
+  Elapsed membersTold_;
+  bool membersPending_ = false;
+  LoopTimer membersTimer_;
 };
 
 } // namespace wg
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -230,10 +230,10 @@
     metrics_.Print(), "weirgate_document_number ",
     table_ == nullptr ? 0 : table_->number, "\nweirgate_document_newest ",
     follower_->NewestDocument(), "\nweirgate_endpoints_known ",
-    directory_.endpoints.size(), "\nweirgate_hall_orders ",
-    directory_.halls.newest, "\nweirgate_cpu_milli ", cpuMilli_,
-    "\nweirgate_requests_open ", requests_.size(),
-    "\nweirgate_requests_kept_away ", crashes_.KeptAway(),
+    directory_.endpoints.size(), "\nweirgate_controls_followed ",
+    follower_->Followed(), "\nweirgate_hall_orders ", directory_.halls.newest,
+    "\nweirgate_cpu_milli ", cpuMilli_, "\nweirgate_requests_open ",
+    requests_.size(), "\nweirgate_requests_kept_away ", crashes_.KeptAway(),
     "\nweirgate_peer_bytes_read ", peerClient_->BytesRead(),
     "\nweirgate_log_lines_left_out ", log_.LeftOut(), "\n");
 }
@@ -427,7 +427,7 @@
 void GatewayNode::OnRegistration(const wire::Registration& registration)
 {
   const Elapsed now = ElapsedNow();
-  ForgetEnded(directory_, now);
+  ForgetEndedIfDue(directory_, now);
   const std::string id = IdentityOf(StartOf(registration));
   const bool isNew = FindEndpoint(directory_, id) == nullptr;
   if (!MergeRegistration(directory_, registration, now)) {
--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -35,18 +35,22 @@
    * that a test can hold up
    * \param halls of the gateways; h1 where none is named
    * \param daemon the program at first, see SetDaemon
+   * \param controlHalls of the control boxes; three in h1 where none is named
    */
-  explicit PlatformCluster(int gateways, bool links = false,
-                           std::vector<std::string> halls = {},
-                           std::string daemon = {})
+  explicit PlatformCluster(
+    int gateways, bool links = false, std::vector<std::string> halls = {},
+    std::string daemon = {},
+    std::vector<std::string> controlHalls = { "h1", "h1", "h1" })
     : daemon_(std::move(daemon))
     , halls_(std::move(halls))
+    , controlHalls_(std::move(controlHalls))
   {
+    const int controls = static_cast<int>(controlHalls_.size());
     folder_ = std::filesystem::temp_directory_path() /
               absl::StrCat("wg-platform-", ports_.Take());
     std::filesystem::remove_all(folder_);
     std::filesystem::create_directories(folder_);
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < controls; ++i) {
       peers_.push_back(ports_.Take());
       apis_.push_back(ports_.Take());
       controls_.emplace_back();
@@ -65,7 +69,7 @@
       gatewayPeers_.push_back(ports_.Take());
       gateways_.emplace_back();
     }
-    for (int i = 0; i < 3; ++i) {
+    for (int i = 0; i < controls; ++i) {
       StartControl(i, true);
     }
     for (int i = 0; i < gateways; ++i) {
@@ -85,7 +89,7 @@
                     const std::vector<std::string>& more = {})
   {
     std::vector<std::string> arguments = Common("control", index);
-    arguments.push_back("--hall=h1");
+    arguments.push_back("--hall=" + controlHalls_[index]);
     for (const std::string& flag :
          { absl::StrCat("--peer=", Local(peers_[index])),
            absl::StrCat("--advertise=", Local(reached_[index])),
@@ -311,6 +315,7 @@
 
   std::string daemon_; // empty: the one that was built with the tests
   std::vector<std::string> halls_;
+  std::vector<std::string> controlHalls_;
   TestPorts ports_;
   std::filesystem::path folder_;
   std::vector<int> peers_;
