Gateway: a thousand boxes use a small slack of repetitions together

Cause: each box takes its share of the slack and rounds it down. With 986 boxes and a slack of 1,040 a box with one request in the window has .88 of a repetition: none. With 2,000 boxes none repeats whatever comes.

Change: how a box's share is rounded is drawn once, so that all boxes together use what they share.

--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -317,6 +317,7 @@
  */
 void GatewayRequest::OnSilence()
 {
+  DrawRounding(shared_.retries[service_], shared_.random);
   const bool allowed = !ended_ && attempt_ &&
                        endpointsTried_ + 1 < route_->maxAttempts &&
                        HasTimeLeft() &&
@@ -470,6 +471,7 @@
   facts.endpointLeft = ChooseEndpointFor(OwnCandidates(), ignored) != nullptr;
   AfterAttempt next = JudgeAttempt(facts);
   const bool spends = next == AfterAttempt::SendAgain && sent;
+  DrawRounding(shared_.retries[service_], shared_.random);
   if (spends && !SpendRetry(shared_.retries[service_], shared_.retryRules,
                             shared_.stages.Members() + 1, now)) {
     shared_.metrics.Count("retries_over_budget");
--- a/Source/Gateway/wgRetryWindow.h
+++ b/Source/Gateway/wgRetryWindow.h
@@ -1,9 +1,12 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <algorithm>
 #include <cstddef>
 #include <deque>
 
+#include "absl/random/bit_gen_ref.h"
+#include "absl/random/distributions.h"
 #include "absl/time/time.h"
 
 #include "wgElapsed.h"
@@ -23,6 +26,10 @@
 {
   std::deque<Elapsed> requests;
   std::deque<Elapsed> retries;
+  /** What is added to this box's share before it is rounded down, from 0 to 1;
+   * below 0: not drawn yet.
+   */
+  double rounding = -1.0;
 };
 
 namespace detail {
@@ -39,6 +46,20 @@
   window.requests.push_back(now);
 }
 
+/** \brief Draws once how this box's share is rounded.
+ *
+ * The load: a thousand boxes that share a slack of some hundreds have less
+ * than one repetition each. Rounded down it would be used by none of them;
+ * rounded by chance all boxes together use what they share. Drawn anew each
+ * window, windows that overlap two draws would exceed it.
+ */
+inline void DrawRounding(RetryWindow& window, absl::BitGenRef random)
+{
+  if (window.rounding < 0.0) {
+    window.rounding = absl::Uniform<double>(random, 0.0, 1.0);
+  }
+}
+
 /** \brief Whether this box's share allows one more repetition.
  * \param boxes how many share the slack
  */
@@ -52,7 +73,8 @@
   const double allowed =
     usedShare * (rules.ratio * static_cast<double>(window.requests.size()) +
                  rules.slack / static_cast<double>(boxes == 0 ? 1 : boxes));
-  return static_cast<double>(window.retries.size()) + 1.0 <= allowed;
+  return static_cast<double>(window.retries.size()) + 1.0 <=
+         allowed + std::max(window.rounding, 0.0);
 }
 
 /** \brief Takes a repetition out of this box's share, if there is one. */
--- a/Tests/Gateway/wgRouteTableTest.cxx
+++ b/Tests/Gateway/wgRouteTableTest.cxx
@@ -1,4 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <cstdint>
+#include <random>
+#include <vector>
+
 #include <catch2/catch.hpp>
 
 #include "wgAttemptRules.h"
@@ -149,3 +153,45 @@
   // All has left the window but the slack.
   CHECK(wg::SpendRetry(window, rules, 4, absl::Seconds(13)));
 }
+
+TEST_CASE("Many boxes use a slack of less than one repetition each together")
+{
+  const int boxes = GENERATE(986, 2000, 8000);
+  const int seed = GENERATE(1, 2, 3, 4, 5);
+  CAPTURE(boxes, seed);
+  wg::RetryRules rules;
+  rules.ratio = 0.2;
+  rules.slack = 1040;
+  rules.window = absl::Seconds(10);
+  std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+  std::vector<wg::RetryWindow> windows(static_cast<std::size_t>(boxes));
+  // Each box has one request that fails each second, for three windows.
+  std::vector<int> spentAt(30, 0);
+  for (int second = 0; second < 30; ++second) {
+    for (wg::RetryWindow& window : windows) {
+      // What came just a window ago no longer counts.
+      const wg::Elapsed now =
+        absl::Seconds(100 + second) + absl::Milliseconds(second / 10);
+      if (second % 10 == 0) {
+        wg::NoteRequest(window, now);
+      }
+      wg::DrawRounding(window, random);
+      const bool spent =
+        wg::SpendRetry(window, rules, static_cast<std::size_t>(boxes), now);
+      spentAt[static_cast<std::size_t>(second)] += spent ? 1 : 0;
+    }
+  }
+  const double allowed = rules.slack + rules.ratio * boxes;
+  for (std::size_t first = 0; first + 10 <= spentAt.size(); ++first) {
+    int spent = 0;
+    for (std::size_t second = first; second < first + 10; ++second) {
+      spent += spentAt[second];
+    }
+    CHECK(spent <= allowed);
+  }
+  int inFirstWindow = 0;
+  for (std::size_t second = 0; second < 10; ++second) {
+    inFirstWindow += spentAt[second];
+  }
+  CHECK(inFirstWindow >= 0.6 * allowed);
+}
