Control, Gateway, Platform: versions of a service are rolled out

Cause: an operator's order to move a service's requests to endpoints of a version was answered 404; endpoints of a new version got requests as soon as they registered, good or bad.

Weighed: a share that grows with the evidence. So it gets 4% until the last twentieth of the time, and then all, if it was seen to be good; that leaves endpoints of other versions the time to end what they run. A version without enough answers is taken back.

Change: an order is an entry of the replicated log, based on the one before it, so that a late copy changes nothing. Each control box notes when it learned of an order and what boxes saw of the version and the others, by route, since the order; the leader decides, and another one goes on where it ended. Requests are drawn by their id, a retry never goes to the version; pools of stages count their calls. A version is bad where it fails or is late more often than the others on the same route in the same time by more than chance explains, or takes twice as long at the mean. Control boxes of older programs hold orders back, as with orders on halls.

Over processes: orders that can't be read, a good version, one that closes its connections, all control processes killed in between.

--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -223,8 +223,10 @@
   const bool parsed = call.change.ParseFromString(request.body);
   const bool isClaim =
     call.change.has_take_claim() || call.change.has_end_claim();
-  const bool isInternal = call.change.has_step_rollout();
-  const bool isForPeers = isClaim || call.change.has_publish();
+  const bool isInternal =
+    call.change.has_step_rollout() || call.change.has_move_version();
+  const bool isForPeers =
+    isClaim || call.change.has_publish() || call.change.has_order_version();
   if (!parsed || isInternal || (isForPeers && request.who != PeerName)) {
     counters_.Add(Event::PeerRejected);
     call.respond(PrintChangeResult(
@@ -293,6 +295,7 @@
   TickRegistry(registry_, now);
   KeepKnownEndpoints();
   NoteControls();
+  MoveRollouts();
   AnswerIfDue();
   CompactIfDue();
   NoteRole();
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -35,6 +35,7 @@
 #include "wgReplicaStore.h"
 #include "wgRolloutRunner.h"
 #include "wgServiceState.h"
+#include "wgVersionConductor.h"
 
 namespace wg {
 
@@ -103,6 +104,16 @@
    */
   void OrderHall(const std::string& hall, bool evacuate,
                  const PublishAnswer& answer);
+  /** \brief Has a service's requests move to endpoints of a version; the
+   * answer is as for Publish, and says whether an order is in progress.
+   */
+  void OrderVersion(const std::string& service, const std::string& version,
+                    absl::Duration duration, const PublishAnswer& answer);
+  using RolloutAnswer = std::function<void(bool sure, const VersionRollout&)>;
+  /** \brief Reads the newest order on a service, if it is sure to be that. */
+  void ReadRollout(const std::string& service, const RolloutAnswer& answer);
+  /** \brief The document that this box has applied; empty: none yet. */
+  const std::string& HeldDocument() const { return state_.document.content(); }
   /** \brief Reads the newest document, if it is sure to be the newest. */
   void ReadDocument(const ReadAnswer& answer);
   HeartbeatTaken Register(const wire::Registration& heartbeat);
@@ -195,6 +206,7 @@
   FollowedState Followed() const;
   std::vector<std::string> KnownControls() const;
   void NoteControls();
+  void MoveRollouts();
   void StartExchange();
   void OnExchanged(const std::string& control, const wire::FollowReply& news);
   void AnswerIfDue();
@@ -241,6 +253,7 @@
   Elapsed nextControls_;
   std::map<std::string, std::string> controlHalls_; // by address
   std::unique_ptr<RegistryExchange> exchange_;
+  VersionConductor conductor_;
   PackedDocuments packed_;
   EndpointRegistry registry_;
   CrashEvidence crashes_;
--- a/Source/Control/wgControlNodeDocuments.cxx
+++ b/Source/Control/wgControlNodeDocuments.cxx
@@ -37,6 +37,7 @@
   if (!request.control_address().empty()) {
     controlHalls_[request.control_address()] = request.hall();
   }
+  TakeEvidence(conductor_, state_.rollouts, request.version_evidence());
   TakeFollow(followers_, std::move(waiter), Followed(), ElapsedNow());
 }
 
@@ -93,6 +94,9 @@
                            const wire::FollowReply& news) {
     OnExchanged(control, news);
   };
+  handler.fill = [this](wire::FollowRequest& request) {
+    AddEvidence(conductor_, request);
+  };
   handler.onLost = [this](const std::string& control) {
     DropListed(followers_, control, ElapsedNow());
   };
@@ -197,6 +201,71 @@
   });
 }
 
+/** As for halls: an order is based on the one that was read. */
+void ControlNode::OrderVersion(const std::string& service,
+                               const std::string& version,
+                               absl::Duration duration,
+                               const PublishAnswer& answer)
+{
+  ReadAtLeader([this, service, version, duration,
+                answer](const wire::DocumentReply& newest) {
+    wire::ChangeResult result;
+    if (!newest.sure() || !newest.knows_rollouts()) {
+      result.set_verdict(wire::ChangeResult::UNAVAILABLE);
+      result.set_message("No leader that knows roll-outs can be reached now; "
+                         "send the order again.");
+      answer(result);
+      return;
+    }
+    const VersionRollouts rollouts = FromWire(newest.rollouts());
+    wire::Change change;
+    change.set_author(settings_.box);
+    change.mutable_order_version()->set_service(service);
+    change.mutable_order_version()->set_version(version);
+    change.mutable_order_version()->set_duration_ms(
+      absl::ToInt64Milliseconds(duration));
+    change.mutable_order_version()->set_seen(
+      FindVersionRollout(rollouts, service).number);
+    SendToLeader(change, ForwardTimeout, answer);
+  });
+}
+
+void ControlNode::ReadRollout(const std::string& service,
+                              const RolloutAnswer& answer)
+{
+  ReadAtLeader([service, answer](const wire::DocumentReply& newest) {
+    const VersionRollouts rollouts = FromWire(newest.rollouts());
+    answer(newest.sure() && newest.knows_rollouts(),
+           FindVersionRollout(rollouts, service));
+  });
+}
+
+/** All control boxes watch the orders in progress; the leader decides. */
+void ControlNode::MoveRollouts()
+{
+  const Elapsed now = ElapsedNow();
+  const std::vector<wire::MoveVersion> moves =
+    NextMoves(conductor_, state_.rollouts, now);
+  if (replica_.role != ReplicaRole::Leader || writeFailed_) {
+    return;
+  }
+  for (const wire::MoveVersion& move : moves) {
+    const VersionRollout& rollout =
+      FindVersionRollout(state_.rollouts, move.service());
+    if (move.state() != rollout.state || move.permille() != rollout.permille) {
+      LogChange("roll-out",
+                absl::StrCat(move.service(), " to ", rollout.version, ": ",
+                             NameOf(move.state()), ", ", move.permille(),
+                             " of 1000 requests, ", move.elapsed_ms(),
+                             " ms after the order"));
+    }
+    wire::Change change;
+    change.set_author(settings_.box);
+    *change.mutable_move_version() = move;
+    Propose(replica_, change.SerializeAsString(), now);
+  }
+}
+
 /** Those that vote, or will: with one that skipped a change their states would
  * differ. One that was not heard of since this box leads is down, and what it
  * runs once it is back is not known; a leader that waited for it could take no
@@ -277,6 +346,8 @@
     reply.set_number(state_.document.number());
     reply.set_knows_hall_orders(true);
     *reply.mutable_hall_orders() = ToWire(state_.halls);
+    reply.set_knows_rollouts(true);
+    *reply.mutable_rollouts() = ToWire(state_.rollouts);
   }
   return reply;
 }
--- a/Source/Control/wgEndpointRegistry.cxx
+++ b/Source/Control/wgEndpointRegistry.cxx
@@ -35,7 +35,7 @@
 {
   return left.state() == right.state() && left.service() == right.service() &&
          left.address() == right.address() && left.hall() == right.hall() &&
-         left.slots() == right.slots() &&
+         left.slots() == right.slots() && left.version() == right.version() &&
          (left.warmup_ms() > 0) == (right.warmup_ms() > 0);
 }
 
--- a/Source/Control/wgFollowers.cxx
+++ b/Source/Control/wgFollowers.cxx
@@ -52,6 +52,13 @@
          state.service->halls.newest > request.have_hall_orders();
 }
 
+bool HasRolloutNews(const wire::FollowRequest& request,
+                    const FollowedState& state)
+{
+  return request.knows_rollouts() &&
+         state.service->rollouts.newest > request.have_rollouts();
+}
+
 /** A gateway that knows no orders on halls leaves silent endpoints alone. Once
  * the hall is back it goes by the endpoint's next heartbeat, which is newer.
  */
@@ -93,7 +100,7 @@
   if (state.service->config.revision > request.have_revision()) {
     return true;
   }
-  if (HasHallNews(request, state)) {
+  if (HasHallNews(request, state) || HasRolloutNews(request, state)) {
     return true;
   }
   if (!request.wants_registry()) {
@@ -214,6 +221,9 @@
   if (HasHallNews(waiter.request, state)) {
     *reply.mutable_hall_orders() = ToWire(state.service->halls);
   }
+  if (HasRolloutNews(waiter.request, state)) {
+    *reply.mutable_rollouts() = ToWire(state.service->rollouts);
+  }
   if (waiter.request.wants_registry()) {
     box.isOwed = !AddRegistry(followers, waiter, state, now, reply);
   }
--- a/Source/Control/wgRegistryExchange.cxx
+++ b/Source/Control/wgRegistryExchange.cxx
@@ -79,6 +79,7 @@
   request.set_have_document(Everything);
   request.set_knows_hall_orders(true);
   request.set_have_hall_orders(Everything);
+  handler_.fill(request);
   peers_.Call(address, "/follow", request.SerializeAsString(),
               Wait + ReplyMargin, [this, address](Outcome<std::string> reply) {
                 boost::asio::post(loop_,
--- a/Source/Control/wgRegistryExchange.h
+++ b/Source/Control/wgRegistryExchange.h
@@ -24,6 +24,8 @@
 {
   std::function<void(const std::string& control, const wire::FollowReply&)>
     onReply;
+  /** Adds to a call what this box's followers have seen. */
+  std::function<void(wire::FollowRequest&)> fill;
   /** It was not heard for LostAfter; what it listed may no longer hold. */
   std::function<void(const std::string& control)> onLost;
 };
--- a/Source/Control/wgServiceState.cxx
+++ b/Source/Control/wgServiceState.cxx
@@ -207,6 +207,38 @@
                  "The order names no hall, or there are too many halls.");
 }
 
+/** Needs no id: it names the order that its author saw. */
+Result ApplyOrderVersion(ServiceState& state, const wire::OrderVersion& order)
+{
+  const std::uint64_t revision = state.config.revision;
+  switch (TakeVersionOrder(state.rollouts, order)) {
+    case VersionOrderTaken::Taken:
+      return Accepted(revision);
+    case VersionOrderTaken::UnderWay: {
+      Result result = Refused(
+        revision, absl::StrCat("A roll-out of service ", order.service(),
+                               " is in progress; wait until it has ended."));
+      result.set_under_way(true);
+      return result;
+    }
+    case VersionOrderTaken::Overtaken:
+      return Refused(
+        revision, absl::StrCat("Another roll-out of service ", order.service(),
+                               " came first; look at it and send this one "
+                               "again."));
+    case VersionOrderTaken::Refused:
+      break;
+  }
+  return Refused(revision, "The order names no service, version or duration, "
+                           "or there are too many services.");
+}
+
+Result ApplyMoveVersion(ServiceState& state, const wire::MoveVersion& move)
+{
+  TakeVersionMove(state.rollouts, move);
+  return Accepted(state.config.revision);
+}
+
 /** What changes the state but not the configuration, or nothing. */
 std::optional<Result> ApplyUnrevised(ServiceState& state,
                                      const wire::Change& change)
@@ -247,6 +279,9 @@
 
 ChangeLevel LevelOf(const wire::Change& change)
 {
+  if (change.has_order_version() || change.has_move_version()) {
+    return ChangeLevel::VersionRollouts;
+  }
   return change.has_order_hall() ? ChangeLevel::HallOrders
                                  : ChangeLevel::First;
 }
@@ -272,6 +307,12 @@
   if (change.has_order_hall()) {
     return ApplyOrderHall(state, change.order_hall());
   }
+  if (change.has_order_version()) {
+    return ApplyOrderVersion(state, change.order_version());
+  }
+  if (change.has_move_version()) {
+    return ApplyMoveVersion(state, change.move_version());
+  }
   return ApplyOnce(state, change);
 }
 
@@ -325,6 +366,7 @@
   *image.mutable_replacement() = state.replacement;
   *image.mutable_document() = state.document;
   *image.mutable_hall_orders() = ToWire(state.halls);
+  *image.mutable_rollouts() = ToWire(state.rollouts);
   return image.SerializeAsString();
 }
 
@@ -360,6 +402,7 @@
   state.replacement = image.replacement();
   state.document = image.document();
   state.halls = FromWire(image.hall_orders());
+  state.rollouts = FromWire(image.rollouts());
   return state;
 }
 
--- a/Source/Control/wgServiceState.h
+++ b/Source/Control/wgServiceState.h
@@ -15,6 +15,7 @@
 #include "wgHallOrders.h"
 #include "wgOutcome.h"
 #include "wgPeer.pb.h"
+#include "wgVersionRollout.h"
 
 namespace wg {
 
@@ -73,6 +74,7 @@
   wire::ReplaceBox replacement;   // the last that an operator asked for
   wire::PublishDocument document; // number 0: none yet
   HallOrders halls;
+  VersionRollouts rollouts;
   std::int64_t clockMs = 0; // elapsed time of the leaders, added up
 };
 
@@ -85,11 +87,12 @@
 enum class ChangeLevel : std::uint32_t
 {
   First = 0, // what the first programs apply; they tell no level
-  HallOrders = 1
+  HallOrders = 1,
+  VersionRollouts = 2
 };
 
 /** \brief What this program applies. */
-constexpr ChangeLevel OwnChangeLevel = ChangeLevel::HallOrders;
+constexpr ChangeLevel OwnChangeLevel = ChangeLevel::VersionRollouts;
 
 /** \brief What a program must apply to have this change in its log. */
 ChangeLevel LevelOf(const wire::Change& change);
--- /dev/null
+++ b/Source/Decision/wgVersionRollout.cxx
@@ -0,0 +1,239 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgVersionRollout.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include <xxhash.h>
+
+namespace wg {
+namespace {
+
+using Rollout = wire::VersionRollout;
+
+/** Deployments have some ten services. */
+constexpr std::size_t MaxServices = 1000;
+constexpr std::int64_t LongestMs = 24LL * 3600 * 1000;
+
+/** One or two failures may be a lost connection. */
+constexpr double LeastBad = 4.0;
+/** Of a difference of two shares; one in a thousand is larger by chance. */
+constexpr double ChanceDeviations = 3.1;
+/** Times differ between endpoints of one version by less. */
+constexpr double SlowFactor = 2.0;
+constexpr std::uint64_t LeastForTimes = 20;
+/** With a share of a quarter that fails, one in 300 shows none in 20. */
+constexpr std::uint64_t LeastForGood = 20;
+
+double ShareOf(std::uint64_t part, std::uint64_t whole)
+{
+  return static_cast<double>(part) /
+         static_cast<double>(std::max<std::uint64_t>(whole, 1));
+}
+
+/** Whether the target's share is larger by more than chance explains. */
+bool IsWorse(std::uint64_t part, std::uint64_t whole, std::uint64_t otherPart,
+             std::uint64_t otherWhole)
+{
+  if (static_cast<double>(part) < LeastBad) {
+    return false;
+  }
+  const double share = ShareOf(part, whole);
+  const double other = ShareOf(otherPart, otherWhole);
+  const double pooled = ShareOf(part + otherPart, whole + otherWhole);
+  const double deviation = std::sqrt(
+    pooled * (1.0 - pooled) *
+    (1.0 / static_cast<double>(std::max<std::uint64_t>(whole, 1)) +
+     1.0 / static_cast<double>(std::max<std::uint64_t>(otherWhole, 1))));
+  return share - other > ChanceDeviations * deviation;
+}
+
+bool IsSlower(const wire::VersionTally& target,
+              const wire::VersionTally& others)
+{
+  const std::uint64_t sound = target.answers() - target.bad();
+  const std::uint64_t otherSound = others.answers() - others.bad();
+  if (sound < LeastForTimes || otherSound < LeastForTimes) {
+    return false;
+  }
+  return target.seconds() / static_cast<double>(sound) >
+         SlowFactor * others.seconds() / static_cast<double>(otherSound);
+}
+
+bool IsBadOnRoute(const RouteEvidence& route)
+{
+  const wire::VersionTally& target = route.target;
+  const wire::VersionTally& others = route.others;
+  return IsWorse(target.bad(), target.answers(), others.bad(),
+                 others.answers()) ||
+         IsWorse(target.late(), target.answers(), others.late(),
+                 others.answers()) ||
+         IsSlower(target, others);
+}
+
+wire::MoveVersion MakeMove(const std::string& service,
+                           const VersionRollout& rollout, VersionState state,
+                           std::uint32_t permille, absl::Duration elapsed)
+{
+  wire::MoveVersion move;
+  move.set_service(service);
+  move.set_number(rollout.number);
+  move.set_state(state);
+  move.set_permille(permille);
+  move.set_elapsed_ms(absl::ToInt64Milliseconds(elapsed));
+  return move;
+}
+
+} // namespace
+
+VersionOrderTaken TakeVersionOrder(VersionRollouts& rollouts,
+                                   const wire::OrderVersion& order)
+{
+  const VersionRollout known = FindVersionRollout(rollouts, order.service());
+  const bool isSound = !order.service().empty() && !order.version().empty() &&
+                       order.duration_ms() > 0 &&
+                       order.duration_ms() <= LongestMs;
+  const bool isFull =
+    known.number == 0 && rollouts.services.size() >= MaxServices;
+  if (!isSound || isFull) {
+    return VersionOrderTaken::Refused;
+  }
+  if (IsInProgress(known)) {
+    return VersionOrderTaken::UnderWay;
+  }
+  if (known.number != order.seen()) {
+    return VersionOrderTaken::Overtaken;
+  }
+  VersionRollout& rollout = rollouts.services[order.service()];
+  rollout = {};
+  rollout.version = order.version();
+  rollout.number = ++rollouts.orders;
+  rollout.state = Rollout::IN_PROGRESS;
+  rollout.permille = FirstPermille;
+  rollout.duration = absl::Milliseconds(order.duration_ms());
+  ++rollouts.newest;
+  return VersionOrderTaken::Taken;
+}
+
+void TakeVersionMove(VersionRollouts& rollouts, const wire::MoveVersion& move)
+{
+  auto found = rollouts.services.find(move.service());
+  const bool holds = found != rollouts.services.end() &&
+                     found->second.number == move.number() &&
+                     IsInProgress(found->second);
+  if (!holds) {
+    return;
+  }
+  VersionRollout& rollout = found->second;
+  const bool isChanged =
+    rollout.state != move.state() || rollout.permille != move.permille();
+  rollout.state = move.state();
+  rollout.permille = move.permille();
+  rollout.elapsed =
+    std::max(rollout.elapsed, absl::Milliseconds(move.elapsed_ms()));
+  rollouts.newest += isChanged ? 1 : 0;
+}
+
+const VersionRollout& FindVersionRollout(const VersionRollouts& rollouts,
+                                         absl::string_view service)
+{
+  static const VersionRollout none{};
+  const auto found = rollouts.services.find(service);
+  return found == rollouts.services.end() ? none : found->second;
+}
+
+bool IsInProgress(const VersionRollout& rollout)
+{
+  return rollout.state == Rollout::IN_PROGRESS;
+}
+
+bool GoesToVersion(const VersionRollout& rollout, absl::string_view request)
+{
+  return XXH64(request.data(), request.size(), rollout.number) % AllPermille <
+         rollout.permille;
+}
+
+VersionVerdict JudgeVersion(absl::Span<const RouteEvidence> routes)
+{
+  std::uint64_t answers = 0;
+  for (const RouteEvidence& route : routes) {
+    if (IsBadOnRoute(route)) {
+      return VersionVerdict::Bad;
+    }
+    answers += route.target.answers();
+  }
+  return answers >= LeastForGood ? VersionVerdict::Good
+                                 : VersionVerdict::Unknown;
+}
+
+wire::MoveVersion DecideVersion(const std::string& service,
+                                const VersionRollout& rollout,
+                                VersionVerdict verdict, absl::Duration elapsed)
+{
+  if (verdict == VersionVerdict::Bad) {
+    return MakeMove(service, rollout, Rollout::ROLLED_BACK, 0, elapsed);
+  }
+  const absl::Duration end = rollout.duration - DecisionMargin;
+  const bool isOver = elapsed >= end;
+  const bool isGood = verdict == VersionVerdict::Good;
+  if (isOver) {
+    return isGood
+             ? MakeMove(service, rollout, Rollout::COMPLETED, AllPermille,
+                        elapsed)
+             : MakeMove(service, rollout, Rollout::ROLLED_BACK, 0, elapsed);
+  }
+  const bool isFinal = elapsed >= end - FinalShare * rollout.duration;
+  return MakeMove(service, rollout, Rollout::IN_PROGRESS,
+                  isFinal && isGood ? AllPermille : FirstPermille, elapsed);
+}
+
+wire::VersionRollouts ToWire(const VersionRollouts& rollouts)
+{
+  wire::VersionRollouts told;
+  told.set_newest(rollouts.newest);
+  told.set_orders(rollouts.orders);
+  for (const auto& [service, rollout] : rollouts.services) {
+    wire::VersionRollout& out = *told.add_rollouts();
+    out.set_service(service);
+    out.set_version(rollout.version);
+    out.set_number(rollout.number);
+    out.set_state(rollout.state);
+    out.set_permille(rollout.permille);
+    out.set_duration_ms(absl::ToInt64Milliseconds(rollout.duration));
+    out.set_elapsed_ms(absl::ToInt64Milliseconds(rollout.elapsed));
+  }
+  return told;
+}
+
+VersionRollouts FromWire(const wire::VersionRollouts& rollouts)
+{
+  VersionRollouts read;
+  read.newest = rollouts.newest();
+  read.orders = rollouts.orders();
+  for (const wire::VersionRollout& in : rollouts.rollouts()) {
+    VersionRollout& rollout = read.services[in.service()];
+    rollout.version = in.version();
+    rollout.number = in.number();
+    rollout.state = in.state();
+    rollout.permille = in.permille();
+    rollout.duration = absl::Milliseconds(in.duration_ms());
+    rollout.elapsed = absl::Milliseconds(in.elapsed_ms());
+  }
+  return read;
+}
+
+absl::string_view NameOf(VersionState state)
+{
+  switch (state) {
+    case Rollout::IN_PROGRESS:
+      return "in_progress";
+    case Rollout::COMPLETED:
+      return "completed";
+    case Rollout::ROLLED_BACK:
+      return "rolled_back";
+    default:
+      return "unknown";
+  }
+}
+
+} // namespace wg
--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -161,6 +161,9 @@
   request.set_have_hall_orders(hallOrders_);
   request.set_takes_follower_changes(true);
   request.set_have_controls(link.controls);
+  request.set_knows_rollouts(true);
+  request.set_have_rollouts(rollouts_);
+  handler_.fill(request);
   peers_.Call(
     address, "/follow", request.SerializeAsString(), FollowWait + ReplyMargin,
     [this, address](Outcome<std::string> reply) {
@@ -242,6 +245,10 @@
     hallOrders_ = reply.hall_orders().newest();
     handler_.onHallOrders(FromWire(reply.hall_orders()));
   }
+  if (reply.rollouts().newest() > rollouts_) {
+    rollouts_ = reply.rollouts().newest();
+    handler_.onRollouts(FromWire(reply.rollouts()));
+  }
   for (const wire::Registration& registration : reply.registrations()) {
     handler_.onRegistration(registration);
   }
--- a/Source/Gateway/wgControlFollower.h
+++ b/Source/Gateway/wgControlFollower.h
@@ -18,6 +18,7 @@
 #include "wgPeer.pb.h"
 #include "wgPeerClient.h"
 #include "wgStageClient.h"
+#include "wgVersionRollout.h"
 
 namespace wg {
 
@@ -35,6 +36,9 @@
 {
   /** Orders on halls, before the endpoints of the same reply. */
   std::function<void(const HallOrders&)> onHallOrders;
+  std::function<void(const VersionRollouts&)> onRollouts;
+  /** Adds to a call what this box tells besides. */
+  std::function<void(wire::FollowRequest&)> fill;
   /** A newer document; false when it can't be read. */
   std::function<bool(const ReceivedDocument& document)> onDocument;
   std::function<void(const wire::Registration&)> onRegistration;
@@ -120,6 +124,7 @@
   FollowHandler handler_;
   std::uint64_t held_ = 0;       // the newest document that was received
   std::uint64_t hallOrders_ = 0; // number of the newest that was heard
+  std::uint64_t rollouts_ = 0;   // the newest word of them that was heard
   DocumentTransfer transfer_;
   LoopTimer chunkPause_;
   std::map<std::string, Link> links_;
--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -192,6 +192,7 @@
   known.service = news.service();
   known.address = news.address();
   known.hall = news.hall();
+  known.version = news.version();
   known.slots = std::max(1, static_cast<int>(news.slots()));
   known.coldUntilHeard =
     known.coldUntilHeard && news.sequence() <= known.sequence;
@@ -312,6 +313,64 @@
   return changed;
 }
 
+std::vector<std::string> MergeRollouts(Directory& directory,
+                                       const VersionRollouts& news,
+                                       Elapsed now)
+{
+  std::vector<std::string> changed;
+  if (news.newest <= directory.rollouts.newest) {
+    return changed;
+  }
+  for (const auto& [service, rollout] : news.services) {
+    const VersionRollout& known =
+      FindVersionRollout(directory.rollouts, service);
+    const bool isOther =
+      known.number != rollout.number || known.state != rollout.state;
+    if (isOther) {
+      directory.rolloutsHeard[service] = now;
+    }
+    if (isOther || known.permille != rollout.permille) {
+      changed.push_back(service);
+    }
+  }
+  directory.rollouts = news;
+  return changed;
+}
+
+bool IsRetired(const Directory& directory, const DirectoryEndpoint& endpoint)
+{
+  if (directory.rollouts.services.empty()) {
+    return false;
+  }
+  const VersionRollout& rollout =
+    FindVersionRollout(directory.rollouts, endpoint.service);
+  const bool isTarget = endpoint.version == rollout.version;
+  if (rollout.state == wire::VersionRollout::ROLLED_BACK) {
+    return isTarget;
+  }
+  const auto heard = directory.rolloutsHeard.find(endpoint.service);
+  return rollout.state == wire::VersionRollout::COMPLETED && !isTarget &&
+         heard != directory.rolloutsHeard.end() &&
+         endpoint.known <= heard->second;
+}
+
+std::vector<DirectoryEndpoint*> OfWantedVersion(
+  const Directory& directory, absl::string_view service,
+  std::vector<DirectoryEndpoint*> endpoints, bool wantsVersion)
+{
+  const VersionRollout& rollout =
+    FindVersionRollout(directory.rollouts, service);
+  if (!IsInProgress(rollout)) {
+    return endpoints;
+  }
+  std::vector<DirectoryEndpoint*> wanted;
+  std::copy_if(endpoints.begin(), endpoints.end(), std::back_inserter(wanted),
+               [&rollout, wantsVersion](const DirectoryEndpoint* endpoint) {
+                 return (endpoint->version == rollout.version) == wantsVersion;
+               });
+  return wanted.empty() ? endpoints : wanted;
+}
+
 bool IsCurrent(const DirectoryEndpoint& endpoint)
 {
   return endpoint.state == Registration::READY && !endpoint.overtaken;
@@ -321,7 +380,8 @@
                   const DirectoryEndpoint& endpoint)
 {
   return IsCurrent(endpoint) && !endpoint.terms.isLeaving &&
-         !IsEvacuated(directory.halls, endpoint.hall);
+         !IsEvacuated(directory.halls, endpoint.hall) &&
+         !IsRetired(directory, endpoint);
 }
 
 bool MaySendNow(const Directory& directory, const DirectoryEndpoint& endpoint,
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -18,6 +18,7 @@
 #include "wgHallOrders.h"
 #include "wgHallReach.h"
 #include "wgPeer.pb.h"
+#include "wgVersionRollout.h"
 
 namespace wg {
 
@@ -31,6 +32,7 @@
   std::string service;
   std::string address; // IP:port
   std::string hall;
+  std::string version; // of its software; empty: it was not told
   int slots = 1;
   wire::Registration::State state = wire::Registration::READY;
   std::uint64_t sequence = 0;
@@ -94,6 +96,9 @@
   HallReach reach;
   HallOrders halls;   // operators' orders, as the control boxes told
   Elapsed hallsHeard; // when a new order was last heard
+  VersionRollouts rollouts;
+  /** When the state of each service's roll-out was last heard to change. */
+  std::map<std::string, Elapsed, std::less<>> rolloutsHeard;
 };
 
 /** \brief Takes what a control box tells of an endpoint. Between control
@@ -141,6 +146,27 @@
 std::vector<std::string> MergeHallOrders(Directory& directory,
                                          const HallOrders& news, Elapsed now);
 
+/** \brief Takes in what a control box tells of roll-outs.
+ * \return the services whose roll-outs have another state or share now
+ */
+std::vector<std::string> MergeRollouts(Directory& directory,
+                                       const VersionRollouts& news,
+                                       Elapsed now);
+
+/** \brief Whether requests of its service are moved away from it for good: it
+ * is of a version that was rolled back, or it was there when another version
+ * was completed.
+ */
+bool IsRetired(const Directory& directory, const DirectoryEndpoint& endpoint);
+
+/** \brief Of the endpoints, those of the version that is rolled out or, where
+ * that is not wanted, the others; all when there are none, or no roll-out of
+ * the service is in progress.
+ */
+std::vector<DirectoryEndpoint*> OfWantedVersion(
+  const Directory& directory, absl::string_view service,
+  std::vector<DirectoryEndpoint*> endpoints, bool wantsVersion);
+
 /** \brief Whether it is there and ready, and no later start of the same name
  * is known to serve or to have ended. One that has fallen silent does not
  * count: a clock that was set back gives the start after it an earlier time.
@@ -148,7 +174,8 @@
 bool IsCurrent(const DirectoryEndpoint& endpoint);
 
 /** \brief Whether new work may be sent there: it is current, has not told this
- * box that it leaves, and no operator has ordered otherwise for its hall.
+ * box that it leaves, and no operator has ordered otherwise for its hall or
+ * its version.
  */
 bool TakesNewWork(const Directory& directory,
                   const DirectoryEndpoint& endpoint);
--- a/Source/Gateway/wgEngineCoordinator.cxx
+++ b/Source/Gateway/wgEngineCoordinator.cxx
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace wg {
@@ -85,6 +86,8 @@
   pool.guessUntil = guessUntil_;
   std::vector<DirectoryEndpoint*> engines =
     SoundEndpoints(directory_, key.service, now, Sender::AnyBox, key.hall);
+  engines = OfWantedVersion(directory_, key.service, std::move(engines),
+                            ask.wants_version());
   const absl::Duration limited = LeaveOutLimited(engines, key);
   const EnginePlacement placed = PlacePrompt(pool, engines, query);
   metrics_.Count("engines_asked");
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -74,7 +74,8 @@
   shared_.reset(new GatewayShared{
     loop_, dialect_, directory_, client_, *stages_, *reservations_, *engines_,
     halls_, crashes_, terms_, permits_, metrics_, log_, settings_.hall,
-    settings_.retryRules, settings_.admission });
+    settings_.retryRules, tallies_, settings_.admission });
+  coordinator_.SetTallies(tallies_);
   coordinator_.SetRetryRules(settings_.retryRules);
   engineCoordinator_.SetColdBounds(settings_.coldBounds);
   peerServer_ = std::make_unique<PeerServer>(
@@ -96,6 +97,12 @@
   handler.onHallOrders = [this](const HallOrders& orders) {
     OnHallOrders(orders);
   };
+  handler.onRollouts = [this](const VersionRollouts& rollouts) {
+    OnRollouts(rollouts);
+  };
+  handler.fill = [this](wire::FollowRequest& request) {
+    TellTallies(tallies_, settings_.box, request);
+  };
   handler.onRegistration = [this](const wire::Registration& registration) {
     OnRegistration(registration);
   };
@@ -424,6 +431,24 @@
   coordinator_.NoteDirectory();
 }
 
+void GatewayNode::OnRollouts(const VersionRollouts& rollouts)
+{
+  for (const std::string& service :
+       MergeRollouts(directory_, rollouts, ElapsedNow())) {
+    const VersionRollout& rollout =
+      FindVersionRollout(directory_.rollouts, service);
+    log_.Write(LogWeight::Notable, "rollout",
+               { { "service", service },
+                 { "version", rollout.version },
+                 { "order", rollout.number },
+                 { "state", std::string(NameOf(rollout.state)) },
+                 { "permille", rollout.permille } });
+    metrics_.Count(absl::StrCat("rollouts_", NameOf(rollout.state)));
+  }
+  ForgetTallies(tallies_, directory_.rollouts);
+  coordinator_.NoteDirectory();
+}
+
 void GatewayNode::OnRegistration(const wire::Registration& registration)
 {
   const Elapsed now = ElapsedNow();
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -15,6 +15,7 @@
 #include "wgHttpServer.h"
 #include "wgLoopTimer.h"
 #include "wgPeerServer.h"
+#include "wgVersionTallies.h"
 
 namespace wg {
 
@@ -73,6 +74,7 @@
   bool OnDocument(const ReceivedDocument& document);
   void OnHallCut(const std::string& hall);
   void OnHallOrders(const HallOrders& orders);
+  void OnRollouts(const VersionRollouts& rollouts);
   void OnRegistration(const wire::Registration& registration);
   void NoteUnknownService(const DirectoryEndpoint& endpoint);
   void ApplyLimits();
@@ -92,6 +94,7 @@
   GatewayMetrics metrics_;
   DecisionLog log_;
   Directory directory_;
+  VersionTallies tallies_;
   HttpClient client_;
   TermsTracker terms_;
   SendPermits permits_;
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -31,6 +31,7 @@
 #include "wgStageClient.h"
 #include "wgStagePlan.h"
 #include "wgTermsTracker.h"
+#include "wgVersionTallies.h"
 
 namespace wg {
 
@@ -60,6 +61,7 @@
   DecisionLog& log;
   std::string hall;
   RetryRules retryRules;
+  VersionTallies& tallies;
   StageAdmission admission = StageAdmission::ByBox;
   EngineSpeed speed{};
   absl::BitGen random{};
@@ -193,6 +195,7 @@
   bool IsForEngine() const;
   ChoiceQuery MakeChoiceQuery() const;
   std::vector<DirectoryEndpoint*> OwnCandidates() const;
+  bool WantsVersion() const;
   void AskToSend(const DirectoryEndpoint& endpoint, double readSeconds,
                  const PlacedRead& placed);
   void OnPermit(const std::string& id, bool granted, double readSeconds,
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -64,7 +64,18 @@
                             now < endpoint->deniedUntil;
                    }),
     endpoints.end());
-  return endpoints;
+  return OfWantedVersion(shared_.directory, service_, std::move(endpoints),
+                         WantsVersion());
+}
+
+/** What failed once is not tried at a version that may be the cause. */
+bool GatewayRequest::WantsVersion() const
+{
+  const VersionRollout& rollout =
+    FindVersionRollout(shared_.directory.rollouts, service_);
+  const bool isFirst = attempts_ == 0;
+  return rollout.permille >= AllPermille ||
+         (isFirst && GoesToVersion(rollout, id_));
 }
 
 DirectoryEndpoint* GatewayRequest::ChooseEndpointFor(
@@ -440,6 +451,13 @@
         FindEndpoint(shared_.directory, attempt_->endpoint)) {
     --endpoint->running;
     NoteAttempt(*endpoint, failed, ElapsedNow());
+    const Elapsed answered =
+      attempt_->eventSeen ? firstEventAt_ : ElapsedNow();
+    if (!attempt_->saidNotRun) {
+      NoteAttemptSeen(shared_.tallies, shared_.directory, *endpoint,
+                      route_->name,
+                      { failed, answered - attempt_->sent, route_->aim });
+    }
   }
   EndRead({ 0.0, failed });
   tried_.push_back(attempt_->endpoint);
--- a/Source/Gateway/wgGatewayRequestEngine.cxx
+++ b/Source/Gateway/wgGatewayRequestEngine.cxx
@@ -37,6 +37,7 @@
     ask.add_avoid(endpoint);
   }
   AddUnsound(ask);
+  ask.set_wants_version(WantsVersion());
   shared_.engines.Ask(
     std::move(ask),
     [weak = weak_from_this(), &engines = shared_.engines](
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <limits>
 #include <set>
+#include <utility>
 
 #include <boost/asio/post.hpp>
 
@@ -385,6 +386,66 @@
     known->closedUntil = ClosedUntil(*endpoint, key);
     TakeReport(*known, endpoint->load, ElapsedNow());
   }
+  CloseByVersion(key, pool);
+}
+
+bool StageCoordinator::MayCallVersion(const StagePoolKey& key,
+                                      const VersionRollout& rollout)
+{
+  VersionCalls& calls = versionCalls_[key];
+  if (calls.number != rollout.number) {
+    calls = {};
+    calls.number = rollout.number;
+  }
+  return (calls.target + 1) * AllPermille <=
+         (calls.all + 1) * rollout.permille;
+}
+
+/** While a version is rolled out, one of its endpoints at a time takes calls,
+ * as long as they are within its share; with the whole share, all do and the
+ * others don't.
+ */
+void StageCoordinator::CloseByVersion(const StagePoolKey& key, StagePool& pool)
+{
+  const VersionRollout& rollout =
+    FindVersionRollout(directory_.rollouts, key.service);
+  if (!IsInProgress(rollout)) {
+    return;
+  }
+  const bool isWhole = rollout.permille >= AllPermille;
+  bool mayCall = MayCallVersion(key, rollout);
+  const auto isTarget = [&](const StageServer& server) {
+    const DirectoryEndpoint* endpoint = FindEndpoint(directory_, server.id);
+    return endpoint != nullptr && endpoint->version == rollout.version;
+  };
+  const auto targets =
+    std::count_if(pool.servers.begin(), pool.servers.end(), isTarget);
+  const bool isMixed =
+    targets > 0 && targets < static_cast<long>(pool.servers.size());
+  if (!isMixed) {
+    return;
+  }
+  const Elapsed until = ElapsedNow() + absl::FromChrono(PumpPeriod);
+  for (StageServer& server : pool.servers) {
+    const bool isOpen = isWhole == isTarget(server) ||
+                        (!isWhole && std::exchange(mayCall, false));
+    if (!isOpen) {
+      server.closedUntil = std::max(server.closedUntil, until);
+    }
+  }
+}
+
+void StageCoordinator::CountVersionCall(const StagePoolKey& key,
+                                        const DirectoryEndpoint& endpoint)
+{
+  const VersionRollout& rollout =
+    FindVersionRollout(directory_.rollouts, key.service);
+  if (!IsInProgress(rollout)) {
+    return;
+  }
+  VersionCalls& calls = versionCalls_[key];
+  ++calls.all;
+  calls.target += endpoint.version == rollout.version ? 1 : 0;
 }
 
 void StageCoordinator::Pump(const StagePoolKey& key)
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -27,6 +27,7 @@
 #include "wgStagePoolKey.h"
 #include "wgStageReservations.h"
 #include "wgTermsTracker.h"
+#include "wgVersionTallies.h"
 
 namespace wg {
 
@@ -47,6 +48,8 @@
                    GatewayMetrics& metrics, DecisionLog& log);
 
   void SetTable(std::shared_ptr<const RouteTable> table);
+  /** \brief Where calls count for roll-outs of versions. */
+  void SetTallies(VersionTallies& tallies) { tallies_ = &tallies; }
   void SetRetryRules(const RetryRules& rules) { rules_ = rules; }
 
   /** \brief Has all pieces of the work made; `done` is called once, unless
@@ -186,6 +189,20 @@
   std::map<StagePoolKey, ResultLedger> results_;
   std::map<StagePoolKey, StageReservations> reservations_;
   std::map<std::string, RetryWindow> retries_; // by service
+  /** Calls since a roll-out's order, for its share of them. */
+  struct VersionCalls
+  {
+    std::uint64_t number = 0; // of the order
+    std::uint64_t all = 0;
+    std::uint64_t target = 0;
+  };
+  bool MayCallVersion(const StagePoolKey& key, const VersionRollout& rollout);
+  void NoteVersionCall(const OpenCall& open, bool failed);
+  void CloseByVersion(const StagePoolKey& key, StagePool& pool);
+  void CountVersionCall(const StagePoolKey& key,
+                        const DirectoryEndpoint& endpoint);
+  std::map<StagePoolKey, VersionCalls> versionCalls_;
+  VersionTallies* tallies_ = nullptr;
   std::map<StagePoolKey, Elapsed> backlogLogged_;
   std::map<WorkKey, Work> works_;
   std::map<std::uint64_t, PieceOwner> owners_; // by ticket
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -41,6 +41,7 @@
   open.call = std::move(call);
   open.started = now;
   permits_.Take(*endpoint, key);
+  CountVersionCall(key, *endpoint);
   if (StageServer* server = ServerOf(open)) {
     server->calls[number] = { now, open.call.expectedSeconds };
     server->closedUntil = ClosedUntil(*endpoint, key);
@@ -145,6 +146,19 @@
   Pump(key);
 }
 
+void StageCoordinator::NoteVersionCall(const OpenCall& open, bool failed)
+{
+  const DirectoryEndpoint* endpoint =
+    FindEndpoint(directory_, open.call.server);
+  if (endpoint == nullptr || tallies_ == nullptr) {
+    return;
+  }
+  const absl::Duration aim =
+    absl::Seconds(open.call.expectedSeconds * LateFactor);
+  NoteAttemptSeen(*tallies_, directory_, *endpoint, "",
+                  { failed, ElapsedNow() - open.started, aim });
+}
+
 void StageCoordinator::OnCallEnd(std::uint64_t number, HttpCallEnd end)
 {
   auto node = calls_.extract(number);
@@ -158,6 +172,9 @@
     server->calls.erase(number);
   }
   constexpr unsigned ok = 200;
+  if (!open.saidNotRun) {
+    NoteVersionCall(open, end != HttpCallEnd::Complete || open.status != ok);
+  }
   const bool isSent = end == HttpCallEnd::Cut || end == HttpCallEnd::Refused ||
                       end == HttpCallEnd::Complete;
   SettleCall(open, isSent && !(end == HttpCallEnd::Complete &&
--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -106,7 +106,7 @@
 {
   StartAgainIfTold();
   Json heartbeat{ { "service", service },     { "address", address_ },
-                  { "zone", hall_ },          { "version", "v1" },
+                  { "zone", hall_ },          { "version", version_ },
                   { "capacity", Slots },      { "state", state },
                   { "sequence", ++sequence_ } };
   heartbeat["warmupLeftMs"] = warmupMs_.load();
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -42,6 +42,8 @@
   int Port() const { return port_; }
   /** \brief The hall that it tells; h1 unless it is set. */
   void SetHall(std::string hall) { hall_ = std::move(hall); }
+  /** \brief The version of its software that it tells; v1 unless it is set. */
+  void SetVersion(std::string version) { version_ = std::move(version); }
   /** \brief What it tells of how much longer it is cold. */
   void SetWarmupMs(int ms) { warmupMs_ = ms; }
   /** \brief When requests and calls of stages reached it. */
@@ -133,6 +135,7 @@
   std::string id_;
   std::string address_;
   std::string hall_ = "h1";
+  std::string version_ = "v1";
   std::atomic<int> warmupMs_{ 0 };
   int port_ = 0;
   std::atomic<StandinConduct> conduct_{ StandinConduct::Answer };
