Transport: a control box takes as many connections as its descriptors bear

Cause: a server of weirgate's own processes refused its 513th connection. Besides, each event looked at all connections.

Change: three quarters of the process's limit of open files. Connections are watched by epoll, so that an event costs no look at the others. A connection that has had no call for 10 s is closed by who opened it, so that those to the control boxes of the settings end once a box follows others.

Tests: 1,200 connections to a server, and a call beside them (refused before); a connection without calls is closed.

--- a/Source/Control/wgEndpointRegistry.cxx
+++ b/Source/Control/wgEndpointRegistry.cxx
@@ -220,14 +220,15 @@
 void NoteHallOrder(EndpointRegistry& registry, absl::string_view hall,
                    bool evacuated)
 {
-  for (auto& [id, endpoint] : registry.endpoints) {
+  for (auto& entry : registry.endpoints) {
+    RegisteredEndpoint& endpoint = entry.second;
     Registration& registration = endpoint.registration;
     const bool serves = registration.state() == Registration::READY ||
                         registration.state() == Registration::LEAVING;
     if (registration.hall() != hall || !serves) {
       continue;
     }
-    Update(registry, id, endpoint, true, [&] {
+    Update(registry, entry.first, endpoint, true, [&] {
       if (!evacuated) {
         registration.set_warmup_ms(
           std::max(registration.warmup_ms(), AssumedWarmupMs));
--- a/Source/Control/wgVersionConductor.h
+++ b/Source/Control/wgVersionConductor.h
@@ -25,7 +25,7 @@
   {
     std::uint64_t number = 0;
     Elapsed began;
-    absl::Duration before; // elapsed since the order when it began
+    absl::Duration before;      // elapsed since the order, when it began
     wire::MoveVersion proposed; // the last one
     Elapsed proposedAt = -absl::InfiniteDuration();
   };
--- a/Source/Transport/wgPeerClient.cxx
+++ b/Source/Transport/wgPeerClient.cxx
@@ -32,9 +32,11 @@
 
 } // namespace
 
-PeerClient::PeerClient(std::string key, absl::string_view who)
+PeerClient::PeerClient(std::string key, absl::string_view who,
+                       absl::Duration idleTime)
   : key_(std::move(key))
   , who_(who)
+  , idleTime_(idleTime)
   , thread_([this] { Run(); })
 {
 }
@@ -143,6 +145,28 @@
     StartCalls();
     ExpireCalls(ElapsedNow());
     RetryConnects(ElapsedNow());
+    CloseIdle(ElapsedNow());
+  }
+}
+
+/** Each box calls some control boxes and coordinators only once; a connection
+ * that stayed for each would make those of a control box as many as there are
+ * boxes.
+ */
+void PeerClient::CloseIdle(Elapsed now)
+{
+  std::vector<std::string> idle;
+  for (auto& [address, connection] : connections_) {
+    const bool isUsed =
+      !connection.calls.empty() || !connection.waiting.empty();
+    if (isUsed || connection.session == nullptr) {
+      connection.lastUsed = now;
+    } else if (now - connection.lastUsed > idleTime_) {
+      idle.push_back(address);
+    }
+  }
+  for (const std::string& address : idle) {
+    Drop(address);
   }
 }
 
--- a/Source/Transport/wgPeerClient.h
+++ b/Source/Transport/wgPeerClient.h
@@ -22,15 +22,24 @@
 namespace wg {
 
 /** \class PeerClient
- * \brief Calls other weirgate processes over one connection to each.
+ * \brief Calls other weirgate processes over one connection to each, which
+ * ends once it has had no call for some seconds.
  */
 class PeerClient : private detail::Http2Session::Listener
 {
 public:
   using Callback = std::function<void(Outcome<std::string> reply)>;
 
-  /** \param who the name that belongs to the key */
-  PeerClient(std::string key, absl::string_view who);
+  /** Longer than calls of a box that is in use are apart; opening a connection
+   * anew takes a round trip.
+   */
+  static constexpr absl::Duration IdleTime = absl::Seconds(10);
+
+  /** \param who the name that belongs to the key
+   * \param idleTime after which a connection without calls is closed
+   */
+  PeerClient(std::string key, absl::string_view who,
+             absl::Duration idleTime = IdleTime);
   ~PeerClient() override;
 
   /** \brief Calls and returns at once; the callback runs on the poll loop,
@@ -68,6 +77,7 @@
     std::unique_ptr<detail::Http2Session> session; // null until connected
     std::map<std::int32_t, PendingCall> calls;
     Elapsed lastHeard;
+    Elapsed lastUsed; // when it last had a call
   };
 
   void Run();
@@ -79,6 +89,7 @@
   void SendCall(Connection& connection, PendingCall call);
   void RetryConnects(Elapsed now);
   void ExpireCalls(Elapsed now);
+  void CloseIdle(Elapsed now);
   static void ExpireWaiting(Connection& connection, Elapsed now,
                             std::vector<PendingCall>& expired);
   void Drop(const std::string& address);
@@ -88,6 +99,7 @@
 
   std::string key_;
   std::string who_;
+  absl::Duration idleTime_;
   WakeUp wakeUp_;
   absl::Mutex mutex_;
   std::vector<PendingCall> queued_ ABSL_GUARDED_BY(mutex_);
--- a/Source/Transport/wgPeerServer.cxx
+++ b/Source/Transport/wgPeerServer.cxx
@@ -1,17 +1,53 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgPeerServer.h"
 
-#include <poll.h>
+#include <algorithm>
+#include <array>
+#include <set>
+
+#include <sys/epoll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 namespace wg {
 namespace {
 
-constexpr std::size_t MaxConnections = 512;
+/** Of the descriptors that the process may have; the rest is for endpoints,
+ * callers and files.
+ */
+constexpr double ConnectionShare = 0.75;
+/** Some 20 kB each: 1.3 GB, above any box. */
+constexpr rlim_t MostDescriptors = 65536;
 constexpr int PollMs = 500;
+constexpr int MostEvents = 256;
 constexpr int StatusOk = 200;
 constexpr int StatusForbidden = 403;
-constexpr std::size_t FixedPollEntries = 2;
+constexpr std::uint64_t ListenerId = 0;
+constexpr std::uint64_t WakeUpId = 1;
+constexpr std::uint64_t FirstConnectionId = 2;
+
+/** A deployment of any size has its boxes call the few control boxes that
+ * they know at first; a number that does not go with the box refuses the
+ * other control boxes as well.
+ */
+std::size_t FindMostConnections()
+{
+  rlimit limit{};
+  const bool isKnown = getrlimit(RLIMIT_NOFILE, &limit) == 0;
+  const rlim_t descriptors =
+    isKnown ? std::min(limit.rlim_cur, MostDescriptors) : MostDescriptors;
+  return static_cast<std::size_t>(static_cast<double>(descriptors) *
+                                  ConnectionShare);
+}
+
+bool Watch(const FileDescriptor& events, int operation, int socket,
+           std::uint32_t what, std::uint64_t id)
+{
+  epoll_event event{};
+  event.events = what;
+  event.data.u64 = id;
+  return epoll_ctl(events.Get(), operation, socket, &event) == 0;
+}
 
 } // namespace
 
@@ -19,6 +55,9 @@
   : keys_(std::move(keys))
   , handler_(std::move(handler))
   , counters_(counters)
+  , events_(epoll_create1(EPOLL_CLOEXEC))
+  , mostConnections_(FindMostConnections())
+  , nextConnection_(FirstConnectionId)
 {
 }
 
@@ -34,6 +73,14 @@
     return Error{ Message(listening) };
   }
   listener_ = std::move(Value(listening));
+  const bool isWatched =
+    events_.IsOpen() &&
+    Watch(events_, EPOLL_CTL_ADD, listener_.Get(), EPOLLIN, ListenerId) &&
+    Watch(events_, EPOLL_CTL_ADD, outbox_->wakeUp.Get(), EPOLLIN, WakeUpId);
+  if (!isWatched) {
+    return Error{ "No events can be had of the peer address's socket; raise "
+                  "the limit of open files." };
+  }
   thread_ = std::thread([this] { Run(); });
   return Done{};
 }
@@ -49,36 +96,55 @@
 
 void PeerServer::Run()
 {
+  std::array<epoll_event, MostEvents> ready{};
   while (!stopping_) {
-    std::vector<pollfd> polled = { { listener_.Get(), POLLIN, 0 },
-                                   { outbox_->wakeUp.Get(), POLLIN, 0 } };
-    std::vector<std::uint64_t> ids;
-    for (const auto& [id, session] : sessions_) {
-      const short events =
-        static_cast<short>(POLLIN | (session->WantsWrite() ? POLLOUT : 0));
-      polled.push_back({ session->Socket(), events, 0 });
-      ids.push_back(id);
-    }
-    poll(polled.data(), polled.size(), PollMs);
-    if ((polled[1].revents & POLLIN) != 0) {
-      outbox_->wakeUp.Clear();
-    }
-    SendReplies();
-    for (std::size_t i = 0; i < ids.size(); ++i) {
-      detail::Http2Session& session = *sessions_[ids[i]];
-      const short events = polled[i + FixedPollEntries].revents;
-      currentConnection_ = ids[i];
-      const bool useful = (events == 0 || session.Read()) && session.Write();
-      if (!useful) {
-        sessions_.erase(ids[i]);
+    const int count =
+      epoll_wait(events_.Get(), ready.data(), MostEvents, PollMs);
+    for (int i = 0; i < count; ++i) {
+      const std::uint64_t id = ready[static_cast<std::size_t>(i)].data.u64;
+      if (id == ListenerId) {
+        Accept();
+      } else if (id == WakeUpId) {
+        outbox_->wakeUp.Clear();
+      } else {
+        OnEvents(id, ready[static_cast<std::size_t>(i)].events);
       }
     }
-    if ((polled[0].revents & POLLIN) != 0) {
-      Accept();
-    }
+    SendReplies();
   }
 }
 
+void PeerServer::OnEvents(std::uint64_t id, std::uint32_t events)
+{
+  auto found = connections_.find(id);
+  if (found == connections_.end()) {
+    return;
+  }
+  detail::Http2Session& session = *found->second.session;
+  currentConnection_ = id;
+  const bool reads = (events & ~static_cast<std::uint32_t>(EPOLLOUT)) != 0;
+  const bool useful =
+    (!reads || session.Read()) && session.Write() && Await(id, found->second);
+  if (!useful) {
+    connections_.erase(found);
+  }
+}
+
+/** Asks for word of when it may be written to, while there is something to
+ * write.
+ */
+bool PeerServer::Await(std::uint64_t id, Connection& connection)
+{
+  const bool wants = connection.session->WantsWrite();
+  if (wants == connection.awaitsRoom) {
+    return true;
+  }
+  connection.awaitsRoom = wants;
+  const std::uint32_t what =
+    wants ? EPOLLIN | EPOLLOUT : static_cast<std::uint32_t>(EPOLLIN);
+  return Watch(events_, EPOLL_CTL_MOD, connection.session->Socket(), what, id);
+}
+
 void PeerServer::Accept()
 {
   for (;;) {
@@ -87,13 +153,21 @@
     if (!socket.IsOpen()) {
       return;
     }
-    if (sessions_.size() >= MaxConnections) {
+    const std::uint64_t id = nextConnection_++;
+    const bool isTaken =
+      connections_.size() < mostConnections_ &&
+      Watch(events_, EPOLL_CTL_ADD, socket.Get(), EPOLLIN, id);
+    if (!isTaken) {
       counters_.Add(Event::PeerRejected);
       continue;
     }
     detail::Http2Session::Listener& listener = *this;
-    sessions_[nextConnection_++] = std::make_unique<detail::Http2Session>(
+    Connection& connection = connections_[id];
+    connection.session = std::make_unique<detail::Http2Session>(
       std::move(socket), detail::Http2Session::Side::Server, listener);
+    if (!connection.session->Write() || !Await(id, connection)) {
+      connections_.erase(id);
+    }
   }
 }
 
@@ -104,12 +178,13 @@
     absl::MutexLock lock(&outbox_->mutex);
     replies.swap(outbox_->replies);
   }
+  std::set<std::uint64_t> written;
   for (Reply& reply : replies) {
-    auto found = sessions_.find(reply.connection);
-    if (found == sessions_.end()) {
+    auto found = connections_.find(reply.connection);
+    if (found == connections_.end()) {
       continue;
     }
-    detail::Http2Session& session = *found->second;
+    detail::Http2Session& session = *found->second.session;
     const detail::Http2Stream* stream = session.Find(reply.stream);
     if (stream == nullptr) {
       continue;
@@ -119,6 +194,10 @@
     counters_.Add(Event::PeerBytes, reply.body.size());
     session.StartReply(reply.stream, signature, StatusOk,
                        std::move(reply.body));
+    written.insert(reply.connection);
+  }
+  for (const std::uint64_t id : written) {
+    OnEvents(id, EPOLLOUT);
   }
 }
 
--- a/Source/Transport/wgPeerServer.h
+++ b/Source/Transport/wgPeerServer.h
@@ -29,7 +29,8 @@
 };
 
 /** \class PeerServer
- * \brief Answers other weirgate processes, on a poll loop of its own.
+ * \brief Answers other weirgate processes, on a loop of its own that looks at
+ * those connections alone that have something to read or write.
  *
  * A request that is not signed with its caller's key is refused, counted.
  */
@@ -62,9 +63,17 @@
     WakeUp wakeUp;
   };
 
+  struct Connection
+  {
+    std::unique_ptr<detail::Http2Session> session;
+    bool awaitsRoom = false; // it is told when it may be written to
+  };
+
   void Run();
   void Accept();
   void SendReplies();
+  void OnEvents(std::uint64_t id, std::uint32_t events);
+  bool Await(std::uint64_t id, Connection& connection);
   void OnMessage(detail::Http2Session& session, std::int32_t stream) override;
   void OnBroken(detail::Http2Session& session, std::int32_t stream) override;
 
@@ -73,8 +82,10 @@
   Counters& counters_;
   FileDescriptor listener_;
   std::shared_ptr<Outbox> outbox_ = std::make_shared<Outbox>();
-  std::map<std::uint64_t, std::unique_ptr<detail::Http2Session>> sessions_;
-  std::uint64_t nextConnection_ = 1;
+  FileDescriptor events_; // of all sockets
+  std::size_t mostConnections_ = 0;
+  std::map<std::uint64_t, Connection> connections_;
+  std::uint64_t nextConnection_;
   std::uint64_t currentConnection_ = 0;
   std::atomic<bool> stopping_{ false };
   std::thread thread_;
--- a/Tests/Transport/wgPeerClientTest.cxx
+++ b/Tests/Transport/wgPeerClientTest.cxx
@@ -1,4 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <algorithm>
+#include <array>
 #include <map>
 #include <string>
 #include <utility>
@@ -7,6 +9,8 @@
 #include <arpa/inet.h>
 #include <catch2/catch.hpp>
 #include <netinet/in.h>
+#include <poll.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 
 #include "absl/strings/str_cat.h"
@@ -18,6 +22,7 @@
 #include "wgPeerClient.h"
 #include "wgPeerServer.h"
 #include "wgSocket.h"
+#include "wgTestPorts.h"
 
 namespace {
 
@@ -110,3 +115,60 @@
   CHECK(took >= absl::Milliseconds(480));
   CHECK(took < absl::Seconds(3));
 }
+
+TEST_CASE("A server that many boxes hold connections to answers one more")
+{
+  // At a start all boxes call the few control boxes that they know.
+  constexpr rlim_t wanted = 4096;
+  rlimit limit{};
+  REQUIRE(getrlimit(RLIMIT_NOFILE, &limit) == 0);
+  limit.rlim_cur = std::min(std::max(limit.rlim_cur, wanted), limit.rlim_max);
+  REQUIRE(setrlimit(RLIMIT_NOFILE, &limit) == 0);
+  REQUIRE(limit.rlim_cur >= wanted);
+  wg::test::TestPorts ports;
+  const int port = ports.Take();
+  wg::Counters counters;
+  wg::PeerServer server(
+    { { std::string(wg::PeerName), Key } },
+    [](const wg::PeerRequest& request,
+       const wg::PeerServer::Respond& respond) { respond(request.body); },
+    counters);
+  REQUIRE(wg::Succeeded(server.Start({ "127.0.0.1", port })));
+  std::vector<wg::FileDescriptor> others;
+  for (int i = 0; i < 1200; ++i) {
+    auto other = wg::StartConnectTcp({ "127.0.0.1", port });
+    REQUIRE(wg::Succeeded(other));
+    others.push_back(std::move(wg::Value(other)));
+    pollfd polled{ others.back().Get(), POLLOUT, 0 };
+    REQUIRE(poll(&polled, 1, 5000) == 1);
+  }
+  wg::PeerClient client(Key, wg::PeerName);
+  const auto reply = client.CallAndWait(absl::StrCat("127.0.0.1:", port),
+                                        "/path", "body", absl::Seconds(5));
+  REQUIRE(wg::Succeeded(reply));
+  CHECK(wg::Value(reply) == "body");
+}
+
+TEST_CASE("A connection that has had no call for a while is closed")
+{
+  wg::test::TestPorts ports;
+  const int port = ports.Take();
+  auto listener = wg::ListenTcp({ "127.0.0.1", port });
+  REQUIRE(wg::Succeeded(listener));
+  wg::PeerClient client(Key, wg::PeerName, absl::Milliseconds(300));
+  // It gets no answer, which alone is no reason to close it so soon.
+  client.CallAndWait(absl::StrCat("127.0.0.1:", port), "/path", "",
+                     absl::Milliseconds(100));
+  wg::FileDescriptor accepted(
+    accept(wg::Value(listener).Get(), nullptr, nullptr));
+  REQUIRE(accepted.IsOpen());
+  bool isClosed = false;
+  for (int i = 0; i < 100 && !isClosed; ++i) {
+    pollfd polled{ accepted.Get(), POLLIN, 0 };
+    poll(&polled, 1, 50);
+    std::array<char, 4096> bytes{};
+    isClosed =
+      recv(accepted.Get(), bytes.data(), bytes.size(), MSG_DONTWAIT) == 0;
+  }
+  CHECK(isClosed);
+}
