Gateway: who follows control boxes need not take roll-outs

Cause: a follower without handlers for roll-outs ended by an exception at its first call: `UnevenBoxes` failed, with "bad_function_call". Gateways set them.

Change: handlers that are not set are left out, as with impossible shares.

--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -163,7 +163,9 @@
   request.set_have_controls(link.controls);
   request.set_knows_rollouts(true);
   request.set_have_rollouts(rollouts_);
-  handler_.fill(request);
+  if (handler_.fill) {
+    handler_.fill(request);
+  }
   peers_.Call(
     address, "/follow", request.SerializeAsString(), FollowWait + ReplyMargin,
     [this, address](Outcome<std::string> reply) {
@@ -245,7 +247,9 @@
     hallOrders_ = reply.hall_orders().newest();
     handler_.onHallOrders(FromWire(reply.hall_orders()));
   }
-  if (reply.rollouts().newest() > rollouts_) {
+  const bool hasRollouts =
+    handler_.onRollouts && reply.rollouts().newest() > rollouts_;
+  if (hasRollouts) {
     rollouts_ = reply.rollouts().newest();
     handler_.onRollouts(FromWire(reply.rollouts()));
   }
--- a/Source/Gateway/wgControlFollower.h
+++ b/Source/Gateway/wgControlFollower.h
@@ -36,6 +36,7 @@
 {
   /** Orders on halls, before the endpoints of the same reply. */
   std::function<void(const HallOrders&)> onHallOrders;
+  /** May be left empty, as the next one. */
   std::function<void(const VersionRollouts&)> onRollouts;
   /** Adds to a call what this box tells besides. */
   std::function<void(wire::FollowRequest&)> fill;
