Gateway: an endpoint gets its share again after the rest that it asked for

Change: the first refusal in a row that asks for a rest costs no more than the rest; further ones count as failures.

--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -555,4 +555,13 @@
   endpoint.avoidUntil = now + avoidance;
 }
 
+void NoteRefusal(DirectoryEndpoint& endpoint, Elapsed now)
+{
+  if (endpoint.failuresInRow == 0 && IsResting(endpoint.terms, now)) {
+    ++endpoint.failuresInRow;
+    return;
+  }
+  NoteAttempt(endpoint, true, now);
+}
+
 } // namespace wg
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -257,4 +257,10 @@
  */
 void NoteAttempt(DirectoryEndpoint& endpoint, bool failed, Elapsed now);
 
+/** \brief Takes in that the endpoint refused an attempt without running it.
+ * The first refusal in a row that asks for a rest costs no more than that
+ * rest, so that the endpoint gets its share of work again at its end.
+ */
+void NoteRefusal(DirectoryEndpoint& endpoint, Elapsed now);
+
 } // namespace wg
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -450,7 +450,11 @@
   if (DirectoryEndpoint* endpoint =
         FindEndpoint(shared_.directory, attempt_->endpoint)) {
     --endpoint->running;
-    NoteAttempt(*endpoint, failed, ElapsedNow());
+    if (failed && attempt_->saidNotRun) {
+      NoteRefusal(*endpoint, ElapsedNow());
+    } else {
+      NoteAttempt(*endpoint, failed, ElapsedNow());
+    }
     const Elapsed answered =
       attempt_->eventSeen ? firstEventAt_ : ElapsedNow();
     if (!attempt_->saidNotRun) {
--- a/Tests/Gateway/wgDirectoryTest.cxx
+++ b/Tests/Gateway/wgDirectoryTest.cxx
@@ -469,6 +469,34 @@
         1);
 }
 
+TEST_CASE("An endpoint gets its share again after the rest that it asked for")
+{
+  wg::Directory directory = Serving(3);
+  wg::DirectoryEndpoint& tired = *wg::FindEndpoint(directory, "e2");
+  wg::SenderTerms asks;
+  asks.rest = absl::Seconds(3);
+  wg::TakeTerms(tired.terms, asks, Now, Now);
+  wg::NoteRefusal(tired, Now);
+  const wg::Elapsed rested = Now + asks.rest;
+  const auto sound = wg::SoundEndpoints(directory, "svc", rested);
+  REQUIRE(sound.size() == 3);
+  std::mt19937_64 random(7);
+  wg::ChoiceQuery query;
+  query.now = rested;
+  query.hall = "h0"; // of e0 and e2
+  constexpr int requests = 300;
+  int got = 0;
+  for (int i = 0; i < requests; ++i) {
+    got += wg::ChoosePlain(sound, query, random) == &tired ? 1 : 0;
+  }
+  CHECK(got > requests / 3);
+  // One that goes on refusing is avoided like one that fails.
+  wg::TakeTerms(tired.terms, asks, rested, rested);
+  wg::NoteRefusal(tired, rested);
+  CHECK(wg::ShareNow(tired.failures, rested) > 0.0);
+  CHECK(tired.avoidUntil > rested);
+}
+
 TEST_CASE("An endpoint that said it leaves gets new work")
 {
   wg::Directory directory = Serving(2);
