Control: boxes without a vote hold the replicated state where boxes follow few

Cause: a control box that joined after the wanted votes were given, or whose disk was lost while it had none, was not taken in as a learner, and so never held a document. Ruled out: a second cluster (only the first of the control boxes founds one), the exchange (it carries no documents, and the test failed before any endpoint).

Change: where there are more control boxes than are followed as a whole, all that ask to join are taken in without a vote, and a learner that has been silent for as long as a voter may be is taken out again.

--- a/Source/Agreement/wgRepair.cxx
+++ b/Source/Agreement/wgRepair.cxx
@@ -69,27 +69,35 @@
   return found == voters.end() ? nullptr : &*found;
 }
 
-/** The voter that has been silent longest, if that is long enough. */
-const wire::Voter* FindSilent(const Replica& leader, absl::Duration least,
-                              Elapsed now)
+/** Of these, the one that has been silent longest, if that is long enough. */
+const wire::Voter* FindSilentOf(
+  const Replica& leader,
+  const google::protobuf::RepeatedPtrField<wire::Voter>& replicas,
+  absl::Duration least, Elapsed now)
 {
   const wire::Voter* silent = nullptr;
   Elapsed earliest = now - least;
-  for (const wire::Voter& voter : leader.voters.voters()) {
-    auto peer = leader.peers.find(voter.id());
-    if (voter.id() == leader.self.id() || peer == leader.peers.end()) {
+  for (const wire::Voter& replica : replicas) {
+    auto peer = leader.peers.find(replica.id());
+    if (replica.id() == leader.self.id() || peer == leader.peers.end()) {
       continue;
     }
     const Elapsed heard =
       std::max(peer->second.acknowledgedSend, peer->second.trackedSince);
     if (heard <= earliest) {
       earliest = heard;
-      silent = &voter;
+      silent = &replica;
     }
   }
   return silent;
 }
 
+const wire::Voter* FindSilent(const Replica& leader, absl::Duration least,
+                              Elapsed now)
+{
+  return FindSilentOf(leader, leader.voters.voters(), least, now);
+}
+
 /** The older replica of the joiner's own box: its disk is lost, so that it can
  * be taken out before the new one gets its vote.
  */
@@ -142,6 +150,7 @@
                        AskedLastOfItsBox(joining, joiner);
     const bool hasPlace =
       static_cast<std::size_t>(leader.voters.voters_size()) < rules.wanted ||
+      (rules.spareLearns && joiner.who.box() != rules.replacement.lost) ||
       FindOlder(leader, joiner.who) != nullptr ||
       FindGivenUp(leader, joiner.who.box(), rules, now) != nullptr;
     if (!isNew || !hasPlace) {
@@ -198,6 +207,23 @@
   return std::nullopt;
 }
 
+/** Without this, each box that was replaced would be sent to forever. */
+std::optional<wire::VoterSet> StepRemoveLearner(const Replica& leader,
+                                                const RepairRules& rules,
+                                                Elapsed now)
+{
+  const wire::Voter* silent =
+    rules.spareLearns ? FindSilentOf(leader, leader.voters.learners(),
+                                     rules.spareAfter, now)
+                      : nullptr;
+  if (silent == nullptr) {
+    return std::nullopt;
+  }
+  wire::VoterSet next = leader.voters;
+  RemoveId(*next.mutable_learners(), silent->id());
+  return next;
+}
+
 /** Takes one voter too many out: the one that was given up, else the newest.
  */
 std::optional<wire::VoterSet> StepRemoveExcess(const Replica& leader,
@@ -244,7 +270,10 @@
   if (auto step = StepAddLearner(leader, joining, rules, now)) {
     return step;
   }
-  return StepPromote(leader, rules, now);
+  if (auto step = StepPromote(leader, rules, now)) {
+    return step;
+  }
+  return StepRemoveLearner(leader, rules, now);
 }
 
 } // namespace wg
--- a/Source/Agreement/wgRepair.h
+++ b/Source/Agreement/wgRepair.h
@@ -30,6 +30,10 @@
   /** A voter silent for so long gives its vote to a box that asks to join. */
   absl::Duration spareAfter = absl::InfiniteDuration();
   BoxReplacement replacement;
+  /** Boxes beyond the wanted voters are taken in without a vote, so that they
+   * hold the replicated state too.
+   */
+  bool spareLearns = false;
 };
 
 /** \brief Whether a replica is to ask the others to take it in: it has no
@@ -41,8 +45,9 @@
  *
  * A replica joins without a vote, catches up, and only then takes the place
  * of the older replica on its box, of the box that an operator names, or of
- * a voter that has long been silent. Nothing is returned while a change is
- * under way or when it would leave too few voters that answer.
+ * a voter that has long been silent. Where spares learn, one that has been
+ * silent for as long is taken out. Nothing is returned while a change is under
+ * way or when it would leave too few voters that answer.
  */
 std::optional<wire::VoterSet> NextRepairStep(
   const Replica& leader, absl::Span<const JoiningReplica> joining,
--- a/Source/Control/wgControlNodeReplica.cxx
+++ b/Source/Control/wgControlNodeReplica.cxx
@@ -8,6 +8,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "wgChangeAnswer.h"
+#include "wgControlChoice.h"
 #include "wgLog.h"
 
 namespace wg {
@@ -120,6 +121,8 @@
   rules.spareAfter = settings_.spareAfter;
   rules.replacement = { state_.replacement.lost(),
                         state_.replacement.spare() };
+  // Each box follows a few of the control boxes, which may all be spares.
+  rules.spareLearns = KnownControls().size() > MostFollowedWhole;
   const auto step = NextRepairStep(replica_, joining, rules, now);
   if (step && ProposeVoters(replica_, *step, now)) {
     LogChange("voters",
--- a/Tests/Agreement/wgRepairTest.cxx
+++ b/Tests/Agreement/wgRepairTest.cxx
@@ -115,3 +115,39 @@
   CHECK_FALSE(
     wg::NextRepairStep(leader, { { Voter(9, "old"), now } }, rules, now));
 }
+
+TEST_CASE("where spares learn, one is taken in beside all voters")
+{
+  const absl::Duration now = absl::Seconds(100);
+  wg::Replica leader = Leader(now);
+  const std::vector<wg::JoiningReplica> joining = {
+    { Voter(7, "spare"), now - absl::Milliseconds(100) },
+    { Voter(8, "given-up"), now - absl::Milliseconds(100) }
+  };
+  wg::RepairRules rules;
+  rules.spareLearns = true;
+  rules.spareAfter = absl::Seconds(60);
+  rules.replacement = { "given-up", "other" };
+  auto step = wg::NextRepairStep(leader, joining, rules, now);
+  REQUIRE(step);
+  REQUIRE(step->learners_size() == 1);
+  CHECK(wg::IsLearner(*step, 7));
+  leader.voters = *step;
+  leader.peers[7].acknowledgedSend = now;
+  leader.peers[7].match = 10;
+  CHECK_FALSE(wg::NextRepairStep(leader, joining, rules, now)); // no vote
+  // Its disk is lost: the older replica of its box gives way.
+  step =
+    wg::NextRepairStep(leader, { { Voter(9, "spare"), now } }, rules, now);
+  REQUIRE(step);
+  REQUIRE(step->learners_size() == 1);
+  CHECK(wg::IsLearner(*step, 9));
+  // It is gone for good.
+  const absl::Duration later = now + absl::Seconds(61);
+  leader.peers[2].acknowledgedSend = later;
+  leader.peers[3].acknowledgedSend = later;
+  step = wg::NextRepairStep(leader, {}, rules, later);
+  REQUIRE(step);
+  CHECK(step->learners_size() == 0);
+  CHECK(step->voters_size() == 3);
+}
--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -106,6 +106,13 @@
     controls_[index] = std::make_unique<Process>(
       arguments, (folder_ / (Name("c", index) + ".log")).string());
   }
+  /** \brief Kills a control box; it starts again with an empty disk. */
+  void LoseDisk(int index, const std::vector<std::string>& more = {})
+  {
+    controls_[index].reset();
+    std::filesystem::remove_all(folder_ / Name("c", index));
+    StartControl(index, false, more);
+  }
   /** \brief What starts from now on is another program, with the flags that
    * the first programs know; empty: this one again.
    */
--- a/Tests/Platform/wgPlatformExchangeTest.cxx
+++ b/Tests/Platform/wgPlatformExchangeTest.cxx
@@ -11,6 +11,7 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
@@ -176,6 +177,24 @@
   f.AwaitKnown(count + 1);
 }
 
+TEST_CASE("A control box that lost its disk holds the document again",
+          "[exchange-disk-lost]")
+{
+  // Whether it had a vote or not: a box may follow none but those without.
+  ManyControls f;
+  for (int control = 1; control < Controls; ++control) {
+    const int metrics = f.cluster.FreePort();
+    f.cluster.LoseDisk(
+      control, { absl::StrCat("--metrics=", wg::test::Local(metrics)) });
+    httplib::Client client("127.0.0.1", metrics);
+    CHECK(wg::test::WaitFor([&client] {
+      const auto reply = client.Get("/metrics");
+      return reply &&
+             absl::StrContains(reply->body, "weirgate_document_number 1\n");
+    }));
+  }
+}
+
 TEST_CASE("A word that comes late by another control box brings nothing back",
           "[exchange-old-word]")
 {
