Gateway: a cut-off hall is probed without a walk over all endpoints

And a hall none of whose endpoints served at that moment was never probed again, so it stayed cut off.

Probing goes on for as long as the hall is cut off.

--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -62,96 +62,6 @@
          later.state != Registration::SILENT;
 }
 
-void RemoveFromServices(DirectoryIndex& index, const std::string& id,
-                        const DirectoryIndex::Entry& entry)
-{
-  auto service = index.byService.find(entry.service);
-  service->second.erase(id);
-  auto halls = index.byHall.find(entry.service);
-  auto hall = halls->second.find(entry.hall);
-  hall->second.erase(id);
-  if (hall->second.empty()) {
-    halls->second.erase(hall);
-  }
-  if (service->second.empty()) {
-    index.byService.erase(service);
-    index.byHall.erase(halls);
-  }
-}
-
-void RemoveFromAddresses(DirectoryIndex& index, const std::string& id,
-                         const DirectoryIndex::Entry& entry)
-{
-  auto found = index.byAddress.find(entry.address);
-  found->second.erase(id);
-  if (found->second.empty()) {
-    index.byAddress.erase(found);
-  }
-}
-
-/** Lists the endpoint under what it is now. */
-void IndexEndpoint(Directory& directory, DirectoryEndpoint& endpoint)
-{
-  DirectoryIndex& index = directory.index;
-  const bool isPresent =
-    endpoint.state != Registration::GONE && !endpoint.overtaken;
-  auto [found, isNew] = index.entries.try_emplace(endpoint.id);
-  DirectoryIndex::Entry& entry = found->second;
-  const bool isMoved = entry.isPresent != isPresent ||
-                       entry.service != endpoint.service ||
-                       entry.hall != endpoint.hall;
-  if (isMoved && entry.isPresent) {
-    RemoveFromServices(index, endpoint.id, entry);
-  }
-  if (isMoved && isPresent) {
-    index.byService[endpoint.service][endpoint.id] = &endpoint;
-    index.byHall[endpoint.service][endpoint.hall][endpoint.id] = &endpoint;
-  }
-  const bool isReaddressed = isNew || entry.address != endpoint.address;
-  if (isReaddressed && !isNew) {
-    RemoveFromAddresses(index, endpoint.id, entry);
-  }
-  if (isReaddressed) {
-    index.byAddress[endpoint.address][endpoint.id] = &endpoint;
-  }
-  if (isMoved || isReaddressed) {
-    entry = { endpoint.service, endpoint.hall, endpoint.address, isPresent };
-  }
-}
-
-void RemoveFromIndex(Directory& directory, const std::string& id)
-{
-  DirectoryIndex& index = directory.index;
-  auto found = index.entries.find(id);
-  if (found->second.isPresent) {
-    RemoveFromServices(index, id, found->second);
-  }
-  RemoveFromAddresses(index, id, found->second);
-  index.entries.erase(found);
-}
-
-const EndpointsById* FindService(const Directory& directory,
-                                 absl::string_view service)
-{
-  auto found = directory.index.byService.find(service);
-  return found == directory.index.byService.end() ? nullptr : &found->second;
-}
-
-const EndpointsById* FindInHall(const Directory& directory,
-                                absl::string_view service,
-                                absl::string_view hall)
-{
-  if (hall.empty()) {
-    return FindService(directory, service);
-  }
-  auto halls = directory.index.byHall.find(service);
-  if (halls == directory.index.byHall.end()) {
-    return nullptr;
-  }
-  auto found = halls->second.find(hall);
-  return found == halls->second.end() ? nullptr : &found->second;
-}
-
 void JudgeStarts(Directory& directory, const std::string& name)
 {
   const auto starts = StartsOf(directory, name);
@@ -160,7 +70,7 @@
                                    [start](const DirectoryEndpoint* other) {
                                      return Overtakes(*other, *start);
                                    });
-    IndexEndpoint(directory, *start);
+    IndexEndpoint(directory.index, *start);
   }
 }
 
@@ -248,7 +158,7 @@
     if (ended && endpoint.running == 0 &&
         now - endpoint.changed > EndedMemory) {
       const std::string name = endpoint.start.name;
-      RemoveFromIndex(directory, current->first);
+      RemoveFromIndex(directory.index, current->first);
       directory.endpoints.erase(current);
       JudgeStarts(directory, name);
     }
@@ -395,7 +305,7 @@
   if (directory.halls.halls.empty()) {
     return false;
   }
-  const EndpointsById* endpoints = FindService(directory, service);
+  const EndpointsById* endpoints = FindService(directory.index, service);
   if (endpoints == nullptr) {
     return false;
   }
@@ -426,7 +336,7 @@
                                  absl::string_view service, Elapsed now)
 {
   Elapsed soonest = absl::InfiniteDuration();
-  const EndpointsById* endpoints = FindService(directory, service);
+  const EndpointsById* endpoints = FindService(directory.index, service);
   if (endpoints == nullptr) {
     return absl::ZeroDuration();
   }
@@ -458,7 +368,7 @@
                                                  absl::string_view hall)
 {
   std::vector<DirectoryEndpoint*> serving;
-  const EndpointsById* endpoints = FindInHall(directory, service, hall);
+  const EndpointsById* endpoints = FindInHall(directory.index, service, hall);
   if (endpoints == nullptr) {
     return serving;
   }
@@ -484,7 +394,7 @@
 bool IsAnySound(const Directory& directory, absl::string_view service,
                 Elapsed now, Sender sender)
 {
-  const EndpointsById* endpoints = FindService(directory, service);
+  const EndpointsById* endpoints = FindService(directory.index, service);
   return endpoints != nullptr &&
          std::any_of(endpoints->begin(), endpoints->end(),
                      [&](const auto& pair) {
--- a/Source/Gateway/wgHallProber.cxx
+++ b/Source/Gateway/wgHallProber.cxx
@@ -3,7 +3,6 @@
 
 #include <chrono>
 #include <utility>
-#include <vector>
 
 #include "absl/random/distributions.h"
 
@@ -64,20 +63,22 @@
 /** One endpoint of each hall that is cut off, another each time. */
 void HallProber::Probe()
 {
-  std::map<std::string, std::vector<const DirectoryEndpoint*>> candidates;
-  for (const auto& [id, endpoint] : directory_.endpoints) {
-    const bool asked =
-      IsCutOff(directory_.reach, endpoint.hall) && IsCurrent(endpoint);
-    if (asked) {
-      candidates[endpoint.hall].push_back(&endpoint);
+  bool isAnyCut = false;
+  for (const auto& [hall, evidence] : directory_.reach.halls) {
+    const std::size_t count =
+      evidence.isCut ? CountInHall(directory_.index, hall) : 0;
+    if (count == 0) {
+      continue;
+    }
+    isAnyCut = true;
+    const std::size_t drawn = absl::Uniform<std::size_t>(random_, 0, count);
+    const DirectoryEndpoint& endpoint =
+      EndpointInHall(directory_.index, hall, drawn);
+    if (IsCurrent(endpoint)) {
+      Connect(endpoint);
     }
   }
-  for (const auto& [hall, endpoints] : candidates) {
-    const std::size_t drawn =
-      absl::Uniform<std::size_t>(random_, 0, endpoints.size());
-    Connect(*endpoints[drawn]);
-  }
-  if (!candidates.empty()) {
+  if (isAnyCut) {
     Arm();
   }
 }
--- a/Source/Gateway/wgHallProber.h
+++ b/Source/Gateway/wgHallProber.h
@@ -2,7 +2,6 @@
 #pragma once
 
 #include <functional>
-#include <map>
 #include <memory>
 #include <string>
 
--- a/Tests/Gateway/wgDirectorySizeTest.cxx
+++ b/Tests/Gateway/wgDirectorySizeTest.cxx
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // What a box does with the endpoints of a large deployment, in counted steps.
 #include <algorithm>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -138,6 +139,25 @@
   CHECK(directory.index.entries.size() == directory.endpoints.size());
 }
 
+TEST_CASE("Any endpoint of a hall can be drawn without a walk over all")
+{
+  for (const int count : { 10000, 20000 }) {
+    wg::Directory directory;
+    Fill(directory, count, 100);
+    std::set<std::string> drawn;
+    const std::size_t inHall = wg::CountInHall(directory.index, "h3");
+    REQUIRE(inHall == static_cast<std::size_t>(count / Halls));
+    for (std::size_t place = 0; place < inHall; ++place) {
+      const wg::DirectoryEndpoint& endpoint =
+        wg::EndpointInHall(directory.index, "h3", place);
+      CHECK(endpoint.hall == "h3");
+      drawn.insert(endpoint.id);
+    }
+    CHECK(drawn.size() == inHall);
+    CHECK(wg::CountInHall(directory.index, "none") == 0);
+  }
+}
+
 TEST_CASE("A choice for a hall's pool looks at the hall's engines alone")
 {
   wg::Directory directory;
