Control: boxes are told of a hall that no control box hears any more

A box learns by two connections of its own that a hall is gone; with a third of a request a second it makes too few to know it before the cut is over. Ruled out: the halls' own pools, which go on; the plain service, which has 36 endpoints in each hall.

Change: control boxes call each other all the time; when none of a hall's answers, their followers are told, and each tries two endpoints of the hall at once. Only what it meets itself makes it take the hall as cut off. The exchange's calls wait .5 s and .3 s more, where they waited 1 and .5. Sites with up to six control boxes have no exchange: nothing changes there.

--- a/Source/Agreement/wgRepair.cxx
+++ b/Source/Agreement/wgRepair.cxx
@@ -213,9 +213,9 @@
                                                 Elapsed now)
 {
   const wire::Voter* silent =
-    rules.spareLearns ? FindSilentOf(leader, leader.voters.learners(),
-                                     rules.spareAfter, now)
-                      : nullptr;
+    rules.spareLearns
+      ? FindSilentOf(leader, leader.voters.learners(), rules.spareAfter, now)
+      : nullptr;
   if (silent == nullptr) {
     return std::nullopt;
   }
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -206,6 +206,7 @@
   FollowedState Followed() const;
   std::vector<std::string> KnownControls() const;
   void NoteControls();
+  void NoteUnheardHalls();
   void MoveRollouts();
   void StartExchange();
   void OnExchanged(const std::string& control, const wire::FollowReply& news);
--- a/Source/Control/wgControlNodeDocuments.cxx
+++ b/Source/Control/wgControlNodeDocuments.cxx
@@ -8,9 +8,9 @@
 
 #include <boost/asio/post.hpp>
 
-#include "absl/strings/str_cat.h"
-
 #include "absl/hash/hash.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_join.h"
 
 #include "wgChangeAnswer.h"
 #include "wgControlChoice.h"
@@ -84,6 +84,20 @@
   controlsDigest_ = absl::HashOf(toldControls_, toldHalls_) | 1U;
   if (toldControls_.size() > MostFollowedWhole) {
     exchange_->Follow(toldControls_);
+    NoteUnheardHalls();
+  }
+}
+
+void ControlNode::NoteUnheardHalls()
+{
+  std::vector<ControlContact> contacts;
+  for (const auto& [address, isHeard] : exchange_->Answering()) {
+    contacts.push_back({ controlHalls_[address], isHeard });
+  }
+  if (NoteContacts(followers_.unheard, contacts, settings_.hall)) {
+    LogChange("exchange",
+              absl::StrCat("halls without an answer: ",
+                           absl::StrJoin(followers_.unheard.halls, ", ")));
   }
 }
 
--- a/Source/Control/wgFollowers.cxx
+++ b/Source/Control/wgFollowers.cxx
@@ -100,7 +100,8 @@
   if (state.service->config.revision > request.have_revision()) {
     return true;
   }
-  if (HasHallNews(request, state) || HasRolloutNews(request, state)) {
+  if (HasHallNews(request, state) || HasRolloutNews(request, state) ||
+      HasUnheardNews(followers.unheard, request)) {
     return true;
   }
   if (!request.wants_registry()) {
@@ -224,6 +225,7 @@
   if (HasRolloutNews(waiter.request, state)) {
     *reply.mutable_rollouts() = ToWire(state.service->rollouts);
   }
+  AddUnheardHalls(followers.unheard, waiter.request, reply);
   if (waiter.request.wants_registry()) {
     box.isOwed = !AddRegistry(followers, waiter, state, now, reply);
   }
--- a/Source/Control/wgFollowers.h
+++ b/Source/Control/wgFollowers.h
@@ -14,6 +14,7 @@
 #include "wgEndpointRegistry.h"
 #include "wgPeer.pb.h"
 #include "wgServiceState.h"
+#include "wgUnheardHalls.h"
 
 namespace wg {
 
@@ -32,6 +33,7 @@
   std::map<std::string, FollowerBox> boxes;
   BoxList own; // of these, the live ones that share work
   BoxList all; // and those that other control boxes list
+  UnheardHalls unheard;
   std::vector<FollowWaiter> waiting;
   Elapsed ticked;
   std::size_t live = 0;            // boxes, when that was last counted
--- a/Source/Control/wgRegistryExchange.cxx
+++ b/Source/Control/wgRegistryExchange.cxx
@@ -14,9 +14,10 @@
 namespace wg {
 namespace {
 
-constexpr absl::Duration Wait = absl::Seconds(1);
-constexpr absl::Duration ReplyMargin = absl::Milliseconds(500);
-/** Two calls that were lost. */
+/** A hall that is cut off is noticed within the wait and the margin. */
+constexpr absl::Duration Wait = absl::Milliseconds(500);
+constexpr absl::Duration ReplyMargin = absl::Milliseconds(300);
+/** Three calls that were lost. */
 constexpr absl::Duration LostAfter = absl::Seconds(3);
 constexpr absl::Duration FirstPause = absl::Milliseconds(100);
 constexpr int MostDoublings = 4;
@@ -59,6 +60,17 @@
                   [](const auto& pair) { return !pair.second.isLost; }));
 }
 
+std::map<std::string, bool> RegistryExchange::Answering() const
+{
+  std::map<std::string, bool> answering;
+  for (const auto& [address, link] : links_) {
+    if (link.registry != 0) {
+      answering[address] = link.failures == 0;
+    }
+  }
+  return answering;
+}
+
 void RegistryExchange::Call(const std::string& address)
 {
   const Link& link = links_[address];
--- a/Source/Control/wgRegistryExchange.h
+++ b/Source/Control/wgRegistryExchange.h
@@ -50,6 +50,11 @@
 
   std::size_t Reached() const;
 
+  /** \brief Whether the last call was answered, of those that ever did; by
+   * address.
+   */
+  std::map<std::string, bool> Answering() const;
+
 private:
   struct Link
   {
--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -163,6 +163,8 @@
   request.set_have_controls(link.controls);
   request.set_knows_rollouts(true);
   request.set_have_rollouts(rollouts_);
+  request.set_takes_unheard_halls(true);
+  request.set_have_unheard_halls(link.unheardHalls);
   if (handler_.fill) {
     handler_.fill(request);
   }
@@ -253,6 +255,12 @@
     rollouts_ = reply.rollouts().newest();
     handler_.onRollouts(FromWire(reply.rollouts()));
   }
+  link.unheardHalls = reply.unheard_halls_revision();
+  if (handler_.onHallUnheard) {
+    for (const std::string& hall : reply.unheard_halls()) {
+      handler_.onHallUnheard(hall);
+    }
+  }
   for (const wire::Registration& registration : reply.registrations()) {
     handler_.onRegistration(registration);
   }
--- a/Source/Gateway/wgControlFollower.h
+++ b/Source/Gateway/wgControlFollower.h
@@ -46,6 +46,8 @@
   /** After all registrations of one reply. */
   std::function<void()> onRegistrationsEnd;
   std::function<void(std::vector<GatewayMember>)> onMembers;
+  /** A control box hears none of the hall any more; may be left empty. */
+  std::function<void(const std::string& hall)> onHallUnheard;
   /** A box was listed with an impossible share of a core; it is ignored. */
   std::function<void()> onUnsoundShare;
   /** Each reply, after the parts above. */
@@ -93,6 +95,7 @@
     std::uint64_t registrations = 0;
     std::uint64_t followers = 0;
     std::uint64_t crashes = 0;                    // revision
+    std::uint64_t unheardHalls = 0;               // revision
     std::map<std::string, GatewayMember> members; // by box
     Elapsed heard = -absl::InfiniteDuration();
     Elapsed known;    // since when this box knows of it
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -117,6 +117,9 @@
   handler.onMembers = [this](std::vector<GatewayMember> members) {
     stages_->SetMembers(std::move(members));
   };
+  handler.onHallUnheard = [this](const std::string& hall) {
+    halls_.Suspect(hall);
+  };
   handler.onUnsoundShare = [this] { metrics_.Count("box_shares_unsound"); };
   follower_ = std::make_unique<ControlFollower>(
     loop_, *peerClient_,
--- a/Source/Gateway/wgHallProber.cxx
+++ b/Source/Gateway/wgHallProber.cxx
@@ -6,12 +6,14 @@
 
 #include "absl/random/distributions.h"
 
-#include "wgConnectionProbe.h"
-
 namespace wg {
 namespace {
 
 constexpr auto ProbePeriod = std::chrono::milliseconds(250);
+/** Each control box that is followed tells of the same loss. */
+constexpr absl::Duration SuspectPeriod = absl::Seconds(1);
+/** As many as show that a hall is cut off, see NoteUnreached. */
+constexpr std::size_t SuspectProbes = 2;
 
 } // namespace
 
@@ -46,6 +48,44 @@
   }
 }
 
+void HallProber::Suspect(const std::string& hall)
+{
+  const std::size_t count = CountInHall(directory_.index, hall);
+  const Elapsed now = ElapsedNow();
+  auto [last, isFirst] = suspected_.try_emplace(hall, now);
+  const bool isAsked = !isFirst && now - last->second < SuspectPeriod;
+  if (isAsked || count < SuspectProbes || hall == directory_.reach.own ||
+      IsCutOff(directory_.reach, hall)) {
+    return;
+  }
+  last->second = now;
+  log_.Write(LogWeight::Notable, "hall_suspected", { { "hall", hall } });
+  const std::size_t first = absl::Uniform<std::size_t>(random_, 0, count);
+  const std::size_t step = absl::Uniform<std::size_t>(random_, 1, count);
+  for (const std::size_t place : { first, (first + step) % count }) {
+    const DirectoryEndpoint& endpoint =
+      EndpointInHall(directory_.index, hall, place);
+    ProbeAddress(loop_, endpoint.address,
+                 [this, id = endpoint.id](ProbeResult result) {
+                   TakeSuspected(id, result);
+                 });
+  }
+}
+
+void HallProber::TakeSuspected(const std::string& endpoint, ProbeResult result)
+{
+  const DirectoryEndpoint* probed = FindEndpoint(directory_, endpoint);
+  if (probed == nullptr) {
+    return;
+  }
+  // A connection may be refused by what cuts the hall off.
+  if (result == ProbeResult::NoAnswer) {
+    Unreached(*probed);
+  } else if (result == ProbeResult::Connected) {
+    Reached(*probed);
+  }
+}
+
 void HallProber::Arm()
 {
   if (std::exchange(armed_, true)) {
--- a/Source/Gateway/wgHallProber.h
+++ b/Source/Gateway/wgHallProber.h
@@ -2,11 +2,13 @@
 #pragma once
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 
 #include "absl/random/random.h"
 
+#include "wgConnectionProbe.h"
 #include "wgDecisionLog.h"
 #include "wgDirectory.h"
 #include "wgHttpMessage.h"
@@ -30,10 +32,16 @@
   void Reached(const DirectoryEndpoint& endpoint);
   void Unreached(const DirectoryEndpoint& endpoint);
 
+  /** \brief Another box has lost the hall: finds out at once, by connections
+   * to two of its endpoints, whether it is cut off from here too.
+   */
+  void Suspect(const std::string& hall);
+
 private:
   void Arm();
   void Probe();
   void Connect(const DirectoryEndpoint& endpoint);
+  void TakeSuspected(const std::string& endpoint, ProbeResult result);
 
   EventLoop& loop_;
   Directory& directory_;
@@ -42,6 +50,7 @@
   absl::BitGen random_;
   LoopTimer timer_;
   bool armed_ = false;
+  std::map<std::string, Elapsed> suspected_; // halls, when last
 };
 
 } // namespace wg
--- a/Tests/Control/wgRegistrySizeTest.cxx
+++ b/Tests/Control/wgRegistrySizeTest.cxx
@@ -391,3 +391,60 @@
   wg::DropListed(second.followers, "a0", absl::Seconds(3));
   CHECK(second.followers.all.boxes.at("b").box.gone());
 }
+
+TEST_CASE("A hall that control boxes no longer hear is told once to each box")
+{
+  constexpr int followers = 1000;
+  constexpr wg::Elapsed now = absl::Seconds(10);
+  Control control(100);
+  std::vector<Follower> boxes;
+  wg::wire::FollowReply reply;
+  for (int i = 0; i < followers; ++i) {
+    boxes.emplace_back(absl::StrCat("b", i), "");
+    boxes.back().request.set_takes_unheard_halls(true);
+    control.Ask(boxes.back().request, now, reply);
+    boxes.back().Note(reply);
+  }
+  // Each hears of the boxes that were listed after it.
+  for (Follower& box : boxes) {
+    for (int page = 0;
+         page < followers && control.Ask(box.request, now, reply); ++page) {
+      box.Note(reply);
+    }
+  }
+  // One of the hall's five control boxes still answers, then none.
+  std::vector<wg::ControlContact> contacts(5, { "h2", false });
+  contacts.push_back({ "h1", true });
+  contacts.push_back({ "", false });
+  contacts[4].isHeard = true;
+  CHECK_FALSE(wg::NoteContacts(control.followers.unheard, contacts, "h0"));
+  contacts[4].isHeard = false;
+  REQUIRE(wg::NoteContacts(control.followers.unheard, contacts, "h0"));
+  CHECK_FALSE(wg::NoteContacts(control.followers.unheard, contacts, "h0"));
+  control.messages = 0;
+  control.bytes = 0;
+  for (int round = 0; round < 3; ++round) {
+    for (Follower& box : boxes) {
+      reply.Clear();
+      const bool isTold =
+        control.Ask(box.request, now + absl::Seconds(1 + round), reply);
+      CHECK(isTold == (round == 0));
+      if (isTold) {
+        CHECK(reply.unheard_halls_size() == 1);
+        CHECK(reply.unheard_halls(0) == "h2");
+        box.request.set_have_unheard_halls(reply.unheard_halls_revision());
+      }
+    }
+  }
+  CHECK(control.messages == followers);
+  CHECK(control.bytes < std::uint64_t{ followers } * 100);
+  // An older program is not told.
+  Follower older("b0", "");
+  older.request = boxes.front().request;
+  older.request.set_takes_unheard_halls(false);
+  older.request.set_have_unheard_halls(0);
+  CHECK_FALSE(control.Ask(older.request, now + absl::Seconds(5), reply));
+  // A control box does not suspect its own hall.
+  wg::UnheardHalls own;
+  CHECK_FALSE(wg::NoteContacts(own, contacts, "h2"));
+}
