--- a/Tests/Agreement/wgFakeCluster.cxx
+++ b/Tests/Agreement/wgFakeCluster.cxx
@@ -30,6 +30,7 @@
 FakeCluster::FakeCluster(std::uint64_t seed, std::size_t voters,
                          std::size_t spares)
   : wanted_(voters)
+  , spareLearns_(seed % 4 == 3)
 {
   // Not absl::BitGen: that one differs from process to process.
   random_.seed(seed);
@@ -282,6 +283,7 @@
       RepairRules rules;
       rules.wanted = wanted_;
       rules.spareAfter = SpareAfter;
+      rules.spareLearns = spareLearns_;
       const auto step = NextRepairStep(box.process, joining, rules, Now(box));
       if (step && ProposeVoters(box.process, *step, Now(box))) {
         ++counts_.voterChanges;
--- a/Tests/Agreement/wgFakeCluster.h
+++ b/Tests/Agreement/wgFakeCluster.h
@@ -55,7 +55,9 @@
 class FakeCluster
 {
 public:
-  /** \brief So many voters are wanted; the other boxes are spares. */
+  /** \brief So many voters are wanted; the other boxes are spares, which hold
+   * the state for one seed in four.
+   */
   FakeCluster(std::uint64_t seed, std::size_t voters, std::size_t spares);
   /** \brief Empty when all held; else what broke. */
   std::string Run(int steps);
@@ -100,6 +102,7 @@
   std::mt19937_64 random_;
   std::vector<FakeBox> boxes_;
   std::size_t wanted_ = 0;
+  bool spareLearns_ = false; // see RepairRules
   std::vector<wire::AgreementMessage> network_;
   std::set<std::pair<std::string, std::string>> cuts_;
   std::map<std::uint64_t, Committed> committed_;
