--- a/Tests/Gateway/wgHallProberTest.cxx
+++ b/Tests/Gateway/wgHallProberTest.cxx
@@ -23,11 +23,11 @@
 class CutHall
 {
 public:
-  CutHall()
+  explicit CutHall(Registration::State state)
   {
-    thread_.Do([this] {
+    thread_.Do([this, state] {
       directory_.reach.own = "h1";
-      Tell(Registration::READY);
+      Tell(state);
       const wg::DirectoryEndpoint& endpoint =
         *wg::FindEndpoint(directory_, "e");
       prober_.Unreached(endpoint);
@@ -85,14 +85,13 @@
 
 TEST_CASE("A hall that answers again is no longer cut off")
 {
-  CutHall hall;
+  CutHall hall(Registration::READY);
   CHECK(IsBackInTime(hall));
 }
 
 TEST_CASE("A hall without an endpoint that serves is probed once it has one")
 {
-  CutHall hall;
-  hall.Say(Registration::SILENT);
+  CutHall hall(Registration::SILENT);
   absl::SleepFor(absl::Seconds(1)); // several periods of the prober
   CHECK(hall.IsCut());
   hall.Say(Registration::READY);
