Revert "Gateway: the pools of a service share the slack of its repetitions"

Conclusion: calls are repeated whole, and the small deployment's part of the slack is less than one call; to be divided by what pools need instead.

--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -586,8 +586,7 @@
   const bool allowed =
     piece.attempts < MaxPieceAttempts &&
     !crashes_.IsKeptAway(piece.fingerprint) &&
-    (!sent || SpendRetry(retries_[key.service], rules_,
-                         CountSharers(directory_, key), ElapsedNow()));
+    (!sent || SpendRetry(retries_[key.service], rules_, 1, ElapsedNow()));
   if (!allowed) {
     metrics_.Count("stage_pieces_given_up");
     Settle(piece.ticket, MakeResult(ItemResult::FAILED));
--- a/Source/Gateway/wgStagePoolKey.cxx
+++ b/Source/Gateway/wgStagePoolKey.cxx
@@ -49,9 +49,4 @@
   return std::move(pools.front());
 }
 
-std::size_t CountSharers(const Directory& directory, const StagePoolKey& key)
-{
-  return key.hall.empty() ? 1 : CountByHall(directory, key.service).size();
-}
-
 } // namespace wg
--- a/Source/Gateway/wgStagePoolKey.h
+++ b/Source/Gateway/wgStagePoolKey.h
@@ -1,7 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
-#include <cstddef>
 #include <string>
 #include <tuple>
 
@@ -50,9 +49,4 @@
                                   absl::string_view service,
                                   int leastInHall = StageEndpointsInHall);
 
-/** \brief How many pools of the service repeat work at the same time, of which
- * this is one; those that can't be reached count.
- */
-std::size_t CountSharers(const Directory& directory, const StagePoolKey& key);
-
 } // namespace wg
--- a/Tests/Gateway/wgStagePoolKeyTest.cxx
+++ b/Tests/Gateway/wgStagePoolKeyTest.cxx
@@ -1,12 +1,9 @@
 // SPDX-License-Identifier: Apache-2.0
-#include <vector>
-
 #include <catch2/catch.hpp>
 
 #include "absl/strings/str_cat.h"
 
 #include "wgGatewayMember.h"
-#include "wgRetryWindow.h"
 #include "wgStagePoolKey.h"
 
 namespace {
@@ -113,33 +110,3 @@
     CHECK(wg::ChooseCoordinator(self, others, pool, { "h2" }).hall == "h1");
   }
 }
-
-TEST_CASE("Pools that repeat work at the same time share the slack")
-{
-  // All halls lose calls at once, with no request in the window.
-  constexpr int halls = 5;
-  wg::Directory directory;
-  for (int hall = 0; hall < halls; ++hall) {
-    Add(directory, absl::StrCat("h", hall), 4);
-  }
-  wg::RetryRules rules;
-  rules.slack = 630;
-  std::vector<wg::RetryWindow> windows(halls);
-  int sent = 0;
-  for (int i = 0; i < 1000; ++i) {
-    for (int hall = 0; hall < halls; ++hall) {
-      const wg::StagePoolKey key{ "enc", absl::StrCat("h", hall) };
-      sent +=
-        wg::SpendRetry(windows[static_cast<std::size_t>(hall)], rules,
-                       wg::CountSharers(directory, key), absl::Seconds(1))
-          ? 1
-          : 0;
-    }
-  }
-  CHECK(sent <= 630);
-  CHECK(sent > 630 / 2);
-  // A hall that is cut off from here goes on repeating.
-  directory.reach.halls["h1"].isCut = true;
-  CHECK(wg::CountSharers(directory, { "enc", "h0" }) == 5);
-  CHECK(wg::CountSharers(directory, { "enc", "" }) == 1);
-}
