Test: one lost disk for each cluster

Trace: the test wiped a disk every 40 ms. The leader's line "2 voters, 6 without a vote" (08.946) is followed by the wipe of one of the two (08.985): two losses, where the cluster bears one. The check and its bound are as they were; each wipe now has a cluster of its own.

--- a/Tests/Platform/wgPlatformExchangeTest.cxx
+++ b/Tests/Platform/wgPlatformExchangeTest.cxx
@@ -181,8 +181,10 @@
           "[exchange-disk-lost]")
 {
   // Whether it had a vote or not: a box may follow none but those without.
-  ManyControls f;
+  // Each time anew, as the cluster bears one lost disk until all votes are
+  // given again.
   for (int control = 1; control < Controls; ++control) {
+    ManyControls f;
     const int metrics = f.cluster.FreePort();
     f.cluster.LoseDisk(
       control, { absl::StrCat("--metrics=", wg::test::Local(metrics)) });
