Http: the end of an answer tells how it is known

HttpCallEnd::Complete is split: EndedByClose is an answer without a length and without chunks whose connection came to an orderly end. All callers treat both alike, as before. The request line has answer_end (framing, close); counters answers_framed and answers_ended_by_close.

--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -435,6 +435,10 @@
   if (!tried_.empty()) {
     fields["endpoints"] = tried_;
   }
+  if (answerEnd_) {
+    fields["answer_end"] =
+      *answerEnd_ == HttpCallEnd::EndedByClose ? "close" : "framing";
+  }
   fields["times_ms"] = DescribeTimes();
   shared_.log.Write(usual ? LogWeight::Routine : LogWeight::Notable, "request",
                     std::move(fields));
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -273,6 +273,7 @@
   bool placedElsewhere_ = false;
   bool finalReleased_ = false;
   bool ended_ = false;
+  std::optional<HttpCallEnd> answerEnd_; // of the last attempt that had one
   EventSplitter reader_;
   Elapsed sentAt_;       // of the last attempt
   Elapsed firstEventAt_; // of the answer
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -347,7 +347,11 @@
   if (ended_ || !attempt_) {
     return;
   }
-  if (end == HttpCallEnd::Complete) {
+  if (IsAnswered(end)) {
+    answerEnd_ = end;
+    shared_.metrics.Count(end == HttpCallEnd::EndedByClose
+                            ? "answers_ended_by_close"
+                            : "answers_framed");
     OnComplete();
     return;
   }
--- a/Source/Gateway/wgResultReleaser.cxx
+++ b/Source/Gateway/wgResultReleaser.cxx
@@ -83,8 +83,8 @@
   };
   handler.onBody = [](absl::string_view) {};
   handler.onEnd = [this, number, status, handles](HttpCallEnd end) {
-    const bool gone = end == HttpCallEnd::Complete &&
-                      *status == static_cast<unsigned>(http::status::ok);
+    const bool gone =
+      IsAnswered(end) && *status == static_cast<unsigned>(http::status::ok);
     // Until the end: this handler is part of the call.
     const auto call = calls_.extract(number);
     if (gone && confirmed_) {
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -173,15 +173,16 @@
   }
   constexpr unsigned ok = 200;
   if (!open.saidNotRun) {
-    NoteVersionCall(open, end != HttpCallEnd::Complete || open.status != ok);
+    NoteVersionCall(open, !IsAnswered(end) || open.status != ok);
   }
-  const bool isSent = end == HttpCallEnd::Cut || end == HttpCallEnd::Refused ||
-                      end == HttpCallEnd::Complete;
-  SettleCall(open, isSent && !(end == HttpCallEnd::Complete &&
-                               open.status != ok && open.saidNotRun));
-  if (end == HttpCallEnd::Complete && open.status == ok) {
+  const bool isAnswered = IsAnswered(end);
+  const bool isSent =
+    end == HttpCallEnd::Cut || end == HttpCallEnd::Refused || isAnswered;
+  SettleCall(open,
+             isSent && !(isAnswered && open.status != ok && open.saidNotRun));
+  if (isAnswered && open.status == ok) {
     TakeAnswer(open);
-  } else if (end == HttpCallEnd::Complete && open.saidNotRun) {
+  } else if (isAnswered && open.saidNotRun) {
     metrics_.Count("stage_calls_refused");
     LogCall(open, "refused");
     if (open.status == MisdirectedRequest) {
--- a/Source/Http/wgHttpClient.h
+++ b/Source/Http/wgHttpClient.h
@@ -21,13 +21,21 @@
 /** \brief How a call ended. */
 enum class HttpCallEnd
 {
-  Complete,
+  Complete,     // whole by its length, its last chunk, or having no body
+  EndedByClose, // no length and no chunks: only the connection's orderly end
   NotConnected, // refused; no byte was sent
   Unreached,    // no answer to the attempt to connect; no byte was sent
   Cut,          // broken off, or no sound answer; it may have been carried out
   Refused       // the handler refused the answer's head
 };
 
+/** \brief Whether an answer came to an end that its endpoint may have meant.
+ */
+inline bool IsAnswered(HttpCallEnd end)
+{
+  return end == HttpCallEnd::Complete || end == HttpCallEnd::EndedByClose;
+}
+
 /** \brief What is told of a call while it goes on. */
 struct HttpCallHandler
 {
--- a/Source/Http/wgHttpClientConnection.cxx
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -252,7 +252,7 @@
   if (endsByClose) {
     error_code ended;
     parser_->put_eof(ended);
-    EndCall(ended ? HttpCallEnd::Cut : HttpCallEnd::Complete);
+    EndCall(ended ? HttpCallEnd::Cut : HttpCallEnd::EndedByClose);
     return;
   }
   EndCall(HttpCallEnd::Cut);
--- a/Tests/Gateway/wgHttpClientTest.cxx
+++ b/Tests/Gateway/wgHttpClientTest.cxx
@@ -182,7 +182,7 @@
   CHECK(caller.Call(endpoint.Address()).body == "abcde");
   const Result last = caller.Call(endpoint.Address());
   CHECK(last.body == "until the end");
-  CHECK(last.end == wg::HttpCallEnd::Complete);
+  CHECK(last.end == wg::HttpCallEnd::EndedByClose);
   CHECK(endpoint.Connections() == 1);
 }
 
