--- /dev/null
+++ b/Tests/Platform/wgScriptedEndpoint.cxx
@@ -0,0 +1,117 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgScriptedEndpoint.h"
+
+#include <utility>
+
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/read.hpp>
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include "absl/strings/str_cat.h"
+
+namespace wg::test {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+constexpr int Slots = 4;
+constexpr int Ok = 200;
+
+} // namespace
+
+ScriptedEndpoint::ScriptedEndpoint(std::string id, Script script)
+  : id_(std::move(id))
+  , script_(std::move(script))
+  , acceptor_(loop_, { asio::ip::make_address("127.0.0.1"), 0 })
+  , acceptThread_([this] { Accept(); })
+{
+}
+
+ScriptedEndpoint::~ScriptedEndpoint()
+{
+  ending_ = true;
+  error_code ignored;
+  tcp::socket knock(loop_);
+  knock.connect(acceptor_.local_endpoint(), ignored);
+  acceptThread_.join();
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    for (const auto& socket : open_) {
+      socket->shutdown(tcp::socket::shutdown_both, ignored);
+    }
+  }
+  for (std::thread& thread : connections_) {
+    thread.join();
+  }
+}
+
+bool ScriptedEndpoint::Register(int apiPort, const std::string& service)
+{
+  const nlohmann::json heartbeat{
+    { "service", service },
+    { "address",
+      absl::StrCat("127.0.0.1:", acceptor_.local_endpoint().port()) },
+    { "zone", "h1" },
+    { "version", "v1" },
+    { "capacity", Slots },
+    { "state", "ready" },
+    { "warmupLeftMs", 0 },
+    { "sequence", ++sequence_ }
+  };
+  httplib::Client client("127.0.0.1", apiPort);
+  const auto reply =
+    client.Put("/-/instances/" + id_, heartbeat.dump(), "application/json");
+  return reply && reply->status == Ok;
+}
+
+void ScriptedEndpoint::Accept()
+{
+  while (!ending_) {
+    auto socket = std::make_shared<Socket>(loop_);
+    error_code error;
+    acceptor_.accept(*socket, error);
+    if (error || ending_) {
+      return;
+    }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    open_.push_back(socket);
+    connections_.emplace_back([this, socket] {
+      Serve(*socket);
+      const std::lock_guard<std::mutex> guard(mutex_);
+      error_code ignored;
+      socket->close(ignored);
+    });
+  }
+}
+
+void ScriptedEndpoint::Serve(Socket& socket)
+{
+  error_code error;
+  socket.set_option(tcp::no_delay(true), error);
+  boost::beast::flat_buffer input;
+  while (!ending_) {
+    HttpRequest request;
+    http::read(socket, input, request, error);
+    if (error) {
+      return;
+    }
+    const ScriptedAnswer answer = script_(request);
+    asio::write(socket, asio::buffer(answer.bytes), error);
+    if (error) {
+      return;
+    }
+    if (answer.close == AnswerClose::Reset) {
+      socket.set_option(asio::socket_base::linger(true, 0), error);
+    }
+    if (answer.close != AnswerClose::KeepOpen) {
+      return;
+    }
+  }
+}
+
+} // namespace wg::test
