Gateway: an answer that its connection ends is passed on as such

Cause: the client of endpoints had one outcome for an answer whose framing says that it is whole and for one that its connection ended, and whoever read it vouched for it in a framing of its own.

- An answer's framing is told with its head (BodyFraming).
Where only the close ends it, the caller's answer ends with the caller's connection as well, by FIN where the endpoint's did, else by a reset: also where this process is killed.
- Content decides where it can: a stream that ends inside an event, in any framing, or without an event, and a JSON document that does not parse, are broken off.
They are resumed or failed as cut ones are, count against the endpoint and the retry budget, and are reported to the crash watch.
- An orderly close is no evidence that the endpoint lives or has run a request through.

--- a/Source/Gateway/wgAttemptRules.cxx
+++ b/Source/Gateway/wgAttemptRules.cxx
@@ -14,6 +14,17 @@
 
 } // namespace
 
+bool IsWholeAnswer(const AnswerFacts& facts)
+{
+  if (!IsAnswered(facts.end) || (facts.streams && facts.isInsideEvent)) {
+    return false;
+  }
+  if (facts.end == HttpCallEnd::Complete) {
+    return true;
+  }
+  return facts.streams ? facts.hasEvent : !facts.isJson || facts.parses;
+}
+
 AfterAttempt JudgeAttempt(const AttemptFacts& facts)
 {
   // What was never sent costs neither an attempt nor the budget.
--- a/Source/Gateway/wgAttemptRules.h
+++ b/Source/Gateway/wgAttemptRules.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include "wgHttpClient.h"
 #include "wgRouteTable.h"
 
 namespace wg {
@@ -38,6 +39,25 @@
   bool endpointLeft = true; // one that has not been tried
 };
 
+/** \brief What is known of an answer when its connection or its framing says
+ * that it is over.
+ */
+struct AnswerFacts
+{
+  HttpCallEnd end = HttpCallEnd::Cut;
+  bool streams = false;
+  bool hasEvent = false;      // a whole one
+  bool isInsideEvent = false; // bytes of another one came after it
+  bool isJson = false;        // by its type; not of a stream
+  bool parses = true;         // as such, to its end
+};
+
+/** \brief Whether the answer is whole as far as can be known: its framing says
+ * so, or nothing but the close ends it and its content could end there. A
+ * stream that ends inside an event has been broken off in any framing.
+ */
+bool IsWholeAnswer(const AnswerFacts& facts);
+
 /** \brief Whether it is safe, allowed and worth it to send again, and if not,
  * what the caller is told.
  */
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -92,6 +92,7 @@
   std::string endpoint; // id
   std::unique_ptr<HttpCall> call;
   HttpHead head;
+  BodyFraming framing = BodyFraming::Explicit;
   std::string body;
   Elapsed sent;
   double prefillSeconds = 0.0;
@@ -214,12 +215,14 @@
   HttpRequest MakeForward(const DirectoryEndpoint& endpoint) const;
   void StartAttempt(DirectoryEndpoint& endpoint, double prefillSeconds,
                     const PlacedRead& placed);
-  bool OnHead(const HttpHead& head);
+  bool OnHead(const HttpHead& head, BodyFraming framing);
   void OnBody(absl::string_view bytes);
   void OnEvents(const std::string& events);
   void WatchStream();
   void OnSilence();
   void OnAttemptEnd(HttpCallEnd end);
+  bool IsWhole(HttpCallEnd end) const;
+  void OnCut(HttpCallEnd end);
   void NoteRunThrough();
   void OnComplete();
   void AnswerWhole();
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 
 #include "wgForwardedRequest.h"
@@ -216,9 +217,9 @@
   }
   HttpCallHandler handler;
   auto weak = weak_from_this();
-  handler.onHead = [weak](const HttpHead& head) {
+  handler.onHead = [weak](const HttpHead& head, BodyFraming framing) {
     auto self = weak.lock();
-    return self && self->OnHead(head);
+    return self && self->OnHead(head, framing);
   };
   handler.onBody = [weak](absl::string_view bytes) {
     if (auto self = weak.lock()) {
@@ -236,7 +237,7 @@
   shared_.metrics.Count("attempts");
 }
 
-bool GatewayRequest::OnHead(const HttpHead& head)
+bool GatewayRequest::OnHead(const HttpHead& head, BodyFraming framing)
 {
   if (ended_ || !attempt_) {
     return false;
@@ -259,6 +260,7 @@
   }
   attempt.headSeen = true;
   attempt.head = head;
+  attempt.framing = framing;
   attempt.streams = route_->isStream && head.result() == http::status::ok &&
                     !attempt.saidNotRun;
   return true;
@@ -298,7 +300,7 @@
     firstEventAt_ = now;
     HttpHead head = attempt_->head;
     RemoveConnectionFields(head, Fields().endToEnd);
-    exchange_->StartStream(std::move(head));
+    exchange_->StartStream(std::move(head), attempt_->framing);
     StartTimer();
   }
   exchange_->WriteStream(events);
@@ -352,7 +354,12 @@
     shared_.metrics.Count(end == HttpCallEnd::EndedByClose
                             ? "answers_ended_by_close"
                             : "answers_framed");
-    OnComplete();
+    if (IsWhole(end)) {
+      OnComplete();
+    } else {
+      shared_.metrics.Count("answers_ended_midway");
+      OnCut(end);
+    }
     return;
   }
   const bool unreached =
@@ -362,13 +369,40 @@
   if (end == HttpCallEnd::Unreached && endpoint != nullptr) {
     shared_.halls.Unreached(*endpoint);
   }
-  if (end == HttpCallEnd::Cut) {
+  if (!unreached) {
+    OnCut(end);
+    return;
+  }
+  CloseAttempt(true);
+  AfterFailure(AttemptKnowledge::NotSent, "not_connected");
+}
+
+/** Whether what came of the open attempt's answer may be taken for all of it.
+ */
+bool GatewayRequest::IsWhole(HttpCallEnd end) const
+{
+  const Attempt& attempt = *attempt_;
+  AnswerFacts facts;
+  facts.end = end;
+  facts.streams = attempt.streams;
+  facts.hasEvent = attempt.eventSeen;
+  facts.isInsideEvent = !reader_.partial.empty();
+  facts.isJson = absl::StartsWithIgnoreCase(
+    FieldOf(attempt.head, "Content-Type"), "application/json");
+  if (facts.isJson && end == HttpCallEnd::EndedByClose && !facts.streams) {
+    facts.parses = nlohmann::json::accept(attempt.body);
+  }
+  return IsWholeAnswer(facts);
+}
+
+/** The endpoint may have ended, unless the answer's framing was whole. */
+void GatewayRequest::OnCut(HttpCallEnd end)
+{
+  if (end == HttpCallEnd::Cut || end == HttpCallEnd::EndedByClose) {
     shared_.crashes.Cut(attempt_->endpoint, Fingerprint());
   }
   CloseAttempt(true);
-  AfterFailure(unreached ? AttemptKnowledge::NotSent
-                         : AttemptKnowledge::MayHaveRun,
-               unreached ? "not_connected" : "cut");
+  AfterFailure(AttemptKnowledge::MayHaveRun, "cut");
 }
 
 /** An endpoint ran it to an end and is still there. */
@@ -383,16 +417,21 @@
 {
   constexpr unsigned serverError = 500;
   const unsigned status = attempt_->head.result_int();
-  shared_.crashes.Alive(attempt_->endpoint);
+  // A process that ends closes its connections as well.
+  const bool isAlive = answerEnd_ == HttpCallEnd::Complete;
+  if (isAlive) {
+    shared_.crashes.Alive(attempt_->endpoint);
+  }
   if (attempt_->streams) {
-    OnEvents(std::exchange(reader_.partial, {}));
     if (!streamBegun_) {
       streamBegun_ = true;
       HttpHead head = attempt_->head;
       RemoveConnectionFields(head, Fields().endToEnd);
-      exchange_->StartStream(std::move(head));
+      exchange_->StartStream(std::move(head), attempt_->framing);
+    }
+    if (isAlive) {
+      NoteRunThrough();
     }
-    NoteRunThrough();
     CloseAttempt(false);
     exchange_->FinishStream();
     End("served", "");
@@ -416,7 +455,9 @@
     return;
   }
   mayHaveRun_ = true;
-  NoteRunThrough();
+  if (isAlive) {
+    NoteRunThrough();
+  }
   const bool failed = status >= serverError;
   const bool again =
     failed && !streamBegun_ && route_->repetition != Repetition::RunOnce;
@@ -435,6 +476,7 @@
   constexpr unsigned serverError = 500;
   HttpResponse response{ attempt_->head };
   response.body() = std::move(attempt_->body);
+  const BodyFraming framing = attempt_->framing;
   CloseAttempt(status >= serverError);
   const bool promises = status == 429 || status == 503 || status == 408;
   if (promises || streamBegun_) {
@@ -442,7 +484,7 @@
     return;
   }
   RemoveConnectionFields(response, Fields().endToEnd);
-  exchange_->Respond(std::move(response));
+  exchange_->Respond(std::move(response), framing);
   shared_.metrics.NoteLatency("answer", ElapsedNow() - exchange_->Arrived());
   End(status < serverError ? "served" : "endpoint_failed", "");
 }
--- a/Source/Gateway/wgResultReleaser.cxx
+++ b/Source/Gateway/wgResultReleaser.cxx
@@ -73,7 +73,7 @@
   const std::uint64_t number = nextCall_++;
   HttpCallHandler handler;
   auto status = std::make_shared<unsigned>(0);
-  handler.onHead = [this, status, makerId](const HttpHead& head) {
+  handler.onHead = [this, status, makerId](const HttpHead& head, BodyFraming) {
     *status = head.result_int();
     if (head.result() != http::status::misdirected_request) {
       // Such an answer may leave out what answers to work say.
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -141,7 +141,7 @@
   void OnCallEnd(std::uint64_t number, HttpCallEnd end);
   void OnCallLate(std::uint64_t number);
   void NoteTimeOf(const OpenCall& open, StageServer& server);
-  void TakeAnswer(OpenCall& open);
+  void TakeAnswer(OpenCall& open, HttpCallEnd end);
   void TakeResultOf(OpenCall& open, StagePiece& piece,
                     wire::StageItemResult result);
   void NoteCutCall(const OpenCall& open);
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -50,7 +50,7 @@
   request.set(boost::beast::http::field::host, endpoint->address);
   request.set(dialect_.fields.endpoint, endpoint->start.name);
   HttpCallHandler handler;
-  handler.onHead = [this, number](const HttpHead& head) {
+  handler.onHead = [this, number](const HttpHead& head, BodyFraming) {
     OpenCall& mine = calls_[number];
     mine.status = head.result_int();
     const bool isAnother =
@@ -181,7 +181,7 @@
   SettleCall(open,
              isSent && !(isAnswered && open.status != ok && open.saidNotRun));
   if (isAnswered && open.status == ok) {
-    TakeAnswer(open);
+    TakeAnswer(open, end);
   } else if (isAnswered && open.saidNotRun) {
     metrics_.Count("stage_calls_refused");
     LogCall(open, "refused");
@@ -273,18 +273,23 @@
   }
 }
 
-void StageCoordinator::TakeAnswer(OpenCall& open)
+void StageCoordinator::TakeAnswer(OpenCall& open, HttpCallEnd end)
 {
   auto results = dialect_.readStageAnswer(open.body);
   const bool sound =
     Succeeded(results) && Value(results).size() == open.call.pieces.size();
   if (!sound) {
     metrics_.Count("stage_answers_unsound");
+    if (end == HttpCallEnd::EndedByClose) { // within the document
+      NoteCutCall(open);
+    }
     FailCall(open, true);
     return;
   }
   const Elapsed now = ElapsedNow();
-  crashes_.Alive(open.call.server);
+  if (end == HttpCallEnd::Complete) {
+    crashes_.Alive(open.call.server);
+  }
   if (StageServer* server = ServerOf(open)) {
     NoteTimeOf(open, *server);
   }
--- a/Source/Http/wgHttpClient.h
+++ b/Source/Http/wgHttpClient.h
@@ -40,7 +40,7 @@
 struct HttpCallHandler
 {
   /** \brief The answer's head; false ends the call as Refused. */
-  std::function<bool(const HttpHead&)> onHead;
+  std::function<bool(const HttpHead&, BodyFraming)> onHead;
   std::function<void(absl::string_view)> onBody;
   /** \brief Once, and last; not after Cancel. */
   std::function<void(HttpCallEnd)> onEnd;
--- a/Source/Http/wgHttpClientConnection.cxx
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -225,7 +225,10 @@
     return true;
   }
   headTold_ = true;
-  if (!handler_.onHead(parser_->get().base())) {
+  const BodyFraming framing = !parser_->is_done() && parser_->need_eof()
+                                ? BodyFraming::ByClose
+                                : BodyFraming::Explicit;
+  if (!handler_.onHead(parser_->get().base(), framing)) {
     EndCall(HttpCallEnd::Refused);
     return false;
   }
--- a/Source/Http/wgHttpMessage.h
+++ b/Source/Http/wgHttpMessage.h
@@ -36,6 +36,13 @@
   std::size_t connections = 2000;
 };
 
+/** \brief What tells where an answer's body ends. */
+enum class BodyFraming
+{
+  Explicit, // a length, chunks, or that there is no body
+  ByClose   // the orderly end of the connection
+};
+
 /** \brief A field's value; empty when there is none. */
 absl::string_view FieldOf(const HttpFields& fields, absl::string_view name);
 
--- a/Source/Http/wgHttpServer.cxx
+++ b/Source/Http/wgHttpServer.cxx
@@ -55,24 +55,36 @@
   }
 }
 
-void HttpExchange::PrepareHead(HttpHead& head) const
+bool HttpExchange::KeepsConnection() const
 {
   auto connection = connection_.lock();
   const bool drains = connection != nullptr && connection->IsDraining();
-  if (drains || !request_.keep_alive()) {
+  return !drains && request_.keep_alive() && framing_ == BodyFraming::Explicit;
+}
+
+void HttpExchange::PrepareHead(HttpHead& head)
+{
+  if (!KeepsConnection()) {
     head.set(http::field::connection, "close");
   }
+  auto connection = connection_.lock();
+  if (connection != nullptr && framing_ == BodyFraming::ByClose) {
+    connection->ResetUnlessFinished();
+  }
 }
 
-void HttpExchange::Respond(HttpResponse response)
+void HttpExchange::Respond(HttpResponse response, BodyFraming framing)
 {
   if (over_ || started_) {
     return;
   }
+  framing_ = framing;
   PrepareHead(response);
   const bool keep = response[http::field::connection] != "close";
   const bool bodiless = request_.method() == http::verb::head;
-  if (!bodiless) {
+  if (framing == BodyFraming::ByClose) {
+    response.erase(http::field::content_length);
+  } else if (!bodiless) {
     response.content_length(response.body().size());
   }
   started_ = true;
@@ -84,15 +96,18 @@
   }
 }
 
-void HttpExchange::StartStream(HttpHead head)
+void HttpExchange::StartStream(HttpHead head, BodyFraming framing)
 {
   if (over_ || started_) {
     return;
   }
   started_ = true;
+  framing_ = framing;
   PrepareHead(head);
   head.erase(http::field::content_length);
-  head.set(http::field::transfer_encoding, "chunked");
+  if (framing == BodyFraming::Explicit) {
+    head.set(http::field::transfer_encoding, "chunked");
+  }
   Write(PrintHead(head));
 }
 
@@ -101,6 +116,10 @@
   if (over_ || bytes.empty()) {
     return;
   }
+  if (framing_ == BodyFraming::ByClose) {
+    Write(std::string(bytes));
+    return;
+  }
   const auto chunk =
     http::make_chunk(asio::buffer(bytes.data(), bytes.size()));
   Write(boost::beast::buffers_to_string(chunk));
@@ -112,9 +131,11 @@
     return;
   }
   onCallerLeft_ = nullptr;
-  Write(boost::beast::buffers_to_string(http::make_chunk_last()));
+  if (framing_ == BodyFraming::Explicit) {
+    Write(boost::beast::buffers_to_string(http::make_chunk_last()));
+  }
   if (auto connection = connection_.lock()) {
-    connection->EndAnswer(request_.keep_alive() && !connection->IsDraining());
+    connection->EndAnswer(KeepsConnection());
   }
 }
 
--- a/Source/Http/wgHttpServer.h
+++ b/Source/Http/wgHttpServer.h
@@ -39,11 +39,14 @@
   /** \brief Called once if the caller leaves before the answer's end. */
   void OnCallerLeft(std::function<void()> handler);
 
-  /** \brief Answers as a whole; a length is set. */
-  void Respond(HttpResponse response);
+  /** \brief Answers as a whole; a length is set where the framing is
+   * explicit. One that is framed by the close ends the connection.
+   */
+  void Respond(HttpResponse response,
+               BodyFraming framing = BodyFraming::Explicit);
 
-  /** \brief Starts an answer in chunks. */
-  void StartStream(HttpHead head);
+  /** \brief Starts an answer in chunks, or one that its connection ends. */
+  void StartStream(HttpHead head, BodyFraming framing = BodyFraming::Explicit);
   void WriteStream(absl::string_view bytes);
   /** \brief Ends a stream as complete. */
   void FinishStream();
@@ -58,7 +61,8 @@
   friend class detail::HttpServerConnection;
   void NoteCallerLeft();
   void Write(std::string bytes);
-  void PrepareHead(HttpHead& head) const;
+  void PrepareHead(HttpHead& head);
+  bool KeepsConnection() const;
 
   std::weak_ptr<Connection> connection_;
   HttpRequest request_;
@@ -66,6 +70,7 @@
   std::function<void()> onCallerLeft_;
   bool started_ = false;
   bool over_ = false;
+  BodyFraming framing_ = BodyFraming::Explicit;
 };
 
 /** \class HttpServer
--- a/Source/Http/wgHttpServerConnection.cxx
+++ b/Source/Http/wgHttpServerConnection.cxx
@@ -236,6 +236,12 @@
   }
 }
 
+void HttpServerConnection::ResetUnlessFinished()
+{
+  error_code ignored;
+  socket_.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
 void HttpServerConnection::AfterAnswer()
 {
   answerEnded_ = false;
@@ -257,6 +263,7 @@
 {
   error_code ignored;
   socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  socket_.set_option(asio::socket_base::linger(false, 0), ignored);
   lingers_ = true;
   input_.clear();
   due_ = ElapsedNow() + LingerTime;
--- a/Source/Http/wgHttpServerConnection.h
+++ b/Source/Http/wgHttpServerConnection.h
@@ -36,6 +36,10 @@
   /** \brief The answer is written as a whole; `keep` allows another request.
    */
   void EndAnswer(bool keep);
+  /** \brief From now on the connection ends by a reset, also where the process
+   * is killed, unless EndAnswer comes before: the answer has no other end.
+   */
+  void ResetUnlessFinished();
   void Close();
   bool IsBusy() const { return exchange_ != nullptr || parser_.has_value(); }
   bool IsDraining() const { return server_ == nullptr || server_->draining_; }
--- a/Tests/Fuzz/wgFuzzTest.cxx
+++ b/Tests/Fuzz/wgFuzzTest.cxx
@@ -1,19 +1,28 @@
 // SPDX-License-Identifier: Apache-2.0
 // Every reader of bytes is given damaged ones; nothing may crash, and what is
 // read must be sound. A seeded mutation loop over a committed corpus.
+#include <chrono>
 #include <filesystem>
 #include <fstream>
+#include <future>
 #include <iterator>
+#include <map>
+#include <mutex>
 #include <random>
 
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
 #include <catch2/catch.hpp>
 
 #include "wgConfigText.h"
+#include "wgHttpClient.h"
 #include "wgLanguage.h"
+#include "wgLoopThread.h"
 #include "wgMembership.h"
 #include "wgPlatformHeartbeat.h"
 #include "wgRecord.h"
 #include "wgReplicaStore.h"
+#include "wgScriptedEndpoint.h"
 #include "wgServiceState.h"
 #include "wgSocket.h"
 #include "wgStageProtocol.h"
@@ -171,6 +180,97 @@
   }
 }
 
+namespace {
+
+/** How an answer ends whose bytes are these and then an orderly close. */
+wg::HttpCallEnd EndOfAnswer(const std::string& bytes)
+{
+  namespace http = boost::beast::http;
+  std::string left = bytes;
+  for (;;) {
+    http::response_parser<http::string_body> parser;
+    parser.eager(true);
+    parser.body_limit(boost::none);
+    boost::system::error_code error;
+    std::size_t at = 0;
+    while (!error && !parser.is_done() && at < left.size()) {
+      at += parser.put(boost::asio::buffer(left.data() + at, left.size() - at),
+                       error);
+    }
+    const bool isInterim =
+      !error && parser.is_done() && parser.get().result_int() / 100 == 1;
+    if (isInterim) {
+      left.erase(0, at);
+      continue;
+    }
+    if (error && error != http::error::need_more) {
+      return wg::HttpCallEnd::Cut;
+    }
+    if (parser.is_done()) {
+      return wg::HttpCallEnd::Complete;
+    }
+    return parser.is_header_done() && parser.need_eof()
+             ? wg::HttpCallEnd::EndedByClose
+             : wg::HttpCallEnd::Cut;
+  }
+}
+
+} // namespace
+
+TEST_CASE("damaged answers end each call as what they are")
+{
+  Mutator mutate;
+  std::string bytes;
+  std::mutex mutex;
+  wg::test::ScriptedEndpoint endpoint("fuzz", [&](const wg::HttpRequest&) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    return wg::test::ScriptedAnswer{ bytes, wg::test::AnswerClose::Finish };
+  });
+  wg::LoopThread thread;
+  auto client = std::make_unique<wg::HttpClient>(thread.Loop());
+  std::map<wg::HttpCallEnd, int> ends;
+  for (const char* name :
+       { "http-length.txt", "http-chunks.txt", "http-close.txt" }) {
+    const std::string text = ReadCorpus(name);
+    for (int i = 0; i < Rounds / 4; ++i) {
+      {
+        const std::lock_guard<std::mutex> lock(mutex);
+        bytes = mutate(text);
+      }
+      std::promise<wg::HttpCallEnd> ended;
+      std::unique_ptr<wg::HttpCall> call;
+      wg::HttpCallHandler handler;
+      handler.onHead = [](const wg::HttpHead&, wg::BodyFraming) {
+        return true;
+      };
+      handler.onBody = [](absl::string_view) {};
+      handler.onEnd = [&ended](wg::HttpCallEnd end) { ended.set_value(end); };
+      thread.Do([&] {
+        call = client->Start(endpoint.Address(),
+                             "GET / HTTP/1.1\r\nHost: h\r\n\r\n", {},
+                             std::move(handler));
+        return true;
+      });
+      auto future = ended.get_future();
+      REQUIRE(future.wait_for(std::chrono::seconds(20)) ==
+              std::future_status::ready);
+      const wg::HttpCallEnd end = future.get();
+      thread.Do([&call] {
+        call.reset();
+        return true;
+      });
+      INFO("round " << i << " of " << name << ": " << bytes);
+      REQUIRE(end == EndOfAnswer(bytes));
+      ++ends[end];
+    }
+  }
+  thread.Join();
+  client.reset();
+  CHECK(ends[wg::HttpCallEnd::Complete] > 0);
+  CHECK(ends[wg::HttpCallEnd::EndedByClose] > 0);
+  CHECK(ends[wg::HttpCallEnd::Cut] > 0);
+}
+
 TEST_CASE("a damaged data folder is opened, set aside or refused")
 {
   std::string pattern =
--- a/Tests/Gateway/wgHttpClientTest.cxx
+++ b/Tests/Gateway/wgHttpClientTest.cxx
@@ -117,6 +117,7 @@
 {
   unsigned status = 0;
   std::string body;
+  wg::BodyFraming framing = wg::BodyFraming::Explicit;
   wg::HttpCallEnd end = wg::HttpCallEnd::Cut;
 };
 
@@ -140,8 +141,10 @@
     auto result = std::make_shared<Result>();
     std::unique_ptr<wg::HttpCall> call;
     wg::HttpCallHandler handler;
-    handler.onHead = [result, acceptHead](const wg::HttpHead& head) {
+    handler.onHead = [result, acceptHead](const wg::HttpHead& head,
+                                          wg::BodyFraming framing) {
       result->status = head.result_int();
+      result->framing = framing;
       return acceptHead;
     };
     handler.onBody = [result](absl::string_view bytes) {
@@ -220,6 +223,53 @@
   }
 }
 
+TEST_CASE("An answer says what tells its end")
+{
+  using wg::BodyFraming;
+  using wg::HttpCallEnd;
+  Caller caller;
+  const auto call = [&caller](const std::string& bytes) {
+    ScriptedEndpoint endpoint({ { bytes, true } });
+    return caller.Call(endpoint.Address());
+  };
+  SECTION("by the close, with and without bytes")
+  {
+    for (const std::string body : { "", "part" }) {
+      const Result got = call("HTTP/1.1 200 OK\r\n\r\n" + body);
+      CHECK(got.end == HttpCallEnd::EndedByClose);
+      CHECK(got.framing == BodyFraming::ByClose);
+    }
+  }
+  SECTION("by its kind, whatever its connection does")
+  {
+    for (const std::string status : { "204 No Content", "304 Not Modified" }) {
+      const Result got = call("HTTP/1.1 " + status + "\r\n\r\n");
+      CHECK(got.end == HttpCallEnd::Complete);
+      CHECK(got.framing == BodyFraming::Explicit);
+    }
+  }
+  SECTION("after an interim head")
+  {
+    const Result got =
+      call("HTTP/1.1 103 Early Hints\r\n\r\nHTTP/1.1 200 OK\r\n\r\nall");
+    CHECK(got.end == HttpCallEnd::EndedByClose);
+    CHECK(got.body == "all");
+    CHECK(call("HTTP/1.1 100 Continue\r\n\r\n").end == HttpCallEnd::Cut);
+  }
+  SECTION("by nothing sound: a length and chunks, two lengths, a bad length")
+  {
+    for (const std::string fields :
+         { "Content-Length: 2\r\nTransfer-Encoding: chunked",
+           "Transfer-Encoding: chunked\r\nContent-Length: 2",
+           "Content-Length: 2\r\nContent-Length: 3", "Content-Length: -1",
+           "Content-Length: 2x" }) {
+      const Result got =
+        call("HTTP/1.1 200 OK\r\n" + fields + "\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+      CHECK(got.end == HttpCallEnd::Cut);
+    }
+  }
+}
+
 TEST_CASE("Bytes after an answer reach no other call")
 {
   Caller caller;
--- a/Tests/Gateway/wgHttpServerTest.cxx
+++ b/Tests/Gateway/wgHttpServerTest.cxx
@@ -278,3 +278,70 @@
   CHECK(absl::StrContains(got, "/b|"));
   CHECK(resting.ReadAll().empty());
 }
+
+TEST_CASE("An answer that its connection ends is finished or reset")
+{
+  const auto stream = [](const Exchange& exchange, bool finishes) {
+    wg::HttpHead head;
+    head.result(200);
+    exchange->StartStream(std::move(head), wg::BodyFraming::ByClose);
+    exchange->WriteStream("all of it");
+    if (finishes) {
+      exchange->FinishStream();
+    }
+  };
+  const std::string ask = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+  SECTION("finished")
+  {
+    Served served([&](const Exchange& e) { stream(e, true); });
+    RawCaller caller(served.port);
+    caller.Send(ask);
+    const std::string got = caller.ReadAll();
+    CHECK(absl::EndsWith(got, "\r\n\r\nall of it"));
+    CHECK(absl::StrContains(got, "Connection: close"));
+    CHECK_FALSE(absl::StrContains(got, "Content-Length"));
+    CHECK_FALSE(absl::StrContains(got, "chunked"));
+    CHECK(caller.End() == boost::asio::error::eof);
+  }
+  SECTION("whole at once")
+  {
+    Served served([&](const Exchange& e) {
+      e->Respond(wg::MakeResponse(200, "text/plain", "all of it"),
+                 wg::BodyFraming::ByClose);
+    });
+    RawCaller caller(served.port);
+    caller.Send(ask);
+    const std::string got = caller.ReadAll();
+    CHECK(absl::EndsWith(got, "\r\n\r\nall of it"));
+    CHECK_FALSE(absl::StrContains(got, "Content-Length"));
+    CHECK(caller.End() == boost::asio::error::eof);
+  }
+  SECTION("given up")
+  {
+    Exchange open;
+    Served served([&](const Exchange& e) {
+      stream(e, false);
+      open = e;
+    });
+    RawCaller caller(served.port);
+    caller.Send(ask);
+    caller.ReadUntil("all of it");
+    served.thread.Do([&open] {
+      open->Abort();
+      return true;
+    });
+    caller.ReadAll();
+    CHECK(caller.End() == boost::asio::error::connection_reset);
+  }
+  SECTION("the server goes")
+  {
+    auto served =
+      std::make_unique<Served>([&](const Exchange& e) { stream(e, false); });
+    RawCaller caller(served->port);
+    caller.Send(ask);
+    caller.ReadUntil("all of it");
+    served.reset();
+    caller.ReadAll();
+    CHECK(caller.End() == boost::asio::error::connection_reset);
+  }
+}
--- a/Tests/Gateway/wgRawCaller.h
+++ b/Tests/Gateway/wgRawCaller.h
@@ -32,22 +32,24 @@
   /** Reads until the text has come, or the connection ends. */
   std::string ReadUntil(const std::string& text)
   {
-    boost::system::error_code error;
-    while (!error && !absl::StrContains(got_, text)) {
+    while (!end_ && !absl::StrContains(got_, text)) {
       char bytes[4096];
       const std::size_t n =
-        socket_.read_some(boost::asio::buffer(bytes), error);
+        socket_.read_some(boost::asio::buffer(bytes), end_);
       got_.append(bytes, n);
     }
     return got_;
   }
   std::string ReadAll() { return ReadUntil("\x01never\x01"); }
   void Close() { socket_.close(); }
+  /** How the connection ended; no error: it has not. */
+  boost::system::error_code End() const { return end_; }
 
 private:
   boost::asio::io_context loop_;
   boost::asio::ip::tcp::socket socket_;
   std::string got_;
+  boost::system::error_code end_;
 };
 
 } // namespace wg::test
--- a/Tests/Gateway/wgRouteTableTest.cxx
+++ b/Tests/Gateway/wgRouteTableTest.cxx
@@ -195,3 +195,59 @@
   }
   CHECK(inFirstWindow >= 0.6 * allowed);
 }
+
+TEST_CASE("Streams are split at their events, whatever bytes come at once")
+{
+  for (const std::string line : { "\n", "\r\n" }) {
+    const std::string first =
+      absl::StrCat("id: 1", line, "data: a", line, line);
+    const std::string text =
+      absl::StrCat(first, "id: 2", line, "data: b", line, line);
+    for (std::size_t cut = 0; cut <= text.size(); ++cut) {
+      for (std::size_t split = 0; split <= cut; ++split) {
+        wg::EventSplitter splitter;
+        std::string events = wg::TakeEvents(splitter, text.substr(0, split));
+        events += wg::TakeEvents(splitter, text.substr(split, cut - split));
+        const std::size_t whole = cut == text.size()    ? text.size()
+                                  : cut >= first.size() ? first.size()
+                                                        : 0;
+        REQUIRE(events == text.substr(0, whole));
+        REQUIRE(splitter.partial == text.substr(whole, cut - whole));
+      }
+    }
+  }
+}
+
+TEST_CASE("An answer is whole by its framing, or by content that could end")
+{
+  using wg::HttpCallEnd;
+  wg::AnswerFacts facts;
+  CHECK_FALSE(wg::IsWholeAnswer(facts));
+  SECTION("a plain answer")
+  {
+    facts.end = HttpCallEnd::Complete;
+    CHECK(wg::IsWholeAnswer(facts));
+    facts.end = HttpCallEnd::EndedByClose;
+    CHECK(wg::IsWholeAnswer(facts));
+    facts.isJson = true;
+    CHECK(wg::IsWholeAnswer(facts));
+    facts.parses = false;
+    CHECK_FALSE(wg::IsWholeAnswer(facts));
+    facts.end = HttpCallEnd::Complete; // the endpoint's own document
+    CHECK(wg::IsWholeAnswer(facts));
+  }
+  SECTION("a stream")
+  {
+    facts.streams = true;
+    facts.end = HttpCallEnd::Complete;
+    CHECK(wg::IsWholeAnswer(facts));
+    facts.end = HttpCallEnd::EndedByClose;
+    CHECK_FALSE(wg::IsWholeAnswer(facts)); // no event
+    facts.hasEvent = true;
+    CHECK(wg::IsWholeAnswer(facts));
+    facts.isInsideEvent = true;
+    CHECK_FALSE(wg::IsWholeAnswer(facts));
+    facts.end = HttpCallEnd::Complete;
+    CHECK_FALSE(wg::IsWholeAnswer(facts));
+  }
+}
--- a/Tests/Platform/wgScriptedEndpoint.cxx
+++ b/Tests/Platform/wgScriptedEndpoint.cxx
@@ -50,18 +50,17 @@
   }
 }
 
+std::string ScriptedEndpoint::Address() const
+{
+  return absl::StrCat("127.0.0.1:", acceptor_.local_endpoint().port());
+}
+
 bool ScriptedEndpoint::Register(int apiPort, const std::string& service)
 {
   const nlohmann::json heartbeat{
-    { "service", service },
-    { "address",
-      absl::StrCat("127.0.0.1:", acceptor_.local_endpoint().port()) },
-    { "zone", "h1" },
-    { "version", "v1" },
-    { "capacity", Slots },
-    { "state", "ready" },
-    { "warmupLeftMs", 0 },
-    { "sequence", ++sequence_ }
+    { "service", service }, { "address", Address() },   { "zone", "h1" },
+    { "version", "v1" },    { "capacity", Slots },      { "state", "ready" },
+    { "warmupLeftMs", 0 },  { "sequence", ++sequence_ }
   };
   httplib::Client client("127.0.0.1", apiPort);
   const auto reply =
--- a/Tests/Platform/wgScriptedEndpoint.h
+++ b/Tests/Platform/wgScriptedEndpoint.h
@@ -43,6 +43,7 @@
   ScriptedEndpoint(std::string id, Script script);
   ~ScriptedEndpoint();
 
+  std::string Address() const;
   /** \brief Registers with a control box; whether it was acknowledged. */
   bool Register(int apiPort, const std::string& service);
 
