Gateway: an answer beyond the limit is told as a failure

An answer of more than 32 MB lost its end in the gateway, and its caller's connection was then closed without any answer, as more than 8 MB waited for it. The caller gets 502 now, and answers_too_long counts it.

The test readers take a body limit that is given, not none.

--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -275,9 +275,13 @@
     OnEvents(TakeEvents(reader_, bytes));
     return;
   }
-  if (attempt_->body.size() + bytes.size() <= MaxAnswerBytes) {
-    attempt_->body.append(bytes.data(), bytes.size());
+  if (attempt_->body.size() + bytes.size() > MaxAnswerBytes) {
+    shared_.metrics.Count("answers_too_long");
+    CloseAttempt(true);
+    AfterFailure(AttemptKnowledge::Ran, "answer_too_long");
+    return;
   }
+  attempt_->body.append(bytes.data(), bytes.size());
 }
 
 /** With the first event the engine has fetched its inputs. */
--- a/Tests/Fuzz/wgFuzzTest.cxx
+++ b/Tests/Fuzz/wgFuzzTest.cxx
@@ -190,7 +190,7 @@
   for (;;) {
     http::response_parser<http::string_body> parser;
     parser.eager(true);
-    parser.body_limit(boost::none);
+    parser.body_limit(std::uint64_t{ 1 } << 30U);
     boost::system::error_code error;
     std::size_t at = 0;
     while (!error && !parser.is_done() && at < left.size()) {
--- a/Tests/Platform/wgPlatformAnswerEndTest.cxx
+++ b/Tests/Platform/wgPlatformAnswerEndTest.cxx
@@ -152,6 +152,7 @@
     "\r\n\r\n", id);
   asio::write(socket, asio::buffer(request), error);
   http::response_parser<http::string_body> parser;
+  parser.body_limit(std::uint64_t{ 1 } << 30U);
   boost::beast::flat_buffer input;
   http::read_header(socket, input, parser, error);
   if (error) {
@@ -334,3 +335,30 @@
   CHECK(faults.empty());
   CHECK(f.resumed > 0);
 }
+
+TEST_CASE("An answer that is too long does not arrive short", "[too-long]")
+{
+  constexpr std::size_t tooLong = 33U << 20U;
+  ScriptedEndpoint endpoint("long", [](const wg::HttpRequest& request) {
+    const std::string id(wg::FieldOf(request, RequestField));
+    const Kind& text = Kinds.front();
+    return ScriptedAnswer{ MakeAnswer(text, Framing::Length, id,
+                                      { std::string(tooLong, 'x') })
+                             .bytes };
+  });
+  PlatformCluster cluster{ 1 };
+  nlohmann::json document =
+    nlohmann::json::parse(PlatformCluster::Document(1));
+  document.erase("tenants");
+  Await("the document",
+        [&] { return cluster.Publish(0, document.dump()) == 200; });
+  Await("a ready gateway", [&] { return cluster.Ready(0) == 200; });
+  REQUIRE(endpoint.Register(cluster.Api(0), "plain"));
+  CallerAnswer answer;
+  Await("the endpoint to be used", [&] {
+    answer = Ask(cluster.Listen(0), "/p/", "long");
+    return answer.status != 503;
+  });
+  CHECK(answer.status == 502);
+  CHECK(answer.body.empty());
+}
