Test: the soak breaks unframed answers off; wires pass resets on

The soak's wire turned a reset on one side into an orderly close on the other, which says that an answer without a length is whole: it resets both now.

--- a/Tests/Platform/wgPlatformSoak.cxx
+++ b/Tests/Platform/wgPlatformSoak.cxx
@@ -218,6 +218,23 @@
   }
 }
 
+/** Some endpoints answer without lengths and break answers off. Its draws are
+ * its own, as above.
+ */
+void LeaveAnswersUnframed(Run& run)
+{
+  Random random(run.seed + 10);
+  while (!run.stopping) {
+    for (const auto& endpoint : run.endpoints) {
+      endpoint->standin.SetUnframed(Draw(random, 0, 2) > 0);
+    }
+    absl::SleepFor(absl::Milliseconds(Draw(random, 200, 1500)));
+  }
+  for (const auto& endpoint : run.endpoints) {
+    endpoint->standin.SetUnframed(false);
+  }
+}
+
 /** Endpoints ask something of their senders, one at a time for each service.
  * Its draws are its own, as above.
  */
@@ -607,9 +624,10 @@
 struct SoakOptions
 {
   int seconds = 10;
-  bool starts = false; // endpoints start again, others send heartbeats too
-  bool terms = false;  // endpoints ask something of their senders
-  std::string daemon;  // another program; empty: the one built with the tests
+  bool starts = false;   // endpoints start again, others send heartbeats too
+  bool terms = false;    // endpoints ask something of their senders
+  bool unframed = false; // endpoints answer without lengths, some not whole
+  std::string daemon; // another program; empty: the one built with the tests
 };
 
 std::vector<std::string> RunSeed(std::uint64_t seed,
@@ -627,6 +645,9 @@
   if (options.starts) {
     threads.emplace_back([&run] { StartEndpointsAgain(run); });
   }
+  if (options.unframed) {
+    threads.emplace_back([&run] { LeaveAnswersUnframed(run); });
+  }
   for (std::size_t service = 0; service < Services && options.terms;
        ++service) {
     threads.emplace_back([&run, service] { Asks(run, service).Go(); });
@@ -676,6 +697,9 @@
     TCLAP::SwitchArg terms(
       "", "terms",
       "Endpoints name limits, ask for rest and say that they leave.", line);
+    TCLAP::SwitchArg unframed(
+      "", "unframed",
+      "Endpoints answer without lengths, and break some answers off.", line);
     TCLAP::ValueArg<std::string> daemon(
       "", "daemon", "Another program in place of the one built here.", false,
       "", "path", line);
@@ -684,6 +708,7 @@
     options.seconds = seconds.getValue();
     options.starts = starts.getValue();
     options.terms = terms.getValue();
+    options.unframed = unframed.getValue();
     options.daemon = daemon.getValue();
     int broken = 0;
     for (int i = 0; i < seeds.getValue(); ++i) {
--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -274,10 +274,43 @@
     HttpResponse answer =
       MakeResponse(200, "application/json", Json{ { "items", items } }.dump());
     AddTerms(answer);
-    exchange->Respond(std::move(answer));
+    Respond(exchange, std::move(answer), true);
   });
 }
 
+/** Ends one of three answers so; the other two are for the caller to end.
+ * \param at a byte, taken modulo the body
+ * \param mayFinish whether an orderly close is a sign that it is broken off
+ */
+bool PlatformStandin::BreaksOff(const Exchange& exchange, HttpHead head,
+                                const std::string& body, std::size_t at,
+                                bool mayFinish)
+{
+  constexpr std::size_t brokenOfThree = 3;
+  if (!unframed_ || ++answers_ % brokenOfThree != 0) {
+    return false;
+  }
+  ++brokenOff_;
+  exchange->StartStream(std::move(head), BodyFraming::ByClose);
+  exchange->WriteStream(absl::string_view(body).substr(0, at % body.size()));
+  if (mayFinish && answers_ % 2 == 0) {
+    exchange->FinishStream();
+  } else {
+    exchange->Abort();
+  }
+  return true;
+}
+
+void PlatformStandin::Respond(const Exchange& exchange, HttpResponse answer,
+                              bool isJson)
+{
+  if (BreaksOff(exchange, answer.base(), answer.body(), answers_, isJson)) {
+    return;
+  }
+  exchange->Respond(std::move(answer),
+                    unframed_ ? BodyFraming::ByClose : BodyFraming::Explicit);
+}
+
 void PlatformStandin::Answer(const Exchange& exchange)
 {
   const std::string request = Field(exchange->Request(), RequestField);
@@ -290,7 +323,7 @@
     answer.set(RequestField, request);
     answer.set("X-Weirgate-Server-Seal", id_);
     AddTerms(answer);
-    exchange->Respond(std::move(answer));
+    Respond(exchange, std::move(answer), false);
     return;
   }
   const int seen =
@@ -307,11 +340,21 @@
   head.set(RequestField, request);
   head.set("X-Weirgate-Server-Seal", id_);
   AddTerms(head);
-  exchange->StartStream(std::move(head));
+  std::string events;
+  std::size_t lastEvent = 0;
   for (int i = first; i <= last; ++i) {
-    exchange->WriteStream(
-      absl::StrCat("id: ", i, "\ndata: ", request, "\n\n"));
+    lastEvent = events.size();
+    absl::StrAppend(&events, "id: ", i, "\ndata: ", request, "\n\n");
+  }
+  // Inside the last event: an end between two would be a sound one.
+  const std::size_t inEvent =
+    lastEvent + 1 + answers_ % (events.size() - lastEvent - 1);
+  if (last == Events && BreaksOff(exchange, head, events, inEvent, true)) {
+    return;
   }
+  exchange->StartStream(std::move(head), unframed_ ? BodyFraming::ByClose
+                                                   : BodyFraming::Explicit);
+  exchange->WriteStream(events);
 }
 
 void PlatformStandin::GoOn()
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -64,6 +64,13 @@
    * says nothing of that.
    */
   void SetRest(double seconds) { rest_ = seconds; }
+  /** \brief Answers come without a length and without chunks; some of them
+   * end too early: streams inside an event, by an orderly close or a reset,
+   * documents at any byte, texts by a reset.
+   */
+  void SetUnframed(bool unframed) { unframed_ = unframed; }
+  /** \brief Answers that ended too early. */
+  int BrokenOff() const { return brokenOff_; }
   /** \brief Refuses all, whatever its conduct. */
   void SetTired(bool tired) { tired_ = tired; }
   /** \brief Refuses what comes next, and then goes on as before. */
@@ -131,6 +138,9 @@
   std::string Load() const;
   void Answer(const Exchange& exchange);
   void Stream(const Exchange& exchange, int first, int last);
+  void Respond(const Exchange& exchange, HttpResponse answer, bool isJson);
+  bool BreaksOff(const Exchange& exchange, HttpHead head,
+                 const std::string& body, std::size_t at, bool mayFinish);
 
   std::string id_;
   std::string address_;
@@ -147,6 +157,9 @@
   std::atomic<bool> leaving_{ false };
   std::atomic<double> rest_{ 0.0 };
   std::atomic<bool> refusesNext_{ false };
+  std::atomic<bool> unframed_{ false };
+  std::atomic<int> brokenOff_{ 0 };
+  std::size_t answers_ = 0; // without a length; on the loop
   std::atomic<bool> tired_{ false };
   std::atomic<int> pieces_{ 0 };
   std::atomic<int> released_{ 0 };
--- a/Tests/Process/wgForwarder.cxx
+++ b/Tests/Process/wgForwarder.cxx
@@ -44,7 +44,14 @@
              sizeof LimitedBuffer);
 }
 
-/** Passes on what has come; false when the connection is over.
+void ResetOnClose(const FileDescriptor& socket)
+{
+  const linger atOnce{ 1, 0 };
+  setsockopt(socket.Get(), SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
+}
+
+/** Passes on what has come; false when the connection is over. One that was
+ * reset is reset on its other side too: there a close would be an end.
  * \param rate null: no limit
  */
 bool Pass(const FileDescriptor& from, const FileDescriptor& to,
@@ -61,7 +68,11 @@
     rate->GiveBack(most - static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
   }
   if (got < 0) {
-    return errno == EAGAIN || errno == EINTR;
+    const bool isOpen = errno == EAGAIN || errno == EINTR;
+    if (!isOpen) {
+      ResetOnClose(to);
+    }
+    return isOpen;
   }
   ssize_t sent = 0;
   while (sent < got) {
@@ -69,6 +80,7 @@
       send(to.Get(), buffer.data() + sent,
            static_cast<std::size_t>(got - sent), MSG_NOSIGNAL);
     if (now < 0 && errno != EAGAIN) {
+      ResetOnClose(from);
       return false;
     }
     sent += std::max<ssize_t>(now, 0);
@@ -77,12 +89,6 @@
   return got > 0;
 }
 
-void ResetOnClose(const FileDescriptor& socket)
-{
-  const linger atOnce{ 1, 0 };
-  setsockopt(socket.Get(), SOL_SOCKET, SO_LINGER, &atOnce, sizeof atOnce);
-}
-
 } // namespace
 
 LinkRate::LinkRate(double bytesPerSecond)
