--- a/Source/Gateway/wgCrashWatch.cxx
+++ b/Source/Gateway/wgCrashWatch.cxx
@@ -62,13 +62,14 @@
   if (++cut->second.probes > MaxProbes) {
     return;
   }
-  ProbeAddress(loop_, known->address, [this, endpoint](ProbeResult result) {
-    if (result == ProbeResult::Refused) {
-      Tell(TakeEnded(cuts_, endpoint));
-    } else {
-      ProbeSoon(endpoint);
-    }
-  });
+  ProbeAddress(loop_, RouteTo(directory_.routes, known->address),
+               [this, endpoint](ProbeResult result) {
+                 if (result == ProbeResult::Refused) {
+                   Tell(TakeEnded(cuts_, endpoint));
+                 } else {
+                   ProbeSoon(endpoint);
+                 }
+               });
 }
 
 void CrashWatch::NoteDirectory()
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -11,6 +11,7 @@
 
 #include "wgDirectoryIndex.h"
 #include "wgElapsed.h"
+#include "wgEndpointRoutes.h"
 #include "wgHallOrders.h"
 #include "wgHallReach.h"
 #include "wgPeer.pb.h"
@@ -31,6 +32,7 @@
   DirectoryIndex index;
   Elapsed forgotten;             // when ended ones were last looked for
   std::uint64_t forgetSteps = 0; // endpoints that were looked at for it
+  EndpointRoutes routes;         // from this box
   HallReach reach;
   HallOrders halls;   // operators' orders, as the control boxes told
   Elapsed hallsHeard; // when a new order was last heard
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -66,6 +66,7 @@
                                           directory_, self, metrics_);
   permits_.SetPeers(*peerClient_, *stages_);
   directory_.reach.own = settings_.hall;
+  directory_.routes = settings_.routes;
   engines_ = std::make_unique<EngineClient>(loop_, *peerClient_, *stages_,
                                             engineCoordinator_, directory_,
                                             settings_.box, metrics_);
@@ -472,7 +473,7 @@
   // What was at the address of a new start before it has closed its
   // connections, or will.
   if (isNew || registration.state() == wire::Registration::GONE) {
-    client_.Forget(endpoint->address);
+    client_.Forget(RouteTo(directory_.routes, endpoint->address));
   }
 }
 
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -35,6 +35,7 @@
   ColdBounds coldBounds;    // but for the rate, which each service has
   std::string cpuShare;     // of a core, as set; empty: not told
   bool isRestarted = false; // and took requests before
+  EndpointRoutes routes;    // to endpoints, where they are not direct
   absl::Duration settleTime = absl::Seconds(3);
   absl::Duration stopLimit = absl::Seconds(7);
 };
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -231,9 +231,9 @@
       self->OnAttemptEnd(end);
     }
   };
-  attempt_->call =
-    shared_.client.Start(endpoint.address, PrintRequest(MakeForward(endpoint)),
-                         options, std::move(handler));
+  attempt_->call = shared_.client.Start(
+    RouteTo(shared_.directory.routes, endpoint.address),
+    PrintRequest(MakeForward(endpoint)), options, std::move(handler));
   shared_.metrics.Count("attempts");
 }
 
--- a/Source/Gateway/wgHallProber.cxx
+++ b/Source/Gateway/wgHallProber.cxx
@@ -65,7 +65,7 @@
   for (const std::size_t place : { first, (first + step) % count }) {
     const DirectoryEndpoint& endpoint =
       EndpointInHall(directory_.index, hall, place);
-    ProbeAddress(loop_, endpoint.address,
+    ProbeAddress(loop_, RouteTo(directory_.routes, endpoint.address),
                  [this, id = endpoint.id](ProbeResult result) {
                    TakeSuspected(id, result);
                  });
@@ -125,13 +125,14 @@
 
 void HallProber::Connect(const DirectoryEndpoint& endpoint)
 {
-  ProbeAddress(
-    loop_, endpoint.address, [this, id = endpoint.id](ProbeResult result) {
-      const DirectoryEndpoint* reached = FindEndpoint(directory_, id);
-      if (result == ProbeResult::Connected && reached != nullptr) {
-        Reached(*reached);
-      }
-    });
+  ProbeAddress(loop_, RouteTo(directory_.routes, endpoint.address),
+               [this, id = endpoint.id](ProbeResult result) {
+                 const DirectoryEndpoint* reached =
+                   FindEndpoint(directory_, id);
+                 if (result == ProbeResult::Connected && reached != nullptr) {
+                   Reached(*reached);
+                 }
+               });
 }
 
 } // namespace wg
--- a/Source/Gateway/wgResultReleaser.cxx
+++ b/Source/Gateway/wgResultReleaser.cxx
@@ -91,8 +91,9 @@
       confirmed_(handles);
     }
   };
-  calls_[number] = client_.Start(address, PrintRequest(std::move(request)), {},
-                                 std::move(handler));
+  calls_[number] =
+    client_.Start(RouteTo(directory_.routes, address),
+                  PrintRequest(std::move(request)), {}, std::move(handler));
 }
 
 } // namespace wg
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -67,8 +67,8 @@
   };
   handler.onEnd = [this, number](HttpCallEnd end) { OnCallEnd(number, end); };
   open.http =
-    client_.Start(endpoint->address, PrintRequest(std::move(request)), {},
-                  std::move(handler));
+    client_.Start(RouteTo(directory_.routes, endpoint->address),
+                  PrintRequest(std::move(request)), {}, std::move(handler));
   for (const StagePiece& piece : open.call.pieces) {
     metrics_.NoteLatency("stage_wait", now - piece.arrived);
   }
--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <filesystem>
+#include <functional>
 #include <memory>
 #include <string>
 #include <vector>
@@ -118,6 +119,13 @@
    */
   void SetDaemon(std::string path) { daemon_ = std::move(path); }
 
+  /** \brief All gateways that start from now on get these flags too. */
+  void SetGatewayFlags(
+    std::function<std::vector<std::string>(int gateway)> flags)
+  {
+    gatewayFlags_ = std::move(flags);
+  }
+
   void StartGateway(int index)
   {
     std::vector<std::string> arguments = Common("gateway", index);
@@ -139,6 +147,10 @@
       arguments.emplace_back("--cold-overrun=1.5");
       arguments.emplace_back("--cold-slack=5");
     }
+    if (gatewayFlags_) {
+      const auto more = gatewayFlags_(index);
+      arguments.insert(arguments.end(), more.begin(), more.end());
+    }
     gateways_[index] = std::make_unique<Process>(
       arguments, (folder_ / (Name("g", index) + ".log")).string());
   }
@@ -300,6 +312,11 @@
     return reply && reply->status == 200 ? reply->body : "";
   }
   int FreePort() { return ports_.Take(); }
+  /** A path of a file in the cluster's folder. */
+  std::string FileAt(const std::string& name) const
+  {
+    return (folder_ / name).string();
+  }
   int Gateways() const { return static_cast<int>(gateways_.size()); }
   static constexpr int Controls = 3;
 
@@ -320,6 +337,7 @@
              "--controls=" + absl::StrJoin(controls, ",") };
   }
 
+  std::function<std::vector<std::string>(int)> gatewayFlags_;
   std::string daemon_; // empty: the one that was built with the tests
   std::vector<std::string> halls_;
   std::vector<std::string> controlHalls_;
--- a/Tests/Process/wgForwarder.cxx
+++ b/Tests/Process/wgForwarder.cxx
@@ -145,12 +145,48 @@
   return answerRate_;
 }
 
+/** A queue without room drops opening packets, as a cut link does. */
+void Forwarder::TakePath(NoPath path)
+{
+  constexpr int fillers = 3;
+  fillers_.clear();
+  if (path == NoPath::Hang) {
+    listen(listening_.Get(), 0);
+    for (int i = 0; i < fillers; ++i) {
+      auto filler = StartConnectTcp({ "127.0.0.1", listenPort_ });
+      if (Succeeded(filler)) {
+        fillers_.push_back(std::move(Value(filler)));
+      }
+    }
+    return;
+  }
+  listening_.Close();
+  if (path != NoPath::None) {
+    return;
+  }
+  auto listening = ListenTcp({ "127.0.0.1", listenPort_ });
+  if (Succeeded(listening)) {
+    listening_ = std::move(Value(listening));
+  }
+}
+
 void Forwarder::Run()
 {
   std::list<Wire> wires;
+  NoPath path = NoPath::None;
   while (!stopping_) {
-    std::vector<pollfd> polled = { { listening_.Get(), POLLIN, 0 } };
-    if (!cut_) {
+    if (const NoPath wanted = path_; wanted != path) {
+      path = wanted;
+      TakePath(path);
+      if (path == NoPath::Reset) {
+        reset_ = true;
+      }
+    }
+    const bool hangs = path == NoPath::Hang;
+    const bool isClosed = path != NoPath::None;
+    std::vector<pollfd> polled = { { isClosed ? -1 : listening_.Get(), POLLIN,
+                                     0 } };
+    if (!cut_ && !hangs) {
       for (const Wire& wire : wires) {
         polled.push_back({ wire.near.Get(), POLLIN, 0 });
         polled.push_back({ wire.far.Get(), POLLIN, 0 });
@@ -158,7 +194,8 @@
     }
     poll(polled.data(), polled.size(), PollMs);
     FileDescriptor near(
-      accept4(listening_.Get(), nullptr, nullptr, SOCK_NONBLOCK));
+      isClosed ? -1
+               : accept4(listening_.Get(), nullptr, nullptr, SOCK_NONBLOCK));
     if (near.IsOpen()) {
       auto far = StartConnectTcp({ "127.0.0.1", targetPort_ });
       if (Succeeded(far)) {
@@ -172,7 +209,7 @@
       }
       wires.clear();
     }
-    if (cut_) {
+    if (cut_ || hangs) {
       continue;
     }
     if (const int ms = delayMs_; ms > 0) {
--- a/Tests/Process/wgForwarder.h
+++ b/Tests/Process/wgForwarder.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <mutex>
 #include <thread>
+#include <vector>
 
 #include "wgSocket.h"
 
@@ -46,6 +47,16 @@
   Forwarder(int listenPort, int targetPort);
   ~Forwarder();
   void Cut() { cut_ = true; }
+  /** \brief What becomes of connections over a wire without a path. */
+  enum class NoPath
+  {
+    Hang,   // no packet passes: new ones are not answered
+    Reset,  // open ones are reset, new ones refused
+    LiveOn, // open ones go on, new ones are refused
+    None    // there is a path
+  };
+  /** \brief Takes the path away, or gives it back. */
+  void SetPath(NoPath path) { path_ = path; }
   /** \brief Passes requests on and no answers. */
   void CutAnswers() { answersCut_ = true; }
   /** \brief Holds all that passes for so long. */
@@ -65,11 +76,14 @@
 
 private:
   void Run();
+  void TakePath(NoPath path);
   std::shared_ptr<LinkRate> AnswerRate();
 
   int listenPort_;
   int targetPort_;
   FileDescriptor listening_;
+  std::atomic<NoPath> path_{ NoPath::None };
+  std::vector<FileDescriptor> fillers_; // of the queue of new connections
   std::atomic<bool> cut_{ false };
   std::atomic<bool> answersCut_{ false };
   std::atomic<bool> reset_{ false };
--- a/Utilities/Daemon/wgSettings.cxx
+++ b/Utilities/Daemon/wgSettings.cxx
@@ -67,6 +67,12 @@
                   "gateway: IP:port where it tells whether it is "
                   "ready",
                   ""))
+    , endpointRoutes_(
+        Text("endpoint-routes",
+             "gateway: a file with two addresses a line, the one that an "
+             "endpoint registers and the one under which this box reaches "
+             "it; empty: each is reached where it registers",
+             ""))
     , metrics_(Text("metrics", "IP:port for metrics; empty: none", ""))
     , api_(Text("api",
                 "control: IP:port for endpoints that register and "
@@ -276,6 +282,7 @@
   TextFlag hall_;
   TextFlag listen_;
   TextFlag ready_;
+  TextFlag endpointRoutes_;
   TextFlag metrics_;
   TextFlag api_;
   TextFlag found_;
@@ -536,6 +543,13 @@
   gateway.coldBounds.overrun = coldOverrun_.getValue();
   gateway.coldBounds.slack = coldSlack_.getValue();
   gateway.cpuShare = cpuShare_.getValue();
+  if (!endpointRoutes_.getValue().empty()) {
+    auto routes = ReadEndpointRoutes(endpointRoutes_.getValue());
+    if (!Succeeded(routes)) {
+      return Error{ Message(routes) };
+    }
+    gateway.routes = std::move(Value(routes));
+  }
   gateway.isRestarted = found_.getValue() != "true";
   gateway.settleTime = absl::Milliseconds(settle_.getValue());
   gateway.stopLimit = graceS_.getValue() > 0
