--- /dev/null
+++ b/Tests/Platform/wgPlatformNoPathTest.cxx
@@ -0,0 +1,215 @@
+// SPDX-License-Identifier: Apache-2.0
+// Some boxes reach no endpoint; callers and the other boxes reach them.
+#include <atomic>
+#include <fstream>
+#include <map>
+#include <mutex>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
+
+#include "wgPlatformCluster.h"
+#include "wgPlatformStandin.h"
+
+namespace {
+
+using wg::test::Await;
+using wg::test::Forwarder;
+using wg::test::Local;
+using wg::test::PlatformCluster;
+using wg::test::PlatformStandin;
+using NoPath = Forwarder::NoPath;
+
+constexpr int Ok = 200;
+constexpr int Boxes = 4;
+/** What the users allow boxes to take until all have been told. */
+constexpr absl::Duration ContactTime = absl::Seconds(3);
+
+/** Gateways that reach each endpoint over a wire of their own. */
+struct WiredCluster
+{
+  WiredCluster()
+  {
+    for (const char* service : { "plain", "llm", "enc" }) {
+      for (int i = 0; i < 2; ++i) {
+        endpoints.push_back(
+          std::make_unique<PlatformStandin>(absl::StrCat("i-", service, i)));
+        services.emplace_back(service);
+      }
+    }
+    cluster.SetGatewayFlags([this](int gateway) {
+      return std::vector<std::string>{ "--endpoint-routes=" +
+                                       WriteRoutes(gateway) };
+    });
+    for (int i = 0; i < Boxes; ++i) {
+      cluster.Gateway(i).Kill();
+      cluster.StartGateway(i);
+    }
+    cluster.AwaitServing();
+    heartbeats = std::thread([this] {
+      while (!stopping) {
+        for (std::size_t i = 0; i < endpoints.size(); ++i) {
+          endpoints[i]->Register(cluster.Api(0), services[i]);
+        }
+        absl::SleepFor(absl::Milliseconds(300));
+      }
+    });
+    for (int i = 0; i < Boxes; ++i) {
+      for (const char* path : { "/p/x", "/s/x", "/r/x" }) {
+        Await("a box to serve", [&] { return Send(i, path) == Ok; });
+      }
+    }
+  }
+  ~WiredCluster()
+  {
+    stopping = true;
+    heartbeats.join();
+  }
+
+  /** A wire of the gateway to each endpoint, and the file that names them. */
+  std::string WriteRoutes(int gateway)
+  {
+    auto& own = wires[gateway];
+    const std::string path = cluster.FileAt(absl::StrCat("routes", gateway));
+    std::ofstream file(path);
+    for (std::size_t i = 0; i < endpoints.size(); ++i) {
+      if (own.size() <= i) {
+        ports[gateway].push_back(cluster.FreePort());
+        own.push_back(std::make_unique<Forwarder>(ports[gateway].back(),
+                                                  endpoints[i]->Port()));
+      }
+      file << endpoints[i]->Address() << " " << Local(ports[gateway][i])
+           << "\n";
+    }
+    return path;
+  }
+
+  void SetPath(int gateway, NoPath path)
+  {
+    for (const auto& wire : wires[gateway]) {
+      wire->SetPath(path);
+    }
+  }
+
+  int Send(int gateway, const std::string& path)
+  {
+    const auto reply =
+      cluster.Send(gateway, path, absl::StrCat("request", ++requests));
+    return reply ? reply->status : 0;
+  }
+
+  std::vector<std::unique_ptr<PlatformStandin>> endpoints;
+  std::vector<std::string> services;
+  std::map<int, std::vector<int>> ports;
+  std::map<int, std::vector<std::unique_ptr<Forwarder>>> wires;
+  std::atomic<bool> stopping{ false };
+  std::atomic<int> requests{ 0 };
+  PlatformCluster cluster{ Boxes };
+  std::thread heartbeats;
+};
+
+/** First tries of callers at some boxes, and those that were served. */
+struct Tries
+{
+  int all = 0;
+  int served = 0;
+  double Share() const { return all == 0 ? 0.0 : 1.0 * served / all; }
+};
+
+/** Sends to each box for so long, a request every few milliseconds. */
+std::vector<Tries> SendToAll(WiredCluster& f, absl::Duration time)
+{
+  std::vector<Tries> tries(Boxes);
+  std::vector<std::thread> threads;
+  std::mutex mutex;
+  for (int box = 0; box < Boxes; ++box) {
+    for (const char* path : { "/p/x", "/s/x", "/r/x" }) {
+      threads.emplace_back([&, box, path] {
+        const absl::Time until = absl::Now() + time;
+        while (absl::Now() < until) {
+          const bool served = f.Send(box, path) == Ok;
+          {
+            const std::lock_guard<std::mutex> lock(mutex);
+            ++tries[static_cast<std::size_t>(box)].all;
+            tries[static_cast<std::size_t>(box)].served += served ? 1 : 0;
+          }
+          absl::SleepFor(absl::Milliseconds(15));
+        }
+      });
+    }
+  }
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  return tries;
+}
+
+/** The users' bound: served at least two thirds as often as at the others, or
+ * no more than 10 + 1 in 50 of all tries fail.
+ */
+void CheckServed(const std::vector<Tries>& tries, int cut)
+{
+  Tries away;
+  Tries others;
+  for (int box = 0; box < Boxes; ++box) {
+    Tries& sum = box < cut ? away : others;
+    sum.all += tries[static_cast<std::size_t>(box)].all;
+    sum.served += tries[static_cast<std::size_t>(box)].served;
+  }
+  INFO(away.served << " of " << away.all << " served at boxes without a path, "
+                   << others.served << " of " << others.all << " at others");
+  const int failed = away.all - away.served;
+  const bool isBroken =
+    failed > 10 + away.all / 50 && away.Share() < others.Share() * 2 / 3;
+  CHECK_FALSE(isBroken);
+  CHECK(others.Share() > 0.9);
+}
+
+void CheckWithoutPath(NoPath way, int cut)
+{
+  WiredCluster f;
+  for (int box = 0; box < cut; ++box) {
+    f.SetPath(box, way);
+  }
+  SendToAll(f, ContactTime);
+  CheckServed(SendToAll(f, absl::Seconds(4)), cut);
+  for (int box = 0; box < cut; ++box) {
+    f.SetPath(box, NoPath::None);
+  }
+  for (int box = 0; box < Boxes; ++box) {
+    for (const char* path : { "/p/x", "/s/x", "/r/x" }) {
+      CHECK(wg::test::WaitFor([&] { return f.Send(box, path) == Ok; }));
+    }
+  }
+  for (const auto& endpoint : f.endpoints) {
+    CHECK(endpoint->UnsoundPieces() == 0);
+  }
+}
+
+} // namespace
+
+TEST_CASE("Boxes without a path to endpoints serve their callers",
+          "[boxes-without-path]")
+{
+  SECTION("connections hang, one box")
+  {
+    CheckWithoutPath(NoPath::Hang, 1);
+  }
+  SECTION("connections hang, most boxes")
+  {
+    CheckWithoutPath(NoPath::Hang, 3);
+  }
+  SECTION("connections are reset, most boxes")
+  {
+    CheckWithoutPath(NoPath::Reset, 3);
+  }
+  SECTION("connections live on, new ones are refused, most boxes")
+  {
+    CheckWithoutPath(NoPath::LiveOn, 3);
+  }
+}
