--- a/Tests/Platform/wgPlatformAnswerEndTest.cxx
+++ b/Tests/Platform/wgPlatformAnswerEndTest.cxx
@@ -215,7 +215,7 @@
   CallerAnswer Send()
   {
     const std::string id = absl::StrCat("request", ++requests);
-    const CallerAnswer answer = Ask(cluster.Listen(0), kind->path, id);
+    CallerAnswer answer = Ask(cluster.Listen(0), kind->path, id);
     const std::lock_guard<std::mutex> lock(mutex);
     wasResumed = attempts[id] > 1;
     return answer;
