--- a/Source/Control/wgBoxList.cxx
+++ b/Source/Control/wgBoxList.cxx
@@ -12,7 +12,8 @@
 bool SaysTheSame(const wire::Follower& left, const wire::Follower& right)
 {
   return left.hall() == right.hall() && left.address() == right.address() &&
-         left.cpu_milli() == right.cpu_milli() && left.gone() == right.gone();
+         left.cpu_milli() == right.cpu_milli() &&
+         left.no_path() == right.no_path() && left.gone() == right.gone();
 }
 
 void SetBox(BoxList& list, const std::string& name, BoxList::Entry& entry,
--- a/Source/Control/wgFollowers.cxx
+++ b/Source/Control/wgFollowers.cxx
@@ -295,6 +295,7 @@
     listed.set_hall(box.hall);
     listed.set_address(box.address);
     listed.set_cpu_milli(box.cpuMilli);
+    listed.set_no_path(request.no_path());
     ListBox(followers.own, OwnTeller, listed, now);
     ListBox(followers.all, OwnTeller, listed, now);
   }
--- a/Source/Gateway/wgHallReach.cxx
+++ b/Source/Decision/wgHallReach.cxx
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::size_t EnoughUnreached = 2;
+constexpr std::size_t EnoughFailed = 2;
+constexpr int EnoughTried = 2;
 /** Two halls are lost at the same time by their own doing less often than by
  * that of the one that lost them.
  */
@@ -79,8 +81,47 @@
 
 bool IsCutOff(const HallReach& reach, absl::string_view hall)
 {
+  if (reach.isIsolated) {
+    return false;
+  }
   auto found = reach.halls.find(std::string(hall));
   return found != reach.halls.end() && found->second.isCut;
 }
 
+void NoteConnected(HallReach& reach)
+{
+  reach.failed.clear();
+}
+
+bool NoteConnectFailed(HallReach& reach, absl::string_view endpoint,
+                       Elapsed now)
+{
+  if (reach.failed.empty() || now - reach.firstFailed > EvidenceAge) {
+    reach.failed.clear();
+    reach.firstFailed = now;
+  }
+  reach.failed.emplace(endpoint);
+  return reach.failed.size() >= EnoughFailed;
+}
+
+bool ShowsNoPath(const PathTrial& trial)
+{
+  return trial.tried >= EnoughTried &&
+         trial.refused + trial.unanswered == trial.tried;
+}
+
+bool Isolate(HallReach& reach)
+{
+  return !std::exchange(reach.isIsolated, true);
+}
+
+bool EndIsolation(HallReach& reach)
+{
+  reach.failed.clear();
+  for (auto& [name, evidence] : reach.halls) {
+    evidence = {};
+  }
+  return std::exchange(reach.isIsolated, false);
+}
+
 } // namespace wg
--- /dev/null
+++ b/Source/Decision/wgRelayChoice.cxx
@@ -0,0 +1,57 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgRelayChoice.h"
+
+#include <algorithm>
+
+namespace wg {
+namespace {
+
+/** Offers are asked for twice a second. */
+constexpr absl::Duration OfferMemory = absl::Seconds(2);
+/** A relayed call takes some 0.4 ms of a core, and lasts a second or so: a
+ * box spends a tenth of its share on as many as these.
+ */
+constexpr std::uint32_t MilliPerCall = 4;
+constexpr int LeastRelayed = 8;
+constexpr std::uint32_t UnknownMilli = 250;
+constexpr int MostRelayed = 512;
+constexpr double OtherHallLoad = 0.25;
+
+double LoadOf(const RelayOffer& offer)
+{
+  const double share =
+    static_cast<double>(offer.open + offer.openHere) / offer.most;
+  return offer.isNear ? share : share + OtherHallLoad;
+}
+
+} // namespace
+
+int MostRelayedCalls(std::uint32_t cpuMilli)
+{
+  const std::uint32_t milli = cpuMilli == 0 ? UnknownMilli : cpuMilli;
+  const auto calls = static_cast<int>(
+    std::min<std::uint32_t>(milli / MilliPerCall, MostRelayed));
+  return std::max(calls, LeastRelayed);
+}
+
+bool IsUsable(const RelayOffer& offer, Elapsed now)
+{
+  return now - offer.told <= OfferMemory && now >= offer.avoidUntil &&
+         offer.open + offer.openHere < offer.most;
+}
+
+std::optional<std::size_t> ChooseRelay(absl::Span<const RelayOffer> offers,
+                                       Elapsed now)
+{
+  std::optional<std::size_t> best;
+  for (std::size_t i = 0; i < offers.size(); ++i) {
+    const bool isBetter = IsUsable(offers[i], now) &&
+                          (!best || LoadOf(offers[i]) < LoadOf(offers[*best]));
+    if (isBetter) {
+      best = i;
+    }
+  }
+  return best;
+}
+
+} // namespace wg
--- a/Source/Gateway/wgConnectionProbe.cxx
+++ b/Source/Gateway/wgConnectionProbe.cxx
@@ -32,20 +32,10 @@
   LoopTimer timer;
 };
 
-ProbeResult ResultOf(boost::system::error_code error)
-{
-  if (!error) {
-    return ProbeResult::Connected;
-  }
-  const bool isRefused = error == boost::asio::error::connection_refused ||
-                         error == boost::asio::error::connection_reset;
-  return isRefused ? ProbeResult::Refused : ProbeResult::NoAnswer;
-}
-
 } // namespace
 
 void ProbeAddress(EventLoop& loop, const std::string& address,
-                  std::function<void(ProbeResult)> done)
+                  std::function<void(ConnectResult)> done)
 {
   const Outcome<tcp::endpoint> parsed = ParseTcpEndpoint(address);
   if (!Succeeded(parsed)) {
@@ -63,7 +53,7 @@
     Value(parsed),
     [probe, done = std::move(done)](boost::system::error_code error) {
       probe->timer.cancel();
-      done(ResultOf(error));
+      done(ConnectResultOf(error));
     });
 }
 
--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -295,6 +295,7 @@
     member.box = follower.box();
     member.hall = follower.hall();
     member.address = follower.address();
+    member.noPath = follower.no_path();
     if (IsValidCpuShare(follower.cpu_milli())) {
       member.cpuMilli = follower.cpu_milli();
     } else if (follower.cpu_milli() != 0 && handler_.onUnsoundShare) {
@@ -425,7 +426,9 @@
       // until all lists tell the new one, so that the choice changes once.
       GatewayMember& merged = members[member.box];
       const std::uint32_t share = std::max(merged.cpuMilli, member.cpuMilli);
+      const bool noPath = merged.noPath || member.noPath;
       merged = member;
+      merged.noPath = noPath;
       merged.cpuMilli = share;
     }
   }
--- a/Source/Gateway/wgCrashTracker.h
+++ b/Source/Gateway/wgCrashTracker.h
@@ -34,6 +34,10 @@
   /** \brief Before anything is told; the client outlives this. */
   void SetPeers(PeerClient& peers) { peers_ = &peers; }
 
+  void SetConfirmPath(CrashWatch::ConfirmPath confirm)
+  {
+    watch_.SetConfirmPath(std::move(confirm));
+  }
   /** \brief An attempt of a request was cut off after it was sent. */
   void Cut(absl::string_view endpoint, absl::string_view fingerprint)
   {
--- a/Source/Gateway/wgCrashWatch.cxx
+++ b/Source/Gateway/wgCrashWatch.cxx
@@ -63,15 +63,32 @@
     return;
   }
   ProbeAddress(loop_, RouteTo(directory_.routes, known->address),
-               [this, endpoint](ProbeResult result) {
-                 if (result == ProbeResult::Refused) {
-                   Tell(TakeEnded(cuts_, endpoint));
+               [this, endpoint](ConnectResult result) {
+                 if (result == ConnectResult::Refused) {
+                   ConfirmEnd(endpoint);
                  } else {
                    ProbeSoon(endpoint);
                  }
                });
 }
 
+/** Where this box reaches no endpoint, a refusal says nothing of one. */
+void CrashWatch::ConfirmEnd(const std::string& endpoint)
+{
+  const auto take = [this, endpoint](bool hasPath) {
+    if (hasPath) {
+      Tell(TakeEnded(cuts_, endpoint));
+    } else {
+      ProbeSoon(endpoint);
+    }
+  };
+  if (confirmPath_) {
+    confirmPath_(take);
+  } else {
+    take(true);
+  }
+}
+
 void CrashWatch::NoteDirectory()
 {
   if (!cuts_.endpoints.empty()) {
--- a/Source/Gateway/wgCrashWatch.h
+++ b/Source/Gateway/wgCrashWatch.h
@@ -27,6 +27,15 @@
   CrashWatch(EventLoop& loop, Directory& directory, DecisionLog& log,
              GatewayMetrics& metrics, OnEnded onEnded);
 
+  using ConfirmPath = std::function<void(std::function<void(bool hasPath)>)>;
+  /** \brief How it is found out whether this box reaches any endpoint; without
+   * it, it does.
+   */
+  void SetConfirmPath(ConfirmPath confirm)
+  {
+    confirmPath_ = std::move(confirm);
+  }
+
   /** \brief An attempt of a request was cut off after it was sent. */
   void Cut(absl::string_view endpoint, absl::string_view fingerprint);
   void Alive(absl::string_view endpoint) { NoteAlive(cuts_, endpoint); }
@@ -36,6 +45,7 @@
 private:
   void ProbeSoon(const std::string& endpoint);
   void Probe(const std::string& endpoint);
+  void ConfirmEnd(const std::string& endpoint);
   void Tell(const std::vector<EndedEndpoint>& ended);
 
   EventLoop& loop_;
@@ -43,6 +53,7 @@
   DecisionLog& log_;
   GatewayMetrics& metrics_;
   OnEnded onEnded_;
+  ConfirmPath confirmPath_;
   CutAttempts cuts_;
 };
 
--- a/Source/Gateway/wgEndpointRoutes.cxx
+++ b/Source/Gateway/wgEndpointRoutes.cxx
@@ -12,11 +12,28 @@
 
 namespace wg {
 
+namespace {
+
+using Addresses = std::map<std::string, std::string>;
+
+const std::string& Find(const Addresses& addresses, const std::string& address)
+{
+  const auto found = addresses.find(address);
+  return found == addresses.end() ? address : found->second;
+}
+
+} // namespace
+
 const std::string& RouteTo(const EndpointRoutes& routes,
                            const std::string& address)
 {
-  const auto found = routes.via.find(address);
-  return found == routes.via.end() ? address : found->second;
+  return Find(routes.via, address);
+}
+
+const std::string& RegisteredAt(const EndpointRoutes& routes,
+                                const std::string& address)
+{
+  return Find(routes.registered, address);
 }
 
 Outcome<EndpointRoutes> ReadEndpointRoutes(const std::string& path)
@@ -44,6 +61,7 @@
                                  "which this box reaches it.") };
     }
     routes.via[words[0]] = words[1];
+    routes.registered[words[1]] = words[0];
   }
   return routes;
 }
--- a/Source/Gateway/wgEndpointRoutes.h
+++ b/Source/Gateway/wgEndpointRoutes.h
@@ -14,6 +14,7 @@
 struct EndpointRoutes
 {
   std::map<std::string, std::string> via;
+  std::map<std::string, std::string> registered; // the other way round
 };
 
 /** \brief The address to connect to for an endpoint that registered this one.
@@ -21,6 +22,12 @@
 const std::string& RouteTo(const EndpointRoutes& routes,
                            const std::string& address);
 
+/** \brief The address that an endpoint registered which is reached at this
+ * one.
+ */
+const std::string& RegisteredAt(const EndpointRoutes& routes,
+                                const std::string& address);
+
 /** \brief Reads a file with a line "REGISTERED REACHED" for each address. */
 Outcome<EndpointRoutes> ReadEndpointRoutes(const std::string& path);
 
--- a/Source/Gateway/wgEngineClient.cxx
+++ b/Source/Gateway/wgEngineClient.cxx
@@ -97,15 +97,20 @@
   ask.set_box(box_);
   ask.set_read(read.read);
   ask.set_pool_hall(read.pool.hall);
+  AskCoordinator(ask, read, std::move(chosen));
+}
+
+void EngineClient::AskCoordinator(const wire::EngineAsk& ask,
+                                  const PlacedRead& read, Chosen chosen)
+{
   if (const GatewayMember* member = members_.CoordinatorOf(read.pool)) {
     AskPeer(*member, ask, read, std::move(chosen));
     return;
   }
   // Not at once, as if another box were asked.
-  boost::asio::post(
-    loop_, [this, ask = std::move(ask), read, chosen = std::move(chosen)] {
-      chosen(read, own_.Place(ask));
-    });
+  boost::asio::post(loop_, [this, ask, read, chosen = std::move(chosen)] {
+    chosen(read, own_.Place(ask));
+  });
 }
 
 void EngineClient::AskPeer(const GatewayMember& member,
@@ -113,18 +118,23 @@
                            Chosen chosen)
 {
   peers_.Call(member.address, "/engine", ask.SerializeAsString(), AskTimeout,
-              [this, box = member.box, read,
+              [this, box = member.box, ask, read,
                chosen = std::move(chosen)](Outcome<std::string> reply) {
-                boost::asio::post(
-                  loop_, [this, box, read, chosen, reply = std::move(reply)] {
-                    wire::EngineAnswer answer;
-                    if (!Succeeded(reply) ||
-                        !answer.ParseFromString(Value(reply))) {
-                      metrics_.Count("engine_coordinators_silent");
-                      members_.Doubt(box);
-                    }
-                    chosen(read, answer);
-                  });
+                boost::asio::post(loop_, [this, box, ask, read, chosen,
+                                          reply = std::move(reply)] {
+                  wire::EngineAnswer answer;
+                  if (!Succeeded(reply) ||
+                      !answer.ParseFromString(Value(reply))) {
+                    metrics_.Count("engine_coordinators_silent");
+                    members_.Doubt(box);
+                  }
+                  if (answer.no_path()) {
+                    members_.NoteNoPath(box);
+                    AskCoordinator(ask, read, chosen);
+                    return;
+                  }
+                  chosen(read, answer);
+                });
               });
 }
 
--- a/Source/Gateway/wgEngineClient.h
+++ b/Source/Gateway/wgEngineClient.h
@@ -63,6 +63,8 @@
   };
 
   void Gather(const StagePoolKey& pool);
+  void AskCoordinator(const wire::EngineAsk& ask, const PlacedRead& read,
+                      Chosen chosen);
   void AskPeer(const GatewayMember& member, const wire::EngineAsk& ask,
                const PlacedRead& read, Chosen chosen);
 
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -21,6 +21,15 @@
 /** A box that has just started serves after about this time, in seconds. */
 constexpr absl::string_view RetryAfterStart = "1.20";
 
+/** Whoever asked this box as a coordinator asks the next one. */
+template <class Answer>
+void RespondNoPath(const PeerServer::Respond& respond)
+{
+  Answer answer;
+  answer.set_no_path(true);
+  respond(answer.SerializeAsString());
+}
+
 } // namespace
 
 GatewayNode::GatewayNode(GatewaySettings settings, const Dialect& dialect)
@@ -72,10 +81,26 @@
                                             settings_.box, metrics_);
   reservations_ = std::make_unique<ReservationClient>(
     loop_, *peerClient_, *stages_, coordinator_, settings_.box, metrics_);
+  const std::string& key = settings_.keys[std::string(PeerName)];
+  relayServer_ = std::make_unique<RelayServer>(loop_, client_, directory_, key,
+                                               metrics_, log_);
+  relays_ = std::make_unique<RelayClient>(
+    loop_, client_, directory_, *peerClient_, *stages_, settings_.box,
+    settings_.hall, key, metrics_);
   shared_.reset(new GatewayShared{
-    loop_, dialect_, directory_, client_, *stages_, *reservations_, *engines_,
+    loop_, dialect_, directory_, *relays_, *stages_, *reservations_, *engines_,
     halls_, crashes_, terms_, permits_, metrics_, log_, settings_.hall,
     settings_.retryRules, tallies_, settings_.admission });
+  client_.OnConnect([this](const std::string& address, ConnectResult result) {
+    const DirectoryEndpoint* endpoint =
+      FindByAddress(directory_, RegisteredAt(directory_.routes, address));
+    if (endpoint != nullptr) {
+      halls_.Tried(*endpoint, result);
+    }
+  });
+  halls_.SetOnPath([this](bool hasPath) { OnPath(hasPath); });
+  crashes_.SetConfirmPath(
+    [this](HallProber::OnPath done) { halls_.ConfirmPath(std::move(done)); });
   coordinator_.SetTallies(tallies_);
   coordinator_.SetRetryRules(settings_.retryRules);
   engineCoordinator_.SetColdBounds(settings_.coldBounds);
@@ -91,6 +116,13 @@
   if (auto listening = Listen(); !Succeeded(listening)) {
     return listening;
   }
+  if (!settings_.relay.empty()) {
+    auto relaying =
+      relayServer_->Start(settings_.relay, MostRelayedCalls(cpuMilli_));
+    if (!Succeeded(relaying)) {
+      return relaying;
+    }
+  }
   FollowHandler handler;
   handler.onDocument = [this](const ReceivedDocument& document) {
     return OnDocument(document);
@@ -102,6 +134,7 @@
     OnRollouts(rollouts);
   };
   handler.fill = [this](wire::FollowRequest& request) {
+    request.set_no_path(directory_.reach.isIsolated);
     TellTallies(tallies_, settings_.box, request);
   };
   handler.onRegistration = [this](const wire::Registration& registration) {
@@ -256,6 +289,10 @@
     boost::asio::post(loop_, [this, body = request.body, respond] {
       wire::EngineAsk ask;
       const bool taken = !stopping_ && ask.ParseFromString(body);
+      if (taken && directory_.reach.isIsolated) {
+        RespondNoPath<wire::EngineAnswer>(respond);
+        return;
+      }
       respond(taken ? engineCoordinator_.Place(ask).SerializeAsString() : "");
     });
     return true;
@@ -289,6 +326,10 @@
     boost::asio::post(loop_, [this, body = request.body, respond] {
       wire::SendAsk ask;
       const bool taken = !stopping_ && ask.ParseFromString(body);
+      if (taken && directory_.reach.isIsolated) {
+        RespondNoPath<wire::SendAnswer>(respond);
+        return;
+      }
       respond(taken ? permits_.Grant(ask).SerializeAsString() : "");
     });
     return true;
@@ -313,6 +354,10 @@
     boost::asio::post(loop_, [this, body = request.body, respond] {
       wire::StageReserve ask;
       const bool taken = !stopping_ && ask.ParseFromString(body);
+      if (taken && directory_.reach.isIsolated) {
+        RespondNoPath<wire::StageReserveAnswer>(respond);
+        return;
+      }
       respond(taken ? coordinator_.Reserve(ask).SerializeAsString() : "");
     });
     return true;
@@ -345,6 +390,10 @@
         respond("");
         return;
       }
+      if (directory_.reach.isIsolated) {
+        RespondNoPath<wire::StageReply>(respond);
+        return;
+      }
       coordinator_.Submit(work, [respond](const wire::StageReply& reply) {
         respond(reply.SerializeAsString());
       });
@@ -372,6 +421,12 @@
     respond("");
     return;
   }
+  if (request.path == "/relay-offer") {
+    boost::asio::post(loop_, [this, respond] {
+      respond(relayServer_->Offer().SerializeAsString());
+    });
+    return;
+  }
   if (request.path == "/alive") {
     boost::asio::post(loop_, [this, respond] {
       respond(stopping_ ? "" : std::string(AliveReply));
@@ -421,6 +476,29 @@
   boost::asio::post(loop_, [this, hall] { stages_->NoteHallCut(hall); });
 }
 
+/** What failed on the way says nothing of endpoints. */
+void GatewayNode::OnPath(bool hasPath)
+{
+  metrics_.Count(hasPath ? "paths_regained" : "paths_lost");
+  for (auto& [id, endpoint] : directory_.endpoints) {
+    endpoint.avoidUntil = Elapsed();
+    endpoint.failuresInRow = 0;
+  }
+  const bool hang = halls_.ConnectionsHang();
+  relays_->SetHasPath(hasPath, hang);
+  coordinator_.SetHasPath(hasPath, settings_.box, hang);
+  // Not at once: a request that is at work may have brought the news.
+  boost::asio::post(loop_, [this, hasPath, hang] {
+    stages_->SetHasPath(hasPath);
+    const auto open = requests_;
+    for (const std::shared_ptr<GatewayRequest>& request : open) {
+      if (!hasPath && hang) {
+        request->NotePathLost();
+      }
+    }
+  });
+}
+
 /** From now on nothing new is sent to endpoints of an evacuated hall. */
 void GatewayNode::OnHallOrders(const HallOrders& orders)
 {
@@ -496,6 +574,7 @@
   log_.Write(LogWeight::Notable, "stop_begun",
              { { "requests_open", requests_.size() } });
   callers_->StartDraining(settings_.settleTime);
+  relayServer_->Stop();
   CheckStop();
 }
 
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -15,6 +15,7 @@
 #include "wgHttpServer.h"
 #include "wgLoopTimer.h"
 #include "wgPeerServer.h"
+#include "wgRelayServer.h"
 #include "wgVersionTallies.h"
 
 namespace wg {
@@ -28,6 +29,7 @@
   std::string ready;       // address for readiness and metrics
   std::string metrics;     // address for metrics alone; empty: none
   std::string peerAddress; // for weirgate's own processes
+  std::string relay;       // address for calls of other boxes; empty: none
   KeyRing keys;
   std::vector<std::string> controls;
   RetryRules retryRules;
@@ -74,6 +76,7 @@
   void OnPeer(const PeerRequest& request, const PeerServer::Respond& respond);
   bool OnDocument(const ReceivedDocument& document);
   void OnHallCut(const std::string& hall);
+  void OnPath(bool hasPath);
   void OnHallOrders(const HallOrders& orders);
   void OnRollouts(const VersionRollouts& rollouts);
   void OnRegistration(const wire::Registration& registration);
@@ -109,6 +112,8 @@
   std::unique_ptr<StageClient> stages_;
   std::unique_ptr<EngineClient> engines_;
   std::unique_ptr<ReservationClient> reservations_;
+  std::unique_ptr<RelayServer> relayServer_;
+  std::unique_ptr<RelayClient> relays_;
   std::unique_ptr<GatewayShared> shared_;
   std::unique_ptr<ControlFollower> follower_;
   std::unique_ptr<HttpServer> callers_;
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -60,6 +60,10 @@
     SayNotRun(KeptAwayReason);
     return;
   }
+  if (!shared_.calls.HasWay()) {
+    SayNotRun(NoPathReason);
+    return;
+  }
   ReadPrompt();
   service_ =
     ChooseTarget(*route_, absl::Uniform<double>(shared_.random, 0.0, 1.0));
@@ -435,6 +439,9 @@
   if (!tried_.empty()) {
     fields["endpoints"] = tried_;
   }
+  if (!relay_.empty()) {
+    fields["relay"] = relay_;
+  }
   if (answerEnd_) {
     fields["answer_end"] =
       *answerEnd_ == HttpCallEnd::EndedByClose ? "close" : "framing";
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -25,6 +25,7 @@
 #include "wgHttpClient.h"
 #include "wgHttpServer.h"
 #include "wgLoopTimer.h"
+#include "wgRelayClient.h"
 #include "wgReservationClient.h"
 #include "wgRetryWindow.h"
 #include "wgSendPermits.h"
@@ -49,7 +50,7 @@
   EventLoop& loop;
   const Dialect& dialect;
   Directory& directory;
-  HttpClient& client;
+  RelayClient& calls;
   StageClient& stages;
   ReservationClient& reservations;
   EngineClient& engines;
@@ -91,6 +92,7 @@
 {
   std::string endpoint; // id
   std::unique_ptr<HttpCall> call;
+  std::string relay; // the box that makes the call; empty: this one
   HttpHead head;
   BodyFraming framing = BodyFraming::Explicit;
   std::string body;
@@ -120,6 +122,11 @@
  */
 inline constexpr absl::string_view PoolFullReason = "pool_full";
 
+/** \brief Why a request is refused while this box reaches no endpoint and no
+ * box relays for it.
+ */
+inline constexpr absl::string_view NoPathReason = "no_path";
+
 /** \class GatewayRequest
  * \brief A caller's request from its arrival to the end of its answer: the
  * stages before it, the attempts at endpoints, what the caller is told.
@@ -134,6 +141,11 @@
 
   void Begin();
 
+  /** \brief This box reaches no endpoint any more, and the connections that
+   * are open carry nothing: the attempt is repeated if that is allowed.
+   */
+  void NotePathLost();
+
   /** \brief Answers now with what can be said: this box ends. */
   void GiveUp();
 
@@ -267,6 +279,7 @@
   LoopTimer silenceTimer_;
   std::optional<Attempt> attempt_;
   std::vector<std::string> tried_; // ids of endpoints
+  std::string relay_;              // that made the last attempt's call
   int endpointsTried_ = 0;
   int connectFailures_ = 0;
   std::size_t attempts_ = 0;
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -104,6 +104,10 @@
     OnTimeOver();
     return;
   }
+  if (!shared_.calls.HasWay()) {
+    AfterFailure(AttemptKnowledge::NotSent, NoPathReason);
+    return;
+  }
   if (IsKeptAway()) { // it became known while its stages were made
     AfterFailure(AttemptKnowledge::NotSent, KeptAwayReason);
     return;
@@ -231,9 +235,12 @@
       self->OnAttemptEnd(end);
     }
   };
-  attempt_->call = shared_.client.Start(
-    RouteTo(shared_.directory.routes, endpoint.address),
-    PrintRequest(MakeForward(endpoint)), options, std::move(handler));
+  EndpointCallStarted started =
+    shared_.calls.Start(endpoint, PrintRequest(MakeForward(endpoint)), options,
+                        std::move(handler));
+  attempt_->call = std::move(started.http);
+  attempt_->relay = std::move(started.relay);
+  relay_ = attempt_->relay;
   shared_.metrics.Count("attempts");
 }
 
@@ -251,8 +258,9 @@
     shared_.metrics.Count("foreign_answers");
     return false;
   }
-  if (const DirectoryEndpoint* endpoint =
-        FindEndpoint(shared_.directory, attempt.endpoint)) {
+  const DirectoryEndpoint* endpoint =
+    FindEndpoint(shared_.directory, attempt.endpoint);
+  if (endpoint != nullptr && attempt.relay.empty()) {
     shared_.halls.Reached(*endpoint);
   }
   if (head.result() != http::status::misdirected_request) {
@@ -330,6 +338,15 @@
     });
 }
 
+void GatewayRequest::NotePathLost()
+{
+  const bool isLost = !ended_ && attempt_ && attempt_->relay.empty() &&
+                      route_->repetition != Repetition::RunOnce;
+  if (isLost) {
+    OnSilence();
+  }
+}
+
 /** Goes on at another endpoint if that is allowed; the silent one may still
  * speak, so that otherwise its answer is not cut.
  */
@@ -368,11 +385,6 @@
   }
   const bool unreached =
     end == HttpCallEnd::NotConnected || end == HttpCallEnd::Unreached;
-  const DirectoryEndpoint* endpoint =
-    FindEndpoint(shared_.directory, attempt_->endpoint);
-  if (end == HttpCallEnd::Unreached && endpoint != nullptr) {
-    shared_.halls.Unreached(*endpoint);
-  }
   if (!unreached) {
     OnCut(end);
     return;
--- a/Source/Gateway/wgHallProber.cxx
+++ b/Source/Gateway/wgHallProber.cxx
@@ -14,6 +14,10 @@
 constexpr absl::Duration SuspectPeriod = absl::Seconds(1);
 /** As many as show that a hall is cut off, see NoteUnreached. */
 constexpr std::size_t SuspectProbes = 2;
+/** With half of all endpoints down, one trial in 64 finds none of six. */
+constexpr std::size_t TrialProbes = 6;
+/** At each period while no endpoint is reached. */
+constexpr std::size_t IsolatedProbes = 2;
 
 } // namespace
 
@@ -24,9 +28,135 @@
   , log_(log)
   , onCut_(std::move(onCut))
   , timer_(loop)
+  , onPath_([](bool) {})
 {
 }
 
+void HallProber::Tried(const DirectoryEndpoint& endpoint, ConnectResult result)
+{
+  if (result == ConnectResult::Connected) {
+    NotePath();
+    Reached(endpoint);
+    return;
+  }
+  if (directory_.reach.isIsolated) {
+    return;
+  }
+  if (result == ConnectResult::NoAnswer) {
+    Unreached(endpoint);
+  }
+  if (NoteConnectFailed(directory_.reach, endpoint.id, ElapsedNow())) {
+    ConfirmPath(nullptr);
+  }
+}
+
+void HallProber::NotePath()
+{
+  NoteConnected(directory_.reach);
+  if (directory_.reach.isIsolated && EndIsolation(directory_.reach)) {
+    log_.Write(LogWeight::Notable, "path_regained", nlohmann::json::object());
+    onPath_(true);
+  }
+}
+
+/** Endpoints of all halls in turn, drawn at random in each. */
+std::vector<const DirectoryEndpoint*> HallProber::Sample(std::size_t most)
+{
+  std::vector<std::pair<std::string, std::size_t>> halls;
+  for (const auto& [hall, evidence] : directory_.reach.halls) {
+    const std::size_t count = CountInHall(directory_.index, hall);
+    if (count > 0) {
+      halls.emplace_back(hall, absl::Uniform<std::size_t>(random_, 0, count));
+    }
+  }
+  std::vector<const DirectoryEndpoint*> sample;
+  bool isAnyLeft = !halls.empty();
+  for (std::size_t round = 0; isAnyLeft && sample.size() < most; ++round) {
+    isAnyLeft = false;
+    for (const auto& [hall, first] : halls) {
+      const std::size_t count = CountInHall(directory_.index, hall);
+      if (round >= count || sample.size() >= most) {
+        continue;
+      }
+      isAnyLeft = true;
+      const DirectoryEndpoint& endpoint =
+        EndpointInHall(directory_.index, hall, (first + round) % count);
+      if (IsCurrent(endpoint)) {
+        sample.push_back(&endpoint);
+      }
+    }
+  }
+  return sample;
+}
+
+void HallProber::ConfirmPath(OnPath done)
+{
+  if (done) {
+    awaitTrial_.push_back(std::move(done));
+  }
+  if (trialOpen_ > 0) {
+    return;
+  }
+  const auto sample = Sample(TrialProbes);
+  trial_ = {};
+  trialOpen_ = static_cast<int>(sample.size());
+  const std::uint64_t number = ++trialNumber_;
+  for (const DirectoryEndpoint* endpoint : sample) {
+    ProbeAddress(loop_, RouteTo(directory_.routes, endpoint->address),
+                 [this, number](ConnectResult result) {
+                   if (number == trialNumber_ && trialOpen_ > 0) {
+                     TakeTried(result);
+                   }
+                 });
+  }
+  if (sample.empty()) {
+    SettleTrial(true);
+  }
+}
+
+void HallProber::TakeTried(ConnectResult result)
+{
+  --trialOpen_;
+  ++trial_.tried;
+  trial_.refused += result == ConnectResult::Refused ? 1 : 0;
+  trial_.unanswered += result == ConnectResult::NoAnswer ? 1 : 0;
+  if (result == ConnectResult::Connected) {
+    NotePath();
+    SettleTrial(true);
+  } else if (trialOpen_ == 0) {
+    const bool hasPath = !ShowsNoPath(trial_);
+    if (!hasPath && Isolate(directory_.reach)) {
+      log_.Write(LogWeight::Notable, "path_lost",
+                 { { "refused", trial_.refused },
+                   { "unanswered", trial_.unanswered } });
+      Arm();
+      onPath_(false);
+    }
+    SettleTrial(hasPath);
+  }
+}
+
+void HallProber::SettleTrial(bool hasPath)
+{
+  trialOpen_ = 0;
+  for (const OnPath& done : std::exchange(awaitTrial_, {})) {
+    done(hasPath);
+  }
+}
+
+void HallProber::ProbeIsolated()
+{
+  for (const DirectoryEndpoint* endpoint : Sample(IsolatedProbes)) {
+    ProbeAddress(loop_, RouteTo(directory_.routes, endpoint->address),
+                 [this](ConnectResult result) {
+                   if (result == ConnectResult::Connected) {
+                     NotePath();
+                   }
+                 });
+  }
+  Arm();
+}
+
 void HallProber::Reached(const DirectoryEndpoint& endpoint)
 {
   if (NoteReached(directory_.reach, endpoint.hall)) {
@@ -66,22 +196,23 @@
     const DirectoryEndpoint& endpoint =
       EndpointInHall(directory_.index, hall, place);
     ProbeAddress(loop_, RouteTo(directory_.routes, endpoint.address),
-                 [this, id = endpoint.id](ProbeResult result) {
+                 [this, id = endpoint.id](ConnectResult result) {
                    TakeSuspected(id, result);
                  });
   }
 }
 
-void HallProber::TakeSuspected(const std::string& endpoint, ProbeResult result)
+void HallProber::TakeSuspected(const std::string& endpoint,
+                               ConnectResult result)
 {
   const DirectoryEndpoint* probed = FindEndpoint(directory_, endpoint);
   if (probed == nullptr) {
     return;
   }
   // A connection may be refused by what cuts the hall off.
-  if (result == ProbeResult::NoAnswer) {
+  if (result == ConnectResult::NoAnswer) {
     Unreached(*probed);
-  } else if (result == ProbeResult::Connected) {
+  } else if (result == ConnectResult::Connected) {
     Reached(*probed);
   }
 }
@@ -103,6 +234,10 @@
 /** One endpoint of each hall that is cut off, another each time. */
 void HallProber::Probe()
 {
+  if (directory_.reach.isIsolated) {
+    ProbeIsolated();
+    return;
+  }
   bool isAnyCut = false;
   for (const auto& [hall, evidence] : directory_.reach.halls) {
     const std::size_t count =
@@ -125,14 +260,15 @@
 
 void HallProber::Connect(const DirectoryEndpoint& endpoint)
 {
-  ProbeAddress(loop_, RouteTo(directory_.routes, endpoint.address),
-               [this, id = endpoint.id](ProbeResult result) {
-                 const DirectoryEndpoint* reached =
-                   FindEndpoint(directory_, id);
-                 if (result == ProbeResult::Connected && reached != nullptr) {
-                   Reached(*reached);
-                 }
-               });
+  ProbeAddress(
+    loop_, RouteTo(directory_.routes, endpoint.address),
+    [this, id = endpoint.id](ConnectResult result) {
+      const DirectoryEndpoint* reached = FindEndpoint(directory_, id);
+      if (result == ConnectResult::Connected && reached != nullptr) {
+        NoteConnected(directory_.reach);
+        Reached(*reached);
+      }
+    });
 }
 
 } // namespace wg
--- a/Source/Gateway/wgHallProber.h
+++ b/Source/Gateway/wgHallProber.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "absl/random/random.h"
 
@@ -17,8 +18,9 @@
 namespace wg {
 
 /** \class HallProber
- * \brief Keeps what this box believes of other halls: it takes in what calls
- * met, and tries to connect to halls that are taken to be cut off.
+ * \brief Keeps what this box believes of halls and of its path to endpoints:
+ * it takes in what connections met, and tries to connect to what is taken to
+ * be cut off.
  */
 class HallProber
 {
@@ -29,9 +31,31 @@
   HallProber(EventLoop& loop, Directory& directory, DecisionLog& log,
              OnCut onCut);
 
+  /** \brief Told when this box takes its path to endpoints to be gone, or to
+   * be there again.
+   */
+  using OnPath = std::function<void(bool hasPath)>;
+  void SetOnPath(OnPath onPath) { onPath_ = std::move(onPath); }
+
+  /** \brief What came of a new connection of a call. */
+  void Tried(const DirectoryEndpoint& endpoint, ConnectResult result);
+  /** \brief An endpoint has answered, over whatever connection. */
   void Reached(const DirectoryEndpoint& endpoint);
   void Unreached(const DirectoryEndpoint& endpoint);
 
+  /** \brief Finds out whether this box reaches any endpoint, by connections to
+   * some of all halls. `done` may be null.
+   */
+  void ConfirmPath(OnPath done);
+
+  /** \brief Whether the last trial met silence alone: connections that are
+   * open hang as well.
+   */
+  bool ConnectionsHang() const
+  {
+    return trial_.unanswered > 0 && trial_.refused == 0;
+  }
+
   /** \brief Another box has lost the hall: finds out at once, by connections
    * to two of its endpoints, whether it is cut off from here too.
    */
@@ -41,7 +65,12 @@
   void Arm();
   void Probe();
   void Connect(const DirectoryEndpoint& endpoint);
-  void TakeSuspected(const std::string& endpoint, ProbeResult result);
+  void TakeSuspected(const std::string& endpoint, ConnectResult result);
+  std::vector<const DirectoryEndpoint*> Sample(std::size_t most);
+  void TakeTried(ConnectResult result);
+  void SettleTrial(bool hasPath);
+  void ProbeIsolated();
+  void NotePath();
 
   EventLoop& loop_;
   Directory& directory_;
@@ -51,6 +80,11 @@
   LoopTimer timer_;
   bool armed_ = false;
   std::map<std::string, Elapsed> suspected_; // halls, when last
+  OnPath onPath_;
+  PathTrial trial_;   // that is under way
+  int trialOpen_ = 0; // its connections without a result
+  std::uint64_t trialNumber_ = 0;
+  std::vector<OnPath> awaitTrial_;
 };
 
 } // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgRelayClient.cxx
@@ -0,0 +1,299 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgRelayClient.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "absl/random/distributions.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+
+#include "wgPeerAuth.h"
+#include "wgRelayFields.h"
+
+namespace wg {
+namespace {
+
+namespace http = boost::beast::http;
+
+constexpr auto AskPeriod = std::chrono::milliseconds(500);
+constexpr absl::Duration AskTimeout = absl::Milliseconds(300);
+/** With more boxes, these are drawn anew each time. */
+constexpr std::size_t MostAsked = 16;
+/** After a box did not answer, or its connection was cut. */
+constexpr absl::Duration FailedPause = absl::Seconds(1);
+/** After it said that it takes no more. */
+constexpr absl::Duration FullPause = absl::Milliseconds(100);
+
+std::string Text(absl::string_view text)
+{
+  return std::string(text);
+}
+
+HttpCallEnd EndOf(absl::string_view result)
+{
+  if (result == relay::Cut) {
+    return HttpCallEnd::Cut;
+  }
+  return result == relay::Unreached ? HttpCallEnd::Unreached
+                                    : HttpCallEnd::NotConnected;
+}
+
+} // namespace
+
+/** What is known of a relayed call while it goes on. */
+struct RelayClient::Relayed
+{
+  HttpCallHandler handler;
+  bool isAnswered = false;
+  bool endsByClose = false;
+  std::string result;
+};
+
+RelayClient::RelayClient(EventLoop& loop, HttpClient& client,
+                         Directory& directory, PeerClient& peers,
+                         StageClient& members, std::string box,
+                         std::string hall, std::string key,
+                         GatewayMetrics& metrics)
+  : loop_(loop)
+  , client_(client)
+  , directory_(directory)
+  , peers_(peers)
+  , members_(members)
+  , box_(std::move(box))
+  , hall_(std::move(hall))
+  , key_(std::move(key))
+  , metrics_(metrics)
+  , timer_(loop)
+{
+}
+
+void RelayClient::SetHasPath(bool hasPath, bool connectionsHang)
+{
+  hasPath_ = hasPath;
+  connectionsHang_ = connectionsHang;
+  timer_.cancel();
+  if (!hasPath) {
+    AskForOffers();
+  }
+}
+
+/** Those of this hall first, then of others. */
+void RelayClient::AskForOffers()
+{
+  std::vector<const GatewayMember*> asked;
+  for (const GatewayMember& member : members_.Others()) {
+    if (!member.suspect) {
+      asked.push_back(&member);
+    }
+  }
+  std::shuffle(asked.begin(), asked.end(), random_);
+  std::stable_partition(
+    asked.begin(), asked.end(),
+    [this](const GatewayMember* member) { return member->hall == hall_; });
+  asked.resize(std::min(asked.size(), MostAsked));
+  for (const GatewayMember* member : asked) {
+    peers_.Call(member->address, "/relay-offer", "", AskTimeout,
+                [this, box = member->box,
+                 isNear = member->hall == hall_](Outcome<std::string> reply) {
+                  boost::asio::post(
+                    loop_, [this, box, isNear, reply = std::move(reply)] {
+                      TakeOffer(box, isNear, reply);
+                    });
+                });
+  }
+  timer_.expires_after(AskPeriod);
+  timer_.async_wait([this](boost::system::error_code error) {
+    if (!error && !hasPath_) {
+      AskForOffers();
+    }
+  });
+}
+
+RelayOffer* RelayClient::Find(const std::string& box)
+{
+  const auto found =
+    std::find_if(offers_.begin(), offers_.end(),
+                 [&box](const RelayOffer& offer) { return offer.box == box; });
+  return found == offers_.end() ? nullptr : &*found;
+}
+
+void RelayClient::TakeOffer(const std::string& box, bool isNear,
+                            const Outcome<std::string>& reply)
+{
+  wire::RelayOffer told;
+  const bool isOffer = Succeeded(reply) &&
+                       told.ParseFromString(Value(reply)) && told.has_path() &&
+                       !told.address().empty();
+  RelayOffer* offer = Find(box);
+  if (offer == nullptr) {
+    if (!isOffer) {
+      return;
+    }
+    offer = &offers_.emplace_back();
+    offer->box = box;
+  }
+  offer->address = told.address();
+  offer->isNear = isNear;
+  offer->open = static_cast<int>(told.open());
+  offer->most = isOffer ? static_cast<int>(told.most()) : 0;
+  offer->openHere = 0;
+  offer->told = ElapsedNow();
+}
+
+bool RelayClient::HasWay() const
+{
+  const Elapsed now = ElapsedNow();
+  return hasPath_ || std::any_of(offers_.begin(), offers_.end(),
+                                 [now](const RelayOffer& offer) {
+                                   return IsUsable(offer, now);
+                                 });
+}
+
+EndpointCallStarted RelayClient::Start(const DirectoryEndpoint& endpoint,
+                                       std::string request,
+                                       const HttpCallOptions& options,
+                                       HttpCallHandler handler)
+{
+  const std::string& address = RouteTo(directory_.routes, endpoint.address);
+  const bool isDirect =
+    hasPath_ ||
+    (!connectionsHang_ && client_.HasResting(address, options.maxRest));
+  if (isDirect) {
+    return {
+      client_.Start(address, std::move(request), options, std::move(handler)), ""
+    };
+  }
+  if (const auto chosen = ChooseRelay(offers_, ElapsedNow())) {
+    return StartRelayed(offers_[*chosen], endpoint, std::move(request),
+                        options, std::move(handler));
+  }
+  metrics_.Count("relays_missing");
+  boost::asio::post(loop_, [ended = std::move(handler.onEnd)] {
+    ended(HttpCallEnd::NotConnected);
+  });
+  return { std::make_unique<HttpCall>(), "" };
+}
+
+std::string RelayClient::MakeCall(const DirectoryEndpoint& endpoint,
+                                  std::string request,
+                                  const HttpCallOptions& options) const
+{
+  const std::string nonce = MakeNonce();
+  HttpRequest call;
+  call.version(11);
+  call.method(http::verb::post);
+  call.target(Text(relay::Target));
+  call.set(http::field::host, "weirgate");
+  call.set(Text(relay::To), endpoint.address);
+  call.set(Text(relay::From), box_);
+  call.set(Text(relay::Nonce), nonce);
+  call.set(Text(relay::Signature),
+           SignRequest(key_, PeerName, endpoint.address, nonce, request));
+  call.set(Text(relay::MaxRestMs),
+           absl::StrCat(absl::ToInt64Milliseconds(options.maxRest)));
+  if (!options.answerHasBody) {
+    call.set(Text(relay::Bodiless), "1");
+  }
+  call.body() = std::move(request);
+  return PrintRequest(std::move(call));
+}
+
+EndpointCallStarted RelayClient::StartRelayed(
+  RelayOffer& offer, const DirectoryEndpoint& endpoint, std::string request,
+  const HttpCallOptions& options, HttpCallHandler handler)
+{
+  metrics_.Count("relayed_calls");
+  ++offer.openHere;
+  auto state = std::make_shared<Relayed>();
+  state->handler = std::move(handler);
+  HttpCallHandler outer;
+  outer.onHead = [state](const HttpHead& head, BodyFraming) {
+    state->result = Text(FieldOf(head, relay::Result));
+    state->isAnswered = state->result == relay::Answered;
+    if (!state->isAnswered) {
+      return true;
+    }
+    state->endsByClose = FieldOf(head, relay::Framing) == relay::ByClose;
+    HttpHead shown = head;
+    unsigned status = 0;
+    if (!absl::SimpleAtoi(FieldOf(head, relay::Status), &status)) {
+      return false;
+    }
+    shown.result(status);
+    for (const absl::string_view field :
+         { relay::Result, relay::Status, relay::Framing }) {
+      shown.erase(Text(field));
+    }
+    shown.erase(http::field::transfer_encoding);
+    shown.erase(http::field::connection);
+    return state->handler.onHead(shown, state->endsByClose
+                                          ? BodyFraming::ByClose
+                                          : BodyFraming::Explicit);
+  };
+  outer.onBody = [state](absl::string_view bytes) {
+    if (state->isAnswered) {
+      state->handler.onBody(bytes);
+    }
+  };
+  outer.onEnd = [this, state, box = offer.box](HttpCallEnd end) {
+    NoteOver(box);
+    const bool isWhole = end == HttpCallEnd::Complete;
+    if (!state->isAnswered && isWhole && !state->result.empty()) {
+      NoteEnd(box, state->result);
+      state->handler.onEnd(EndOf(state->result));
+      return;
+    }
+    if (isWhole && state->isAnswered) {
+      state->handler.onEnd(state->endsByClose ? HttpCallEnd::EndedByClose
+                                              : HttpCallEnd::Complete);
+      return;
+    }
+    // Between the boxes only what is framed is whole.
+    const bool neverSent =
+      end == HttpCallEnd::NotConnected || end == HttpCallEnd::Unreached;
+    if (end != HttpCallEnd::Refused) {
+      NoteEnd(box, "");
+    }
+    state->handler.onEnd(neverSent ? HttpCallEnd::NotConnected
+                         : end == HttpCallEnd::Refused ? end
+                                                       : HttpCallEnd::Cut);
+  };
+  EndpointCallStarted started;
+  started.relay = offer.box;
+  started.http = client_.Start(offer.address,
+                               MakeCall(endpoint, std::move(request), options),
+                               options, std::move(outer));
+  return started;
+}
+
+/** It may have been counted by the box meanwhile. */
+void RelayClient::NoteOver(const std::string& box)
+{
+  if (RelayOffer* offer = Find(box)) {
+    int& count = offer->openHere > 0 ? offer->openHere : offer->open;
+    count = std::max(count - 1, 0);
+  }
+}
+
+/** \param result empty: the box did not answer, or not to the end */
+void RelayClient::NoteEnd(const std::string& box, absl::string_view result)
+{
+  RelayOffer* offer = Find(box);
+  if (offer == nullptr) {
+    return;
+  }
+  const Elapsed now = ElapsedNow();
+  if (result.empty() || result == relay::NoPath) {
+    metrics_.Count("relays_failed");
+    offer->avoidUntil = now + FailedPause;
+  } else if (result == relay::Full) {
+    metrics_.Count("relays_full");
+    offer->avoidUntil = now + FullPause;
+  }
+}
+
+} // namespace wg
--- a/Source/Gateway/wgReservationClient.cxx
+++ b/Source/Gateway/wgReservationClient.cxx
@@ -70,7 +70,8 @@
   }
   peers_.Call(
     member->address, "/stage-reserve", ask.SerializeAsString(), AskTimeout,
-    [this, pool, index, open](const Outcome<std::string>& reply) {
+    [this, ask, box = member->box, pool, index,
+     open](const Outcome<std::string>& reply) {
       std::optional<wire::StageReserveAnswer> answer;
       wire::StageReserveAnswer parsed;
       // A box that stops, or of an older version, answers with nothing.
@@ -78,7 +79,12 @@
       if (isAnswer && parsed.ParseFromString(Value(reply))) {
         answer = parsed;
       }
-      boost::asio::post(loop_, [this, pool, index, open, answer] {
+      boost::asio::post(loop_, [this, ask, box, pool, index, open, answer] {
+        if (answer && answer->no_path()) {
+          stages_.NoteNoPath(box);
+          AskOne(ask, index, open);
+          return;
+        }
         // Not taken as a sign that the box is gone: while it is overloaded,
         // others would begin to make the pool's calls beside it.
         if (!answer) {
--- a/Source/Gateway/wgSendPermits.cxx
+++ b/Source/Gateway/wgSendPermits.cxx
@@ -165,20 +165,26 @@
     });
     return;
   }
-  peers_->Call(member->address, "/send", ask.SerializeAsString(), AskTimeout,
-               [this, box = member->box, id = endpoint.id,
-                answered = std::move(answered)](Outcome<std::string> reply) {
-                 boost::asio::post(
-                   loop_, [this, box, id, answered, reply = std::move(reply)] {
-                     wire::SendAnswer answer;
-                     if (!Succeeded(reply) ||
-                         !answer.ParseFromString(Value(reply))) {
-                       metrics_.Count("send_coordinators_silent");
-                       members_->Doubt(box);
-                     }
-                     TakeAnswer(id, answer, answered);
-                   });
-               });
+  peers_->Call(
+    member->address, "/send", ask.SerializeAsString(), AskTimeout,
+    [this, box = member->box, id = endpoint.id,
+     answered = std::move(answered)](Outcome<std::string> reply) {
+      boost::asio::post(
+        loop_, [this, box, id, answered, reply = std::move(reply)] {
+          wire::SendAnswer answer;
+          if (!Succeeded(reply) || !answer.ParseFromString(Value(reply))) {
+            metrics_.Count("send_coordinators_silent");
+            members_->Doubt(box);
+          }
+          const DirectoryEndpoint* known = FindEndpoint(directory_, id);
+          if (answer.no_path() && known != nullptr) {
+            members_->NoteNoPath(box);
+            Ask(*known, answered);
+            return;
+          }
+          TakeAnswer(id, answer, answered);
+        });
+    });
 }
 
 /** Without an answer nothing is sent either. */
--- a/Source/Gateway/wgStageClient.cxx
+++ b/Source/Gateway/wgStageClient.cxx
@@ -28,6 +28,8 @@
  * them has answered; one that is asked does within AskTimeout.
  */
 constexpr absl::Duration HallSilence = absl::Seconds(1);
+/** Longer than control boxes take to tell it. */
+constexpr absl::Duration NoPathMemory = absl::Milliseconds(1500);
 constexpr auto ReleaseGatherTime = std::chrono::milliseconds(15);
 constexpr absl::Duration BacklogMemory = absl::Seconds(1);
 /** A pool in another hall is taken where work waits shorter by more. */
@@ -98,6 +100,8 @@
     member.suspect = known.suspect && known.address == member.address;
     member.asked = known.asked;
     member.heard = known.heard;
+    member.noPathUntil = known.noPathUntil;
+    isChanged |= known.noPath != member.noPath;
     isChanged |= known.suspect && !member.suspect;
     isChanged |= known.cpuMilli != member.cpuMilli; // may move coordinators
     known = std::move(member);
@@ -130,7 +134,7 @@
 const GatewayMember* StageClient::CoordinatorOf(const StagePoolKey& pool) const
 {
   const GatewayMember& chosen =
-    ChooseCoordinator(self_, members_, pool, SilentHalls());
+    ChooseCoordinator(self_, members_, pool, SilentHalls(), ElapsedNow());
   return &chosen == &self_ ? nullptr : &chosen;
 }
 
@@ -152,8 +156,9 @@
   OpenWork& open = works_[number];
   ++open.tries;
   open.sent = ElapsedNow();
-  const GatewayMember* member =
-    open.tries > MaxTries ? nullptr : CoordinatorOf(PoolOf(open.work));
+  const GatewayMember* member = open.tries - open.sentBack > MaxTries
+                                  ? nullptr
+                                  : CoordinatorOf(PoolOf(open.work));
   if (member == nullptr) {
     open.coordinator = self_.box;
     open.address.clear();
@@ -202,6 +207,12 @@
     return;
   }
   OpenWork& open = found->second;
+  if (parsed && results.no_path()) {
+    NoteNoPath(open.coordinator);
+    ++open.sentBack;
+    Move({ number });
+    return;
+  }
   const bool sound =
     parsed && results.results_size() == open.work.items_size();
   if (sound) {
@@ -285,13 +296,45 @@
     }
   }
   for (const auto& [hall, evidence] : directory_.reach.halls) {
-    if (evidence.isCut && hall != self_.hall) {
+    if (IsCutOff(directory_.reach, hall) && hall != self_.hall) {
       halls.insert(hall);
     }
   }
   return halls;
 }
 
+void StageClient::NoteNoPath(const std::string& box)
+{
+  metrics_.Count("coordinators_without_path");
+  if (GatewayMember* member = Find(box)) {
+    const Elapsed now = ElapsedNow();
+    const bool isNew = !HasNoPath(*member, now);
+    member->heard = now;
+    member->noPathUntil = now + NoPathMemory;
+    if (isNew) {
+      NoteMembersChanged();
+    }
+  }
+}
+
+void StageClient::SetHasPath(bool hasPath)
+{
+  self_.noPath = !hasPath;
+  NoteMembersChanged();
+  if (hasPath) {
+    return;
+  }
+  std::vector<std::uint64_t> moved;
+  for (const auto& [number, open] : works_) {
+    const bool isOwn = open.address.empty();
+    if (isOwn && CoordinatorOf(PoolOf(open.work)) != nullptr &&
+        own_.TakeBack(self_.box, number)) {
+      moved.push_back(number);
+    }
+  }
+  Move(moved);
+}
+
 /** Its whole hall may be cut off. Without asking, the next in order could be
  * of the same hall, and the one after it: each of them took a second.
  */
--- a/Source/Gateway/wgStageClient.h
+++ b/Source/Gateway/wgStageClient.h
@@ -61,6 +61,14 @@
   /** \brief A box did not answer in time: it is asked whether it lives. */
   void Doubt(const std::string& box);
 
+  /** \brief A box that was asked as coordinator reaches no endpoint. */
+  void NoteNoPath(const std::string& box);
+
+  /** \brief Whether this box reaches any endpoint. Without a path it makes no
+   * calls: work whose pieces are in none is handed to the next in order.
+   */
+  void SetHasPath(bool hasPath);
+
   /** \brief A hall is cut off: work that was handed to its boxes goes
    * elsewhere at once. What was to be made there must be begun anew.
    */
@@ -101,6 +109,7 @@
     Elapsed sent;
     Elapsed until;
     int tries = 0;
+    int sentBack = 0; // of these, by boxes that reach no endpoint
   };
   struct Backlog
   {
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -332,6 +332,72 @@
   Release(made);
 }
 
+bool StageCoordinator::IsInCall(const Work& work) const
+{
+  return std::any_of(
+    work.tickets.begin(), work.tickets.end(), [this](std::uint64_t ticket) {
+      const auto owner = owners_.find(ticket);
+      return owner != owners_.end() && calls_.count(owner->second.call) > 0;
+    });
+}
+
+bool StageCoordinator::TakeBack(const std::string& box, std::uint64_t work)
+{
+  const auto found = works_.find({ box, work });
+  if (found != works_.end() && IsInCall(found->second)) {
+    return false;
+  }
+  Cancel(box, work);
+  return true;
+}
+
+void StageCoordinator::SetHasPath(bool hasPath, const std::string& self,
+                                  bool callsHang)
+{
+  hasPath_ = hasPath;
+  self_ = self;
+  if (hasPath) {
+    NoteDirectory();
+    return;
+  }
+  std::vector<std::uint64_t> lost;
+  for (const auto& [number, open] : calls_) {
+    lost.push_back(number);
+  }
+  // Not at once: one of the calls may have brought the news.
+  boost::asio::post(loop_, [this, lost, callsHang] {
+    for (const std::uint64_t number : lost) {
+      if (callsHang) {
+        OnCallLate(number);
+      }
+    }
+    SendBackWorks();
+  });
+}
+
+/** Those whose pieces are in a call stay until it ends, so that nothing is
+ * sent twice.
+ */
+void StageCoordinator::SendBackWorks()
+{
+  std::vector<WorkKey> back;
+  for (const auto& [key, work] : works_) {
+    if (key.first != self_ && !IsInCall(work)) {
+      back.push_back(key);
+    }
+  }
+  for (const WorkKey& key : back) {
+    const Done done = works_.at(key).done;
+    Cancel(key.first, key.second);
+    metrics_.Count("stage_works_sent_back");
+    boost::asio::post(loop_, [done] {
+      wire::StageReply reply;
+      reply.set_no_path(true);
+      done(reply);
+    });
+  }
+}
+
 void StageCoordinator::NoteDirectory()
 {
   for (auto& [key, pool] : pools_) {
@@ -455,6 +521,9 @@
   for (const KeptResult& gone : TakeExpired(results_[key], now)) {
     FreeRoom(key, gone.endpoint, gone.bytes);
   }
+  if (!hasPath_) {
+    SendBackWorks();
+  }
   RefuseStranded(key, pool);
   GiveUpHopeless(pool, now);
   SyncServers(key, pool);
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -78,6 +78,19 @@
   /** \brief These results are no longer needed. */
   void Release(absl::Span<const std::string> handles);
 
+  /** \brief Gives work back that this box was to have made, unless one of its
+   * pieces is in a call.
+   * \return whether it is no longer here
+   */
+  bool TakeBack(const std::string& box, std::uint64_t work);
+
+  /** \brief Whether this box reaches any endpoint. Without a path, work of
+   * others is sent back to them.
+   * \param self this box
+   * \param callsHang whether calls that are under way are lost too
+   */
+  void SetHasPath(bool hasPath, const std::string& self, bool callsHang);
+
   /** \brief A hall is cut off: what is at work there is made elsewhere. */
   void NoteHallCut(const std::string& hall);
 
@@ -134,6 +147,8 @@
                       const StagePoolKey& key);
   void SyncServers(const StagePoolKey& key, StagePool& pool);
   void Pump(const StagePoolKey& key);
+  bool IsInCall(const Work& work) const;
+  void SendBackWorks();
   void GiveUpHopeless(StagePool& pool, Elapsed now);
   void ArmPump();
   void MakeCall(const StagePoolKey& key, StageCall call);
@@ -210,6 +225,8 @@
   InputsFetched inputsFetched_;
   std::map<StagePoolKey, Elapsed> inputLosses_; // the last of each pool
   GoneResults gone_;
+  bool hasPath_ = true;
+  std::string self_;
   std::uint64_t nextCall_ = 1;
   std::uint64_t nextTicket_ = 1;
   LoopTimer pumpTimer_;
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -198,11 +198,6 @@
   } else {
     metrics_.Count("stage_calls_failed");
     LogCall(open, "failed");
-    const DirectoryEndpoint* endpoint =
-      FindEndpoint(directory_, open.call.server);
-    if (end == HttpCallEnd::Unreached && endpoint != nullptr) {
-      halls_.Unreached(*endpoint);
-    }
     if (end == HttpCallEnd::Cut) {
       NoteCutCall(open);
     }
--- a/Source/Http/wgHttpClient.cxx
+++ b/Source/Http/wgHttpClient.cxx
@@ -8,6 +8,16 @@
 
 namespace wg {
 
+ConnectResult ConnectResultOf(boost::system::error_code error)
+{
+  if (!error) {
+    return ConnectResult::Connected;
+  }
+  const bool isRefused = error == boost::asio::error::connection_refused ||
+                         error == boost::asio::error::connection_reset;
+  return isRefused ? ConnectResult::Refused : ConnectResult::NoAnswer;
+}
+
 HttpCall::~HttpCall()
 {
   Cancel();
@@ -80,6 +90,19 @@
   return nullptr;
 }
 
+bool HttpClient::HasResting(const std::string& address,
+                            absl::Duration maxRest) const
+{
+  const auto found = resting_.find(address);
+  const Elapsed now = ElapsedNow();
+  return found != resting_.end() &&
+         std::any_of(found->second.begin(), found->second.end(),
+                     [now, maxRest](const auto& connection) {
+                       return now - connection->RestingSince() <= maxRest &&
+                              now < connection->RestsUntil();
+                     });
+}
+
 void HttpClient::PutResting(const std::shared_ptr<Connection>& connection)
 {
   resting_[connection->Address()].push_back(connection);
@@ -116,6 +139,13 @@
   return found == open_.end() ? 0 : found->second;
 }
 
+void HttpClient::NoteConnect(const std::string& address, ConnectResult result)
+{
+  if (connectObserver_) {
+    connectObserver_(address, result);
+  }
+}
+
 void HttpClient::NoteOpened(const std::string& address)
 {
   ++open_[address];
--- a/Source/Http/wgHttpClient.h
+++ b/Source/Http/wgHttpClient.h
@@ -7,6 +7,8 @@
 #include <string>
 #include <vector>
 
+#include <boost/system/error_code.hpp>
+
 #include "absl/strings/string_view.h"
 
 #include "wgElapsed.h"
@@ -46,6 +48,16 @@
   std::function<void(HttpCallEnd)> onEnd;
 };
 
+/** \brief What came of a new connection that was tried. */
+enum class ConnectResult
+{
+  Connected,
+  Refused, // a box answered, and nothing listens there
+  NoAnswer
+};
+
+ConnectResult ConnectResultOf(boost::system::error_code error);
+
 /** \brief How a call is to be made. */
 struct HttpCallOptions
 {
@@ -90,9 +102,20 @@
                                   const HttpCallOptions& options,
                                   HttpCallHandler handler);
 
+  using ConnectObserver =
+    std::function<void(const std::string& address, ConnectResult result)>;
+  /** \brief Is told what comes of each new connection. */
+  void OnConnect(ConnectObserver observer)
+  {
+    connectObserver_ = std::move(observer);
+  }
+
   /** \brief Open connections to an address, in use or at rest. */
   std::size_t OpenConnections(const std::string& address) const;
 
+  /** \brief Whether a kept connection would be used. */
+  bool HasResting(const std::string& address, absl::Duration maxRest) const;
+
   /** \brief Closes the connections at rest to an address. */
   void Forget(const std::string& address);
 
@@ -103,12 +126,14 @@
                                           absl::Duration maxRest);
   void PutResting(const std::shared_ptr<Connection>& connection);
   void RemoveResting(const Connection& connection);
+  void NoteConnect(const std::string& address, ConnectResult result);
   void NoteOpened(const std::string& address);
   void NoteClosed(const std::string& address);
 
   EventLoop& loop_;
   std::map<std::string, std::vector<std::shared_ptr<Connection>>> resting_;
   std::map<std::string, std::size_t> open_;
+  ConnectObserver connectObserver_;
 };
 
 } // namespace wg
--- a/Source/Http/wgHttpClientConnection.cxx
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -112,6 +112,7 @@
   connectTimer_.async_wait([self](error_code error) {
     const bool late = !error && !self->connected_;
     if (late) {
+      self->NoteConnect(ConnectResult::NoAnswer);
       self->EndCall(HttpCallEnd::Unreached);
     }
   });
@@ -119,6 +120,13 @@
     Value(endpoint), [self](error_code error) { self->OnConnected(error); });
 }
 
+void HttpClientConnection::NoteConnect(ConnectResult result)
+{
+  if (client_ != nullptr) {
+    client_->NoteConnect(address_, result);
+  }
+}
+
 void HttpClientConnection::OnConnected(error_code error)
 {
   connectTimer_.cancel();
@@ -126,9 +134,11 @@
     return;
   }
   if (error) {
+    NoteConnect(ConnectResultOf(error));
     EndCall(HttpCallEnd::NotConnected);
     return;
   }
+  NoteConnect(ConnectResult::Connected);
   connected_ = true;
   error_code ignored;
   socket_.set_option(tcp::no_delay(true), ignored);
--- a/Source/Http/wgHttpClientConnection.h
+++ b/Source/Http/wgHttpClientConnection.h
@@ -47,6 +47,7 @@
     boost::beast::http::response_parser<boost::beast::http::string_body>;
 
   void Connect(absl::Duration timeout);
+  void NoteConnect(ConnectResult result);
   void OnConnected(boost::system::error_code error);
   void Send();
   void Read();
--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -68,6 +68,7 @@
       listens_.push_back(ports_.Take());
       readies_.push_back(ports_.Take());
       gatewayPeers_.push_back(ports_.Take());
+      relays_.push_back(ports_.Take());
       gateways_.emplace_back();
     }
     for (int i = 0; i < controls; ++i) {
@@ -143,6 +144,7 @@
       arguments.push_back(more);
     }
     if (daemon_.empty()) {
+      arguments.push_back(absl::StrCat("--relay=", Local(relays_[index])));
       arguments.emplace_back("--stage-admission=chain");
       arguments.emplace_back("--cold-overrun=1.5");
       arguments.emplace_back("--cold-slack=5");
@@ -350,6 +352,7 @@
   std::vector<int> listens_;
   std::vector<int> readies_;
   std::vector<int> gatewayPeers_;
+  std::vector<int> relays_;
   std::vector<std::unique_ptr<Process>> controls_;
   std::vector<std::unique_ptr<Process>> gateways_;
 };
--- a/Tests/Platform/wgPlatformNoPathTest.cxx
+++ b/Tests/Platform/wgPlatformNoPathTest.cxx
@@ -75,7 +75,7 @@
   std::string WriteRoutes(int gateway)
   {
     auto& own = wires[gateway];
-    const std::string path = cluster.FileAt(absl::StrCat("routes", gateway));
+    std::string path = cluster.FileAt(absl::StrCat("routes", gateway));
     std::ofstream file(path);
     for (std::size_t i = 0; i < endpoints.size(); ++i) {
       if (own.size() <= i) {
--- a/Utilities/Daemon/wgSettings.cxx
+++ b/Utilities/Daemon/wgSettings.cxx
@@ -67,6 +67,10 @@
                   "gateway: IP:port where it tells whether it is "
                   "ready",
                   ""))
+    , relay_(Text("relay",
+                  "gateway: IP:port where it calls endpoints for boxes that "
+                  "reach none; empty: it does not",
+                  ""))
     , endpointRoutes_(
         Text("endpoint-routes",
              "gateway: a file with two addresses a line, the one that an "
@@ -282,6 +286,7 @@
   TextFlag hall_;
   TextFlag listen_;
   TextFlag ready_;
+  TextFlag relay_;
   TextFlag endpointRoutes_;
   TextFlag metrics_;
   TextFlag api_;
@@ -415,7 +420,8 @@
   const std::vector<std::string> seeds = List(seeds_);
   addresses.insert(addresses.end(), seeds.begin(), seeds.end());
   addresses.push_back(text(peer_));
-  for (const TextFlag* flag : { &platform_, &metrics_, &api_, &ready_ }) {
+  for (const TextFlag* flag :
+       { &platform_, &metrics_, &api_, &ready_, &relay_ }) {
     if (!text(*flag).empty()) {
       addresses.push_back(text(*flag));
     }
@@ -530,6 +536,7 @@
   gateway.hall = hall_.getValue();
   gateway.listen = listen_.getValue();
   gateway.ready = ready_.getValue();
+  gateway.relay = relay_.getValue();
   gateway.metrics = metrics_.getValue();
   gateway.peerAddress = peer_.getValue();
   gateway.keys = keys;
