Test: choice of relays, evidence of a lost path, a relay that is killed

Two of four boxes reach no endpoint while one of the two that relay for them is killed three times: no plain request ran twice, none ran that was refused with 503, and callers are served by the other relay.

--- a/Tests/Platform/wgPlatformNoPathTest.cxx
+++ b/Tests/Platform/wgPlatformNoPathTest.cxx
@@ -213,3 +213,53 @@
     CheckWithoutPath(NoPath::LiveOn, 3);
   }
 }
+
+TEST_CASE("A relay that is killed is left, and nothing runs twice",
+          "[relay-killed]")
+{
+  WiredCluster f;
+  constexpr int relay = 3;
+  for (const int box : { 0, 1 }) {
+    f.SetPath(box, NoPath::Hang);
+  }
+  SendToAll(f, ContactTime);
+  std::atomic<bool> stopping{ false };
+  std::mutex mutex;
+  std::map<std::string, int> statuses;
+  std::vector<std::thread> threads;
+  for (int i = 0; i < 4; ++i) {
+    threads.emplace_back([&] {
+      while (!stopping) {
+        const std::string id = absl::StrCat("once", ++f.requests);
+        const auto reply = f.cluster.Send(0, "/p/x", id);
+        const std::lock_guard<std::mutex> lock(mutex);
+        statuses[id] = reply ? reply->status : 0;
+      }
+    });
+  }
+  for (int i = 0; i < 3; ++i) {
+    absl::SleepFor(absl::Milliseconds(500));
+    f.cluster.Gateway(relay).Kill();
+    absl::SleepFor(absl::Milliseconds(700));
+    f.cluster.StartGateway(relay);
+  }
+  stopping = true;
+  for (std::thread& thread : threads) {
+    thread.join();
+  }
+  int served = 0;
+  for (const auto& [id, status] : statuses) {
+    int runs = 0;
+    for (const auto& endpoint : f.endpoints) {
+      runs += endpoint->Runs(id);
+    }
+    INFO(id << " got " << status);
+    CHECK(runs <= 1);
+    CHECK((status != 503 || runs == 0));
+    served += status == Ok ? 1 : 0;
+  }
+  CHECK(served > static_cast<int>(statuses.size()) / 2);
+  for (const char* path : { "/p/x", "/s/x", "/r/x" }) {
+    CHECK(wg::test::WaitFor([&] { return f.Send(0, path) == Ok; }));
+  }
+}
