Gateway: a box that stops ends the calls that it makes for others first

A relay that was stopped as planned would have cut calls of other boxes' callers as soon as it had no request of its own: seen in the code, not in a run. It takes no new ones from the stop on.

--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -598,7 +598,7 @@
   const absl::Duration since = ElapsedNow() - stopBegan_;
   const bool settled = since >= settings_.settleTime;
   const bool idle = requests_.empty() && coordinator_.IsIdle() &&
-                    callers_->ActiveRequests() == 0;
+                    relayServer_->IsIdle() && callers_->ActiveRequests() == 0;
   if (since >= settings_.stopLimit - LastAnswersTime) {
     GiveUpRequests();
   }
--- a/Source/Gateway/wgRelayServer.h
+++ b/Source/Gateway/wgRelayServer.h
@@ -36,6 +36,7 @@
 
   /** \brief Nothing new is taken. */
   void Stop() { most_ = 0; }
+  bool IsIdle() const { return calls_.empty(); }
 
 private:
   using Exchange = std::shared_ptr<HttpExchange>;
