--- a/Source/Decision/wgRelayChoice.cxx
+++ b/Source/Decision/wgRelayChoice.cxx
@@ -8,9 +8,7 @@
 
 /** Offers are asked for twice a second. */
 constexpr absl::Duration OfferMemory = absl::Seconds(2);
-/** A relayed call takes some 0.4 ms of a core, and lasts a second or so: a
- * box spends a tenth of its share on as many as these.
- */
+/** Relaying must leave a box its own work. */
 constexpr std::uint32_t MilliPerCall = 4;
 constexpr int LeastRelayed = 8;
 constexpr std::uint32_t UnknownMilli = 250;
--- a/Source/Gateway/wgStageClient.cxx
+++ b/Source/Gateway/wgStageClient.cxx
@@ -163,9 +163,9 @@
     open.coordinator = self_.box;
     open.address.clear();
     // Not at once: the work may be settled while it is taken.
-    boost::asio::post(loop_, [this, number] {
+    boost::asio::post(loop_, [this, number, tries = open.tries] {
       auto found = works_.find(number);
-      if (found == works_.end()) {
+      if (found == works_.end() || found->second.tries != tries) {
         return;
       }
       const wire::StageWork& work = found->second.work;
