Http: a destroyed server takes no connection that was accepted before

Seen in a stand-in that ends and starts again beside many callers: a segmentation fault in its request handler. With two connections in the backlog the second is accepted together with the first, and its completion is queued with success; a server that is destroyed before it runs was used after its end. Both now hold a weak reference. The gateway destroys its servers after its loop, so that callers were not met.

--- a/Source/Http/wgHttpServer.cxx
+++ b/Source/Http/wgHttpServer.cxx
@@ -199,8 +199,9 @@
 
 void HttpServer::Accept()
 {
-  acceptor_.async_accept([this](error_code error, tcp::socket socket) {
-    if (error == asio::error::operation_aborted) {
+  acceptor_.async_accept([this, alive = std::weak_ptr<bool>(alive_)](
+                           error_code error, tcp::socket socket) {
+    if (alive.expired() || error == asio::error::operation_aborted) {
       return;
     }
     if (!error && connections_.size() < limits_.connections) {
@@ -220,12 +221,13 @@
     return;
   }
   sweepTimer_.expires_after(SweepPeriod);
-  sweepTimer_.async_wait([this](error_code error) {
-    if (!error) {
-      sweepArmed_ = false;
-      Sweep();
-    }
-  });
+  sweepTimer_.async_wait(
+    [this, alive = std::weak_ptr<bool>(alive_)](error_code error) {
+      if (!error && !alive.expired()) {
+        sweepArmed_ = false;
+        Sweep();
+      }
+    });
 }
 
 void HttpServer::Sweep()
--- a/Source/Http/wgHttpServer.h
+++ b/Source/Http/wgHttpServer.h
@@ -112,6 +112,8 @@
   HttpLimits limits_;
   boost::asio::ip::tcp::acceptor acceptor_;
   LoopTimer sweepTimer_;
+  /** A completion may be queued already when the server is destroyed. */
+  std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   bool sweepArmed_ = false;
   bool draining_ = false;
   Elapsed restUntil_ = absl::InfiniteDuration();
--- a/Tests/Gateway/wgHttpServerTest.cxx
+++ b/Tests/Gateway/wgHttpServerTest.cxx
@@ -3,6 +3,7 @@
 #include <memory>
 #include <string>
 
+#include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
 
 #include "absl/strings/match.h"
@@ -345,3 +346,18 @@
     CHECK(caller.End() == boost::asio::error::connection_reset);
   }
 }
+
+TEST_CASE("A connection is accepted as its server is destroyed")
+{
+  wg::EventLoop loop;
+  auto server = std::make_unique<wg::HttpServer>(loop, Echo);
+  REQUIRE(wg::Succeeded(server->Start("127.0.0.1", 0)));
+  RawCaller first(server->Port());
+  RawCaller second(server->Port());
+  // The second is accepted with the first, and told of after the server went.
+  boost::asio::post(loop,
+                    [&] { boost::asio::post(loop, [&] { server.reset(); }); });
+  loop.poll();
+  CHECK(first.ReadAll().empty());
+  CHECK(second.ReadAll().empty());
+}
