--- /dev/null
+++ b/Source/Decision/wgBrittleRoom.h
@@ -0,0 +1,74 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "absl/strings/string_view.h"
+
+#include "wgElapsed.h"
+
+namespace wg {
+
+/** \brief The requests that one box has open at an endpoint. */
+struct BoxRequests
+{
+  int open = 0;
+  std::uint64_t sequence = 0; // of the box's last report
+  Elapsed reported;
+};
+
+/** \brief What all boxes have open at a brittle endpoint, as the box that
+ * grants their permits knows. Requests in its queue may be refused at any
+ * time, so that no more are open than it works on at once.
+ */
+struct BrittleRoom
+{
+  std::map<std::string, BoxRequests> boxes;
+  /** Requests that were open when it last refused some; 0: it did not. */
+  int refusedAt = 0;
+  Elapsed refused;
+  Elapsed pausedUntil;
+};
+
+/** \brief What bounds the requests that are open at an endpoint. */
+struct BrittleBounds
+{
+  int slots = 1;                  // requests that it works on at once
+  double refusalsPerSecond = 1.0; // above which it falls over
+  /** Whether this box has granted the permits for long enough to know what all
+   * boxes have open.
+   */
+  bool isSettled = true;
+};
+
+/** \brief Reports of a box are dropped after this time: it repeats them at
+ * ReportPeriod while it has requests open.
+ */
+constexpr absl::Duration OpenMemory = absl::Seconds(2);
+constexpr absl::Duration ReportPeriod = absl::Milliseconds(500);
+
+/** \brief Applies a box's report unless a later one is known. */
+void NoteOpen(BrittleRoom& room, absl::string_view box, int open,
+              std::uint64_t sequence, Elapsed now);
+
+/** \brief One more request of the box is granted. */
+void NoteGranted(BrittleRoom& room, absl::string_view box, Elapsed now);
+
+/** \brief The endpoint has refused requests. Until these are as old as the
+ * time in which it bears them, none are granted.
+ */
+void NoteRefused(BrittleRoom& room, int refused, const BrittleBounds& bounds,
+                 Elapsed now);
+
+/** \brief Whether one more request will find room, as far as is known. */
+bool HasRoom(const BrittleRoom& room, const BrittleBounds& bounds,
+             Elapsed now);
+
+/** \brief For how long a box sends an endpoint nothing that refused one of its
+ * requests.
+ */
+absl::Duration RefusalPause(double refusalsPerSecond);
+
+} // namespace wg
--- a/Source/Decision/wgEndpointTerms.cxx
+++ b/Source/Decision/wgEndpointTerms.cxx
@@ -5,14 +5,20 @@
 
 namespace wg {
 
-bool ApplyLimit(EndpointTerms& known, std::optional<double> perSecond,
-                Elapsed reported)
+bool operator==(const SendLimits& left, const SendLimits& right)
+{
+  return left.perSecond == right.perSecond &&
+         left.refusalsPerSecond == right.refusalsPerSecond;
+}
+
+bool ApplyLimits(EndpointTerms& known, const SendLimits& limits,
+                 Elapsed reported)
 {
   if (reported < known.limitReported) {
     return false;
   }
-  const bool isChanged = known.perSecond != perSecond;
-  known.perSecond = perSecond;
+  const bool isChanged = known.limits != limits;
+  known.limits = limits;
   known.limitReported = reported;
   return isChanged;
 }
@@ -21,9 +27,18 @@
                        Elapsed sent, Elapsed now)
 {
   TermsChange change;
-  if (reported.perSecond ||
-      (reported.clearsLimit && sent >= known.limitReported)) {
-    change.limit = ApplyLimit(known, reported.perSecond, now);
+  const bool clears = reported.clearsLimit && sent >= known.limitReported;
+  if (clears) {
+    change.limit = ApplyLimits(known, reported.limits, now);
+  } else if (IsAnyGiven(reported.limits)) {
+    SendLimits limits = reported.limits;
+    if (!limits.perSecond) {
+      limits.perSecond = known.limits.perSecond;
+    }
+    if (!limits.refusalsPerSecond) {
+      limits.refusalsPerSecond = known.limits.refusalsPerSecond;
+    }
+    change.limit = ApplyLimits(known, limits, now);
   }
   if (reported.isLeaving) {
     change.leaving = !known.isLeaving;
--- a/Source/Decision/wgEndpointTerms.h
+++ b/Source/Decision/wgEndpointTerms.h
@@ -9,13 +9,34 @@
 
 namespace wg {
 
+/** \brief The limits of an endpoint on what all boxes together send; none:
+ * not given.
+ */
+struct SendLimits
+{
+  std::optional<double> perSecond; // requests
+  /** The endpoint is brittle: it falls over when it refuses more requests per
+   * second for want of room.
+   */
+  std::optional<double> refusalsPerSecond;
+};
+
+bool operator==(const SendLimits& left, const SendLimits& right);
+inline bool operator!=(const SendLimits& left, const SendLimits& right)
+{
+  return !(left == right);
+}
+inline bool IsAnyGiven(const SendLimits& limits)
+{
+  return limits.perSecond || limits.refusalsPerSecond;
+}
+
 /** \brief What the header fields of one answer request of its endpoint's
  * senders.
  */
 struct SenderTerms
 {
-  /** Limit on requests per second from all boxes together; none: not given. */
-  std::optional<double> perSecond;
+  SendLimits limits;
   bool isLeaving = false;
   /** Backoff requested of the box whose request was just refused. */
   absl::Duration backoff;
@@ -29,9 +50,10 @@
 /** \brief The terms of one start of an endpoint, as known to a box. */
 struct EndpointTerms
 {
-  std::optional<double> perSecond; // limit for all boxes together
-  Elapsed limitReported; // when the limit or its end was last reported
-  Elapsed backoffUntil;  // of this box
+  SendLimits limits;
+  /** When the limits or their end were last reported; zero: never. */
+  Elapsed limitReported;
+  Elapsed backoffUntil; // of this box
   bool isLeaving = false;
   Elapsed leavingReported;
 };
@@ -63,12 +85,12 @@
 TermsChange ApplyTerms(EndpointTerms& known, const SenderTerms& reported,
                        Elapsed sent, Elapsed now);
 
-/** \brief Applies a limit, or its end, unless a newer one is known.
- * \param reported when it was reported, to this or another box
- * \return whether the known limit changed
+/** \brief Applies limits, or their end, unless newer ones are known.
+ * \param reported when they were reported, to this or another box
+ * \return whether the known limits changed
  */
-bool ApplyLimit(EndpointTerms& known, std::optional<double> perSecond,
-                Elapsed reported);
+bool ApplyLimits(EndpointTerms& known, const SendLimits& limits,
+                 Elapsed reported);
 
 bool IsBackingOff(const EndpointTerms& terms, Elapsed now);
 /** \brief Clears a leave that was announced LeavingMemory ago or earlier. */
--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -9,6 +9,9 @@
 namespace wg {
 namespace {
 
+/** Longer than an endpoint that fell over is down. */
+constexpr absl::Duration BrittleMemory = absl::Seconds(10);
+
 using Registration = wire::Registration;
 
 constexpr absl::Duration FirstAvoidance = absl::Milliseconds(250);
@@ -330,7 +333,24 @@
 
 bool IsLimited(const DirectoryEndpoint& endpoint)
 {
-  return endpoint.terms.perSecond.has_value();
+  return endpoint.terms.limits.perSecond.has_value();
+}
+
+bool IsBrittle(const Directory& directory, const DirectoryEndpoint& endpoint,
+               Elapsed now)
+{
+  if (endpoint.terms.limitReported > Elapsed()) {
+    return endpoint.terms.limits.refusalsPerSecond.has_value();
+  }
+  auto heard = directory.brittleHeard.find(endpoint.service);
+  return heard != directory.brittleHeard.end() &&
+         now < heard->second + BrittleMemory;
+}
+
+bool NeedsPermit(const Directory& directory, const DirectoryEndpoint& endpoint,
+                 Elapsed now)
+{
+  return IsLimited(endpoint) || IsBrittle(directory, endpoint, now);
 }
 
 absl::Duration TimeUntilAccepted(const Directory& directory,
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -39,6 +39,8 @@
   VersionRollouts rollouts;
   /** When the state of each service's roll-out was last heard to change. */
   std::map<std::string, Elapsed, std::less<>> rolloutsHeard;
+  /** When an endpoint of each service was last heard to be brittle. */
+  std::map<std::string, Elapsed, std::less<>> brittleHeard;
 };
 
 /** \brief Takes what a control box tells of an endpoint. Between control
@@ -126,7 +128,7 @@
 bool IsEvacuatedWhole(const Directory& directory, absl::string_view service);
 
 /** \brief Whether this box may send something there now; a request that needs
- * a permit, see IsLimited, does so besides.
+ * a permit, see NeedsPermit, does so besides.
  */
 bool MaySendNow(const Directory& directory, const DirectoryEndpoint& endpoint,
                 Elapsed now);
@@ -174,11 +176,20 @@
 bool IsAnySound(const Directory& directory, absl::string_view service,
                 Elapsed now, Sender sender = Sender::ThisBox);
 
-/** \brief Whether it takes only so many requests a second: each needs a
- * permit, see SendPermits.
- */
+/** \brief Whether it takes only so many requests a second. */
 bool IsLimited(const DirectoryEndpoint& endpoint);
 
+/** \brief Whether it falls over when it refuses too much. A start that has
+ * not answered yet is taken to be like others of its service, which may all
+ * have been sent to at once when it is back.
+ */
+bool IsBrittle(const Directory& directory, const DirectoryEndpoint& endpoint,
+               Elapsed now);
+
+/** \brief Whether each request needs a permit, see SendPermits. */
+bool NeedsPermit(const Directory& directory, const DirectoryEndpoint& endpoint,
+                 Elapsed now);
+
 /** \brief How long until this box may send a request to the service, where
  * what its endpoints ask alone prevents it now; zero otherwise.
  */
--- a/Source/Gateway/wgDirectoryIndex.h
+++ b/Source/Gateway/wgDirectoryIndex.h
@@ -41,14 +41,15 @@
   Elapsed known;          // since when this box knows of it
   bool overtaken = false; // by a later start of the same name
 
-  int running = 0;           // requests of this box
+  int running = 0; // requests of this box
+  int asking = 0;  // requests that wait for a permit, see SendPermits
   double pendingSeconds = 0; // prompt reading that this box has asked for
   int failuresInRow = 0;
   FailureShare failures; // of this box's attempts
   Elapsed avoidUntil;    // after failures
   EndpointTerms terms;   // that it has told
   KnownLoad load;        // that it has reported
-  Elapsed deniedUntil;   // no request may be sent within its limit
+  Elapsed deniedUntil;   // no request may be sent within its limits
 };
 
 /** \brief Endpoints in the order of their identities. */
--- a/Source/Gateway/wgEngineCoordinator.cxx
+++ b/Source/Gateway/wgEngineCoordinator.cxx
@@ -59,7 +59,7 @@
     std::remove_if(engines.begin(), engines.end(),
                    [&](const DirectoryEndpoint* engine) {
                      const absl::Duration wait =
-                       permits_.TimeUntilFree(*engine, pool);
+                       permits_.TimeUntilRoom(*engine, pool);
                      const bool isUsedUp = wait > absl::ZeroDuration();
                      soonest = isUsedUp ? std::min(soonest, wait) : soonest;
                      return isUsedUp;
@@ -99,8 +99,8 @@
   if (placed.endpoint == nullptr) {
     return answer;
   }
-  permits_.Take(*placed.endpoint, key);
-  answer.set_counted(IsLimited(*placed.endpoint));
+  permits_.TakeFor(*placed.endpoint, key, ask.box());
+  answer.set_counted(NeedsPermit(directory_, *placed.endpoint, now));
   answer.set_endpoint(placed.endpoint->id);
   answer.set_read_us(
     static_cast<std::int64_t>(placed.prefillSeconds * MicrosInSecond));
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -73,7 +73,7 @@
   self.cpuMilli = cpuMilli_;
   stages_ = std::make_unique<StageClient>(loop_, *peerClient_, coordinator_,
                                           directory_, self, metrics_);
-  permits_.SetPeers(*peerClient_, *stages_);
+  permits_.SetPeers(*peerClient_, *stages_, settings_.box);
   directory_.reach.own = settings_.hall;
   directory_.routes = settings_.routes;
   engines_ = std::make_unique<EngineClient>(loop_, *peerClient_, *stages_,
@@ -344,6 +344,16 @@
     respond("");
     return true;
   }
+  if (request.path == "/send-open") {
+    boost::asio::post(loop_, [this, body = request.body] {
+      wire::OpenReport report;
+      if (report.ParseFromString(body)) {
+        permits_.TakeReport(report);
+      }
+    });
+    respond("");
+    return true;
+  }
   return false;
 }
 
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -209,7 +209,7 @@
   ChoiceQuery MakeChoiceQuery() const;
   std::vector<DirectoryEndpoint*> OwnCandidates() const;
   bool WantsVersion() const;
-  void AskToSend(const DirectoryEndpoint& endpoint, double prefillSeconds,
+  void AskToSend(DirectoryEndpoint& endpoint, double prefillSeconds,
                  const PlacedRead& placed);
   void OnPermit(const std::string& id, bool granted, double prefillSeconds,
                 const PlacedRead& placed);
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -129,7 +129,7 @@
     AfterFailure(AttemptKnowledge::NotSent, WhyNoEndpoint());
     return;
   }
-  if (IsLimited(*endpoint)) {
+  if (NeedsPermit(shared_.directory, *endpoint, ElapsedNow())) {
     AskToSend(*endpoint, prefillSeconds, {});
     return;
   }
@@ -142,7 +142,7 @@
   absl::string_view why = "no_endpoint";
   for (const DirectoryEndpoint* endpoint :
        ServingEndpoints(shared_.directory, service_)) {
-    if (IsLimited(*endpoint)) {
+    if (NeedsPermit(shared_.directory, *endpoint, now)) {
       return EndpointsLimitedReason;
     }
     why = IsBackingOff(endpoint->terms, now) ? EndpointsRestReason : why;
@@ -150,7 +150,7 @@
   return why;
 }
 
-void GatewayRequest::AskToSend(const DirectoryEndpoint& endpoint,
+void GatewayRequest::AskToSend(DirectoryEndpoint& endpoint,
                                double prefillSeconds, const PlacedRead& placed)
 {
   shared_.permits.Ask(endpoint, [weak = weak_from_this(), id = endpoint.id,
@@ -513,6 +513,7 @@
   if (DirectoryEndpoint* endpoint =
         FindEndpoint(shared_.directory, attempt_->endpoint)) {
     --endpoint->running;
+    shared_.permits.NoteEnd(*endpoint, attempt_->saidNotRun);
     if (failed && attempt_->saidNotRun) {
       NoteRefusal(*endpoint, ElapsedNow());
     } else {
--- a/Source/Gateway/wgGatewayRequestEngine.cxx
+++ b/Source/Gateway/wgGatewayRequestEngine.cxx
@@ -97,7 +97,8 @@
   if (DirectoryEndpoint* endpoint = FindChosen(answer.endpoint())) {
     const double prefillSeconds =
       static_cast<double>(answer.read_us()) / MicrosInSecond;
-    if (IsLimited(*endpoint) && !answer.counted()) {
+    if (NeedsPermit(shared_.directory, *endpoint, ElapsedNow()) &&
+        !answer.counted()) {
       // The box that was asked had not heard of the limit.
       AskToSend(*endpoint, prefillSeconds, placed);
     } else {
@@ -118,10 +119,11 @@
  */
 void GatewayRequest::DenyLimited(const StagePoolKey& pool, absl::Duration wait)
 {
-  const Elapsed until = ElapsedNow() + wait;
+  const Elapsed now = ElapsedNow();
+  const Elapsed until = now + wait;
   for (DirectoryEndpoint* endpoint :
        ServingEndpoints(shared_.directory, pool.service, pool.hall)) {
-    if (IsLimited(*endpoint)) {
+    if (NeedsPermit(shared_.directory, *endpoint, now)) {
       endpoint->deniedUntil = until;
     }
   }
--- a/Source/Gateway/wgSendPermits.cxx
+++ b/Source/Gateway/wgSendPermits.cxx
@@ -21,12 +21,28 @@
 /** Between two asks of one box for an endpoint whose requests are used up. */
 constexpr absl::Duration LeastDenial = absl::Milliseconds(50);
 
+/** Two starts may be known at an address for a moment. */
+int OpenAt(const Directory& directory, const std::string& address)
+{
+  auto found = directory.index.byAddress.find(address);
+  int open = 0;
+  if (found != directory.index.byAddress.end()) {
+    for (const auto& [id, endpoint] : found->second) {
+      open += endpoint->running + endpoint->asking;
+    }
+  }
+  return open;
+}
+
 wire::EndpointLimit DescribeLimit(const DirectoryEndpoint& endpoint)
 {
   wire::EndpointLimit limit;
   limit.set_endpoint(endpoint.id);
-  limit.set_is_limited(endpoint.terms.perSecond.has_value());
-  limit.set_per_second(endpoint.terms.perSecond.value_or(0.0));
+  const SendLimits& limits = endpoint.terms.limits;
+  limit.set_is_limited(limits.perSecond.has_value());
+  limit.set_per_second(limits.perSecond.value_or(0.0));
+  limit.set_is_brittle(limits.refusalsPerSecond.has_value());
+  limit.set_refusals_per_second(limits.refusalsPerSecond.value_or(0.0));
   limit.set_age_ms(
     absl::ToInt64Milliseconds(ElapsedNow() - endpoint.terms.limitReported));
   return limit;
@@ -48,13 +64,16 @@
   , terms_(terms)
   , metrics_(metrics)
   , log_(log)
+  , reportTimer_(loop)
 {
   terms_.OnAnswer(
     [this](const DirectoryEndpoint& endpoint) { NoteAnswer(endpoint); });
 }
 
-void SendPermits::SetPeers(PeerClient& peers, StageClient& members)
+void SendPermits::SetPeers(PeerClient& peers, StageClient& members,
+                           std::string self)
 {
+  self_ = std::move(self);
   peers_ = &peers;
   members_ = &members;
   members.OnMembersChanged([this] { NoteMembers(); });
@@ -96,7 +115,7 @@
 SendRate SendPermits::RateOf(const DirectoryEndpoint& endpoint,
                              const StagePoolKey& pool)
 {
-  return { *endpoint.terms.perSecond, IsSettled(pool) };
+  return { *endpoint.terms.limits.perSecond, IsSettled(pool) };
 }
 
 absl::Duration SendPermits::TimeUntilFree(const DirectoryEndpoint& endpoint,
@@ -128,6 +147,137 @@
   }
 }
 
+BrittleBounds SendPermits::BoundsOf(const DirectoryEndpoint& endpoint,
+                                    const StagePoolKey& pool)
+{
+  return { endpoint.slots,
+           endpoint.terms.limits.refusalsPerSecond.value_or(0.0),
+           IsSettled(pool) };
+}
+
+absl::Duration SendPermits::TimeUntilRoom(const DirectoryEndpoint& endpoint,
+                                          const StagePoolKey& pool)
+{
+  const Elapsed now = ElapsedNow();
+  const absl::Duration wait = TimeUntilFree(endpoint, pool);
+  if (!IsBrittle(directory_, endpoint, now)) {
+    return wait;
+  }
+  const BrittleRoom& room = rooms_[endpoint.address];
+  if (HasRoom(room, BoundsOf(endpoint, pool), now)) {
+    return wait;
+  }
+  return std::max({ wait, room.pausedUntil - now, LeastDenial });
+}
+
+void SendPermits::TakeFor(const DirectoryEndpoint& endpoint,
+                          const StagePoolKey& pool, const std::string& box)
+{
+  Take(endpoint, pool);
+  const Elapsed now = ElapsedNow();
+  if (IsBrittle(directory_, endpoint, now)) {
+    NoteGranted(rooms_[endpoint.address], box, now);
+  }
+}
+
+wire::OpenRequests SendPermits::DescribeOpen(const DirectoryEndpoint& endpoint,
+                                             int refused)
+{
+  wire::OpenRequests requests;
+  requests.set_box(self_);
+  requests.set_sequence(++lastReport_);
+  requests.set_open(
+    static_cast<std::uint32_t>(OpenAt(directory_, endpoint.address)));
+  requests.set_refused(static_cast<std::uint32_t>(refused));
+  return requests;
+}
+
+void SendPermits::NoteRequests(const DirectoryEndpoint& endpoint,
+                               const StagePoolKey& pool,
+                               const wire::OpenRequests& requests)
+{
+  const Elapsed now = ElapsedNow();
+  if (!IsBrittle(directory_, endpoint, now)) {
+    return;
+  }
+  BrittleRoom& room = rooms_[endpoint.address];
+  if (requests.refused() > 0) {
+    NoteRefused(room, static_cast<int>(requests.refused()),
+                BoundsOf(endpoint, pool), now);
+    metrics_.Count("brittle_refusals", requests.refused());
+  }
+  NoteOpen(room, requests.box(), static_cast<int>(requests.open()),
+           requests.sequence(), now);
+}
+
+void SendPermits::TakeReport(const wire::OpenReport& report)
+{
+  const DirectoryEndpoint* endpoint =
+    FindEndpoint(directory_, report.endpoint());
+  if (endpoint != nullptr) {
+    NoteRequests(*endpoint, { report.service(), report.pool_hall() },
+                 report.requests());
+  }
+}
+
+void SendPermits::NoteEnd(const DirectoryEndpoint& endpoint, bool wasRefused)
+{
+  if (IsBrittle(directory_, endpoint, ElapsedNow())) {
+    Report(endpoint, wasRefused ? 1 : 0);
+  }
+}
+
+void SendPermits::Report(const DirectoryEndpoint& endpoint, int refused)
+{
+  const StagePoolKey pool = PermitPoolOf(directory_, endpoint);
+  wire::OpenReport report;
+  report.set_endpoint(endpoint.id);
+  report.set_service(pool.service);
+  report.set_pool_hall(pool.hall);
+  *report.mutable_requests() = DescribeOpen(endpoint, refused);
+  if (report.requests().open() > 0) {
+    reported_.insert(endpoint.id);
+    ArmReports();
+  } else {
+    reported_.erase(endpoint.id);
+  }
+  const GatewayMember* member =
+    members_ == nullptr ? nullptr : members_->CoordinatorOf(pool);
+  if (member == nullptr) {
+    TakeReport(report);
+    return;
+  }
+  peers_->Call(member->address, "/send-open", report.SerializeAsString(),
+               TellTimeout, [](const Outcome<std::string>&) {});
+}
+
+/** Another box may be the coordinator by now, or a report was lost. */
+void SendPermits::RepeatReports()
+{
+  const std::set<std::string> reported = std::exchange(reported_, {});
+  const Elapsed now = ElapsedNow();
+  for (const std::string& id : reported) {
+    const DirectoryEndpoint* endpoint = FindEndpoint(directory_, id);
+    if (endpoint != nullptr && IsBrittle(directory_, *endpoint, now)) {
+      Report(*endpoint, 0);
+    }
+  }
+}
+
+void SendPermits::ArmReports()
+{
+  if (std::exchange(isReportArmed_, true)) {
+    return;
+  }
+  reportTimer_.expires_after(absl::ToChronoMilliseconds(ReportPeriod));
+  reportTimer_.async_wait([this](boost::system::error_code error) {
+    if (!error) {
+      isReportArmed_ = false;
+      RepeatReports();
+    }
+  });
+}
+
 wire::SendAnswer SendPermits::Grant(const wire::SendAsk& ask)
 {
   wire::SendAnswer answer;
@@ -138,23 +288,26 @@
     return answer;
   }
   const StagePoolKey pool{ ask.service(), ask.pool_hall() };
-  const absl::Duration wait = TimeUntilFree(*endpoint, pool);
+  NoteRequests(*endpoint, pool, ask.requests());
+  const absl::Duration wait = TimeUntilRoom(*endpoint, pool);
   answer.set_granted(wait <= absl::ZeroDuration());
   answer.set_wait_ms(absl::ToInt64Milliseconds(wait));
   *answer.mutable_limit() = DescribeLimit(*endpoint);
   if (answer.granted()) {
-    Take(*endpoint, pool);
+    TakeFor(*endpoint, pool, ask.requests().box());
   }
   return answer;
 }
 
-void SendPermits::Ask(const DirectoryEndpoint& endpoint, Answered answered)
+void SendPermits::Ask(DirectoryEndpoint& endpoint, Answered answered)
 {
   const StagePoolKey pool = PermitPoolOf(directory_, endpoint);
   wire::SendAsk ask;
   *ask.mutable_limit() = DescribeLimit(endpoint);
   ask.set_service(pool.service);
   ask.set_pool_hall(pool.hall);
+  *ask.mutable_requests() = DescribeOpen(endpoint, 0);
+  ++endpoint.asking;
   metrics_.Count("sends_asked");
   const GatewayMember* member =
     members_ == nullptr ? nullptr : members_->CoordinatorOf(pool);
@@ -165,26 +318,27 @@
     });
     return;
   }
-  peers_->Call(
-    member->address, "/send", ask.SerializeAsString(), AskTimeout,
-    [this, box = member->box, id = endpoint.id,
-     answered = std::move(answered)](Outcome<std::string> reply) {
-      boost::asio::post(
-        loop_, [this, box, id, answered, reply = std::move(reply)] {
-          wire::SendAnswer answer;
-          if (!Succeeded(reply) || !answer.ParseFromString(Value(reply))) {
-            metrics_.Count("send_coordinators_silent");
-            members_->Doubt(box);
-          }
-          const DirectoryEndpoint* known = FindEndpoint(directory_, id);
-          if (answer.no_path() && known != nullptr) {
-            members_->NoteNoPath(box);
-            Ask(*known, answered);
-            return;
-          }
-          TakeAnswer(id, answer, answered);
-        });
-    });
+  peers_->Call(member->address, "/send", ask.SerializeAsString(), AskTimeout,
+               [this, box = member->box, id = endpoint.id,
+                answered = std::move(answered)](Outcome<std::string> reply) {
+                 boost::asio::post(
+                   loop_, [this, box, id, answered, reply = std::move(reply)] {
+                     wire::SendAnswer answer;
+                     if (!Succeeded(reply) ||
+                         !answer.ParseFromString(Value(reply))) {
+                       metrics_.Count("send_coordinators_silent");
+                       members_->Doubt(box);
+                     }
+                     DirectoryEndpoint* known = FindEndpoint(directory_, id);
+                     if (answer.no_path() && known != nullptr) {
+                       members_->NoteNoPath(box);
+                       --known->asking;
+                       Ask(*known, answered);
+                       return;
+                     }
+                     TakeAnswer(id, answer, answered);
+                   });
+               });
 }
 
 /** Without an answer nothing is sent either. */
@@ -194,6 +348,9 @@
 {
   TakeNews(answer.limit());
   DirectoryEndpoint* endpoint = FindEndpoint(directory_, id);
+  if (endpoint != nullptr) {
+    --endpoint->asking;
+  }
   if (endpoint != nullptr && !answer.granted()) {
     const absl::Duration wait =
       std::max(absl::Milliseconds(answer.wait_ms()), LeastDenial);
@@ -210,7 +367,9 @@
   log_.Write(LogWeight::Routine, "send_denied",
              { { "endpoint", endpoint.id },
                { "service", endpoint.service },
-               { "per_second", endpoint.terms.perSecond.value_or(0.0) },
+               { "per_second", endpoint.terms.limits.perSecond.value_or(0.0) },
+               { "refusals_per_second",
+                 endpoint.terms.limits.refusalsPerSecond.value_or(0.0) },
                { "wait_ms", absl::ToInt64Milliseconds(wait) } });
 }
 
@@ -220,52 +379,66 @@
   if (endpoint == nullptr || news.age_ms() < 0) {
     return;
   }
-  const std::optional<double> perSecond =
-    news.is_limited() ? std::optional<double>(news.per_second())
-                      : std::nullopt;
+  SendLimits limits;
+  if (news.is_limited()) {
+    limits.perSecond = news.per_second();
+  }
+  if (news.is_brittle()) {
+    limits.refusalsPerSecond = news.refusals_per_second();
+  }
   const Elapsed told = ElapsedNow() - absl::Milliseconds(news.age_ms());
-  if (!terms_.HeardLimit(*endpoint, perSecond, told)) {
+  if (!terms_.HeardLimits(*endpoint, limits, told)) {
     return;
   }
   if (IsCoordinator(PermitPoolOf(directory_, *endpoint))) {
     NoteAnswer(*endpoint);
   } else { // who tells all boxes is known to know it
-    told_[endpoint->id] = { perSecond, ElapsedNow() };
+    told_[endpoint->id] = { limits, ElapsedNow() };
   }
 }
 
 void SendPermits::ForgetEnded()
 {
-  const auto forget = [this](auto& entries) {
+  const auto forget = [](auto& entries, auto isKnown) {
     for (auto entry = entries.begin(); entry != entries.end();) {
-      const bool isOver = FindEndpoint(directory_, entry->first) == nullptr;
-      entry = isOver ? entries.erase(entry) : std::next(entry);
+      entry = isKnown(entry->first) ? std::next(entry) : entries.erase(entry);
     }
   };
-  forget(told_);
-  forget(buckets_);
+  const auto isKnown = [this](const std::string& id) {
+    return FindEndpoint(directory_, id) != nullptr;
+  };
+  forget(told_, isKnown);
+  forget(buckets_, isKnown);
+  forget(rooms_, [this](const std::string& address) {
+    return FindByAddress(directory_, address) != nullptr;
+  });
 }
 
 /** What an endpoint that never had a limit answers costs no look-up. */
 void SendPermits::NoteAnswer(const DirectoryEndpoint& endpoint)
 {
-  if (!IsLimited(endpoint) && told_.empty()) {
+  const SendLimits& limits = endpoint.terms.limits;
+  const bool isAny = IsAnyGiven(limits);
+  if (!isAny && told_.empty()) {
     return;
   }
   ToldLimit& told = told_[endpoint.id];
   const Elapsed now = ElapsedNow();
-  const bool isChanged = told.perSecond != endpoint.terms.perSecond;
+  const bool isChanged = told.limits != limits;
   const bool isDue =
-    told.perSecond.has_value() != endpoint.terms.perSecond.has_value() ||
+    told.limits.perSecond.has_value() != limits.perSecond.has_value() ||
+    told.limits.refusalsPerSecond.has_value() !=
+      limits.refusalsPerSecond.has_value() ||
     now - told.when >= TellPeriod;
   if (isChanged && isDue) {
     ForgetEnded();
-    told = { endpoint.terms.perSecond, now };
+    told = { limits, now };
     TellLimit(endpoint);
   }
-  if (!IsLimited(endpoint)) {
+  if (!isAny) {
     told_.erase(endpoint.id);
     buckets_.erase(endpoint.id);
+    rooms_.erase(endpoint.address);
   }
 }
 
--- a/Source/Gateway/wgSendPermits.h
+++ b/Source/Gateway/wgSendPermits.h
@@ -3,13 +3,15 @@
 
 #include <functional>
 #include <map>
-#include <optional>
+#include <set>
 #include <string>
 
+#include "wgBrittleRoom.h"
 #include "wgDecisionLog.h"
 #include "wgDirectory.h"
 #include "wgGatewayMetrics.h"
 #include "wgHttpMessage.h"
+#include "wgLoopTimer.h"
 #include "wgPeer.pb.h"
 #include "wgPeerClient.h"
 #include "wgSendRate.h"
@@ -21,13 +23,14 @@
 class StageClient;
 
 /** \class SendPermits
- * \brief Hands out the requests that endpoints with a limit may be sent, from
+ * \brief Hands out the requests that endpoints with limits may be sent, from
  * all boxes together; on the loop.
  *
  * One box hands them out for all, the coordinator of the endpoint's pool. A
- * box without a permit sends nothing there. Which endpoints have a limit
+ * box without a permit sends nothing there. Which endpoints have limits
  * travels from the box that was told to the coordinator, and from there to all
- * boxes.
+ * boxes. What a box has open at a brittle endpoint it reports with each
+ * request for a permit and whenever one of its requests there ends.
  */
 class SendPermits
 {
@@ -39,7 +42,7 @@
               GatewayMetrics& metrics, DecisionLog& log);
 
   /** \brief Without peers this box hands out all. They outlive this. */
-  void SetPeers(PeerClient& peers, StageClient& members);
+  void SetPeers(PeerClient& peers, StageClient& members, std::string self);
 
   /** \brief Whether this box, as coordinator of the pool, may have one more
    * request sent there now; always where the endpoint has no limit.
@@ -50,15 +53,26 @@
   /** \brief One is sent; only after IsFree. */
   void Take(const DirectoryEndpoint& endpoint, const StagePoolKey& pool);
 
-  /** \brief Asks the coordinator for one request to an endpoint that has a
-   * limit. If it is not granted, the endpoint's `deniedUntil` is set.
+  /** \brief The same for requests that boxes make themselves, which a brittle
+   * endpoint must have room for. Calls of stages are counted by their pool.
    */
-  void Ask(const DirectoryEndpoint& endpoint, Answered answered);
+  absl::Duration TimeUntilRoom(const DirectoryEndpoint& endpoint,
+                               const StagePoolKey& pool);
+  void TakeFor(const DirectoryEndpoint& endpoint, const StagePoolKey& pool,
+               const std::string& box);
+
+  /** \brief Asks the coordinator for one request to an endpoint that needs a
+   * permit. If it is not granted, the endpoint's `deniedUntil` is set.
+   */
+  void Ask(DirectoryEndpoint& endpoint, Answered answered);
+  /** \brief A request of this box has ended. */
+  void NoteEnd(const DirectoryEndpoint& endpoint, bool wasRefused);
 
   /** \brief Answers another box that asks. */
   wire::SendAnswer Grant(const wire::SendAsk& ask);
   /** \brief Takes in what another box tells. */
   void TakeNews(const wire::EndpointLimit& news);
+  void TakeReport(const wire::OpenReport& report);
 
 private:
   /** Whose requests this box hands out. */
@@ -70,7 +84,7 @@
   /** What other boxes were last told of an endpoint's limit. */
   struct ToldLimit
   {
-    std::optional<double> perSecond;
+    SendLimits limits;
     Elapsed when;
   };
 
@@ -84,6 +98,16 @@
   void TakeAnswer(const std::string& endpoint, const wire::SendAnswer& answer,
                   const Answered& answered);
   void LogDenial(const DirectoryEndpoint& endpoint, absl::Duration wait);
+  BrittleBounds BoundsOf(const DirectoryEndpoint& endpoint,
+                         const StagePoolKey& pool);
+  wire::OpenRequests DescribeOpen(const DirectoryEndpoint& endpoint,
+                                  int refused);
+  void NoteRequests(const DirectoryEndpoint& endpoint,
+                    const StagePoolKey& pool,
+                    const wire::OpenRequests& requests);
+  void Report(const DirectoryEndpoint& endpoint, int refused);
+  void RepeatReports();
+  void ArmReports();
 
   EventLoop& loop_;
   Directory& directory_;
@@ -92,7 +116,15 @@
   DecisionLog& log_;
   PeerClient* peers_ = nullptr;
   StageClient* members_ = nullptr;
+  std::string self_;
   std::map<std::string, SendBucket> buckets_; // by endpoint
+  /** By address: an endpoint that fell over has the same room again. */
+  std::map<std::string, BrittleRoom> rooms_;
+  /** Where this box was last known to have requests open, by endpoint. */
+  std::set<std::string> reported_;
+  std::uint64_t lastReport_ = 0;
+  LoopTimer reportTimer_;
+  bool isReportArmed_ = false;
   std::map<StagePoolKey, Coordination> coordinations_;
   std::map<std::string, ToldLimit> told_; // by endpoint
 };
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -174,6 +174,7 @@
                       const StageReservations& reservations);
   void LogBacklog(const StagePoolKey& key, const StagePool& pool);
   void LogCall(const OpenCall& open, absl::string_view end);
+  absl::Duration PauseAfterRefusal(const OpenCall& open) const;
   StageServer* ServerOf(const OpenCall& open);
   void KeepInputs(const wire::StageWork& work, Work& state);
   void NoteInCall(std::uint64_t number);
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -189,7 +189,7 @@
       NoteReplaced(directory_, open.call.server, ElapsedNow());
     }
     if (StageServer* server = ServerOf(open)) {
-      server->avoidUntil = ElapsedNow() + FullPause;
+      server->avoidUntil = ElapsedNow() + PauseAfterRefusal(open);
     }
     for (StagePiece& piece : open.call.pieces) {
       FreeRoom(key, open.call.server, piece.resultBytes);
@@ -206,6 +206,18 @@
   Pump(key);
 }
 
+/** A brittle endpoint falls over when it refuses too much. */
+absl::Duration StageCoordinator::PauseAfterRefusal(const OpenCall& open) const
+{
+  auto found = directory_.endpoints.find(open.call.server);
+  const bool isBrittle = found != directory_.endpoints.end() &&
+                         IsBrittle(directory_, found->second, ElapsedNow());
+  return isBrittle
+           ? RefusalPause(
+               found->second.terms.limits.refusalsPerSecond.value_or(0.0))
+           : FullPause;
+}
+
 /** Accounts pay for what a call took, and for nothing if it was not run. To be
  * called while the call still has its pieces.
  */
--- a/Source/Gateway/wgTermsTracker.cxx
+++ b/Source/Gateway/wgTermsTracker.cxx
@@ -33,6 +33,7 @@
   if (HasChange(change)) {
     OnChange(*known, change, now);
   }
+  NoteBrittle(*known, now);
   if (answered_) {
     answered_(*known);
   }
@@ -58,11 +59,12 @@
   }
 }
 
-bool TermsTracker::HeardLimit(DirectoryEndpoint& endpoint,
-                              std::optional<double> perSecond, Elapsed told)
+bool TermsTracker::HeardLimits(DirectoryEndpoint& endpoint,
+                               const SendLimits& limits, Elapsed told)
 {
   TermsChange change;
-  change.limit = ApplyLimit(endpoint.terms, perSecond, told);
+  change.limit = ApplyLimits(endpoint.terms, limits, told);
+  NoteBrittle(endpoint, ElapsedNow());
   if (change.limit) {
     OnChange(endpoint, change, ElapsedNow());
   }
@@ -84,15 +86,7 @@
 {
   const EndpointTerms& terms = endpoint.terms;
   if (change.limit) {
-    metrics_.Count(terms.perSecond ? "limits_named" : "limits_ended");
-    nlohmann::json fields{ { "endpoint", endpoint.id },
-                           { "service", endpoint.service } };
-    if (terms.perSecond) {
-      fields["per_second"] = *terms.perSecond;
-    }
-    log_.Write(LogWeight::Notable,
-               terms.perSecond ? "endpoint_limit" : "endpoint_limit_ended",
-               std::move(fields));
+    TellLimits(endpoint);
   }
   if (change.backoff) {
     metrics_.Count("rests_asked");
@@ -110,4 +104,29 @@
   }
 }
 
+void TermsTracker::TellLimits(const DirectoryEndpoint& endpoint)
+{
+  const SendLimits& limits = endpoint.terms.limits;
+  const bool isAny = IsAnyGiven(limits);
+  metrics_.Count(isAny ? "limits_named" : "limits_ended");
+  nlohmann::json fields{ { "endpoint", endpoint.id },
+                         { "service", endpoint.service } };
+  if (limits.perSecond) {
+    fields["per_second"] = *limits.perSecond;
+  }
+  if (limits.refusalsPerSecond) {
+    fields["refusals_per_second"] = *limits.refusalsPerSecond;
+  }
+  log_.Write(LogWeight::Notable,
+             isAny ? "endpoint_limit" : "endpoint_limit_ended",
+             std::move(fields));
+}
+
+void TermsTracker::NoteBrittle(const DirectoryEndpoint& endpoint, Elapsed now)
+{
+  if (endpoint.terms.limits.refusalsPerSecond) {
+    directory_.brittleHeard[endpoint.service] = now;
+  }
+}
+
 } // namespace wg
--- a/Source/Gateway/wgTermsTracker.h
+++ b/Source/Gateway/wgTermsTracker.h
@@ -27,11 +27,11 @@
   /** \brief An endpoint has answered a request that was sent then. */
   void Heard(const std::string& endpoint, const HttpHead& head, Elapsed sent);
 
-  /** \brief Another box was told of a limit, or of its end, then.
+  /** \brief Another box was told of limits, or of their end, then.
    * \return whether that is news
    */
-  bool HeardLimit(DirectoryEndpoint& endpoint, std::optional<double> perSecond,
-                  Elapsed told);
+  bool HeardLimits(DirectoryEndpoint& endpoint, const SendLimits& limits,
+                   Elapsed told);
 
   using Answered = std::function<void(const DirectoryEndpoint&)>;
   /** \brief Is told of each answer, once its terms are known. */
@@ -43,6 +43,8 @@
                 Elapsed now);
   void Tell(const DirectoryEndpoint& endpoint, const TermsChange& change,
             Elapsed now);
+  void TellLimits(const DirectoryEndpoint& endpoint);
+  void NoteBrittle(const DirectoryEndpoint& endpoint, Elapsed now);
 
   Directory& directory_;
   const Dialect& dialect_;
--- a/Tests/Decision/wgEndpointTermsTest.cxx
+++ b/Tests/Decision/wgEndpointTermsTest.cxx
@@ -21,7 +21,7 @@
 SenderTerms Limit(double perSecond)
 {
   SenderTerms terms;
-  terms.perSecond = perSecond;
+  terms.limits.perSecond = perSecond;
   return terms;
 }
 
@@ -39,26 +39,26 @@
 {
   EndpointTerms known;
   CHECK(ApplyTerms(known, Limit(2.0), At(0), At(1)).limit);
-  CHECK(known.perSecond == 2.0);
+  CHECK(known.limits.perSecond == 2.0);
   CHECK_FALSE(ApplyTerms(known, Limit(2.0), At(1), At(1.1)).limit);
   CHECK(ApplyTerms(known, Limit(0.5), At(1), At(1.2)).limit);
   // Sent before the limit was reported: the answers overtook each other.
   CHECK_FALSE(ApplyTerms(known, Unlimited(), At(1.1), At(1.3)).limit);
-  CHECK(known.perSecond == 0.5);
+  CHECK(known.limits.perSecond == 0.5);
   const SenderTerms refusal; // or an answer that could not be parsed
   CHECK_FALSE(ApplyTerms(known, refusal, At(2), At(2.1)).limit);
   CHECK(ApplyTerms(known, Unlimited(), At(2), At(2.1)).limit);
-  CHECK_FALSE(known.perSecond);
+  CHECK_FALSE(known.limits.perSecond);
 }
 
 TEST_CASE("The newest of the limits reported by other boxes holds")
 {
   EndpointTerms known;
-  CHECK(ApplyLimit(known, 3.0, At(5)));
-  CHECK_FALSE(ApplyLimit(known, 9.0, At(4)));
-  CHECK(known.perSecond == 3.0);
-  CHECK(ApplyLimit(known, std::nullopt, At(6)));
-  CHECK_FALSE(known.perSecond);
+  CHECK(ApplyLimits(known, { 3.0, {} }, At(5)));
+  CHECK_FALSE(ApplyLimits(known, { 9.0, {} }, At(4)));
+  CHECK(known.limits.perSecond == 3.0);
+  CHECK(ApplyLimits(known, {}, At(6)));
+  CHECK_FALSE(known.limits.perSecond);
 }
 
 TEST_CASE("A backoff ends at the latest time that was requested")
@@ -91,3 +91,22 @@
   ForgetLeaving(known, At(2) + wg::LeavingMemory);
   CHECK_FALSE(known.isLeaving);
 }
+
+TEST_CASE("Each of two limits stays while refusals name the other alone")
+{
+  SenderTerms brittle;
+  brittle.limits.refusalsPerSecond = 3.0;
+  EndpointTerms known;
+  CHECK(ApplyTerms(known, brittle, At(0), At(1)).limit);
+  CHECK(ApplyTerms(known, Limit(2.0), At(1), At(1.1)).limit);
+  CHECK(known.limits.perSecond == 2.0);
+  CHECK(known.limits.refusalsPerSecond == 3.0);
+  CHECK_FALSE(ApplyTerms(known, brittle, At(1), At(1.2)).limit);
+  // A successful answer tells of all that hold.
+  brittle.clearsLimit = true;
+  CHECK(ApplyTerms(known, brittle, At(2), At(2.1)).limit);
+  CHECK_FALSE(known.limits.perSecond);
+  CHECK(known.limits.refusalsPerSecond == 3.0);
+  CHECK(ApplyTerms(known, Unlimited(), At(3), At(3.1)).limit);
+  CHECK_FALSE(known.limits.refusalsPerSecond);
+}
--- a/Tests/Gateway/wgSendPermitsTest.cxx
+++ b/Tests/Gateway/wgSendPermitsTest.cxx
@@ -118,3 +118,69 @@
   ask.mutable_limit()->set_endpoint("nobody");
   CHECK_FALSE(box.permits.Grant(ask).granted());
 }
+
+TEST_CASE("What all boxes have open at a brittle endpoint is bounded")
+{
+  OneBox box;
+  wg::DirectoryEndpoint& endpoint = *wg::FindEndpoint(box.directory, "e");
+  endpoint.slots = 3;
+  wg::wire::SendAsk ask = box.Ask(-1.0);
+  ask.mutable_limit()->set_is_brittle(true);
+  ask.mutable_limit()->set_refusals_per_second(2.0);
+  const auto from = [&ask](const std::string& name, std::uint32_t open) {
+    static std::uint64_t sequence = 0;
+    ask.mutable_requests()->set_box(name);
+    ask.mutable_requests()->set_open(open);
+    ask.mutable_requests()->set_sequence(++sequence);
+    return ask;
+  };
+  CHECK(box.permits.Grant(from("a", 1)).granted());
+  CHECK(box.permits.Grant(from("b", 0)).granted());
+  const auto denied = box.permits.Grant(from("c", 0));
+  CHECK_FALSE(denied.granted());
+  CHECK(denied.wait_ms() > 0);
+  CHECK(denied.limit().is_brittle());
+  wg::wire::OpenReport report;
+  report.set_endpoint("e");
+  report.set_service("svc");
+  *report.mutable_requests() = from("a", 1).requests();
+  SECTION("until one of them ends")
+  {
+    box.permits.TakeReport(report);
+    CHECK(box.permits.Grant(from("c", 0)).granted());
+  }
+  SECTION("and not for a while after a refusal")
+  {
+    report.mutable_requests()->set_refused(1);
+    box.permits.TakeReport(report);
+    CHECK_FALSE(box.permits.Grant(from("c", 0)).granted());
+  }
+  SECTION("until it is brittle no more")
+  {
+    ask.mutable_limit()->set_is_brittle(false);
+    CHECK(box.permits.Grant(from("c", 0)).granted());
+  }
+}
+
+TEST_CASE("A brittle endpoint that is back is sent all that waits")
+{
+  // Its first start alone had said that it is brittle.
+  OneBox box;
+  Register(box.directory, "s", 1000, 1);
+  wg::wire::EndpointLimit news = box.Ask(-1.0).limit();
+  news.set_endpoint("s@1000");
+  news.set_is_brittle(true);
+  news.set_refusals_per_second(2.0);
+  box.permits.TakeNews(news);
+  Register(box.directory, "s", 2000, 1);
+  const wg::Elapsed now = wg::ElapsedNow();
+  const wg::DirectoryEndpoint* back =
+    wg::FindEndpoint(box.directory, "s@2000");
+  REQUIRE(back != nullptr);
+  CHECK(NeedsPermit(box.directory, *back, now));
+  CHECK_FALSE(NeedsPermit(box.directory, *back, now + absl::Minutes(1)));
+  news.set_endpoint("s@2000");
+  news.set_is_brittle(false);
+  box.permits.TakeNews(news); // its first answers do not say so
+  CHECK_FALSE(NeedsPermit(box.directory, *back, now));
+}
--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -3,6 +3,7 @@
 
 #include "wgLoopTimer.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -21,7 +22,6 @@
 constexpr int Events = 4;
 constexpr int Slots = 4;
 constexpr int UsualPace = 100; // percent
-constexpr std::int64_t FirstBornMs = 1700000000000;
 
 std::string Field(const HttpRequest& request, const char* name)
 {
@@ -47,6 +47,8 @@
 {
   thread_.Join();
   waiting_.clear();
+  queued_.clear();
+  open_.clear();
   server_.reset();
 }
 
@@ -82,17 +84,20 @@
   // Not from within the server that is to go.
   boost::asio::post(thread_.Loop(), [this] {
     waiting_.clear();
+    queued_.clear();
+    open_.clear();
+    atWork_ = 0;
+    callsAtWork_ = 0;
     server_.reset();
-    auto timer = std::make_shared<wg::LoopTimer>(
-      thread_.Loop(), std::chrono::milliseconds(downMs_));
-    timer->async_wait([this, timer](boost::system::error_code error) {
-      if (!error) {
-        Listen();
-      }
-    });
+    RunAfter(downMs_, [this] { Listen(); });
   });
 }
 
+void PlatformStandin::FallOver()
+{
+  boost::asio::post(thread_.Loop(), [this] { End(); });
+}
+
 /** At the port that it had. */
 void PlatformStandin::Listen()
 {
@@ -179,7 +184,7 @@
   }
   switch (conduct_.load()) {
     case StandinConduct::Answer:
-      Answer(exchange);
+      Work(exchange);
       return;
     case StandinConduct::Refuse:
       Refuse(exchange);
@@ -203,12 +208,83 @@
   return refusals_;
 }
 
+/** Whether a brittle one has refused more within a second than it bears. */
+bool PlatformStandin::IsOverrun() const
+{
+  absl::MutexLock lock(&mutex_);
+  const auto recent = std::upper_bound(refusals_.begin(), refusals_.end(),
+                                       absl::Now() - absl::Seconds(1));
+  return brittle_ >= 0.0 &&
+         static_cast<double>(refusals_.end() - recent) > brittle_;
+}
+
+void PlatformStandin::Work(const Exchange& exchange)
+{
+  if (workMs_ == 0) {
+    Answer(exchange);
+  } else if (atWork_ < Slots) {
+    StartWork(exchange);
+  } else if (queued_.size() < static_cast<std::size_t>(queue_)) {
+    queued_.push_back(exchange);
+  } else {
+    Refuse(exchange);
+  }
+}
+
+void PlatformStandin::StartWork(const Exchange& exchange)
+{
+  const std::uint64_t number = Begin(exchange);
+  ++atWork_;
+  RunAfter(workMs_, [this, number] {
+    const Exchange done = EndOf(number);
+    if (done == nullptr) {
+      return;
+    }
+    --atWork_;
+    Answer(done);
+    if (!queued_.empty()) {
+      const Exchange next = queued_.front();
+      queued_.pop_front();
+      StartWork(next);
+    }
+  });
+}
+
+/** What is open is kept here alone, so that it goes when the endpoint ends. */
+std::uint64_t PlatformStandin::Begin(const Exchange& exchange)
+{
+  open_[++lastOpen_] = exchange;
+  return lastOpen_;
+}
+
+PlatformStandin::Exchange PlatformStandin::EndOf(std::uint64_t number)
+{
+  auto node = open_.extract(number);
+  return node.empty() ? nullptr : node.mapped();
+}
+
+void PlatformStandin::RunAfter(int ms, std::function<void()> run)
+{
+  auto timer = std::make_shared<wg::LoopTimer>(thread_.Loop(),
+                                               std::chrono::milliseconds(ms));
+  timer->async_wait(
+    [timer, run = std::move(run)](boost::system::error_code error) {
+      if (!error) {
+        run();
+      }
+    });
+}
+
 void PlatformStandin::Refuse(const Exchange& exchange)
 {
   {
     absl::MutexLock lock(&mutex_);
     refusals_.push_back(absl::Now());
   }
+  if (IsOverrun()) {
+    End();
+    return;
+  }
   HttpResponse refusal = MakeResponse(503, "", "");
   refusal.set("X-Weirgate-Not-Executed", "1");
   if (rest_ > 0.0) {
@@ -223,6 +299,9 @@
   if (limit_ >= 0.0) {
     head.set("Server-Limit", absl::StrCat(limit_.load()));
   }
+  if (brittle_ >= 0.0) {
+    head.set("Server-Brittle", absl::StrCat(brittle_.load()));
+  }
   if (leaving_) {
     head.set("Server-Leaving", "1");
   }
@@ -232,15 +311,17 @@
 std::string PlatformStandin::Load() const
 {
   const std::size_t running =
-    static_cast<std::size_t>(callsAtWork_) + waiting_.size();
-  const std::string counts = absl::StrCat(running, ",0,", Slots);
+    static_cast<std::size_t>(callsAtWork_ + atWork_) + waiting_.size();
+  const std::string counts =
+    absl::StrCat(running, ",", queued_.size(), ",", Slots);
   return pace_ == 0 ? counts : absl::StrCat(counts, ",", pace_.load());
 }
 
 /** A result's name tells of what request and stage it is. */
 void PlatformStandin::OnStage(const Exchange& exchange)
 {
-  if (conduct_ == StandinConduct::Refuse) {
+  const bool isFull = workMs_ > 0 && callsAtWork_ >= Slots + queue_;
+  if (conduct_ == StandinConduct::Refuse || isFull) {
     Refuse(exchange);
     return;
   }
@@ -266,15 +347,18 @@
             : Json{ { "reason", "error" } });
   }
   const int pace = pace_ == 0 ? UsualPace : pace_.load();
-  auto timer = std::make_shared<wg::LoopTimer>(
-    thread_.Loop(), std::chrono::milliseconds(callMs_ * pace / UsualPace));
+  const std::uint64_t number = Begin(exchange);
   ++callsAtWork_;
-  timer->async_wait([this, exchange, timer, items](boost::system::error_code) {
+  RunAfter(callMs_ * pace / UsualPace, [this, number, items] {
+    const Exchange done = EndOf(number);
+    if (done == nullptr) {
+      return;
+    }
     --callsAtWork_;
     HttpResponse answer =
       MakeResponse(200, "application/json", Json{ { "items", items } }.dump());
     AddTerms(answer);
-    Respond(exchange, std::move(answer), true);
+    Respond(done, std::move(answer), true);
   });
 }
 
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -3,6 +3,8 @@
 
 #include <atomic>
 #include <cstdint>
+#include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -77,6 +79,29 @@
   void RefuseNext() { refusesNext_ = true; }
   /** \brief When it refused requests and calls of stages. */
   std::vector<absl::Time> Refusals() const;
+  /** \brief Requests take so long each, as many at once as it has slots; so
+   * many more wait, and others are refused. 0 ms: at once, and any number.
+   */
+  void SetWork(int ms, int queue)
+  {
+    queue_ = queue;
+    workMs_ = ms;
+  }
+  /** \brief Each answer says that it is brittle: it falls over when it
+   * refuses more requests within a second; below 0: it is not. Call FallsFor
+   * before.
+   */
+  void SetBrittle(double perSecond) { brittle_ = perSecond; }
+  /** \brief How long it is down when it falls over. Call before anything is
+   * sent.
+   */
+  void FallsFor(int downMs)
+  {
+    downMs_ = downMs;
+    BornAt(FirstBornMs);
+  }
+  /** \brief It falls over now. From any thread. */
+  void FallOver();
   /** \brief How long a call of a stage takes at the usual pace. */
   void SetCallMs(int ms) { callMs_ = ms; }
   /** \brief Calls of stages take so many percent of their usual time, and
@@ -126,6 +151,8 @@
   bool Leave(int apiPort);
 
 private:
+  static constexpr std::int64_t FirstBornMs = 1700000000000;
+
   void StartAgainIfTold();
   bool IsEndedBy(const std::string& text) const;
   void End();
@@ -134,6 +161,12 @@
   void OnRequest(const Exchange& exchange);
   void OnStage(const Exchange& exchange);
   void Refuse(const Exchange& exchange);
+  bool IsOverrun() const;
+  void Work(const Exchange& exchange);
+  void StartWork(const Exchange& exchange);
+  std::uint64_t Begin(const Exchange& exchange);
+  Exchange EndOf(std::uint64_t number);
+  void RunAfter(int ms, std::function<void()> run);
   void AddTerms(HttpHead& head) const;
   std::string Load() const;
   void Answer(const Exchange& exchange);
@@ -154,6 +187,13 @@
   std::string report_;
   int callsAtWork_ = 0; // on the loop
   std::atomic<double> limit_{ -1.0 };
+  std::atomic<double> brittle_{ -1.0 };
+  std::atomic<int> workMs_{ 0 };
+  std::atomic<int> queue_{ 0 };
+  int atWork_ = 0;                         // on the loop
+  std::deque<Exchange> queued_;            // on the loop
+  std::map<std::uint64_t, Exchange> open_; // at work, on the loop
+  std::uint64_t lastOpen_ = 0;
   std::atomic<bool> leaving_{ false };
   std::atomic<double> rest_{ 0.0 };
   std::atomic<bool> refusesNext_{ false };
--- a/Tests/Platform/wgPlatformTest.cxx
+++ b/Tests/Platform/wgPlatformTest.cxx
@@ -265,22 +265,33 @@
     }
     return wg::detail::ReadPlatformTerms(head);
   };
-  CHECK_FALSE(read(200, {}).perSecond);
+  CHECK_FALSE(read(200, {}).limits.perSecond);
   CHECK(read(200, {}).unreadable == 0);
-  CHECK(read(200, { { "Server-Limit", " 2.5" } }).perSecond == 2.5);
-  CHECK(read(500, { { "server-limit", "0" } }).perSecond == 0.0);
-  CHECK(read(503, { { "Server-Limit", ".5" } }).perSecond == 0.5);
+  CHECK(read(200, { { "Server-Limit", " 2.5" } }).limits.perSecond == 2.5);
+  CHECK(read(500, { { "server-limit", "0" } }).limits.perSecond == 0.0);
+  CHECK(read(503, { { "Server-Limit", ".5" } }).limits.perSecond == 0.5);
   for (const char* bad : { "", "-1", "1e3", "inf", "nan", "0x10", "1,5", "1 2",
                            "1.2.3", ".", "+1", "99999999999999999999" }) {
     CAPTURE(bad);
     const wg::SenderTerms terms = read(200, { { "Server-Limit", bad } });
-    CHECK_FALSE(terms.perSecond);
+    CHECK_FALSE(terms.limits.perSecond);
     CHECK(terms.unreadable == 1);
   }
   CHECK(read(200, { { "Server-Limit", "7" }, { "Server-Limit", "3" } })
-          .perSecond == 3.0);
+          .limits.perSecond == 3.0);
   CHECK(read(200, { { "Server-Limit", "x" }, { "Server-Limit", "3" } })
-          .perSecond == 3.0);
+          .limits.perSecond == 3.0);
+
+  const wg::SendLimits both =
+    read(200, { { "Server-Limit", "7" }, { "Server-Brittle", "2" } }).limits;
+  CHECK(both.perSecond == 7.0);
+  CHECK(both.refusalsPerSecond == 2.0);
+  CHECK(read(503, { { "server-brittle", "0" } }).limits.refusalsPerSecond ==
+        0.0);
+  CHECK_FALSE(
+    read(200, { { "Server-Brittle", "-1" } }).limits.refusalsPerSecond);
+  CHECK(read(200, { { "Server-Brittle", "few" } }).unreadable == 1);
+  CHECK_FALSE(read(200, { { "Server-Brittle", "few" } }).clearsLimit);
 
   CHECK(read(200, {}).clearsLimit);
   CHECK_FALSE(read(503, {}).clearsLimit);
