Test: the soak takes paths to endpoints away and has brittle endpoints

The checker has its own tests.

A process that a test starts no longer inherits the test's descriptors: it held the listening sockets of endpoints that had fallen over, which could then not come back, and the check on falls could not fail.

--- a/Tests/Platform/wgPlatformSoak.cxx
+++ b/Tests/Platform/wgPlatformSoak.cxx
@@ -9,6 +9,7 @@
 #include <atomic>
 #include <csignal>
 #include <cstdio>
+#include <fstream>
 #include <functional>
 #include <map>
 #include <mutex>
@@ -32,6 +33,8 @@
 using wg::test::PlatformStandin;
 using wg::test::Process;
 using wg::test::SoakAsk;
+using wg::test::SoakBrittle;
+using wg::test::SoakCut;
 using wg::test::SoakRecord;
 using wg::test::SoakRequest;
 using wg::test::StandinConduct;
@@ -48,6 +51,11 @@
 constexpr absl::Duration RecoveryLimit = absl::Seconds(15);
 /** All boxes answer for so long after the faults; then they are asked. */
 constexpr absl::Duration Settling = absl::Seconds(1);
+/** With brittle endpoints; what waits there then fills their slots. */
+constexpr int CrowdThreads = 36;
+constexpr int WorkMs = 60;
+constexpr int UsualQueue = 4;
+constexpr int DownMs = 800;
 
 int Draw(Random& random, int least, int most)
 {
@@ -69,6 +77,9 @@
   std::string service;
 };
 
+/** The wires over which a gateway alone reaches endpoints. */
+using OwnWires = std::vector<std::unique_ptr<Forwarder>>;
+
 /** What all threads of a run share. */
 struct Run
 {
@@ -83,8 +94,36 @@
       }
     }
   }
+
+  /** Gives each gateway wires of its own, and starts it with these. */
+  void AddOwnWires()
+  {
+    for (int i = 0; i < Gateways; ++i) {
+      std::ofstream file(RoutesOf(i));
+      for (const auto& endpoint : endpoints) {
+        const int port = cluster.FreePort();
+        ownWires[i].push_back(
+          std::make_unique<Forwarder>(port, endpoint->wire.Port()));
+        file << endpoint->standin.Address() << " " << Local(port) << "\n";
+      }
+    }
+    cluster.SetGatewayFlags([this](int gateway) {
+      return std::vector<std::string>{ "--endpoint-routes=" +
+                                       RoutesOf(gateway) };
+    });
+    for (int i = 0; i < Gateways; ++i) {
+      cluster.Gateway(i).Kill();
+      cluster.StartGateway(i);
+    }
+  }
+  std::string RoutesOf(int gateway)
+  {
+    return cluster.FileAt(absl::StrCat("routes", gateway));
+  }
+
   std::uint64_t seed;
   PlatformCluster cluster;
+  std::map<int, OwnWires> ownWires; // by gateway
   std::vector<std::unique_ptr<Endpoint>> endpoints;
   std::atomic<bool> stopping{ false };
   std::atomic<std::int64_t> acknowledged{ 1 };
@@ -121,10 +160,12 @@
   return fields;
 }
 
-SoakRequest SendOne(Run& run, httplib::Client& client, bool streams,
-                    const std::string& path)
+SoakRequest SendOne(Run& run, int gateway, httplib::Client& client,
+                    bool streams, const std::string& path)
 {
   SoakRequest request;
+  request.box = gateway;
+  request.sent = absl::Now();
   request.id = absl::StrCat(run.seed, "-", ++run.next);
   request.expected = ExpectedBody(request.id, streams);
   const auto reply = client.Post(path, FieldsOf(request.id, streams),
@@ -139,9 +180,10 @@
   return request;
 }
 
-SoakRequest SendOne(Run& run, httplib::Client& client, bool streams)
+SoakRequest SendOne(Run& run, int gateway, httplib::Client& client,
+                    bool streams)
 {
-  return SendOne(run, client, streams, streams ? "/s/x" : "/p/x");
+  return SendOne(run, gateway, client, streams, streams ? "/s/x" : "/p/x");
 }
 
 /** Connections stay open until their gateway is gone. */
@@ -157,9 +199,10 @@
     clients.back()->set_read_timeout(4);
   }
   while (!run.stopping) {
-    const auto gateway = static_cast<std::size_t>(Draw(random, 0, 2));
+    const int gateway = Draw(random, 0, 2);
     const SoakRequest request =
-      SendOne(run, *clients[gateway], Draw(random, 0, 1) == 0);
+      SendOne(run, gateway, *clients[static_cast<std::size_t>(gateway)],
+              Draw(random, 0, 1) == 0);
     if (request.status != StatusOk) {
       absl::SleepFor(absl::Milliseconds(Draw(random, 5, 60)));
     }
@@ -171,7 +214,8 @@
   Random random(run.seed + 7);
   while (!run.stopping) {
     for (const auto& endpoint : run.endpoints) {
-      for (int tries = 0; tries < 3 && !run.stopping; ++tries) {
+      for (int tries = 0;
+           tries < 3 && !run.stopping && endpoint->standin.Beats(); ++tries) {
         const int api = run.cluster.Api(Draw(random, 0, 2));
         if (endpoint->standin.Register(api, endpoint->service)) {
           break;
@@ -235,6 +279,45 @@
   }
 }
 
+/** The endpoints of a service are brittle at times, and then let fewer wait.
+ * Its draws are its own, as above.
+ */
+void BeBrittle(Run& run, std::size_t service)
+{
+  Random random(run.seed + 15 + service);
+  const std::vector<Endpoint*> endpoints{
+    run.endpoints[2 * service].get(), run.endpoints[2 * service + 1].get()
+  };
+  const auto sleep = [&run](int ms) {
+    const absl::Time until = absl::Now() + absl::Milliseconds(ms);
+    while (!run.stopping && absl::Now() < until) {
+      absl::SleepFor(absl::Milliseconds(20));
+    }
+  };
+  while (!run.stopping) {
+    sleep(Draw(random, 200, 1500));
+    const int bearable = Draw(random, 1, 4);
+    const int queue = Draw(random, 0, 2);
+    SoakBrittle brittle{ endpoints.front()->service, 2, 0 };
+    for (Endpoint* endpoint : endpoints) {
+      brittle.falls -= endpoint->standin.Ends();
+      endpoint->standin.SetBrittle(bearable);
+    }
+    sleep(3000);
+    for (Endpoint* endpoint : endpoints) {
+      endpoint->standin.SetWork(WorkMs, queue);
+    }
+    sleep(Draw(random, 2000, 5000));
+    for (Endpoint* endpoint : endpoints) {
+      endpoint->standin.SetBrittle(-1.0);
+      endpoint->standin.SetWork(WorkMs, UsualQueue);
+      brittle.falls += endpoint->standin.Ends();
+    }
+    const std::lock_guard<std::mutex> lock(run.mutex);
+    run.record.brittle.push_back(brittle);
+  }
+}
+
 /** Endpoints ask something of their senders, one at a time for each service.
  * Its draws are its own, as above.
  */
@@ -556,6 +639,42 @@
   std::multimap<absl::Time, std::function<void()>> undo_;
 };
 
+/** One or two of the boxes reach no endpoint for some seconds, in each of the
+ * ways in which a path can be gone.
+ */
+void CutPaths(Run& run, absl::Duration time)
+{
+  using NoPath = Forwarder::NoPath;
+  Random random(run.seed + 20);
+  const auto set = [&run](const std::set<int>& boxes, NoPath path) {
+    for (const int box : boxes) {
+      for (const auto& wire : run.ownWires[box]) {
+        wire->SetPath(path);
+      }
+    }
+  };
+  const absl::Time end = absl::Now() + time;
+  while (absl::Now() < end) {
+    absl::SleepFor(absl::Milliseconds(Draw(random, 200, 1500)));
+    SoakCut cut;
+    const int left = Draw(random, 0, Gateways - 1);
+    const bool isMost = Draw(random, 0, 1) == 0;
+    for (int box = 0; box < Gateways; ++box) {
+      if (isMost == (box != left)) {
+        cut.boxes.insert(box);
+      }
+    }
+    const NoPath ways[] = { NoPath::Hang, NoPath::Reset, NoPath::LiveOn };
+    cut.from = absl::Now();
+    set(cut.boxes, ways[Draw(random, 0, 2)]);
+    absl::SleepFor(absl::Milliseconds(Draw(random, 4500, 7000)));
+    cut.until = absl::Now();
+    set(cut.boxes, NoPath::None);
+    const std::lock_guard<std::mutex> lock(run.mutex);
+    run.record.cuts.push_back(cut);
+  }
+}
+
 /** One more large document, over poor links that stay so. */
 void PublishLast(Run& run)
 {
@@ -577,7 +696,7 @@
     httplib::Client client("127.0.0.1", run.cluster.Listen(i));
     client.set_read_timeout(4);
     const bool isInForce = wg::test::WaitFor(
-      [&] { return SendOne(run, client, false, added).status == StatusOk; },
+      [&] { return SendOne(run, i, client, false, added).status == StatusOk; },
       RecoveryLimit);
     run.record.unservedAtEnd += isInForce ? 0 : 1;
   }
@@ -591,7 +710,7 @@
     client.set_read_timeout(4);
     for (const bool streams : { false, true }) {
       const bool serves = wg::test::WaitFor(
-        [&] { return SendOne(run, client, streams).status == StatusOk; },
+        [&] { return SendOne(run, i, client, streams).status == StatusOk; },
         RecoveryLimit);
       run.record.unservedAtEnd += serves ? 0 : 1;
     }
@@ -627,6 +746,8 @@
   bool starts = false;   // endpoints start again, others send heartbeats too
   bool terms = false;    // endpoints ask something of their senders
   bool unframed = false; // endpoints answer without lengths, some not whole
+  bool brittle = false;  // endpoints are brittle at times
+  bool paths = false;    // boxes lose all paths to endpoints; no other faults
   std::string daemon; // another program; empty: the one built with the tests
 };
 
@@ -634,10 +755,21 @@
                                  const SoakOptions& options)
 {
   Run run(seed, options.daemon);
+  for (const auto& endpoint : run.endpoints) {
+    if (options.brittle) {
+      endpoint->standin.FallsFor(DownMs);
+      endpoint->standin.SetCallMs(WorkMs);
+      endpoint->standin.SetWork(WorkMs, UsualQueue);
+    }
+  }
+  if (options.paths) {
+    run.AddOwnWires();
+  }
   run.cluster.AwaitServing();
   std::thread heartbeats([&run] { SendHeartbeats(run); });
   std::vector<std::thread> threads;
-  for (int i = 0; i < CallerThreads; ++i) {
+  const int callers = options.brittle ? CrowdThreads : CallerThreads;
+  for (int i = 0; i < callers; ++i) {
     threads.emplace_back([&run, i] { SendRequests(run, i); });
   }
   threads.emplace_back([&run] { PublishDocuments(run); });
@@ -652,7 +784,15 @@
        ++service) {
     threads.emplace_back([&run, service] { Asks(run, service).Go(); });
   }
-  Faults(run).Go(absl::Seconds(options.seconds));
+  for (std::size_t service = 0; service < Services && options.brittle;
+       ++service) {
+    threads.emplace_back([&run, service] { BeBrittle(run, service); });
+  }
+  if (options.paths) {
+    CutPaths(run, absl::Seconds(options.seconds));
+  } else {
+    Faults(run).Go(absl::Seconds(options.seconds));
+  }
   absl::SleepFor(Settling);
   run.stopping = true;
   for (std::thread& thread : threads) {
@@ -700,6 +840,14 @@
     TCLAP::SwitchArg unframed(
       "", "unframed",
       "Endpoints answer without lengths, and break some answers off.", line);
+    TCLAP::SwitchArg brittle(
+      "", "brittle",
+      "Endpoints fall over at times when they refuse too much, and say so.",
+      line);
+    TCLAP::SwitchArg paths(
+      "", "paths",
+      "Boxes lose all paths to endpoints; no other faults of boxes and wires.",
+      line);
     TCLAP::ValueArg<std::string> daemon(
       "", "daemon", "Another program in place of the one built here.", false,
       "", "path", line);
@@ -709,6 +857,8 @@
     options.starts = starts.getValue();
     options.terms = terms.getValue();
     options.unframed = unframed.getValue();
+    options.brittle = brittle.getValue();
+    options.paths = paths.getValue();
     options.daemon = daemon.getValue();
     int broken = 0;
     for (int i = 0; i < seeds.getValue(); ++i) {
--- a/Tests/Platform/wgPlatformSoakCheck.cxx
+++ b/Tests/Platform/wgPlatformSoakCheck.cxx
@@ -115,6 +115,52 @@
   }
 }
 
+/** What was sent to some boxes, each request for the first time. */
+struct FirstTries
+{
+  int all = 0;
+  int served = 0;
+};
+
+/** The rule: boxes without a path serve at least two thirds as often as the
+ * others, or no more than 10 and one in 50 of all first tries fail there.
+ */
+void CheckCut(const SoakRecord& record, const SoakCut& cut, Findings& findings)
+{
+  constexpr int failuresAllowed = 10;
+  constexpr int triesToFailure = 50;
+  FirstTries away;
+  FirstTries others;
+  for (const SoakRequest& request : record.requests) {
+    if (cut.from + ContactTime <= request.sent && request.sent < cut.until) {
+      FirstTries& tries = cut.boxes.count(request.box) > 0 ? away : others;
+      ++tries.all;
+      tries.served += request.status == 200 ? 1 : 0;
+    }
+  }
+  const int failed = away.all - away.served;
+  const bool isMany =
+    failed > failuresAllowed + (away.all + others.all) / triesToFailure;
+  const bool isRarer =
+    3.0 * away.served * others.all < 2.0 * others.served * away.all;
+  if (isMany && isRarer) {
+    findings.push_back(absl::StrCat(
+      "RECOVER: boxes without a path served ", away.served, " of ", away.all,
+      " requests, the others ", others.served, " of ", others.all, "."));
+  }
+}
+
+void CheckBrittle(const SoakBrittle& brittle, Findings& findings)
+{
+  constexpr int fallsAllowed = 2;
+  constexpr int endpointsToFall = 10;
+  if (brittle.falls > fallsAllowed + brittle.endpoints / endpointsToFall) {
+    findings.push_back(absl::StrCat("LIMIT: ", brittle.endpoints,
+                                    " brittle endpoints of ", brittle.service,
+                                    " fell over ", brittle.falls, " times."));
+  }
+}
+
 } // namespace
 
 std::vector<std::string> CheckSoak(const SoakRecord& record)
@@ -151,6 +197,12 @@
   for (const SoakAsk& ask : record.asks) {
     CheckAsk(ask, findings);
   }
+  for (const SoakCut& cut : record.cuts) {
+    CheckCut(record, cut, findings);
+  }
+  for (const SoakBrittle& brittle : record.brittle) {
+    CheckBrittle(brittle, findings);
+  }
   if (record.unservedAtEnd > 0) {
     findings.push_back(absl::StrCat("RECOVER: ", record.unservedAtEnd,
                                     " gateways serve nothing at the end."));
--- a/Tests/Platform/wgPlatformSoakCheck.h
+++ b/Tests/Platform/wgPlatformSoakCheck.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
   int status = 0;       // 0: no whole answer came
   std::string body;
   std::string sealedBy; // the endpoint that signed a success
+  int box = 0;          // that it was sent to
+  absl::Time sent;
 };
 
 /** \brief What one reader of the document saw. */
@@ -46,6 +49,24 @@
   std::vector<absl::Time> arrivals;
 };
 
+/** \brief Boxes that reached no endpoint, while others reached all. */
+struct SoakCut
+{
+  std::set<int> boxes;
+  absl::Time from;
+  absl::Time until;
+};
+
+/** \brief A time in which the endpoints of a service said that they are
+ * brittle.
+ */
+struct SoakBrittle
+{
+  std::string service;
+  int endpoints = 0;
+  int falls = 0; // over what they refused
+};
+
 /** \brief All that was seen from outside. */
 struct SoakRecord
 {
@@ -56,6 +77,8 @@
   std::int64_t acknowledged = 0; // the highest document
   std::int64_t readAtEnd = 0;
   std::vector<SoakAsk> asks;
+  std::vector<SoakCut> cuts;
+  std::vector<SoakBrittle> brittle;
   int unservedAtEnd = 0; // gateways that serve nothing once all is whole
 };
 
--- a/Tests/Platform/wgPlatformSoakCheckTest.cxx
+++ b/Tests/Platform/wgPlatformSoakCheckTest.cxx
@@ -2,6 +2,8 @@
 // The soak's checker finds each fault that is planted in a sound record.
 #include <catch2/catch.hpp>
 
+#include "absl/strings/str_cat.h"
+
 #include "wgPlatformSoakCheck.h"
 
 namespace {
@@ -12,10 +14,10 @@
 SoakRecord Sound()
 {
   SoakRecord record;
-  record.requests = { { "a", "a|x", 200, "a|x", "i-1" },
-                      { "b", "b|x", 503, "", "" },
-                      { "c", "c|x", 502, "", "" },
-                      { "d", "d|x", 0, "", "" } };
+  record.requests = { { "a", "a|x", 200, "a|x", "i-1", 0, {} },
+                      { "b", "b|x", 503, "", "", 0, {} },
+                      { "c", "c|x", 502, "", "", 0, {} },
+                      { "d", "d|x", 0, "", "", 0, {} } };
   record.runs = { { "a", 1 }, { "c", 1 } };
   record.reads = { { 3, 3 }, { 3, 4 } };
   record.acknowledged = 4;
@@ -127,3 +129,60 @@
   CHECK(findings(Kind::Leaving, 19, 4.0) == 1);
   CHECK(findings(Kind::Leaving, 19, 2.0) == 0);
 }
+
+TEST_CASE("Boxes without a path that serve far less are found")
+{
+  constexpr int each = 60;
+  SoakRecord record = Sound();
+  const absl::Time from = absl::UnixEpoch() + absl::Seconds(100);
+  record.cuts = { { { 1, 2 }, from, from + absl::Seconds(8) } };
+  const auto send = [&record](int box, absl::Time sent, int served) {
+    for (int i = 0; i < each; ++i) {
+      const std::string id = absl::StrCat("r", record.requests.size());
+      const bool isServed = i < served;
+      record.requests.push_back({ id, id, isServed ? 200 : 503,
+                                  isServed ? id : "", isServed ? "i-1" : "",
+                                  box, sent });
+      if (isServed) {
+        record.runs[id] = 1;
+      }
+    }
+  };
+  const absl::Time judged = from + absl::Seconds(4);
+  send(0, judged, each);
+  send(1, from + absl::Seconds(2), 0); // before all have been told
+  send(1, from + absl::Seconds(9), 0); // after it
+  SECTION("as often as the others")
+  {
+    send(1, judged, each);
+    CHECK(CheckSoak(record).empty());
+  }
+  SECTION("two thirds as often")
+  {
+    send(1, judged, each * 2 / 3);
+    CHECK(CheckSoak(record).empty());
+  }
+  SECTION("half as often")
+  {
+    send(2, judged, each / 2);
+    CHECK(Found(record) == "RECOVER");
+  }
+  SECTION("the others serve as little")
+  {
+    send(2, judged, 0);
+    for (wg::test::SoakRequest& request : record.requests) {
+      request.status = request.box == 0 ? 503 : request.status;
+    }
+    record.runs.clear();
+    CHECK(CheckSoak(record).empty());
+  }
+}
+
+TEST_CASE("Brittle endpoints that fell over too often are found")
+{
+  SoakRecord record = Sound();
+  record.brittle = { { "svc", 6, 2 }, { "svc", 20, 4 } };
+  CHECK(CheckSoak(record).empty());
+  record.brittle = { { "svc", 6, 3 } };
+  CHECK(Found(record) == "LIMIT");
+}
--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -22,6 +22,7 @@
 constexpr int Events = 4;
 constexpr int Slots = 4;
 constexpr int UsualPace = 100; // percent
+constexpr int ListenRetryMs = 50;
 
 std::string Field(const HttpRequest& request, const char* name)
 {
@@ -104,6 +105,9 @@
   server_ = std::make_unique<HttpServer>(
     thread_.Loop(), [this](const Exchange& e) { OnRequest(e); });
   isUp_ = Succeeded(server_->Start("127.0.0.1", port_));
+  if (!isUp_) { // a connection may hold the port for a moment
+    RunAfter(ListenRetryMs, [this] { Listen(); });
+  }
 }
 
 bool PlatformStandin::Register(int apiPort, const std::string& service,
@@ -174,9 +178,11 @@
   {
     absl::MutexLock lock(&mutex_);
     last_ = request;
-    if (conduct_ != StandinConduct::Refuse) {
-      ++runs_[Field(request, RequestField)];
-    }
+  }
+  const bool mayRefuse = conduct_ == StandinConduct::Refuse ||
+                         (conduct_ == StandinConduct::Answer && workMs_ > 0);
+  if (!mayRefuse) {
+    NoteRun(exchange);
   }
   if (IsEndedBy(request.body())) {
     End();
@@ -218,6 +224,12 @@
          static_cast<double>(refusals_.end() - recent) > brittle_;
 }
 
+void PlatformStandin::NoteRun(const Exchange& exchange)
+{
+  absl::MutexLock lock(&mutex_);
+  ++runs_[Field(exchange->Request(), RequestField)];
+}
+
 void PlatformStandin::Work(const Exchange& exchange)
 {
   if (workMs_ == 0) {
@@ -235,6 +247,7 @@
 {
   const std::uint64_t number = Begin(exchange);
   ++atWork_;
+  NoteRun(exchange);
   RunAfter(workMs_, [this, number] {
     const Exchange done = EndOf(number);
     if (done == nullptr) {
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -162,6 +162,7 @@
   void OnStage(const Exchange& exchange);
   void Refuse(const Exchange& exchange);
   bool IsOverrun() const;
+  void NoteRun(const Exchange& exchange);
   void Work(const Exchange& exchange);
   void StartWork(const Exchange& exchange);
   std::uint64_t Begin(const Exchange& exchange);
--- a/Tests/Process/wgForwarder.h
+++ b/Tests/Process/wgForwarder.h
@@ -46,6 +46,7 @@
   /** \brief Throws when it can't listen. */
   Forwarder(int listenPort, int targetPort);
   ~Forwarder();
+  int Port() const { return listenPort_; }
   void Cut() { cut_ = true; }
   /** \brief What becomes of connections over a wire without a path. */
   enum class NoPath
--- a/Tests/Process/wgTestCluster.cxx
+++ b/Tests/Process/wgTestCluster.cxx
@@ -78,6 +78,8 @@
   posix_spawn_file_actions_addopen(&actions, 1, logFile.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0600);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  // Else it holds the sockets of the test's endpoints, which it may outlive.
+  posix_spawn_file_actions_addclosefrom_np(&actions, 3);
   if (posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ) !=
       0) {
     pid_ = -1;
