Test: endpoints whose answers are cut go on to send heartbeats

The case takes longer than 4.8 s there, after which endpoints that registered once are silent, as they should be. Nothing is checked less.

--- a/Tests/Platform/wgPlatformAnswerEndTest.cxx
+++ b/Tests/Platform/wgPlatformAnswerEndTest.cxx
@@ -1,9 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 // Answers of endpoints that are cut at every byte, in each framing, by an
 // orderly end and by a reset: what is not whole must not look whole.
+#include <atomic>
 #include <map>
 #include <mutex>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <boost/asio/io_context.hpp>
@@ -19,6 +21,7 @@
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/time/clock.h"
 
 #include "wgPlatformCluster.h"
 #include "wgScriptedEndpoint.h"
@@ -190,6 +193,19 @@
     REQUIRE(second.Register(cluster.Api(0), "plain"));
     kind = &Kinds.front();
     Await("the endpoints to be used", [&] { return Send().status == 200; });
+    // An endpoint is silent some seconds after its last heartbeat.
+    heartbeats = std::thread([this] {
+      while (!stopping) {
+        first.Register(cluster.Api(0), "plain");
+        second.Register(cluster.Api(0), "plain");
+        absl::SleepFor(absl::Milliseconds(300));
+      }
+    });
+  }
+  ~Cluster()
+  {
+    stopping = true;
+    heartbeats.join();
   }
 
   /** The first attempt of a request gets what the test says, a later one the
@@ -233,6 +249,8 @@
   PlatformCluster cluster{ 1 };
   ScriptedEndpoint first;
   ScriptedEndpoint second;
+  std::atomic<bool> stopping{ false };
+  std::thread heartbeats;
 };
 
 /** What a stream's body is up to the last whole event within `bytes`. */
