Gateway: reports of a restarted box are not taken for old ones

By reading, no caller was seen to meet it: a box numbers its reports of what it has open at brittle endpoints from 1 after a start. The box that grants permits took them for overtaken ones, and kept counting what the box had open before it ended for as long as it granted it more. Numbers now begin with the time of day in microseconds. Two comments are worded anew.

--- a/Source/Decision/wgBrittleRoom.h
+++ b/Source/Decision/wgBrittleRoom.h
@@ -56,8 +56,8 @@
 /** \brief One more request of the box is granted. */
 void NoteGranted(BrittleRoom& room, absl::string_view box, Elapsed now);
 
-/** \brief The endpoint has refused requests. Until these are as old as the
- * time in which it bears them, none are granted.
+/** \brief The endpoint has refused requests: none are granted for as long as
+ * it takes to bear so many, a second at most, and fewer for a while after.
  */
 void NoteRefused(BrittleRoom& room, int refused, const BrittleBounds& bounds,
                  Elapsed now);
@@ -66,9 +66,7 @@
 bool HasRoom(const BrittleRoom& room, const BrittleBounds& bounds,
              Elapsed now);
 
-/** \brief For how long a box sends an endpoint nothing that refused one of its
- * requests.
- */
+/** \brief The time in which an endpoint bears one refusal. */
 absl::Duration RefusalPause(double refusalsPerSecond);
 
 } // namespace wg
--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -9,11 +9,11 @@
 namespace wg {
 namespace {
 
+using Registration = wire::Registration;
+
 /** Longer than an endpoint that fell over is down. */
 constexpr absl::Duration BrittleMemory = absl::Seconds(10);
 
-using Registration = wire::Registration;
-
 constexpr absl::Duration FirstAvoidance = absl::Milliseconds(250);
 constexpr absl::Duration LongestAvoidance = absl::Seconds(4);
 constexpr absl::Duration EndedMemory = absl::Minutes(3);
--- a/Source/Gateway/wgSendPermits.cxx
+++ b/Source/Gateway/wgSendPermits.cxx
@@ -6,6 +6,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include "absl/time/clock.h"
+
 #include "wgStageClient.h"
 
 namespace wg {
@@ -64,6 +66,7 @@
   , terms_(terms)
   , metrics_(metrics)
   , log_(log)
+  , lastReport_(static_cast<std::uint64_t>(absl::ToUnixMicros(absl::Now())))
   , reportTimer_(loop)
 {
   terms_.OnAnswer(
--- a/Source/Gateway/wgSendPermits.h
+++ b/Source/Gateway/wgSendPermits.h
@@ -122,7 +122,7 @@
   std::map<std::string, BrittleRoom> rooms_;
   /** Where this box was last known to have requests open, by endpoint. */
   std::set<std::string> reported_;
-  std::uint64_t lastReport_ = 0;
+  std::uint64_t lastReport_; // counts on from those before a restart
   LoopTimer reportTimer_;
   bool isReportArmed_ = false;
   std::map<StagePoolKey, Coordination> coordinations_;
