Gateway: a permit for a start without an answer tells of no limits

Cause: the answer to a request for a permit describes the limits of the endpoint; of a start that has not answered yet it said that there are none, with the age of the box. Boxes took this for news and sent without permits until the first answer. Such limits now have no age and are no news.

The new case of SendPermits fails without the change by its reading of the age; it was not run on the code before.

--- a/Source/Gateway/wgSendPermits.cxx
+++ b/Source/Gateway/wgSendPermits.cxx
@@ -23,6 +23,9 @@
 /** Between two asks of one box for an endpoint whose requests are used up. */
 constexpr absl::Duration LeastDenial = absl::Milliseconds(50);
 
+/** The age of a limit of which nothing was heard: it is no news. */
+constexpr std::int64_t NeverReported = -1;
+
 /** Two starts may be known at an address for a moment. */
 int OpenAt(const Directory& directory, const std::string& address)
 {
@@ -45,8 +48,10 @@
   limit.set_per_second(limits.perSecond.value_or(0.0));
   limit.set_is_brittle(limits.refusalsPerSecond.has_value());
   limit.set_refusals_per_second(limits.refusalsPerSecond.value_or(0.0));
-  limit.set_age_ms(
-    absl::ToInt64Milliseconds(ElapsedNow() - endpoint.terms.limitReported));
+  const bool isKnown = endpoint.terms.limitReported > Elapsed();
+  limit.set_age_ms(isKnown ? absl::ToInt64Milliseconds(
+                               ElapsedNow() - endpoint.terms.limitReported)
+                           : NeverReported);
   return limit;
 }
 
--- a/Tests/Gateway/wgSendPermitsTest.cxx
+++ b/Tests/Gateway/wgSendPermitsTest.cxx
@@ -184,3 +184,15 @@
   box.permits.TakeNews(news); // its first answers do not say so
   CHECK_FALSE(NeedsPermit(box.directory, *back, now));
 }
+
+TEST_CASE("A grant for an endpoint that has not answered tells of no limit")
+{
+  // Boxes took it for the news that the endpoint is not brittle.
+  OneBox box;
+  wg::wire::SendAsk ask = box.Ask(-1.0, -1);
+  const auto answer = box.permits.Grant(ask);
+  CHECK(answer.granted());
+  CHECK(answer.limit().age_ms() < 0);
+  CHECK(wg::FindEndpoint(box.directory, "e")->terms.limitReported ==
+        wg::Elapsed());
+}
