--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -53,6 +53,45 @@
   server_.reset();
 }
 
+std::string PlatformStandin::Id() const
+{
+  absl::MutexLock lock(&mutex_);
+  return id_;
+}
+
+std::string PlatformStandin::Version() const
+{
+  absl::MutexLock lock(&mutex_);
+  return version_;
+}
+
+void PlatformStandin::SetVersion(std::string version)
+{
+  absl::MutexLock lock(&mutex_);
+  version_ = std::move(version);
+}
+
+void PlatformStandin::StartAgainAs(const std::string& name,
+                                   const std::string& version, int downMs)
+{
+  thread_.Do([this, &name, &version, downMs] {
+    downMs_ = downMs;
+    End();
+    open_.clear(); // no event of the next version goes to a stream of this one
+    absl::MutexLock lock(&mutex_);
+    id_ = name;
+    version_ = version;
+    checksName_ = true;
+    return true;
+  });
+}
+
+bool PlatformStandin::IsForAnother(const HttpRequest& request) const
+{
+  absl::MutexLock lock(&mutex_);
+  return checksName_ && Field(request, "X-Weirgate-Target-Instance") != id_;
+}
+
 void PlatformStandin::StartAgainIfTold()
 {
   if (const std::int64_t born = nextBornMs_.exchange(0); born != 0) {
@@ -113,18 +152,26 @@
 bool PlatformStandin::Register(int apiPort, const std::string& service,
                                const std::string& state)
 {
-  StartAgainIfTold();
-  Json heartbeat{ { "service", service },     { "address", address_ },
-                  { "zone", hall_ },          { "version", version_ },
-                  { "capacity", Slots },      { "state", state },
-                  { "sequence", ++sequence_ } };
+  Json heartbeat{ { "service", service },
+                  { "address", address_ },
+                  { "zone", hall_ },
+                  { "capacity", Slots },
+                  { "state", state } };
   heartbeat["warmupLeftMs"] = warmupMs_.load();
-  if (bornMs_ != 0) {
-    heartbeat["born"] = bornMs_;
+  std::string id;
+  {
+    absl::MutexLock lock(&mutex_);
+    StartAgainIfTold();
+    id = id_;
+    heartbeat["version"] = version_;
+    heartbeat["sequence"] = ++sequence_;
+    if (bornMs_ != 0) {
+      heartbeat["born"] = bornMs_;
+    }
   }
   httplib::Client client("127.0.0.1", apiPort);
   const auto reply =
-    client.Put("/-/instances/" + id_, heartbeat.dump(), "application/json");
+    client.Put("/-/instances/" + id, heartbeat.dump(), "application/json");
   return reply && reply->status == 200;
 }
 
@@ -142,12 +189,17 @@
 
 bool PlatformStandin::Leave(int apiPort)
 {
-  StartAgainIfTold();
-  const std::string body =
-    bornMs_ == 0 ? "" : Json{ { "born", bornMs_ } }.dump();
+  std::string id;
+  std::string body;
+  {
+    absl::MutexLock lock(&mutex_);
+    StartAgainIfTold();
+    id = id_;
+    body = bornMs_ == 0 ? "" : Json{ { "born", bornMs_ } }.dump();
+  }
   httplib::Client client("127.0.0.1", apiPort);
   const auto reply =
-    client.Delete("/-/instances/" + id_, body, "application/json");
+    client.Delete("/-/instances/" + id, body, "application/json");
   return reply && reply->status == 200;
 }
 
@@ -167,6 +219,12 @@
     exchange->Respond(MakeResponse(200, "", ""));
     return;
   }
+  if (IsForAnother(request)) {
+    HttpResponse refusal = MakeResponse(421, "", "");
+    refusal.set(RequestField, Field(request, RequestField));
+    exchange->Respond(std::move(refusal));
+    return;
+  }
   if (refusesNext_.exchange(false) || tired_) {
     Refuse(exchange);
     return;
@@ -418,39 +476,77 @@
       MakeResponse(200, "text/plain",
                    absl::StrCat(request, "|", exchange->Request().body()));
     answer.set(RequestField, request);
-    answer.set("X-Weirgate-Server-Seal", id_);
+    answer.set("X-Weirgate-Server-Seal", Id());
     AddTerms(answer);
     Respond(exchange, std::move(answer), false);
     return;
   }
   const int seen =
     static_cast<int>(NumberOf(exchange->Request(), "Last-Event-Id", 0));
+  if (eventMs_ > 0) {
+    exchange->StartStream(StreamHead(exchange));
+    StreamNext(Begin(exchange), seen + 1);
+    return;
+  }
   Stream(exchange, seen + 1, Events);
   exchange->FinishStream();
 }
 
-void PlatformStandin::Stream(const Exchange& exchange, int first, int last)
+/** Writes one event, and then the others one by one. */
+void PlatformStandin::StreamNext(std::uint64_t number, int event)
+{
+  const auto found = open_.find(number);
+  if (found == open_.end()) {
+    return;
+  }
+  const Exchange exchange = found->second;
+  if (event > Events) {
+    open_.erase(number);
+    exchange->FinishStream();
+    return;
+  }
+  exchange->WriteStream(EventsOf(exchange->Request(), event, event));
+  RunAfter(eventMs_, [this, number, event] { StreamNext(number, event + 1); });
+}
+
+HttpHead PlatformStandin::StreamHead(const Exchange& exchange) const
 {
-  const std::string request = Field(exchange->Request(), RequestField);
   HttpHead head;
   head.result(200);
-  head.set(RequestField, request);
-  head.set("X-Weirgate-Server-Seal", id_);
+  head.set(RequestField, Field(exchange->Request(), RequestField));
+  head.set("X-Weirgate-Server-Seal", Id());
   AddTerms(head);
+  return head;
+}
+
+std::string PlatformStandin::EventsOf(const HttpRequest& request, int first,
+                                      int last) const
+{
+  const std::string version =
+    tellsVersion_ ? "event: " + Version() + "\n" : "";
   std::string events;
-  std::size_t lastEvent = 0;
   for (int i = first; i <= last; ++i) {
-    lastEvent = events.size();
-    absl::StrAppend(&events, "id: ", i, "\ndata: ", request, "\n\n");
+    absl::StrAppend(&events, "id: ", i, "\n", version,
+                    "data: ", Field(request, RequestField), "\n\n");
   }
+  return events;
+}
+
+void PlatformStandin::Stream(const Exchange& exchange, int first, int last)
+{
+  const HttpHead head = StreamHead(exchange);
+  const HttpRequest& asked = exchange->Request();
+  const std::string events = EventsOf(asked, first, last);
+  const std::size_t lastEvent =
+    events.size() - EventsOf(asked, last, last).size();
   // Inside the last event: an end between two would be a sound one.
   const std::size_t inEvent =
     lastEvent + 1 + answers_ % (events.size() - lastEvent - 1);
   if (last == Events && BreaksOff(exchange, head, events, inEvent, true)) {
     return;
   }
-  exchange->StartStream(std::move(head), unframed_ ? BodyFraming::ByClose
-                                                   : BodyFraming::Explicit);
+  exchange->StartStream(head, unframed_ ? BodyFraming::ByClose
+                                        : BodyFraming::Explicit);
   exchange->WriteStream(events);
 }
 
@@ -458,6 +554,12 @@
 {
   thread_.Do([this] {
     for (const Exchange& exchange : std::exchange(waiting_, {})) {
+      if (exchange->HasStarted()) { // see StandinConduct::Silent
+        exchange->WriteStream(
+          EventsOf(exchange->Request(), Events / 2 + 1, Events));
+        exchange->FinishStream();
+        continue;
+      }
       Answer(exchange);
     }
     return true;
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -45,7 +45,19 @@
   /** \brief The hall that it tells; h1 unless it is set. */
   void SetHall(std::string hall) { hall_ = std::move(hall); }
   /** \brief The version of its software that it tells; v1 unless it is set. */
-  void SetVersion(std::string version) { version_ = std::move(version); }
+  void SetVersion(std::string version);
+  /** \brief It falls over, and starts again after `downMs` with another name
+   * and this version. Requests that name another endpoint are answered 421.
+   * From any thread.
+   */
+  void StartAgainAs(const std::string& name, const std::string& version,
+                    int downMs);
+  /** \brief Events of a stream are so far apart; 0: all come at once. */
+  void SetEventMs(int ms) { eventMs_ = ms; }
+  /** \brief Each event of its streams names its version. Call before anything
+   * is sent.
+   */
+  void TellVersionInEvents() { tellsVersion_ = true; }
   /** \brief What it tells of how much longer it is cold. */
   void SetWarmupMs(int ms) { warmupMs_ = ms; }
   /** \brief When requests and calls of stages reached it. */
@@ -54,7 +66,7 @@
   std::vector<absl::Time> AllArrivals() const;
   /** \brief Registers, and names results, as if it were there. */
   void AppearAt(const std::string& address) { address_ = address; }
-  const std::string& Id() const { return id_; }
+  std::string Id() const;
   void SetConduct(StandinConduct conduct) { conduct_ = conduct; }
   /** \brief Each answer names this many requests a second as its limit;
    * below 0: none.
@@ -153,7 +165,9 @@
 private:
   static constexpr std::int64_t FirstBornMs = 1700000000000;
 
-  void StartAgainIfTold();
+  std::string Version() const;
+  bool IsForAnother(const HttpRequest& request) const;
+  void StartAgainIfTold() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   bool IsEndedBy(const std::string& text) const;
   void End();
   void Listen();
@@ -171,15 +185,18 @@
   void AddTerms(HttpHead& head) const;
   std::string Load() const;
   void Answer(const Exchange& exchange);
+  std::string EventsOf(const HttpRequest& request, int first, int last) const;
+  HttpHead StreamHead(const Exchange& exchange) const;
   void Stream(const Exchange& exchange, int first, int last);
+  void StreamNext(std::uint64_t number, int event);
   void Respond(const Exchange& exchange, HttpResponse answer, bool isJson);
   bool BreaksOff(const Exchange& exchange, HttpHead head,
                  const std::string& body, std::size_t at, bool mayFinish);
 
-  std::string id_;
   std::string address_;
   std::string hall_ = "h1";
-  std::string version_ = "v1";
+  bool tellsVersion_ = false;
+  std::atomic<int> eventMs_{ 0 };
   std::atomic<int> warmupMs_{ 0 };
   int port_ = 0;
   std::atomic<StandinConduct> conduct_{ StandinConduct::Answer };
@@ -210,10 +227,13 @@
   bool onlyCutOff_ = false;
   std::atomic<int> ends_{ 0 };
   std::atomic<bool> isUp_{ true };
-  int sequence_ = 0;
-  std::int64_t bornMs_ = 0; // 0: it does not tell
   std::atomic<std::int64_t> nextBornMs_{ 0 };
   mutable absl::Mutex mutex_;
+  std::string id_ ABSL_GUARDED_BY(mutex_);
+  std::string version_ ABSL_GUARDED_BY(mutex_) = "v1";
+  bool checksName_ ABSL_GUARDED_BY(mutex_) = false;
+  int sequence_ ABSL_GUARDED_BY(mutex_) = 0;
+  std::int64_t bornMs_ ABSL_GUARDED_BY(mutex_) = 0; // 0: it does not tell
   std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_);
   std::vector<absl::Time> arrivals_ ABSL_GUARDED_BY(mutex_);
   std::vector<absl::Time> allArrivals_ ABSL_GUARDED_BY(mutex_);
