--- a/Source/Control/wgEndpointRegistry.cxx
+++ b/Source/Control/wgEndpointRegistry.cxx
@@ -11,11 +11,6 @@
 
 using Registration = wire::Registration;
 
-/** Some 10 kB, 8 ms of a link of 10 Mbit/s: a box that starts asks all control
- * boxes for all endpoints, and what ends in time need not be sent again.
- */
-constexpr std::size_t MaxRegistrationsInReply = 100;
-
 /** For so long an endpoint that may be cold and says nothing is taken to be;
  * longer than the 3 s that engines in use need, and than their heartbeats take
  * to come.
@@ -298,8 +293,7 @@
   auto next = revisions.upper_bound(have);
   std::uint64_t last = registry.revision;
   for (; next != revisions.end(); ++next) {
-    if (static_cast<std::size_t>(reply.registrations_size()) ==
-        MaxRegistrationsInReply) {
+    if (reply.registrations_size() == MaxRegistrationsInReply) {
       last = std::prev(next)->first;
       break;
     }
--- a/Source/Gateway/wgControlFollower.h
+++ b/Source/Gateway/wgControlFollower.h
@@ -82,6 +82,15 @@
   /** \brief The newest document that a control box has told of. */
   std::uint64_t NewestDocument() const;
   bool HearsAny(Elapsed now) const;
+  /** \brief Whether a control box has reported all endpoints up to now, but
+   * for the time in which a cut is noticed.
+   */
+  bool IsCurrent(Elapsed now) const;
+  /** \brief Whether all control boxes that are followed have reported their
+   * endpoints.
+   * \param memory after which one that is not reached no longer counts
+   */
+  bool IsComplete(Elapsed now, absl::Duration memory) const;
 
 private:
   struct Link
@@ -102,6 +111,8 @@
     Elapsed followed; // since when it was last chosen
     int failures = 0;
     bool reached = true;
+    /** It has reported all endpoints since the start of its process. */
+    bool isWhole = false;
     std::uint64_t document = 0; // the newest number that it has told
     std::unique_ptr<LoopTimer> pause;
   };
--- a/Source/Gateway/wgDialect.h
+++ b/Source/Gateway/wgDialect.h
@@ -34,6 +34,10 @@
   std::string inputs = "Weirgate-Inputs"; // handles of results
   std::string notRun = "Weirgate-Not-Run";
   std::string lastEvent = "Last-Event-ID";
+  /** The request that brought the first event of the stream that this one
+   * continues.
+   */
+  std::string resumes = "Weirgate-Resumes";
   /** Further fields that only weirgate may set on a request to an endpoint;
    * a caller's are dropped.
    */
@@ -47,7 +51,8 @@
                                         "Weirgate-Prompt",
                                         "Weirgate-Pieces",
                                         "Weirgate-Piece-Key",
-                                        "Last-Event-ID" };
+                                        "Last-Event-ID",
+                                        "Weirgate-Resumes" };
 };
 
 /** \brief How this deployment's callers, endpoints and operators speak. The
--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -91,6 +91,18 @@
   }
 }
 
+/** A start never changes its version: if it seems to, its identity stands for
+ * two starts. Control boxes of older builds tell none.
+ */
+void NoteVersion(DirectoryEndpoint& known, const std::string& version)
+{
+  if (version.empty()) {
+    return;
+  }
+  known.isVersionUnsure |= !known.version.empty() && known.version != version;
+  known.version = known.isVersionUnsure ? "" : version;
+}
+
 bool TakeNews(DirectoryEndpoint& known, const Registration& news, bool isNew,
               Elapsed now)
 {
@@ -100,12 +112,17 @@
     known.changed = now;
   }
   if (news.state() == Registration::GONE) {
+    if (isNew) {
+      known.service = news.service();
+      known.version = news.version();
+      known.changed = now - absl::Milliseconds(news.ended_ago_ms());
+    }
     return changed;
   }
+  NoteVersion(known, news.version());
   known.service = news.service();
   known.address = news.address();
   known.hall = news.hall();
-  known.version = news.version();
   known.slots = std::max(1, static_cast<int>(news.slots()));
   known.coldUntilHeard =
     known.coldUntilHeard && news.sequence() <= known.sequence;
@@ -354,7 +371,8 @@
 }
 
 absl::Duration TimeUntilAccepted(const Directory& directory,
-                                 absl::string_view service, Elapsed now)
+                                 absl::string_view service, Elapsed now,
+                                 const VersionBound& bound)
 {
   Elapsed soonest = absl::InfiniteDuration();
   const EndpointsById* endpoints = FindService(directory.index, service);
@@ -362,7 +380,8 @@
     return absl::ZeroDuration();
   }
   for (const auto& [id, endpoint] : *endpoints) {
-    if (TakesNewWork(directory, *endpoint)) {
+    if (IsWithinBound(bound, *endpoint) &&
+        TakesNewWork(directory, *endpoint)) {
       soonest = std::min(soonest, std::max(endpoint->deniedUntil,
                                            endpoint->terms.backoffUntil));
     }
@@ -412,31 +431,41 @@
          !IsCutOff(directory.reach, endpoint.hall);
 }
 
+bool IsWithinBound(const VersionBound& bound,
+                   const DirectoryEndpoint& endpoint)
+{
+  return !bound || (!bound->empty() && endpoint.version == *bound);
+}
+
 bool IsAnySound(const Directory& directory, absl::string_view service,
-                Elapsed now, Sender sender)
+                Elapsed now, Sender sender, const VersionBound& bound)
 {
   const EndpointsById* endpoints = FindService(directory.index, service);
   return endpoints != nullptr &&
          std::any_of(endpoints->begin(), endpoints->end(),
                      [&](const auto& pair) {
-                       return IsSound(directory, *pair.second, now, sender);
+                       return IsWithinBound(bound, *pair.second) &&
+                              IsSound(directory, *pair.second, now, sender);
                      });
 }
 
 std::vector<DirectoryEndpoint*> SoundEndpoints(Directory& directory,
                                                absl::string_view service,
                                                Elapsed now, Sender sender,
-                                               absl::string_view hall)
+                                               absl::string_view hall,
+                                               const VersionBound& bound)
 {
   std::vector<DirectoryEndpoint*> open =
     ServingEndpoints(directory, service, hall);
-  if (sender == Sender::ThisBox) {
-    open.erase(std::remove_if(open.begin(), open.end(),
-                              [&](const DirectoryEndpoint* endpoint) {
-                                return !MaySendNow(directory, *endpoint, now);
-                              }),
-               open.end());
-  }
+  open.erase(std::remove_if(open.begin(), open.end(),
+                            [&](const DirectoryEndpoint* endpoint) {
+                              const bool maySend =
+                                sender == Sender::AnyBox ||
+                                MaySendNow(directory, *endpoint, now);
+                              return !maySend ||
+                                     !IsWithinBound(bound, *endpoint);
+                            }),
+             open.end());
   std::vector<DirectoryEndpoint*> sound;
   sound.reserve(open.size());
   std::copy_if(open.begin(), open.end(), std::back_inserter(sound),
@@ -445,10 +474,31 @@
                });
   const bool useAll =
     sound.empty() &&
-    (hall.empty() || !IsAnySound(directory, service, now, sender));
+    (hall.empty() || !IsAnySound(directory, service, now, sender, bound));
   return useAll ? open : sound;
 }
 
+std::vector<StreamOrigin> PossibleOrigins(
+  const Directory& directory, absl::Span<const std::string> services,
+  Elapsed since)
+{
+  std::vector<StreamOrigin> possible;
+  for (const auto& [id, endpoint] : directory.endpoints) {
+    const bool isOver =
+      endpoint.state == Registration::GONE && endpoint.changed < since;
+    const bool isAsked = endpoint.service.empty() ||
+                         std::find(services.begin(), services.end(),
+                                   endpoint.service) != services.end();
+    const StreamOrigin origin{ endpoint.service, endpoint.version };
+    if (!isOver && isAsked &&
+        std::find(possible.begin(), possible.end(), origin) ==
+          possible.end()) {
+      possible.push_back(origin);
+    }
+  }
+  return possible;
+}
+
 DirectoryEndpoint* FindEndpoint(Directory& directory, absl::string_view id)
 {
   auto found = directory.endpoints.find(std::string(id));
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -15,6 +16,7 @@
 #include "wgHallOrders.h"
 #include "wgHallReach.h"
 #include "wgPeer.pb.h"
+#include "wgStreamOrigin.h"
 #include "wgVersionRollout.h"
 
 namespace wg {
@@ -156,6 +158,15 @@
   AnyBox
 };
 
+/** \brief The software version that alone may serve a request; none: each. */
+using VersionBound = std::optional<std::string>;
+
+/** \brief Whether the bound allows the endpoint. One whose version is not
+ * known is allowed by no bound, and a bound without a version allows none.
+ */
+bool IsWithinBound(const VersionBound& bound,
+                   const DirectoryEndpoint& endpoint);
+
 /** \brief Of the endpoints that may be sent to, the sound ones, or all when
  * the service has no sound one. Those in one hall; in all where the hall's
  * name is empty.
@@ -164,7 +175,16 @@
                                                absl::string_view service,
                                                Elapsed now,
                                                Sender sender = Sender::ThisBox,
-                                               absl::string_view hall = "");
+                                               absl::string_view hall = "",
+                                               const VersionBound& bound = {});
+
+/** \brief Services and versions of the endpoints that may have begun a stream
+ * since then: those that serve, are silent, or have ended after it. One whose
+ * service was not reported has an empty one.
+ */
+std::vector<StreamOrigin> PossibleOrigins(
+  const Directory& directory, absl::Span<const std::string> services,
+  Elapsed since);
 
 /** \brief Whether the endpoint may be sent to and is neither avoided for its
  * failures nor cut off.
@@ -174,7 +194,8 @@
 
 /** \brief Whether any endpoint of the service is sound. */
 bool IsAnySound(const Directory& directory, absl::string_view service,
-                Elapsed now, Sender sender = Sender::ThisBox);
+                Elapsed now, Sender sender = Sender::ThisBox,
+                const VersionBound& bound = {});
 
 /** \brief Whether it takes only so many requests a second. */
 bool IsLimited(const DirectoryEndpoint& endpoint);
@@ -194,7 +215,8 @@
  * what its endpoints ask alone prevents it now; zero otherwise.
  */
 absl::Duration TimeUntilAccepted(const Directory& directory,
-                                 absl::string_view service, Elapsed now);
+                                 absl::string_view service, Elapsed now,
+                                 const VersionBound& bound = {});
 
 /** \brief Whether a start is known to be over, with all that it held. */
 bool IsOver(const Directory& directory, const std::string& id);
--- a/Source/Gateway/wgDirectoryIndex.h
+++ b/Source/Gateway/wgDirectoryIndex.h
@@ -28,7 +28,9 @@
   std::string service;
   std::string address; // IP:port
   std::string hall;
-  std::string version; // of its software; empty: it was not told
+  std::string version; // of its software; empty: not known
+  /** Registrations under its identity have told of several versions. */
+  bool isVersionUnsure = false;
   int slots = 1;
   wire::Registration::State state = wire::Registration::READY;
   std::uint64_t sequence = 0;
--- a/Source/Gateway/wgEngineCoordinator.cxx
+++ b/Source/Gateway/wgEngineCoordinator.cxx
@@ -84,10 +84,14 @@
     }
   }
   pool.guessUntil = guessUntil_;
-  std::vector<DirectoryEndpoint*> engines =
-    SoundEndpoints(directory_, key.service, now, Sender::AnyBox, key.hall);
-  engines = OfWantedVersion(directory_, key.service, std::move(engines),
-                            ask.wants_version());
+  const VersionBound bound =
+    ask.version().empty() ? VersionBound() : VersionBound(ask.version());
+  std::vector<DirectoryEndpoint*> engines = SoundEndpoints(
+    directory_, key.service, now, Sender::AnyBox, key.hall, bound);
+  if (!bound) {
+    engines = OfWantedVersion(directory_, key.service, std::move(engines),
+                              ask.wants_version());
+  }
   const absl::Duration limited = LeaveOutLimited(engines, key);
   const EnginePlacement placed = PlacePrompt(pool, engines, query);
   metrics_.Count("engines_asked");
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -81,6 +81,8 @@
                                             settings_.box, metrics_);
   reservations_ = std::make_unique<ReservationClient>(
     loop_, *peerClient_, *stages_, coordinator_, settings_.box, metrics_);
+  origins_ = std::make_unique<StreamOrigins>(
+    loop_, *peerClient_, *stages_, directory_, settings_.hall, metrics_);
   const std::string& key = settings_.keys[std::string(PeerName)];
   relayServer_ = std::make_unique<RelayServer>(loop_, client_, directory_, key,
                                                metrics_, log_);
@@ -89,8 +91,8 @@
     settings_.hall, key, metrics_);
   shared_.reset(new GatewayShared{
     loop_, dialect_, directory_, *relays_, *stages_, *reservations_, *engines_,
-    halls_, crashes_, terms_, permits_, metrics_, log_, settings_.hall,
-    settings_.retryRules, tallies_, settings_.admission });
+    *origins_, halls_, crashes_, terms_, permits_, metrics_, log_,
+    settings_.hall, settings_.retryRules, tallies_, settings_.admission });
   client_.OnConnect([this](const std::string& address, ConnectResult result) {
     const DirectoryEndpoint* endpoint =
       FindByAddress(directory_, RegisteredAt(directory_.routes, address));
@@ -161,6 +163,9 @@
                       cpuMilli_ },
     log_, std::move(handler));
   follower_->AddControls(settings_.controls);
+  origins_->SetChecks(
+    [this] { return follower_->IsCurrent(ElapsedNow()); },
+    [this] { return follower_->IsComplete(ElapsedNow(), StreamMemory); });
   if (!settings_.cpuShare.empty() && cpuMilli_ == 0) {
     metrics_.Count("cpu_share_unsound");
   }
@@ -385,12 +390,34 @@
   return false;
 }
 
+bool GatewayNode::OnOriginPeer(const PeerRequest& request,
+                               const PeerServer::Respond& respond)
+{
+  if (request.path == "/stream-origins") {
+    boost::asio::post(loop_, [this, body = request.body, respond] {
+      wire::StreamOrigins origins;
+      const bool sound = origins.ParseFromString(body);
+      respond(sound ? origins_->Take(origins) : "");
+    });
+    return true;
+  }
+  if (request.path == "/stream-origin") {
+    boost::asio::post(loop_, [this, body = request.body, respond] {
+      wire::StreamOriginAsk ask;
+      const bool sound = ask.ParseFromString(body);
+      respond(sound ? origins_->Answer(ask).SerializeAsString() : "");
+    });
+    return true;
+  }
+  return false;
+}
+
 /** Runs on the peer server's thread. */
 void GatewayNode::OnPeer(const PeerRequest& request,
                          const PeerServer::Respond& respond)
 {
   if (OnEnginePeer(request, respond) || OnLimitPeer(request, respond) ||
-      OnReservationPeer(request, respond)) {
+      OnReservationPeer(request, respond) || OnOriginPeer(request, respond)) {
     return;
   }
   if (request.path == "/stage") {
@@ -459,6 +486,9 @@
   auto table = std::make_shared<RouteTable>(std::move(Value(read)));
   table->number = number;
   IndexRoutes(*table);
+  if (table_ != nullptr) {
+    KeepFormerTargets(*table, *table_, ElapsedNow(), StreamMemory);
+  }
   table_ = std::move(table);
   coordinator_.SetTable(table_);
   engineCoordinator_.SetTable(table_);
@@ -555,6 +585,7 @@
     LogWeight::Routine, "endpoint",
     { { "endpoint", id },
       { "service", endpoint->service },
+      { "version", endpoint->version },
       { "sequence", registration.sequence() },
       { "state", wire::Registration::State_Name(registration.state()) } });
   NoteUnknownService(*endpoint);
@@ -585,6 +616,7 @@
              { { "requests_open", requests_.size() } });
   callers_->StartDraining(settings_.settleTime);
   relayServer_->Stop();
+  origins_->HandOver();
   CheckStop();
 }
 
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -16,6 +16,7 @@
 #include "wgLoopTimer.h"
 #include "wgPeerServer.h"
 #include "wgRelayServer.h"
+#include "wgStreamOrigins.h"
 #include "wgVersionTallies.h"
 
 namespace wg {
@@ -73,6 +74,8 @@
                    const PeerServer::Respond& respond);
   bool OnReservationPeer(const PeerRequest& request,
                          const PeerServer::Respond& respond);
+  bool OnOriginPeer(const PeerRequest& request,
+                    const PeerServer::Respond& respond);
   void OnPeer(const PeerRequest& request, const PeerServer::Respond& respond);
   bool OnDocument(const ReceivedDocument& document);
   void OnHallCut(const std::string& hall);
@@ -112,6 +115,7 @@
   std::unique_ptr<StageClient> stages_;
   std::unique_ptr<EngineClient> engines_;
   std::unique_ptr<ReservationClient> reservations_;
+  std::unique_ptr<StreamOrigins> origins_;
   std::unique_ptr<RelayServer> relayServer_;
   std::unique_ptr<RelayClient> relays_;
   std::unique_ptr<GatewayShared> shared_;
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -24,6 +24,9 @@
 /** It stays away for a day; whoever mends what it meets tries then. */
 constexpr absl::Duration RetryAfterKeptAway = absl::Minutes(10);
 
+/** What a log line shows of a field that may hold anything. */
+constexpr std::size_t ShownBytes = 40;
+
 std::string SecondsText(absl::Duration time)
 {
   return absl::StrFormat("%.2f", absl::ToDoubleSeconds(time));
@@ -65,8 +68,19 @@
     return;
   }
   ReadPrompt();
+  if (TakesStreamUp()) {
+    FindOrigin();
+    return;
+  }
+  origin_ = id_;
   service_ =
     ChooseTarget(*route_, absl::Uniform<double>(shared_.random, 0.0, 1.0));
+  BeginWork();
+}
+
+/** From the choice of its service on. */
+void GatewayRequest::BeginWork()
+{
   NoteRequest(shared_.retries[service_], ElapsedNow());
   PlanHall();
   if (resultHall_.empty()) {
@@ -167,9 +181,13 @@
   if (ms >= 0) {
     callerDeadline_ = exchange_->Arrived() + absl::Milliseconds(ms);
   }
-  firstTried_ =
-    FirstTried(shared_.deadlines[route_->name], *route_, exchange_->Arrived(),
-               callerDeadline_ - exchange_->Arrived());
+  // A stream that is taken up is as urgent as a new one: endpoints have worked
+  // for it already.
+  firstTried_ = TakesStreamUp()
+                  ? exchange_->Arrived()
+                  : FirstTried(shared_.deadlines[route_->name], *route_,
+                               exchange_->Arrived(),
+                               callerDeadline_ - exchange_->Arrived());
   giveUp_ = std::min({ callerDeadline_ - GiveUpMargin,
                        exchange_->Arrived() + route_->timeout - GiveUpMargin,
                        exchange_->Arrived() + LongestHeld });
@@ -197,7 +215,8 @@
 {
   double ignored = 0.0;
   const auto endpoints =
-    IsForEngine() ? SoundEndpoints(shared_.directory, service_, ElapsedNow())
+    IsForEngine() ? SoundEndpoints(shared_.directory, service_, ElapsedNow(),
+                                   Sender::ThisBox, "", bound_)
                   : OwnCandidates();
   const DirectoryEndpoint* planned = ChooseEndpointFor(endpoints, ignored);
   resultHall_ = planned == nullptr ? resultHall_ : planned->hall;
@@ -306,10 +325,12 @@
   if (reason == KeptAwayReason) {
     wait = RetryAfterKeptAway;
   }
+  wait = std::max(wait, OriginRetry(reason));
   // Not all at the same moment.
   if (reason == EndpointsLimitedReason || reason == EndpointsRestReason) {
     const Elapsed now = ElapsedNow();
-    wait = std::max(wait, TimeUntilAccepted(shared_.directory, service_, now));
+    wait = std::max(
+      wait, TimeUntilAccepted(shared_.directory, service_, now, bound_));
     wait += absl::Seconds(absl::Uniform<double>(shared_.random, 0.0, 1.0));
   }
   if (reason == "overload") {
@@ -416,6 +437,20 @@
   return times;
 }
 
+/** Which versions of an endpoint's software have answered, and what the caller
+ * had before.
+ */
+void GatewayRequest::AddVersions(nlohmann::json& fields) const
+{
+  if (!versions_.empty()) {
+    fields["versions"] = versions_;
+  }
+  if (TakesStreamUp()) {
+    fields["resumes"] = std::string(
+      FieldOf(exchange_->Request(), Fields().resumes).substr(0, ShownBytes));
+  }
+}
+
 void GatewayRequest::LogOutcome(absl::string_view outcome,
                                 absl::string_view reason) const
 {
@@ -446,6 +481,7 @@
     fields["answer_end"] =
       *answerEnd_ == HttpCallEnd::EndedByClose ? "close" : "framing";
   }
+  AddVersions(fields);
   fields["times_ms"] = DescribeTimes();
   shared_.log.Write(usual ? LogWeight::Routine : LogWeight::Notable, "request",
                     std::move(fields));
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -31,6 +31,7 @@
 #include "wgSendPermits.h"
 #include "wgStageClient.h"
 #include "wgStagePlan.h"
+#include "wgStreamOrigins.h"
 #include "wgTermsTracker.h"
 #include "wgVersionTallies.h"
 
@@ -54,6 +55,7 @@
   StageClient& stages;
   ReservationClient& reservations;
   EngineClient& engines;
+  StreamOrigins& origins;
   HallProber& halls;
   CrashTracker& crashes;
   TermsTracker& terms;
@@ -91,6 +93,7 @@
 struct RequestAttempt
 {
   std::string endpoint; // id
+  std::string version;  // of its software, as it was known at the start
   std::unique_ptr<HttpCall> call;
   std::string relay; // the box that makes the call; empty: this one
   HttpHead head;
@@ -127,6 +130,16 @@
  */
 inline constexpr absl::string_view NoPathReason = "no_path";
 
+/** \brief Why a stream is not taken up: what began it is not known, its
+ * route no longer leads to the service that did, or no endpoint of the version
+ * that did is left.
+ */
+inline constexpr absl::string_view OriginUnknownReason =
+  "stream_origin_unknown";
+inline constexpr absl::string_view ServiceChangedReason =
+  "stream_service_changed";
+inline constexpr absl::string_view VersionGoneReason = "stream_version_gone";
+
 /** \class GatewayRequest
  * \brief A caller's request from its arrival to the end of its answer: the
  * stages before it, the attempts at endpoints, what the caller is told.
@@ -154,6 +167,15 @@
   using Attempt = detail::RequestAttempt;
 
   const FieldNames& Fields() const { return shared_.dialect.fields; }
+  bool TakesStreamUp() const;
+  std::string OriginName() const;
+  void FindOrigin();
+  void OnOrigin(const OriginVerdict& verdict);
+  void NoteFirstEvent();
+  bool HasEndpointWithinBound() const;
+  absl::Duration OriginRetry(absl::string_view reason) const;
+  void BeginWork();
+
   bool FindRouteAndKey();
   const std::string& Fingerprint() const;
   bool IsKeptAway() const;
@@ -231,6 +253,7 @@
   void OnBody(absl::string_view bytes);
   void OnEvents(const std::string& events);
   void WatchStream();
+  bool HasOtherEndpoint() const;
   void OnSilence();
   void OnAttemptEnd(HttpCallEnd end);
   bool IsWhole(HttpCallEnd end) const;
@@ -251,6 +274,7 @@
   void OnCallerLeft();
   void End(absl::string_view outcome, absl::string_view reason);
   nlohmann::json DescribeTimes() const;
+  void AddVersions(nlohmann::json& fields) const;
   void LogOutcome(absl::string_view outcome, absl::string_view reason) const;
 
   GatewayShared& shared_;
@@ -261,6 +285,9 @@
   std::string id_;
   mutable std::string fingerprint_; // once it was asked for
   std::string service_;
+  VersionBound bound_; // of a stream that has begun, here or at an earlier try
+  std::string origin_; // the request that began it; empty: not named
+  bool isOriginFinal_ = true; // asking again for it does not help
   KeyHolder holder_;
   PromptShape prompt_;
   std::string pieceKey_;
@@ -278,8 +305,9 @@
   LoopTimer timer_;
   LoopTimer silenceTimer_;
   std::optional<Attempt> attempt_;
-  std::vector<std::string> tried_; // ids of endpoints
-  std::string relay_;              // that made the last attempt's call
+  std::vector<std::string> tried_;    // ids of endpoints
+  std::vector<std::string> versions_; // of the endpoint of each attempt
+  std::string relay_;                 // that made the last attempt's call
   int endpointsTried_ = 0;
   int connectFailures_ = 0;
   std::size_t attempts_ = 0;
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -57,7 +57,8 @@
 {
   const Elapsed now = ElapsedNow();
   const bool areCold = ColdRateOf(*table_, service_) > 0.0;
-  auto endpoints = SoundEndpoints(shared_.directory, service_, now);
+  auto endpoints = SoundEndpoints(shared_.directory, service_, now,
+                                  Sender::ThisBox, "", bound_);
   endpoints.erase(
     std::remove_if(endpoints.begin(), endpoints.end(),
                    [now, areCold](const DirectoryEndpoint* endpoint) {
@@ -65,8 +66,9 @@
                             now < endpoint->deniedUntil;
                    }),
     endpoints.end());
-  return OfWantedVersion(shared_.directory, service_, std::move(endpoints),
-                         WantsVersion());
+  return bound_ ? endpoints
+                : OfWantedVersion(shared_.directory, service_,
+                                  std::move(endpoints), WantsVersion());
 }
 
 /** What failed once is not tried at a version that may be the cause. */
@@ -140,8 +142,14 @@
 {
   const Elapsed now = ElapsedNow();
   absl::string_view why = "no_endpoint";
+  if (!HasEndpointWithinBound()) {
+    return VersionGoneReason;
+  }
   for (const DirectoryEndpoint* endpoint :
        ServingEndpoints(shared_.directory, service_)) {
+    if (!IsWithinBound(bound_, *endpoint)) {
+      continue;
+    }
     if (NeedsPermit(shared_.directory, *endpoint, now)) {
       return EndpointsLimitedReason;
     }
@@ -205,6 +213,8 @@
   attempt_.emplace();
   attempt_->placed = placed;
   attempt_->endpoint = endpoint.id;
+  attempt_->version = endpoint.version;
+  versions_.push_back(endpoint.version);
   attempt_->prefillSeconds = prefillSeconds;
   attempt_->sent = ElapsedNow();
   sentAt_ = attempt_->sent;
@@ -301,6 +311,7 @@
   const Elapsed now = ElapsedNow();
   if (!attempt_->eventSeen) {
     attempt_->eventSeen = true;
+    NoteFirstEvent();
     EndRead({ absl::ToDoubleSeconds(now - attempt_->sent), false });
     shared_.metrics.NoteLatency("engine_first_event", now - attempt_->sent);
   }
@@ -338,6 +349,18 @@
     });
 }
 
+/** Whether another endpoint than that of the open attempt could go on. */
+bool GatewayRequest::HasOtherEndpoint() const
+{
+  const auto endpoints = OwnCandidates();
+  return std::any_of(endpoints.begin(), endpoints.end(),
+                     [this](const DirectoryEndpoint* endpoint) {
+                       return endpoint->id != attempt_->endpoint &&
+                              std::find(tried_.begin(), tried_.end(),
+                                        endpoint->id) == tried_.end();
+                     });
+}
+
 void GatewayRequest::NotePathLost()
 {
   const bool isLost = !ended_ && attempt_ && attempt_->relay.empty() &&
@@ -355,7 +378,7 @@
   DrawRounding(shared_.retries[service_], shared_.random);
   const bool allowed = !ended_ && attempt_ &&
                        endpointsTried_ + 1 < route_->maxAttempts &&
-                       HasTimeLeft() &&
+                       HasTimeLeft() && HasOtherEndpoint() &&
                        HasRetry(shared_.retries[service_], shared_.retryRules,
                                 shared_.stages.Members() + 1, ElapsedNow());
   if (!allowed) {
--- a/Source/Gateway/wgGatewayRequestEngine.cxx
+++ b/Source/Gateway/wgGatewayRequestEngine.cxx
@@ -38,6 +38,7 @@
   }
   AddUnsound(ask);
   ask.set_wants_version(WantsVersion());
+  ask.set_version(bound_.value_or(""));
   shared_.engines.Ask(
     std::move(ask),
     [weak = weak_from_this(), &engines = shared_.engines](
@@ -56,7 +57,8 @@
 {
   const Elapsed now = ElapsedNow();
   Directory& directory = shared_.directory;
-  const bool isAnySound = IsAnySound(directory, service_, now);
+  const bool isAnySound =
+    IsAnySound(directory, service_, now, Sender::ThisBox, bound_);
   const StagePoolKey pool =
     ChoosePool(directory, service_, ask.hall(), EnginesInHall);
   for (const DirectoryEndpoint* endpoint :
@@ -78,11 +80,13 @@
   Directory& directory = shared_.directory;
   DirectoryEndpoint* chosen = FindEndpoint(directory, id);
   if (chosen == nullptr || chosen->service != service_ ||
+      !IsWithinBound(bound_, *chosen) ||
       !MaySendNow(directory, *chosen, now)) {
     return nullptr;
   }
   const bool maySend =
-    IsSound(directory, *chosen, now) || !IsAnySound(directory, service_, now);
+    IsSound(directory, *chosen, now) ||
+    !IsAnySound(directory, service_, now, Sender::ThisBox, bound_);
   return maySend ? chosen : nullptr;
 }
 
@@ -123,7 +127,8 @@
   const Elapsed until = now + wait;
   for (DirectoryEndpoint* endpoint :
        ServingEndpoints(shared_.directory, pool.service, pool.hall)) {
-    if (NeedsPermit(shared_.directory, *endpoint, now)) {
+    if (IsWithinBound(bound_, *endpoint) &&
+        NeedsPermit(shared_.directory, *endpoint, now)) {
       endpoint->deniedUntil = until;
     }
   }
--- a/Source/Gateway/wgRouteTable.cxx
+++ b/Source/Gateway/wgRouteTable.cxx
@@ -50,6 +50,14 @@
   return nullptr;
 }
 
+bool IsTarget(const Route& route, absl::string_view service)
+{
+  return std::any_of(route.targets.begin(), route.targets.end(),
+                     [service](const RouteTarget& target) {
+                       return target.service == service;
+                     });
+}
+
 double ColdRateOf(const RouteTable& table, const std::string& service)
 {
   const auto found = table.services.find(service);
@@ -71,6 +79,45 @@
   return route.targets.back().service;
 }
 
+void KeepFormerTargets(RouteTable& table, const RouteTable& before,
+                       Elapsed now, absl::Duration memory)
+{
+  std::map<absl::string_view, const Route*> routes;
+  for (const Route& route : before.routes) {
+    routes[route.name] = &route;
+  }
+  for (Route& route : table.routes) {
+    const auto found = routes.find(route.name);
+    if (found == routes.end()) {
+      continue;
+    }
+    for (const RouteTarget& target : found->second->targets) {
+      if (!IsTarget(route, target.service)) {
+        route.formerTargets.push_back({ target.service, now + memory });
+      }
+    }
+    for (const FormerTarget& former : found->second->formerTargets) {
+      if (now < former.until && !IsTarget(route, former.service)) {
+        route.formerTargets.push_back(former);
+      }
+    }
+  }
+}
+
+std::vector<std::string> PossibleServices(const Route& route, Elapsed now)
+{
+  std::vector<std::string> services;
+  for (const RouteTarget& target : route.targets) {
+    services.push_back(target.service);
+  }
+  for (const FormerTarget& former : route.formerTargets) {
+    if (now < former.until) {
+      services.push_back(former.service);
+    }
+  }
+  return services;
+}
+
 std::vector<std::size_t> FinalStages(absl::Span<const RouteStage> stages)
 {
   std::vector<bool> isFinal(stages.size(), true);
--- a/Source/Gateway/wgRouteTable.h
+++ b/Source/Gateway/wgRouteTable.h
@@ -12,6 +12,8 @@
 #include "absl/time/time.h"
 #include "absl/types/span.h"
 
+#include "wgElapsed.h"
+
 namespace wg {
 
 /** \brief What may be repeated of the requests of a route. */
@@ -29,6 +31,13 @@
   double weight = 1.0;
 };
 
+/** \brief A service that a route no longer leads to. */
+struct FormerTarget
+{
+  std::string service;
+  Elapsed until; // streams that began there may be taken up
+};
+
 /** \brief Work that must be done before a request of the route can run. */
 struct RouteStage
 {
@@ -54,6 +63,7 @@
   /** For so long a caller waits for the next event, the first one too. */
   absl::Duration patience = absl::InfiniteDuration();
   std::vector<RouteTarget> targets;
+  std::vector<FormerTarget> formerTargets;
   std::vector<RouteStage> stages;
 };
 
@@ -133,6 +143,18 @@
  */
 const std::string& ChooseTarget(const Route& route, double draw);
 
+/** \brief Whether the route leads to the service. */
+bool IsTarget(const Route& route, absl::string_view service);
+
+/** \brief Notes in a new document's routes which services they led to before.
+ * \param memory for which a stream may be taken up after it has begun
+ */
+void KeepFormerTargets(RouteTable& table, const RouteTable& before,
+                       Elapsed now, absl::Duration memory);
+
+/** \brief The services that may have begun a stream of the route. */
+std::vector<std::string> PossibleServices(const Route& route, Elapsed now);
+
 /** \brief The stages that no other comes after. */
 std::vector<std::size_t> FinalStages(absl::Span<const RouteStage> stages);
 
--- /dev/null
+++ b/Source/Gateway/wgStreamOrigins.cxx
@@ -0,0 +1,326 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgStreamOrigins.h"
+
+#include <algorithm>
+#include <map>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+
+#include "wgEndpointChoice.h"
+
+namespace wg {
+namespace {
+
+constexpr absl::Duration CopyTimeout = absl::Milliseconds(300);
+/** The caller waits meanwhile; boxes that live answer in a few milliseconds,
+ * busy ones in some tens.
+ */
+constexpr absl::Duration AskTimeout = absl::Milliseconds(150);
+/** Boxes that a copy is offered to, one after the other. */
+constexpr std::size_t CopyTries = 2;
+constexpr int AskTries = 2;
+
+void Describe(const std::string& request, const OriginRecord& record,
+              Elapsed now, wire::StreamOrigin& told)
+{
+  told.set_request(request);
+  told.set_service(record.origin.service);
+  told.set_version(record.origin.version);
+  told.set_left_ms(absl::ToInt64Milliseconds(record.until - now));
+}
+
+} // namespace
+
+namespace detail {
+
+void KeepCopies(OriginRecords& records, const wire::StreamOrigins& copies,
+                Elapsed now)
+{
+  for (const wire::StreamOrigin& copy : copies.origins()) {
+    const Elapsed until = now + absl::Milliseconds(copy.left_ms());
+    KeepOrigin(records, copy.request(),
+               { { copy.service(), copy.version() }, until }, now);
+  }
+}
+
+OriginAnswer ReadOriginAnswer(const std::string& hall,
+                              const std::string& bytes)
+{
+  OriginAnswer answer;
+  answer.hall = hall;
+  wire::StreamOriginAnswer told;
+  if (bytes.empty() || !told.ParseFromString(bytes)) {
+    return answer;
+  }
+  answer.hasAnswered = true;
+  if (told.has_origin()) {
+    answer.origin =
+      StreamOrigin{ told.origin().service(), told.origin().version() };
+  }
+  answer.view.isCurrent = told.is_current();
+  answer.view.isComplete = told.is_complete();
+  for (const wire::StreamOrigin& possible : told.possible()) {
+    answer.view.possible.push_back({ possible.service(), possible.version() });
+  }
+  return answer;
+}
+
+} // namespace detail
+
+/** A question to several boxes, until it is answered. */
+struct StreamOrigins::Search
+{
+  bool isNamed = false;
+  std::vector<std::string> services;
+  std::vector<OriginAnswer> answers;
+  std::size_t open = 0;
+  Found found; // empty once it was called
+};
+
+StreamOrigins::StreamOrigins(EventLoop& loop, PeerClient& peers,
+                             StageClient& members, const Directory& directory,
+                             std::string hall, GatewayMetrics& metrics)
+  : loop_(loop)
+  , peers_(peers)
+  , members_(members)
+  , directory_(directory)
+  , hall_(std::move(hall))
+  , metrics_(metrics)
+{
+}
+
+std::vector<OriginKeeper> StreamOrigins::DescribeOthers(
+  const std::string& request) const
+{
+  std::vector<OriginKeeper> others;
+  others.reserve(members_.Others().size());
+  for (const GatewayMember& member : members_.Others()) {
+    others.push_back(
+      { RendezvousWeight(request, member.box), member.hall, !member.suspect });
+  }
+  return others;
+}
+
+void StreamOrigins::Keep(const std::string& request,
+                         const StreamOrigin& origin, absl::Duration left)
+{
+  const Elapsed now = ElapsedNow();
+  const OriginRecord record{ origin, now + left };
+  KeepOrigin(records_, request, record, now);
+  if (FindOrigin(records_, request, now) != nullptr) {
+    SendCopies(request, record);
+  }
+}
+
+void StreamOrigins::SendCopies(const std::string& request,
+                               const OriginRecord& record)
+{
+  wire::StreamOrigins origins;
+  Describe(request, record, ElapsedNow(), *origins.add_origins());
+  const std::string body = origins.SerializeAsString();
+  const absl::Span<const GatewayMember> others = members_.Others();
+  const OriginKeepers keepers =
+    RankOriginKeepers(DescribeOthers(request), hall_);
+  const auto send = [&](const std::vector<std::size_t>& ranked,
+                        std::size_t copies) {
+    for (std::size_t i = 0; i < std::min(copies, ranked.size()); ++i) {
+      // If it fails, the next box that has no copy is tried.
+      std::vector<GatewayMember> candidates{ others[ranked[i]] };
+      if (i + copies < ranked.size()) {
+        candidates.push_back(others[ranked[i + copies]]);
+      }
+      SendCopy(body, std::move(candidates), 0, CopyTries);
+    }
+  };
+  send(keepers.near, NearCopies);
+  send(keepers.far, FarCopies);
+}
+
+void StreamOrigins::SendCopy(const std::string& body,
+                             std::vector<GatewayMember> candidates,
+                             std::size_t next, std::size_t tries)
+{
+  if (next == candidates.size() || tries == 0) {
+    metrics_.Count("stream_origin_copies_lost");
+    return;
+  }
+  const GatewayMember member = candidates[next];
+  metrics_.Count("stream_origin_copies_sent");
+  peers_.Call(
+    member.address, "/stream-origins", body, CopyTimeout,
+    [this, body, candidates = std::move(candidates), next, tries,
+     box = member.box](const Outcome<std::string>& reply) mutable {
+      const bool isKept = Succeeded(reply) && Value(reply) == OriginsKeptReply;
+      boost::asio::post(loop_, [this, body, box, next, tries, isKept,
+                                candidates = std::move(candidates)]() mutable {
+        if (isKept) {
+          metrics_.Count("stream_origin_copies_kept");
+          return;
+        }
+        metrics_.Count("stream_origin_copies_failed");
+        members_.Doubt(box);
+        SendCopy(body, std::move(candidates), next + 1, tries - 1);
+      });
+    });
+}
+
+void StreamOrigins::Find(const std::string& request,
+                         absl::Span<const std::string> services, Found found)
+{
+  const Elapsed now = ElapsedNow();
+  const OriginRecord* kept = FindOrigin(records_, request, now);
+  if (kept != nullptr) {
+    const OriginEvidence evidence = kept->origin.version.empty()
+                                      ? OriginEvidence::None
+                                      : OriginEvidence::Kept;
+    boost::asio::post(loop_,
+                      [verdict = OriginVerdict{ evidence, kept->origin, true },
+                       found = std::move(found)] { found(verdict); });
+    return;
+  }
+  auto search = std::make_shared<Search>();
+  search->isNamed = !request.empty();
+  search->services.assign(services.begin(), services.end());
+  search->found = std::move(found);
+  const bool asks = search->isNamed || !isCurrent_ || !isCurrent_();
+  const absl::Span<const GatewayMember> others = members_.Others();
+  const std::vector<OriginKeeper> keepers = DescribeOthers(request);
+  const std::vector<std::size_t> sources =
+    asks ? ChooseOriginSources(keepers) : std::vector<std::size_t>();
+  wire::StreamOriginAsk ask;
+  ask.set_request(request);
+  for (const std::string& service : services) {
+    ask.add_services(service);
+  }
+  const std::string body = ask.SerializeAsString();
+  search->open = sources.size();
+  search->answers.resize(sources.size());
+  for (const OriginKeeper& keeper : keepers) {
+    if (!keeper.isReachable) {
+      search->answers.push_back({ keeper.hall, false, std::nullopt, {} });
+    }
+  }
+  metrics_.Count("stream_origins_asked", sources.size());
+  for (std::size_t i = 0; i < sources.size(); ++i) {
+    search->answers[i].hall = others[sources[i]].hall;
+    Ask(search, i, others[sources[i]], body, AskTries);
+  }
+  if (sources.empty()) {
+    boost::asio::post(loop_, [this, search] { Finish(*search); });
+  }
+}
+
+void StreamOrigins::Ask(const std::shared_ptr<Search>& search,
+                        std::size_t index, const GatewayMember& member,
+                        const std::string& body, int tries)
+{
+  peers_.Call(member.address, "/stream-origin", body, AskTimeout,
+              [this, search, index, member, body, tries,
+               sent = ElapsedNow()](Outcome<std::string> reply) {
+                boost::asio::post(loop_, [this, search, index, member, body,
+                                          tries, sent,
+                                          reply = std::move(reply)] {
+                  // A connection that was reset is opened anew by the next
+                  // call.
+                  const bool isReset =
+                    !Succeeded(reply) && ElapsedNow() - sent < AskTimeout / 2;
+                  if (isReset && tries > 1) {
+                    Ask(search, index, member, body, tries - 1);
+                    return;
+                  }
+                  TakeAnswer(*search, index, member, reply);
+                });
+              });
+}
+
+void StreamOrigins::TakeAnswer(Search& search, std::size_t index,
+                               const GatewayMember& member,
+                               const Outcome<std::string>& reply)
+{
+  OriginAnswer& answer = search.answers[index];
+  if (Succeeded(reply)) {
+    answer = detail::ReadOriginAnswer(member.hall, Value(reply));
+  }
+  if (!answer.hasAnswered) {
+    members_.Doubt(member.box);
+  }
+  --search.open;
+  if (search.open == 0 || answer.origin) {
+    Finish(search);
+  }
+}
+
+void StreamOrigins::Finish(Search& search)
+{
+  if (const Found found = std::exchange(search.found, nullptr)) {
+    found(
+      EvaluateOrigin(search.isNamed, View(search.services), search.answers));
+  }
+}
+
+OriginView StreamOrigins::View(absl::Span<const std::string> services) const
+{
+  return { isCurrent_ && isCurrent_(),
+           PossibleOrigins(directory_, services, ElapsedNow() - StreamMemory),
+           isComplete_ && isComplete_() };
+}
+
+std::string StreamOrigins::Take(const wire::StreamOrigins& origins)
+{
+  if (stopping_) {
+    return "";
+  }
+  detail::KeepCopies(records_, origins, ElapsedNow());
+  return std::string(OriginsKeptReply);
+}
+
+wire::StreamOriginAnswer StreamOrigins::Answer(
+  const wire::StreamOriginAsk& ask) const
+{
+  const Elapsed now = ElapsedNow();
+  wire::StreamOriginAnswer answer;
+  if (const OriginRecord* kept = FindOrigin(records_, ask.request(), now)) {
+    Describe(ask.request(), *kept, now, *answer.mutable_origin());
+    return answer;
+  }
+  const std::vector<std::string> services(ask.services().begin(),
+                                          ask.services().end());
+  const OriginView view = View(services);
+  answer.set_is_current(view.isCurrent);
+  answer.set_is_complete(view.isComplete);
+  for (const StreamOrigin& possible : view.possible) {
+    wire::StreamOrigin& told = *answer.add_possible();
+    told.set_service(possible.service);
+    told.set_version(possible.version);
+  }
+  return answer;
+}
+
+/** In one message a box, and not to a box that has stopped as well. */
+void StreamOrigins::HandOver()
+{
+  stopping_ = true;
+  const Elapsed now = ElapsedNow();
+  ExpireOrigins(records_, now);
+  const absl::Span<const GatewayMember> others = members_.Others();
+  std::map<std::size_t, wire::StreamOrigins> copies; // by place in others
+  for (const auto& kept : records_.byRequest) {
+    const OriginKeepers keepers =
+      RankOriginKeepers(DescribeOthers(kept.first), hall_);
+    const auto add = [&](const std::vector<std::size_t>& ranked,
+                         std::size_t most) {
+      for (std::size_t i = 0; i < std::min(most, ranked.size()); ++i) {
+        Describe(kept.first, kept.second, now,
+                 *copies[ranked[i]].add_origins());
+      }
+    };
+    add(keepers.near, NearCopies);
+    add(keepers.far, FarCopies);
+  }
+  for (const auto& [place, origins] : copies) {
+    SendCopy(origins.SerializeAsString(), { others[place] }, 0, 1);
+  }
+}
+
+} // namespace wg
--- /dev/null
+++ b/Source/Gateway/wgStreamOrigins.h
@@ -0,0 +1,115 @@
+// SPDX-License-Identifier: Apache-2.0
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "absl/time/time.h"
+#include "absl/types/span.h"
+
+#include "wgDirectory.h"
+#include "wgGatewayMetrics.h"
+#include "wgHttpMessage.h"
+#include "wgPeer.pb.h"
+#include "wgPeerClient.h"
+#include "wgStageClient.h"
+#include "wgStreamOrigin.h"
+
+namespace wg {
+
+/** \brief The reply of a box that has kept the origins it was sent. */
+constexpr absl::string_view OriginsKeptReply = "kept";
+
+namespace detail {
+
+/** \brief Keeps the copies that another box has sent. */
+void KeepCopies(OriginRecords& records, const wire::StreamOrigins& copies,
+                Elapsed now);
+
+/** \brief Reads a box's answer; hasAnswered is false for damaged bytes. */
+OriginAnswer ReadOriginAnswer(const std::string& hall,
+                              const std::string& bytes);
+
+} // namespace detail
+
+/** \class StreamOrigins
+ * \brief Which service and version began each stream that its caller may take
+ * up, at this box or another; on the loop.
+ *
+ * Copies are sent to other boxes as the first event passes, without waiting
+ * for them. They are found by the name of the request alone, as its caller
+ * gives no more, in the rendezvous order of request and box.
+ */
+class StreamOrigins
+{
+public:
+  /** Runs on the loop, exactly once. */
+  using Found = std::function<void(const OriginVerdict& verdict)>;
+
+  StreamOrigins(EventLoop& loop, PeerClient& peers, StageClient& members,
+                const Directory& directory, std::string hall,
+                GatewayMetrics& metrics);
+
+  /** \brief Sets how to find out whether the directory is up to date, and
+   * whether it holds the endpoints that all control boxes know.
+   */
+  void SetChecks(std::function<bool()> isCurrent,
+                 std::function<bool()> isComplete)
+  {
+    isCurrent_ = std::move(isCurrent);
+    isComplete_ = std::move(isComplete);
+  }
+
+  /** \brief The first event of a stream passes to its caller.
+   * \param request that brought it
+   * \param left for which the stream may be taken up
+   */
+  void Keep(const std::string& request, const StreamOrigin& origin,
+            absl::Duration left);
+
+  /** \brief Finds what began a stream.
+   * \param request that brought its first event; empty: it was not named
+   * \param services that may have begun it
+   */
+  void Find(const std::string& request, absl::Span<const std::string> services,
+            Found found);
+
+  /** \brief Takes copies that another box sends.
+   * \return OriginsKeptReply, or nothing when this box stops
+   */
+  std::string Take(const wire::StreamOrigins& origins);
+  wire::StreamOriginAnswer Answer(const wire::StreamOriginAsk& ask) const;
+
+  /** \brief This box stops: others get what it keeps. */
+  void HandOver();
+
+private:
+  struct Search;
+
+  std::vector<OriginKeeper> DescribeOthers(const std::string& request) const;
+  void SendCopies(const std::string& request, const OriginRecord& record);
+  void SendCopy(const std::string& body, std::vector<GatewayMember> candidates,
+                std::size_t next, std::size_t tries);
+  void Ask(const std::shared_ptr<Search>& search, std::size_t index,
+           const GatewayMember& member, const std::string& body, int tries);
+  void TakeAnswer(Search& search, std::size_t index,
+                  const GatewayMember& member,
+                  const Outcome<std::string>& reply);
+  void Finish(Search& search);
+  OriginView View(absl::Span<const std::string> services) const;
+
+  EventLoop& loop_;
+  PeerClient& peers_;
+  StageClient& members_;
+  const Directory& directory_;
+  std::string hall_;
+  GatewayMetrics& metrics_;
+  std::function<bool()> isCurrent_;
+  std::function<bool()> isComplete_;
+  OriginRecords records_;
+  bool stopping_ = false;
+};
+
+} // namespace wg
--- a/Tests/Fuzz/wgFuzzTest.cxx
+++ b/Tests/Fuzz/wgFuzzTest.cxx
@@ -13,6 +13,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <catch2/catch.hpp>
+#include <google/protobuf/stubs/logging.h>
 
 #include "wgConfigText.h"
 #include "wgHttpClient.h"
@@ -26,6 +27,7 @@
 #include "wgServiceState.h"
 #include "wgSocket.h"
 #include "wgStageProtocol.h"
+#include "wgStreamOrigins.h"
 
 namespace {
 
@@ -156,6 +158,78 @@
   CHECK(read > 0);
 }
 
+namespace {
+
+wg::wire::StreamOrigin MakeOrigin(const std::string& request)
+{
+  wg::wire::StreamOrigin origin;
+  origin.set_request(request);
+  origin.set_service("llm");
+  origin.set_version("v1");
+  origin.set_left_ms(20000);
+  return origin;
+}
+
+} // namespace
+
+TEST_CASE("damaged copies of origins are refused or kept within bounds")
+{
+  const google::protobuf::LogSilencer silencer;
+  Mutator mutate;
+  wg::wire::StreamOrigins copies;
+  *copies.add_origins() = MakeOrigin("request-1");
+  *copies.add_origins() = MakeOrigin("request-2");
+  const std::string bytes = copies.SerializeAsString();
+  const wg::Elapsed now = absl::Hours(1);
+  wg::OriginRecords records;
+  records.maxRecords = 100;
+  for (int i = 0; i < Rounds; ++i) {
+    wg::wire::StreamOrigins damaged;
+    if (damaged.ParseFromString(mutate(bytes))) {
+      wg::detail::KeepCopies(records, damaged, now);
+    }
+  }
+  CHECK_FALSE(records.byRequest.empty());
+  CHECK(records.byRequest.size() <= records.maxRecords);
+  CHECK(records.byExpiry.size() == records.byRequest.size());
+  for (const auto& [request, record] : records.byRequest) {
+    CHECK(wg::IsOriginName(request));
+    CHECK(record.origin.service.size() <= wg::MaxOriginNameBytes);
+    CHECK(record.origin.version.size() <= wg::MaxOriginNameBytes);
+    CHECK(record.until > now);
+    CHECK(record.until <= now + wg::MaxStreamTime);
+  }
+  wg::ExpireOrigins(records, now + wg::MaxStreamTime);
+  CHECK(records.byRequest.empty());
+}
+
+TEST_CASE("damaged answers on origins name no version that was not reported")
+{
+  const google::protobuf::LogSilencer silencer;
+  Mutator mutate;
+  wg::wire::StreamOriginAnswer answer;
+  *answer.mutable_origin() = MakeOrigin("request-1");
+  answer.set_is_current(true);
+  *answer.add_possible() = MakeOrigin("");
+  const std::string bytes = answer.SerializeAsString();
+  int known = 0;
+  for (int i = 0; i < Rounds; ++i) {
+    const wg::OriginAnswer read =
+      wg::detail::ReadOriginAnswer("h1", mutate(bytes));
+    REQUIRE((read.hasAnswered || (!read.origin && !read.view.isCurrent)));
+    const wg::OriginVerdict verdict =
+      wg::EvaluateOrigin(true, { true, {} }, { read });
+    if (verdict.evidence == wg::OriginEvidence::None) {
+      REQUIRE(verdict.origin.version.empty());
+      continue;
+    }
+    ++known;
+    REQUIRE_FALSE(verdict.origin.version.empty());
+    REQUIRE(read.hasAnswered);
+  }
+  CHECK(known > 0);
+}
+
 TEST_CASE("damaged streams end in order")
 {
   Mutator mutate;
--- a/Tests/Gateway/wgDirectoryTest.cxx
+++ b/Tests/Gateway/wgDirectoryTest.cxx
@@ -520,3 +520,95 @@
     CHECK(wg::ServingEndpoints(directory, "svc").size() == 2);
   }
 }
+
+TEST_CASE("Streams go on only at endpoints whose version is known")
+{
+  wg::Directory directory;
+  const auto tell = [&](const std::string& id, std::uint64_t sequence,
+                        const std::string& version,
+                        Registration::State state = Registration::READY) {
+    Registration told = Told(id, sequence, state);
+    told.set_version(version);
+    wg::MergeRegistration(directory, told, Now);
+  };
+  const auto sound = [&](const wg::VersionBound& bound) {
+    std::vector<std::string> ids;
+    for (const auto* endpoint : wg::SoundEndpoints(
+           directory, "svc", Now, wg::Sender::ThisBox, "", bound)) {
+      ids.push_back(endpoint->id);
+    }
+    return ids;
+  };
+  using Ids = std::vector<std::string>;
+  tell("a", 1, "v1");
+  tell("b", 1, "v2");
+  tell("c", 1, "");
+  CHECK(sound({}).size() == 3);
+  CHECK(sound("v1") == Ids{ "a" });
+  CHECK(sound("v2") == Ids{ "b" });
+  CHECK(sound("v3").empty());
+  CHECK(sound("").empty());
+  // A control box of an older build does not tell the version.
+  tell("a", 2, "");
+  CHECK(sound("v1") == Ids{ "a" });
+  // Under one identity two starts have told of themselves.
+  tell("a", 3, "v2");
+  CHECK(sound("v1").empty());
+  CHECK(sound("v2") == Ids{ "b" });
+  tell("a", 4, "v1");
+  CHECK(sound("v1").empty());
+  CHECK(sound({}).size() == 3);
+  // Another version that takes requests at once says nothing of this one.
+  wg::FindEndpoint(directory, "b")->deniedUntil = Now + absl::Seconds(2);
+  CHECK(wg::TimeUntilAccepted(directory, "svc", Now) == absl::ZeroDuration());
+  CHECK(wg::TimeUntilAccepted(directory, "svc", Now, "v2") ==
+        absl::Seconds(2));
+  // The only endpoint of a version is used although its attempts failed.
+  wg::NoteAttempt(*wg::FindEndpoint(directory, "b"), true, Now);
+  CHECK(sound("v2") == Ids{ "b" });
+  CHECK(wg::IsAnySound(directory, "svc", Now));
+  CHECK_FALSE(
+    wg::IsAnySound(directory, "svc", Now, wg::Sender::ThisBox, "v2"));
+  tell("b", 2, "v2", Registration::LEAVING);
+  CHECK(sound("v2").empty());
+}
+
+TEST_CASE("Endpoints that have ended may have begun a stream")
+{
+  wg::Directory directory;
+  const auto versions = [&](wg::Elapsed since) {
+    std::vector<std::string> list;
+    for (const auto& origin :
+         wg::PossibleOrigins(directory, { "svc" }, since)) {
+      list.push_back(origin.service + " " + origin.version);
+    }
+    return list;
+  };
+  using List = std::vector<std::string>;
+  const wg::Elapsed since = Now - absl::Seconds(60);
+  Registration told = Told("a", 1);
+  told.set_version("v1");
+  wg::MergeRegistration(directory, told, Now);
+  Registration other = Told("x", 1);
+  other.set_service("other");
+  other.set_version("v9");
+  wg::MergeRegistration(directory, other, Now);
+  CHECK(versions(since) == List{ "svc v1" });
+  // This box first hears of it as it has ended.
+  Registration ended = Told("b", 4, Registration::GONE);
+  ended.set_version("v0");
+  ended.set_ended_ago_ms(20000);
+  wg::MergeRegistration(directory, ended, Now);
+  CHECK(versions(since) == List{ "svc v1", "svc v0" });
+  CHECK(versions(Now - absl::Seconds(10)) == List{ "svc v1" });
+  Registration silent = Told("c", 1, Registration::SILENT);
+  silent.set_version("v2");
+  wg::MergeRegistration(directory, silent, Now);
+  CHECK(versions(Now + absl::Seconds(100)) == List{ "svc v1", "svc v2" });
+  // Only the end of a start was heard: it may have been of any service.
+  Registration unknown;
+  unknown.set_endpoint("d");
+  unknown.set_state(Registration::GONE);
+  wg::MergeRegistration(directory, unknown, Now);
+  CHECK(versions(since) == List{ "svc v1", "svc v0", "svc v2", " " });
+}
--- a/Tests/Gateway/wgRouteTableTest.cxx
+++ b/Tests/Gateway/wgRouteTableTest.cxx
@@ -49,6 +49,42 @@
   CHECK(wg::ChooseTarget(route, 0.999999) == "r-b");
 }
 
+TEST_CASE("A route's former services count until their streams are over")
+{
+  constexpr absl::Duration Memory = absl::Seconds(30);
+  const auto makeTable = [](const std::string& service) {
+    wg::RouteTable table;
+    table.routes = { MakeRoute("r", "h", "/") };
+    table.routes[0].targets = { { service, 1.0 } };
+    return table;
+  };
+  const auto possibleAt = [](const wg::RouteTable& table, wg::Elapsed now) {
+    return wg::PossibleServices(table.routes[0], now);
+  };
+  using Names = std::vector<std::string>;
+  const wg::Elapsed begun = absl::Seconds(100);
+  const wg::RouteTable first = makeTable("a");
+  CHECK(possibleAt(first, begun) == Names{ "a" });
+  wg::RouteTable second = makeTable("b");
+  wg::KeepFormerTargets(second, first, begun, Memory);
+  CHECK(possibleAt(second, begun) == Names{ "b", "a" });
+  CHECK_FALSE(wg::IsTarget(second.routes[0], "a"));
+  CHECK(possibleAt(second, begun + Memory) == Names{ "b" });
+  // Documents that leave the route as it is do not prolong it.
+  const wg::Elapsed later = begun + absl::Seconds(20);
+  wg::RouteTable third = makeTable("b");
+  wg::KeepFormerTargets(third, second, later, Memory);
+  CHECK(possibleAt(third, later) == Names{ "b", "a" });
+  CHECK(possibleAt(third, begun + Memory) == Names{ "b" });
+  wg::RouteTable fourth = makeTable("a");
+  wg::KeepFormerTargets(fourth, third, later, Memory);
+  CHECK(possibleAt(fourth, later) == Names{ "a", "b" });
+  wg::RouteTable fifth = makeTable("b");
+  wg::KeepFormerTargets(fifth, fourth, later + Memory, Memory);
+  CHECK(fifth.routes[0].formerTargets.size() == 1);
+  CHECK(possibleAt(fifth, later + Memory) == Names{ "b", "a" });
+}
+
 TEST_CASE("Stages know what comes after them")
 {
   // 0 alone; 1, 2 and 3 in a row.
