--- a/Tests/Platform/wgPlatformSoakCheck.cxx
+++ b/Tests/Platform/wgPlatformSoakCheck.cxx
@@ -161,8 +161,89 @@
   }
 }
 
+/** The events that a caller holds, of all its tries. */
+void CheckOrder(const SoakStream& stream, Findings& findings)
+{
+  if (stream.versions.size() > 1) {
+    findings.push_back(absl::StrCat("ORDER: stream ", stream.id,
+                                    " holds events of ",
+                                    stream.versions.size(), " versions."));
+  }
+  int expected = 0;
+  for (const int event : stream.events) {
+    if (event != ++expected) {
+      findings.push_back(absl::StrCat("ORDER: stream ", stream.id,
+                                      " has event ", event, " in place of ",
+                                      expected, "."));
+      return;
+    }
+  }
+  const bool isWhole =
+    std::any_of(stream.tries.begin(), stream.tries.end(),
+                [](const SoakStreamTry& t) { return t.isWhole; });
+  if (isWhole && expected < stream.length) {
+    findings.push_back(absl::StrCat("ORDER: stream ", stream.id,
+                                    " ended as complete after event ",
+                                    expected, "."));
+  }
+}
+
+/** Tries that were sent to boxes in touch. */
+struct StreamTries
+{
+  int all = 0;
+  int goOn = 0; // at least one event came
+};
+
+/** The rule: of 12 or more streams that are taken up, at least half as large a
+ * share goes on as of new streams begins.
+ */
+void CheckTakenUp(const SoakStreams& record, Findings& findings)
+{
+  constexpr int least = 12;
+  StreamTries taken;
+  StreamTries fresh;
+  for (const SoakStream& stream : record.streams) {
+    for (const SoakStreamTry& one : stream.tries) {
+      if (IsInTouch(record, one.box, one.sent)) {
+        StreamTries& tries = one.takesUp ? taken : fresh;
+        ++tries.all;
+        tries.goOn += one.events > 0 || one.isWhole ? 1 : 0;
+      }
+    }
+  }
+  const bool isRarer =
+    2.0 * taken.goOn * fresh.all < 1.0 * fresh.goOn * taken.all;
+  if (taken.all >= least && isRarer) {
+    findings.push_back(absl::StrCat(
+      "LOST: of ", taken.all, " streams taken up ", taken.goOn,
+      " went on, of ", fresh.all, " new ones ", fresh.goOn, " began."));
+  }
+}
+
 } // namespace
 
+bool IsInTouch(const SoakStreams& record, int box, absl::Time at)
+{
+  return std::none_of(
+    record.disturbances.begin(), record.disturbances.end(),
+    [box, at](const SoakDisturbance& one) {
+      const bool concerns =
+        one.box == box || one.box == SoakDisturbance::AllBoxes;
+      return concerns && one.from <= at && at < one.until + ContactTime;
+    });
+}
+
+std::vector<std::string> CheckStreams(const SoakStreams& record)
+{
+  Findings findings;
+  for (const SoakStream& stream : record.streams) {
+    CheckOrder(stream, findings);
+  }
+  CheckTakenUp(record, findings);
+  return findings;
+}
+
 std::vector<std::string> CheckSoak(const SoakRecord& record)
 {
   Findings findings;
--- a/Tests/Platform/wgPlatformSoakCheck.h
+++ b/Tests/Platform/wgPlatformSoakCheck.h
@@ -67,6 +67,53 @@
   int falls = 0; // over what they refused
 };
 
+/** \brief One try of a caller at a stream. */
+struct SoakStreamTry
+{
+  int box = 0; // that it was sent to
+  absl::Time sent;
+  int status = 0;       // 0: there was no answer
+  bool takesUp = false; // with the events of earlier tries
+  int events = 0;       // that it brought
+  bool isWhole = false; // the answer ended as complete
+};
+
+/** \brief A stream as its caller has it, over its tries. */
+struct SoakStream
+{
+  std::string id; // of the first try
+  int length = 0; // in events
+  std::vector<SoakStreamTry> tries;
+  std::vector<int> events; // ids, in the order in which they came
+  std::set<std::string> versions;
+};
+
+/** \brief A time in which a box, or all, were disturbed from outside. */
+struct SoakDisturbance
+{
+  static constexpr int AllBoxes = -1;
+  int box = AllBoxes;
+  absl::Time from;
+  absl::Time until;
+};
+
+/** \brief All that was seen of streams while endpoints of two versions serve,
+ * two of each at the least.
+ */
+struct SoakStreams
+{
+  std::vector<SoakStream> streams;
+  std::vector<SoakDisturbance> disturbances;
+};
+
+/** \brief Whether the box was in touch: it and the control boxes were not
+ * disturbed for as long as the users allow.
+ */
+bool IsInTouch(const SoakStreams& record, int box, absl::Time at);
+
+/** \brief A sentence for each promise on streams that was broken. */
+std::vector<std::string> CheckStreams(const SoakStreams& record);
+
 /** \brief All that was seen from outside. */
 struct SoakRecord
 {
--- a/Tests/Platform/wgPlatformSoakCheckTest.cxx
+++ b/Tests/Platform/wgPlatformSoakCheckTest.cxx
@@ -186,3 +186,67 @@
   record.brittle = { { "svc", 6, 3 } };
   CHECK(Found(record) == "LIMIT");
 }
+
+namespace {
+
+wg::test::SoakStream WholeStream(const std::vector<int>& events,
+                                 const std::set<std::string>& versions)
+{
+  wg::test::SoakStream stream;
+  stream.id = "s";
+  stream.length = 4;
+  stream.events = events;
+  stream.versions = versions;
+  stream.tries.resize(1);
+  stream.tries[0].isWhole = true;
+  return stream;
+}
+
+std::size_t FindingsOf(const wg::test::SoakStream& stream)
+{
+  wg::test::SoakStreams record;
+  record.streams = { stream };
+  return wg::test::CheckStreams(record).size();
+}
+
+} // namespace
+
+TEST_CASE("Streams over two versions, with gaps or ended early are found")
+{
+  CHECK(FindingsOf(WholeStream({ 1, 2, 3, 4 }, { "v1" })) == 0);
+  CHECK(FindingsOf(WholeStream({ 1, 2, 3, 4 }, { "v1", "v2" })) == 1);
+  CHECK(FindingsOf(WholeStream({ 1, 3, 4 }, { "v1" })) == 1);
+  CHECK(FindingsOf(WholeStream({ 1, 2, 2, 3, 4 }, { "v1" })) == 1);
+  CHECK(FindingsOf(WholeStream({ 1, 2, 3 }, { "v1" })) == 1);
+  auto open = WholeStream({ 1, 2, 3 }, { "v1" });
+  open.tries[0].isWhole = false;
+  CHECK(FindingsOf(open) == 0);
+}
+
+TEST_CASE("Streams that are taken up and rarely go on are found")
+{
+  const absl::Time now = absl::FromUnixSeconds(1000);
+  wg::test::SoakStreams record;
+  for (int i = 0; i < 20; ++i) {
+    wg::test::SoakStream stream;
+    stream.tries.resize(2);
+    stream.tries[0].sent = now;
+    stream.tries[0].events = i < 18 ? 1 : 0;
+    stream.tries[1].sent = now;
+    stream.tries[1].takesUp = true;
+    stream.tries[1].events = i < 9 ? 1 : 0; // half of 18
+    record.streams.push_back(stream);
+  }
+  CHECK(wg::test::CheckStreams(record).empty());
+  record.streams[0].tries[1].events = 0;
+  CHECK(wg::test::CheckStreams(record).size() == 1);
+  // Boxes out of touch do not count.
+  record.disturbances = { { 0, now - absl::Seconds(2),
+                            now - absl::Seconds(1) } };
+  CHECK(wg::test::CheckStreams(record).empty());
+  record.disturbances = { { 1, now - absl::Seconds(2), now } };
+  CHECK(wg::test::CheckStreams(record).size() == 1);
+  record.disturbances = { { wg::test::SoakDisturbance::AllBoxes,
+                            now - absl::Seconds(2), now } };
+  CHECK(wg::test::CheckStreams(record).empty());
+}
