Entry: a generation goes on at the model version that began it

The same cause in the project's own path: while a roll-out orders engines to load another version, an answer that broke off was continued by an engine of any version. Engines tell theirs in Weirgate-Version.

--- a/Source/Base/wgReason.cxx
+++ b/Source/Base/wgReason.cxx
@@ -41,7 +41,7 @@
 constexpr std::array<absl::string_view,
                      static_cast<std::size_t>(RetryReason::Count)>
   RetryNames = { { "connect_failed", "endpoint_refused", "answer_lost",
-                   "answer_invalid", "stream_broken" } };
+                   "answer_invalid", "stream_broken", "version_differs" } };
 
 } // namespace
 
--- a/Source/Base/wgReason.h
+++ b/Source/Base/wgReason.h
@@ -48,6 +48,7 @@
   AnswerLost,
   AnswerInvalid,
   StreamBroken,
+  VersionDiffers, // from the one that began the generation
   Count
 };
 
--- a/Source/Decision/wgTokenStream.h
+++ b/Source/Decision/wgTokenStream.h
@@ -13,6 +13,7 @@
 {
   std::string text;
   std::size_t next = 0; // index of the next token
+  std::string version;  // of the endpoint that generated the first one
 };
 
 enum class TokenVerdict
--- a/Source/Entry/wgRequestRunner.cxx
+++ b/Source/Entry/wgRequestRunner.cxx
@@ -340,7 +340,8 @@
     if (reply.isForeign) {
       context_.blackboard.counters.Add(Event::AnswerForeign);
     }
-    result.retry = reply.end == AttemptEnd::Unreached
+    result.retry = reply.isOtherVersion ? RetryReason::VersionDiffers
+                   : reply.end == AttemptEnd::Unreached
                      ? RetryReason::ConnectFailed
                      : (reply.status != 0 ? RetryReason::EndpointRefused
                                           : RetryReason::AnswerLost);
@@ -421,6 +422,7 @@
     StageBody(group.kind, document_, request_.maxTokens, generated_.next);
   if (generated_.next > 0) {
     context_.blackboard.counters.Add(Event::StreamResumed);
+    call.version = generated_.version;
   }
   const std::size_t tokensBefore = generated_.next;
   GenerationReader reader(generated_, sink);
@@ -430,6 +432,9 @@
   EndpointReply reply = context_.endpoints.Call(call);
   callerLeft_ = reader.HasCallerLeft();
   attemptTokens_ = generated_.next - tokensBefore;
+  if (tokensBefore == 0) {
+    generated_.version = reply.version;
+  }
   document_["text"] = generated_.text;
   if (reply.end == AttemptEnd::Answered && !reader.IsWhole()) {
     reply.end = AttemptEnd::Failed; // the stream ended before the answer did
--- a/Source/Http/wgEndpointClient.cxx
+++ b/Source/Http/wgEndpointClient.cxx
@@ -50,6 +50,7 @@
                    IntHeader(response, "Weirgate-Attempt") };
   reply.hasLoad =
     ParseLoad(response.get_header_value("Weirgate-Load"), reply.load);
+  reply.version = response.get_header_value("Weirgate-Version");
 }
 
 bool IsSame(const AttemptId& a, const AttemptId& b)
@@ -110,7 +111,9 @@
     TakeHeaders(response, reply);
     headersOk = response.status == StatusOk;
     reply.isForeign = headersOk && !IsSame(reply.echoed, call.attempt);
-    return !reply.isForeign;
+    reply.isOtherVersion = headersOk && !reply.isForeign && call.version &&
+                           *call.version != reply.version;
+    return !reply.isForeign && !reply.isOtherVersion;
   };
   request.content_receiver = [&](const char* data, std::size_t length,
                                  std::uint64_t, std::uint64_t) {
@@ -122,7 +125,9 @@
     return reply.body.size() <= MaxAnswerBytes;
   };
   const httplib::Result result = client->send(request);
-  reply.end = reply.isForeign ? AttemptEnd::Failed : EndOf(result);
+  reply.end = reply.isForeign        ? AttemptEnd::Failed
+              : reply.isOtherVersion ? AttemptEnd::Cancelled
+                                     : EndOf(result);
   reply.deadlinePassed = CloseCall(id);
   reply.seconds = absl::ToDoubleSeconds(ElapsedNow() - start);
   if (reply.end == AttemptEnd::Answered) {
--- a/Source/Http/wgEndpointClient.h
+++ b/Source/Http/wgEndpointClient.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -44,6 +45,8 @@
   int priority = 0;
   Elapsed deadline;
   bool mayReuseConnection = true;
+  /** The version that may answer; nothing: any may. */
+  std::optional<std::string> version;
   /** Gets the answer's bytes as they come; false breaks the call off. Empty:
    * the answer is gathered in EndpointReply::body.
    */
@@ -58,6 +61,8 @@
   std::string body;
   AttemptId echoed;       // the ids that came back with the answer
   bool isForeign = false; // they are not this attempt's: nothing of it is read
+  std::string version;    // as the endpoint reports it; empty: none
+  bool isOtherVersion = false; // than the call's: nothing of it is read
   bool hasLoad = false;
   LoadReport load;
   bool deadlinePassed = false;
--- a/Tests/Process/wgRolloutProcessTest.cxx
+++ b/Tests/Process/wgRolloutProcessTest.cxx
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 
@@ -184,3 +185,34 @@
     return live == 3;
   });
 }
+
+// A generation whose engine breaks off is continued by an engine of another
+// version.
+TEST_CASE("a generation is continued at another version", "[rollout-streams]")
+{
+  TestCluster cluster;
+  SetLoading(cluster, R"({"tell_version": true})");
+  REQUIRE(
+    cluster.RunClient({ "order", "endpoint", "llm-1", "version", "v2" }) == 0);
+  Await("an engine in the new version",
+        [&] { return CountVersion(cluster, "v2") == 1; });
+  int mixed = 0;
+  int whole = 0;
+  for (int i = 0; i < 60; ++i) {
+    SetLoading(cluster, R"({"break_stream_next": 1})");
+    const CallerRecord record = cluster.Call(i % 3, "answer", Input(i));
+    const bool hasOld = absl::StrContains(record.text, "@v1;");
+    const bool hasNew = absl::StrContains(record.text, "@v2;");
+    mixed += hasOld && hasNew ? 1 : 0;
+    whole += record.status == 200 ? 1 : 0;
+  }
+  CHECK(mixed == 0);
+  CHECK(whole > 0);
+  int resumed = 0;
+  for (int i = 0; i < 3; ++i) {
+    const std::string metrics =
+      cluster.Get(cluster.EntryPort(i), "/metrics").get<std::string>();
+    resumed += absl::StrContains(metrics, "stream_resumed\"} 0") ? 0 : 1;
+  }
+  CHECK(resumed > 0);
+}
--- a/Utilities/Standin/wgStandinEngine.cxx
+++ b/Utilities/Standin/wgStandinEngine.cxx
@@ -270,6 +270,18 @@
   return true;
 }
 
+std::string StandinEngine::TellVersion(std::vector<std::string>& pieces)
+{
+  absl::MutexLock lock(&mutex_);
+  std::string version = loaded_["version"];
+  if (faults_.tellsVersion) {
+    for (std::string& piece : pieces) {
+      absl::StrAppend(&piece, "@", version, ";");
+    }
+  }
+  return version;
+}
+
 bool StandinEngine::TakeFault(int StandinFaults::*fault)
 {
   absl::MutexLock lock(&mutex_);
@@ -427,6 +439,7 @@
   const auto from = body.value("resume_from", std::size_t{ 0 });
   std::vector<std::string> pieces = CutInPieces(prompt);
   pieces.resize(std::min(pieces.size(), tokens));
+  response.set_header("Weirgate-Version", TellVersion(pieces));
   const bool breaks = TakeFault(&StandinFaults::breakStreamNext);
   const bool hangs = TakeFault(&StandinFaults::hangNext);
   const bool endsEarly = TakeFault(&StandinFaults::endEarlyNext);
@@ -515,6 +528,7 @@
   faults_.slowness = body.value("slowness", faults_.slowness);
   faults_.loadMs = body.value("load_ms", faults_.loadMs);
   faults_.badVersion = body.value("bad_version", faults_.badVersion);
+  faults_.tellsVersion = body.value("tell_version", faults_.tellsVersion);
   response.set_content("{}", "application/json");
 }
 
--- a/Utilities/Standin/wgStandinEngine.h
+++ b/Utilities/Standin/wgStandinEngine.h
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include <httplib.h>
 #include <nlohmann/json.hpp>
@@ -34,15 +35,16 @@
 /** \brief Faults that a test asks for; each counts down to nothing. */
 struct StandinFaults
 {
-  int failNext = 0;        // answer 500
-  int hangNext = 0;        // never answer
-  int wrongEchoNext = 0;   // answer under another request's id
-  int breakStreamNext = 0; // close a stream after a few tokens
-  int endEarlyNext = 0;    // end a stream in order, but too soon
-  int cutAnswerNext = 0;   // answer with half of the JSON
-  double slowness = 1.0;   // times as slow as usual
-  double loadMs = 0.0;     // how long it takes to carry an order out
-  std::string badVersion;  // it never comes up in this version
+  int failNext = 0;          // answer 500
+  int hangNext = 0;          // never answer
+  int wrongEchoNext = 0;     // answer under another request's id
+  int breakStreamNext = 0;   // close a stream after a few tokens
+  int endEarlyNext = 0;      // end a stream in order, but too soon
+  int cutAnswerNext = 0;     // answer with half of the JSON
+  double slowness = 1.0;     // times as slow as usual
+  double loadMs = 0.0;       // how long it takes to carry an order out
+  std::string badVersion;    // it never comes up in this version
+  bool tellsVersion = false; // in each token
 };
 
 /** \class StandinEngine
@@ -88,6 +90,8 @@
   /** \brief False while an order is being carried out; then calls fail. */
   bool IsReady() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   bool RefuseWhileLoading(Response& response);
+  /** \brief The version that it runs; told in each piece if a test asks. */
+  std::string TellVersion(std::vector<std::string>& pieces);
 
   StandinSettings settings_;
   httplib::Server server_;
