--- a/Source/Control/wgControlNodeDocuments.cxx
+++ b/Source/Control/wgControlNodeDocuments.cxx
@@ -267,11 +267,13 @@
     const VersionRollout& rollout =
       FindVersionRollout(state_.rollouts, move.service());
     if (move.state() != rollout.state || move.permille() != rollout.permille) {
+      const std::string& faults = conductor_.watches[move.service()].faults;
       LogChange("roll-out",
                 absl::StrCat(move.service(), " to ", rollout.version, ": ",
                              NameOf(move.state()), ", ", move.permille(),
                              " of 1000 requests, ", move.elapsed_ms(),
-                             " ms after the order"));
+                             " ms after the order", faults.empty() ? "" : "; ",
+                             faults));
     }
     wire::Change change;
     change.set_author(settings_.box);
--- a/Source/Control/wgVersionConductor.cxx
+++ b/Source/Control/wgVersionConductor.cxx
@@ -21,6 +21,7 @@
   sum.set_bad(sum.bad() + part.bad());
   sum.set_late(sum.late() + part.late());
   sum.set_seconds(sum.seconds() + part.seconds());
+  sum.set_square_seconds(sum.square_seconds() + part.square_seconds());
 }
 
 std::vector<RouteEvidence> SumByRoute(const VersionConductor& conductor,
@@ -36,6 +37,7 @@
   }
   std::vector<RouteEvidence> sums;
   for (auto& [name, route] : routes) {
+    route.route = name;
     sums.push_back(std::move(route));
   }
   return sums;
@@ -111,8 +113,10 @@
     }
     const absl::Duration elapsed =
       std::max(rollout.elapsed, watch.before + (now - watch.began));
-    const VersionVerdict verdict =
-      EvaluateVersion(SumByRoute(conductor, rollout.number));
+    const std::vector<RouteEvidence> evidence =
+      SumByRoute(conductor, rollout.number);
+    const VersionVerdict verdict = EvaluateVersion(evidence);
+    watch.faults = DescribeFaults(evidence);
     wire::MoveVersion move = DecideVersion(service, rollout, verdict, elapsed);
     const bool isChange =
       move.state() != rollout.state || move.permille() != rollout.permille;
--- a/Source/Control/wgVersionConductor.h
+++ b/Source/Control/wgVersionConductor.h
@@ -28,6 +28,7 @@
     absl::Duration before;      // elapsed since the order, when it began
     wire::MoveVersion proposed; // the last one
     Elapsed proposedAt = -absl::InfiniteDuration();
+    std::string faults; // of the version, as of the last decision
   };
   /** Box, number of the order, route. */
   using EvidenceKey = std::tuple<std::string, std::uint64_t, std::string>;
--- a/Source/Decision/wgVersionRollout.cxx
+++ b/Source/Decision/wgVersionRollout.cxx
@@ -3,9 +3,15 @@
 
 #include <algorithm>
 #include <cmath>
+#include <vector>
 
+#include <boost/math/special_functions/beta.hpp>
 #include <xxhash.h>
 
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_format.h"
+#include "absl/strings/str_join.h"
+
 namespace wg {
 namespace {
 
@@ -16,12 +22,20 @@
 constexpr std::int64_t MaxDurationMs = 24LL * 3600 * 1000;
 
 /** One or two failures may come from a lost connection. */
-constexpr double MinBadAnswers = 4.0;
-/** Of the difference of two ratios; one in a thousand is larger by chance. */
-constexpr double SignificantDeviations = 3.1;
+constexpr std::uint64_t MinBadAnswers = 4;
+/** Of a false finding. Each route is looked at ten times a second until the
+ * deadline.
+ */
+constexpr double MaxChance = 1e-5;
+/** The same of the difference of two means. */
+constexpr double SignificantDeviations = 4.3;
 /** Times of endpoints of one version differ by less. */
 constexpr double MaxSlowdown = 2.0;
-constexpr std::uint64_t MinAnswersForTimes = 20;
+constexpr double MinAnswersForTimes = 20.0;
+/** Connections and scheduling may add as much to each answer of endpoints that
+ * have just started.
+ */
+constexpr double MinSlowdownSeconds = 0.002;
 /** If a quarter fails, one in 300 samples of 20 answers shows no failure. */
 constexpr std::uint64_t MinAnswersForGood = 20;
 
@@ -31,44 +45,61 @@
          static_cast<double>(std::max<std::uint64_t>(whole, 1));
 }
 
-/** Whether the target's ratio is significantly larger. */
+/** Whether the target's ratio is larger than by chance. The others have many
+ * more answers, so that theirs is taken as known; the exact distribution
+ * matters, as the target has few.
+ */
 bool IsSignificantlyWorse(std::uint64_t part, std::uint64_t whole,
                           std::uint64_t otherPart, std::uint64_t otherWhole)
 {
-  if (static_cast<double>(part) < MinBadAnswers) {
+  if (part < MinBadAnswers || part > whole) {
     return false;
   }
-  const double ratio = RatioOf(part, whole);
-  const double other = RatioOf(otherPart, otherWhole);
-  const double pooled = RatioOf(part + otherPart, whole + otherWhole);
-  const double deviation = std::sqrt(
-    pooled * (1.0 - pooled) *
-    (1.0 / static_cast<double>(std::max<std::uint64_t>(whole, 1)) +
-     1.0 / static_cast<double>(std::max<std::uint64_t>(otherWhole, 1))));
-  return ratio - other > SignificantDeviations * deviation;
+  const double other = std::min(static_cast<double>(otherPart + 1) /
+                                  static_cast<double>(otherWhole + 2),
+                                1.0);
+  const double chance = boost::math::ibeta(
+    static_cast<double>(part), static_cast<double>(whole - part + 1), other);
+  return RatioOf(part, whole) > other && chance < MaxChance;
+}
+
+double CountSucceeded(const wire::VersionTally& tally)
+{
+  return static_cast<double>(tally.answers() - tally.bad());
+}
+
+/** The variance of the mean time of a version's successful answers. */
+double VarianceOfMean(const wire::VersionTally& tally)
+{
+  const double count = CountSucceeded(tally);
+  const double mean = tally.seconds() / count;
+  return std::max(tally.square_seconds() / count - mean * mean, 0.0) / count;
 }
 
+/** A few long answers, such as the first ones of an endpoint, raise the mean
+ * and its variance, so that they alone are not significant.
+ */
 bool IsSlower(const wire::VersionTally& target,
               const wire::VersionTally& others)
 {
-  const std::uint64_t succeeded = target.answers() - target.bad();
-  const std::uint64_t otherSucceeded = others.answers() - others.bad();
-  if (succeeded < MinAnswersForTimes || otherSucceeded < MinAnswersForTimes) {
+  if (CountSucceeded(target) < MinAnswersForTimes ||
+      CountSucceeded(others) < MinAnswersForTimes) {
     return false;
   }
-  return target.seconds() / static_cast<double>(succeeded) >
-         MaxSlowdown * others.seconds() / static_cast<double>(otherSucceeded);
+  const double mean = target.seconds() / CountSucceeded(target);
+  const double other = others.seconds() / CountSucceeded(others);
+  const double deviation =
+    std::sqrt(VarianceOfMean(target) + VarianceOfMean(others));
+  return mean > MaxSlowdown * other && mean - other > MinSlowdownSeconds &&
+         mean - other > SignificantDeviations * deviation;
 }
 
-bool IsBadOnRoute(const RouteEvidence& route)
+std::string Describe(const wire::VersionTally& tally)
 {
-  const wire::VersionTally& target = route.target;
-  const wire::VersionTally& others = route.others;
-  return IsSignificantlyWorse(target.bad(), target.answers(), others.bad(),
-                              others.answers()) ||
-         IsSignificantlyWorse(target.late(), target.answers(), others.late(),
-                              others.answers()) ||
-         IsSlower(target, others);
+  return absl::StrFormat("%d answers, %d failed, %d late, %.1f ms on average",
+                         tally.answers(), tally.bad(), tally.late(),
+                         1000.0 * tally.seconds() /
+                           std::max(CountSucceeded(tally), 1.0));
 }
 
 wire::MoveVersion MakeMove(const std::string& service,
@@ -153,11 +184,55 @@
          rollout.permille;
 }
 
+VersionFault FindVersionFault(const RouteEvidence& route)
+{
+  const wire::VersionTally& target = route.target;
+  const wire::VersionTally& others = route.others;
+  if (IsSignificantlyWorse(target.bad(), target.answers(), others.bad(),
+                           others.answers())) {
+    return VersionFault::Fails;
+  }
+  if (IsSignificantlyWorse(target.late(), target.answers(), others.late(),
+                           others.answers())) {
+    return VersionFault::Late;
+  }
+  return IsSlower(target, others) ? VersionFault::Slower : VersionFault::None;
+}
+
+absl::string_view NameOf(VersionFault fault)
+{
+  switch (fault) {
+    case VersionFault::None:
+      return "none";
+    case VersionFault::Fails:
+      return "fails";
+    case VersionFault::Late:
+      return "late";
+    case VersionFault::Slower:
+      return "slower";
+  }
+  return "none";
+}
+
+std::string DescribeFaults(absl::Span<const RouteEvidence> routes)
+{
+  std::vector<std::string> faults;
+  for (const RouteEvidence& route : routes) {
+    const VersionFault fault = FindVersionFault(route);
+    if (fault != VersionFault::None) {
+      faults.push_back(absl::StrCat(NameOf(fault), " on ", route.route, " (",
+                                    Describe(route.target), "; others ",
+                                    Describe(route.others), ")"));
+    }
+  }
+  return absl::StrJoin(faults, ", ");
+}
+
 VersionVerdict EvaluateVersion(absl::Span<const RouteEvidence> routes)
 {
   std::uint64_t answers = 0;
   for (const RouteEvidence& route : routes) {
-    if (IsBadOnRoute(route)) {
+    if (FindVersionFault(route) != VersionFault::None) {
       return VersionVerdict::Bad;
     }
     answers += route.target.answers();
--- a/Source/Decision/wgVersionRollout.h
+++ b/Source/Decision/wgVersionRollout.h
@@ -89,6 +89,7 @@
  */
 struct RouteEvidence
 {
+  std::string route;
   wire::VersionTally target;
   wire::VersionTally others;
 };
@@ -100,11 +101,31 @@
   Bad
 };
 
+/** \brief What significantly distinguishes a version from the others on a
+ * route.
+ */
+enum class VersionFault
+{
+  None,
+  Fails,
+  Late,
+  Slower
+};
+
+VersionFault FindVersionFault(const RouteEvidence& route);
+
+/** \return none, fails, late or slower */
+absl::string_view NameOf(VersionFault fault);
+
+/** \brief Describes the routes on which a version has a fault, for a log. */
+std::string DescribeFaults(absl::Span<const RouteEvidence> routes);
+
 /** \brief Compares the version with the others on the same route at the same
  * time, so that a fault of a shared dependency counts against none.
  *
  * A version is bad if it fails or is late significantly more often than the
- * others, or takes more than twice as long on average.
+ * others, or takes significantly longer and more than twice as long on
+ * average.
  */
 VersionVerdict EvaluateVersion(absl::Span<const RouteEvidence> routes);
 
--- a/Source/Gateway/wgVersionTallies.cxx
+++ b/Source/Gateway/wgVersionTallies.cxx
@@ -36,7 +36,9 @@
   tally.set_bad(tally.bad() + (attempt.failed ? 1 : 0));
   if (!attempt.failed) {
     tally.set_late(tally.late() + (attempt.took > attempt.aim ? 1 : 0));
-    tally.set_seconds(tally.seconds() + absl::ToDoubleSeconds(attempt.took));
+    const double seconds = absl::ToDoubleSeconds(attempt.took);
+    tally.set_seconds(tally.seconds() + seconds);
+    tally.set_square_seconds(tally.square_seconds() + seconds * seconds);
   }
 }
 
--- a/Tests/Decision/wgVersionRolloutTest.cxx
+++ b/Tests/Decision/wgVersionRolloutTest.cxx
@@ -49,6 +49,13 @@
   int route = -1;      // the only affected one; below 0: all
 };
 
+/** What all versions have in common. */
+struct Environment
+{
+  double failing = 0.0; // fraction of all answers
+  double stalled = 0.0; // fraction that takes forty times as long
+};
+
 /** The result of a simulated roll-out. */
 struct Outcome
 {
@@ -63,10 +70,10 @@
 
 /** Simulates requests of many boxes that report their tallies to a control box
  * once a second.
- * \param fault fraction of all answers, of any version, that fail
  */
 Outcome Simulate(const Faults& faults, double durationSeconds,
-                 double perSecond, double fault, std::uint64_t seed)
+                 double perSecond, const Environment& environment,
+                 std::uint64_t seed)
 {
   constexpr int boxes = 50;
   constexpr int routes = 3;
@@ -99,9 +106,13 @@
     const bool isFaulty =
       isTarget && now >= faults.from * absl::Seconds(durationSeconds) &&
       (faults.route < 0 || faults.route == route);
-    const bool fails = draw() < fault || (isFaulty && draw() < faults.failing);
+    const bool fails =
+      draw() < environment.failing || (isFaulty && draw() < faults.failing);
     const bool isSlow = isFaulty && draw() < faults.slower;
-    const double took = (0.05 + 0.05 * draw()) * (isSlow ? 5.0 : 1.0);
+    const bool isStalled =
+      environment.stalled > 0.0 && draw() < environment.stalled;
+    const double took =
+      (0.05 + 0.05 * draw()) * (isSlow ? 5.0 : 1.0) * (isStalled ? 40.0 : 1.0);
     if (isBefore) {
       ++outcome.all;
       outcome.target += isTarget ? 1 : 0;
@@ -120,6 +131,8 @@
     tally.set_bad(tally.bad() + (fails ? 1 : 0));
     tally.set_late(tally.late() + (!fails && took > 0.2 ? 1 : 0));
     tally.set_seconds(tally.seconds() + (fails ? 0.0 : took));
+    tally.set_square_seconds(tally.square_seconds() +
+                             (fails ? 0.0 : took * took));
     // Each box reports once a second, at its own moment.
     const int reporting =
       static_cast<int>(static_cast<double>(i) / perSecond * boxes) % boxes;
@@ -221,14 +234,60 @@
 {
   const double fault = GENERATE(0.0, 0.1);
   const double seconds = GENERATE(12.0, 20.0, 40.0);
-  const int seed = GENERATE(range(1, 11));
+  const int seed = GENERATE(range(1, 41));
   CAPTURE(fault, seconds, seed);
-  const Outcome outcome =
-    Simulate({}, seconds, 300.0, fault, static_cast<std::uint64_t>(seed));
+  const Outcome outcome = Simulate({}, seconds, 300.0, { fault, 0.0 },
+                                   static_cast<std::uint64_t>(seed));
   CHECK(outcome.state == Rollout::COMPLETED);
   CHECK(outcome.endedAfter < absl::Seconds(seconds));
 }
 
+TEST_CASE("A good version is completed although answers of any version stall")
+{
+  const double stalled = GENERATE(0.003, 0.01, 0.03);
+  const int seed = GENERATE(range(1, 41));
+  CAPTURE(stalled, seed);
+  const Outcome outcome = Simulate({}, 12.0, 300.0, { 0.0, stalled },
+                                   static_cast<std::uint64_t>(seed));
+  CHECK(outcome.state == Rollout::COMPLETED);
+}
+
+// What connections to a version that has just started cost is taken for its
+// own slowness.
+TEST_CASE("A version that is slower by less than connections cost is good")
+{
+  const auto tally = [](std::uint64_t answers, double milliseconds) {
+    wg::wire::VersionTally result;
+    const double seconds = milliseconds / 1000.0;
+    result.set_answers(answers);
+    result.set_seconds(static_cast<double>(answers) * seconds);
+    result.set_square_seconds(static_cast<double>(answers) * seconds *
+                              seconds);
+    return result;
+  };
+  const auto fault = [&](double target, double others) {
+    return wg::FindVersionFault(
+      { "r", tally(38, target), tally(747, others) });
+  };
+  CHECK(fault(0.5, 0.2) == wg::VersionFault::None);
+  CHECK(fault(1.9, 0.2) == wg::VersionFault::None);
+  CHECK(fault(9.0, 3.0) == wg::VersionFault::Slower);
+  CHECK(fault(5.0, 3.0) == wg::VersionFault::None);
+}
+
+TEST_CASE("The log names the routes on which a version fails")
+{
+  wg::RouteEvidence evidence;
+  evidence.route = "r1";
+  evidence.target.set_answers(20);
+  evidence.target.set_bad(10);
+  evidence.others.set_answers(400);
+  CHECK(wg::DescribeFaults({}).empty());
+  CHECK(wg::DescribeFaults({ evidence }) ==
+        "fails on r1 (20 answers, 10 failed, 0 late, 0.0 ms on average; "
+        "others 400 answers, 0 failed, 0 late, 0.0 ms on average)");
+}
+
 TEST_CASE("A bad version gets at most a tenth of the requests plus 50, and "
           "nothing 5 s after its 50th bad answer")
 {
@@ -241,7 +300,7 @@
   CAPTURE(faults.failing, faults.slower, faults.from, faults.route, seconds,
           seed);
   const Outcome outcome =
-    Simulate(faults, seconds, 300.0, 0.0, static_cast<std::uint64_t>(seed));
+    Simulate(faults, seconds, 300.0, {}, static_cast<std::uint64_t>(seed));
   CHECK(outcome.target <= ExposureFraction * outcome.all + ExposureSlack);
   CHECK(outcome.lastSent <= outcome.fiftiethBad + absl::Seconds(5));
   CHECK(outcome.state == Rollout::ROLLED_BACK);
@@ -249,7 +308,7 @@
 
 TEST_CASE("A version with too few answers is not completed")
 {
-  const Outcome outcome = Simulate({}, 12.0, 5.0, 0.0, 1);
+  const Outcome outcome = Simulate({}, 12.0, 5.0, {}, 1);
   CHECK(outcome.state == Rollout::ROLLED_BACK);
 }
 
