--- a/Tests/Control/wgEndpointFileTest.cxx
+++ b/Tests/Control/wgEndpointFileTest.cxx
@@ -46,21 +46,32 @@
   return false;
 }
 
+/** Syncs at once: other processes may keep the real disk busy for seconds. */
+struct UnsyncedDisk : wg::FileOperations
+{
+  long Write(int fd, absl::string_view bytes) override
+  {
+    return wg::SystemFileOperations().Write(fd, bytes);
+  }
+  bool Sync(int) override { return true; }
+};
+
 } // namespace
 
 TEST_CASE(
   "Endpoints are kept over a restart, the newest that were handed over")
 {
   Folder folder;
+  UnsyncedDisk disk;
   {
-    wg::EndpointFile file(wg::SystemFileOperations(), folder.path);
+    wg::EndpointFile file(disk, folder.path);
     CHECK_FALSE(file.Read(Now));
     for (int i = 0; i < 100; ++i) {
       file.Keep(One("e" + std::to_string(i)), Now);
     }
     CHECK(Holds(file, "e99"));
   }
-  wg::EndpointFile again(wg::SystemFileOperations(), folder.path);
+  wg::EndpointFile again(disk, folder.path);
   const auto read = again.Read(Now + absl::Seconds(30));
   REQUIRE(read);
   CHECK(read->endpoints(0).endpoint() == "e99");
