Test: all boxes lose power and one control box its disk

What was acknowledged is there afterwards: the document, an order on a hall and a roll-out, whichever control box lost its disk. Power is lost by SIGKILL.

--- a/Tests/Platform/wgPlatformProcessTest.cxx
+++ b/Tests/Platform/wgPlatformProcessTest.cxx
@@ -472,6 +472,63 @@
   CHECK(cluster.ReadBack(0).empty());
 }
 
+// An acknowledged document, order on a hall or roll-out is gone after all
+// boxes have lost power and one control box its disk.
+TEST_CASE("All boxes lose power and one control box its disk",
+          "[power-and-disk]")
+{
+  for (const int lost : { 0, 1, 2 }) {
+    PlatformCluster cluster(2, false, { "h1", "h2" });
+    cluster.AwaitServing();
+    const std::string document = PlatformCluster::Document(2);
+    const std::string order = Json{
+      { "service", "plain" }, { "targetVersion", "v2" }, { "durationS", 300 }
+    }.dump();
+    const auto postRollout = [&cluster, &order](int control) {
+      httplib::Client client("127.0.0.1", cluster.Api(control));
+      const auto reply = client.Post("/-/rollouts", order, "application/json");
+      return reply ? reply->status : 0;
+    };
+    // The box whose disk is lost has acknowledged all of them.
+    Await("the hall to be evacuated",
+          [&] { return cluster.OrderHall(lost, "h2", true) == 200; });
+    Await("the roll-out to begin", [&] { return postRollout(lost) == 200; });
+    Await("the document",
+          [&] { return cluster.Publish(lost, document) == 200; });
+    for (const int control : { 0, 1, 2 }) {
+      cluster.Control(control).Kill();
+    }
+    for (const int gateway : { 0, 1 }) {
+      cluster.Gateway(gateway).Kill();
+    }
+    cluster.LoseDisk(lost);
+    for (const int control : { 0, 1, 2 }) {
+      if (control != lost) {
+        cluster.StartControl(control, false);
+      }
+    }
+    for (const int gateway : { 0, 1 }) {
+      cluster.StartGateway(gateway);
+    }
+    for (const int control : { 0, 1, 2 }) {
+      Await("the document to be read back",
+            [&] { return cluster.ReadBack(control) == document; });
+      Await("the roll-out to be known", [&] {
+        httplib::Client client("127.0.0.1", cluster.Api(control));
+        const auto reply = client.Get("/-/rollouts/plain");
+        return reply && reply->status == 200 &&
+               Json::parse(reply->body)["state"] == "in_progress";
+      });
+    }
+    for (const int gateway : { 0, 1 }) {
+      Await("the order on the hall to be known", [&] {
+        return absl::StrContains(cluster.Metrics(gateway),
+                                 "weirgate_hall_orders 1");
+      });
+    }
+  }
+}
+
 TEST_CASE("A planned stop cuts nothing", "[stop]")
 {
   PlainSite site;
