--- a/Tests/Gateway/wgRouteTableTest.cxx
+++ b/Tests/Gateway/wgRouteTableTest.cxx
@@ -51,7 +51,7 @@
 
 TEST_CASE("A route's former services count until their streams are over")
 {
-  constexpr absl::Duration Memory = absl::Seconds(30);
+  constexpr absl::Duration memory = absl::Seconds(30);
   const auto makeTable = [](const std::string& service) {
     wg::RouteTable table;
     table.routes = { MakeRoute("r", "h", "/") };
@@ -66,23 +66,23 @@
   const wg::RouteTable first = makeTable("a");
   CHECK(possibleAt(first, begun) == Names{ "a" });
   wg::RouteTable second = makeTable("b");
-  wg::KeepFormerTargets(second, first, begun, Memory);
+  wg::KeepFormerTargets(second, first, begun, memory);
   CHECK(possibleAt(second, begun) == Names{ "b", "a" });
   CHECK_FALSE(wg::IsTarget(second.routes[0], "a"));
-  CHECK(possibleAt(second, begun + Memory) == Names{ "b" });
+  CHECK(possibleAt(second, begun + memory) == Names{ "b" });
   // Documents that leave the route as it is do not prolong it.
   const wg::Elapsed later = begun + absl::Seconds(20);
   wg::RouteTable third = makeTable("b");
-  wg::KeepFormerTargets(third, second, later, Memory);
+  wg::KeepFormerTargets(third, second, later, memory);
   CHECK(possibleAt(third, later) == Names{ "b", "a" });
-  CHECK(possibleAt(third, begun + Memory) == Names{ "b" });
+  CHECK(possibleAt(third, begun + memory) == Names{ "b" });
   wg::RouteTable fourth = makeTable("a");
-  wg::KeepFormerTargets(fourth, third, later, Memory);
+  wg::KeepFormerTargets(fourth, third, later, memory);
   CHECK(possibleAt(fourth, later) == Names{ "a", "b" });
   wg::RouteTable fifth = makeTable("b");
-  wg::KeepFormerTargets(fifth, fourth, later + Memory, Memory);
+  wg::KeepFormerTargets(fifth, fourth, later + memory, memory);
   CHECK(fifth.routes[0].formerTargets.size() == 1);
-  CHECK(possibleAt(fifth, later + Memory) == Names{ "b", "a" });
+  CHECK(possibleAt(fifth, later + memory) == Names{ "b", "a" });
 }
 
 TEST_CASE("Stages know what comes after them")
