Gateway: a request's end says who ended its answer

The request line of a request that was not served has now left_for (why its attempts were left), silent_ms and document_now; answer_silent is written as the watch on a stream runs out. ended_near_document and cut_near_document beside ended_otherwise and cut_otherwise show operators the share of requests that are cut near a document, which is what the users measure.

No decision is changed.

--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -493,6 +493,7 @@
   coordinator_.SetTable(table_);
   engineCoordinator_.SetTable(table_);
   ForgetRoutes(shared_->deadlines, *table_);
+  shared_->document = { number, ElapsedNow() };
   ApplyLimits();
   log_.Write(LogWeight::Notable, "document_in_force",
              { { "number", number }, { "routes", table_->routes.size() } });
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -405,10 +405,7 @@
   }
   EndReservations();
   ReleaseAll();
-  shared_.metrics.Count(absl::StrCat("outcome_", outcome));
-  if (!reason.empty()) {
-    shared_.metrics.Count(absl::StrCat("reason_", reason));
-  }
+  CountEnd(outcome, reason);
   LogOutcome(outcome, reason);
   over_(shared_from_this());
 }
@@ -451,6 +448,52 @@
   }
 }
 
+/** Those that end near a document are counted apart: whether more of them are
+ * cut is the operators' measure of what documents do to requests at work.
+ */
+void GatewayRequest::CountEnd(absl::string_view outcome,
+                              absl::string_view reason) const
+{
+  const bool isNear = shared_.document.number != 0 &&
+                      ElapsedNow() - shared_.document.since < NearDocument;
+  const absl::string_view when = isNear ? "near_document" : "otherwise";
+  shared_.metrics.Count(absl::StrCat("outcome_", outcome));
+  shared_.metrics.Count(absl::StrCat("ended_", when));
+  if (outcome == "broken_off") {
+    shared_.metrics.Count(absl::StrCat("cut_", when));
+  }
+  if (!reason.empty()) {
+    shared_.metrics.Count(absl::StrCat("reason_", reason));
+  }
+}
+
+/** The watch of a stream has run out. */
+void GatewayRequest::LogSilence(absl::string_view next) const
+{
+  shared_.metrics.Count(absl::StrCat("answers_silent_", next));
+  shared_.log.Write(
+    LogWeight::Notable, "answer_silent",
+    { { "request", id_ },
+      { "endpoint", attempt_->endpoint },
+      { "next", std::string(next) },
+      { "silent_ms", absl::ToInt64Milliseconds(ElapsedNow() - heardAt_) } });
+}
+
+/** What tells apart who ended a request that was not served. */
+void GatewayRequest::AddEnd(nlohmann::json& fields) const
+{
+  if (shared_.document.number != table_->number) {
+    fields["document_now"] = shared_.document.number;
+  }
+  if (!failures_.empty()) {
+    fields["left_for"] = failures_;
+  }
+  if (attempts_ > 0) {
+    const Elapsed since = std::max(heardAt_, sentAt_);
+    fields["silent_ms"] = absl::ToInt64Milliseconds(ElapsedNow() - since);
+  }
+}
+
 void GatewayRequest::LogOutcome(absl::string_view outcome,
                                 absl::string_view reason) const
 {
@@ -482,6 +525,9 @@
       *answerEnd_ == HttpCallEnd::EndedByClose ? "close" : "framing";
   }
   AddVersions(fields);
+  if (!usual) {
+    AddEnd(fields);
+  }
   fields["times_ms"] = DescribeTimes();
   shared_.log.Write(usual ? LogWeight::Routine : LogWeight::Notable, "request",
                     std::move(fields));
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -45,6 +45,18 @@
   ByChain // the coordinators of the pools of all its stages
 };
 
+/** \brief The published document that this box applies. */
+struct DocumentInForce
+{
+  std::uint64_t number = 0;
+  Elapsed since = absl::ZeroDuration();
+};
+
+/** \brief Requests that end so soon after a document came into force are
+ * counted apart.
+ */
+inline constexpr absl::Duration NearDocument = absl::Seconds(3);
+
 /** \brief What all requests of a box share; on its loop. */
 struct GatewayShared
 {
@@ -70,6 +82,7 @@
   absl::BitGen random{};
   std::map<std::string, RetryWindow> retries{}; // by service
   CallerDeadlines deadlines{};
+  DocumentInForce document{};
 };
 
 namespace detail {
@@ -275,6 +288,9 @@
   void End(absl::string_view outcome, absl::string_view reason);
   nlohmann::json DescribeTimes() const;
   void AddVersions(nlohmann::json& fields) const;
+  void AddEnd(nlohmann::json& fields) const;
+  void CountEnd(absl::string_view outcome, absl::string_view reason) const;
+  void LogSilence(absl::string_view next) const;
   void LogOutcome(absl::string_view outcome, absl::string_view reason) const;
 
   GatewayShared& shared_;
@@ -307,6 +323,7 @@
   std::optional<Attempt> attempt_;
   std::vector<std::string> tried_;    // ids of endpoints
   std::vector<std::string> versions_; // of the endpoint of each attempt
+  std::vector<std::string> failures_; // why attempts were left
   std::string relay_;                 // that made the last attempt's call
   int endpointsTried_ = 0;
   int connectFailures_ = 0;
@@ -320,6 +337,7 @@
   std::optional<HttpCallEnd> answerEnd_; // of the last attempt that had one
   EventSplitter reader_;
   Elapsed sentAt_;       // of the last attempt
+  Elapsed heardAt_;      // its last byte
   Elapsed firstEventAt_; // of the answer
 };
 
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -260,6 +260,7 @@
     return false;
   }
   Attempt& attempt = *attempt_;
+  heardAt_ = ElapsedNow();
   attempt.saidNotRun = !FieldOf(head, Fields().notRun).empty() ||
                        head.result() == http::status::misdirected_request;
   const absl::string_view echo = FieldOf(head, Fields().request);
@@ -289,6 +290,7 @@
   if (ended_ || !attempt_) {
     return;
   }
+  heardAt_ = ElapsedNow();
   if (attempt_->streams) {
     OnEvents(TakeEvents(reader_, bytes));
     return;
@@ -381,6 +383,9 @@
                        HasTimeLeft() && HasOtherEndpoint() &&
                        HasRetry(shared_.retries[service_], shared_.retryRules,
                                 shared_.stages.Members() + 1, ElapsedNow());
+  if (!ended_ && attempt_) {
+    LogSilence(allowed ? "left" : "kept");
+  }
   if (!allowed) {
     return;
   }
@@ -565,6 +570,7 @@
   mayHaveRun_ |= knowledge == AttemptKnowledge::MayHaveRun ||
                  knowledge == AttemptKnowledge::Ran;
   shared_.metrics.Count(absl::StrCat("attempt_", why));
+  failures_.emplace_back(why);
   reader_.partial.clear();
   AttemptFacts facts;
   facts.repetition = route_->repetition;
