Test: answers are cut as their endpoints fall silent

The stand-in's engines fetch the results of stages now and refuse as the platform's do: 400 without them, 409 when they are gone. All engines of the stand-in took any continuation before, so that no test could see it.

--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -12,6 +12,8 @@
 
 #include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/time/clock.h"
 
 namespace wg::test {
 namespace {
@@ -138,6 +140,44 @@
   boost::asio::post(thread_.Loop(), [this] { End(); });
 }
 
+void PlatformStandin::PauseFor(int ms)
+{
+  boost::asio::post(thread_.Loop(),
+                    [ms] { absl::SleepFor(absl::Milliseconds(ms)); });
+}
+
+bool PlatformStandin::HasResult(const std::string& handle) const
+{
+  absl::MutexLock lock(&mutex_);
+  return results_.count(handle) > 0;
+}
+
+/** \return whether the request was answered so */
+bool PlatformStandin::RefuseWithoutInputs(const Exchange& exchange)
+{
+  constexpr unsigned badRequest = 400;
+  constexpr unsigned conflict = 409;
+  if (maker_ == nullptr) {
+    return false;
+  }
+  const std::string inputs =
+    Field(exchange->Request(), "X-Weirgate-Batch-Inputs");
+  bool areThere = true;
+  for (absl::string_view handle :
+       absl::StrSplit(inputs, ',', absl::SkipEmpty())) {
+    areThere &= maker_->HasResult(std::string(handle));
+  }
+  if (!inputs.empty() && areThere) {
+    return false;
+  }
+  HttpResponse refusal =
+    MakeResponse(inputs.empty() ? badRequest : conflict, "", "");
+  refusal.set(RequestField, Field(exchange->Request(), RequestField));
+  refusal.set("X-Weirgate-Not-Executed", "1");
+  exchange->Respond(std::move(refusal));
+  return true;
+}
+
 /** At the port that it had. */
 void PlatformStandin::Listen()
 {
@@ -216,6 +256,12 @@
   if (request.target() == "/-/stage-free") {
     const Json body = Json::parse(request.body());
     released_ += static_cast<int>(body["handles"].size());
+    {
+      absl::MutexLock lock(&mutex_);
+      for (const Json& handle : body["handles"]) {
+        results_.erase(handle.get<std::string>());
+      }
+    }
     exchange->Respond(MakeResponse(200, "", ""));
     return;
   }
@@ -237,6 +283,9 @@
     absl::MutexLock lock(&mutex_);
     last_ = request;
   }
+  if (RefuseWithoutInputs(exchange)) {
+    return;
+  }
   const bool mayRefuse = conduct_ == StandinConduct::Refuse ||
                          (conduct_ == StandinConduct::Answer && workMs_ > 0);
   if (!mayRefuse) {
@@ -426,6 +475,14 @@
       return;
     }
     --callsAtWork_;
+    {
+      absl::MutexLock lock(&mutex_);
+      for (const Json& item : items) {
+        if (item.contains("handle")) {
+          results_.insert(item["handle"].get<std::string>());
+        }
+      }
+    }
     HttpResponse answer =
       MakeResponse(200, "application/json", Json{ { "items", items } }.dump());
     AddTerms(answer);
@@ -505,6 +562,7 @@
     exchange->FinishStream();
     return;
   }
+  streamsBegun_ += event == 1 ? 1 : 0;
   exchange->WriteStream(EventsOf(exchange->Request(), event, event));
   RunAfter(eventMs_, [this, number, event] { StreamNext(number, event + 1); });
 }
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -114,6 +115,17 @@
   }
   /** \brief It falls over now. From any thread. */
   void FallOver();
+  /** \brief Its process stands still for so long: connections come up, and
+   * nothing is read or written. From any thread.
+   */
+  void PauseFor(int ms);
+  /** \brief As an engine it fetches results that stages have made there: a
+   * request that names none is answered 400, one that names a result which is
+   * gone 409. Call before anything is sent; the maker outlives this.
+   */
+  void FetchesInputsFrom(const PlatformStandin& maker) { maker_ = &maker; }
+  /** \brief Streams of which an event was written. */
+  int StreamsBegun() const { return streamsBegun_; }
   /** \brief How long a call of a stage takes at the usual pace. */
   void SetCallMs(int ms) { callMs_ = ms; }
   /** \brief Calls of stages take so many percent of their usual time, and
@@ -163,15 +175,17 @@
   bool Leave(int apiPort);
 
 private:
+  using Exchange = std::shared_ptr<HttpExchange>;
   static constexpr std::int64_t FirstBornMs = 1700000000000;
 
   std::string Version() const;
   bool IsForAnother(const HttpRequest& request) const;
+  bool HasResult(const std::string& handle) const;
+  bool RefuseWithoutInputs(const Exchange& exchange);
   void StartAgainIfTold() ABSL_EXCLUSIVE_LOCKS_REQUIRED(mutex_);
   bool IsEndedBy(const std::string& text) const;
   void End();
   void Listen();
-  using Exchange = std::shared_ptr<HttpExchange>;
   void OnRequest(const Exchange& exchange);
   void OnStage(const Exchange& exchange);
   void Refuse(const Exchange& exchange);
@@ -221,6 +235,8 @@
   std::atomic<bool> tired_{ false };
   std::atomic<int> pieces_{ 0 };
   std::atomic<int> released_{ 0 };
+  std::atomic<int> streamsBegun_{ 0 };
+  const PlatformStandin* maker_ = nullptr; // null: it needs no inputs
   std::atomic<int> unsoundPieces_{ 0 };
   std::string endsUnder_; // empty: nothing ends it
   int downMs_ = 0;
@@ -235,6 +251,7 @@
   int sequence_ ABSL_GUARDED_BY(mutex_) = 0;
   std::int64_t bornMs_ ABSL_GUARDED_BY(mutex_) = 0; // 0: it does not tell
   std::map<std::string, int> runs_ ABSL_GUARDED_BY(mutex_);
+  std::set<std::string> results_ ABSL_GUARDED_BY(mutex_); // not released
   std::vector<absl::Time> arrivals_ ABSL_GUARDED_BY(mutex_);
   std::vector<absl::Time> allArrivals_ ABSL_GUARDED_BY(mutex_);
   std::vector<absl::Time> refusals_ ABSL_GUARDED_BY(mutex_);
