Gateway: an answer is left only once the next endpoint can go on

Callers saw streams cut around a configuration, as their engines paused.

Cause: after a second without an event a box closed the answer that ran, and only then looked for what going on elsewhere needs. The results of the request's stages had been released with the first event, so that the next engine refused (400) and the box broke the answer off; any other refusal on the way ended so too. A second attempt of a stream with stages could never succeed, after a cut neither. What is held was given up before what follows was held.

Now a silent endpoint is asked for its status over a connection of its own (EvaluateSilence): one that stands still or reports the request as running keeps its answer for half of its caller's patience; one that answers others, is gone or was replaced has lost it. Then what the next endpoint needs is got while the answer stays open: the stages are made again, an endpoint that answers is chosen, a permit and a retry are taken. Only then the former is closed. If it speaks before that, or anything can't be had, it stays. After a cut the stages are made again as well.

--- a/Source/Gateway/wgDialect.h
+++ b/Source/Gateway/wgDialect.h
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,6 +57,13 @@
                                         "Weirgate-Resumes" };
 };
 
+/** \brief A request that an endpoint reports to work on. */
+struct EndpointRun
+{
+  std::string request;
+  std::uint64_t events = 0; // of its answer that it has made
+};
+
 /** \brief How this deployment's callers, endpoints and operators speak. The
  * product's own dialect is what the members are by default.
  */
@@ -82,6 +91,12 @@
    * deployment's endpoints report none.
    */
   EndpointLoadReport (*readLoad)(const HttpHead& head) = nullptr;
+  /** \brief The requests that an endpoint works on, by the status that it
+   * reports; nothing where it does not say. Null: this deployment's endpoints
+   * report none.
+   */
+  std::optional<std::vector<EndpointRun>> (*readRuns)(absl::string_view body) =
+    nullptr;
   /** \brief Where a result lies, IP:port. */
   std::string (*addressOfResult)(absl::string_view handle) = nullptr;
 };
--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -17,6 +17,8 @@
 constexpr absl::Duration FirstAvoidance = absl::Milliseconds(250);
 constexpr absl::Duration LongestAvoidance = absl::Seconds(4);
 constexpr absl::Duration EndedMemory = absl::Minutes(3);
+/** As long as a question is likely to be asked again while it is silent. */
+constexpr absl::Duration SilenceMemory = absl::Seconds(1);
 
 /** A start never changes its service. A control box that has not heard of it
  * can't know that what it is told under its name is another writer's.
@@ -545,4 +547,9 @@
   NoteAttempt(endpoint, true, now);
 }
 
+void NoteLifeSign(DirectoryEndpoint& endpoint, bool hasAnswered, Elapsed now)
+{
+  endpoint.silentUntil = hasAnswered ? Elapsed() : now + SilenceMemory;
+}
+
 } // namespace wg
--- a/Source/Gateway/wgDirectory.h
+++ b/Source/Gateway/wgDirectory.h
@@ -236,4 +236,7 @@
  */
 void NoteRefusal(DirectoryEndpoint& endpoint, Elapsed now);
 
+/** \brief It was asked for its status, or has sent part of an answer. */
+void NoteLifeSign(DirectoryEndpoint& endpoint, bool hasAnswered, Elapsed now);
+
 } // namespace wg
--- a/Source/Gateway/wgDirectoryIndex.h
+++ b/Source/Gateway/wgDirectoryIndex.h
@@ -52,6 +52,7 @@
   EndpointTerms terms;   // that it has told
   KnownLoad load;        // that it has reported
   Elapsed deniedUntil;   // no request may be sent within its limits
+  Elapsed silentUntil;   // it did not answer when it was asked for its status
 };
 
 /** \brief Endpoints in the order of their identities. */
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -89,9 +89,11 @@
   relays_ = std::make_unique<RelayClient>(
     loop_, client_, directory_, *peerClient_, *stages_, settings_.box,
     settings_.hall, key, metrics_);
+  status_ = std::make_unique<StatusProber>(loop_, *relays_, directory_,
+                                           dialect_, metrics_);
   shared_.reset(new GatewayShared{
     loop_, dialect_, directory_, *relays_, *stages_, *reservations_, *engines_,
-    *origins_, halls_, crashes_, terms_, permits_, metrics_, log_,
+    *origins_, halls_, crashes_, terms_, permits_, *status_, metrics_, log_,
     settings_.hall, settings_.retryRules, tallies_, settings_.admission });
   client_.OnConnect([this](const std::string& address, ConnectResult result) {
     const DirectoryEndpoint* endpoint =
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -118,6 +118,7 @@
   std::unique_ptr<StreamOrigins> origins_;
   std::unique_ptr<RelayServer> relayServer_;
   std::unique_ptr<RelayClient> relays_;
+  std::unique_ptr<StatusProber> status_;
   std::unique_ptr<GatewayShared> shared_;
   std::unique_ptr<ControlFollower> follower_;
   std::unique_ptr<HttpServer> callers_;
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -287,6 +287,9 @@
 
 Elapsed GatewayRequest::Due() const
 {
+  if (streamBegun_) { // endpoints have worked for it already
+    return continuedAt_ + route_->aim;
+  }
   if (isAdmittedLate_) {
     return exchange_->Arrived();
   }
@@ -308,6 +311,9 @@
 void GatewayRequest::SayNotRun(absl::string_view reason)
 {
   constexpr unsigned unavailable = 503;
+  if (KeepsAnswer(reason)) {
+    return;
+  }
   if (mayHaveRun_) { // at an earlier attempt, before its stages were made anew
     SayMayHave(reason);
     return;
@@ -344,6 +350,9 @@
 
 void GatewayRequest::SayMayHave(absl::string_view reason)
 {
+  if (KeepsAnswer(reason)) {
+    return;
+  }
   const bool late = reason == "time_over";
   exchange_->Respond(
     MakeResponse(static_cast<unsigned>(late ? http::status::gateway_timeout
@@ -367,6 +376,7 @@
   if (ended_) {
     return;
   }
+  isPreparing_ = false;
   if (streamBegun_) {
     exchange_->Abort();
     End("broken_off", reason);
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -29,8 +29,10 @@
 #include "wgReservationClient.h"
 #include "wgRetryWindow.h"
 #include "wgSendPermits.h"
+#include "wgSilence.h"
 #include "wgStageClient.h"
 #include "wgStagePlan.h"
+#include "wgStatusProber.h"
 #include "wgStreamOrigins.h"
 #include "wgTermsTracker.h"
 #include "wgVersionTallies.h"
@@ -72,6 +74,7 @@
   CrashTracker& crashes;
   TermsTracker& terms;
   SendPermits& permits;
+  StatusProber& status;
   GatewayMetrics& metrics;
   DecisionLog& log;
   std::string hall;
@@ -113,6 +116,9 @@
   BodyFraming framing = BodyFraming::Explicit;
   std::string body;
   Elapsed sent;
+  LifeSign sign = LifeSign::Unknown; // of the endpoint, while it is silent
+  Elapsed signAt;
+  bool isPathLost = false; // the connection carries nothing any more
   double prefillSeconds = 0.0;
   PlacedRead placed;
   bool headSeen = false;
@@ -240,6 +246,8 @@
   bool HasTimeLeft() const;
   void SendToEndpoint();
   void SendToOwnChoice();
+  void SendTo(DirectoryEndpoint& endpoint, double prefillSeconds);
+  void EndForTime();
   bool IsForEngine() const;
   ChoiceQuery MakeChoiceQuery() const;
   std::vector<DirectoryEndpoint*> OwnCandidates() const;
@@ -266,8 +274,24 @@
   void OnBody(absl::string_view bytes);
   void OnEvents(const std::string& events);
   void WatchStream();
-  bool HasOtherEndpoint() const;
+  void ArmSilenceTimer(absl::Duration after);
+  void NoteHeard();
+  SilenceFacts DescribeSilence() const;
   void OnSilence();
+  std::string StatusPath() const;
+  void AskForLifeSign();
+  LifeSign SignOf(const EndpointStatus& status) const;
+  void OnLifeSign(LifeSign sign);
+  bool HasOtherEndpoint();
+  std::vector<DirectoryEndpoint*> NextCandidates() const;
+  absl::string_view WhyNotContinued();
+  void PrepareContinuation(absl::string_view why);
+  void GoOn();
+  void AbandonContinuation(absl::string_view why);
+  void CancelStages();
+  bool KeepsAnswer(absl::string_view reason);
+  bool LeaveAttempt();
+  void ConfirmNext(DirectoryEndpoint& endpoint, double prefillSeconds);
   void OnAttemptEnd(HttpCallEnd end);
   bool IsWhole(HttpCallEnd end) const;
   void OnCut(HttpCallEnd end);
@@ -325,6 +349,13 @@
   std::vector<std::string> versions_; // of the endpoint of each attempt
   std::vector<std::string> failures_; // why attempts were left
   std::string relay_;                 // that made the last attempt's call
+  /** Another endpoint is to go on; the open attempt, if there is one, is left
+   * once all is there that this needs.
+   */
+  bool isPreparing_ = false;
+  std::uint64_t preparation_ = 0; // changes as one ends
+  std::string leftFor_;           // why the open attempt is to be left
+  Elapsed continuedAt_;           // when the last one began
   int endpointsTried_ = 0;
   int connectFailures_ = 0;
   std::size_t attempts_ = 0;
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -19,10 +19,6 @@
 /** What may not be repeated is sent on connections that rested shortly. */
 constexpr absl::Duration FreshRest = absl::Milliseconds(1500);
 constexpr std::size_t MaxAnswerBytes = 32U << 20U;
-/** A stream without an event for so many of its longest pauses is taken to be
- * cut off: a second where pauses are 200 ms, half of what callers bear.
- */
-constexpr int SilentGaps = 5;
 /** Results that cross between halls are weighed as time. */
 constexpr double CrossingSecondsPerByte = 11e-9;
 
@@ -103,7 +99,7 @@
 void GatewayRequest::SendToEndpoint()
 {
   if (!HasTimeLeft()) {
-    OnTimeOver();
+    EndForTime();
     return;
   }
   if (!shared_.calls.HasWay()) {
@@ -126,16 +122,33 @@
 {
   double prefillSeconds = 0.0;
   DirectoryEndpoint* endpoint =
-    ChooseEndpointFor(OwnCandidates(), prefillSeconds);
+    ChooseEndpointFor(NextCandidates(), prefillSeconds);
   if (endpoint == nullptr) {
     AfterFailure(AttemptKnowledge::NotSent, WhyNoEndpoint());
     return;
   }
-  if (NeedsPermit(shared_.directory, *endpoint, ElapsedNow())) {
-    AskToSend(*endpoint, prefillSeconds, {});
+  if (isPreparing_ && attempt_ && !StatusPath().empty()) {
+    ConfirmNext(*endpoint, prefillSeconds);
     return;
   }
-  StartAttempt(*endpoint, prefillSeconds, {});
+  SendTo(*endpoint, prefillSeconds);
+}
+
+void GatewayRequest::SendTo(DirectoryEndpoint& endpoint, double prefillSeconds)
+{
+  if (NeedsPermit(shared_.directory, endpoint, ElapsedNow())) {
+    AskToSend(endpoint, prefillSeconds, {});
+    return;
+  }
+  StartAttempt(endpoint, prefillSeconds, {});
+}
+
+/** No attempt that began now could be of use. */
+void GatewayRequest::EndForTime()
+{
+  if (!KeepsAnswer("time_over")) {
+    OnTimeOver();
+  }
 }
 
 absl::string_view GatewayRequest::WhyNoEndpoint() const
@@ -162,10 +175,10 @@
                                double prefillSeconds, const PlacedRead& placed)
 {
   shared_.permits.Ask(endpoint, [weak = weak_from_this(), id = endpoint.id,
-                                 prefillSeconds, placed,
+                                 number = preparation_, prefillSeconds, placed,
                                  &engines = shared_.engines](bool granted) {
     auto self = weak.lock();
-    if (self && !self->ended_) {
+    if (self && !self->ended_ && self->preparation_ == number) {
       self->OnPermit(id, granted, prefillSeconds, placed);
     } else {
       engines.End(placed, {});
@@ -186,7 +199,7 @@
   if (HasTimeLeft()) {
     SendToOwnChoice();
   } else {
-    OnTimeOver();
+    EndForTime();
   }
 }
 
@@ -210,9 +223,14 @@
                                   double prefillSeconds,
                                   const PlacedRead& placed)
 {
+  if (!LeaveAttempt()) {
+    shared_.engines.End(placed, {});
+    return;
+  }
   attempt_.emplace();
   attempt_->placed = placed;
   attempt_->endpoint = endpoint.id;
+  tried_.push_back(endpoint.id);
   attempt_->version = endpoint.version;
   versions_.push_back(endpoint.version);
   attempt_->prefillSeconds = prefillSeconds;
@@ -260,7 +278,7 @@
     return false;
   }
   Attempt& attempt = *attempt_;
-  heardAt_ = ElapsedNow();
+  NoteHeard();
   attempt.saidNotRun = !FieldOf(head, Fields().notRun).empty() ||
                        head.result() == http::status::misdirected_request;
   const absl::string_view echo = FieldOf(head, Fields().request);
@@ -269,8 +287,11 @@
     shared_.metrics.Count("foreign_answers");
     return false;
   }
-  const DirectoryEndpoint* endpoint =
+  DirectoryEndpoint* endpoint =
     FindEndpoint(shared_.directory, attempt.endpoint);
+  if (endpoint != nullptr) {
+    NoteLifeSign(*endpoint, true, heardAt_);
+  }
   if (endpoint != nullptr && attempt.relay.empty()) {
     shared_.halls.Reached(*endpoint);
   }
@@ -290,7 +311,7 @@
   if (ended_ || !attempt_) {
     return;
   }
-  heardAt_ = ElapsedNow();
+  NoteHeard();
   if (attempt_->streams) {
     OnEvents(TakeEvents(reader_, bytes));
     return;
@@ -332,67 +353,6 @@
   WatchStream();
 }
 
-/** A connection may fall silent for good without an end. */
-void GatewayRequest::WatchStream()
-{
-  const bool watched = route_->repetition == Repetition::Resumable &&
-                       route_->gapAim < absl::InfiniteDuration();
-  if (!watched) {
-    return;
-  }
-  silenceTimer_.expires_after(
-    absl::ToChronoMilliseconds(SilentGaps * route_->gapAim));
-  silenceTimer_.async_wait(
-    [weak = weak_from_this()](boost::system::error_code error) {
-      auto self = weak.lock();
-      if (!error && self) {
-        self->OnSilence();
-      }
-    });
-}
-
-/** Whether another endpoint than that of the open attempt could go on. */
-bool GatewayRequest::HasOtherEndpoint() const
-{
-  const auto endpoints = OwnCandidates();
-  return std::any_of(endpoints.begin(), endpoints.end(),
-                     [this](const DirectoryEndpoint* endpoint) {
-                       return endpoint->id != attempt_->endpoint &&
-                              std::find(tried_.begin(), tried_.end(),
-                                        endpoint->id) == tried_.end();
-                     });
-}
-
-void GatewayRequest::NotePathLost()
-{
-  const bool isLost = !ended_ && attempt_ && attempt_->relay.empty() &&
-                      route_->repetition != Repetition::RunOnce;
-  if (isLost) {
-    OnSilence();
-  }
-}
-
-/** Goes on at another endpoint if that is allowed; the silent one may still
- * speak, so that otherwise its answer is not cut.
- */
-void GatewayRequest::OnSilence()
-{
-  DrawRounding(shared_.retries[service_], shared_.random);
-  const bool allowed = !ended_ && attempt_ &&
-                       endpointsTried_ + 1 < route_->maxAttempts &&
-                       HasTimeLeft() && HasOtherEndpoint() &&
-                       HasRetry(shared_.retries[service_], shared_.retryRules,
-                                shared_.stages.Members() + 1, ElapsedNow());
-  if (!ended_ && attempt_) {
-    LogSilence(allowed ? "left" : "kept");
-  }
-  if (!allowed) {
-    return;
-  }
-  CloseAttempt(true);
-  AfterFailure(AttemptKnowledge::MayHaveRun, "silent");
-}
-
 void GatewayRequest::OnAttemptEnd(HttpCallEnd end)
 {
   if (ended_ || !attempt_) {
@@ -491,7 +451,7 @@
     const bool inputsGone =
       attempt_->head.result() == http::status::conflict && !stages_.empty();
     CloseAttempt(attempt_->head.result() != http::status::conflict);
-    if (inputsGone && !stagesRestarted_ && !streamBegun_) {
+    if (inputsGone && !stagesRestarted_) {
       RestartStages();
       return;
     }
@@ -556,7 +516,6 @@
     }
   }
   EndRead({ 0.0, failed });
-  tried_.push_back(attempt_->endpoint);
   attempt_->call->Cancel();
   attempt_.reset();
 }
@@ -564,6 +523,10 @@
 void GatewayRequest::AfterFailure(AttemptKnowledge knowledge,
                                   absl::string_view why)
 {
+  if (isPreparing_ && attempt_) { // of what was being prepared
+    AbandonContinuation(why);
+    return;
+  }
   const bool sent = knowledge != AttemptKnowledge::NotSent;
   endpointsTried_ += sent ? 1 : 0;
   connectFailures_ += sent ? 0 : 1;
@@ -596,7 +559,10 @@
   switch (next) {
     case AfterAttempt::SendAgain:
       shared_.metrics.Count("retries");
-      SendToEndpoint();
+      if (!isPreparing_) { // else it goes on by itself
+        continuedAt_ = now;
+        GoOn();
+      }
       return;
     case AfterAttempt::SayNotRun:
       SayNotRun(why);
--- a/Source/Gateway/wgGatewayRequestEngine.cxx
+++ b/Source/Gateway/wgGatewayRequestEngine.cxx
@@ -99,7 +99,7 @@
   }
   if (!HasTimeLeft()) {
     shared_.engines.End(placed, {});
-    OnTimeOver();
+    EndForTime();
     return;
   }
   if (DirectoryEndpoint* endpoint = FindChosen(answer.endpoint())) {
--- a/Source/Gateway/wgRouteTable.h
+++ b/Source/Gateway/wgRouteTable.h
@@ -91,6 +91,10 @@
 {
   std::string name;
   int maxConnections = 1000; // to one endpoint, from all boxes together
+  /** What answers at once, whatever an endpoint works on; empty: nothing is
+   * known to.
+   */
+  std::string statusPath;
   /** Requests a second that a cold endpoint takes; 0: none ever is cold. */
   double coldPerSecond = 0.0;
   std::optional<StageLimits> stage;
--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -246,6 +246,13 @@
 void PlatformStandin::OnRequest(const Exchange& exchange)
 {
   const HttpRequest& request = exchange->Request();
+  if (request.target() == "/-/report") {
+    ++reports_;
+    exchange->Respond(MakeResponse(
+      200, "application/json",
+      Json{ { "phase", "combined" }, { "queued", queued_.size() } }.dump()));
+    return;
+  }
   {
     absl::MutexLock lock(&mutex_);
     allArrivals_.push_back(absl::Now());
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -124,6 +124,8 @@
    * gone 409. Call before anything is sent; the maker outlives this.
    */
   void FetchesInputsFrom(const PlatformStandin& maker) { maker_ = &maker; }
+  /** \brief How often it was asked for its status. */
+  int Reports() const { return reports_; }
   /** \brief Streams of which an event was written. */
   int StreamsBegun() const { return streamsBegun_; }
   /** \brief How long a call of a stage takes at the usual pace. */
@@ -236,6 +238,7 @@
   std::atomic<int> pieces_{ 0 };
   std::atomic<int> released_{ 0 };
   std::atomic<int> streamsBegun_{ 0 };
+  std::atomic<int> reports_{ 0 };
   const PlatformStandin* maker_ = nullptr; // null: it needs no inputs
   std::atomic<int> unsoundPieces_{ 0 };
   std::string endsUnder_; // empty: nothing ends it
