Http: bytes that are no answer end a call at a bound

Endpoints may send bytes that are no answer without end. A call whose endpoint sent heads with a status of 1xx, a chunk's line or trailers without end went on until its request's deadline, and all that the parser had not used was kept: as much memory as the link bears. A caller's chunk line was kept likewise until the time for its request was over.

A call ends as Cut after 16 such heads or 64 kB that the parser can't use; a caller gets 431.

The new case of HttpClient failed for the three of seven kinds that had no bound, the one of HttpServer failed too; both pass.

--- a/Source/Http/wgHttpClientConnection.cxx
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -27,6 +27,10 @@
 
 constexpr std::size_t ReadBytes = 8192;
 constexpr std::size_t MaxHeaderBytes = 65536;
+/** What the parser has not used yet: a line of a chunk, or trailers. */
+constexpr std::size_t MaxUnparsedBytes = MaxHeaderBytes;
+/** Heads with a status of 1xx before the one of the answer. */
+constexpr int MaxInterimHeads = 16;
 constexpr absl::Duration MaxRest = absl::Seconds(30);
 /** Before the endpoint closes a connection at rest, it is closed here. */
 constexpr absl::Duration RestMargin = absl::Milliseconds(700);
@@ -83,6 +87,7 @@
   inCall_ = true;
   requestSent_ = false;
   headTold_ = false;
+  interimHeads_ = 0;
   StartParser();
   if (connected_) {
     Send();
@@ -200,7 +205,10 @@
     error_code error;
     const std::size_t used = parser_->put(input_.data(), error);
     input_.consume(used);
-    const bool unsound = error && error != http::error::need_more;
+    const bool isTooLong =
+      input_.size() > MaxUnparsedBytes && error == http::error::need_more;
+    const bool unsound =
+      isTooLong || (error && error != http::error::need_more);
     if (unsound) {
       EndCall(HttpCallEnd::Cut);
       return;
@@ -231,6 +239,10 @@
   const bool interim =
     parser_->get().result_int() / classDivisor == informationalClass;
   if (interim) {
+    if (++interimHeads_ > MaxInterimHeads) {
+      EndCall(HttpCallEnd::Cut);
+      return false;
+    }
     StartParser();
     return true;
   }
--- a/Source/Http/wgHttpClientConnection.h
+++ b/Source/Http/wgHttpClientConnection.h
@@ -77,6 +77,7 @@
   bool isReading_ = false;
   bool requestSent_ = false;
   bool headTold_ = false;
+  int interimHeads_ = 0; // of this call
   bool closed_ = false;
 };
 
--- a/Source/Http/wgHttpServerConnection.cxx
+++ b/Source/Http/wgHttpServerConnection.cxx
@@ -17,6 +17,9 @@
 constexpr std::size_t ReadBytes = 8192;
 /** What a caller may send ahead while its request is being answered. */
 constexpr std::size_t MaxAheadBytes = 65536;
+/** What the parser has not used yet: a head, a line of a chunk, or trailers.
+ */
+constexpr std::size_t MaxUnparsedBytes = 65536;
 /** What may wait for a caller that reads slowly. */
 constexpr std::size_t MaxOutputBytes = 8U << 20U;
 constexpr absl::Duration LingerTime = absl::Seconds(1);
@@ -109,6 +112,9 @@
     error_code error;
     const std::size_t used = parser_->put(input_.data(), error);
     input_.consume(used);
+    if (error == http::error::need_more && input_.size() > MaxUnparsedBytes) {
+      error = http::error::header_limit;
+    }
     if (error == http::error::need_more) {
       ContinueIfAsked();
       return;
--- a/Tests/Gateway/wgHttpClientTest.cxx
+++ b/Tests/Gateway/wgHttpClientTest.cxx
@@ -135,7 +135,9 @@
     thread.Join();
     client.reset();
   }
-  Result Call(const std::string& address, bool acceptHead = true)
+  /** \param limit a call that goes on for longer is taken to be Unreached */
+  Result Call(const std::string& address, bool acceptHead = true,
+              absl::Duration limit = absl::Seconds(30))
   {
     std::promise<Result> done;
     auto result = std::make_shared<Result>();
@@ -158,7 +160,14 @@
       call = client->Start(address, Request, {}, std::move(handler));
       return true;
     });
-    Result got = done.get_future().get();
+    auto future = done.get_future();
+    const bool ended = future.wait_for(absl::ToChronoMilliseconds(limit)) ==
+                       std::future_status::ready;
+    Result got;
+    got.end = wg::HttpCallEnd::Unreached;
+    if (ended) {
+      got = future.get();
+    }
     thread.Do([&] {
       call.reset();
       return true;
@@ -169,6 +178,7 @@
   std::unique_ptr<wg::HttpClient> client;
 };
 
+constexpr absl::Duration CallLimit = absl::Seconds(2);
 const std::string Good = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
 
 } // namespace
@@ -316,6 +326,37 @@
   CHECK(endpoint.Connections() == 3);
 }
 
+// Bytes that are no answer came without end, and the call with them until its
+// deadline; what the parser had not used was kept.
+TEST_CASE("Bytes that are no answer end the call at a bound")
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  constexpr std::size_t tooLong = 1U << 20U;
+  std::string interim;
+  while (interim.size() < tooLong) {
+    interim += "HTTP/1.1 102 Processing\r\n\r\n";
+  }
+  const std::vector<std::string> endless = {
+    "HTTP/1.1 200 " + std::string(tooLong, 'x'),
+    ok + "Field: " + std::string(tooLong, 'x'),
+    interim,
+    chunked + "2;name=" + std::string(tooLong, 'x'),
+    chunked + "2\r\nok\r\n0\r\nTrailer: " + std::string(tooLong, 'x'),
+    std::string(tooLong, 'x'),
+    ok + "Content-Length: 99999999999999999999999\r\n\r\n",
+  };
+  for (std::size_t i = 0; i < endless.size(); ++i) {
+    CAPTURE(i);
+    ScriptedEndpoint endpoint({ { endless[i] } });
+    Caller caller;
+    const absl::Time begun = absl::Now();
+    CHECK(caller.Call(endpoint.Address(), true, CallLimit).end ==
+          wg::HttpCallEnd::Cut);
+    CHECK(absl::Now() - begun < CallLimit);
+  }
+}
+
 TEST_CASE("What was never sent is told apart")
 {
   Caller caller;
--- a/Tests/Gateway/wgHttpServerTest.cxx
+++ b/Tests/Gateway/wgHttpServerTest.cxx
@@ -186,6 +186,19 @@
   CHECK(handled == 0);
 }
 
+// A line that does not end was kept until the time for a request was over.
+TEST_CASE("A chunk's line without an end is refused")
+{
+  constexpr std::size_t tooLong = 1U << 20U;
+  Served served(&Echo);
+  RawCaller caller(served.port);
+  caller.Send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+              "chunked\r\n\r\n2;name=" +
+              std::string(tooLong, 'x'));
+  const std::string answer = caller.ReadAll();
+  CHECK(absl::StartsWith(answer, "HTTP/1.1 431"));
+}
+
 TEST_CASE("A caller that is slow is told so, one at rest is closed")
 {
   wg::HttpLimits limits;
