Http: a long answer is written whole

An answer of more than 8 MB was given up as if its caller read slowly, and the caller's connection was closed without an answer (LOST); up to 32 MB are read from endpoints. Found by reading, while the bounds of all readers were listed.

Only what waits behind a write counts now. The new case of HttpServer failed before and passes.

--- a/Source/Http/wgHttpServerConnection.cxx
+++ b/Source/Http/wgHttpServerConnection.cxx
@@ -192,7 +192,8 @@
   } else {
     output_ += bytes;
   }
-  if (output_.size() > MaxOutputBytes) {
+  // An answer that is written at once is as long as it is.
+  if (isWriting_ && output_.size() > MaxOutputBytes) {
     Close();
     return;
   }
--- a/Tests/Gateway/wgHttpServerTest.cxx
+++ b/Tests/Gateway/wgHttpServerTest.cxx
@@ -199,6 +199,18 @@
   CHECK(absl::StartsWith(answer, "HTTP/1.1 431"));
 }
 
+// What is to be written was bounded, also where nothing else waited.
+TEST_CASE("A long answer is written whole")
+{
+  const std::string body(12U << 20U, 'x');
+  Served served([&body](const Exchange& exchange) {
+    exchange->Respond(wg::MakeResponse(200, "text/plain", body));
+  });
+  RawCaller caller(served.port);
+  caller.Send("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+  CHECK(caller.ReadAll().size() > body.size());
+}
+
 TEST_CASE("A caller that is slow is told so, one at rest is closed")
 {
   wg::HttpLimits limits;
