Gateway: what is kept of answers is bounded for all of them together

An event that never ends was kept whole for each stream, the answer to a stage's call without any bound, and whole answers of up to 32 MB each: a box has 160 MB at the large sites, and 200 such answers at once would have ended it.

An event may have 256 kB, the answer to a stage's call 1 MB, and whole answers that are being read 48 MB together. Beyond it the attempt ends, is counted and goes on elsewhere where that is allowed.

That 200 answers at once leave other callers undisturbed was not run.

--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -406,6 +406,7 @@
       --endpoint->running;
     }
     EndRead({});
+    shared_.answerBytes -= attempt_->buffered;
     attempt_.reset();
   }
   for (Stage& stage : stages_) {
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -86,6 +86,7 @@
   std::map<std::string, RetryWindow> retries{}; // by service
   CallerDeadlines deadlines{};
   DocumentInForce document{};
+  std::size_t answerBytes = 0; // of whole answers that are being read
 };
 
 namespace detail {
@@ -115,6 +116,7 @@
   HttpHead head;
   BodyFraming framing = BodyFraming::Explicit;
   std::string body;
+  std::size_t buffered = 0; // bytes that were read into the body
   Elapsed sent;
   LifeSign sign = LifeSign::Unknown; // of the endpoint, while it is silent
   Elapsed signAt;
@@ -272,6 +274,7 @@
                     const PlacedRead& placed);
   bool OnHead(const HttpHead& head, BodyFraming framing);
   void OnBody(absl::string_view bytes);
+  void EndTooLong(AttemptKnowledge knowledge, absl::string_view why);
   void OnEvents(const std::string& events);
   void WatchStream();
   void ArmSilenceTimer(absl::Duration after);
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -19,6 +19,12 @@
 /** What may not be repeated is sent on connections that rested shortly. */
 constexpr absl::Duration FreshRest = absl::Milliseconds(1500);
 constexpr std::size_t MaxAnswerBytes = 32U << 20U;
+/** Of all answers that a box has not passed on yet: a third of the memory of
+ * the smallest boxes.
+ */
+constexpr std::size_t MaxAnswerBytesOfAll = 48U << 20U;
+/** Of what has come of an event: 200 such streams keep as much. */
+constexpr std::size_t MaxEventBytes = 256U << 10U;
 /** Results that cross between halls are weighed as time. */
 constexpr double CrossingSecondsPerByte = 11e-9;
 
@@ -314,15 +320,29 @@
   NoteHeard();
   if (attempt_->streams) {
     OnEvents(TakeEvents(reader_, bytes));
+    if (!ended_ && attempt_ && reader_.partial.size() > MaxEventBytes) {
+      EndTooLong(AttemptKnowledge::MayHaveRun, "event_too_long");
+    }
     return;
   }
-  if (attempt_->body.size() + bytes.size() > MaxAnswerBytes) {
-    shared_.metrics.Count("answers_too_long");
-    CloseAttempt(true);
-    AfterFailure(AttemptKnowledge::Ran, "answer_too_long");
+  const bool isTooLong =
+    attempt_->body.size() + bytes.size() > MaxAnswerBytes ||
+    shared_.answerBytes + bytes.size() > MaxAnswerBytesOfAll;
+  if (isTooLong) {
+    EndTooLong(AttemptKnowledge::Ran, "answer_too_long");
     return;
   }
   attempt_->body.append(bytes.data(), bytes.size());
+  attempt_->buffered += bytes.size();
+  shared_.answerBytes += bytes.size();
+}
+
+void GatewayRequest::EndTooLong(AttemptKnowledge knowledge,
+                                absl::string_view why)
+{
+  shared_.metrics.Count("answers_too_long");
+  CloseAttempt(true);
+  AfterFailure(knowledge, why);
 }
 
 /** With the first event the engine has fetched its inputs. */
@@ -517,6 +537,7 @@
   }
   EndRead({ 0.0, failed });
   attempt_->call->Cancel();
+  shared_.answerBytes -= attempt_->buffered;
   attempt_.reset();
 }
 
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -155,6 +155,7 @@
   void StartTimer(std::uint64_t number);
   void OnCallEnd(std::uint64_t number, HttpCallEnd end);
   void OnCallLate(std::uint64_t number);
+  void OnCallTooLong(std::uint64_t number);
   void NoteTimeOf(const OpenCall& open, StageServer& server);
   void TakeAnswer(OpenCall& open, HttpCallEnd end);
   void TakeResultOf(OpenCall& open, StagePiece& piece,
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -14,6 +14,8 @@
 using ItemResult = wire::StageItemResult;
 
 constexpr double MsInSecond = 1e3;
+/** A result is some 60 bytes, and no batch has more than some hundreds. */
+constexpr std::size_t MaxStageAnswerBytes = 1U << 20U;
 constexpr unsigned MisdirectedRequest = 421; // another one answers there
 constexpr double LateFactor = 3.0;
 constexpr double LateMarginSeconds = 0.35;
@@ -63,7 +65,12 @@
     return true;
   };
   handler.onBody = [this, number](absl::string_view bytes) {
-    calls_[number].body.append(bytes.data(), bytes.size());
+    std::string& body = calls_[number].body;
+    if (body.size() + bytes.size() <= MaxStageAnswerBytes) {
+      body.append(bytes.data(), bytes.size());
+    } else {
+      boost::asio::post(loop_, [this, number] { OnCallTooLong(number); });
+    }
   };
   handler.onEnd = [this, number](HttpCallEnd end) { OnCallEnd(number, end); };
   open.http =
@@ -146,6 +153,17 @@
   Pump(key);
 }
 
+void StageCoordinator::OnCallTooLong(std::uint64_t number)
+{
+  auto found = calls_.find(number);
+  if (found == calls_.end()) {
+    return;
+  }
+  metrics_.Count("stage_answers_too_long");
+  found->second.http->Cancel();
+  OnCallEnd(number, HttpCallEnd::Cut);
+}
+
 void StageCoordinator::NoteVersionCall(const OpenCall& open, bool failed)
 {
   const DirectoryEndpoint* endpoint =
--- a/Tests/Platform/wgPlatformAnswerEndTest.cxx
+++ b/Tests/Platform/wgPlatformAnswerEndTest.cxx
@@ -354,6 +354,42 @@
   CHECK(f.resumed > 0);
 }
 
+// An event without an end was kept whole for each of its streams, and the
+// answer to a stage's call as well.
+TEST_CASE("An event without an end is kept", "[too-long]")
+{
+  constexpr std::size_t tooLong = 4U << 20U;
+  ScriptedEndpoint endpoint("long", [](const wg::HttpRequest& request) {
+    const std::string id(wg::FieldOf(request, RequestField));
+    return ScriptedAnswer{ MakeAnswer(Kinds[2], Framing::Chunks, id,
+                                      { Event(1, "\n"),
+                                        "data: " + std::string(tooLong, 'x') })
+                             .bytes };
+  });
+  PlatformCluster cluster{ 1 };
+  nlohmann::json document =
+    nlohmann::json::parse(PlatformCluster::Document(1));
+  document.erase("tenants");
+  for (nlohmann::json& route : document["routes"]) {
+    route["service"] = "plain";
+    route.erase("phases");
+  }
+  Await("the document",
+        [&] { return cluster.Publish(0, document.dump()) == 200; });
+  Await("a ready gateway", [&] { return cluster.Ready(0) == 200; });
+  REQUIRE(endpoint.Register(cluster.Api(0), "plain"));
+  CallerAnswer answer;
+  Await("the endpoint to be used", [&] {
+    answer = Ask(cluster.Listen(0), "/s/", "long");
+    return answer.status != 503;
+  });
+  CHECK(answer.end == CallerEnd::Broken);
+  CHECK(answer.body == Event(1, "\n"));
+  CHECK(absl::StrContains(
+    cluster.Metrics(0),
+    "weirgate_gateway_total{event=\"attempt_event_too_long\"} "));
+}
+
 TEST_CASE("An answer that is too long does not arrive short", "[too-long]")
 {
   constexpr std::size_t tooLong = 33U << 20U;
