--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -146,6 +146,15 @@
                     [ms] { absl::SleepFor(absl::Milliseconds(ms)); });
 }
 
+void PlatformStandin::LoseStreams()
+{
+  boost::asio::post(thread_.Loop(), [this] {
+    for (auto& [number, exchange] : std::exchange(open_, {})) {
+      waiting_.push_back(exchange);
+    }
+  });
+}
+
 bool PlatformStandin::HasResult(const std::string& handle) const
 {
   absl::MutexLock lock(&mutex_);
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -119,6 +119,10 @@
    * nothing is read or written. From any thread.
    */
   void PauseFor(int ms);
+  /** \brief The streams that run are lost, and their connections stay open:
+   * nothing more comes over them. From any thread.
+   */
+  void LoseStreams();
   /** \brief As an engine it fetches results that stages have made there: a
    * request that names none is answered 400, one that names a result which is
    * gone 409. Call before anything is sent; the maker outlives this.
