--- a/Source/Gateway/wgStatusProber.cxx
+++ b/Source/Gateway/wgStatusProber.cxx
@@ -117,10 +117,11 @@
     status.hasRuns = true;
     status.runs = std::move(*runs);
   }
-  Finish(endpoint, std::move(status));
+  Finish(endpoint, status);
 }
 
-void StatusProber::Finish(const std::string& endpoint, EndpointStatus status)
+void StatusProber::Finish(const std::string& endpoint,
+                          const EndpointStatus& status)
 {
   auto node = questions_.extract(endpoint);
   if (node.empty()) {
--- a/Source/Gateway/wgStatusProber.h
+++ b/Source/Gateway/wgStatusProber.h
@@ -60,7 +60,7 @@
 
   void OnBody(const std::string& endpoint, absl::string_view bytes);
   void OnEnd(const std::string& endpoint, HttpCallEnd end);
-  void Finish(const std::string& endpoint, EndpointStatus status);
+  void Finish(const std::string& endpoint, const EndpointStatus& status);
 
   EventLoop& loop_;
   RelayClient& calls_;
