--- a/Tests/Gateway/wgHttpServerTest.cxx
+++ b/Tests/Gateway/wgHttpServerTest.cxx
@@ -202,7 +202,7 @@
 // What is to be written was bounded, also where nothing else waited.
 TEST_CASE("A long answer is written whole")
 {
-  const std::string body(12U << 20U, 'x');
+  const std::string body(9U << 20U, 'x');
   Served served([&body](const Exchange& exchange) {
     exchange->Respond(wg::MakeResponse(200, "text/plain", body));
   });
