--- a/Tests/Platform/wgPlatformSilenceTest.cxx
+++ b/Tests/Platform/wgPlatformSilenceTest.cxx
@@ -182,7 +182,7 @@
   }));
 }
 
-// Beside a configuration as on the day of the incident.
+// The same while documents come into force, which must make no difference.
 TEST_CASE("Streams are cut as engines pause while documents come",
           "[answers-cut][paused-documents]")
 {
