Test: the main function of two soaks stands once

The soak of silent engines had copied it from that of streams. Both run from wgSoakMain.h; options, output and exit codes are the same. The older soak, which has more options, keeps its own.

--- a/Tests/Platform/wgPlatformSilenceSoak.cxx
+++ b/Tests/Platform/wgPlatformSilenceSoak.cxx
@@ -11,13 +11,13 @@
 #include <thread>
 
 #include <httplib.h>
-#include <tclap/CmdLine.h>
 
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 
 #include "wgPlatformCluster.h"
 #include "wgPlatformStandin.h"
+#include "wgSoakMain.h"
 
 namespace {
 
@@ -315,38 +315,6 @@
 
 int main(int argc, char** argv)
 {
-  try {
-    TCLAP::CmdLine line("Soaks streams whose engines fall silent.");
-    TCLAP::ValueArg<std::uint64_t> seed("", "seed", "The first seed.", false,
-                                        1, "number", line);
-    TCLAP::ValueArg<int> seeds("", "seeds", "How many seeds.", false, 1,
-                               "number", line);
-    TCLAP::ValueArg<int> seconds("", "seconds", "Seconds of faults a seed.",
-                                 false, 15, "seconds", line);
-    TCLAP::ValueArg<std::string> daemon(
-      "", "daemon", "Another program in place of the one built here.", false,
-      "", "path", line);
-    line.parse(argc, argv);
-    int broken = 0;
-    for (int i = 0; i < seeds.getValue(); ++i) {
-      const std::uint64_t now =
-        seed.getValue() + static_cast<std::uint64_t>(i);
-      const auto findings =
-        RunSeed(now, seconds.getValue(), daemon.getValue());
-      for (const std::string& finding : findings) {
-        std::printf("seed %llu: %s\n", static_cast<unsigned long long>(now),
-                    finding.c_str());
-      }
-      broken += findings.empty() ? 0 : 1;
-      std::fflush(stdout);
-    }
-    std::printf("%d of %d seeds broke a promise.\n", broken, seeds.getValue());
-    return broken == 0 ? 0 : 1;
-  } catch (const TCLAP::ArgException& error) {
-    std::fprintf(stderr, "%s\n", error.error().c_str());
-    return 2;
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "%s\n", error.what());
-    return 2;
-  }
+  return wg::test::RunSoak(
+    argc, argv, "Soaks streams whose engines fall silent.", &RunSeed);
 }
