Test: a result that is made again has a name of its own

Cause: the stand-in named a result by its request, stage and piece, so that one made again had the name of the first. A box releases the first some 25 ms after the stream's first event; where the second was made within that time, its name was released with it, and the next engine answered 409. On the platform a result's name is its own, and releasing one leaves all others.

Ruled out: retries, permits and the choice of the next engine, which all took place.

Now each result that is made has a number in its name. The checks are the same.

--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -453,7 +453,9 @@
   return pace_ == 0 ? counts : absl::StrCat(counts, ",", pace_.load());
 }
 
-/** A result's name tells of what request and stage it is. */
+/** A result's name tells of what request and stage it is. One that is made
+ * again has another name: releasing the first leaves it.
+ */
 void PlatformStandin::OnStage(const Exchange& exchange)
 {
   const bool isFull = workMs_ > 0 && callsAtWork_ >= Slots + queue_;
@@ -464,7 +466,7 @@
   const Json body = Json::parse(exchange->Request().body());
   Json items = Json::array();
   for (const Json& item : body["items"]) {
-    ++pieces_;
+    const int made = ++pieces_;
     const std::string request = item["id"];
     if (IsEndedBy(request)) {
       End();
@@ -477,9 +479,10 @@
     }
     unsoundPieces_ += sound ? 0 : 1;
     items.push_back(
-      sound ? Json{ { "handle", absl::StrCat(address_, "/", request, ".",
-                                             item["phase"].get<int>(), ".",
-                                             item["segment"].get<int>()) } }
+      sound ? Json{ { "handle",
+                      absl::StrCat(address_, "/", request, ".",
+                                   item["phase"].get<int>(), ".",
+                                   item["segment"].get<int>(), ".", made) } }
             : Json{ { "reason", "error" } });
   }
   const int pace = pace_ == 0 ? UsualPace : pace_.load();
