--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -37,14 +37,17 @@
    * \param halls of the gateways; h1 where none is named
    * \param daemon the program at first, see SetDaemon
    * \param controlHalls of the control boxes; three in h1 where none is named
+   * \param toleratedLosses of control boxes' disks at once
    */
   explicit PlatformCluster(
     int gateways, bool links = false, std::vector<std::string> halls = {},
     std::string daemon = {},
-    std::vector<std::string> controlHalls = { "h1", "h1", "h1" })
+    std::vector<std::string> controlHalls = { "h1", "h1", "h1" },
+    int toleratedLosses = 1)
     : daemon_(std::move(daemon))
     , halls_(std::move(halls))
     , controlHalls_(std::move(controlHalls))
+    , toleratedLosses_(toleratedLosses)
   {
     const int controls = static_cast<int>(controlHalls_.size());
     folder_ = std::filesystem::temp_directory_path() /
@@ -98,7 +101,7 @@
            absl::StrCat("--api=", Local(apis_[index])),
            absl::StrCat("--data=", (folder_ / Name("c", index)).string()),
            absl::StrCat("--found=", founds ? "true" : "false"),
-           std::string("--tolerated-losses=1") }) {
+           absl::StrCat("--tolerated-losses=", toleratedLosses_) }) {
       arguments.push_back(flag);
     }
     if (daemon_.empty()) {
@@ -343,6 +346,7 @@
   std::string daemon_; // empty: the one that was built with the tests
   std::vector<std::string> halls_;
   std::vector<std::string> controlHalls_;
+  int toleratedLosses_;
   TestPorts ports_;
   std::filesystem::path folder_;
   std::vector<int> peers_;
