Gateway: a next endpoint that is gone is not asked without a pause

A stream whose endpoint has fallen silent was never continued where another endpoint had just ended: its caller got nothing more until its time was over, and the box asked the ended one for its status some 12,000 times a second.

Cause: before an answer is left, the next endpoint is asked. One that does not answer is left out for a second, but one to which no connection comes up counted as having answered. The choice named it again at once, and no other endpoint ever.

Evidence: wgPlatformContinuationTest.next-gone (four engines, one that loses its streams midway, two that end, 12 streams).

Change: whatever the next endpoint did not answer, it is left out for as long as one that was silent.

--- a/Source/Gateway/wgGatewayRequestContinuation.cxx
+++ b/Source/Gateway/wgGatewayRequestContinuation.cxx
@@ -316,13 +316,17 @@
       if (!isWanted) {
         return;
       }
+      const bool hasAnswered =
+        status.result == EndpointStatus::Result::Answered;
       DirectoryEndpoint* next = self->FindChosen(id);
-      if (status.result == EndpointStatus::Result::Answered &&
-          next != nullptr) {
+      if (hasAnswered && next != nullptr) {
         self->SendTo(*next, prefillSeconds);
-      } else {
-        self->SendToOwnChoice(); // to another one, if there is one
+        return;
+      }
+      if (next != nullptr) { // one that is gone is not asked again at once
+        NoteLifeSign(*next, false, ElapsedNow());
       }
+      self->SendToOwnChoice(); // to another one, if there is one
     });
 }
 
--- /dev/null
+++ b/Tests/Platform/wgPlatformContinuationTest.cxx
@@ -0,0 +1,203 @@
+// SPDX-License-Identifier: Apache-2.0
+// Streams whose endpoint is to be left for another one, and what may happen to
+// either of them until the other has them.
+#include <algorithm>
+#include <atomic>
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <catch2/catch.hpp>
+#include <httplib.h>
+
+#include "absl/strings/match.h"
+#include "absl/strings/numbers.h"
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+#include "absl/time/clock.h"
+
+#include "wgPlatformCluster.h"
+#include "wgPlatformStandin.h"
+
+namespace {
+
+using wg::test::Await;
+using wg::test::PlatformCluster;
+using wg::test::PlatformStandin;
+using wg::test::StandinConduct;
+
+using Names = std::vector<std::string>;
+
+constexpr int Ok = 200;
+const Names WholeStream{ "1", "2", "3", "4" };
+/** Longer than any test runs. */
+constexpr int DownMs = 30000;
+/** What a box waits for the answer to a question. */
+constexpr int QuestionMs = 400;
+
+/** Endpoints of these tests tell of themselves once. */
+const int LongSilence = setenv("WEIRGATE_HEARTBEAT_MS", "60000", 1);
+
+struct Stream
+{
+  std::string request;
+  int status = 0; // 0: the answer was not whole
+  Names ids;
+};
+
+/** Engines that fetch the results of a stage. The first one loses each of its
+ * streams midway, and is asked for its status by then.
+ */
+struct Site
+{
+  explicit Site(int engineCount)
+    : cluster(1)
+    , encoder("enc-1")
+  {
+    Publish();
+    Await("a ready gateway", [&] { return cluster.Ready(0) == Ok; });
+    REQUIRE(encoder.Register(cluster.Api(0), "enc"));
+    for (int i = 0; i < engineCount; ++i) {
+      engines.push_back(
+        std::make_unique<PlatformStandin>(absl::StrCat("engine-", i)));
+      engines.back()->FallsFor(DownMs);
+      engines.back()->FetchesInputsFrom(encoder);
+      REQUIRE(engines.back()->Register(cluster.Api(0), "llm"));
+    }
+    Await("all engines to serve", [this] {
+      Send();
+      return std::all_of(engines.begin(), engines.end(),
+                         [](const auto& e) { return e->AllRuns() > 0; });
+    });
+    engines.front()->SetConduct(StandinConduct::Silent);
+  }
+
+  /** Streams that may be resumed run a stage of their own. */
+  void Publish()
+  {
+    auto document = PlatformCluster::Json::parse(PlatformCluster::Document(1));
+    for (auto& route : document["routes"]) {
+      if (route["name"] == "resumable") {
+        route["phases"] = { { { "service", "enc" },
+                              { "afterRevision",
+                                PlatformCluster::Json::array() },
+                              { "sizeBytes", 1000 } } };
+      }
+    }
+    Await("the document to be acknowledged",
+          [&] { return cluster.Publish(0, document.dump()) == Ok; });
+  }
+
+  Stream Send()
+  {
+    const int number = ++sent;
+    Stream stream;
+    stream.request = absl::StrCat("continued", number);
+    httplib::Client client("127.0.0.1", cluster.Listen(0));
+    client.set_read_timeout(20);
+    const httplib::Headers headers = {
+      { "Host", "one.example" },
+      { "X-Weirgate-Attempt-Id", stream.request },
+      { "X-Weirgate-Deadline-Ms", "10000" },
+      { "Authorization", "Token k1" },
+      { "X-Weirgate-Token-Usage", "100,20" },
+      { "X-Weirgate-Prompt-Prefix",
+        absl::StrCat(absl::Hex(number), ":60,bb:40") },
+      { "X-Weirgate-Chunk-Count", "2" },
+      { "X-Weirgate-Chunk-Key", "file" }
+    };
+    const auto reply = client.Post("/r/x", headers, "body", "text/plain");
+    if (!reply) {
+      return stream;
+    }
+    stream.status = reply->status;
+    for (absl::string_view line : absl::StrSplit(reply->body, '\n')) {
+      if (absl::ConsumePrefix(&line, "id: ")) {
+        stream.ids.emplace_back(line);
+      }
+    }
+    return stream;
+  }
+
+  /** Sends so many streams at once, and does something once all have begun. */
+  template <class Meanwhile>
+  std::vector<Stream> SendMany(int count, Meanwhile meanwhile)
+  {
+    std::vector<Stream> streams(count);
+    std::vector<std::thread> callers;
+    const int before = Runs();
+    for (Stream& stream : streams) {
+      callers.emplace_back([this, &stream] { stream = Send(); });
+    }
+    Await("all streams to begin", [&] { return Runs() >= before + count; });
+    meanwhile();
+    for (std::thread& caller : callers) {
+      caller.join();
+    }
+    return streams;
+  }
+
+  int Runs() const
+  {
+    int runs = 0;
+    for (const auto& engine : engines) {
+      runs += engine->AllRuns();
+    }
+    return runs;
+  }
+
+  int Counter(absl::string_view name)
+  {
+    const std::string text = cluster.Metrics(0);
+    const std::string start =
+      absl::StrCat("weirgate_gateway_total{event=\"", name, "\"} ");
+    int value = 0;
+    for (absl::string_view line : absl::StrSplit(text, '\n')) {
+      if (absl::ConsumePrefix(&line, start)) {
+        (void)absl::SimpleAtoi(line, &value);
+      }
+    }
+    return value;
+  }
+
+  PlatformCluster cluster;
+  PlatformStandin encoder;
+  std::vector<std::unique_ptr<PlatformStandin>> engines;
+  std::atomic<int> sent{ 0 };
+};
+
+void CheckWhole(const std::vector<Stream>& streams)
+{
+  for (const Stream& stream : streams) {
+    CAPTURE(stream.request);
+    CHECK(stream.status == Ok);
+    CHECK(stream.ids == WholeStream);
+  }
+}
+
+} // namespace
+
+// An endpoint that was found to be gone was chosen and asked without a pause,
+// and a sound one never.
+TEST_CASE("A stream is not continued as endpoints beside it are gone",
+          "[next-gone]")
+{
+  constexpr int gone = 2;
+  Site site(gone + 2);
+  const int before = site.engines[0]->AllRuns();
+  const absl::Time begun = absl::Now();
+  const auto streams = site.SendMany(12, [&] {
+    site.engines[1]->FallOver();
+    site.engines[2]->FallOver();
+  });
+  const auto tookMs = absl::ToInt64Milliseconds(absl::Now() - begun);
+  const int left = site.engines[0]->AllRuns() - before;
+  REQUIRE(left > 0);
+  CheckWhole(streams);
+  // For each stream that is left the two that live, and one that is gone not
+  // before an answer could have come.
+  CHECK(site.Counter("endpoint_status_asked") <=
+        2 * left + gone * (1 + tookMs / QuestionMs));
+}
