Gateway: a stream goes on that is cut while its next endpoint is asked

A stream whose endpoint had fallen silent, and ended while the next one was asked for its status, got nothing more until its time was over, although the next one could take it a moment later.

Cause: while another endpoint is prepared, an answer that is cut leaves the preparation to go on. What then failed in the preparation itself (the next one did not answer, no way to endpoints) was taken for the end of an answer that was cut as well: the preparation "goes on by itself", and nothing did. Nor was there any timer but that of the request.

Evidence: wgPlatformContinuationTest.cut-meanwhile (two engines; the first loses its streams and ends 200 ms after they are to be left, the second stands still for 2.4 s meanwhile).

Change: once nothing is held, what was prepared is sent like any other attempt, also to an endpoint that stood still, and its failure is judged like any other.

--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -290,6 +290,7 @@
   absl::string_view WhyNotContinued();
   void PrepareContinuation(absl::string_view why);
   void GoOn();
+  void EndPreparationIfCut();
   void AbandonContinuation(absl::string_view why);
   void CancelStages();
   bool KeepsAnswer(absl::string_view reason);
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -104,6 +104,7 @@
 
 void GatewayRequest::SendToEndpoint()
 {
+  EndPreparationIfCut();
   if (!HasTimeLeft()) {
     EndForTime();
     return;
@@ -126,6 +127,7 @@
 /** Chooses by what this box knows itself. */
 void GatewayRequest::SendToOwnChoice()
 {
+  EndPreparationIfCut();
   double prefillSeconds = 0.0;
   DirectoryEndpoint* endpoint =
     ChooseEndpointFor(NextCandidates(), prefillSeconds);
--- a/Source/Gateway/wgGatewayRequestContinuation.cxx
+++ b/Source/Gateway/wgGatewayRequestContinuation.cxx
@@ -237,6 +237,14 @@
   }
 }
 
+/** Once the answer was cut, the next attempt is made like any other: if it
+ * can't be, nothing else goes on.
+ */
+void GatewayRequest::EndPreparationIfCut()
+{
+  isPreparing_ = isPreparing_ && attempt_.has_value();
+}
+
 /** The answer that runs stays, whatever stood against the next one. */
 void GatewayRequest::AbandonContinuation(absl::string_view why)
 {
--- a/Tests/Platform/wgPlatformContinuationTest.cxx
+++ b/Tests/Platform/wgPlatformContinuationTest.cxx
@@ -34,7 +34,8 @@
 const Names WholeStream{ "1", "2", "3", "4" };
 /** Longer than any test runs. */
 constexpr int DownMs = 30000;
-/** What a box waits for the answer to a question. */
+/** What a box waits for a next event, and the answer to a question. */
+constexpr int SilenceMs = 500;
 constexpr int QuestionMs = 400;
 
 /** Endpoints of these tests tell of themselves once. */
@@ -201,3 +202,21 @@
   CHECK(site.Counter("endpoint_status_asked") <=
         2 * left + gone * (1 + tookMs / QuestionMs));
 }
+
+// Its endpoint ended while the next one was asked, which did not answer: from
+// then on nothing happened.
+TEST_CASE("A stream hangs whose endpoint ends as the next one is asked",
+          "[cut-meanwhile]")
+{
+  Site site(2);
+  const int before = site.engines[0]->AllRuns();
+  const auto streams = site.SendMany(8, [&] {
+    site.engines[1]->PauseFor(4 * SilenceMs + QuestionMs);
+    Await("streams to be left",
+          [&] { return site.Counter("answers_silent_going_on") > 0; });
+    absl::SleepFor(absl::Milliseconds(QuestionMs / 2));
+    site.engines[0]->FallOver();
+  });
+  REQUIRE(site.engines[0]->AllRuns() > before);
+  CheckWhole(streams);
+}
