--- a/Source/Gateway/wgGatewayRequestContinuation.cxx
+++ b/Source/Gateway/wgGatewayRequestContinuation.cxx
@@ -237,6 +237,14 @@
   }
 }
 
+/** Once the answer was cut, the next attempt is made like any other: if it
+ * can't be, nothing else goes on.
+ */
+void GatewayRequest::EndPreparationIfCut()
+{
+  isPreparing_ = isPreparing_ && attempt_.has_value();
+}
+
 /** The answer that runs stays, whatever stood against the next one. */
 void GatewayRequest::AbandonContinuation(absl::string_view why)
 {
@@ -316,13 +324,17 @@
       if (!isWanted) {
         return;
       }
+      const bool hasAnswered =
+        status.result == EndpointStatus::Result::Answered;
       DirectoryEndpoint* next = self->FindChosen(id);
-      if (status.result == EndpointStatus::Result::Answered &&
-          next != nullptr) {
+      if (hasAnswered && next != nullptr) {
         self->SendTo(*next, prefillSeconds);
-      } else {
-        self->SendToOwnChoice(); // to another one, if there is one
+        return;
+      }
+      if (next != nullptr) { // one that is gone is not asked again at once
+        NoteLifeSign(*next, false, ElapsedNow());
       }
+      self->SendToOwnChoice(); // to another one, if there is one
     });
 }
 
