Http: the length that an endpoint names is not reserved

An answer that named a length of some terabytes, and brought a few bytes of it, ended the process: the parser reserved room for the whole body at once, and the lack of it was an exception that nobody catches. One such server in trouble would have ended each box that sent it a request. Lengths that memory bears were reserved for each answer as well.

The client's bodies are handed on as they come, so their type reserves nothing.

--- a/Source/Http/wgHttpClientConnection.cxx
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -259,11 +259,13 @@
 
 void HttpClientConnection::TellBody()
 {
-  if (!headTold_ || parser_->get().body().empty()) {
+  if (!headTold_ || parser_->get().body().size() == 0) {
     return;
   }
-  const std::string body = std::exchange(parser_->get().body(), {});
-  handler_.onBody(body);
+  const boost::beast::flat_buffer body =
+    std::exchange(parser_->get().body(), {});
+  const auto bytes = body.cdata();
+  handler_.onBody({ static_cast<const char*>(bytes.data()), bytes.size() });
 }
 
 void HttpClientConnection::OnInputEnd(error_code error)
--- a/Source/Http/wgHttpClientConnection.h
+++ b/Source/Http/wgHttpClientConnection.h
@@ -7,6 +7,7 @@
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/dynamic_body.hpp>
 #include <boost/beast/http/parser.hpp>
 
 #include "wgElapsed.h"
@@ -43,8 +44,10 @@
   Elapsed RestsUntil() const { return restsUntil_; }
 
 private:
-  using Parser =
-    boost::beast::http::response_parser<boost::beast::http::string_body>;
+  /** Unlike a string body this reserves no room for the length in a head. */
+  using Body =
+    boost::beast::http::basic_dynamic_body<boost::beast::flat_buffer>;
+  using Parser = boost::beast::http::response_parser<Body>;
 
   void Connect(absl::Duration timeout);
   void NoteConnect(ConnectResult result);
--- a/Tests/Gateway/wgHttpClientTest.cxx
+++ b/Tests/Gateway/wgHttpClientTest.cxx
@@ -357,6 +357,23 @@
   }
 }
 
+// Room for the whole of it was reserved, and the process ended.
+TEST_CASE("A length that no answer has reserves nothing")
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: ";
+  for (const absl::string_view length :
+       { "4611686018427387904", "9223372036854775806", "70368744177664" }) {
+    CAPTURE(length);
+    ScriptedEndpoint endpoint(
+      { { absl::StrCat(head, length, "\r\n\r\nbytes"), true } });
+    Caller caller;
+    const Result got = caller.Call(endpoint.Address(), true, CallLimit);
+    CHECK(got.end == wg::HttpCallEnd::Cut);
+    CHECK(got.status == 200);
+    CHECK(got.body == "bytes");
+  }
+}
+
 TEST_CASE("What was never sent is told apart")
 {
   Caller caller;
