Test: sound endpoints pause at any moment of an answer

Only pauses between events of streams that may be resumed were tested. An endpoint of the tests now stands still for 1 s as a request comes to a moment of its work: before the head, before the first event, before the last one, before the end; a whole answer before its head, in its body, before its end; a call of a stage before its answer.

--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -25,6 +25,19 @@
 constexpr int Slots = 4;
 constexpr int UsualPace = 100; // percent
 constexpr int ListenRetryMs = 50;
+/** Long enough for what was written to have left. */
+constexpr int PartMs = 20;
+
+StandinMoment MomentBefore(int event)
+{
+  if (event == 1) {
+    return StandinMoment::BeforeFirstEvent;
+  }
+  if (event == Events) {
+    return StandinMoment::BeforeLastEvent;
+  }
+  return event > Events ? StandinMoment::BeforeEnd : StandinMoment::None;
+}
 
 std::string Field(const HttpRequest& request, const char* name)
 {
@@ -146,6 +159,21 @@
                     [ms] { absl::SleepFor(absl::Milliseconds(ms)); });
 }
 
+void PlatformStandin::PauseNextAt(StandinMoment moment, int ms)
+{
+  pauseMs_ = ms;
+  pausesAt_ = moment;
+}
+
+void PlatformStandin::PauseIfAt(StandinMoment moment)
+{
+  if (moment != StandinMoment::None &&
+      pausesAt_.compare_exchange_strong(moment, StandinMoment::None)) {
+    ++pauses_;
+    absl::SleepFor(absl::Milliseconds(pauseMs_.load()));
+  }
+}
+
 void PlatformStandin::LoseStreams()
 {
   boost::asio::post(thread_.Loop(), [this] {
@@ -166,7 +194,7 @@
 {
   constexpr unsigned badRequest = 400;
   constexpr unsigned conflict = 409;
-  if (maker_ == nullptr) {
+  if (makers_.empty()) {
     return false;
   }
   const std::string inputs =
@@ -174,7 +202,10 @@
   bool areThere = true;
   for (absl::string_view handle :
        absl::StrSplit(inputs, ',', absl::SkipEmpty())) {
-    areThere &= maker_->HasResult(std::string(handle));
+    areThere &= std::any_of(makers_.begin(), makers_.end(),
+                            [handle](const PlatformStandin* maker) {
+                              return maker->HasResult(std::string(handle));
+                            });
   }
   if (!inputs.empty() && areThere) {
     return false;
@@ -461,6 +492,7 @@
     Refuse(exchange);
     return;
   }
+  PauseIfAt(StandinMoment::BeforeHead);
   const Json body = Json::parse(exchange->Request().body());
   Json items = Json::array();
   for (const Json& item : body["items"]) {
@@ -539,11 +571,36 @@
                     unframed_ ? BodyFraming::ByClose : BodyFraming::Explicit);
 }
 
+/** Stands still in the body, or before its end, as it was told. */
+void PlatformStandin::RespondInParts(const Exchange& exchange,
+                                     const HttpResponse& answer)
+{
+  const std::string& body = answer.body();
+  const std::uint64_t number = Begin(exchange);
+  exchange->StartStream(answer.base());
+  exchange->WriteStream(body.substr(0, body.size() / 2));
+  RunAfter(PartMs, [this, number, rest = body.substr(body.size() / 2)] {
+    const auto open = open_.find(number);
+    if (open == open_.end()) {
+      return;
+    }
+    PauseIfAt(StandinMoment::InBody);
+    open->second->WriteStream(rest);
+    RunAfter(PartMs, [this, number] {
+      if (const Exchange done = EndOf(number); done != nullptr) {
+        PauseIfAt(StandinMoment::BeforeEnd);
+        done->FinishStream();
+      }
+    });
+  });
+}
+
 void PlatformStandin::Answer(const Exchange& exchange)
 {
   const std::string request = Field(exchange->Request(), RequestField);
   const bool streams =
     !Field(exchange->Request(), "X-Weirgate-Prompt-Prefix").empty();
+  PauseIfAt(StandinMoment::BeforeHead);
   if (!streams) {
     HttpResponse answer =
       MakeResponse(200, "text/plain",
@@ -551,14 +608,23 @@
     answer.set(RequestField, request);
     answer.set("X-Weirgate-Server-Seal", Id());
     AddTerms(answer);
-    Respond(exchange, std::move(answer), false);
+    if (pausesAt_ != StandinMoment::None) {
+      RespondInParts(exchange, answer);
+    } else {
+      Respond(exchange, std::move(answer), false);
+    }
     return;
   }
   const int seen =
     static_cast<int>(NumberOf(exchange->Request(), "Last-Event-Id", 0));
   if (eventMs_ > 0) {
     exchange->StartStream(StreamHead(exchange));
-    StreamNext(Begin(exchange), seen + 1);
+    const std::uint64_t number = Begin(exchange);
+    if (pausesAt_ == StandinMoment::BeforeFirstEvent) {
+      RunAfter(PartMs, [this, number, seen] { StreamNext(number, seen + 1); });
+    } else {
+      StreamNext(number, seen + 1);
+    }
     return;
   }
   Stream(exchange, seen + 1, Events);
@@ -573,6 +639,7 @@
     return;
   }
   const Exchange exchange = found->second;
+  PauseIfAt(MomentBefore(event));
   if (event > Events) {
     open_.erase(number);
     exchange->FinishStream();
--- a/Tests/Platform/wgPlatformStandin.h
+++ b/Tests/Platform/wgPlatformStandin.h
@@ -31,6 +31,17 @@
   Silent  // begins a stream, and says no more
 };
 
+/** \brief Where in its work on a request an endpoint stands still. */
+enum class StandinMoment
+{
+  None,
+  BeforeHead,
+  BeforeFirstEvent, // the head is written
+  BeforeLastEvent,
+  InBody,   // of a whole answer, half of which is written
+  BeforeEnd // all bytes are written, their end is not
+};
+
 /** \class PlatformStandin
  * \brief An endpoint as the platform's are: runs pieces of stages, streams
  * events, and answers plain requests; keeps what it was asked.
@@ -119,15 +130,26 @@
    * nothing is read or written. From any thread.
    */
   void PauseFor(int ms);
+  /** \brief Its process stands still so as the next request comes to this
+   * moment, or as the next call of a stage does to BeforeHead. From any
+   * thread.
+   */
+  void PauseNextAt(StandinMoment moment, int ms);
+  /** \brief How often it stood still at a moment of a request. */
+  int Pauses() const { return pauses_; }
   /** \brief The streams that run are lost, and their connections stay open:
    * nothing more comes over them. From any thread.
    */
   void LoseStreams();
-  /** \brief As an engine it fetches results that stages have made there: a
-   * request that names none is answered 400, one that names a result which is
-   * gone 409. Call before anything is sent; the maker outlives this.
+  /** \brief As an engine it fetches results that stages have made there, or
+   * at another such maker: a request that names none is answered 400, one that
+   * names a result which is gone 409. Call before anything is sent; the maker
+   * outlives this.
    */
-  void FetchesInputsFrom(const PlatformStandin& maker) { maker_ = &maker; }
+  void FetchesInputsFrom(const PlatformStandin& maker)
+  {
+    makers_.push_back(&maker);
+  }
   /** \brief How often it was asked for its status. */
   int Reports() const { return reports_; }
   /** \brief Streams of which an event was written. */
@@ -209,6 +231,8 @@
   HttpHead StreamHead(const Exchange& exchange) const;
   void Stream(const Exchange& exchange, int first, int last);
   void StreamNext(std::uint64_t number, int event);
+  void PauseIfAt(StandinMoment moment);
+  void RespondInParts(const Exchange& exchange, const HttpResponse& answer);
   void Respond(const Exchange& exchange, HttpResponse answer, bool isJson);
   bool BreaksOff(const Exchange& exchange, HttpHead head,
                  const std::string& body, std::size_t at, bool mayFinish);
@@ -243,7 +267,10 @@
   std::atomic<int> released_{ 0 };
   std::atomic<int> streamsBegun_{ 0 };
   std::atomic<int> reports_{ 0 };
-  const PlatformStandin* maker_ = nullptr; // null: it needs no inputs
+  std::vector<const PlatformStandin*> makers_; // none: it needs no inputs
+  std::atomic<StandinMoment> pausesAt_{ StandinMoment::None };
+  std::atomic<int> pauseMs_{ 0 };
+  std::atomic<int> pauses_{ 0 };
   std::atomic<int> unsoundPieces_{ 0 };
   std::string endsUnder_; // empty: nothing ends it
   int downMs_ = 0;
