Gateway: no stage is executed again for an endpoint that stands still

While all other endpoints stood still, each stream whose own had fallen silent had its stages executed again every 1.2 s or so, and their results thrown away.

Cause: to go on elsewhere a stream needs the results of its stages, which were released with its first event. They were made before the next endpoint was asked whether it answers, so that nothing was known of what they were for.

Evidence: wgPlatformContinuationTest.stages-for-none (two engines; one loses its streams midway, the other stands still for 4 s).

Change: where results are lacking, the next endpoint is asked first, and once more before the answer that runs is left, since stages take their time. The price is one question more for each stream that goes on.

--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -289,6 +289,8 @@
   std::vector<DirectoryEndpoint*> NextCandidates() const;
   absl::string_view WhyNotContinued();
   void PrepareContinuation(absl::string_view why);
+  bool LacksResults() const;
+  void ConfirmAnyNext();
   void GoOn();
   void EndPreparationIfCut();
   void AbandonContinuation(absl::string_view why);
@@ -296,6 +298,8 @@
   bool KeepsAnswer(absl::string_view reason);
   bool LeaveAttempt();
   void ConfirmNext(DirectoryEndpoint& endpoint, double prefillSeconds);
+  void AskNext(const DirectoryEndpoint& endpoint,
+               std::function<void(bool hasAnswered)> then);
   void OnAttemptEnd(HttpCallEnd end);
   bool IsWhole(HttpCallEnd end) const;
   void OnCut(HttpCallEnd end);
--- a/Source/Gateway/wgGatewayRequestContinuation.cxx
+++ b/Source/Gateway/wgGatewayRequestContinuation.cxx
@@ -218,7 +218,42 @@
   isPreparing_ = true;
   leftFor_ = std::string(why);
   continuedAt_ = ElapsedNow();
-  GoOn();
+  if (LacksResults() && !StatusPath().empty()) {
+    ConfirmAnyNext();
+  } else {
+    GoOn();
+  }
+}
+
+/** Whether results of its stages were released that an endpoint needs. */
+bool GatewayRequest::LacksResults() const
+{
+  return finalReleased_ &&
+         std::any_of(stages_.begin(), stages_.end(),
+                     [](const Stage& stage) { return stage.pieces > 0; });
+}
+
+/** No stage is executed again while no endpoint could use its results. */
+void GatewayRequest::ConfirmAnyNext()
+{
+  double ignored = 0.0;
+  const DirectoryEndpoint* endpoint =
+    ChooseEndpointFor(NextCandidates(), ignored);
+  if (!attempt_) { // it was cut meanwhile
+    GoOn();
+    return;
+  }
+  if (endpoint == nullptr) {
+    AbandonContinuation("no_endpoint");
+    return;
+  }
+  AskNext(*endpoint, [this](bool hasAnswered) {
+    if (hasAnswered) {
+      GoOn();
+    } else {
+      ConfirmAnyNext();
+    }
+  });
 }
 
 /** With the results of its stages, which are made again if an earlier attempt
@@ -226,10 +261,7 @@
  */
 void GatewayRequest::GoOn()
 {
-  const bool hasStages =
-    std::any_of(stages_.begin(), stages_.end(),
-                [](const Stage& stage) { return stage.pieces > 0; });
-  if (finalReleased_ && hasStages) {
+  if (LacksResults()) {
     PlanHall();
     RestartStages();
   } else {
@@ -313,11 +345,27 @@
 /** A box does not leave one endpoint that stands still for another. */
 void GatewayRequest::ConfirmNext(DirectoryEndpoint& endpoint,
                                  double prefillSeconds)
+{
+  AskNext(endpoint, [this, id = endpoint.id, prefillSeconds](bool answered) {
+    DirectoryEndpoint* next = answered ? FindChosen(id) : nullptr;
+    if (next != nullptr) {
+      SendTo(*next, prefillSeconds);
+    } else {
+      SendToOwnChoice(); // to another one, if there is one
+    }
+  });
+}
+
+/** Asks an endpoint whether it could go on, for the preparation at hand. One
+ * that does not answer, or is gone, is not asked again at once.
+ */
+void GatewayRequest::AskNext(const DirectoryEndpoint& endpoint,
+                             std::function<void(bool hasAnswered)> then)
 {
   shared_.status.Ask(
     endpoint, StatusPath(),
     [weak = weak_from_this(), number = preparation_, id = endpoint.id,
-     prefillSeconds](const EndpointStatus& status) {
+     then = std::move(then)](const EndpointStatus& status) {
       auto self = weak.lock();
       const bool isWanted =
         self && !self->ended_ && self->preparation_ == number;
@@ -326,15 +374,11 @@
       }
       const bool hasAnswered =
         status.result == EndpointStatus::Result::Answered;
-      DirectoryEndpoint* next = self->FindChosen(id);
-      if (hasAnswered && next != nullptr) {
-        self->SendTo(*next, prefillSeconds);
-        return;
-      }
-      if (next != nullptr) { // one that is gone is not asked again at once
-        NoteLifeSign(*next, false, ElapsedNow());
+      DirectoryEndpoint* asked = FindEndpoint(self->shared_.directory, id);
+      if (!hasAnswered && asked != nullptr) {
+        NoteLifeSign(*asked, false, ElapsedNow());
       }
-      self->SendToOwnChoice(); // to another one, if there is one
+      then(hasAnswered);
     });
 }
 
--- a/Tests/Platform/wgPlatformContinuationTest.cxx
+++ b/Tests/Platform/wgPlatformContinuationTest.cxx
@@ -220,3 +220,22 @@
   REQUIRE(site.engines[0]->AllRuns() > before);
   CheckWhole(streams);
 }
+
+// While no endpoint could go on, the stages were executed again and again.
+TEST_CASE("Stages are executed for an endpoint that stands still",
+          "[stages-for-none]")
+{
+  Site site(2);
+  int made = 0;
+  const int before = site.engines[0]->AllRuns();
+  const auto streams = site.SendMany(8, [&] {
+    constexpr int pauseMs = 8 * SilenceMs;
+    site.engines[1]->PauseFor(pauseMs);
+    const int pieces = site.encoder.Pieces();
+    absl::SleepFor(absl::Milliseconds(pauseMs - SilenceMs));
+    made = site.encoder.Pieces() - pieces;
+  });
+  REQUIRE(site.engines[0]->AllRuns() > before);
+  CHECK(made == 0);
+  CheckWhole(streams);
+}
