Gateway: a box that is about to be settled tells the wait truly

Cause: a box that has coordinated for less than LimitWindow hands out at a quarter of the limit, and computed the wait as if it did so for ever: 4 s at a limit of 1 a second. Boxes heeded it and asked for nothing until then, though the coordinator was settled 20 ms later and had a permit after 1.35 s. Evidence, from the logs of the failed run: the boxes heard of each other at 658505 ms; at 662483 and 662503 all three were denied ("send_denied", "wait_ms":4000, 3980, 3980), and nothing was asked for until 666528, when "wait_ms":1332 shows the settled rate. That the coordinator had changed is ruled out there: nothing was suspected or told between these lines. Change: SendRate says how long the box still hands out at the lesser rate, and the wait is computed at that rate until then and at the greater one from then on. What is handed out, the bounds and the spread of up to 1 s stay. limit-settling is the same check with the limit named 3 s after boxes have come to know each other, so that the coordinator is never settled. Left: a coordinator that has only just changed has no permit for 4 s at this limit; it says so, and up to 1 s of spread is added.

--- a/Source/Decision/wgSendRate.cxx
+++ b/Source/Decision/wgSendRate.cxx
@@ -18,7 +18,7 @@
 double PerSecond(const SendRate& rate)
 {
   return std::max(rate.perSecond, MinPerSecond) *
-         (rate.isSettled ? SettledFraction : UnsettledFraction);
+         (IsSettled(rate) ? SettledFraction : UnsettledFraction);
 }
 
 void Fill(SendBucket& bucket, double perSecond, Elapsed now)
@@ -46,7 +46,14 @@
 {
   const double perSecond = PerSecond(rate);
   Fill(bucket, perSecond, now);
-  return absl::Seconds(std::max(0.0, 1.0 - bucket.tokens) / perSecond);
+  const double missing = std::max(0.0, 1.0 - bucket.tokens);
+  const absl::Duration wait = absl::Seconds(missing / perSecond);
+  if (IsSettled(rate) || wait <= rate.untilSettled) {
+    return wait;
+  }
+  const double before = perSecond * absl::ToDoubleSeconds(rate.untilSettled);
+  return rate.untilSettled +
+         absl::Seconds((missing - before) / PerSecond({ rate.perSecond }));
 }
 
 } // namespace wg
--- a/Source/Decision/wgSendRate.h
+++ b/Source/Decision/wgSendRate.h
@@ -20,12 +20,17 @@
 struct SendRate
 {
   double perSecond = 0.0; // limit of the endpoint
-  /** Whether this box has granted the permits of all boxes for LimitWindow, so
-   * that no other box still grants any.
+  /** Time until this box has granted the permits of all boxes for LimitWindow,
+   * so that no other box still grants any; infinite if another box does.
    */
-  bool isSettled = true;
+  absl::Duration untilSettled = absl::ZeroDuration();
 };
 
+inline bool IsSettled(const SendRate& rate)
+{
+  return rate.untilSettled <= absl::ZeroDuration();
+}
+
 /** \brief Windows of this length stay within an endpoint's limit. */
 constexpr absl::Duration LimitWindow = absl::Seconds(4);
 
@@ -41,7 +46,9 @@
  */
 bool TryTakeToken(SendBucket& bucket, const SendRate& rate, Elapsed now);
 
-/** \brief Returns the time until the bucket holds a token. */
+/** \brief Returns the time until the bucket holds a token, faster once the
+ * box is settled.
+ */
 absl::Duration TimeUntilToken(SendBucket& bucket, const SendRate& rate,
                               Elapsed now);
 
--- a/Source/Gateway/wgSendPermits.cxx
+++ b/Source/Gateway/wgSendPermits.cxx
@@ -107,24 +107,31 @@
 /** A box that is asked by one that suspects the coordinator, or has only just
  * become it, does not know what was handed out before.
  */
-bool SendPermits::IsSettled(const StagePoolKey& pool)
+absl::Duration SendPermits::UntilSettled(const StagePoolKey& pool)
 {
   if (members_ == nullptr) {
-    return true;
+    return absl::ZeroDuration();
   }
   auto [found, isNew] = coordinations_.try_emplace(pool);
   Coordination& coordination = found->second;
   if (isNew) {
     coordination = { IsCoordinator(pool), members_->MembersChanged() };
   }
-  return coordination.isOwn &&
-         ElapsedNow() - coordination.since >= LimitWindow;
+  return coordination.isOwn
+           ? std::max(coordination.since + LimitWindow - ElapsedNow(),
+                      absl::ZeroDuration())
+           : absl::InfiniteDuration();
+}
+
+bool SendPermits::IsSettled(const StagePoolKey& pool)
+{
+  return UntilSettled(pool) <= absl::ZeroDuration();
 }
 
 SendRate SendPermits::RateOf(const DirectoryEndpoint& endpoint,
                              const StagePoolKey& pool)
 {
-  return { *endpoint.terms.limits.perSecond, IsSettled(pool) };
+  return { *endpoint.terms.limits.perSecond, UntilSettled(pool) };
 }
 
 absl::Duration SendPermits::TimeUntilFree(const DirectoryEndpoint& endpoint,
--- a/Source/Gateway/wgSendPermits.h
+++ b/Source/Gateway/wgSendPermits.h
@@ -92,6 +92,7 @@
   };
 
   SendRate RateOf(const DirectoryEndpoint& endpoint, const StagePoolKey& pool);
+  absl::Duration UntilSettled(const StagePoolKey& pool);
   bool IsSettled(const StagePoolKey& pool);
   bool IsCoordinator(const StagePoolKey& pool) const;
   void NoteMembers();
--- a/Tests/Decision/wgSendRateTest.cxx
+++ b/Tests/Decision/wgSendRateTest.cxx
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <algorithm>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -42,8 +43,8 @@
     CAPTURE(limit);
     const double allowed =
       limit * (absl::ToDoubleSeconds(wg::LimitWindow) + BurstSeconds) + Burst;
-    const wg::SendRate settled{ limit, true };
-    const wg::SendRate other{ limit, false };
+    const wg::SendRate settled{ limit, absl::ZeroDuration() };
+    const wg::SendRate other{ limit, absl::InfiniteDuration() };
     CHECK(SendInWindow({ settled, other }, absl::Hours(1)) <= allowed);
   }
 }
@@ -52,7 +53,8 @@
 {
   for (const double limit : { 0.25, 1.0, 2.5, 10.0, 50.0, 400.0 }) {
     CAPTURE(limit);
-    const int sent = SendInWindow({ { limit, true } }, absl::ZeroDuration());
+    const int sent =
+      SendInWindow({ { limit, absl::ZeroDuration() } }, absl::ZeroDuration());
     CHECK(sent + 1 >= limit * wg::SettledFraction *
                         absl::ToDoubleSeconds(wg::LimitWindow));
   }
@@ -62,7 +64,7 @@
 {
   wg::SendBucket bucket;
   bucket.filled = Start;
-  const wg::SendRate none{ 0.0, true };
+  const wg::SendRate none{ 0.0, absl::ZeroDuration() };
   CHECK_FALSE(TryTakeToken(bucket, none, Start));
   const absl::Duration wait = TimeUntilToken(bucket, none, Start);
   CHECK(wait > absl::Seconds(1));
@@ -74,7 +76,31 @@
 {
   wg::SendBucket bucket;
   bucket.filled = Start;
-  const wg::SendRate rate{ 1.0, true };
+  const wg::SendRate rate{ 1.0, absl::ZeroDuration() };
   CHECK_FALSE(TryTakeToken(bucket, rate, Start - absl::Hours(1)));
   CHECK_FALSE(TryTakeToken(bucket, rate, Start + absl::Milliseconds(10)));
 }
+
+TEST_CASE("A box that settles soon tells a wait at the rate it has before")
+{
+  // Callers were told 4 s, and their box asked for nothing all that time.
+  for (const double limit : { 0.25, 1.0, 10.0 }) {
+    const double slow = limit * wg::UnsettledFraction;
+    const double fast = limit * wg::SettledFraction;
+    for (const absl::Duration left :
+         { absl::Milliseconds(20), absl::Milliseconds(300), absl::Seconds(2),
+           absl::Seconds(4), absl::InfiniteDuration() }) {
+      CAPTURE(limit, left);
+      wg::SendBucket bucket;
+      bucket.filled = Start;
+      const absl::Duration wait =
+        TimeUntilToken(bucket, { limit, left }, Start);
+      const double before = slow * absl::ToDoubleSeconds(std::min(left, wait));
+      const double after =
+        fast * absl::ToDoubleSeconds(std::max(wait - left, absl::Duration()));
+      CHECK(before + after == Approx(1.0));
+      const Elapsed then = Start + wait;
+      CHECK(TryTakeToken(bucket, { limit, left - wait }, then));
+    }
+  }
+}
--- a/Tests/Platform/wgPlatformTermsTest.cxx
+++ b/Tests/Platform/wgPlatformTermsTest.cxx
@@ -198,6 +198,35 @@
   CHECK(CountSince(limited.Arrivals(), ended) > 30);
 }
 
+/** All boxes send to one endpoint, which names a limit so long after they
+ * have come to know each other.
+ */
+void CheckAllLimited(absl::Duration known)
+{
+  constexpr int unavailable = 503;
+  PlatformCluster cluster(Gateways);
+  Service plain(cluster, "plain", 1);
+  cluster.AwaitServing();
+  AwaitServed(cluster, "/p/x");
+  absl::SleepFor(known);
+  plain.MostUsed().SetLimit(1.0);
+  SendMany(cluster, "/p/x", 3, HeedWithin, absl::Milliseconds(20));
+  const auto all =
+    SendMany(cluster, "/p/x", 6, absl::Seconds(8), absl::Milliseconds(100));
+  int refused = 0;
+  for (const Got& got : all) {
+    REQUIRE((got.status == Ok || got.status == unavailable));
+    refused += got.status == unavailable ? 1 : 0;
+    if (got.status == unavailable) {
+      CHECK(got.held < absl::Milliseconds(500));
+      CHECK(got.retryAfter >= 0.3);
+      CHECK(got.retryAfter < 4.0);
+    }
+  }
+  CHECK(refused > 0);
+  CHECK(CountServed(all) >= 5);
+}
+
 constexpr absl::Duration RestAsked = absl::Seconds(3);
 /** The rule on rests: from HeedWithin after one is asked for until its end. */
 constexpr std::size_t RestSlack = 2;
@@ -319,28 +348,14 @@
           "[limit-all]")
 {
   // What can't be sent anywhere is refused at once, with when to come back.
-  constexpr int unavailable = 503;
-  PlatformCluster cluster(Gateways);
-  Service plain(cluster, "plain", 1);
-  cluster.AwaitServing();
-  AwaitServed(cluster, "/p/x");
-  absl::SleepFor(LimitWindow); // until the box that hands out is settled
-  plain.MostUsed().SetLimit(1.0);
-  SendMany(cluster, "/p/x", 3, HeedWithin, absl::Milliseconds(20));
-  const auto all =
-    SendMany(cluster, "/p/x", 6, absl::Seconds(8), absl::Milliseconds(100));
-  int refused = 0;
-  for (const Got& got : all) {
-    REQUIRE((got.status == Ok || got.status == unavailable));
-    refused += got.status == unavailable ? 1 : 0;
-    if (got.status == unavailable) {
-      CHECK(got.held < absl::Milliseconds(500));
-      CHECK(got.retryAfter >= 0.3);
-      CHECK(got.retryAfter < 4.0);
-    }
-  }
-  CHECK(refused > 0);
-  CHECK(CountServed(all) >= 5);
+  CheckAllLimited(LimitWindow); // until the box that hands out is settled
+}
+
+TEST_CASE("Callers are kept waiting for a box that is about to be settled",
+          "[limit-settling]")
+{
+  // They were told the wait at the lesser rate that this box had until then.
+  CheckAllLimited(LimitWindow - absl::Seconds(1));
 }
 
 TEST_CASE("A plain endpoint that asked for a rest gets requests",
