Gateway: an answer that is read takes no more room than it has bytes

The bytes of whole answers were bounded to 48 MB together, but each lay in a string that doubles as it grows, and the blocks of all sizes that this frees were kept by the allocator.

The bytes lie in a cord now.

--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "absl/random/random.h"
+#include "absl/strings/cord.h"
 
 #include "wgAttemptRules.h"
 #include "wgCallerDeadlines.h"
@@ -115,7 +116,7 @@
   std::string relay; // the box that makes the call; empty: this one
   HttpHead head;
   BodyFraming framing = BodyFraming::Explicit;
-  std::string body;
+  absl::Cord body;          // takes no more room than it has bytes as it grows
   std::size_t buffered = 0; // bytes that were read into the body
   Elapsed sent;
   LifeSign sign = LifeSign::Unknown; // of the endpoint, while it is silent
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -332,7 +332,7 @@
     EndTooLong(AttemptKnowledge::Ran, "answer_too_long");
     return;
   }
-  attempt_->body.append(bytes.data(), bytes.size());
+  attempt_->body.Append(bytes);
   attempt_->buffered += bytes.size();
   shared_.answerBytes += bytes.size();
 }
@@ -414,7 +414,7 @@
   facts.isJson = absl::StartsWithIgnoreCase(
     FieldOf(attempt.head, "Content-Type"), "application/json");
   if (facts.isJson && end == HttpCallEnd::EndedByClose && !facts.streams) {
-    facts.parses = nlohmann::json::accept(attempt.body);
+    facts.parses = nlohmann::json::accept(std::string(attempt.body));
   }
   return IsWholeAnswer(facts);
 }
@@ -499,7 +499,7 @@
   const unsigned status = attempt_->head.result_int();
   constexpr unsigned serverError = 500;
   HttpResponse response{ attempt_->head };
-  response.body() = std::move(attempt_->body);
+  response.body() = std::string(std::exchange(attempt_->body, {}));
   const BodyFraming framing = attempt_->framing;
   CloseAttempt(status >= serverError);
   const bool promises = status == 429 || status == 503 || status == 408;
--- a/Tests/Process/wgTestCluster.cxx
+++ b/Tests/Process/wgTestCluster.cxx
@@ -18,8 +18,10 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "absl/strings/strip.h"
 #include "absl/time/clock.h"
 
 #include "wgServiceState.h"
@@ -123,17 +125,30 @@
   return !ended_;
 }
 
-long Process::ResidentKilobytes() const
+/** A field of /proc/PID/status. */
+long Process::ReadKilobytes(absl::string_view field) const
 {
   std::ifstream file(absl::StrCat("/proc/", pid_, "/status"));
   std::string line;
   long kilobytes = 0;
   while (std::getline(file, line)) {
-    if (std::sscanf(line.c_str(), "VmRSS: %ld", &kilobytes) == 1) {
-      break;
+    absl::string_view rest = line;
+    if (absl::ConsumePrefix(&rest, absl::StrCat(field, ":"))) {
+      absl::ConsumeSuffix(&rest, " kB");
+      return absl::SimpleAtoi(rest, &kilobytes) ? kilobytes : 0;
     }
   }
-  return kilobytes;
+  return 0;
+}
+
+long Process::ResidentKilobytes() const
+{
+  return ReadKilobytes("VmRSS");
+}
+
+long Process::PeakKilobytes() const
+{
+  return ReadKilobytes("VmHWM");
 }
 
 double Process::ProcessorSeconds() const
--- a/Tests/Process/wgTestCluster.h
+++ b/Tests/Process/wgTestCluster.h
@@ -45,9 +45,13 @@
   int Wait();
   bool IsRunning();
   long ResidentKilobytes() const;
+  /** \brief The most that it had resident so far. */
+  long PeakKilobytes() const;
   double ProcessorSeconds() const;
 
 private:
+  long ReadKilobytes(absl::string_view field) const;
+
   pid_t pid_ = -1;
   int status_ = 0;
   bool ended_ = false;
