Gateway: answers without an end don't end the sound ones beside them

Beyond the 48 MB only answers of more than 256 kB are ended. 200 of those that go on hold 50 MB more.

--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -23,6 +23,10 @@
  * the smallest boxes.
  */
 constexpr std::size_t MaxAnswerBytesOfAll = 48U << 20U;
+/** Beyond that, answers of up to so many bytes go on: 200 without an end are
+ * not to end the sound ones beside them.
+ */
+constexpr std::size_t FairAnswerBytes = 256U << 10U;
 /** Of what has come of an event: 200 such streams keep as much. */
 constexpr std::size_t MaxEventBytes = 256U << 10U;
 /** Results that cross between halls are weighed as time. */
@@ -325,9 +329,11 @@
     }
     return;
   }
+  const std::size_t size = attempt_->body.size() + bytes.size();
   const bool isTooLong =
-    attempt_->body.size() + bytes.size() > MaxAnswerBytes ||
-    shared_.answerBytes + bytes.size() > MaxAnswerBytesOfAll;
+    size > MaxAnswerBytes ||
+    (shared_.answerBytes + bytes.size() > MaxAnswerBytesOfAll &&
+     size > FairAnswerBytes);
   if (isTooLong) {
     EndTooLong(AttemptKnowledge::Ran, "answer_too_long");
     return;
