Gateway: a release of results ends at a bound

The call that gives results up had no time of its own, and its answer's body no end: an endpoint that sent without end was read on and on, and one that fell silent, or whose connection did, kept a connection and a call for each batch of releases until the box ended.

A call ends after 5 s or 64 kB of body, counted as releases_late or release_answers_too_long. Where an answer had begun, the endpoint is believed to be in trouble; a silent one may only stand still. What is not released is given up by the endpoint after the results' lifetime, as before.

--- a/Source/Gateway/wgResultReleaser.cxx
+++ b/Source/Gateway/wgResultReleaser.cxx
@@ -11,13 +11,18 @@
 
 /** Results that are given up within this time go in one call. */
 constexpr auto GatherTime = std::chrono::milliseconds(10);
+/** It needs no work: what is not answered by then is left to the lifetime. */
+constexpr absl::Duration AnswerTimeout = absl::Seconds(5);
+/** The answer is its status. */
+constexpr std::size_t MaxAnswerBytes = 64U << 10U;
 
 } // namespace
 
 ResultReleaser::ResultReleaser(EventLoop& loop, HttpClient& client,
                                Directory& directory, const Dialect& dialect,
                                TermsTracker& terms, GatewayMetrics& metrics)
-  : client_(client)
+  : loop_(loop)
+  , client_(client)
   , directory_(directory)
   , dialect_(dialect)
   , terms_(terms)
@@ -71,29 +76,70 @@
     makerId = maker->id;
   }
   const std::uint64_t number = nextCall_++;
+  Call& call = calls_[number];
+  call.maker = makerId;
   HttpCallHandler handler;
-  auto status = std::make_shared<unsigned>(0);
-  handler.onHead = [this, status, makerId](const HttpHead& head, BodyFraming) {
-    *status = head.result_int();
+  handler.onHead = [this, number, makerId](const HttpHead& head, BodyFraming) {
+    calls_[number].status = head.result_int();
     if (head.result() != http::status::misdirected_request) {
       // Such an answer may leave out what answers to work say.
       terms_.Heard(makerId, head, Elapsed());
     }
     return true;
   };
-  handler.onBody = [](absl::string_view) {};
-  handler.onEnd = [this, number, status, handles](HttpCallEnd end) {
-    const bool gone =
-      IsAnswered(end) && *status == static_cast<unsigned>(http::status::ok);
+  handler.onBody = [this, number](absl::string_view bytes) {
+    OnBody(number, bytes.size());
+  };
+  handler.onEnd = [this, number, handles](HttpCallEnd end) {
     // Until the end: this handler is part of the call.
-    const auto call = calls_.extract(number);
+    const auto node = calls_.extract(number);
+    const bool gone =
+      IsAnswered(end) &&
+      node.mapped().status == static_cast<unsigned>(http::status::ok);
     if (gone && confirmed_) {
       confirmed_(handles);
     }
   };
-  calls_[number] =
+  call.timer = std::make_unique<LoopTimer>(
+    loop_, absl::ToChronoMilliseconds(AnswerTimeout));
+  call.timer->async_wait([this, number](boost::system::error_code error) {
+    if (!error) {
+      OnLate(number);
+    }
+  });
+  call.http =
     client_.Start(RouteTo(directory_.routes, address),
                   PrintRequest(std::move(request)), {}, std::move(handler));
 }
 
+void ResultReleaser::OnBody(std::uint64_t number, std::size_t bytes)
+{
+  Call& call = calls_[number];
+  call.answerBytes += bytes;
+  if (call.answerBytes > MaxAnswerBytes) {
+    metrics_.Count("release_answers_too_long");
+    NoteTrouble(call);
+    calls_.erase(number);
+  }
+}
+
+void ResultReleaser::OnLate(std::uint64_t number)
+{
+  const auto node = calls_.extract(number);
+  if (node.empty()) {
+    return;
+  }
+  metrics_.Count("releases_late");
+  if (node.mapped().status != 0) { // it began to answer
+    NoteTrouble(node.mapped());
+  }
+}
+
+void ResultReleaser::NoteTrouble(const Call& call)
+{
+  if (DirectoryEndpoint* maker = FindEndpoint(directory_, call.maker)) {
+    NoteAttempt(*maker, true, ElapsedNow());
+  }
+}
+
 } // namespace wg
--- a/Source/Gateway/wgResultReleaser.h
+++ b/Source/Gateway/wgResultReleaser.h
@@ -38,7 +38,20 @@
   void Flush();
   void Send(const std::string& address,
             const std::vector<std::string>& handles);
+  /** \brief A release that is under way. */
+  struct Call
+  {
+    std::string maker; // empty: it has left
+    std::unique_ptr<HttpCall> http;
+    std::unique_ptr<LoopTimer> timer;
+    unsigned status = 0;         // 0: no head has come
+    std::size_t answerBytes = 0; // of the body, which says nothing
+  };
+  void OnBody(std::uint64_t number, std::size_t bytes);
+  void OnLate(std::uint64_t number);
+  void NoteTrouble(const Call& call);
 
+  EventLoop& loop_;
   HttpClient& client_;
   Directory& directory_;
   const Dialect& dialect_;
@@ -47,7 +60,7 @@
   LoopTimer timer_;
   bool armed_ = false;
   std::map<std::string, std::vector<std::string>> pending_; // by address
-  std::map<std::uint64_t, std::unique_ptr<HttpCall>> calls_;
+  std::map<std::uint64_t, Call> calls_;
   std::uint64_t nextCall_ = 1;
   Confirmed confirmed_;
 };
