Gateway: a status without end is no answer and no silence

A question for an endpoint's status whose answer had no end came out as "answered" where the bytes came fast (256 kB within 0.4 s), and as "no answer" where they came slowly. A stream was then handed to such an endpoint, or left waiting at it as if it stood still.

Both are unsound now: the endpoint is believed to be in trouble, a silent stream goes on elsewhere, nothing is handed to it. A head that comes a byte at a time still counts as silence.

--- a/Source/Gateway/wgStatusProber.cxx
+++ b/Source/Gateway/wgStatusProber.cxx
@@ -47,7 +47,7 @@
     loop_, absl::ToChronoMilliseconds(AnswerTimeout));
   question.timer->async_wait([this, id](boost::system::error_code error) {
     if (!error) {
-      Finish(id, {});
+      OnLate(id);
     }
   });
   HttpRequest request;
@@ -86,13 +86,43 @@
     return;
   }
   Question& question = open->second;
+  if (question.isTooLong) {
+    return;
+  }
   if (question.body.size() + bytes.size() <= MaxReportBytes) {
     question.body.append(bytes.data(), bytes.size());
     return;
   }
+  question.isTooLong = true;
   question.body.clear();
-  boost::asio::post(loop_,
-                    [this, endpoint] { OnEnd(endpoint, HttpCallEnd::Cut); });
+  boost::asio::post(loop_, [this, endpoint] {
+    const auto asked = questions_.find(endpoint);
+    if (asked != questions_.end() && asked->second.isTooLong) {
+      FinishUnsound(endpoint);
+    }
+  });
+}
+
+/** One whose head came has answered, and does not bring it to an end. */
+void StatusProber::OnLate(const std::string& endpoint)
+{
+  const auto open = questions_.find(endpoint);
+  if (open != questions_.end() && open->second.status != 0) {
+    FinishUnsound(endpoint);
+  } else {
+    Finish(endpoint, {});
+  }
+}
+
+void StatusProber::FinishUnsound(const std::string& endpoint)
+{
+  metrics_.Count("endpoint_status_unsound");
+  if (DirectoryEndpoint* known = FindEndpoint(directory_, endpoint)) {
+    NoteAttempt(*known, true, ElapsedNow());
+  }
+  EndpointStatus status;
+  status.result = EndpointStatus::Result::Unsound;
+  Finish(endpoint, status);
 }
 
 void StatusProber::OnEnd(const std::string& endpoint, HttpCallEnd end)
--- a/Source/Gateway/wgStatusProber.h
+++ b/Source/Gateway/wgStatusProber.h
@@ -22,7 +22,8 @@
   enum class Result
   {
     Answered,
-    NoAnswer, // a connection came up, and nothing came over it in time
+    NoAnswer, // a connection came up, and no head came over it in time
+    Unsound,  // what came did not end within the bounds: it is in trouble
     Gone      // none came up, or another start has the address
   };
   Result result = Result::NoAnswer;
@@ -55,11 +56,14 @@
     bool isRelayed = false;
     unsigned status = 0;
     std::string body;
+    bool isTooLong = false;
     std::vector<Done> done;
   };
 
   void OnBody(const std::string& endpoint, absl::string_view bytes);
   void OnEnd(const std::string& endpoint, HttpCallEnd end);
+  void OnLate(const std::string& endpoint);
+  void FinishUnsound(const std::string& endpoint);
   void Finish(const std::string& endpoint, const EndpointStatus& status);
 
   EventLoop& loop_;
