Gateway: a document of a length that none has is refused

A chunk named the length of its document, and whatever came was kept up to it: with 2^62 without end.

At most 64 MB are taken, packed as well as not, and no chunk is longer than its document.

--- a/Source/Gateway/wgDocumentTransfer.cxx
+++ b/Source/Gateway/wgDocumentTransfer.cxx
@@ -19,7 +19,7 @@
 constexpr absl::Duration QuickChunk = absl::Milliseconds(100);
 /** A control box that gave no answer is asked last for so long. */
 constexpr absl::Duration AvoidAfterFailure = absl::Seconds(5);
-/** Twice what control boxes take from operators. */
+/** Twice what control boxes take from operators; packed or not. */
 constexpr std::size_t MaxDocumentBytes = 64U << 20U;
 
 bool FailedLately(const DocumentTransfer& transfer, const std::string& source,
@@ -128,6 +128,12 @@
     return Fail(transfer, source, now,
                 "The control box does not have the document.");
   }
+  const bool isTooLong =
+    chunk.size() > MaxDocumentBytes || chunk.content().size() > chunk.size();
+  if (isTooLong) {
+    return Fail(transfer, source, now,
+                "The control box names a length that no document has.");
+  }
   if (!IsOfSame(transfer, chunk)) {
     BeginAgain(transfer, chunk);
   }
--- a/Tests/Gateway/wgDocumentTransferTest.cxx
+++ b/Tests/Gateway/wgDocumentTransferTest.cxx
@@ -223,3 +223,22 @@
   DocumentTransfer transfer;
   CHECK_FALSE(wg::NextChunk(transfer, Offers(6, 6), 6, "box", Start));
 }
+
+// Chunks of a document that never ends were kept, as many as came.
+TEST_CASE("A length that no document has is refused")
+{
+  const auto offers = Offers(1, 7);
+  DocumentTransfer transfer;
+  DocumentChunk chunk;
+  chunk.set_number(7);
+  chunk.set_content(std::string(1000, 'x'));
+  for (const std::uint64_t size :
+       { std::uint64_t{ 999 }, std::uint64_t{ 1 } << 62U }) {
+    CAPTURE(size);
+    REQUIRE(wg::NextChunk(transfer, offers, 0, "box", Start));
+    chunk.set_size(size);
+    const auto outcome = wg::TakeChunk(transfer, chunk, 0, Start);
+    CHECK(std::holds_alternative<wg::Error>(outcome));
+    CHECK(transfer.received.empty());
+  }
+}
