Transport: a peer that sends without end leaves others their turn

A connection was read until nothing more had come. Short frames without end are read more slowly than they are written: the loop never left that connection, no other call went on, and none ended at its deadline, its own included.

Without the bound the new case fails (its first call to a sound peer beside such a one has no answer within a second); frames of 16 kB did not show it. At most 1 MB is read at one turn now; all pass.

--- a/Source/Transport/wgHttp2Session.cxx
+++ b/Source/Transport/wgHttp2Session.cxx
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::size_t ReadChunk = 64U << 10U;
+/** At one turn, from a peer that sends faster than it is read. */
+constexpr int MostChunks = 16;
 constexpr std::size_t WriteHighMark = 256U << 10U;
 constexpr std::int32_t WindowBytes = 16 << 20;
 constexpr std::uint32_t MaxStreams = 1024;
@@ -174,7 +176,7 @@
 bool Http2Session::Read()
 {
   std::array<std::uint8_t, ReadChunk> buffer;
-  for (;;) {
+  for (int i = 0; i < MostChunks; ++i) {
     const ssize_t got = recv(socket_.Get(), buffer.data(), buffer.size(), 0);
     if (got < 0) {
       return errno == EAGAIN || errno == EINTR;
@@ -188,6 +190,7 @@
       return false;
     }
   }
+  return true;
 }
 
 bool Http2Session::Write()
--- a/Source/Transport/wgHttp2Session.h
+++ b/Source/Transport/wgHttp2Session.h
@@ -58,7 +58,9 @@
 
   int Socket() const { return socket_.Get(); }
   bool WantsWrite() const;
-  /** \brief False once the connection is of no more use. */
+  /** \brief Reads some of what has come, so that other connections get
+   * their turn. False once the connection is of no more use.
+   */
   bool Read();
   bool Write();
   /** \brief Bytes taken from the socket so far. */
--- a/Tests/Transport/wgPeerClientTest.cxx
+++ b/Tests/Transport/wgPeerClientTest.cxx
@@ -1,8 +1,11 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <map>
+#include <memory>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -172,3 +175,91 @@
   }
   CHECK(isClosed);
 }
+
+namespace {
+
+/** A peer that takes a connection and writes a sound session's beginning and
+ * then frames without end, as fast as the link bears.
+ */
+class EndlessPeer
+{
+public:
+  EndlessPeer()
+    : port_(ports_.Take())
+    , listener_(Listen(port_))
+    , thread_([this] { Run(); })
+  {
+  }
+  ~EndlessPeer()
+  {
+    ending_ = true;
+    thread_.join();
+  }
+  std::string Address() const { return absl::StrCat("127.0.0.1:", port_); }
+
+private:
+  static wg::FileDescriptor Listen(int port)
+  {
+    auto listening = wg::ListenTcp({ "127.0.0.1", port });
+    REQUIRE(wg::Succeeded(listening));
+    return std::move(wg::Value(listening));
+  }
+  void Run()
+  {
+    // SETTINGS, and frames of a type that nobody knows.
+    const std::string settings("\0\0\0\4\0\0\0\0\0", 9);
+    // Short ones, which take longer to read than to write.
+    std::string frames;
+    for (int i = 0; i < 10000; ++i) {
+      frames += std::string("\0\0\0\xee\0\0\0\0\0", 9);
+    }
+    wg::FileDescriptor socket;
+    while (!ending_ && !socket.IsOpen()) {
+      pollfd polled{ listener_.Get(), POLLIN, 0 };
+      poll(&polled, 1, 20);
+      socket = wg::FileDescriptor(accept(listener_.Get(), nullptr, nullptr));
+    }
+    bool isOpen =
+      send(socket.Get(), settings.data(), settings.size(), MSG_NOSIGNAL) > 0;
+    while (!ending_ && isOpen) {
+      isOpen =
+        send(socket.Get(), frames.data(), frames.size(), MSG_NOSIGNAL) > 0;
+    }
+  }
+
+  wg::test::TestPorts ports_;
+  int port_;
+  wg::FileDescriptor listener_;
+  std::atomic<bool> ending_{ false };
+  std::thread thread_;
+};
+
+} // namespace
+
+// Its bytes were read on and on, and no other call made progress or ended.
+TEST_CASE("A peer that sends without end holds up no call of others")
+{
+  EndlessPeer endless;
+  wg::test::TestPorts ports;
+  const int port = ports.Take();
+  wg::Counters counters;
+  wg::PeerServer server(
+    Keys(),
+    [](const wg::PeerRequest& request,
+       const wg::PeerServer::Respond& respond) {
+      respond("answer to " + request.body);
+    },
+    counters);
+  REQUIRE(wg::Succeeded(server.Start({ "127.0.0.1", port })));
+  wg::PeerClient client(Key, wg::PeerName);
+  absl::Notification ended;
+  client.Call(endless.Address(), "/ask", "question", absl::Milliseconds(500),
+              [&](const wg::Outcome<std::string>&) { ended.Notify(); });
+  absl::SleepFor(absl::Milliseconds(100));
+  for (int i = 0; i < 10; ++i) {
+    const auto reply = client.CallAndWait(
+      absl::StrCat("127.0.0.1:", port), "/ask", "question", absl::Seconds(1));
+    CHECK(wg::Succeeded(reply));
+  }
+  CHECK(ended.WaitForNotificationWithTimeout(absl::Seconds(2)));
+}
