Transport: what is kept of peers' bodies is bounded for all together

Each answer and each request of a peer could have 64 MB, however many came at once, those included whose signature nobody had seen yet.

All of a client or server may have 64 MB, of a gateway 16 MB (its lists have 1 MB at a large site); beyond that those of up to 256 kB go on, so that one peer can't keep others from it. The new case fails with a bound for each alone and passes. That the smaller ones go on was not run.

--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -20,6 +20,10 @@
 constexpr auto StopPeriod = std::chrono::milliseconds(50);
 /** A box that has just started serves after about this time, in seconds. */
 constexpr absl::string_view RetryAfterStart = "1.20";
+/** Of all that other processes send, in each direction: lists of a large site
+ * have 1 MB, the smallest boxes 160 MB.
+ */
+constexpr std::size_t MaxPeerBytes = 16U << 20U;
 
 /** Whoever asked this box as a coordinator asks the next one. */
 template <class Answer>
@@ -66,8 +70,9 @@
   if (!Succeeded(peer)) {
     return Error{ Message(peer) };
   }
-  peerClient_ = std::make_unique<PeerClient>(
-    settings_.keys[std::string(PeerName)], PeerName);
+  peerClient_ =
+    std::make_unique<PeerClient>(settings_.keys[std::string(PeerName)],
+                                 PeerName, PeerClient::IdleTime, MaxPeerBytes);
   crashes_.SetPeers(*peerClient_);
   GatewayMember self{ settings_.box, settings_.hall, settings_.peerAddress };
   self.cpuMilli = cpuMilli_;
@@ -113,7 +118,7 @@
     [this](const PeerRequest& request, const PeerServer::Respond& respond) {
       OnPeer(request, respond);
     },
-    counters_);
+    counters_, MaxPeerBytes);
   if (auto started = peerServer_->Start(Value(peer)); !Succeeded(started)) {
     return started;
   }
--- a/Source/Transport/wgHttp2Session.cxx
+++ b/Source/Transport/wgHttp2Session.cxx
@@ -78,12 +78,19 @@
     if (stream == nullptr) {
       return 0;
     }
-    if (stream->received.size() + length > MaxPeerBody) {
+    ReceiveRoom& room = Self(user).room_;
+    const std::size_t size = stream->received.size() + length;
+    const bool isTooLong =
+      size > room.most ||
+      (room.used + length > room.most && size > FairPeerBody);
+    if (isTooLong) {
       nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id,
                                 NGHTTP2_ENHANCE_YOUR_CALM);
       return 0;
     }
     stream->received.append(reinterpret_cast<const char*>(data), length);
+    stream->counted += length;
+    room.used += length;
     return 0;
   }
 
@@ -106,7 +113,10 @@
     if (error != NGHTTP2_NO_ERROR && self.Find(id) != nullptr) {
       self.listener_.OnBroken(self, id);
     }
-    self.streams_.erase(id);
+    const auto closed = self.streams_.extract(id);
+    if (!closed.empty()) {
+      self.room_.used -= closed.mapped().counted;
+    }
     return 0;
   }
 
@@ -131,9 +141,10 @@
 };
 
 Http2Session::Http2Session(FileDescriptor socket, Side side,
-                           Listener& listener)
+                           Listener& listener, ReceiveRoom& room)
   : socket_(std::move(socket))
   , listener_(listener)
+  , room_(room)
 {
   nghttp2_session_callbacks* callbacks = nullptr;
   nghttp2_session_callbacks_new(&callbacks);
@@ -166,6 +177,9 @@
 Http2Session::~Http2Session()
 {
   nghttp2_session_del(session_);
+  for (const auto& [id, stream] : streams_) {
+    room_.used -= stream.counted;
+  }
 }
 
 bool Http2Session::WantsWrite() const
--- a/Source/Transport/wgHttp2Session.h
+++ b/Source/Transport/wgHttp2Session.h
@@ -17,6 +17,18 @@
 /** \brief The largest body that a peer may send, in bytes. */
 constexpr std::size_t MaxPeerBody = 64U << 20U;
 
+/** \brief A body of so many bytes is taken whatever the others keep. */
+constexpr std::size_t FairPeerBody = 256U << 10U;
+
+/** \brief What is kept of all bodies that are not whole yet, in bytes; of
+ * the sessions of one loop.
+ */
+struct ReceiveRoom
+{
+  std::size_t most = MaxPeerBody;
+  std::size_t used = 0;
+};
+
 /** \brief What has arrived of one stream and what is still to be sent. */
 struct Http2Stream
 {
@@ -25,6 +37,7 @@
   std::string nonce;
   std::string signature;
   std::string received;
+  std::size_t counted = 0; // of ReceiveRoom
   std::string toSend;
   std::size_t sent = 0;
   int status = 0;
@@ -51,7 +64,9 @@
     virtual void OnBroken(Http2Session& session, std::int32_t stream) = 0;
   };
 
-  Http2Session(FileDescriptor socket, Side side, Listener& listener);
+  /** \param room outlives the session */
+  Http2Session(FileDescriptor socket, Side side, Listener& listener,
+               ReceiveRoom& room);
   ~Http2Session();
   Http2Session(const Http2Session&) = delete;
   Http2Session& operator=(const Http2Session&) = delete;
@@ -80,6 +95,7 @@
 
   FileDescriptor socket_;
   Listener& listener_;
+  ReceiveRoom& room_;
   nghttp2_session* session_ = nullptr;
   std::unordered_map<std::int32_t, Http2Stream> streams_;
   std::string out_;
--- a/Source/Transport/wgPeerClient.cxx
+++ b/Source/Transport/wgPeerClient.cxx
@@ -33,10 +33,11 @@
 } // namespace
 
 PeerClient::PeerClient(std::string key, absl::string_view who,
-                       absl::Duration idleTime)
+                       absl::Duration idleTime, std::size_t mostReceived)
   : key_(std::move(key))
   , who_(who)
   , idleTime_(idleTime)
+  , room_{ mostReceived, 0 }
   , thread_([this] { Run(); })
 {
 }
@@ -234,7 +235,7 @@
   detail::Http2Session::Listener& listener = *this;
   connection.session = std::make_unique<detail::Http2Session>(
     std::move(connection.connecting), detail::Http2Session::Side::Client,
-    listener);
+    listener, room_);
   connection.lastHeard = ElapsedNow();
   for (PendingCall& call : std::exchange(connection.waiting, {})) {
     auto found = connections_.find(address);
--- a/Source/Transport/wgPeerClient.h
+++ b/Source/Transport/wgPeerClient.h
@@ -37,9 +37,11 @@
 
   /** \param who the name that belongs to the key
    * \param idleTime after which a connection without calls is closed
+   * \param mostReceived bytes that are kept of all answers that come
    */
   PeerClient(std::string key, absl::string_view who,
-             absl::Duration idleTime = IdleTime);
+             absl::Duration idleTime = IdleTime,
+             std::size_t mostReceived = detail::MaxPeerBody);
   ~PeerClient() override;
 
   /** \brief Calls and returns at once; the callback runs on the poll loop,
@@ -103,6 +105,7 @@
   WakeUp wakeUp_;
   absl::Mutex mutex_;
   std::vector<PendingCall> queued_ ABSL_GUARDED_BY(mutex_);
+  detail::ReceiveRoom room_;
   std::map<std::string, Connection> connections_;
   std::atomic<std::uint64_t> bytesRead_{ 0 };
   std::atomic<bool> stopping_{ false };
--- a/Source/Transport/wgPeerServer.cxx
+++ b/Source/Transport/wgPeerServer.cxx
@@ -51,12 +51,14 @@
 
 } // namespace
 
-PeerServer::PeerServer(KeyRing keys, Handler handler, Counters& counters)
+PeerServer::PeerServer(KeyRing keys, Handler handler, Counters& counters,
+                       std::size_t mostReceived)
   : keys_(std::move(keys))
   , handler_(std::move(handler))
   , counters_(counters)
   , events_(epoll_create1(EPOLL_CLOEXEC))
   , mostConnections_(FindMostConnections())
+  , room_{ mostReceived, 0 }
   , nextConnection_(FirstConnectionId)
 {
 }
@@ -164,7 +166,7 @@
     detail::Http2Session::Listener& listener = *this;
     Connection& connection = connections_[id];
     connection.session = std::make_unique<detail::Http2Session>(
-      std::move(socket), detail::Http2Session::Side::Server, listener);
+      std::move(socket), detail::Http2Session::Side::Server, listener, room_);
     if (!connection.session->Write() || !Await(id, connection)) {
       connections_.erase(id);
     }
--- a/Source/Transport/wgPeerServer.h
+++ b/Source/Transport/wgPeerServer.h
@@ -42,7 +42,9 @@
   /** \brief Runs on the poll loop: it must not block. */
   using Handler = std::function<void(PeerRequest request, Respond respond)>;
 
-  PeerServer(KeyRing keys, Handler handler, Counters& counters);
+  /** \param mostReceived bytes that are kept of all requests that come */
+  PeerServer(KeyRing keys, Handler handler, Counters& counters,
+             std::size_t mostReceived = detail::MaxPeerBody);
   ~PeerServer() override;
   Outcome<Done> Start(const SocketAddress& address);
   void Stop();
@@ -84,6 +86,7 @@
   std::shared_ptr<Outbox> outbox_ = std::make_shared<Outbox>();
   FileDescriptor events_; // of all sockets
   std::size_t mostConnections_ = 0;
+  detail::ReceiveRoom room_;
   std::map<std::uint64_t, Connection> connections_;
   std::uint64_t nextConnection_;
   std::uint64_t currentConnection_ = 0;
--- a/Tests/Transport/wgPeerClientTest.cxx
+++ b/Tests/Transport/wgPeerClientTest.cxx
@@ -263,3 +263,29 @@
   }
   CHECK(ended.WaitForNotificationWithTimeout(absl::Seconds(2)));
 }
+
+// Each answer could have 64 MB, however many came at once.
+TEST_CASE("What is kept of answers is bounded for all of them together")
+{
+  constexpr std::size_t most = 4U << 20U;
+  wg::test::TestPorts ports;
+  const int port = ports.Take();
+  const std::string address = absl::StrCat("127.0.0.1:", port);
+  wg::Counters counters;
+  wg::PeerServer server(
+    Keys(),
+    [](const wg::PeerRequest& request,
+       const wg::PeerServer::Respond& respond) {
+      respond(std::string(request.body == "long" ? most + 1 : most, 'x'));
+    },
+    counters);
+  REQUIRE(wg::Succeeded(server.Start({ "127.0.0.1", port })));
+  wg::PeerClient client(Key, wg::PeerName, wg::PeerClient::IdleTime, most);
+  const auto ask = [&](const std::string& body) {
+    return wg::Succeeded(
+      client.CallAndWait(address, "/ask", body, absl::Seconds(5)));
+  };
+  CHECK_FALSE(ask("long"));
+  CHECK(ask("whole"));
+  CHECK(ask("whole")); // what was kept before counts no more
+}
