--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -23,6 +23,10 @@
  * the smallest boxes.
  */
 constexpr std::size_t MaxAnswerBytesOfAll = 48U << 20U;
+/** Beyond that, answers of up to so many bytes go on: 200 without an end are
+ * not to end the sound ones beside them.
+ */
+constexpr std::size_t FairAnswerBytes = 256U << 10U;
 /** Of what has come of an event: 200 such streams keep as much. */
 constexpr std::size_t MaxEventBytes = 256U << 10U;
 /** Results that cross between halls are weighed as time. */
@@ -327,14 +331,16 @@
     }
     return;
   }
+  const std::size_t size = attempt_->body.size() + bytes.size();
   const bool isTooLong =
-    attempt_->body.size() + bytes.size() > MaxAnswerBytes ||
-    shared_.answerBytes + bytes.size() > MaxAnswerBytesOfAll;
+    size > MaxAnswerBytes ||
+    (shared_.answerBytes + bytes.size() > MaxAnswerBytesOfAll &&
+     size > FairAnswerBytes);
   if (isTooLong) {
     EndTooLong(AttemptKnowledge::Ran, "answer_too_long");
     return;
   }
-  attempt_->body.append(bytes.data(), bytes.size());
+  attempt_->body.Append(bytes);
   attempt_->buffered += bytes.size();
   shared_.answerBytes += bytes.size();
 }
@@ -416,7 +422,7 @@
   facts.isJson = absl::StartsWithIgnoreCase(
     FieldOf(attempt.head, "Content-Type"), "application/json");
   if (facts.isJson && end == HttpCallEnd::EndedByClose && !facts.streams) {
-    facts.parses = nlohmann::json::accept(attempt.body);
+    facts.parses = nlohmann::json::accept(std::string(attempt.body));
   }
   return IsWholeAnswer(facts);
 }
@@ -501,7 +507,7 @@
   const unsigned status = attempt_->head.result_int();
   constexpr unsigned serverError = 500;
   HttpResponse response{ attempt_->head };
-  response.body() = std::move(attempt_->body);
+  response.body() = std::string(std::exchange(attempt_->body, {}));
   const BodyFraming framing = attempt_->framing;
   CloseAttempt(status >= serverError);
   const bool promises = status == 429 || status == 503 || status == 408;
--- a/Source/Transport/wgHttp2Session.cxx
+++ b/Source/Transport/wgHttp2Session.cxx
@@ -15,6 +15,8 @@
 namespace {
 
 constexpr std::size_t ReadChunk = 64U << 10U;
+/** At one turn, from a peer that sends faster than it is read. */
+constexpr int MostChunks = 16;
 constexpr std::size_t WriteHighMark = 256U << 10U;
 constexpr std::int32_t WindowBytes = 16 << 20;
 constexpr std::uint32_t MaxStreams = 1024;
@@ -76,12 +78,19 @@
     if (stream == nullptr) {
       return 0;
     }
-    if (stream->received.size() + length > MaxPeerBody) {
+    ReceiveRoom& room = Self(user).room_;
+    const std::size_t size = stream->received.size() + length;
+    const bool isTooLong =
+      size > room.most ||
+      (room.used + length > room.most && size > FairPeerBody);
+    if (isTooLong) {
       nghttp2_submit_rst_stream(session, NGHTTP2_FLAG_NONE, id,
                                 NGHTTP2_ENHANCE_YOUR_CALM);
       return 0;
     }
     stream->received.append(reinterpret_cast<const char*>(data), length);
+    stream->counted += length;
+    room.used += length;
     return 0;
   }
 
@@ -104,7 +113,10 @@
     if (error != NGHTTP2_NO_ERROR && self.Find(id) != nullptr) {
       self.listener_.OnBroken(self, id);
     }
-    self.streams_.erase(id);
+    const auto closed = self.streams_.extract(id);
+    if (!closed.empty()) {
+      self.room_.used -= closed.mapped().counted;
+    }
     return 0;
   }
 
@@ -129,9 +141,10 @@
 };
 
 Http2Session::Http2Session(FileDescriptor socket, Side side,
-                           Listener& listener)
+                           Listener& listener, ReceiveRoom& room)
   : socket_(std::move(socket))
   , listener_(listener)
+  , room_(room)
 {
   nghttp2_session_callbacks* callbacks = nullptr;
   nghttp2_session_callbacks_new(&callbacks);
@@ -164,6 +177,9 @@
 Http2Session::~Http2Session()
 {
   nghttp2_session_del(session_);
+  for (const auto& [id, stream] : streams_) {
+    room_.used -= stream.counted;
+  }
 }
 
 bool Http2Session::WantsWrite() const
@@ -174,7 +190,7 @@
 bool Http2Session::Read()
 {
   std::array<std::uint8_t, ReadChunk> buffer;
-  for (;;) {
+  for (int i = 0; i < MostChunks; ++i) {
     const ssize_t got = recv(socket_.Get(), buffer.data(), buffer.size(), 0);
     if (got < 0) {
       return errno == EAGAIN || errno == EINTR;
@@ -188,6 +204,7 @@
       return false;
     }
   }
+  return true;
 }
 
 bool Http2Session::Write()
