Test: all endpoints pause and go on

What boxes believe after all endpoints of a site stood still for 1.2 s was not looked at: retries, avoided endpoints and late calls of stages might cost requests then. Twelve callers send streams all the time; none may be refused or cut, and from a second after the endpoints speak each is served within the callers' patience.

--- a/Tests/Platform/wgPlatformMassSilenceTest.cxx
+++ b/Tests/Platform/wgPlatformMassSilenceTest.cxx
@@ -7,6 +7,7 @@
 
 namespace {
 
+using wg::test::EventMs;
 using wg::test::Ok;
 using wg::test::Stream;
 using wg::test::WholeStream;
@@ -19,8 +20,11 @@
 constexpr int StandMs = 1200;
 constexpr absl::Duration Before = absl::Seconds(2);
 constexpr absl::Duration After = absl::Seconds(4);
-/** From then on as large a part of the requests is served as before. */
+/** From then on all are served in time as before. */
 constexpr absl::Duration RecoverWithin = absl::Seconds(1);
+/** Callers give a stream up after a gap of this length. */
+constexpr absl::Duration Patience = absl::Seconds(2);
+constexpr absl::Duration StreamTime = absl::Milliseconds(4 * EventMs);
 
 struct Sent
 {
@@ -62,26 +66,13 @@
   return all;
 }
 
-/** Requests a second, of those that were sent within a time. */
-double ServedPerSecond(const std::vector<Sent>& all, absl::Time from,
-                       absl::Time until)
-{
-  const auto served =
-    std::count_if(all.begin(), all.end(), [&](const Sent& sent) {
-      return sent.stream.ids == WholeStream && sent.at >= from &&
-             sent.at < until;
-    });
-  return static_cast<double>(served) / absl::ToDoubleSeconds(until - from);
-}
-
 } // namespace
 
 // Endpoints that all pause are neither broken nor to be left alone afterwards.
-TEST_CASE("Requests are refused or rare after all endpoints paused",
+TEST_CASE("Requests are refused or late after all endpoints paused",
           "[mass-silence]")
 {
   Site site(2, 1, 2);
-  const absl::Time begun = absl::Now();
   absl::Time spoken;
   const auto all = SendBesideSilence(site, spoken);
   for (const Sent& sent : all) {
@@ -89,11 +80,10 @@
     CHECK(sent.stream.status == Ok);
     CHECK(sent.stream.ids == WholeStream);
   }
-  const double former = ServedPerSecond(all, begun, begun + Before / 2);
-  const double later =
-    ServedPerSecond(all, spoken + RecoverWithin, spoken + After - Before / 2);
-  CAPTURE(former, later);
-  // A caller more or less may fall into either time.
-  CHECK(later * absl::ToDoubleSeconds(Before) + Callers >=
-        former * absl::ToDoubleSeconds(Before));
+  for (const Sent& sent : all) {
+    if (sent.at >= spoken + RecoverWithin) {
+      INFO(site.LogOf(sent.stream.request));
+      CHECK(sent.stream.ended - sent.at <= Patience + StreamTime);
+    }
+  }
 }
