Gateway: results of stages that are gone for a next endpoint are made again

A stream that was cut by its endpoint was broken off where the next one found results of its stages gone (409), as when the endpoint that holds them ends or they have outlived their time. A request that has not begun survives that.

Cause: results are made anew once in a request, and going on elsewhere counted as that once: the results made for the next endpoint could not be made again, whatever became of them. The same held for inputs that are gone while the stages are executed for the next endpoint.

Evidence: wgPlatformContinuationTest.results-gone (three scripted engines; the first one ends a stream midway, the second answers 409 once).

Change: it is once for each time that an endpoint is to go on.

--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -370,6 +370,7 @@
   bool mayHaveRun_ = false;
   bool streamBegun_ = false;
   bool stagesRestarted_ = false;
+  bool mayRestartStages_ = true;
   bool placedElsewhere_ = false;
   bool finalReleased_ = false;
   bool ended_ = false;
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -473,7 +473,7 @@
     const bool inputsGone =
       attempt_->head.result() == http::status::conflict && !stages_.empty();
     CloseAttempt(attempt_->head.result() != http::status::conflict);
-    if (inputsGone && !stagesRestarted_) {
+    if (inputsGone && mayRestartStages_) {
       RestartStages();
       return;
     }
--- a/Source/Gateway/wgGatewayRequestContinuation.cxx
+++ b/Source/Gateway/wgGatewayRequestContinuation.cxx
@@ -264,6 +264,7 @@
   if (LacksResults()) {
     PlanHall();
     RestartStages();
+    mayRestartStages_ = true; // nothing of these results was lost yet
   } else {
     SendToEndpoint();
   }
--- a/Source/Gateway/wgGatewayRequestStages.cxx
+++ b/Source/Gateway/wgGatewayRequestStages.cxx
@@ -107,7 +107,7 @@
 
 void GatewayRequest::SubmitStages()
 {
-  if (ResultsAreLost() && !stagesRestarted_) {
+  if (ResultsAreLost() && mayRestartStages_) {
     RestartStages();
     return;
   }
@@ -295,7 +295,7 @@
       reply.results().begin(), reply.results().end(),
       [state](const auto& result) { return result.state() == state; });
   };
-  if (count(wire::StageItemResult::INPUT_GONE) > 0 && !stagesRestarted_) {
+  if (count(wire::StageItemResult::INPUT_GONE) > 0 && mayRestartStages_) {
     RestartStages();
     return;
   }
@@ -362,10 +362,13 @@
   return false;
 }
 
-/** Some results are gone: all is made anew, once. */
+/** Some results are gone: all is made anew, once for each endpoint that is to
+ * go on.
+ */
 void GatewayRequest::RestartStages()
 {
   stagesRestarted_ = true;
+  mayRestartStages_ = false;
   shared_.metrics.Count("stages_restarted");
   ReleaseAll();
   EndReservations();
--- a/Tests/Platform/wgPlatformContinuationTest.cxx
+++ b/Tests/Platform/wgPlatformContinuationTest.cxx
@@ -20,12 +20,16 @@
 
 #include "wgPlatformCluster.h"
 #include "wgPlatformStandin.h"
+#include "wgScriptedEndpoint.h"
 
 namespace {
 
+using wg::test::AnswerClose;
 using wg::test::Await;
 using wg::test::PlatformCluster;
 using wg::test::PlatformStandin;
+using wg::test::ScriptedAnswer;
+using wg::test::ScriptedEndpoint;
 using wg::test::StandinConduct;
 
 using Names = std::vector<std::string>;
@@ -48,31 +52,16 @@
   Names ids;
 };
 
-/** Engines that fetch the results of a stage. The first one loses each of its
- * streams midway, and is asked for its status by then.
- */
-struct Site
+/** Callers of streams that run a stage, and who executes it. */
+struct Callers
 {
-  explicit Site(int engineCount)
+  Callers()
     : cluster(1)
     , encoder("enc-1")
   {
     Publish();
     Await("a ready gateway", [&] { return cluster.Ready(0) == Ok; });
     REQUIRE(encoder.Register(cluster.Api(0), "enc"));
-    for (int i = 0; i < engineCount; ++i) {
-      engines.push_back(
-        std::make_unique<PlatformStandin>(absl::StrCat("engine-", i)));
-      engines.back()->FallsFor(DownMs);
-      engines.back()->FetchesInputsFrom(encoder);
-      REQUIRE(engines.back()->Register(cluster.Api(0), "llm"));
-    }
-    Await("all engines to serve", [this] {
-      Send();
-      return std::all_of(engines.begin(), engines.end(),
-                         [](const auto& e) { return e->AllRuns() > 0; });
-    });
-    engines.front()->SetConduct(StandinConduct::Silent);
   }
 
   /** Streams that may be resumed run a stage of their own. */
@@ -122,6 +111,47 @@
     return stream;
   }
 
+  int Counter(absl::string_view name)
+  {
+    const std::string text = cluster.Metrics(0);
+    const std::string start =
+      absl::StrCat("weirgate_gateway_total{event=\"", name, "\"} ");
+    int value = 0;
+    for (absl::string_view line : absl::StrSplit(text, '\n')) {
+      if (absl::ConsumePrefix(&line, start)) {
+        (void)absl::SimpleAtoi(line, &value);
+      }
+    }
+    return value;
+  }
+
+  PlatformCluster cluster;
+  PlatformStandin encoder;
+  std::atomic<int> sent{ 0 };
+};
+
+/** Engines that fetch the results of a stage. The first one loses each of its
+ * streams midway, and is asked for its status by then.
+ */
+struct Site : Callers
+{
+  explicit Site(int engineCount)
+  {
+    for (int i = 0; i < engineCount; ++i) {
+      engines.push_back(
+        std::make_unique<PlatformStandin>(absl::StrCat("engine-", i)));
+      engines.back()->FallsFor(DownMs);
+      engines.back()->FetchesInputsFrom(encoder);
+      REQUIRE(engines.back()->Register(cluster.Api(0), "llm"));
+    }
+    Await("all engines to serve", [this] {
+      Send();
+      return std::all_of(engines.begin(), engines.end(),
+                         [](const auto& e) { return e->AllRuns() > 0; });
+    });
+    engines.front()->SetConduct(StandinConduct::Silent);
+  }
+
   /** Sends so many streams at once, and does something once all have begun. */
   template <class Meanwhile>
   std::vector<Stream> SendMany(int count, Meanwhile meanwhile)
@@ -149,24 +179,7 @@
     return runs;
   }
 
-  int Counter(absl::string_view name)
-  {
-    const std::string text = cluster.Metrics(0);
-    const std::string start =
-      absl::StrCat("weirgate_gateway_total{event=\"", name, "\"} ");
-    int value = 0;
-    for (absl::string_view line : absl::StrSplit(text, '\n')) {
-      if (absl::ConsumePrefix(&line, start)) {
-        (void)absl::SimpleAtoi(line, &value);
-      }
-    }
-    return value;
-  }
-
-  PlatformCluster cluster;
-  PlatformStandin encoder;
   std::vector<std::unique_ptr<PlatformStandin>> engines;
-  std::atomic<int> sent{ 0 };
 };
 
 void CheckWhole(const std::vector<Stream>& streams)
@@ -239,3 +252,57 @@
   CHECK(made == 0);
   CheckWhole(streams);
 }
+
+// Results that were made again for the next endpoint were gone once more, as
+// when who made them ends: for a first endpoint they are made again, for a
+// next one they were not.
+TEST_CASE("A stream is cut as results of its stages are gone for the next",
+          "[results-gone]")
+{
+  Callers callers;
+  std::atomic<int> begun{ 0 };
+  std::atomic<int> gone{ 0 };
+  const auto script = [&begun, &gone](const wg::HttpRequest& request) {
+    const std::string id(wg::FieldOf(request, "X-Weirgate-Attempt-Id"));
+    if (id.empty()) {
+      return ScriptedAnswer{
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
+      };
+    }
+    const std::string head = absl::StrCat("X-Weirgate-Attempt-Id: ", id,
+                                          "\r\nX-Weirgate-Server-Seal: s\r\n");
+    if (wg::FieldOf(request, "Last-Event-Id").empty()) {
+      ++begun;
+      return ScriptedAnswer{ absl::StrCat("HTTP/1.1 200 OK\r\n", head,
+                                          "Content-Length: 1000\r\n\r\n",
+                                          "id: 1\n\nid: 2\n\n"),
+                             AnswerClose::Reset };
+    }
+    if (gone.fetch_add(1) == 0) {
+      return ScriptedAnswer{ absl::StrCat(
+        "HTTP/1.1 409 Conflict\r\n", head,
+        "X-Weirgate-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n") };
+    }
+    const std::string events = "id: 3\n\nid: 4\n\n";
+    return ScriptedAnswer{ absl::StrCat("HTTP/1.1 200 OK\r\n", head,
+                                        "Content-Length: ", events.size(),
+                                        "\r\n\r\n", events) };
+  };
+  std::vector<std::unique_ptr<ScriptedEndpoint>> engines;
+  for (int i = 0; i < 3; ++i) {
+    engines.push_back(
+      std::make_unique<ScriptedEndpoint>(absl::StrCat("engine-", i), script));
+    REQUIRE(engines.back()->Register(callers.cluster.Api(0), "llm"));
+  }
+  Await("all endpoints to be known", [&] {
+    return absl::StrContains(callers.cluster.Metrics(0),
+                             "weirgate_endpoints_known 4\n");
+  });
+  Stream stream;
+  Await("a stream to begin", [&] {
+    stream = callers.Send();
+    return begun > 0;
+  });
+  REQUIRE(gone > 0);
+  CheckWhole({ stream });
+}
