Control: an endpoint that is heard of after a quiet time is kept at once

What callers saw: after all boxes had lost power, requests for an endpoint that had registered 1.5 s before were refused until its next heartbeat (wgPlatformProcessTest.restarted-all: 2 s "missed by 5 to 17 ms"). The figure is the end of a loop with pauses of 20 ms: the request was never served, not 5 ms late. Cause: known endpoints were looked at for writing once a second, also when nothing had been written for long. A first change so waited for up to 1 s, and a disk that then took 0.5 s had it too late. Change: TakeKeepTurn: a change is kept at the next tick, in a burst still at most once a second. What expires of crashes is looked at once a second as before. The process test stays as it is. Before: the new unit case fails.

--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -21,8 +21,7 @@
 
 constexpr auto TickPeriod = std::chrono::milliseconds(15);
 constexpr std::size_t MaxMail = 20000;
-/** 300 endpoints are some 30 kB, a write and two syncs. */
-constexpr absl::Duration KeepEndpointsPeriod = absl::Seconds(1);
+constexpr absl::Duration CrashExpiryPeriod = absl::Seconds(1);
 
 template <class... Handlers>
 struct Overloaded : Handlers...
@@ -111,22 +110,16 @@
   }
 }
 
-/** What changed is written at most once a period, in a burst too. */
 void ControlNode::KeepKnownEndpoints()
 {
   const Elapsed now = ElapsedNow();
-  if (now < nextKeep_) {
-    return;
+  if (now >= nextCrashExpiry_) {
+    nextCrashExpiry_ = now + CrashExpiryPeriod;
+    ExpireCrashes(crashes_, now);
   }
-  nextKeep_ = now + KeepEndpointsPeriod;
-  ExpireCrashes(crashes_, now);
-  const bool isKept =
-    registry_.revision == keptRevision_ && crashes_.revision == keptCrashes_;
-  if (isKept) {
+  if (!TakeKeepTurn(keepTurns_, registry_.revision, crashes_.revision, now)) {
     return;
   }
-  keptRevision_ = registry_.revision;
-  keptCrashes_ = crashes_.revision;
   wire::RememberedEndpoints known = RememberEndpoints(registry_);
   for (const auto& [key, record] : crashes_.records) {
     *known.add_crashes() = MakeCrashMessage(key, record, now);
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -260,9 +260,8 @@
   CrashEvidence crashes_;
   BeatsAfterEnd beatsAfterEnd_;
   std::unique_ptr<EndpointFile> endpointFile_;
-  std::uint64_t keptRevision_ = 0;
-  std::uint64_t keptCrashes_ = 0; // their revision
-  Elapsed nextKeep_;
+  KeepTurns keepTurns_;
+  Elapsed nextCrashExpiry_;
   std::map<std::uint64_t, JoiningReplica> joining_;
   std::map<std::uint64_t, std::string> addresses_; // of replicas, by id
   std::map<std::uint64_t, std::uint32_t> levels_;  // of those heard, by id
--- a/Source/Control/wgEndpointFile.cxx
+++ b/Source/Control/wgEndpointFile.cxx
@@ -91,4 +91,15 @@
   }
 }
 
+bool TakeKeepTurn(KeepTurns& turns, std::uint64_t endpoints,
+                  std::uint64_t crashes, Elapsed now)
+{
+  const bool isKept = turns.endpoints == endpoints && turns.crashes == crashes;
+  if (isKept || now < turns.next) {
+    return false;
+  }
+  turns = { endpoints, crashes, now + KeepEndpointsPeriod };
+  return true;
+}
+
 } // namespace wg
--- a/Source/Control/wgEndpointFile.h
+++ b/Source/Control/wgEndpointFile.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <thread>
@@ -9,6 +10,7 @@
 #include "absl/synchronization/mutex.h"
 #include "absl/time/time.h"
 
+#include "wgElapsed.h"
 #include "wgFileOperations.h"
 #include "wgPeer.pb.h"
 
@@ -53,4 +55,21 @@
   std::thread thread_;
 };
 
+/** \brief The revisions that are kept, and when the next ones may be. */
+struct KeepTurns
+{
+  std::uint64_t endpoints = 0;
+  std::uint64_t crashes = 0;
+  Elapsed next;
+};
+
+/** \brief 300 endpoints are some 30 kB, a write and two syncs. */
+constexpr absl::Duration KeepEndpointsPeriod = absl::Seconds(1);
+
+/** \brief Whether these revisions are to be kept now: a change at once, in a
+ * burst at most once a period.
+ */
+bool TakeKeepTurn(KeepTurns& turns, std::uint64_t endpoints,
+                  std::uint64_t crashes, Elapsed now);
+
 } // namespace wg
--- a/Tests/Control/wgEndpointFileTest.cxx
+++ b/Tests/Control/wgEndpointFileTest.cxx
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <cstdint>
 #include <filesystem>
 #include <fstream>
 #include <string>
@@ -136,3 +137,44 @@
   absl::SleepFor(absl::Milliseconds(50));
   CHECK_FALSE(file.Read(Now));
 }
+
+TEST_CASE("A first change after a quiet time waits for the end of a period")
+{
+  // A disk that then took 0.5 s had it too late: an endpoint that was heard
+  // of 1.5 s before all power was lost was not known after it.
+  constexpr wg::Elapsed start = absl::Seconds(50);
+  wg::KeepTurns turns;
+  CHECK(TakeKeepTurn(turns, 1, 0, start));
+  wg::Elapsed now = start;
+  for (int i = 0; i < 1000; ++i) {
+    now += absl::Milliseconds(15);
+    REQUIRE_FALSE(TakeKeepTurn(turns, 1, 0, now));
+  }
+  SECTION("of endpoints")
+  {
+    CHECK(TakeKeepTurn(turns, 2, 0, now + absl::Milliseconds(15)));
+  }
+  SECTION("of what ends them")
+  {
+    CHECK(TakeKeepTurn(turns, 1, 1, now + absl::Milliseconds(15)));
+  }
+}
+
+TEST_CASE("Each change of a burst is written")
+{
+  constexpr int ticks = 400;
+  constexpr absl::Duration tick = absl::Milliseconds(15);
+  wg::KeepTurns turns;
+  wg::Elapsed now = absl::Seconds(50);
+  std::uint64_t revision = 0;
+  int written = 0;
+  for (int i = 0; i < ticks; ++i) {
+    now += tick;
+    written += TakeKeepTurn(turns, ++revision, 0, now) ? 1 : 0;
+  }
+  CHECK(written <= ticks * tick / wg::KeepEndpointsPeriod + 1);
+  // The last one is, too.
+  now += wg::KeepEndpointsPeriod;
+  CHECK(TakeKeepTurn(turns, revision, 0, now));
+  CHECK(turns.endpoints == revision);
+}
