Test: the quarantine of cut connections is told from lack of a path

What was seen: wgPlatformCrashTest.cut, engines.Ends() > before, 4 > 4, once of 30 runs, in the form before. Cause, in the test: it began as soon as each box knew one engine of six, and took any 503 after three ends for the quarantine. The first heartbeats of engines whose control box is not yet up are lost, and the next come 0.9 s later. A box whose known engines are all cut off refuses with not_connected or no_path. Evidence: in run 17 of 24, and again in run 40 of 96, two engines were known: "left_for":["cut","cut"] "left_for":["not_connected","not_connected"] "left_for":["cut","cut"] "event":"path_lost","refused":2 "outcome":"refused","reason":"no_path" and the test went on as if the request were kept away; no line said kept_away. Ruled out: a fault of the quarantine. Change: the test waits until all boxes know six engines, takes only the long Retry-After of what is kept away for it, and waits until all three boxes keep it away. This is stricter: without a quarantine it fails.

--- a/Tests/Platform/wgPlatformCrashTest.cxx
+++ b/Tests/Platform/wgPlatformCrashTest.cxx
@@ -7,6 +7,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 
@@ -23,6 +24,8 @@
 constexpr int EndsAllowed = 3; // until a request is kept away
 constexpr const char* EndingText = "this-ends-it";
 constexpr int DownMs = 400;
+/** What a request that is kept away is told; no other refusal is so long. */
+constexpr double KeptAwayRetry = 600.0; // seconds
 
 /** Endpoints of a service that a request can end, with their heartbeats. */
 class Endpoints
@@ -128,14 +131,30 @@
   /** The status that its caller gets. */
   int Send()
   {
-    ++sent_;
-    const auto reply = cluster_.SendBody(
-      sent_ % Gateways, path_, absl::StrCat(EndingText, "-", sent_),
-      absl::StrCat("the same, and ", EndingText));
+    const auto reply = SendNext();
     return reply ? reply->status : 0;
   }
+  /** Whether it is refused for what it did, and not for lack of a path. */
+  bool IsKeptAway()
+  {
+    constexpr int unavailable = 503;
+    const auto reply = SendNext();
+    if (!reply || reply->status != unavailable) {
+      return false;
+    }
+    const std::string after = reply->get_header_value("Retry-After");
+    return !after.empty() && std::stod(after) >= KeptAwayRetry;
+  }
 
 private:
+  httplib::Result SendNext()
+  {
+    ++sent_;
+    return cluster_.SendBody(sent_ % Gateways, path_,
+                             absl::StrCat(EndingText, "-", sent_),
+                             absl::StrCat("the same, and ", EndingText));
+  }
+
   PlatformCluster& cluster_;
   std::string path_;
   int sent_ = 0;
@@ -153,6 +172,16 @@
   }
 }
 
+/** Until all boxes say that a figure of theirs has this value. */
+void AwaitFigure(PlatformCluster& cluster, const std::string& name, int value)
+{
+  const std::string line = absl::StrCat("\n", name, " ", value, "\n");
+  for (int gateway = 0; gateway < Gateways; ++gateway) {
+    Await(absl::StrCat(name, " of ", value),
+          [&] { return absl::StrContains(cluster.Metrics(gateway), line); });
+  }
+}
+
 /** A request that ends what runs it is sent until three have ended. From then
  * on it reaches none, at any box, also where all boxes have started again.
  */
@@ -228,19 +257,23 @@
   // all went on to send heartbeats.
   PlatformCluster cluster(Gateways);
   const bool onlyCutOff = true;
-  Endpoints engines(cluster, "llm", 6, onlyCutOff);
+  constexpr int count = 6;
+  Endpoints engines(cluster, "llm", count, onlyCutOff);
   cluster.AwaitServing();
+  // A box that knows two of them has no path when both are cut off.
+  AwaitFigure(cluster, "weirgate_endpoints_known", count);
   AwaitInnocents(cluster, "/r/x");
   Resender resender(cluster, "/r/x");
-  constexpr int unavailable = 503;
   Await("the request to be kept away", [&] {
     absl::SleepFor(absl::Milliseconds(200));
-    return resender.Send() == unavailable && engines.Ends() >= EndsAllowed;
+    return resender.IsKeptAway();
   });
+  AwaitFigure(cluster, "weirgate_requests_kept_away", 1);
   const int before = engines.Ends();
+  CHECK(before >= EndsAllowed);
   Await("it to be sent again", [&] {
     absl::SleepFor(absl::Milliseconds(200));
-    return resender.Send() != unavailable;
+    return !resender.IsKeptAway();
   });
   const int again = engines.Ends();
   CHECK(again > before);
