Gateway: answers to stage calls have a bound for all together

An answer to a stage's call could have 1 MB, whatever the number of calls: 200 at once 200 MB, and a box has 160 MB at the large sites. A batch of some hundreds of results has some tens of kB.

Each may have 256 kB and all 16 MB, beyond which those of up to 64 kB go on. The bound for all together was not run.

--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -224,6 +224,7 @@
   std::map<WorkKey, Work> works_;
   std::map<std::uint64_t, PieceOwner> owners_; // by ticket
   std::map<std::uint64_t, OpenCall> calls_;
+  std::size_t answerBytes_ = 0; // of all open calls
   InputsFetched inputsFetched_;
   std::map<StagePoolKey, Elapsed> inputLosses_; // the last of each pool
   GoneResults gone_;
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -15,7 +15,10 @@
 
 constexpr double MsInSecond = 1e3;
 /** A result is some 60 bytes, and no batch has more than some hundreds. */
-constexpr std::size_t MaxStageAnswerBytes = 1U << 20U;
+constexpr std::size_t MaxStageAnswerBytes = 256U << 10U;
+/** Of all that are being read; shorter ones than the fair length go on. */
+constexpr std::size_t MaxStageAnswerBytesOfAll = 16U << 20U;
+constexpr std::size_t FairStageAnswerBytes = 64U << 10U;
 constexpr unsigned MisdirectedRequest = 421; // another one answers there
 constexpr double LateFactor = 3.0;
 constexpr double LateMarginSeconds = 0.35;
@@ -66,8 +69,14 @@
   };
   handler.onBody = [this, number](absl::string_view bytes) {
     std::string& body = calls_[number].body;
-    if (body.size() + bytes.size() <= MaxStageAnswerBytes) {
+    const std::size_t size = body.size() + bytes.size();
+    const bool isTooLong =
+      size > MaxStageAnswerBytes ||
+      (answerBytes_ + bytes.size() > MaxStageAnswerBytesOfAll &&
+       size > FairStageAnswerBytes);
+    if (!isTooLong) {
       body.append(bytes.data(), bytes.size());
+      answerBytes_ += bytes.size();
     } else {
       boost::asio::post(loop_, [this, number] { OnCallTooLong(number); });
     }
@@ -140,6 +149,7 @@
     return;
   }
   OpenCall& open = node.mapped();
+  answerBytes_ -= open.body.size();
   open.http->Cancel();
   metrics_.Count("stage_calls_late");
   LogCall(open, "late");
@@ -184,6 +194,7 @@
     return;
   }
   OpenCall& open = node.mapped();
+  answerBytes_ -= open.body.size();
   open.timer->cancel();
   const StagePoolKey key = open.pool;
   if (StageServer* server = ServerOf(open)) {
--- a/Tests/Gateway/wgStageCoordinatorTest.cxx
+++ b/Tests/Gateway/wgStageCoordinatorTest.cxx
@@ -803,3 +803,19 @@
   f.AnswerNext();
   CHECK(f.AnswerNext() == "r3.0\nr2.0\nr2.1\n");
 }
+
+// As many bytes as there were calls at once came together.
+TEST_CASE("An answer that is longer than results are ends its call")
+{
+  constexpr std::size_t tooLong = 300000;
+  Fixture f;
+  f.Submit(1, 1);
+  f.AnswerNext(std::string(tooLong, 'x'));
+  CHECK(f.Eventually([&f] {
+    return absl::StrContains(f.metrics.Print(),
+                             "event=\"stage_answers_too_long\"} 1\n");
+  }));
+  const bool isInTrouble = f.thread.Do(
+    [&f] { return wg::FindEndpoint(f.directory, "e")->failuresInRow > 0; });
+  CHECK(isInTrouble);
+}
