Http: what waits for callers is bounded for all of them together

Up to 8 MB could wait for each caller that reads slowly, or for each box whose calls this one relays: an endpoint whose answer has no end is read as fast as its link bears, and the other box's link may be slower. 200 of these were 1.6 GB.

For all callers of a server 48 MB may wait; beyond that a connection for which more than 256 kB wait is closed, as before at 8 MB. An answer that is written at once is still as long as it is.

--- a/Source/Http/wgHttpServer.h
+++ b/Source/Http/wgHttpServer.h
@@ -115,6 +115,7 @@
   /** A completion may be queued already when the server is destroyed. */
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   bool sweepArmed_ = false;
+  std::size_t outputBytes_ = 0; // that wait for callers
   bool draining_ = false;
   Elapsed restUntil_ = absl::InfiniteDuration();
   std::unordered_map<detail::HttpServerConnection*,
--- a/Source/Http/wgHttpServerConnection.cxx
+++ b/Source/Http/wgHttpServerConnection.cxx
@@ -22,6 +22,10 @@
 constexpr std::size_t MaxUnparsedBytes = 65536;
 /** What may wait for a caller that reads slowly. */
 constexpr std::size_t MaxOutputBytes = 8U << 20U;
+/** Of all callers of a server; beyond it the fair amount waits all the same.
+ */
+constexpr std::size_t MaxOutputBytesOfAll = 48U << 20U;
+constexpr std::size_t FairOutputBytes = 256U << 10U;
 constexpr absl::Duration LingerTime = absl::Seconds(1);
 
 unsigned StatusFor(error_code error)
@@ -192,14 +196,32 @@
   } else {
     output_ += bytes;
   }
+  CountOutput();
   // An answer that is written at once is as long as it is.
-  if (isWriting_ && output_.size() > MaxOutputBytes) {
+  if (isWriting_ && IsOutputTooLong()) {
     Close();
     return;
   }
   StartWrite();
 }
 
+bool HttpServerConnection::IsOutputTooLong() const
+{
+  const bool isOverAll =
+    server_ != nullptr && server_->outputBytes_ > MaxOutputBytesOfAll;
+  return output_.size() > (isOverAll ? FairOutputBytes : MaxOutputBytes);
+}
+
+void HttpServerConnection::CountOutput()
+{
+  const std::size_t bytes = closed_ ? 0 : output_.size() + writing_.size();
+  if (server_ != nullptr) {
+    server_->outputBytes_ += bytes;
+    server_->outputBytes_ -= counted_;
+  }
+  counted_ = bytes;
+}
+
 void HttpServerConnection::StartWrite()
 {
   if (isWriting_ || output_.empty() || closed_) {
@@ -224,11 +246,12 @@
     Close();
     return;
   }
+  writing_.clear();
+  CountOutput();
   if (!output_.empty()) {
     StartWrite();
     return;
   }
-  writing_.clear();
   if (answerEnded_) {
     AfterAnswer();
   }
@@ -283,6 +306,7 @@
     return;
   }
   closed_ = true;
+  CountOutput();
   error_code ignored;
   socket_.close(ignored);
   auto self = shared_from_this();
--- a/Source/Http/wgHttpServerConnection.h
+++ b/Source/Http/wgHttpServerConnection.h
@@ -59,6 +59,8 @@
   void ContinueIfAsked();
   void TakeRequest();
   void RefuseInput(boost::system::error_code error);
+  bool IsOutputTooLong() const;
+  void CountOutput();
   void StartWrite();
   void OnWritten(boost::system::error_code error);
   void AfterAnswer();
@@ -73,7 +75,8 @@
   std::shared_ptr<HttpExchange> exchange_;
   std::string output_;
   std::string writing_;
-  Elapsed due_; // of what is being read, or of the rest
+  std::size_t counted_ = 0; // of what waits, in the server's sum
+  Elapsed due_;             // of what is being read, or of the rest
   bool isReading_ = false;
   bool isWriting_ = false;
   bool answerEnded_ = false;
--- a/Tests/Gateway/wgHttpServerTest.cxx
+++ b/Tests/Gateway/wgHttpServerTest.cxx
@@ -386,3 +386,40 @@
   CHECK(first.ReadAll().empty());
   CHECK(second.ReadAll().empty());
 }
+
+// Each caller that did not read could leave 8 MB waiting for it.
+TEST_CASE("What waits for callers is bounded for all of them together")
+{
+  constexpr int slow = 40;
+  constexpr std::size_t waiting = 7U << 20U;
+  // Of each the kernel takes some MB, so that more stay than 48 MB hold.
+  constexpr int mustLeave = slow / 4;
+  const std::string piece(64U << 10U, 'x');
+  std::atomic<int> begun{ 0 };
+  std::atomic<int> left{ 0 };
+  Served served([&](const Exchange& e) {
+    if (e->Request().target() == "/sound") {
+      Echo(e);
+      return;
+    }
+    ++begun;
+    e->OnCallerLeft([&left] { ++left; });
+    wg::HttpHead head;
+    head.result(boost::beast::http::status::ok);
+    e->StartStream(head);
+    for (std::size_t sent = 0; sent < waiting; sent += piece.size()) {
+      e->WriteStream(piece);
+    }
+  });
+  std::vector<std::unique_ptr<RawCaller>> callers;
+  for (int i = 0; i < slow; ++i) {
+    callers.push_back(std::make_unique<RawCaller>(served.port));
+    callers.back()->Send("GET /x HTTP/1.1\r\nHost: h\r\n\r\n");
+  }
+  CHECK(Eventually([&] { return begun == slow; }));
+  CHECK(left >= mustLeave);
+  CHECK(left < slow);
+  RawCaller sound(served.port);
+  sound.Send("GET /sound HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(absl::StrContains(sound.ReadUntil("\r\n\r\n"), "200 OK"));
+}
