Test: silence is soaked beside SIGHUP and overlapping stops

In the soak of silent engines one box at a time was stopped, killed or suspended, and none got SIGHUP. Now boxes are stopped as planned beside others that are killed or suspended; SIGHUP comes to running, stopping and suspended boxes, with a settings file that names a control box which isn't there, or none. What the box has logged of a lost request is printed with it.

--- a/Tests/Platform/wgPlatformSilenceSoak.cxx
+++ b/Tests/Platform/wgPlatformSilenceSoak.cxx
@@ -1,10 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
-// Streams whose engines pause or lose their connections while documents come
-// and boxes are stopped, killed and suspended. What a box has passed on must
-// get a whole answer unless the box itself was disturbed without a plan.
+// Streams whose engines pause or lose their connections while documents come,
+// settings files change, and one box is stopped as another is killed or
+// suspended. What a box has passed on must get a whole answer unless the box
+// itself was disturbed without a plan.
+#include <array>
 #include <atomic>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
+#include <fstream>
 #include <map>
 #include <mutex>
 #include <random>
@@ -12,6 +16,7 @@
 
 #include <httplib.h>
 
+#include "absl/strings/match.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
 
@@ -71,6 +76,28 @@
       engines.back()->FetchesInputsFrom(encoder);
       engines.back()->SetEventMs(EventMs);
     }
+    UseSettingsFile();
+  }
+
+  ~Run() { unsetenv("WEIRGATE_SETTINGS"); }
+  Run(const Run&) = delete;
+  Run& operator=(const Run&) = delete;
+
+  /** Gateways alone read one; flags have named their control boxes. */
+  void UseSettingsFile()
+  {
+    NameControls("");
+    setenv("WEIRGATE_SETTINGS", SettingsFile().c_str(), 1);
+    for (int box = 0; box < cluster.Gateways(); ++box) {
+      cluster.StartGateway(box);
+    }
+  }
+
+  std::string SettingsFile() const { return cluster.FileAt("settings"); }
+
+  void NameControls(const std::string& controls) const
+  {
+    std::ofstream(SettingsFile()) << "controls=" << controls << "\n";
   }
 
   std::uint64_t seed;
@@ -82,6 +109,9 @@
   std::mutex mutex;
   std::vector<Call> calls;
   std::vector<Disturbance> disturbances;
+  std::array<std::mutex, 3> boxes; // held by what disturbs a box
+  int stops = 0;
+  int signals = 0;
   int documents = 1;
 };
 
@@ -197,38 +227,74 @@
   }
 }
 
-/** A stop is planned: what the box has taken by then it answers. */
-void DisturbBoxes(Run& run, absl::Duration time)
+/** Kills or suspends boxes, and goes on beside what is planned at others. */
+void DisturbBoxes(Run& run)
 {
   Random random(run.seed);
-  const absl::Time end = absl::Now() + time;
-  while (absl::Now() < end) {
+  while (!run.stopping) {
     absl::SleepFor(absl::Milliseconds(Draw(random, 300, 1500)));
     const int box = Draw(random, 0, run.cluster.Gateways() - 1);
+    const bool isKilled = Draw(random, 0, 1) == 0;
+    const int ms = Draw(random, 50, 800);
+    const std::unique_lock<std::mutex> only(run.boxes[box], std::try_to_lock);
+    if (!only) {
+      continue;
+    }
     Process& process = run.cluster.Gateway(box);
     const absl::Time from = absl::Now();
-    switch (Draw(random, 0, 3)) {
-      case 0:
-        process.Signal(SIGKILL);
-        process.Kill();
-        run.cluster.StartGateway(box);
-        break;
-      case 1:
-        process.Signal(SIGSTOP);
-        absl::SleepFor(absl::Milliseconds(Draw(random, 50, 800)));
-        process.Signal(SIGCONT);
-        break;
-      default:
-        process.Signal(SIGTERM);
-        process.Wait();
-        run.cluster.StartGateway(box);
-        continue;
+    if (isKilled) {
+      process.Kill();
+      run.cluster.StartGateway(box);
+    } else {
+      process.Signal(SIGSTOP);
+      absl::SleepFor(absl::Milliseconds(ms));
+      process.Signal(SIGHUP);
+      process.Signal(SIGCONT);
     }
     const std::lock_guard<std::mutex> lock(run.mutex);
     run.disturbances.push_back({ box, from, absl::Now() });
   }
 }
 
+/** Has a box read its settings again, in which the control boxes differ. */
+void SendHangUps(Run& run, Process& process, Random& random)
+{
+  const int series = Draw(random, 1, 3);
+  for (int i = 0; i < series; ++i) {
+    run.NameControls(Draw(random, 0, 1) == 0 ? "" : "127.0.0.1:1");
+    process.Signal(SIGHUP);
+    ++run.signals;
+    absl::SleepFor(absl::Milliseconds(Draw(random, 5, 200)));
+  }
+}
+
+/** What a box has taken by a planned stop it answers. */
+void StopBoxes(Run& run)
+{
+  Random random(run.seed + 11);
+  while (!run.stopping) {
+    absl::SleepFor(absl::Milliseconds(Draw(random, 100, 900)));
+    const int box = Draw(random, 0, run.cluster.Gateways() - 1);
+    const int kind = Draw(random, 0, 2);
+    const std::unique_lock<std::mutex> only(run.boxes[box], std::try_to_lock);
+    if (!only) {
+      continue;
+    }
+    Process& process = run.cluster.Gateway(box);
+    if (kind == 0) {
+      SendHangUps(run, process, random);
+      continue;
+    }
+    process.Signal(SIGTERM);
+    ++run.stops;
+    if (kind == 1) {
+      SendHangUps(run, process, random);
+    }
+    process.Wait();
+    run.cluster.StartGateway(box);
+  }
+}
+
 bool WasDisturbed(const Run& run, const Call& call)
 {
   return std::any_of(run.disturbances.begin(), run.disturbances.end(),
@@ -238,6 +304,20 @@
                      });
 }
 
+/** What the box of a call has logged of it, a line each. */
+std::string LogOf(const Run& run, const Call& call)
+{
+  std::ifstream log(run.cluster.FileAt(absl::StrCat("g", call.box, ".log")));
+  const std::string named = absl::StrCat("\"", call.id, "\"");
+  std::string lines;
+  for (std::string line; std::getline(log, line);) {
+    if (absl::StrContains(line, named)) {
+      absl::StrAppend(&lines, "\n  ", line);
+    }
+  }
+  return lines;
+}
+
 std::vector<std::string> FindLost(const Run& run)
 {
   std::vector<std::string> lost;
@@ -249,7 +329,8 @@
     if (!call.isWhole && wasPassedOn && counts && !WasDisturbed(run, call)) {
       lost.push_back(absl::StrCat(
         "LOST: ", call.id, " at box ", call.box, " had no whole answer after ",
-        absl::ToInt64Milliseconds(call.ended - call.sent), " ms."));
+        absl::ToInt64Milliseconds(call.ended - call.sent), " ms.",
+        LogOf(run, call)));
     }
   }
   return lost;
@@ -284,7 +365,9 @@
   }
   threads.emplace_back([&run] { SilenceEngines(run); });
   threads.emplace_back([&run] { PublishDocuments(run); });
-  DisturbBoxes(run, absl::Seconds(seconds));
+  threads.emplace_back([&run] { DisturbBoxes(run); });
+  threads.emplace_back([&run] { StopBoxes(run); });
+  absl::SleepFor(absl::Seconds(seconds));
   run.stopping = true;
   for (std::thread& thread : threads) {
     thread.join();
@@ -299,10 +382,10 @@
     std::count_if(run.calls.begin(), run.calls.end(),
                   [](const Call& call) { return call.isWhole; });
   std::printf("seed %llu: %zu streams, %lld whole, %d documents, %zu "
-              "disturbances\n",
+              "disturbances, %d stops, %d hang-ups\n",
               static_cast<unsigned long long>(seed), run.calls.size(),
               static_cast<long long>(whole), run.documents,
-              run.disturbances.size());
+              run.disturbances.size(), run.stops, run.signals);
   std::vector<std::string> findings = FindLost(run);
   if (unserved > 0) {
     findings.push_back(
