Test: a stream is cut as the next endpoint refuses it

Fails, and is not listed: for whoever takes it up, with an entry in KNOWN-RED.txt or with the change that it asks for.

What callers see: an endpoint answers questions and is slow, the box leaves it for one that answers as well, and that one refuses what is sent (full): the answer is broken off, although the first endpoint goes on a second later.

--- a/Tests/Platform/wgPlatformContinuationTest.cxx
+++ b/Tests/Platform/wgPlatformContinuationTest.cxx
@@ -306,3 +306,17 @@
   REQUIRE(gone > 0);
   CheckWhole({ stream });
 }
+
+// An endpoint that answered but was slow was left for one that refused.
+TEST_CASE("A stream is cut as the next endpoint refuses it", "[next-refuses]")
+{
+  Site site(2);
+  const int before = site.engines[0]->AllRuns();
+  const auto streams = site.SendMany(8, [&] {
+    site.engines[1]->SetTired(true);
+    absl::SleepFor(absl::Milliseconds(3 * SilenceMs));
+    site.engines[0]->GoOn();
+  });
+  REQUIRE(site.engines[0]->AllRuns() > before);
+  CheckWhole(streams);
+}
