Test: damaged answers without end are among the fuzz targets

Nine kinds of bytes without end with their beginnings damaged, 300 rounds: each call ends or hands on its body.

--- a/Tests/Fuzz/wgFuzzTest.cxx
+++ b/Tests/Fuzz/wgFuzzTest.cxx
@@ -9,6 +9,8 @@
 #include <map>
 #include <mutex>
 #include <random>
+#include <utility>
+#include <vector>
 
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -16,6 +18,7 @@
 #include <google/protobuf/stubs/logging.h>
 
 #include "wgConfigText.h"
+#include "wgEndlessEndpoint.h"
 #include "wgHttpClient.h"
 #include "wgLanguage.h"
 #include "wgLoopThread.h"
@@ -347,6 +350,82 @@
   CHECK(ends[wg::HttpCallEnd::Cut] > 0);
 }
 
+TEST_CASE("damaged answers without end end each call or are handed on")
+{
+  constexpr int rounds = 300;
+  constexpr std::size_t handedOn = 1U << 20U;
+  const std::string block(16U << 10U, 'x');
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> kinds = {
+    { "HTTP/1.1 200 ", block },
+    { ok, "Field: x\r\n" },
+    { "", "HTTP/1.1 102 Processing\r\n\r\n" },
+    { chunked + "2;name=", block },
+    { chunked + "2\r\nok\r\n0\r\nTrailer: ", block },
+    { chunked, "4\r\nabcd\r\n" },
+    { ok + "Content-Length: 70368744177664\r\n\r\n", block },
+    { ok + "\r\n", block },
+    { "", block },
+  };
+  Mutator mutate;
+  wg::test::EndlessBytes bytes;
+  std::mutex mutex;
+  wg::test::EndlessEndpoint endpoint([&](const wg::HttpRequest&) {
+    const std::lock_guard<std::mutex> lock(mutex);
+    return bytes;
+  });
+  wg::LoopThread thread;
+  int ended = 0;
+  int passed = 0;
+  for (int i = 0; i < rounds; ++i) {
+    const auto& [begin, unit] =
+      kinds[static_cast<std::size_t>(i) % kinds.size()];
+    {
+      const std::lock_guard<std::mutex> lock(mutex);
+      bytes = { mutate(begin), unit, {} };
+    }
+    CAPTURE(i, bytes.begin);
+    std::promise<bool> outcome;
+    std::size_t body = 0;
+    bool isOver = false;
+    const auto settle = [&](bool hasEnded) {
+      if (!std::exchange(isOver, true)) {
+        outcome.set_value(hasEnded);
+      }
+    };
+    std::unique_ptr<wg::HttpClient> client;
+    std::unique_ptr<wg::HttpCall> call;
+    wg::HttpCallHandler handler;
+    handler.onHead = [](const wg::HttpHead&, wg::BodyFraming) { return true; };
+    handler.onBody = [&](absl::string_view part) {
+      body += part.size();
+      if (body > handedOn) {
+        settle(false);
+      }
+    };
+    handler.onEnd = [&](wg::HttpCallEnd) { settle(true); };
+    thread.Do([&] {
+      client = std::make_unique<wg::HttpClient>(thread.Loop());
+      call =
+        client->Start(endpoint.Address(), "GET / HTTP/1.1\r\nHost: h\r\n\r\n",
+                      {}, std::move(handler));
+      return true;
+    });
+    auto future = outcome.get_future();
+    REQUIRE(future.wait_for(std::chrono::seconds(20)) ==
+            std::future_status::ready);
+    ++(future.get() ? ended : passed);
+    thread.Do([&] {
+      call.reset();
+      client.reset();
+      return true;
+    });
+  }
+  CHECK(ended > 0);
+  CHECK(passed > 0);
+}
+
 TEST_CASE("a damaged data folder is opened, set aside or refused")
 {
   std::string pattern =
--- a/Tests/Platform/wgPlatformEndlessTest.cxx
+++ b/Tests/Platform/wgPlatformEndlessTest.cxx
@@ -46,7 +46,7 @@
 /** The smallest boxes have 160 MB; 40 MB of it are what a gateway holds of a
  * large site without a request.
  */
-constexpr long MostKilobytes = (160 - 40) * 1024;
+constexpr long MostKilobytes = (160L - 40L) * 1024L;
 /** Clients leave a node that has not read a request for so long. */
 constexpr absl::Duration SoundLimit = absl::Seconds(1);
 const std::string SoundBody(100000, 's');
