Gateway: what a box denied is asked of the one that takes its place

What callers would see: while the coordinator of a limited endpoint is silent for a second, another box stands in, hands out a quarter of the limit and tells up to 4 s. The others heeded that after the first one was back, which had a permit after 1.33 s: Retry-After of up to 3.34 s, where 1.33 s and the spread of 1 s are true. Cause: a denial was kept until its time was over, whoever took the place of the box that had told it. Found by looking for the cause of limit-all elsewhere. Change: the box that denied is remembered by endpoint; once members change and another box coordinates, the denial is forgotten. What is handed out, and at what rate, stays. Left: a wait that a coordinator of engines tells with its choice (GatewayRequest::DenyLimited) is still kept to its end; and a caller that was told a wait can't be told anew.

--- a/Source/Gateway/wgSendPermits.cxx
+++ b/Source/Gateway/wgSendPermits.cxx
@@ -93,6 +93,13 @@
   return members_ == nullptr || members_->CoordinatorOf(pool) == nullptr;
 }
 
+std::string SendPermits::CoordinatorBoxOf(const StagePoolKey& pool) const
+{
+  const GatewayMember* member =
+    members_ == nullptr ? nullptr : members_->CoordinatorOf(pool);
+  return member == nullptr ? self_ : member->box;
+}
+
 void SendPermits::NoteMembers()
 {
   for (auto& [pool, coordination] : coordinations_) {
@@ -102,6 +109,26 @@
     }
     coordination.isOwn = isOwn;
   }
+  ForgetDenials();
+}
+
+/** What one box denied is asked of another one that takes its place: a box
+ * that stands in for a moment hands out little.
+ */
+void SendPermits::ForgetDenials()
+{
+  const Elapsed now = ElapsedNow();
+  for (auto it = deniedBy_.begin(); it != deniedBy_.end();) {
+    DirectoryEndpoint* endpoint = FindEndpoint(directory_, it->first);
+    const bool isOver = endpoint == nullptr || endpoint->deniedUntil <= now;
+    const bool isMoved =
+      !isOver &&
+      CoordinatorBoxOf(PermitPoolOf(directory_, *endpoint)) != it->second;
+    if (isMoved) {
+      endpoint->deniedUntil = Elapsed();
+    }
+    it = isOver || isMoved ? deniedBy_.erase(it) : std::next(it);
+  }
 }
 
 /** A box that is asked by one that suspects the coordinator, or has only just
@@ -354,7 +381,7 @@
   if (member == nullptr) {
     // Not at once, as if another box were asked.
     boost::asio::post(loop_, [this, ask, answered = std::move(answered)] {
-      TakeAnswer(ask.limit().endpoint(), Grant(ask), answered);
+      TakeAnswer(ask.limit().endpoint(), self_, Grant(ask), answered);
     });
     return;
   }
@@ -376,13 +403,13 @@
                        Ask(*known, answered);
                        return;
                      }
-                     TakeAnswer(id, answer, answered);
+                     TakeAnswer(id, box, answer, answered);
                    });
                });
 }
 
 /** Without an answer nothing is sent either. */
-void SendPermits::TakeAnswer(const std::string& id,
+void SendPermits::TakeAnswer(const std::string& id, const std::string& box,
                              const wire::SendAnswer& answer,
                              const Answered& answered)
 {
@@ -395,6 +422,7 @@
     const absl::Duration wait =
       std::max(absl::Milliseconds(answer.wait_ms()), LeastDenial);
     endpoint->deniedUntil = ElapsedNow() + wait;
+    deniedBy_[id] = box;
     LogDenial(*endpoint, wait);
   }
   answered(answer.granted());
@@ -449,6 +477,7 @@
   };
   forget(told_, isKnown);
   forget(buckets_, isKnown);
+  forget(deniedBy_, isKnown);
   const auto isAddress = [this](const std::string& address) {
     return FindByAddress(directory_, address) != nullptr;
   };
--- a/Source/Gateway/wgSendPermits.h
+++ b/Source/Gateway/wgSendPermits.h
@@ -95,15 +95,17 @@
   absl::Duration UntilSettled(const StagePoolKey& pool);
   bool IsSettled(const StagePoolKey& pool);
   bool IsCoordinator(const StagePoolKey& pool) const;
+  std::string CoordinatorBoxOf(const StagePoolKey& pool) const;
   void NoteMembers();
+  void ForgetDenials();
   void NoteAnswer(const DirectoryEndpoint& endpoint);
   void ForgetEnded();
   void TellLimit(const DirectoryEndpoint& endpoint);
   void CountGranted(const DirectoryEndpoint& endpoint,
                     const StagePoolKey& pool, const std::string& box,
                     std::uint64_t number);
-  void TakeAnswer(const std::string& endpoint, const wire::SendAnswer& answer,
-                  const Answered& answered);
+  void TakeAnswer(const std::string& endpoint, const std::string& box,
+                  const wire::SendAnswer& answer, const Answered& answered);
   void LogDenial(const DirectoryEndpoint& endpoint, absl::Duration wait);
   BrittleBounds BoundsOf(const DirectoryEndpoint& endpoint,
                          const StagePoolKey& pool);
@@ -136,7 +138,8 @@
   LoopTimer reportTimer_;
   bool isReportArmed_ = false;
   std::map<StagePoolKey, Coordination> coordinations_;
-  std::map<std::string, ToldLimit> told_; // by endpoint
+  std::map<std::string, ToldLimit> told_;       // by endpoint
+  std::map<std::string, std::string> deniedBy_; // box, by endpoint
 };
 
 /** \brief The pool whose coordinator hands out what is sent to an engine or
--- a/Tests/Platform/wgPlatformTermsTest.cxx
+++ b/Tests/Platform/wgPlatformTermsTest.cxx
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <algorithm>
 #include <atomic>
+#include <csignal>
 #include <memory>
 #include <string>
 #include <thread>
@@ -358,6 +359,47 @@
   CheckAllLimited(LimitWindow - absl::Seconds(1));
 }
 
+TEST_CASE("Callers are kept waiting as a box that stood in told them to",
+          "[limit-stood-in]")
+{
+  // While one box was silent for a second, the box in its place handed out
+  // little; others went on to heed that for 4 s.
+  constexpr int unavailable = 503;
+  constexpr double settledWait = 1.0 / 0.75 + 1.0; // seconds, with the spread
+  const std::string path = "/p/x";
+  PlatformCluster cluster(Gateways);
+  Service plain(cluster, "plain", 1);
+  cluster.AwaitServing();
+  AwaitServed(cluster, path);
+  plain.MostUsed().SetLimit(1.0);
+  SendMany(cluster, path, Gateways, LimitWindow, absl::Milliseconds(50));
+  for (int silent = 0; silent < Gateways; ++silent) {
+    const auto sendToOthers = [&] {
+      std::vector<Got> got;
+      for (int gateway = 0; gateway < Gateways; ++gateway) {
+        if (gateway != silent) {
+          got.push_back(SendOne(cluster, gateway, path));
+        }
+      }
+      return got;
+    };
+    cluster.Gateway(silent).Signal(SIGSTOP);
+    const absl::Time end = absl::Now() + absl::Seconds(1);
+    while (absl::Now() < end) {
+      sendToOthers();
+      absl::SleepFor(absl::Milliseconds(50));
+    }
+    cluster.Gateway(silent).Signal(SIGCONT);
+    absl::SleepFor(absl::Seconds(1)); // until it is asked again
+    for (const Got& got : sendToOthers()) {
+      CAPTURE(silent);
+      REQUIRE((got.status == Ok || got.status == unavailable));
+      CHECK(got.retryAfter <= settledWait + 0.1);
+    }
+    absl::SleepFor(LimitWindow);
+  }
+}
+
 TEST_CASE("A plain endpoint that asked for a rest gets requests",
           "[rest-plain]")
 {
