Gateway: a part of an event is no sign of life

A stream whose event came a byte at a time and had no end was never silent: each byte began the silence anew, and the caller waited for it until its deadline, although another endpoint could have gone on. Suspected when the readers were listed; with the new case the caller had its first event alone (2 runs of 2).

Only a whole event counts as heard now; a long one on a slow link is asked for and waited for while its endpoint reports that it works on it, as in a pause. The case passes (4 runs), and with it wgPlatformSilenceTest, all of wgPlatformStreamVersionTest and wgPlatformCrashTest, wgPlatformAnswerEndTest (1 run each).

--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -321,14 +321,18 @@
   if (ended_ || !attempt_) {
     return;
   }
-  NoteHeard();
   if (attempt_->streams) {
-    OnEvents(TakeEvents(reader_, bytes));
+    const std::string events = TakeEvents(reader_, bytes);
+    if (!events.empty()) { // a part of one says nothing of its end
+      NoteHeard();
+    }
+    OnEvents(events);
     if (!ended_ && attempt_ && reader_.partial.size() > MaxEventBytes) {
       EndTooLong(AttemptKnowledge::MayHaveRun, "event_too_long");
     }
     return;
   }
+  NoteHeard();
   const std::size_t size = attempt_->body.size() + bytes.size();
   const bool isTooLong =
     size > MaxAnswerBytes ||
--- a/Tests/Platform/wgPlatformEndlessTest.cxx
+++ b/Tests/Platform/wgPlatformEndlessTest.cxx
@@ -335,3 +335,51 @@
   Await("the answers' end",
         [&f] { return f.first.Open() == 0 && f.second.Open() == 0; });
 }
+
+// A byte of an event that never ends counted as a sign of life.
+TEST_CASE("A stream goes on elsewhere as its event comes a byte at a time")
+{
+  std::atomic<int> endless{ 0 };
+  const auto answer = [&endless](const wg::HttpRequest& request) {
+    const std::string id(wg::FieldOf(request, RequestField));
+    const std::string type = "Content-Type: text/event-stream\r\n";
+    if (request.target() == "/-/report") {
+      return EndlessBytes{ Head(id, "Content-Length: 2\r\n") + "{}", "", {} };
+    }
+    if (wg::FieldOf(request, "Last-Event-Id").empty()) {
+      ++endless;
+      return EndlessBytes{ Head(id, Chunked + type) +
+                             Chunk("id: 1\ndata: e1\n\nd"),
+                           Chunk("x"), absl::Milliseconds(50) };
+    }
+    return EndlessBytes{ Head(id, Chunked + type) +
+                           Chunk("id: 2\ndata: e2\n\n") + "0\r\n\r\n",
+                         "",
+                         {} };
+  };
+  EndlessEndpoint first(answer);
+  EndlessEndpoint second(answer);
+  PlatformCluster cluster{ 1 };
+  nlohmann::json document =
+    nlohmann::json::parse(PlatformCluster::Document(1));
+  for (nlohmann::json& route : document["routes"]) {
+    route["service"] = "endless";
+    route.erase("phases");
+  }
+  document["services"] = { { { "name", "endless" },
+                             { "engine", { { "capacity", 4 } } } } };
+  document.erase("tenants");
+  Await("the document",
+        [&] { return cluster.Publish(0, document.dump()) == 200; });
+  Await("a ready gateway", [&] { return cluster.Ready(0) == 200; });
+  REQUIRE(Register(cluster.Api(0), "e1", "endless", first.Address(), 1));
+  REQUIRE(Register(cluster.Api(0), "e2", "endless", second.Address(), 1));
+  CallerAnswer got;
+  Await("the endpoints to be used", [&] {
+    got = Ask(cluster.Listen(0), "/r/x", "slow");
+    return got.status != 503;
+  });
+  CAPTURE(endless, got.status, got.body);
+  CHECK(got.isWhole);
+  CHECK(absl::StrContains(got.body, "e2"));
+}
