--- a/Utilities/CI/AccountTime.sh
+++ b/Utilities/CI/AccountTime.sh
@@ -37,11 +37,11 @@
 for log in "$folder"/*/.ninja_log; do
   [ -f "$log" ] || continue
   preset=$(basename "$(dirname "$log")")
-  # Each call of Ninja counts its times from 0.
+  # Ninja counts from the start of each call and orders its log anew now and
+  # then: of a folder built in several calls this tells the longest.
   awk -F'\t' -v preset="$preset" '
     /^[0-9]/ {
-      if ($2 + 0 < last) wall += last
-      last = $2
+      if ($2 + 0 > wall) wall = $2
       if (!($4 in cost)) ++steps
       cost[$4] = $2 - $1
       if ($4 ~ /\.o$/) unit[$4] = 1
@@ -52,7 +52,7 @@
         if (output in unit) ++compiled; else rest += cost[output]
       }
       printf "build %s: %.0f s, %d steps of together %.0f s, ", preset,
-        (wall + last) / 1000, steps, all / 1000
+        wall / 1000, steps, all / 1000
       printf "of these %d units and %.0f s of links\n", compiled,
         rest / 1000
     }' "$log"
