--- a/Tests/Platform/wgPlatformContinuationTest.cxx
+++ b/Tests/Platform/wgPlatformContinuationTest.cxx
@@ -3,6 +3,7 @@
 // either of them until the other has them.
 #include <algorithm>
 #include <atomic>
+#include <cstdint>
 #include <memory>
 #include <string>
 #include <thread>
@@ -213,7 +214,7 @@
   // For each stream that is left the two that live, and one that is gone not
   // before an answer could have come.
   CHECK(site.Counter("endpoint_status_asked") <=
-        2 * left + gone * (1 + tookMs / QuestionMs));
+        std::int64_t{ 2 } * left + gone * (1 + tookMs / QuestionMs));
 }
 
 // Its endpoint ended while the next one was asked, which did not answer: from
