--- a/Source/Http/wgEndpointClient.cxx
+++ b/Source/Http/wgEndpointClient.cxx
@@ -9,8 +9,6 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 
-#include "wgHttpFetch.h"
-
 namespace wg {
 namespace {
 
@@ -212,13 +210,13 @@
 std::string FetchText(const EndpointAddress& address, const std::string& path,
                       absl::Duration timeout)
 {
-  constexpr int http11 = 11;
-  HttpRequest request(boost::beast::http::verb::get, path, http11);
-  auto answer = Fetch(absl::StrCat(address.host, ":", address.port),
-                      std::move(request), { timeout });
-  const bool isText =
-    answer && answer->result() == boost::beast::http::status::ok;
-  return isText ? std::move(answer->body()) : std::string();
+  httplib::Client client(address.host, address.port);
+  ApplyTimeout(timeout, [&client](time_t s, time_t us) {
+    client.set_connection_timeout(s, us);
+    client.set_read_timeout(s, us);
+  });
+  const httplib::Result result = client.Get(path);
+  return result && result->status == StatusOk ? result->body : std::string();
 }
 
 } // namespace wg
