--- a/Tests/Storage/wgStorageTest.cxx
+++ b/Tests/Storage/wgStorageTest.cxx
@@ -10,10 +10,12 @@
 
 #include "wgRecord.h"
 #include "wgReplicaStore.h"
+#include "wgTemporaryFolder.h"
 
 namespace {
 
 using trompeloeil::_;
+using wg::test::TemporaryFolder;
 
 class MockFiles : public wg::FileOperations
 {
@@ -22,19 +24,6 @@
   MAKE_MOCK1(Sync, bool(int), override);
 };
 
-/** Creates a data folder and removes it at the end of the test. */
-struct TemporaryFolder
-{
-  std::string path;
-  TemporaryFolder()
-  {
-    std::string pattern =
-      std::filesystem::temp_directory_path() / "wg-storage-XXXXXX";
-    path = mkdtemp(pattern.data());
-  }
-  ~TemporaryFolder() { std::filesystem::remove_all(path); }
-};
-
 wg::ReplicaActions MakeActions(std::uint64_t from, std::uint64_t count)
 {
   wg::ReplicaActions actions;
