Storage: synced marks have a checksum and two places

Cause: the file that says how much of the log was synced is overwritten in place and never synced itself, so that a loss of power may tear it. Its digits then mix two lengths. Where the mix was longer than the log, a sound replica took its log to be cut short, set its files aside and started with a new identity: one more lost disk than there was.

Change: a mark has a checksum, and marks are written to two places in turn, so that a torn one leaves an older one, which is a lower bound as well. Marks of older builds have no checksum and are not believed; older builds read the first two words as before.

--- a/Source/Storage/wgReplicaStore.cxx
+++ b/Source/Storage/wgReplicaStore.cxx
@@ -1,10 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgReplicaStore.h"
 
-#include <array>
-#include <cstdio>
+#include <algorithm>
 #include <cstring>
 #include <filesystem>
+#include <optional>
 
 #include <fcntl.h>
 #include <sys/file.h>
@@ -15,6 +15,7 @@
 #include "absl/strings/str_split.h"
 
 #include "wgRecord.h"
+#include "wgSyncedMark.h"
 
 namespace wg {
 namespace {
@@ -241,18 +242,11 @@
 
 Outcome<Done> ReplicaStore::CheckSyncedMark(std::size_t validBytes)
 {
-  Outcome<std::string> text = ReadWholeFile(Path(folder_, SyncedName));
-  if (!Succeeded(text)) {
-    return Done{}; // the mark isn't synced, so a crash may lose it
-  }
-  const std::vector<std::string> words =
-    absl::StrSplit(Value(text), ' ', absl::SkipWhitespace());
-  std::uint64_t generation = 0;
-  std::uint64_t synced = 0;
-  const bool applies =
-    words.size() >= 2 && absl::SimpleAtoi(words[0], &generation) &&
-    absl::SimpleAtoi(words[1], &synced) && generation == generation_;
-  if (applies && validBytes < synced) {
+  Outcome<std::string> marks = ReadWholeFile(Path(folder_, SyncedName));
+  const std::uint64_t synced =
+    Succeeded(marks) ? ReadSyncedBytes(Value(marks), generation_).value_or(0)
+                     : 0; // marks aren't synced, so a crash may lose them
+  if (validBytes < synced) {
     return Error{ absl::StrCat("The log has ", validBytes,
                                " valid bytes, but ", synced,
                                " bytes were synced.") };
@@ -380,15 +374,12 @@
 
 void ReplicaStore::WriteSyncedMark()
 {
-  std::array<char, 48> text{};
-  const int length =
-    std::snprintf(text.data(), text.size(), "%20llu %20llu\n",
-                  static_cast<unsigned long long>(generation_),
-                  static_cast<unsigned long long>(logBytes_));
-  // The fixed width makes each mark overwrite the previous one entirely. The
-  // mark isn't synced: an older mark is still a valid lower bound.
-  [[maybe_unused]] const auto wrote = ::pwrite(
-    syncedMark_.Get(), text.data(), static_cast<std::size_t>(length), 0);
+  const std::string mark = PrintSyncedMark({ generation_, logBytes_ });
+  const std::size_t place = marksWritten_++ % SyncedMarkPlaces;
+  // An older mark is still a valid lower bound.
+  [[maybe_unused]] const auto wrote =
+    ::pwrite(syncedMark_.Get(), mark.data(), mark.size(),
+             static_cast<off_t>(place * SyncedMarkBytes));
 }
 
 } // namespace wg
--- a/Source/Storage/wgReplicaStore.h
+++ b/Source/Storage/wgReplicaStore.h
@@ -26,7 +26,8 @@
  *  - `log`: entries, truncations and hard states in the order of writing
  *  - `snapshot`: the newest snapshot; the log starts at or before its index
  *  - `identity`: the replica's number and cluster
- *  - `synced`: generation and length in bytes of the log at its last sync
+ *  - `synced`: generation and length in bytes of the log at its last syncs,
+ *    see wgSyncedMark.h
  *  - `lock`: locked by the process that uses the folder
  */
 class ReplicaStore
@@ -91,7 +92,8 @@
   FileDescriptor syncedMark_;
   std::uint64_t generation_ = 0; // incremented by each rewrite of the log
   std::size_t logBytes_ = 0;     // length of the log at its last sync
-  bool broken_ = false;          // the log's stored content is unknown
+  std::size_t marksWritten_ = 0;
+  bool broken_ = false; // the log's stored content is unknown
 };
 
 } // namespace wg
