Storage: a write that power ended is not taken for damage

Cause: after a loss of power any part of a write that was not synced may be missing. A log with valid records behind a gap was always taken to be damaged, also where the gap lies in the last write, of which nobody had been told. The replica then started with a new identity. Each write to the log has several records: entries, and the hard state behind them.

Change: every write ends with a hard state that tells how long the log was before it, all of which had been synced. A gap is damage if a record behind it tells that it had been synced; otherwise what follows is part of the write that was interrupted. A log of an older build is judged as before, and rewritten as it is opened. A rewritten log ends with such a record, so that damage amid it is found without a mark, as before.

Ruled out: going by the marks alone; they may be lost or older than the last sync, and damage amid the log must be found without them (wgStorageTest).

--- a/Source/Storage/wgRecord.cxx
+++ b/Source/Storage/wgRecord.cxx
@@ -63,14 +63,10 @@
   return HeaderBytes + length;
 }
 
-bool HasValidRecordAfter(absl::string_view bytes, std::size_t at)
+Record RecordAt(absl::string_view bytes, std::size_t at, std::size_t size)
 {
-  for (std::size_t i = at + 1; i + HeaderBytes <= bytes.size(); ++i) {
-    if (ValidRecordSize(bytes, i)) {
-      return true;
-    }
-  }
-  return false;
+  return { static_cast<RecordType>(bytes[at + 4]),
+           std::string(bytes.substr(at + HeaderBytes, size - HeaderBytes)) };
 }
 
 } // namespace
@@ -85,7 +81,7 @@
   bytes.append(payload.data(), payload.size());
 }
 
-Outcome<RecordsRead> ReadRecords(absl::string_view bytes)
+RecordsRead ScanRecords(absl::string_view bytes)
 {
   RecordsRead read;
   while (read.validBytes < bytes.size()) {
@@ -93,14 +89,23 @@
     if (!size) {
       break;
     }
-    const std::size_t at = read.validBytes;
-    read.records.push_back(
-      { static_cast<RecordType>(bytes[at + 4]),
-        std::string(bytes.substr(at + HeaderBytes, *size - HeaderBytes)) });
+    read.records.push_back(RecordAt(bytes, read.validBytes, *size));
     read.validBytes += *size;
   }
-  if (read.validBytes < bytes.size() &&
-      HasValidRecordAfter(bytes, read.validBytes)) {
+  for (std::size_t at = read.validBytes; at + HeaderBytes <= bytes.size();) {
+    const auto size = ValidRecordSize(bytes, at);
+    if (size) {
+      read.afterGap.push_back(RecordAt(bytes, at, *size));
+    }
+    at += size.value_or(1);
+  }
+  return read;
+}
+
+Outcome<RecordsRead> ReadRecords(absl::string_view bytes)
+{
+  RecordsRead read = ScanRecords(bytes);
+  if (!read.afterGap.empty()) {
     return Error{ absl::StrCat("The record at byte ", read.validBytes,
                                " is damaged, but valid records follow it.") };
   }
--- a/Source/Storage/wgRecord.h
+++ b/Source/Storage/wgRecord.h
@@ -43,8 +43,12 @@
 {
   std::vector<Record> records;
   std::size_t validBytes = 0;
+  std::vector<Record> afterGap; // valid ones that follow invalid bytes
 };
 
+/** \brief Reads all records of a file, also those behind invalid bytes. */
+RecordsRead ScanRecords(absl::string_view bytes);
+
 /** \brief Reads all records of a file.
  *
  * Bytes after the last valid record are ignored as an interrupted write.
--- a/Source/Storage/wgReplicaStore.cxx
+++ b/Source/Storage/wgReplicaStore.cxx
@@ -80,8 +80,55 @@
   return valid;
 }
 
+/** Every write to the log ends with a hard state: after a loss of power a
+ * write that was not synced is told by it from a synced one that is damaged.
+ * \param logBytes  length of the log before this write
+ */
+void AppendHardState(const wire::HardState& hard, std::size_t logBytes,
+                     std::string& bytes)
+{
+  wire::HardState state = hard;
+  state.set_log_bytes(logBytes);
+  AppendRecord(RecordType::HardState, state.SerializeAsString(), bytes);
+}
+
+std::optional<std::size_t> SyncedBefore(const Record& record)
+{
+  wire::HardState state;
+  const bool tells = record.type == RecordType::HardState &&
+                     state.ParseFromString(record.payload) &&
+                     state.has_log_bytes();
+  return tells ? std::optional<std::size_t>(state.log_bytes()) : std::nullopt;
+}
+
+/** Whether the writes to a log tell what had been synced before them; those of
+ * older builds do not.
+ */
+bool TellsSyncedBytes(const std::vector<Record>& records)
+{
+  return std::any_of(records.begin(), records.end(), [](const Record& record) {
+    return SyncedBefore(record).has_value();
+  });
+}
+
+/** Valid records behind a gap are of the write that was interrupted, unless
+ * one of them tells that the gap had been synced.
+ */
+bool IsGapDamage(const RecordsRead& read)
+{
+  if (read.afterGap.empty()) {
+    return false;
+  }
+  const bool isSynced = std::any_of(
+    read.afterGap.begin(), read.afterGap.end(), [&read](const Record& record) {
+      return SyncedBefore(record).value_or(0) > read.validBytes;
+    });
+  return isSynced ||
+         (!TellsSyncedBytes(read.records) && !TellsSyncedBytes(read.afterGap));
+}
+
 std::string SerializeRecords(const ReplicaActions& actions,
-                             const wire::HardState& hard)
+                             const wire::HardState& hard, std::size_t logBytes)
 {
   std::string bytes;
   if (actions.truncateFrom) {
@@ -91,9 +138,7 @@
   for (const wire::LogEntry& entry : actions.append) {
     AppendRecord(RecordType::Entry, entry.SerializeAsString(), bytes);
   }
-  if (actions.saveHardState) {
-    AppendRecord(RecordType::HardState, hard.SerializeAsString(), bytes);
-  }
+  AppendHardState(hard, logBytes, bytes);
   return bytes;
 }
 
@@ -206,11 +251,12 @@
   if (!Succeeded(bytes)) {
     return Error{ Message(bytes) };
   }
-  auto read = ReadRecords(Value(bytes));
-  if (!Succeeded(read)) {
-    return Error{ Message(read) };
+  const RecordsRead read = ScanRecords(Value(bytes));
+  if (IsGapDamage(read)) {
+    return Error{ absl::StrCat("The record at byte ", read.validBytes,
+                               " of the log is damaged, but was synced.") };
   }
-  const std::vector<Record>& records = Value(read).records;
+  const std::vector<Record>& records = read.records;
   LogHeader header;
   if (records.empty() || records[0].type != RecordType::Header ||
       !ParseHeader(records[0].payload, header)) {
@@ -223,8 +269,7 @@
       return Error{ absl::StrCat("Record ", i, " of the log is invalid.") };
     }
   }
-  if (auto marked = CheckSyncedMark(Value(read).validBytes);
-      !Succeeded(marked)) {
+  if (auto marked = CheckSyncedMark(read.validBytes); !Succeeded(marked)) {
     return marked;
   }
   const std::uint64_t snapshotIndex = replica.snapshot.index();
@@ -237,7 +282,10 @@
     replica.log.Reset(snapshotIndex, replica.snapshot.term());
     return RewriteLog(replica);
   }
-  return OpenLog(Value(read).validBytes);
+  if (!TellsSyncedBytes(records)) { // written by an older build
+    return RewriteLog(replica);
+  }
+  return OpenLog(read.validBytes);
 }
 
 Outcome<Done> ReplicaStore::CheckSyncedMark(std::size_t validBytes)
@@ -295,7 +343,7 @@
   if (actions.install) {
     return SaveSnapshot(replica);
   }
-  const std::string bytes = SerializeRecords(actions, replica.hard);
+  const std::string bytes = SerializeRecords(actions, replica.hard, logBytes_);
   std::size_t done = 0;
   while (done < bytes.size()) {
     const long wrote =
@@ -338,12 +386,13 @@
   std::string bytes;
   AppendRecord(RecordType::Header, HeaderPayload(generation_ + 1, replica.log),
                bytes);
-  AppendRecord(RecordType::HardState, replica.hard.SerializeAsString(), bytes);
   for (std::uint64_t i = replica.log.FirstIndex();
        i <= replica.log.LastIndex(); ++i) {
     AppendRecord(RecordType::Entry, replica.log.At(i).SerializeAsString(),
                  bytes);
   }
+  // The file gets its name only once it is synced.
+  AppendHardState(replica.hard, bytes.size(), bytes);
   if (auto written = ReplaceFile(files_, folder_, LogName, bytes);
       !Succeeded(written)) {
     return written;
--- a/Tests/Storage/wgPowerLossTest.cxx
+++ b/Tests/Storage/wgPowerLossTest.cxx
@@ -13,6 +13,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "wgRecord.h"
 #include "wgReplicaStore.h"
 #include "wgTemporaryFolder.h"
 
@@ -166,3 +167,34 @@
     CheckKept(folder, log, "", 3);
   }
 }
+
+TEST_CASE("the log of an older build is read, and rewritten with what tells "
+          "torn writes from damage")
+{
+  TemporaryFolder folder;
+  wg::Replica replica;
+  Open(folder.path, replica).reset();
+  wg::wire::HardState hard;
+  hard.set_term(3);
+  std::string older;
+  wg::AppendRecord(wg::RecordType::Header, "1 1 0 0", older);
+  wg::wire::LogEntry entry;
+  entry.set_index(1);
+  entry.set_term(3);
+  wg::AppendRecord(wg::RecordType::Entry, entry.SerializeAsString(), older);
+  wg::AppendRecord(wg::RecordType::HardState, hard.SerializeAsString(), older);
+  WriteFile(LogOf(folder), older);
+  // Its mark has no checksum.
+  WriteFile(MarkOf(folder), "                   1                  999\n");
+  CheckKept(folder, older, ReadFile(MarkOf(folder)), 1);
+
+  wg::Replica reopened;
+  const auto store = Open(folder.path, reopened);
+  CHECK(reopened.hard.term() == 3);
+  const std::string synced = ReadFile(LogOf(folder));
+  CHECK(synced != older);
+  WriteEntries(*store, reopened, 3, 700);
+  std::string torn = ReadFile(LogOf(folder));
+  torn[synced.size()] = '\0';
+  CheckKept(folder, torn, "", 1);
+}
