Gateway: an attempt stays open until the next endpoint takes over

Cause: the open attempt was closed as the next one was sent, which is before it is known whether the next endpoint takes over: what is held is given up before what follows is held.

Change: a stream's attempt that is left is held for up to 300 ms after the next one was sent. It ends as the next endpoint's answer begins. If that endpoint refuses, can't be reached or fails, the held attempt is the open one again and is watched as before; the same if it speaks first, and the next one is given up then. The bound keeps two endpoints from working on one request for 400 ms. A lost path or a cut of the held attempt ends it at once.

--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -44,6 +44,7 @@
   , over_(std::move(over))
   , timer_(shared.loop)
   , silenceTimer_(shared.loop)
+  , heldTimer_(shared.loop)
 {
 }
 
@@ -399,16 +400,9 @@
   ended_ = true;
   timer_.cancel();
   silenceTimer_.cancel();
-  if (attempt_) {
-    attempt_->call->Cancel();
-    if (DirectoryEndpoint* endpoint =
-          FindEndpoint(shared_.directory, attempt_->endpoint)) {
-      --endpoint->running;
-    }
-    EndRead({});
-    shared_.answerBytes -= attempt_->buffered;
-    attempt_.reset();
-  }
+  heldTimer_.cancel();
+  DropAttempt(attempt_);
+  DropAttempt(held_);
   for (Stage& stage : stages_) {
     if (stage.work != 0) {
       shared_.stages.Cancel(stage.work);
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -110,8 +110,9 @@
 /** \brief The attempt that is open. */
 struct RequestAttempt
 {
-  std::string endpoint; // id
-  std::string version;  // of its software, as it was known at the start
+  std::size_t number = 0; // of the request's attempts, from 1
+  std::string endpoint;   // id
+  std::string version;    // of its software, as it was known at the start
   std::unique_ptr<HttpCall> call;
   std::string relay; // the box that makes the call; empty: this one
   HttpHead head;
@@ -121,6 +122,7 @@
   Elapsed sent;
   LifeSign sign = LifeSign::Unknown; // of the endpoint, while it is silent
   Elapsed signAt;
+  Elapsed heard;           // its last byte, while it is held for the next
   bool isPathLost = false; // the connection carries nothing any more
   double prefillSeconds = 0.0;
   PlacedRead placed;
@@ -268,13 +270,13 @@
   void AddUnsound(wire::EngineAsk& ask);
   DirectoryEndpoint* FindChosen(const std::string& id);
   void DenyLimited(const StagePoolKey& pool, absl::Duration wait);
-  void EndRead(const EngineReadResult& result);
+  void EndRead(Attempt& attempt, const EngineReadResult& result);
   std::int64_t ResultBytes() const;
   HttpRequest MakeForward(const DirectoryEndpoint& endpoint) const;
   void StartAttempt(DirectoryEndpoint& endpoint, double prefillSeconds,
                     const PlacedRead& placed);
-  bool OnHead(const HttpHead& head, BodyFraming framing);
-  void OnBody(absl::string_view bytes);
+  bool OnHead(std::size_t attempt, const HttpHead& head, BodyFraming framing);
+  void OnBody(std::size_t attempt, absl::string_view bytes);
   void EndTooLong(AttemptKnowledge knowledge, absl::string_view why);
   void OnEvents(const std::string& events);
   void WatchStream();
@@ -298,10 +300,14 @@
   void CancelStages();
   bool KeepsAnswer(absl::string_view reason);
   bool LeaveAttempt();
+  void HoldAttempt();
+  void ReturnToHeld();
+  void EndHeld(bool failed);
+  bool IsFromHeld(std::size_t attempt);
   void ConfirmNext(DirectoryEndpoint& endpoint, double prefillSeconds);
   void AskNext(const DirectoryEndpoint& endpoint,
                std::function<void(bool hasAnswered)> then);
-  void OnAttemptEnd(HttpCallEnd end);
+  void OnAttemptEnd(std::size_t attempt, HttpCallEnd end);
   bool IsWhole(HttpCallEnd end) const;
   void OnCut(HttpCallEnd end);
   void NoteRunThrough();
@@ -310,6 +316,7 @@
   void RestartStages();
   bool ResultsAreLost() const;
   void CloseAttempt(bool failed);
+  void DropAttempt(std::optional<Attempt>& attempt);
   void AfterFailure(AttemptKnowledge knowledge, absl::string_view why);
 
   void Refuse(unsigned status, absl::string_view reason);
@@ -353,7 +360,10 @@
   Elapsed firstTried_; // when its caller first sent it, as far as is known
   LoopTimer timer_;
   LoopTimer silenceTimer_;
+  LoopTimer heldTimer_;
   std::optional<Attempt> attempt_;
+  /** The former attempt, until the endpoint of the open one takes over. */
+  std::optional<Attempt> held_;
   std::vector<std::string> tried_;    // ids of endpoints
   std::vector<std::string> versions_; // of the endpoint of each attempt
   std::vector<std::string> failures_; // why attempts were left
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -248,7 +248,7 @@
   attempt_->prefillSeconds = prefillSeconds;
   attempt_->sent = ElapsedNow();
   sentAt_ = attempt_->sent;
-  ++attempts_;
+  attempt_->number = ++attempts_;
   if (IsForEngine()) {
     shared_.engines.NoteSent(endpoint.id, prompt_);
   }
@@ -261,18 +261,19 @@
   }
   HttpCallHandler handler;
   auto weak = weak_from_this();
-  handler.onHead = [weak](const HttpHead& head, BodyFraming framing) {
+  const std::size_t number = attempts_;
+  handler.onHead = [weak, number](const HttpHead& head, BodyFraming framing) {
     auto self = weak.lock();
-    return self && self->OnHead(head, framing);
+    return self && self->OnHead(number, head, framing);
   };
-  handler.onBody = [weak](absl::string_view bytes) {
+  handler.onBody = [weak, number](absl::string_view bytes) {
     if (auto self = weak.lock()) {
-      self->OnBody(bytes);
+      self->OnBody(number, bytes);
     }
   };
-  handler.onEnd = [weak](HttpCallEnd end) {
+  handler.onEnd = [weak, number](HttpCallEnd end) {
     if (auto self = weak.lock()) {
-      self->OnAttemptEnd(end);
+      self->OnAttemptEnd(number, end);
     }
   };
   EndpointCallStarted started =
@@ -284,9 +285,10 @@
   shared_.metrics.Count("attempts");
 }
 
-bool GatewayRequest::OnHead(const HttpHead& head, BodyFraming framing)
+bool GatewayRequest::OnHead(std::size_t number, const HttpHead& head,
+                            BodyFraming framing)
 {
-  if (ended_ || !attempt_) {
+  if (ended_ || !attempt_ || number != attempt_->number) {
     return false;
   }
   Attempt& attempt = *attempt_;
@@ -315,21 +317,32 @@
   attempt.framing = framing;
   attempt.streams = route_->isStream && head.result() == http::status::ok &&
                     !attempt.saidNotRun;
+  if (attempt.streams) {
+    EndHeld(true);
+  }
   return true;
 }
 
-void GatewayRequest::OnBody(absl::string_view bytes)
+void GatewayRequest::OnBody(std::size_t number, absl::string_view bytes)
 {
   if (ended_ || !attempt_) {
     return;
   }
-  if (attempt_->streams) {
+  const bool isHeld = IsFromHeld(number);
+  if (!isHeld && number != attempt_->number) {
+    return;
+  }
+  if (isHeld || attempt_->streams) {
     const std::string events = TakeEvents(reader_, bytes);
     if (!events.empty()) { // a part of one says nothing of its end
+      if (isHeld) {
+        ReturnToHeld();
+      }
       NoteHeard();
     }
     OnEvents(events);
-    if (!ended_ && attempt_ && reader_.partial.size() > MaxEventBytes) {
+    if (!ended_ && attempt_ && !held_ &&
+        reader_.partial.size() > MaxEventBytes) {
       EndTooLong(AttemptKnowledge::MayHaveRun, "event_too_long");
     }
     return;
@@ -367,7 +380,7 @@
   if (!attempt_->eventSeen) {
     attempt_->eventSeen = true;
     NoteFirstEvent();
-    EndRead({ absl::ToDoubleSeconds(now - attempt_->sent), false });
+    EndRead(*attempt_, { absl::ToDoubleSeconds(now - attempt_->sent), false });
     shared_.metrics.NoteLatency("engine_first_event", now - attempt_->sent);
   }
   if (!finalReleased_) {
@@ -385,11 +398,21 @@
   WatchStream();
 }
 
-void GatewayRequest::OnAttemptEnd(HttpCallEnd end)
+void GatewayRequest::OnAttemptEnd(std::size_t number, HttpCallEnd end)
 {
   if (ended_ || !attempt_) {
     return;
   }
+  if (IsFromHeld(number)) {
+    if (end == HttpCallEnd::Cut || end == HttpCallEnd::EndedByClose) {
+      shared_.crashes.Cut(held_->endpoint, Fingerprint());
+    }
+    EndHeld(true);
+    return;
+  }
+  if (number != attempt_->number) {
+    return;
+  }
   if (IsAnswered(end)) {
     answerEnd_ = end;
     shared_.metrics.Count(end == HttpCallEnd::EndedByClose
@@ -484,6 +507,10 @@
       attempt_->head.result() == http::status::conflict && !stages_.empty();
     CloseAttempt(attempt_->head.result() != http::status::conflict);
     if (inputsGone && mayRestartStages_) {
+      if (held_) {
+        ReturnToHeld();
+        isPreparing_ = true;
+      }
       RestartStages();
       return;
     }
@@ -547,15 +574,38 @@
                       { failed, answered - attempt_->sent, route_->aim });
     }
   }
-  EndRead({ 0.0, failed });
+  EndRead(*attempt_, { 0.0, failed });
   attempt_->call->Cancel();
   shared_.answerBytes -= attempt_->buffered;
   attempt_.reset();
 }
 
+void GatewayRequest::DropAttempt(std::optional<Attempt>& attempt)
+{
+  if (!attempt) {
+    return;
+  }
+  attempt->call->Cancel();
+  DirectoryEndpoint* endpoint =
+    FindEndpoint(shared_.directory, attempt->endpoint);
+  if (endpoint != nullptr) {
+    --endpoint->running;
+  }
+  EndRead(*attempt, {});
+  shared_.answerBytes -= attempt->buffered;
+  attempt.reset();
+}
+
 void GatewayRequest::AfterFailure(AttemptKnowledge knowledge,
                                   absl::string_view why)
 {
+  if (held_ && !attempt_) { // the next endpoint did not take over
+    shared_.metrics.Count(absl::StrCat("attempt_", why));
+    failures_.emplace_back(why);
+    ReturnToHeld();
+    AbandonContinuation(why);
+    return;
+  }
   if (isPreparing_ && attempt_) { // of what was being prepared
     AbandonContinuation(why);
     return;
--- a/Source/Gateway/wgGatewayRequestContinuation.cxx
+++ b/Source/Gateway/wgGatewayRequestContinuation.cxx
@@ -2,6 +2,7 @@
 #include "wgGatewayRequest.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include "absl/strings/str_cat.h"
@@ -14,6 +15,10 @@
 constexpr int SilentGaps = 5;
 /** When what stood against going on elsewhere is looked at again. */
 constexpr absl::Duration RecheckAfterFailure = absl::Milliseconds(200);
+/** For how long an attempt stays open after the next one was sent. Operators
+ * tolerate 400 ms in which two endpoints work on a request.
+ */
+constexpr auto HoldTime = std::chrono::milliseconds(300);
 
 } // namespace
 
@@ -66,7 +71,7 @@
  */
 void GatewayRequest::OnSilence()
 {
-  if (ended_ || !attempt_ || isPreparing_) {
+  if (ended_ || !attempt_ || held_ || isPreparing_) {
     return;
   }
   if (attempt_->isPathLost) {
@@ -150,6 +155,7 @@
   const bool isLost = !ended_ && attempt_ && attempt_->relay.empty() &&
                       route_->repetition != Repetition::RunOnce;
   if (isLost) {
+    EndHeld(true);
     attempt_->isPathLost = true;
     OnSilence();
   }
@@ -333,14 +339,66 @@
     AbandonContinuation("retry_budget");
     return false;
   }
-  CloseAttempt(true);
   ++endpointsTried_;
   mayHaveRun_ = true;
+  shared_.metrics.Count("retries");
+  HoldAttempt();
+  if (held_->isPathLost || !held_->streams) {
+    EndHeld(true);
+  }
+  return true;
+}
+
+/** The open attempt stays until the next endpoint takes over, which it may
+ * refuse to do.
+ */
+void GatewayRequest::HoldAttempt()
+{
+  attempt_->heard = heardAt_;
+  held_ = std::exchange(attempt_, std::nullopt);
+  heldTimer_.expires_after(HoldTime);
+  heldTimer_.async_wait([weak = weak_from_this(), number = held_->number](
+                          boost::system::error_code error) {
+    auto self = weak.lock();
+    if (!error && self && !self->ended_ && self->IsFromHeld(number)) {
+      self->EndHeld(true);
+    }
+  });
+}
+
+bool GatewayRequest::IsFromHeld(std::size_t attempt)
+{
+  return held_ && held_->number == attempt;
+}
+
+/** The attempt that is held is the open one again; one that was to follow it
+ * is given up.
+ */
+void GatewayRequest::ReturnToHeld()
+{
+  heldTimer_.cancel();
+  if (attempt_) {
+    shared_.metrics.Count("continuations_dropped");
+    DropAttempt(attempt_);
+  }
+  attempt_ = std::exchange(held_, std::nullopt);
+  heardAt_ = attempt_->heard;
+  sentAt_ = attempt_->sent;
+}
+
+/** Another endpoint has taken over, or the attempt that is held has ended. */
+void GatewayRequest::EndHeld(bool failed)
+{
+  if (!held_) {
+    return;
+  }
+  heldTimer_.cancel();
+  attempt_.swap(held_);
+  CloseAttempt(failed);
+  attempt_.swap(held_);
   reader_.partial.clear();
   failures_.push_back(leftFor_);
   shared_.metrics.Count(absl::StrCat("attempt_", leftFor_));
-  shared_.metrics.Count("retries");
-  return true;
 }
 
 /** A box does not leave one endpoint that stands still for another. */
--- a/Source/Gateway/wgGatewayRequestEngine.cxx
+++ b/Source/Gateway/wgGatewayRequestEngine.cxx
@@ -138,15 +138,15 @@
   }
 }
 
-void GatewayRequest::EndRead(const EngineReadResult& result)
+void GatewayRequest::EndRead(Attempt& attempt, const EngineReadResult& result)
 {
-  shared_.engines.End(std::exchange(attempt_->placed, {}), result);
+  shared_.engines.End(std::exchange(attempt.placed, {}), result);
   if (DirectoryEndpoint* endpoint =
-        FindEndpoint(shared_.directory, attempt_->endpoint)) {
+        FindEndpoint(shared_.directory, attempt.endpoint)) {
     endpoint->pendingSeconds =
-      std::max(0.0, endpoint->pendingSeconds - attempt_->prefillSeconds);
+      std::max(0.0, endpoint->pendingSeconds - attempt.prefillSeconds);
   }
-  attempt_->prefillSeconds = 0.0;
+  attempt.prefillSeconds = 0.0;
 }
 
 } // namespace wg
