Test: requests that share a bad part of their prompts end engines

The test brings it about with three boxes and six engines: requests that differ in all but their first two parts, the second of which ends what runs it. After five ends and 3 s more, 12 more such requests are sent beside sound ones with the same first part and key, then the same after all processes were killed. Of those at most three may reach an engine.

--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -213,6 +213,14 @@
   httplib::Result SendBody(int gateway, const std::string& path,
                            const std::string& id, const std::string& body,
                            const std::string& key = "k1")
+  {
+    return SendPrompt(gateway, path, id, body, "aa:60,bb:40", key);
+  }
+  /** \param prompt parts of a stream's prompt, "id:tokens,id:tokens" */
+  httplib::Result SendPrompt(int gateway, const std::string& path,
+                             const std::string& id, const std::string& body,
+                             const std::string& prompt,
+                             const std::string& key = "k1")
   {
     httplib::Client client("127.0.0.1", listens_[gateway]);
     client.set_read_timeout(20);
@@ -223,7 +231,7 @@
                                  { "Authorization", "Token " + key } };
     if (path.rfind("/s/", 0) == 0 || path.rfind("/r/", 0) == 0) {
       headers.emplace("X-Weirgate-Token-Usage", "100,20");
-      headers.emplace("X-Weirgate-Prompt-Prefix", "aa:60,bb:40");
+      headers.emplace("X-Weirgate-Prompt-Prefix", prompt);
       headers.emplace("X-Weirgate-Chunk-Count", "2,3");
       headers.emplace("X-Weirgate-Chunk-Key", "file");
     }
--- a/Tests/Platform/wgPlatformCrashTest.cxx
+++ b/Tests/Platform/wgPlatformCrashTest.cxx
@@ -32,12 +32,12 @@
 {
 public:
   Endpoints(PlatformCluster& cluster, const std::string& service, int count,
-            bool onlyCutOff = false)
+            bool onlyCutOff = false, const std::string& text = EndingText)
   {
     for (int i = 0; i < count; ++i) {
       all_.push_back(
         std::make_unique<PlatformStandin>(absl::StrCat(service, "-", i)));
-      all_.back()->EndsUnder(EndingText, DownMs);
+      all_.back()->EndsUnder(text, DownMs);
       if (onlyCutOff) {
         all_.back()->IsOnlyCutOff();
       }
@@ -182,6 +182,69 @@
   }
 }
 
+/** All processes of all boxes end before the first one is back. */
+void RestartAll(PlatformCluster& cluster)
+{
+  absl::SleepFor(absl::Milliseconds(1500)); // until what is known is written
+  for (int i = 0; i < PlatformCluster::Controls; ++i) {
+    cluster.Control(i).Kill();
+  }
+  for (int i = 0; i < Gateways; ++i) {
+    cluster.Gateway(i).Kill();
+  }
+  for (int i = 0; i < PlatformCluster::Controls; ++i) {
+    cluster.StartControl(i, false);
+  }
+  for (int i = 0; i < Gateways; ++i) {
+    cluster.StartGateway(i);
+  }
+}
+
+/** Requests that share the first part of their prompts. No two are alike. */
+class PromptSender
+{
+public:
+  explicit PromptSender(PlatformCluster& cluster)
+    : cluster_(cluster)
+  {
+  }
+  /** \return whether it was served */
+  bool SendSound() { return Send("aa:60,"); }
+  /** One whose second part ends what runs it. */
+  bool SendBad() { return Send(absl::StrCat("aa:60,", BadPart)); }
+
+  static constexpr const char* BadPart = "dead:20,";
+
+private:
+  bool Send(const std::string& parts)
+  {
+    const int number = ++sent_;
+    const auto reply = cluster_.SendPrompt(
+      number % Gateways, "/r/x", absl::StrCat("prompt-", number),
+      absl::StrCat("body ", number), absl::StrCat(parts, "5", number, ":9"));
+    return reply && reply->status == 200;
+  }
+
+  PlatformCluster& cluster_;
+  std::atomic<int> sent_{ 0 };
+};
+
+/** At most three more reach an endpoint, and sound requests are served. */
+void CheckPartIsKeptAway(PromptSender& sender, const Endpoints& endpoints)
+{
+  constexpr int more = 12;
+  constexpr int most = 3;
+  const int before = endpoints.Ends();
+  int served = 0;
+  for (int i = 0; i < more; ++i) {
+    sender.SendBad();
+    Await("all endpoints to be up", [&] { return endpoints.AllUp(); });
+    served += sender.SendSound() ? 1 : 0;
+  }
+  CHECK(endpoints.Ends() - before <= most);
+  CHECK(served >= more * 9 / 10);
+}
+
 /** A request that ends what runs it is sent until three have ended. From then
  * on it reaches none, at any box, also where all boxes have started again.
  */
@@ -206,20 +269,7 @@
   }
   CHECK(endpoints.Ends() == before);
   AwaitInnocents(cluster, path);
-
-  absl::SleepFor(absl::Milliseconds(1500)); // until it is all written
-  for (int i = 0; i < PlatformCluster::Controls; ++i) {
-    cluster.Control(i).Kill();
-  }
-  for (int i = 0; i < Gateways; ++i) {
-    cluster.Gateway(i).Kill();
-  }
-  for (int i = 0; i < PlatformCluster::Controls; ++i) {
-    cluster.StartControl(i, false);
-  }
-  for (int i = 0; i < Gateways; ++i) {
-    cluster.StartGateway(i);
-  }
+  RestartAll(cluster);
   AwaitInnocents(cluster, path);
   for (int i = 0; i < more; ++i) {
     CHECK(resender.IsKeptAway());
@@ -296,3 +346,27 @@
   Heartbeats heartbeats(cluster, engine, "llm");
   CheckKeptAway("/s/x", cluster, encoders);
 }
+
+// Requests of one kind ended engines one after the other, 23 in 13 s; they
+// shared one part of their prompts and nothing else that sound ones lacked.
+TEST_CASE("A part of prompts that ends engines is kept away from them",
+          "[parts]")
+{
+  constexpr int endsAllowed = 5;
+  PlatformCluster cluster(Gateways);
+  Endpoints engines(cluster, "llm", 6, false, PromptSender::BadPart);
+  cluster.AwaitServing();
+  AwaitInnocents(cluster, "/r/x");
+  PromptSender sender(cluster);
+  for (int i = 0; i < 20 && engines.Ends() < endsAllowed; ++i) {
+    CHECK_FALSE(sender.SendBad());
+    Await("all endpoints to be up", [&] { return engines.AllUp(); });
+    absl::SleepFor(absl::Milliseconds(300)); // until all boxes know it
+    Await("a sound request to be served", [&] { return sender.SendSound(); });
+  }
+  absl::SleepFor(absl::Seconds(3));
+  CheckPartIsKeptAway(sender, engines);
+  RestartAll(cluster);
+  AwaitInnocents(cluster, "/r/x");
+  CheckPartIsKeptAway(sender, engines);
+}
--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -338,7 +338,8 @@
   if (!mayRefuse) {
     NoteRun(exchange);
   }
-  if (IsEndedBy(request.body())) {
+  const std::string prompt(request["X-Weirgate-Prompt-Prefix"]);
+  if (IsEndedBy(request.body()) || IsEndedBy(prompt)) {
     End();
     return;
   }
