Gateway: a part of prompts that ends endpoints is kept away from them

Cause: blame was laid on whole requests alone (account, host, path, body). The requests shared a part of their prompts, no two were alike, and so no evidence added up. Its class: the cause of a failure is looked for in one property of requests, which those that fail need not share.

Change: the evidence of crashes is kept by suspect, which is a whole request or one of the parts of its prompt but the last. An end counts against the parts of attempts that it cut before their endpoint went on after the first event, and an answer that does go on outweighs all earlier ends of its parts, so that parts which sound requests have as well are cleared all the time. Three ends that nothing else explains, and the part is sent to no endpoint any more. Of a request and a part with the same ends the request is held, which is narrower. Parts that a box has often seen answered lately are not held by it: several endpoints may end at once for another reason. It travels and is stored with the evidence of requests; older builds take the names of parts for requests that never come. Log lines of failed requests and of ended endpoints name the parts ("parts", "part_quarantined"); those came with this commit, not before.

Ruled out: a second ledger beside the first; blocking the first part, the route or the account, which sound requests share.

--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -106,7 +106,7 @@
               absl::StrCat(registry_.endpoints.size(),
                            " are known from before the start, and ",
                            crashes_.quarantined.size(),
-                           " requests that end them"));
+                           " requests or parts of prompts that end them"));
   }
 }
 
@@ -410,13 +410,14 @@
 /** A gateway tells what it noted; all that follow hear of it. */
 void ControlNode::OnCrashes(CrashesCall& call)
 {
-  const std::set<std::string> before = crashes_.quarantined;
+  const std::set<CrashSuspect> before = crashes_.quarantined;
   for (const wire::Crash& crash : call.news.crashes()) {
     MergeCrash(crashes_, crash, ElapsedNow());
   }
   if (crashes_.quarantined != before) {
     LogChange("quarantine", absl::StrCat(crashes_.quarantined.size(),
-                                         " requests are sent to no endpoint"));
+                                         " requests or parts of prompts are "
+                                         "sent to no endpoint"));
   }
   wire::CrashesReply reply;
   reply.set_taken(true);
--- a/Source/Decision/wgCrashEvidence.cxx
+++ b/Source/Decision/wgCrashEvidence.cxx
@@ -10,34 +10,35 @@
 /** Identities and fingerprints are far shorter. */
 constexpr std::size_t MaxNameBytes = 200;
 
-using Ends = std::set<std::string>;                // identities of starts
-using EndsByRequest = std::map<std::string, Ends>; // without outweighed ones
+using Ends = std::set<std::string>;                 // identities of starts
+using EndsBySuspect = std::map<CrashSuspect, Ends>; // without outweighed ones
 
-/** Returns the ends of requests that have enough for quarantine; most requests
- * have one or two. Records of a request are adjacent.
+/** Returns the ends of suspects that have enough for quarantine; most have one
+ * or two. Records of a suspect are adjacent.
  */
-EndsByRequest EndsForQuarantine(const CrashEvidence& evidence)
+EndsBySuspect EndsForQuarantine(const CrashEvidence& evidence)
 {
-  EndsByRequest all;
+  EndsBySuspect all;
   const auto& records = evidence.records;
   for (auto it = records.begin(); it != records.end();) {
-    const std::string& request = it->first.request;
+    const CrashSuspect& suspect = it->first.suspect;
     std::vector<const std::string*> ends;
-    for (; it != records.end() && it->first.request == request; ++it) {
+    for (; it != records.end() && it->first.suspect == suspect; ++it) {
       if (!it->second.outweighed) {
         ends.push_back(&it->first.endpoint);
       }
     }
     if (ends.size() >= evidence.rules.endsToQuarantine) {
       for (const std::string* endpoint : ends) {
-        all[request].insert(*endpoint);
+        all[suspect].insert(*endpoint);
       }
     }
   }
   return all;
 }
 
-EndsByRequest::iterator MostEnds(EndsByRequest& ends)
+/** Of those with the same ends a whole request is the narrowest. */
+EndsBySuspect::iterator MostEnds(EndsBySuspect& ends)
 {
   return std::max_element(ends.begin(), ends.end(),
                           [](const auto& left, const auto& right) {
@@ -45,24 +46,24 @@
                           });
 }
 
-void RemoveEnds(EndsByRequest& ends, const Ends& explained)
+void RemoveEnds(EndsBySuspect& ends, const Ends& explained)
 {
-  for (auto& [request, counted] : ends) {
+  for (auto& [suspect, counted] : ends) {
     for (const std::string& endpoint : explained) {
       counted.erase(endpoint);
     }
   }
 }
 
-/** An end that one request explains does not count against the requests beside
- * it: each of twelve engines that one request ended cut off 1 to 4 other
- * requests. The quarantine is computed anew each time, so that it ends for an
- * innocent request once another has more ends.
+/** An end that one suspect explains does not count against those beside it:
+ * each of twelve engines that one request ended cut off 1 to 4 other requests.
+ * The quarantine is computed anew each time, so that it ends for an innocent
+ * suspect once another has more ends.
  */
 void UpdateQuarantine(CrashEvidence& evidence)
 {
   evidence.quarantined.clear();
-  EndsByRequest ends = EndsForQuarantine(evidence);
+  EndsBySuspect ends = EndsForQuarantine(evidence);
   while (!ends.empty()) {
     const auto cause = MostEnds(ends);
     if (cause->second.size() < evidence.rules.endsToQuarantine) {
@@ -74,20 +75,26 @@
   }
 }
 
-void NoteChange(CrashEvidence& evidence, CrashRecord& record)
+/** \param counted  crashes that counted against the suspect before or after
+ * the change, the more of both
+ */
+void NoteChange(CrashEvidence& evidence, CrashRecord& record,
+                std::size_t counted)
 {
   record.revision = ++evidence.revision;
-  UpdateQuarantine(evidence);
+  if (counted >= evidence.rules.endsToQuarantine) {
+    UpdateQuarantine(evidence); // with fewer, nothing is explained
+  }
 }
 
 absl::Duration RetentionOf(const CrashEvidence& evidence,
-                           absl::string_view request)
+                           const CrashSuspect& suspect)
 {
-  return IsQuarantined(evidence, request) ? evidence.rules.quarantineFor
+  return IsQuarantined(evidence, suspect) ? evidence.rules.quarantineFor
                                           : evidence.rules.suspectFor;
 }
 
-/** If the evidence is full, evicts the oldest record of a request that is not
+/** If the evidence is full, evicts the oldest record of a suspect that is not
  * quarantined.
  * \return whether a record may be added
  */
@@ -101,7 +108,7 @@
        ++it) {
     const bool older = oldest == evidence.records.end() ||
                        it->second.noted < oldest->second.noted;
-    if (older && !IsQuarantined(evidence, it->first.request)) {
+    if (older && !IsQuarantined(evidence, it->first.suspect)) {
       oldest = it;
     }
   }
@@ -123,10 +130,30 @@
 
 } // namespace
 
+bool operator<(const CrashSuspect& left, const CrashSuspect& right)
+{
+  return std::tie(left.cause, left.name) < std::tie(right.cause, right.name);
+}
+
+bool operator==(const CrashSuspect& left, const CrashSuspect& right)
+{
+  return left.cause == right.cause && left.name == right.name;
+}
+
 bool operator<(const CrashKey& left, const CrashKey& right)
 {
-  return std::tie(left.request, left.endpoint) <
-         std::tie(right.request, right.endpoint);
+  return std::tie(left.suspect, left.endpoint) <
+         std::tie(right.suspect, right.endpoint);
+}
+
+CrashSuspect RequestSuspect(absl::string_view fingerprint)
+{
+  return { wire::WHOLE_REQUEST, std::string(fingerprint) };
+}
+
+CrashSuspect PartSuspect(absl::string_view part)
+{
+  return { wire::PROMPT_PART, std::string(part) };
 }
 
 bool MergeCrash(CrashEvidence& evidence, const wire::Crash& crash, Elapsed now)
@@ -136,7 +163,7 @@
   if (!IsValid(crash) || isOver) {
     return false;
   }
-  const CrashKey key{ crash.request(), crash.endpoint() };
+  const CrashKey key{ { crash.cause(), crash.request() }, crash.endpoint() };
   if (evidence.records.count(key) == 0 && !EvictIfFull(evidence)) {
     return false;
   }
@@ -146,23 +173,23 @@
   const bool isChanged = isNew || (crash.outweighed() && !record.outweighed);
   record.outweighed |= crash.outweighed();
   if (isChanged) {
-    NoteChange(evidence, record);
+    const std::size_t removed = record.outweighed ? 1 : 0;
+    NoteChange(evidence, record, CountedEnds(evidence, key.suspect) + removed);
   }
   return isChanged;
 }
 
-bool NoteAnswered(CrashEvidence& evidence, absl::string_view request)
+bool NoteAnswered(CrashEvidence& evidence, const CrashSuspect& suspect)
 {
-  bool isChanged = false;
-  for (auto it = evidence.records.lower_bound({ std::string(request), "" });
-       it != evidence.records.end() && it->first.request == request; ++it) {
+  const std::size_t counted = CountedEnds(evidence, suspect);
+  for (auto it = evidence.records.lower_bound({ suspect, "" });
+       it != evidence.records.end() && it->first.suspect == suspect; ++it) {
     if (!it->second.outweighed) {
       it->second.outweighed = true;
-      NoteChange(evidence, it->second);
-      isChanged = true;
+      NoteChange(evidence, it->second, counted);
     }
   }
-  return isChanged;
+  return counted > 0;
 }
 
 bool IsPresumedEnded(const CrashEvidence& evidence, absl::string_view endpoint)
@@ -179,41 +206,41 @@
   for (auto& [key, record] : evidence.records) {
     if (key.endpoint == endpoint && !record.outweighed) {
       record.outweighed = true;
-      NoteChange(evidence, record);
+      NoteChange(evidence, record, CountedEnds(evidence, key.suspect) + 1);
       isChanged = true;
     }
   }
   return isChanged;
 }
 
-bool IsSuspect(const CrashEvidence& evidence, absl::string_view request)
+std::size_t CountedEnds(const CrashEvidence& evidence,
+                        const CrashSuspect& suspect)
 {
-  for (auto it = evidence.records.lower_bound({ std::string(request), "" });
-       it != evidence.records.end() && it->first.request == request; ++it) {
-    if (!it->second.outweighed) {
-      return true;
-    }
+  std::size_t ends = 0;
+  for (auto it = evidence.records.lower_bound({ suspect, "" });
+       it != evidence.records.end() && it->first.suspect == suspect; ++it) {
+    ends += it->second.outweighed ? 0 : 1;
   }
-  return false;
+  return ends;
 }
 
-bool IsQuarantined(const CrashEvidence& evidence, absl::string_view request)
+bool IsQuarantined(const CrashEvidence& evidence, const CrashSuspect& suspect)
 {
-  return evidence.quarantined.count(std::string(request)) > 0;
+  return evidence.quarantined.count(suspect) > 0;
 }
 
 void ExpireCrashes(CrashEvidence& evidence, Elapsed now)
 {
-  std::map<std::string, Elapsed> last; // noted crash of each request
+  std::map<CrashSuspect, Elapsed> last; // noted crash of each
   for (const auto& [key, record] : evidence.records) {
-    Elapsed& noted = last.try_emplace(key.request, record.noted).first->second;
+    Elapsed& noted = last.try_emplace(key.suspect, record.noted).first->second;
     noted = std::max(noted, record.noted);
   }
   bool isExpired = false;
   for (auto it = evidence.records.begin(); it != evidence.records.end();) {
     const auto current = it++;
-    const std::string& request = current->first.request;
-    if (now - last[request] > RetentionOf(evidence, request)) {
+    const CrashSuspect& suspect = current->first.suspect;
+    if (now - last[suspect] > RetentionOf(evidence, suspect)) {
       evidence.records.erase(current);
       isExpired = true;
     }
@@ -227,7 +254,8 @@
                              Elapsed now)
 {
   wire::Crash crash;
-  crash.set_request(key.request);
+  crash.set_request(key.suspect.name);
+  crash.set_cause(key.suspect.cause);
   crash.set_endpoint(key.endpoint);
   crash.set_outweighed(record.outweighed);
   crash.set_age_ms(absl::ToInt64Milliseconds(
--- a/Source/Decision/wgCrashEvidence.h
+++ b/Source/Decision/wgCrashEvidence.h
@@ -16,16 +16,30 @@
 
 namespace wg {
 
-/** \brief A request that ran at a start of an endpoint when the start ended.
+/** \brief What may have ended an endpoint: a request, or a part of its prompt
+ * that others have as well.
+ */
+struct CrashSuspect
+{
+  wire::CrashCause cause = wire::WHOLE_REQUEST;
+  std::string name; // fingerprint of the request, or id of the part
+};
+bool operator<(const CrashSuspect& left, const CrashSuspect& right);
+bool operator==(const CrashSuspect& left, const CrashSuspect& right);
+
+/** \brief A suspect that ran at a start of an endpoint when the start ended.
  */
 struct CrashKey
 {
-  std::string request;  // fingerprint of the request
+  CrashSuspect suspect;
   std::string endpoint; // identity of the start
 };
 bool operator<(const CrashKey& left, const CrashKey& right);
 
-/** \brief The evidence of one crash against one request. */
+CrashSuspect RequestSuspect(absl::string_view fingerprint);
+CrashSuspect PartSuspect(absl::string_view part);
+
+/** \brief The evidence of one crash against one suspect. */
 struct CrashRecord
 {
   Elapsed noted;              // when any box first noted it, by this clock
@@ -46,24 +60,25 @@
    * request ends three more endpoints a day.
    */
   absl::Duration quarantineFor = absl::Hours(24);
-  /** Some 150 bytes each: 64 crashes with 64 requests each. */
+  /** Some 150 bytes each: 64 crashes with 64 requests and parts each. */
   std::size_t maxRecords = 4096;
 };
 
-/** \brief The evidence against requests that ran at endpoints which ended.
+/** \brief The evidence against requests that ran at endpoints which ended, and
+ * against parts of their prompts.
  *
  * Each process has its own copy. Merging is commutative and idempotent. A
- * request that ran at three endpoints when they ended is quarantined: it is
- * sent to no endpoint any more. Other requests ran beside it, so an end counts
- * only against the request with the most ends, and not at all if a later
- * answer outweighs it.
+ * suspect that ran at three endpoints when they ended is quarantined: it is
+ * sent to no endpoint any more. Others ran beside it, so an end counts only
+ * against the suspect with the most ends, and not at all if a later answer
+ * outweighs it. Parts that most requests have are answered all the time.
  */
 struct CrashEvidence
 {
   CrashRules rules;
   std::uint64_t revision = 0;
   std::map<CrashKey, CrashRecord> records;
-  std::set<std::string> quarantined; // fingerprints, derived from the records
+  std::set<CrashSuspect> quarantined; // derived from the records
 };
 
 /** \brief Merges a crash that this process noted or received.
@@ -72,13 +87,13 @@
 bool MergeCrash(CrashEvidence& evidence, const wire::Crash& crash,
                 Elapsed now);
 
-/** \brief Records that an endpoint answered a request, which outweighs its
+/** \brief Records that an endpoint answered the suspect, which outweighs its
  * crashes up to now.
  * \return whether the evidence changed
  */
-bool NoteAnswered(CrashEvidence& evidence, absl::string_view request);
+bool NoteAnswered(CrashEvidence& evidence, const CrashSuspect& suspect);
 
-/** \brief Whether the end of this start counts against any request. */
+/** \brief Whether the end of this start counts against anything. */
 bool IsPresumedEnded(const CrashEvidence& evidence,
                      absl::string_view endpoint);
 
@@ -88,9 +103,10 @@
  */
 bool NoteLive(CrashEvidence& evidence, absl::string_view endpoint);
 
-/** \brief Whether crashes count against the request. */
-bool IsSuspect(const CrashEvidence& evidence, absl::string_view request);
-bool IsQuarantined(const CrashEvidence& evidence, absl::string_view request);
+/** \brief Returns how many crashes count against the suspect. */
+std::size_t CountedEnds(const CrashEvidence& evidence,
+                        const CrashSuspect& suspect);
+bool IsQuarantined(const CrashEvidence& evidence, const CrashSuspect& suspect);
 
 /** \brief Removes expired records. To be called at most once a second. */
 void ExpireCrashes(CrashEvidence& evidence, Elapsed now);
--- a/Source/Gateway/wgCrashTracker.cxx
+++ b/Source/Gateway/wgCrashTracker.cxx
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgCrashTracker.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -24,7 +25,7 @@
 
 CrashKey KeyOf(const wire::Crash& crash)
 {
-  return { crash.request(), crash.endpoint() };
+  return { { crash.cause(), crash.request() }, crash.endpoint() };
 }
 
 } // namespace
@@ -42,9 +43,10 @@
 void CrashTracker::OnEnded(const EndedEndpoint& ended)
 {
   const Elapsed now = ElapsedNow();
-  for (const std::string& request : ended.requests) {
+  for (const CrashSuspect& suspect : ended.suspects) {
     wire::Crash crash;
-    crash.set_request(request);
+    crash.set_request(suspect.name);
+    crash.set_cause(suspect.cause);
     crash.set_endpoint(ended.id);
     if (MergeCrash(evidence_, crash, now)) {
       tellFrom_[KeyOf(crash)] = now;
@@ -56,45 +58,92 @@
 
 void CrashTracker::Answered(absl::string_view fingerprint)
 {
-  if (!NoteAnswered(evidence_, fingerprint)) {
-    return;
+  const CrashSuspect request = RequestSuspect(fingerprint);
+  if (CountedEnds(evidence_, request) > 0) {
+    Outweigh(request, ElapsedNow());
+    TellOutweighed();
   }
-  metrics_.Count("suspicions_outweighed");
+}
+
+void CrashTracker::PartsAnswered(absl::Span<const CrashSuspect> parts)
+{
   const Elapsed now = ElapsedNow();
-  for (auto it =
-         evidence_.records.lower_bound({ std::string(fingerprint), "" });
-       it != evidence_.records.end() && it->first.request == fingerprint;
-       ++it) {
+  bool isChanged = false;
+  for (const CrashSuspect& part : parts) {
+    NotePartAnswered(answered_, part.name, now);
+    if (!IsEmpty() && CountedEnds(evidence_, part) > 0) {
+      Outweigh(part, now);
+      isChanged = true;
+    }
+  }
+  if (isChanged) {
+    TellOutweighed();
+  }
+}
+
+void CrashTracker::Outweigh(const CrashSuspect& suspect, Elapsed now)
+{
+  NoteAnswered(evidence_, suspect);
+  metrics_.Count("suspicions_outweighed");
+  for (auto it = evidence_.records.lower_bound({ suspect, "" });
+       it != evidence_.records.end() && it->first.suspect == suspect; ++it) {
     tellFrom_[it->first] = now;
   }
+}
+
+void CrashTracker::TellOutweighed()
+{
   NoteChanges();
   TellAll();
 }
 
-/** One line for each request that is kept away from endpoints from now on, or
+/** Where several endpoints end at once for another reason, all parts that
+ * their requests had seem to have ended them.
+ */
+bool CrashTracker::IsProvedSound(const CrashSuspect& part) const
+{
+  constexpr std::size_t answersForEnd = 3;
+  const int answers = AnswersWithPart(answered_, part.name, ElapsedNow());
+  return static_cast<std::size_t>(answers) >=
+         answersForEnd * CountedEnds(evidence_, part);
+}
+
+bool CrashTracker::AreKeptAway(absl::Span<const CrashSuspect> parts) const
+{
+  return std::any_of(
+    parts.begin(), parts.end(), [this](const CrashSuspect& part) {
+      return IsQuarantined(evidence_, part) && !IsProvedSound(part);
+    });
+}
+
+/** One line for each suspect that is kept away from endpoints from now on, or
  * no longer.
  */
 void CrashTracker::NoteChanges()
 {
-  for (const std::string& request : evidence_.quarantined) {
-    if (!logged_.insert(request).second) {
+  for (const CrashSuspect& suspect : evidence_.quarantined) {
+    if (!logged_.insert(suspect).second) {
       continue;
     }
     nlohmann::json endpoints = nlohmann::json::array();
-    for (auto it = evidence_.records.lower_bound({ request, "" });
-         it != evidence_.records.end() && it->first.request == request; ++it) {
+    for (auto it = evidence_.records.lower_bound({ suspect, "" });
+         it != evidence_.records.end() && it->first.suspect == suspect; ++it) {
       endpoints.push_back(it->first.endpoint);
     }
-    metrics_.Count("requests_quarantined");
-    log_.Write(LogWeight::Notable, "request_quarantined",
-               { { "fingerprint", PrintFingerprint(request) },
+    const bool isPart = suspect.cause == wire::PROMPT_PART;
+    metrics_.Count(isPart ? "parts_quarantined" : "requests_quarantined");
+    log_.Write(LogWeight::Notable,
+               isPart ? "part_quarantined" : "request_quarantined",
+               { { isPart ? "part" : "fingerprint", PrintSuspect(suspect) },
                  { "endpoints", std::move(endpoints) } });
   }
   for (auto it = logged_.begin(); it != logged_.end();) {
     const auto current = it++;
     if (!IsQuarantined(evidence_, *current)) {
-      log_.Write(LogWeight::Notable, "request_released",
-                 { { "fingerprint", PrintFingerprint(*current) } });
+      const bool isPart = current->cause == wire::PROMPT_PART;
+      log_.Write(
+        LogWeight::Notable, isPart ? "part_released" : "request_released",
+        { { isPart ? "part" : "fingerprint", PrintSuspect(*current) } });
       logged_.erase(current);
     }
   }
--- a/Source/Gateway/wgCrashTracker.h
+++ b/Source/Gateway/wgCrashTracker.h
@@ -8,6 +8,7 @@
 
 #include "absl/strings/string_view.h"
 
+#include "wgAnsweredParts.h"
 #include "wgCrashEvidence.h"
 #include "wgCrashWatch.h"
 #include "wgDecisionLog.h"
@@ -18,8 +19,8 @@
 namespace wg {
 
 /** \class CrashTracker
- * \brief Which requests end the endpoints that run them, as all boxes
- * together saw it: such a request may come back at any box.
+ * \brief Which requests, or parts of their prompts, end the endpoints that run
+ * them, as all boxes together saw it: such a request may come to any box.
  *
  * What this box notes it tells every control box at once, and these tell all
  * gateways. A control box that lacks what others know (it was cut off, or lost
@@ -38,15 +39,17 @@
   {
     watch_.SetConfirmPath(std::move(confirm));
   }
-  /** \brief An attempt of a request was cut off after it was sent. */
-  void Cut(absl::string_view endpoint, absl::string_view fingerprint)
+  /** \brief An attempt was cut off after it was sent. */
+  void Cut(absl::string_view endpoint, absl::Span<const CrashSuspect> suspects)
   {
-    watch_.Cut(endpoint, fingerprint);
+    watch_.Cut(endpoint, suspects);
   }
   /** \brief An endpoint has answered; it has not ended. */
   void Alive(absl::string_view endpoint) { watch_.Alive(endpoint); }
   /** \brief The request was answered by an endpoint as a whole. */
   void Answered(absl::string_view fingerprint);
+  /** \brief An endpoint went on to write an answer on a prompt with them. */
+  void PartsAnswered(absl::Span<const CrashSuspect> parts);
   /** \brief The directory has changed. */
   void NoteDirectory() { watch_.NoteDirectory(); }
   /** \brief Takes in what a control box tells in a reply to a follower. */
@@ -56,8 +59,12 @@
   bool IsEmpty() const { return evidence_.records.empty(); }
   bool IsKeptAway(absl::string_view fingerprint) const
   {
-    return IsQuarantined(evidence_, fingerprint);
+    return IsQuarantined(evidence_, RequestSuspect(fingerprint));
   }
+  /** \brief Whether one of the parts ends endpoints. One that this box often
+   * sees answered does not.
+   */
+  bool AreKeptAway(absl::Span<const CrashSuspect> parts) const;
   std::size_t KeptAway() const { return evidence_.quarantined.size(); }
 
 private:
@@ -70,6 +77,9 @@
   };
 
   void OnEnded(const EndedEndpoint& ended);
+  bool IsProvedSound(const CrashSuspect& part) const;
+  void Outweigh(const CrashSuspect& suspect, Elapsed now);
+  void TellOutweighed();
   void NoteChanges();
   void Forget();
   wire::Crashes NewsFor(const Control& control) const;
@@ -84,7 +94,8 @@
   PeerClient* peers_ = nullptr;
   CrashEvidence evidence_;
   std::map<CrashKey, Elapsed> tellFrom_;
-  std::set<std::string> logged_;            // quarantined, as the log has it
+  AnsweredParts answered_;
+  std::set<CrashSuspect> logged_;           // quarantined, as the log has it
   std::map<std::string, Control> controls_; // by address
   Elapsed forgetFrom_;
   CrashWatch watch_;
--- a/Source/Gateway/wgCrashWatch.cxx
+++ b/Source/Gateway/wgCrashWatch.cxx
@@ -20,7 +20,7 @@
 constexpr auto ProbeDelay = std::chrono::milliseconds(20);
 constexpr int MaxProbes = 2;
 /** Of an endpoint with 64 requests a line would have 2 kB. */
-constexpr std::size_t MaxLoggedRequests = 8;
+constexpr std::size_t MaxLogged = 8;
 
 } // namespace
 
@@ -34,10 +34,11 @@
 {
 }
 
-void CrashWatch::Cut(absl::string_view endpoint, absl::string_view fingerprint)
+void CrashWatch::Cut(absl::string_view endpoint,
+                     absl::Span<const CrashSuspect> suspects)
 {
   const DirectoryEndpoint* known = FindEndpoint(directory_, endpoint);
-  if (known != nullptr && NoteCut(cuts_, *known, fingerprint, ElapsedNow())) {
+  if (known != nullptr && NoteCut(cuts_, *known, suspects, ElapsedNow())) {
     ProbeSoon(known->id);
   }
 }
@@ -99,18 +100,22 @@
 void CrashWatch::Tell(const std::vector<EndedEndpoint>& ended)
 {
   for (const EndedEndpoint& endpoint : ended) {
-    nlohmann::json shown = nlohmann::json::array();
-    for (const std::string& request : endpoint.requests) {
-      if (shown.size() < MaxLoggedRequests) {
-        shown.push_back(PrintFingerprint(request));
+    nlohmann::json requests = nlohmann::json::array();
+    nlohmann::json parts = nlohmann::json::array();
+    for (const CrashSuspect& suspect : endpoint.suspects) {
+      nlohmann::json& shown =
+        suspect.cause == wire::PROMPT_PART ? parts : requests;
+      if (shown.size() < MaxLogged) {
+        shown.push_back(PrintSuspect(suspect));
       }
     }
     metrics_.Count("endpoints_ended");
     log_.Write(LogWeight::Notable, "endpoint_ended",
                { { "endpoint", endpoint.id },
                  { "found_by", std::string(NameOf(endpoint.foundBy)) },
-                 { "requests", endpoint.requests.size() },
-                 { "fingerprints", std::move(shown) } });
+                 { "suspects", endpoint.suspects.size() },
+                 { "fingerprints", std::move(requests) },
+                 { "parts", std::move(parts) } });
     onEnded_(endpoint);
   }
 }
--- a/Source/Gateway/wgCrashWatch.h
+++ b/Source/Gateway/wgCrashWatch.h
@@ -36,8 +36,9 @@
     confirmPath_ = std::move(confirm);
   }
 
-  /** \brief An attempt of a request was cut off after it was sent. */
-  void Cut(absl::string_view endpoint, absl::string_view fingerprint);
+  /** \brief An attempt was cut off after it was sent. */
+  void Cut(absl::string_view endpoint,
+           absl::Span<const CrashSuspect> suspects);
   void Alive(absl::string_view endpoint) { NoteAlive(cuts_, endpoint); }
   /** \brief The directory has changed. */
   void NoteDirectory();
--- a/Source/Gateway/wgCutAttempts.cxx
+++ b/Source/Gateway/wgCutAttempts.cxx
@@ -11,13 +11,13 @@
 
 /** Heartbeats that stop make a start silent after four of them, 4.8 s. */
 constexpr absl::Duration LongestWait = absl::Seconds(8);
-/** More than all that runs at an endpoint at once. */
-constexpr std::size_t MaxRequestsAtEndpoint = 1000;
+/** More requests than run at an endpoint at once, each with some parts. */
+constexpr std::size_t MaxSuspectsAtEndpoint = 2000;
 
 EndedEndpoint MakeEnded(const std::string& id, const CutAtEndpoint& cut,
                         EndFoundBy foundBy)
 {
-  return { id, foundBy, { cut.requests.begin(), cut.requests.end() } };
+  return { id, foundBy, { cut.suspects.begin(), cut.suspects.end() } };
 }
 
 std::optional<EndFoundBy> HowEnded(const Directory& directory,
@@ -36,7 +36,7 @@
 } // namespace
 
 bool NoteCut(CutAttempts& cuts, const DirectoryEndpoint& endpoint,
-             absl::string_view fingerprint, Elapsed now)
+             absl::Span<const CrashSuspect> suspects, Elapsed now)
 {
   if (endpoint.state != Registration::READY) {
     return false;
@@ -44,8 +44,10 @@
   auto [found, isNew] = cuts.endpoints.try_emplace(endpoint.id);
   CutAtEndpoint& cut = found->second;
   cut.first = isNew ? now : cut.first;
-  if (cut.requests.size() < MaxRequestsAtEndpoint) {
-    cut.requests.insert(std::string(fingerprint));
+  for (const CrashSuspect& suspect : suspects) {
+    if (cut.suspects.size() < MaxSuspectsAtEndpoint) {
+      cut.suspects.insert(suspect);
+    }
   }
   return isNew;
 }
--- a/Source/Gateway/wgCutAttempts.h
+++ b/Source/Gateway/wgCutAttempts.h
@@ -7,7 +7,9 @@
 #include <vector>
 
 #include "absl/strings/string_view.h"
+#include "absl/types/span.h"
 
+#include "wgCrashEvidence.h"
 #include "wgDirectory.h"
 #include "wgElapsed.h"
 
@@ -18,9 +20,9 @@
  */
 struct CutAtEndpoint
 {
-  Elapsed first;                  // when the first one was cut
-  std::set<std::string> requests; // fingerprints
-  int probes = 0;                 // connections that were tried since
+  Elapsed first; // when the first one was cut
+  std::set<CrashSuspect> suspects;
+  int probes = 0; // connections that were tried since
 };
 
 /** \brief All of them, by the identity of the endpoint's start. */
@@ -42,15 +44,15 @@
 {
   std::string id;
   EndFoundBy foundBy = EndFoundBy::NoConnection;
-  std::vector<std::string> requests; // fingerprints
+  std::vector<CrashSuspect> suspects;
 };
 
 /** \brief Keeps an attempt that was cut off. One at an endpoint that had said
- * that it leaves or ends tells nothing of the request.
+ * that it leaves or ends tells nothing of its suspects.
  * \return whether this is the first one there: a connection must be tried
  */
 bool NoteCut(CutAttempts& cuts, const DirectoryEndpoint& endpoint,
-             absl::string_view fingerprint, Elapsed now);
+             absl::Span<const CrashSuspect> suspects, Elapsed now);
 
 /** \brief The endpoint has answered a request: it has not ended. */
 void NoteAlive(CutAttempts& cuts, absl::string_view endpoint);
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -60,6 +60,7 @@
       self->OnCallerLeft();
     }
   });
+  ReadPrompt();
   if (IsKeptAway()) {
     SayNotRun(KeptAwayReason);
     return;
@@ -68,7 +69,6 @@
     SayNotRun(NoPathReason);
     return;
   }
-  ReadPrompt();
   if (TakesStreamUp()) {
     FindOrigin();
     return;
@@ -171,7 +171,8 @@
 bool GatewayRequest::IsKeptAway() const
 {
   return !shared_.crashes.IsEmpty() &&
-         shared_.crashes.IsKeptAway(Fingerprint());
+         (shared_.crashes.IsKeptAway(Fingerprint()) ||
+          shared_.crashes.AreKeptAway(sharedParts_));
 }
 
 bool GatewayRequest::ReadDeadline()
@@ -203,6 +204,7 @@
 {
   const HttpRequest& request = exchange_->Request();
   prompt_.parts = ParsePromptParts(FieldOf(request, Fields().prompt));
+  sharedParts_ = SharedParts(prompt_.parts);
   const std::pair<absl::string_view, absl::string_view> tokens =
     absl::StrSplit(FieldOf(request, Fields().tokens), absl::MaxSplits(',', 1));
   (void)absl::SimpleAtoi(tokens.first, &prompt_.tokensIn);
@@ -484,6 +486,20 @@
       { "silent_ms", absl::ToInt64Milliseconds(ElapsedNow() - heardAt_) } });
 }
 
+void GatewayRequest::AddParts(nlohmann::json& fields) const
+{
+  constexpr std::size_t maxLogged = 8;
+  nlohmann::json parts = nlohmann::json::array();
+  for (const CrashSuspect& part : sharedParts_) {
+    if (parts.size() < maxLogged) {
+      parts.push_back(PrintSuspect(part));
+    }
+  }
+  if (!parts.empty()) {
+    fields["parts"] = std::move(parts);
+  }
+}
+
 /** What tells apart who ended a request that was not served. */
 void GatewayRequest::AddEnd(nlohmann::json& fields) const
 {
@@ -518,6 +534,7 @@
   }
   if (!usual && (attempts_ > 0 || reason == KeptAwayReason)) {
     fields["fingerprint"] = PrintFingerprint(Fingerprint());
+    AddParts(fields);
   }
   if (!tried_.empty()) {
     fields["endpoints"] = tried_;
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -130,6 +130,7 @@
   bool saidNotRun = false;
   bool streams = false;
   bool eventSeen = false;
+  bool partsAnswered = false; // its endpoint went on after the first event
 };
 
 } // namespace detail
@@ -311,6 +312,8 @@
   bool IsWhole(HttpCallEnd end) const;
   void OnCut(HttpCallEnd end);
   void NoteRunThrough();
+  void NotePartsAnswered();
+  void NoteCutOff(const Attempt& attempt);
   void OnComplete();
   void AnswerWhole();
   void RestartStages();
@@ -328,6 +331,7 @@
   void End(absl::string_view outcome, absl::string_view reason);
   nlohmann::json DescribeTimes() const;
   void AddVersions(nlohmann::json& fields) const;
+  void AddParts(nlohmann::json& fields) const;
   void AddEnd(nlohmann::json& fields) const;
   void CountEnd(absl::string_view outcome, absl::string_view reason) const;
   void LogSilence(absl::string_view next) const;
@@ -346,6 +350,7 @@
   bool isOriginFinal_ = true; // asking again for it does not help
   KeyHolder holder_;
   PromptShape prompt_;
+  std::vector<CrashSuspect> sharedParts_; // of the prompt
   std::string pieceKey_;
   std::string resultHall_; // where an engine is likely to want the results
   std::vector<Stage> stages_;
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -382,6 +382,8 @@
     NoteFirstEvent();
     EndRead(*attempt_, { absl::ToDoubleSeconds(now - attempt_->sent), false });
     shared_.metrics.NoteLatency("engine_first_event", now - attempt_->sent);
+  } else {
+    NotePartsAnswered();
   }
   if (!finalReleased_) {
     ReleaseAll();
@@ -405,7 +407,7 @@
   }
   if (IsFromHeld(number)) {
     if (end == HttpCallEnd::Cut || end == HttpCallEnd::EndedByClose) {
-      shared_.crashes.Cut(held_->endpoint, Fingerprint());
+      NoteCutOff(*held_);
     }
     EndHeld(true);
     return;
@@ -458,15 +460,35 @@
 void GatewayRequest::OnCut(HttpCallEnd end)
 {
   if (end == HttpCallEnd::Cut || end == HttpCallEnd::EndedByClose) {
-    shared_.crashes.Cut(attempt_->endpoint, Fingerprint());
+    NoteCutOff(*attempt_);
   }
   CloseAttempt(true);
   AfterFailure(AttemptKnowledge::MayHaveRun, "cut");
 }
 
+/** Once an endpoint has gone on after the first event, parts of the prompt are
+ * not what ended it.
+ */
+void GatewayRequest::NoteCutOff(const Attempt& attempt)
+{
+  std::vector<CrashSuspect> suspects{ RequestSuspect(Fingerprint()) };
+  if (!attempt.partsAnswered) {
+    suspects.insert(suspects.end(), sharedParts_.begin(), sharedParts_.end());
+  }
+  shared_.crashes.Cut(attempt.endpoint, suspects);
+}
+
+void GatewayRequest::NotePartsAnswered()
+{
+  if (!std::exchange(attempt_->partsAnswered, true)) {
+    shared_.crashes.PartsAnswered(sharedParts_);
+  }
+}
+
 /** An endpoint ran it to an end and is still there. */
 void GatewayRequest::NoteRunThrough()
 {
+  NotePartsAnswered();
   if (!shared_.crashes.IsEmpty()) {
     shared_.crashes.Answered(Fingerprint());
   }
--- a/Source/Gateway/wgRequestFingerprint.h
+++ b/Source/Gateway/wgRequestFingerprint.h
@@ -1,9 +1,15 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <cstddef>
 #include <string>
+#include <vector>
 
 #include "absl/strings/string_view.h"
+#include "absl/types/span.h"
+
+#include "wgCrashEvidence.h"
+#include "wgEndpointChoice.h"
 
 namespace wg {
 
@@ -24,5 +30,12 @@
 
 /** \brief As it stands in log lines, in hex. */
 std::string PrintFingerprint(absl::string_view fingerprint);
+std::string PrintSuspect(const CrashSuspect& suspect);
+
+/** \brief The parts of a prompt that other requests may share: all but the
+ * last, the first MaxSuspectParts of them.
+ */
+std::vector<CrashSuspect> SharedParts(absl::Span<const PromptPart> parts);
+inline constexpr std::size_t MaxSuspectParts = 256;
 
 } // namespace wg
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -266,7 +266,7 @@
 {
   for (const StagePiece& piece : open.call.pieces) {
     if (!piece.fingerprint.empty()) {
-      crashes_.Cut(open.call.server, piece.fingerprint);
+      crashes_.Cut(open.call.server, { RequestSuspect(piece.fingerprint) });
     }
   }
 }
--- a/Tests/Decision/wgCrashEvidenceTest.cxx
+++ b/Tests/Decision/wgCrashEvidenceTest.cxx
@@ -14,10 +14,9 @@
 using wg::CrashEvidence;
 using wg::Elapsed;
 using wg::ExpireCrashes;
-using wg::IsQuarantined;
-using wg::IsSuspect;
 using wg::MergeCrash;
-using wg::NoteAnswered;
+using wg::PartSuspect;
+using wg::RequestSuspect;
 using wg::wire::Crash;
 
 namespace {
@@ -32,6 +31,21 @@
   return crash;
 }
 
+bool IsQuarantined(const CrashEvidence& evidence, const std::string& request)
+{
+  return wg::IsQuarantined(evidence, RequestSuspect(request));
+}
+
+bool IsSuspect(const CrashEvidence& evidence, const std::string& request)
+{
+  return wg::CountedEnds(evidence, RequestSuspect(request)) > 0;
+}
+
+bool NoteAnswered(CrashEvidence& evidence, const std::string& request)
+{
+  return wg::NoteAnswered(evidence, RequestSuspect(request));
+}
+
 /** An endpoint ended with these requests. */
 void End(CrashEvidence& evidence, const std::string& endpoint,
          const std::vector<std::string>& requests, Elapsed now = Start)
@@ -204,3 +218,41 @@
   REQUIRE(rest.size() == 2);
   CHECK(rest[1].revision() == evidence.revision);
 }
+
+TEST_CASE("A part that ended three endpoints is quarantined, those that "
+          "others answer are not",
+          "[crashes]")
+{
+  CrashEvidence evidence;
+  const auto end = [&evidence](const std::string& endpoint, int number) {
+    MergeCrash(evidence, Ran(absl::StrCat("r", number), endpoint), Start);
+    for (const char* part : { "common", "bad" }) {
+      Crash crash = Ran(part, endpoint);
+      crash.set_cause(wg::wire::PROMPT_PART);
+      MergeCrash(evidence, crash, Start);
+    }
+  };
+  end("e1", 1);
+  end("e2", 2);
+  CHECK(evidence.quarantined.empty());
+  wg::NoteAnswered(evidence, PartSuspect("common"));
+  end("e3", 3);
+  CHECK(wg::IsQuarantined(evidence, PartSuspect("bad")));
+  CHECK(evidence.quarantined.size() == 1);
+  // What only has the name of a part is no part.
+  CHECK_FALSE(IsQuarantined(evidence, "bad"));
+}
+
+TEST_CASE("A request that comes again is held narrower than its parts",
+          "[crashes]")
+{
+  CrashEvidence evidence;
+  for (const char* endpoint : { "e1", "e2", "e3" }) {
+    Crash part = Ran("part", endpoint);
+    part.set_cause(wg::wire::PROMPT_PART);
+    MergeCrash(evidence, part, Start);
+    End(evidence, endpoint, { "request" });
+  }
+  CHECK(IsQuarantined(evidence, "request"));
+  CHECK_FALSE(wg::IsQuarantined(evidence, PartSuspect("part")));
+}
--- a/Tests/Gateway/wgCutAttemptsTest.cxx
+++ b/Tests/Gateway/wgCutAttemptsTest.cxx
@@ -39,7 +39,8 @@
   }
   bool Cut(const std::string& request, Elapsed at = Start)
   {
-    return NoteCut(cuts, *FindEndpoint(directory, "e"), request, at);
+    return NoteCut(cuts, *FindEndpoint(directory, "e"),
+                   { wg::RequestSuspect(request) }, at);
   }
   Directory directory;
   CutAttempts cuts;
@@ -55,7 +56,9 @@
   CHECK(TakeEnded(site.cuts, site.directory, Start).empty());
   const auto ended = TakeEnded(site.cuts, "e");
   REQUIRE(ended.size() == 1);
-  CHECK(ended[0].requests == std::vector<std::string>{ "a", "b" });
+  CHECK(ended[0].suspects ==
+        std::vector<wg::CrashSuspect>{ wg::RequestSuspect("a"),
+                                       wg::RequestSuspect("b") });
   CHECK(TakeEnded(site.cuts, "e").empty());
 }
 
