Gateway: requests and parts that are kept away are counted apart

The metric weirgate_requests_kept_away and "requests" of endpoint_ended lines count whole requests again, as before; weirgate_parts_kept_away counts parts of prompts.

--- a/Source/Gateway/wgCrashTracker.cxx
+++ b/Source/Gateway/wgCrashTracker.cxx
@@ -116,6 +116,14 @@
     });
 }
 
+std::size_t CrashTracker::KeptAway(wire::CrashCause cause) const
+{
+  const auto& suspects = evidence_.quarantined;
+  return static_cast<std::size_t>(std::count_if(
+    suspects.begin(), suspects.end(),
+    [cause](const CrashSuspect& suspect) { return suspect.cause == cause; }));
+}
+
 /** One line for each suspect that is kept away from endpoints from now on, or
  * no longer.
  */
--- a/Source/Gateway/wgCrashTracker.h
+++ b/Source/Gateway/wgCrashTracker.h
@@ -65,7 +65,8 @@
    * sees answered does not.
    */
   bool AreKeptAway(absl::Span<const CrashSuspect> parts) const;
-  std::size_t KeptAway() const { return evidence_.quarantined.size(); }
+  /** \brief How many suspects of a kind are sent to no endpoint. */
+  std::size_t KeptAway(wire::CrashCause cause) const;
 
 private:
   /** What a control box is known to know. */
--- a/Source/Gateway/wgCrashWatch.cxx
+++ b/Source/Gateway/wgCrashWatch.cxx
@@ -100,11 +100,13 @@
 void CrashWatch::Tell(const std::vector<EndedEndpoint>& ended)
 {
   for (const EndedEndpoint& endpoint : ended) {
-    nlohmann::json requests = nlohmann::json::array();
+    std::size_t requests = 0;
+    nlohmann::json fingerprints = nlohmann::json::array();
     nlohmann::json parts = nlohmann::json::array();
     for (const CrashSuspect& suspect : endpoint.suspects) {
-      nlohmann::json& shown =
-        suspect.cause == wire::PROMPT_PART ? parts : requests;
+      const bool isPart = suspect.cause == wire::PROMPT_PART;
+      requests += isPart ? 0 : 1;
+      nlohmann::json& shown = isPart ? parts : fingerprints;
       if (shown.size() < MaxLogged) {
         shown.push_back(PrintSuspect(suspect));
       }
@@ -113,8 +115,8 @@
     log_.Write(LogWeight::Notable, "endpoint_ended",
                { { "endpoint", endpoint.id },
                  { "found_by", std::string(NameOf(endpoint.foundBy)) },
-                 { "suspects", endpoint.suspects.size() },
-                 { "fingerprints", std::move(requests) },
+                 { "requests", requests },
+                 { "fingerprints", std::move(fingerprints) },
                  { "parts", std::move(parts) } });
     onEnded_(endpoint);
   }
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -289,9 +289,11 @@
     directory_.endpoints.size(), "\nweirgate_controls_followed ",
     follower_->Followed(), "\nweirgate_hall_orders ", directory_.halls.newest,
     "\nweirgate_cpu_milli ", cpuMilli_, "\nweirgate_requests_open ",
-    requests_.size(), "\nweirgate_requests_kept_away ", crashes_.KeptAway(),
-    "\nweirgate_peer_bytes_read ", peerClient_->BytesRead(),
-    "\nweirgate_log_lines_left_out ", log_.LeftOut(), "\n");
+    requests_.size(), "\nweirgate_requests_kept_away ",
+    crashes_.KeptAway(wire::WHOLE_REQUEST), "\nweirgate_parts_kept_away ",
+    crashes_.KeptAway(wire::PROMPT_PART), "\nweirgate_peer_bytes_read ",
+    peerClient_->BytesRead(), "\nweirgate_log_lines_left_out ", log_.LeftOut(),
+    "\n");
 }
 
 bool GatewayNode::OnEnginePeer(const PeerRequest& request,
--- a/Tests/Control/wgBeatsAfterEndTest.cxx
+++ b/Tests/Control/wgBeatsAfterEndTest.cxx
@@ -46,12 +46,12 @@
           "[beats]")
 {
   Site site;
-  REQUIRE(IsQuarantined(site.evidence, "a"));
+  REQUIRE(IsQuarantined(site.evidence, wg::RequestSuspect("a")));
   CHECK_FALSE(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 7)));
   CHECK_FALSE(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 8)));
-  CHECK(IsQuarantined(site.evidence, "a"));
+  CHECK(IsQuarantined(site.evidence, wg::RequestSuspect("a")));
   CHECK(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 9)));
-  CHECK_FALSE(IsQuarantined(site.evidence, "a"));
+  CHECK_FALSE(IsQuarantined(site.evidence, wg::RequestSuspect("a")));
   CHECK_FALSE(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 19)));
 }
 
@@ -65,5 +65,5 @@
     NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", sequence, 99));
     NoteBeatAfterEnd(site.beats, site.evidence, Beat("e9", sequence));
   }
-  CHECK(IsQuarantined(site.evidence, "a"));
+  CHECK(IsQuarantined(site.evidence, wg::RequestSuspect("a")));
 }
