Test: all boxes are killed after the version that began a stream has left

Here they are refused as not run at each box, at once, after 3 s and after a second restart: control boxes tell of endpoints that have ended. The case in which both versions still serve has a test already (unknown-origin).

--- a/Tests/Platform/wgPlatformStreamVersionTest.cxx
+++ b/Tests/Platform/wgPlatformStreamVersionTest.cxx
@@ -357,6 +357,33 @@
   }
 }
 
+// The version that began a stream has left as all boxes are killed, so that
+// those that started again know the other version alone.
+TEST_CASE("All boxes are restarted after a version has left",
+          "[unknown-origin]")
+{
+  Versions f(TwoHalls, TwoVersions);
+  const auto begun = f.BeginMany(0, TwoVersions, 4);
+  for (const auto& engine : { f.engines[0].get(), f.engines[1].get() }) {
+    REQUIRE(engine->Leave(f.cluster.Api(0)));
+  }
+  f.RestartGateways();
+  const auto checkRefused = [&f, &begun] {
+    for (const Stream& first : begun) {
+      for (int gateway = 0; gateway < f.cluster.Gateways(); ++gateway) {
+        f.CheckRefused(f.TakeUp(gateway, first.request));
+      }
+    }
+  };
+  checkRefused();
+  f.AwaitVersions(0, { "v2" });
+  checkRefused();
+  absl::SleepFor(absl::Seconds(3));
+  checkRefused();
+  f.RestartGateways();
+  checkRefused();
+}
+
 // Where one version alone can have begun the stream, it goes on without a
 // record.
 TEST_CASE("All boxes are restarted while one version serves",
