Decision: endpoints that end together count once against a part

Change: ends closer together than half a second count once against a part. A part that a box often sees answered stays free there, as before; that rule moved to Source/Decision. An earlier time of an end that another box tells is taken into account in any order.

--- a/Source/Decision/wgAnsweredParts.cxx
+++ b/Source/Decision/wgAnsweredParts.cxx
@@ -4,6 +4,8 @@
 namespace wg {
 namespace {
 
+constexpr std::size_t AnswersForEnd = 3;
+
 void MoveWindow(AnsweredPart& part, absl::Duration window, Elapsed now)
 {
   const absl::Duration since = now - part.windowStart;
@@ -57,4 +59,11 @@
   return moved.inWindow + moved.inFormerWindow;
 }
 
+bool IsProvedSound(const AnsweredParts& answered, absl::string_view part,
+                   std::size_t ends, Elapsed now)
+{
+  const int answers = AnswersWithPart(answered, part, now);
+  return static_cast<std::size_t>(answers) >= AnswersForEnd * ends;
+}
+
 } // namespace wg
--- a/Source/Decision/wgAnsweredParts.h
+++ b/Source/Decision/wgAnsweredParts.h
@@ -42,4 +42,12 @@
 int AnswersWithPart(const AnsweredParts& answered, absl::string_view part,
                     Elapsed now);
 
+/** \brief Whether so many answers of late had the part that it did not end
+ * endpoints. Where several of them end at once for another reason, all parts
+ * that their requests had seem to have ended them.
+ * \param ends  of endpoints that count against the part
+ */
+bool IsProvedSound(const AnsweredParts& answered, absl::string_view part,
+                   std::size_t ends, Elapsed now);
+
 } // namespace wg
--- a/Source/Decision/wgCrashEvidence.cxx
+++ b/Source/Decision/wgCrashEvidence.cxx
@@ -10,9 +10,33 @@
 /** Identities and fingerprints are far shorter. */
 constexpr std::size_t MaxNameBytes = 200;
 
-using Ends = std::set<std::string>;                 // identities of starts
+using Ends = std::map<std::string, Elapsed>;        // when each start ended
 using EndsBySuspect = std::map<CrashSuspect, Ends>; // without outweighed ones
 
+/** Returns how many ends count against a suspect that ran at all of them. */
+std::size_t CountEnds(const CrashSuspect& suspect, const Ends& ends,
+                      const CrashRules& rules)
+{
+  if (suspect.cause == wire::WHOLE_REQUEST) {
+    return ends.size();
+  }
+  std::vector<Elapsed> times;
+  times.reserve(ends.size());
+  for (const auto& [endpoint, noted] : ends) {
+    times.push_back(noted);
+  }
+  std::sort(times.begin(), times.end());
+  std::size_t separate = 0;
+  Elapsed last = -absl::InfiniteDuration();
+  for (const Elapsed time : times) {
+    if (time - last >= rules.separateEnds) {
+      ++separate;
+      last = time;
+    }
+  }
+  return separate;
+}
+
 /** Returns the ends of suspects that have enough for quarantine; most have one
  * or two. Records of a suspect are adjacent.
  */
@@ -22,15 +46,15 @@
   const auto& records = evidence.records;
   for (auto it = records.begin(); it != records.end();) {
     const CrashSuspect& suspect = it->first.suspect;
-    std::vector<const std::string*> ends;
+    std::vector<const CrashKey*> keys;
     for (; it != records.end() && it->first.suspect == suspect; ++it) {
       if (!it->second.outweighed) {
-        ends.push_back(&it->first.endpoint);
+        keys.push_back(&it->first);
       }
     }
-    if (ends.size() >= evidence.rules.endsToQuarantine) {
-      for (const std::string* endpoint : ends) {
-        all[suspect].insert(*endpoint);
+    if (keys.size() >= evidence.rules.endsToQuarantine) {
+      for (const CrashKey* key : keys) {
+        all[suspect][key->endpoint] = records.at(*key).noted;
       }
     }
   }
@@ -38,18 +62,19 @@
 }
 
 /** Of those with the same ends a whole request is the narrowest. */
-EndsBySuspect::iterator MostEnds(EndsBySuspect& ends)
+EndsBySuspect::iterator MostEnds(EndsBySuspect& ends, const CrashRules& rules)
 {
   return std::max_element(ends.begin(), ends.end(),
-                          [](const auto& left, const auto& right) {
-                            return left.second.size() < right.second.size();
+                          [&rules](const auto& left, const auto& right) {
+                            return CountEnds(left.first, left.second, rules) <
+                                   CountEnds(right.first, right.second, rules);
                           });
 }
 
 void RemoveEnds(EndsBySuspect& ends, const Ends& explained)
 {
   for (auto& [suspect, counted] : ends) {
-    for (const std::string& endpoint : explained) {
+    for (const auto& [endpoint, noted] : explained) {
       counted.erase(endpoint);
     }
   }
@@ -65,8 +90,10 @@
   evidence.quarantined.clear();
   EndsBySuspect ends = EndsForQuarantine(evidence);
   while (!ends.empty()) {
-    const auto cause = MostEnds(ends);
-    if (cause->second.size() < evidence.rules.endsToQuarantine) {
+    const CrashRules& rules = evidence.rules;
+    const auto cause = MostEnds(ends, rules);
+    if (CountEnds(cause->first, cause->second, rules) <
+        rules.endsToQuarantine) {
       return;
     }
     evidence.quarantined.insert(cause->first);
@@ -87,6 +114,12 @@
   }
 }
 
+bool IsNearQuarantine(const CrashEvidence& evidence,
+                      const CrashSuspect& suspect)
+{
+  return CountedEnds(evidence, suspect) >= evidence.rules.endsToQuarantine;
+}
+
 absl::Duration RetentionOf(const CrashEvidence& evidence,
                            const CrashSuspect& suspect)
 {
@@ -169,12 +202,15 @@
   }
   auto [found, isNew] = evidence.records.try_emplace(key);
   CrashRecord& record = found->second;
+  const bool isEarlier = !isNew && noted < record.noted;
   record.noted = isNew ? noted : std::min(record.noted, noted);
   const bool isChanged = isNew || (crash.outweighed() && !record.outweighed);
   record.outweighed |= crash.outweighed();
   if (isChanged) {
     const std::size_t removed = record.outweighed ? 1 : 0;
     NoteChange(evidence, record, CountedEnds(evidence, key.suspect) + removed);
+  } else if (isEarlier && IsNearQuarantine(evidence, key.suspect)) {
+    UpdateQuarantine(evidence); // ends may lie further apart than before
   }
   return isChanged;
 }
--- a/Source/Decision/wgCrashEvidence.h
+++ b/Source/Decision/wgCrashEvidence.h
@@ -52,6 +52,11 @@
 {
   /** Operators tolerate three endpoints that one request ends. */
   std::size_t endsToQuarantine = 3;
+  /** Ends of endpoints that lie closer together count once against a part: it
+   * is more likely that they have another cause in common, such as their
+   * power, than that as many requests with the part began at once.
+   */
+  absl::Duration separateEnds = absl::Milliseconds(500);
   /** Within this time, an innocent request that met a crash is answered or
    * cancelled by its caller.
    */
--- a/Source/Gateway/wgCrashTracker.cxx
+++ b/Source/Gateway/wgCrashTracker.cxx
@@ -97,17 +97,6 @@
   TellAll();
 }
 
-/** Where several endpoints end at once for another reason, all parts that
- * their requests had seem to have ended them.
- */
-bool CrashTracker::IsProvedSound(const CrashSuspect& part) const
-{
-  constexpr std::size_t answersForEnd = 3;
-  const int answers = AnswersWithPart(answered_, part.name, ElapsedNow());
-  return static_cast<std::size_t>(answers) >=
-         answersForEnd * CountedEnds(evidence_, part);
-}
-
 bool CrashTracker::AreKeptAway(absl::Span<const CrashSuspect> parts) const
 {
   return std::any_of(
--- a/Source/Gateway/wgCrashTracker.h
+++ b/Source/Gateway/wgCrashTracker.h
@@ -78,7 +78,6 @@
   };
 
   void OnEnded(const EndedEndpoint& ended);
-  bool IsProvedSound(const CrashSuspect& part) const;
   void Outweigh(const CrashSuspect& suspect, Elapsed now);
   void TellOutweighed();
   void NoteChanges();
--- a/Tests/Decision/wgCrashEvidenceTest.cxx
+++ b/Tests/Decision/wgCrashEvidenceTest.cxx
@@ -55,6 +55,17 @@
   }
 }
 
+/** An endpoint ended with requests that had these parts. */
+void EndWithParts(CrashEvidence& evidence, const std::string& endpoint,
+                  const std::vector<std::string>& parts, Elapsed now)
+{
+  for (const std::string& part : parts) {
+    Crash crash = Ran(part, endpoint);
+    crash.set_cause(wg::wire::PROMPT_PART);
+    MergeCrash(evidence, crash, now);
+  }
+}
+
 } // namespace
 
 TEST_CASE("A request that ran at three endpoints that ended is quarantined",
@@ -224,19 +235,11 @@
           "[crashes]")
 {
   CrashEvidence evidence;
-  const auto end = [&evidence](const std::string& endpoint, int number) {
-    MergeCrash(evidence, Ran(absl::StrCat("r", number), endpoint), Start);
-    for (const char* part : { "common", "bad" }) {
-      Crash crash = Ran(part, endpoint);
-      crash.set_cause(wg::wire::PROMPT_PART);
-      MergeCrash(evidence, crash, Start);
-    }
-  };
-  end("e1", 1);
-  end("e2", 2);
+  EndWithParts(evidence, "e1", { "common", "bad" }, Start);
+  EndWithParts(evidence, "e2", { "common", "bad" }, Start + absl::Seconds(1));
   CHECK(evidence.quarantined.empty());
   wg::NoteAnswered(evidence, PartSuspect("common"));
-  end("e3", 3);
+  EndWithParts(evidence, "e3", { "common", "bad" }, Start + absl::Seconds(2));
   CHECK(wg::IsQuarantined(evidence, PartSuspect("bad")));
   CHECK(evidence.quarantined.size() == 1);
   // What only has the name of a part is no part.
@@ -247,12 +250,41 @@
           "[crashes]")
 {
   CrashEvidence evidence;
-  for (const char* endpoint : { "e1", "e2", "e3" }) {
-    Crash part = Ran("part", endpoint);
-    part.set_cause(wg::wire::PROMPT_PART);
-    MergeCrash(evidence, part, Start);
-    End(evidence, endpoint, { "request" });
+  for (int i = 0; i < 3; ++i) {
+    const Elapsed now = Start + absl::Seconds(i);
+    EndWithParts(evidence, absl::StrCat("e", i), { "part" }, now);
+    End(evidence, absl::StrCat("e", i), { "request" }, now);
   }
   CHECK(IsQuarantined(evidence, "request"));
   CHECK_FALSE(wg::IsQuarantined(evidence, PartSuspect("part")));
 }
+
+// A rack loses power: six endpoints end at once, with what began at them.
+TEST_CASE("Endpoints that end together count once against a part", "[crashes]")
+{
+  CrashEvidence evidence;
+  const auto endTogether = [&evidence](const std::string& rack, Elapsed now) {
+    for (int i = 0; i < 6; ++i) {
+      EndWithParts(evidence, absl::StrCat(rack, i), { "part" },
+                   now + absl::Milliseconds(20 * i));
+    }
+  };
+  endTogether("a", Start);
+  endTogether("b", Start + absl::Seconds(2));
+  CHECK(evidence.quarantined.empty());
+  endTogether("c", Start + absl::Seconds(4));
+  CHECK(wg::IsQuarantined(evidence, PartSuspect("part")));
+}
+
+// Boxes tell the same end at different times; the earliest holds.
+TEST_CASE("An end that another box noted earlier lies further from the others",
+          "[crashes]")
+{
+  CrashEvidence evidence;
+  EndWithParts(evidence, "e1", { "part" }, Start + absl::Milliseconds(400));
+  EndWithParts(evidence, "e2", { "part" }, Start + absl::Milliseconds(600));
+  EndWithParts(evidence, "e3", { "part" }, Start + absl::Milliseconds(1200));
+  CHECK(evidence.quarantined.empty());
+  EndWithParts(evidence, "e1", { "part" }, Start);
+  CHECK(wg::IsQuarantined(evidence, PartSuspect("part")));
+}
