Storage: the log of an older build is not rewritten as it is opened

Cause, by reading: a rewrite that fails, on a full disk, was taken for damage like any failure to open the log, so that an upgrade beside a full disk would have cost the identity that the commits before are meant to keep.

Change: such a log is opened as before; the first write to it tells what was synced.

--- a/Source/Storage/wgReplicaStore.cxx
+++ b/Source/Storage/wgReplicaStore.cxx
@@ -282,9 +282,6 @@
     replica.log.Reset(snapshotIndex, replica.snapshot.term());
     return RewriteLog(replica);
   }
-  if (!TellsSyncedBytes(records)) { // written by an older build
-    return RewriteLog(replica);
-  }
   return OpenLog(read.validBytes);
 }
 
