--- a/Source/Gateway/wgCrashTracker.cxx
+++ b/Source/Gateway/wgCrashTracker.cxx
@@ -99,9 +99,12 @@
 
 bool CrashTracker::AreKeptAway(absl::Span<const CrashSuspect> parts) const
 {
+  const Elapsed now = ElapsedNow();
   return std::any_of(
-    parts.begin(), parts.end(), [this](const CrashSuspect& part) {
-      return IsQuarantined(evidence_, part) && !IsProvedSound(part);
+    parts.begin(), parts.end(), [this, now](const CrashSuspect& part) {
+      return IsQuarantined(evidence_, part) &&
+             !IsProvedSound(answered_, part.name, CountedEnds(evidence_, part),
+                            now);
     });
 }
 
--- a/Tests/Storage/wgPowerLossTest.cxx
+++ b/Tests/Storage/wgPowerLossTest.cxx
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <iterator>
 #include <memory>
+#include <set>
 #include <string>
 
 #include <unistd.h>
@@ -119,8 +120,9 @@
   const auto store = Open(folder.path, replica);
   std::uint64_t entries = 0;
   std::string before = ReadFile(MarkOf(folder));
+  std::set<std::string> tried;
   // Numbers of several lengths, so that each digit is torn at some time.
-  for (int i = 0; i < 60; ++i) {
+  for (int i = 0; i < 40; ++i) {
     WriteEntries(*store, replica, 1, 7);
     ++entries;
     const std::string after = ReadFile(MarkOf(folder));
@@ -129,7 +131,9 @@
     for (std::size_t torn = 0; torn <= after.size(); ++torn) {
       CAPTURE(entries, torn);
       const std::string mark = after.substr(0, torn) + before.substr(torn);
-      CheckKept(folder, ReadFile(LogOf(folder)), mark, entries);
+      if (tried.insert(mark).second) {
+        CheckKept(folder, ReadFile(LogOf(folder)), mark, entries);
+      }
     }
     before = after;
   }
