Storage: a disk that fails as a folder is opened costs no identity

Change: such an error ends the start with the files left as they are. Content that is not valid, or a file that is missing, is damage as before.

--- a/Source/Storage/wgReplicaStore.cxx
+++ b/Source/Storage/wgReplicaStore.cxx
@@ -169,6 +169,9 @@
       replica = std::move(loadedReplica);
       return store;
     }
+    if (store->filesFailed_) {
+      return Error{ Message(loaded) };
+    }
     store->damage_ = Message(loaded);
     store->RenameDamagedFiles();
   }
@@ -208,9 +211,18 @@
   return LoadLog(replica);
 }
 
+Outcome<std::string> ReplicaStore::LoadFile(const char* name)
+{
+  Outcome<std::string> bytes = ReadWholeFile(Path(folder_, name));
+  if (!Succeeded(bytes) && std::filesystem::exists(Path(folder_, name))) {
+    filesFailed_ = true;
+  }
+  return bytes;
+}
+
 Outcome<Done> ReplicaStore::LoadIdentity(Replica& replica)
 {
-  Outcome<std::string> bytes = ReadWholeFile(Path(folder_, IdentityName));
+  Outcome<std::string> bytes = LoadFile(IdentityName);
   if (!Succeeded(bytes)) {
     return Error{ Message(bytes) };
   }
@@ -231,7 +243,7 @@
   if (!std::filesystem::exists(Path(folder_, SnapshotName))) {
     return Done{};
   }
-  Outcome<std::string> bytes = ReadWholeFile(Path(folder_, SnapshotName));
+  Outcome<std::string> bytes = LoadFile(SnapshotName);
   if (!Succeeded(bytes)) {
     return Error{ Message(bytes) };
   }
@@ -247,7 +259,7 @@
 
 Outcome<Done> ReplicaStore::LoadLog(Replica& replica)
 {
-  Outcome<std::string> bytes = ReadWholeFile(Path(folder_, LogName));
+  Outcome<std::string> bytes = LoadFile(LogName);
   if (!Succeeded(bytes)) {
     return Error{ Message(bytes) };
   }
@@ -280,9 +292,16 @@
     // The process ended after it had written a snapshot from the leader and
     // before it rewrote the log, which doesn't match that snapshot.
     replica.log.Reset(snapshotIndex, replica.snapshot.term());
-    return RewriteLog(replica);
+    return UnlessFilesFail(RewriteLog(replica));
   }
-  return OpenLog(read.validBytes);
+  return UnlessFilesFail(OpenLog(read.validBytes));
+}
+
+/** What was read is valid; the disk does not take what is to be written. */
+Outcome<Done> ReplicaStore::UnlessFilesFail(Outcome<Done> written)
+{
+  filesFailed_ = !Succeeded(written);
+  return written;
 }
 
 Outcome<Done> ReplicaStore::CheckSyncedMark(std::size_t validBytes)
--- a/Source/Storage/wgReplicaStore.h
+++ b/Source/Storage/wgReplicaStore.h
@@ -40,7 +40,8 @@
    * \param folder path of the data folder, created if missing
    * \param newIdentity replica number to use if the folder is fresh or damaged
    * \param replica receives the number, cluster, hard state, snapshot and log
-   * \return the store, or an error if the folder can't be locked or written
+   * \return the store, or an error if the folder can't be locked, read or
+   * written; its files are left as they are then
    */
   static Outcome<std::unique_ptr<ReplicaStore>> Open(FileOperations& files,
                                                      const std::string& folder,
@@ -73,6 +74,8 @@
   ReplicaStore(FileOperations& files, std::string folder);
   Outcome<Done> Lock();
   Outcome<Done> Load(Replica& replica);
+  Outcome<std::string> LoadFile(const char* name);
+  Outcome<Done> UnlessFilesFail(Outcome<Done> written);
   Outcome<Done> LoadIdentity(Replica& replica);
   Outcome<Done> LoadSnapshot(Replica& replica);
   Outcome<Done> LoadLog(Replica& replica);
@@ -93,6 +96,8 @@
   std::uint64_t generation_ = 0; // incremented by each rewrite of the log
   std::size_t logBytes_ = 0;     // length of the log at its last sync
   std::size_t marksWritten_ = 0;
+  /** Files can't be read or written now; it says nothing of their content. */
+  bool filesFailed_ = false;
   bool broken_ = false; // the log's stored content is unknown
 };
 
--- a/Tests/Storage/wgStorageTest.cxx
+++ b/Tests/Storage/wgStorageTest.cxx
@@ -233,6 +233,25 @@
   CHECK_FALSE(wg::Succeeded(store->Write(replica, actions)));
 }
 
+// Its files are whole: it must not lose its identity to a disk that does not
+// take a sync for a while.
+TEST_CASE("a folder that can not be synced as it is opened keeps its identity")
+{
+  TemporaryFolder folder;
+  WriteEntries(folder.path, 5);
+  {
+    MockFiles files;
+    ALLOW_CALL(files, Sync(_)).RETURN(false);
+    ALLOW_CALL(files, Write(_, _)).RETURN(-1);
+    wg::Replica replica;
+    CHECK_FALSE(
+      wg::Succeeded(wg::ReplicaStore::Open(files, folder.path, 99, replica)));
+  }
+  const wg::Replica replica = Reopen(folder.path, wg::FolderState::Valid);
+  CHECK(replica.self.id() == 11);
+  CHECK(replica.log.LastIndex() == 5);
+}
+
 TEST_CASE("a damaged byte or a truncation of records is detected")
 {
   std::string bytes;
