--- a/Tests/Platform/wgPlatformCrashTest.cxx
+++ b/Tests/Platform/wgPlatformCrashTest.cxx
@@ -347,8 +347,8 @@
   CheckKeptAway("/s/x", cluster, encoders);
 }
 
-// Requests of one kind ended engines one after the other, 23 in 13 s; they
-// shared one part of their prompts and nothing else that sound ones lacked.
+// Requests of one kind ended engines one after the other. They shared one part
+// of their prompts and nothing else that sound requests lacked.
 TEST_CASE("A part of prompts that ends engines is kept away from them",
           "[parts]")
 {
