Gateway, storage, decision: names that a reader stumbled over

CountEnds beside CountedEnds is CountSeparateEnds; UnlessFilesFail is NoteFileFailure; EndHeld has no parameter, which was always true. No behaviour changes.

--- a/Source/Decision/wgCrashEvidence.cxx
+++ b/Source/Decision/wgCrashEvidence.cxx
@@ -14,8 +14,8 @@
 using EndsBySuspect = std::map<CrashSuspect, Ends>; // without outweighed ones
 
 /** Returns how many ends count against a suspect that ran at all of them. */
-std::size_t CountEnds(const CrashSuspect& suspect, const Ends& ends,
-                      const CrashRules& rules)
+std::size_t CountSeparateEnds(const CrashSuspect& suspect, const Ends& ends,
+                              const CrashRules& rules)
 {
   if (suspect.cause == wire::WHOLE_REQUEST) {
     return ends.size();
@@ -64,11 +64,11 @@
 /** Of those with the same ends a whole request is the narrowest. */
 EndsBySuspect::iterator MostEnds(EndsBySuspect& ends, const CrashRules& rules)
 {
-  return std::max_element(ends.begin(), ends.end(),
-                          [&rules](const auto& left, const auto& right) {
-                            return CountEnds(left.first, left.second, rules) <
-                                   CountEnds(right.first, right.second, rules);
-                          });
+  return std::max_element(
+    ends.begin(), ends.end(), [&rules](const auto& left, const auto& right) {
+      return CountSeparateEnds(left.first, left.second, rules) <
+             CountSeparateEnds(right.first, right.second, rules);
+    });
 }
 
 void RemoveEnds(EndsBySuspect& ends, const Ends& explained)
@@ -92,7 +92,7 @@
   while (!ends.empty()) {
     const CrashRules& rules = evidence.rules;
     const auto cause = MostEnds(ends, rules);
-    if (CountEnds(cause->first, cause->second, rules) <
+    if (CountSeparateEnds(cause->first, cause->second, rules) <
         rules.endsToQuarantine) {
       return;
     }
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -303,7 +303,7 @@
   bool LeaveAttempt();
   void HoldAttempt();
   void ReturnToHeld();
-  void EndHeld(bool failed);
+  void EndHeld();
   bool IsFromHeld(std::size_t attempt);
   void ConfirmNext(DirectoryEndpoint& endpoint, double prefillSeconds);
   void AskNext(const DirectoryEndpoint& endpoint,
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -318,7 +318,7 @@
   attempt.streams = route_->isStream && head.result() == http::status::ok &&
                     !attempt.saidNotRun;
   if (attempt.streams) {
-    EndHeld(true);
+    EndHeld();
   }
   return true;
 }
@@ -409,7 +409,7 @@
     if (end == HttpCallEnd::Cut || end == HttpCallEnd::EndedByClose) {
       NoteCutOff(*held_);
     }
-    EndHeld(true);
+    EndHeld();
     return;
   }
   if (number != attempt_->number) {
--- a/Source/Gateway/wgGatewayRequestContinuation.cxx
+++ b/Source/Gateway/wgGatewayRequestContinuation.cxx
@@ -155,7 +155,7 @@
   const bool isLost = !ended_ && attempt_ && attempt_->relay.empty() &&
                       route_->repetition != Repetition::RunOnce;
   if (isLost) {
-    EndHeld(true);
+    EndHeld();
     attempt_->isPathLost = true;
     OnSilence();
   }
@@ -324,7 +324,9 @@
   return false;
 }
 
-/** Whether the open attempt, if there is one, was left for the next. */
+/** Holds the open attempt, if there is one, so that the next can be sent.
+ * \return whether it may be sent
+ */
 bool GatewayRequest::LeaveAttempt()
 {
   isPreparing_ = false;
@@ -344,7 +346,7 @@
   shared_.metrics.Count("retries");
   HoldAttempt();
   if (held_->isPathLost || !held_->streams) {
-    EndHeld(true);
+    EndHeld();
   }
   return true;
 }
@@ -361,7 +363,7 @@
                           boost::system::error_code error) {
     auto self = weak.lock();
     if (!error && self && !self->ended_ && self->IsFromHeld(number)) {
-      self->EndHeld(true);
+      self->EndHeld();
     }
   });
 }
@@ -387,14 +389,14 @@
 }
 
 /** Another endpoint has taken over, or the attempt that is held has ended. */
-void GatewayRequest::EndHeld(bool failed)
+void GatewayRequest::EndHeld()
 {
   if (!held_) {
     return;
   }
   heldTimer_.cancel();
   attempt_.swap(held_);
-  CloseAttempt(failed);
+  CloseAttempt(true);
   attempt_.swap(held_);
   reader_.partial.clear();
   failures_.push_back(leftFor_);
--- a/Source/Storage/wgReplicaStore.cxx
+++ b/Source/Storage/wgReplicaStore.cxx
@@ -292,13 +292,13 @@
     // The process ended after it had written a snapshot from the leader and
     // before it rewrote the log, which doesn't match that snapshot.
     replica.log.Reset(snapshotIndex, replica.snapshot.term());
-    return UnlessFilesFail(RewriteLog(replica));
+    return NoteFileFailure(RewriteLog(replica));
   }
-  return UnlessFilesFail(OpenLog(read.validBytes));
+  return NoteFileFailure(OpenLog(read.validBytes));
 }
 
-/** What was read is valid; the disk does not take what is to be written. */
-Outcome<Done> ReplicaStore::UnlessFilesFail(Outcome<Done> written)
+/** An error here is one of the disk: what was read is valid. */
+Outcome<Done> ReplicaStore::NoteFileFailure(Outcome<Done> written)
 {
   filesFailed_ = !Succeeded(written);
   return written;
--- a/Source/Storage/wgReplicaStore.h
+++ b/Source/Storage/wgReplicaStore.h
@@ -75,7 +75,7 @@
   Outcome<Done> Lock();
   Outcome<Done> Load(Replica& replica);
   Outcome<std::string> LoadFile(const char* name);
-  Outcome<Done> UnlessFilesFail(Outcome<Done> written);
+  Outcome<Done> NoteFileFailure(Outcome<Done> written);
   Outcome<Done> LoadIdentity(Replica& replica);
   Outcome<Done> LoadSnapshot(Replica& replica);
   Outcome<Done> LoadLog(Replica& replica);
