Test: boxes that reach no endpoint of one service

The test takes the path to one service's endpoints away, by connections that hang, are reset, or live on while new ones are refused: at the box that makes the calls of the stage's pool, whose callers are those of all boxes; and at three of four boxes, for plain endpoints and engines. From one second on as many requests are to be served as .95 of those before.

--- a/Tests/Platform/wgPlatformNoPathTest.cxx
+++ b/Tests/Platform/wgPlatformNoPathTest.cxx
@@ -10,7 +10,10 @@
 
 #include <catch2/catch.hpp>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
 #include "absl/time/clock.h"
 
 #include "wgPlatformCluster.h"
@@ -96,6 +99,50 @@
     }
   }
 
+  /** \param count of the service's endpoints, the first ones */
+  void SetPathTo(int gateway, const std::string& service, std::size_t count,
+                 NoPath path)
+  {
+    for (std::size_t i = 0; i < endpoints.size(); ++i) {
+      if (services[i] == service && count > 0) {
+        wires[gateway][i]->SetPath(path);
+        --count;
+      }
+    }
+  }
+
+  int Counter(int gateway, absl::string_view name)
+  {
+    const std::string text = cluster.Metrics(gateway);
+    const std::string start =
+      absl::StrCat("weirgate_gateway_total{event=\"", name, "\"} ");
+    int value = 0;
+    for (absl::string_view line : absl::StrSplit(text, '\n')) {
+      if (absl::ConsumePrefix(&line, start)) {
+        (void)absl::SimpleAtoi(line, &value);
+      }
+    }
+    return value;
+  }
+
+  /** The gateway that makes the calls of stages. */
+  int Coordinator()
+  {
+    std::vector<int> calls;
+    for (int i = 0; i < Boxes; ++i) {
+      calls.push_back(Counter(i, "stage_calls"));
+    }
+    for (int i = 0; i < 5; ++i) {
+      Send(0, "/s/x");
+    }
+    int most = 0;
+    for (int i = 0; i < Boxes; ++i) {
+      calls[i] = Counter(i, "stage_calls") - calls[i];
+      most = calls[i] > calls[most] ? i : most;
+    }
+    return most;
+  }
+
   int Send(int gateway, const std::string& path)
   {
     const auto reply =
@@ -121,14 +168,17 @@
   double Share() const { return all == 0 ? 0.0 : 1.0 * served / all; }
 };
 
+const std::vector<std::string> AllPaths = { "/p/x", "/s/x", "/r/x" };
+
 /** Sends to each box for so long, a request every few milliseconds. */
-std::vector<Tries> SendToAll(WiredCluster& f, absl::Duration time)
+std::vector<Tries> SendToAll(WiredCluster& f, absl::Duration time,
+                             const std::vector<std::string>& paths = AllPaths)
 {
   std::vector<Tries> tries(Boxes);
   std::vector<std::thread> threads;
   std::mutex mutex;
   for (int box = 0; box < Boxes; ++box) {
-    for (const char* path : { "/p/x", "/s/x", "/r/x" }) {
+    for (const std::string& path : paths) {
       threads.emplace_back([&, box, path] {
         const absl::Time until = absl::Now() + time;
         while (absl::Now() < until) {
@@ -263,3 +313,99 @@
     CHECK(wg::test::WaitFor([&] { return f.Send(0, path) == Ok; }));
   }
 }
+
+namespace {
+
+Tries Sum(const std::vector<Tries>& tries)
+{
+  Tries sum;
+  for (const Tries& one : tries) {
+    sum.all += one.all;
+    sum.served += one.served;
+  }
+  return sum;
+}
+
+/** The stated aim beside the same without a cut. */
+constexpr double ServedBesideBefore = 0.95;
+/** Until the boxes have found out which endpoints they do not reach. */
+constexpr absl::Duration FoundOutTime = absl::Seconds(1);
+
+/** Some boxes reach none of a service's endpoints, or not all of them. */
+void CheckWithoutService(WiredCluster& f, const std::vector<int>& boxes,
+                         const std::string& service, std::size_t count,
+                         NoPath way, const std::vector<std::string>& paths)
+{
+  const Tries before = Sum(SendToAll(f, absl::Seconds(2), paths));
+  for (const int box : boxes) {
+    f.SetPathTo(box, service, count, way);
+  }
+  SendToAll(f, FoundOutTime, paths);
+  const Tries cut = Sum(SendToAll(f, absl::Seconds(3), paths));
+  {
+    INFO(cut.served << " of " << cut.all << " served, before " << before.served
+                    << " of " << before.all);
+    CHECK(cut.Share() >= ServedBesideBefore * before.Share());
+    CHECK(cut.served >= before.served); // in three seconds instead of two
+  }
+  for (const int box : boxes) {
+    f.SetPathTo(box, service, count, NoPath::None);
+  }
+  absl::SleepFor(absl::Milliseconds(500));
+  std::vector<int> relayed;
+  for (const int box : boxes) {
+    relayed.push_back(f.Counter(box, "relayed_calls"));
+  }
+  const Tries after = Sum(SendToAll(f, absl::Seconds(1), paths));
+  CHECK(after.Share() >= ServedBesideBefore * before.Share());
+  for (std::size_t i = 0; i < boxes.size(); ++i) {
+    CHECK(f.Counter(boxes[i], "relayed_calls") == relayed[i]);
+  }
+  for (const auto& endpoint : f.endpoints) {
+    CHECK(endpoint->UnsoundPieces() == 0);
+  }
+}
+
+} // namespace
+
+TEST_CASE("A coordinator that reaches no endpoint of its pool fails for all",
+          "[pool-without-path]")
+{
+  WiredCluster f;
+  const int coordinator = f.Coordinator();
+  SECTION("connections hang")
+  {
+    CheckWithoutService(f, { coordinator }, "enc", 2, NoPath::Hang,
+                        { "/s/x" });
+  }
+  SECTION("connections are reset")
+  {
+    CheckWithoutService(f, { coordinator }, "enc", 2, NoPath::Reset,
+                        { "/s/x" });
+  }
+  SECTION("connections live on, new ones are refused")
+  {
+    CheckWithoutService(f, { coordinator }, "enc", 2, NoPath::LiveOn,
+                        { "/s/x" });
+  }
+  SECTION("one of two endpoints")
+  {
+    CheckWithoutService(f, { coordinator }, "enc", 1, NoPath::Hang,
+                        { "/s/x" });
+  }
+}
+
+TEST_CASE("Boxes that reach no endpoint of one service refuse its requests",
+          "[service-without-path]")
+{
+  WiredCluster f;
+  SECTION("plain endpoints")
+  {
+    CheckWithoutService(f, { 0, 1, 2 }, "plain", 2, NoPath::Hang, { "/p/x" });
+  }
+  SECTION("engines")
+  {
+    CheckWithoutService(f, { 0, 1, 2 }, "llm", 2, NoPath::Hang,
+                        { "/r/x", "/s/x" });
+  }
+}
