Gateway: calls to endpoints out of reach go by boxes that reach them

Callers of boxes that had lost their links to one service's endpoints were refused; where such a box makes the calls of a stage's pool, so were those of all boxes.

Cause: a box believed in a lost path only where it reached no endpoint at all. Otherwise it took what it could not connect to for endpoints that fail, avoided them for up to 4 s, and refused.

Change: HallReach also holds the endpoints that this box could not connect to. Six other boxes are asked whether they do; if one does, calls go by such boxes until a connection of this box is answered again. Stage calls and releases of results go by relays, too, so that a coordinator keeps its pool. Calls that are under way are given up once a second connection was not answered either.

Ruled out: handing the pool over, which moves what waits and what is reserved twice for a short cut.

--- a/Source/Decision/wgHallReach.cxx
+++ b/Source/Decision/wgHallReach.cxx
@@ -104,6 +104,82 @@
   return reach.failed.size() >= EnoughFailed;
 }
 
+bool NoteEndpointUnreached(HallReach& reach, absl::string_view endpoint,
+                           bool hangs, Elapsed now)
+{
+  ForgetUnreached(reach, now);
+  const auto [found, isNew] =
+    reach.endpoints.try_emplace(std::string(endpoint));
+  found->second.connectionsHang = hangs;
+  if (isNew) { // later failures do not put the next question off
+    found->second.failed = now;
+  }
+  return isNew;
+}
+
+bool NoteEndpointReached(HallReach& reach, absl::string_view endpoint)
+{
+  const bool wasLost = IsPathLost(reach, endpoint);
+  reach.endpoints.erase(std::string(endpoint));
+  return wasLost;
+}
+
+bool NoteReachedElsewhere(HallReach& reach, absl::string_view endpoint)
+{
+  const auto found = reach.endpoints.find(std::string(endpoint));
+  return found != reach.endpoints.end() &&
+         !std::exchange(found->second.isReachedElsewhere, true);
+}
+
+void NoteReachedNowhere(HallReach& reach, absl::string_view endpoint)
+{
+  const auto found = reach.endpoints.find(std::string(endpoint));
+  if (found != reach.endpoints.end()) {
+    found->second.isReachedElsewhere = false;
+  }
+}
+
+bool IsPathLost(const HallReach& reach, absl::string_view endpoint)
+{
+  const auto found = reach.endpoints.find(std::string(endpoint));
+  return found != reach.endpoints.end() && found->second.isReachedElsewhere;
+}
+
+std::vector<std::string> LostEndpoints(const HallReach& reach)
+{
+  std::vector<std::string> lost;
+  for (const auto& [endpoint, evidence] : reach.endpoints) {
+    if (evidence.isReachedElsewhere) {
+      lost.push_back(endpoint);
+    }
+  }
+  return lost;
+}
+
+bool ConnectionsHang(const HallReach& reach, absl::string_view endpoint)
+{
+  const auto found = reach.endpoints.find(std::string(endpoint));
+  return found != reach.endpoints.end() && found->second.connectionsHang;
+}
+
+bool ConfirmHang(HallReach& reach, absl::string_view endpoint)
+{
+  const auto found = reach.endpoints.find(std::string(endpoint));
+  return found != reach.endpoints.end() && found->second.isReachedElsewhere &&
+         !std::exchange(found->second.isHangConfirmed, true);
+}
+
+void ForgetUnreached(HallReach& reach, Elapsed now)
+{
+  for (auto it = reach.endpoints.begin(); it != reach.endpoints.end();) {
+    const auto current = it++;
+    const UnreachedEndpoint& evidence = current->second;
+    if (!evidence.isReachedElsewhere && now - evidence.failed > EvidenceAge) {
+      reach.endpoints.erase(current);
+    }
+  }
+}
+
 bool ShowsNoPath(const PathTrial& trial)
 {
   return trial.tried >= EnoughTried &&
@@ -118,6 +194,7 @@
 bool EndIsolation(HallReach& reach)
 {
   reach.failed.clear();
+  reach.endpoints.clear();
   for (auto& [name, evidence] : reach.halls) {
     evidence = {};
   }
--- a/Source/Decision/wgHallReach.h
+++ b/Source/Decision/wgHallReach.h
@@ -20,8 +20,17 @@
   bool isCut = false;
 };
 
-/** \brief Which halls this box takes to be cut off from it, and whether it
- * reaches any endpoint.
+/** \brief An endpoint to which this box could not connect. */
+struct UnreachedEndpoint
+{
+  Elapsed failed;                  // when it first did
+  bool connectionsHang = false;    // open ones as well, as none was answered
+  bool isHangConfirmed = false;    // by a second connection
+  bool isReachedElsewhere = false; // another box has connected to it
+};
+
+/** \brief Which halls this box takes to be cut off from it, and which
+ * endpoints, if any, it reaches.
  */
 struct HallReach
 {
@@ -31,6 +40,7 @@
   Elapsed firstFailed;
   /** No endpoint can be reached; callers and other boxes may be. */
   bool isIsolated = false;
+  std::map<std::string, UnreachedEndpoint> endpoints; // by identity
 };
 
 /** \brief Halls exist that this box may reach: it knows endpoints there. */
@@ -71,6 +81,47 @@
 bool NoteConnectFailed(HallReach& reach, absl::string_view endpoint,
                        Elapsed now);
 
+/** \brief A connection to the endpoint was refused or not answered.
+ * \param hangs whether it was not answered
+ * \return whether other boxes should be asked if they reach it: it may have
+ * ended
+ */
+bool NoteEndpointUnreached(HallReach& reach, absl::string_view endpoint,
+                           bool hangs, Elapsed now);
+
+/** \brief A new connection to the endpoint was made.
+ * \return whether the path to it was taken to be lost until now
+ */
+bool NoteEndpointReached(HallReach& reach, absl::string_view endpoint);
+
+/** \brief Another box has connected to the endpoint: only this box's path to
+ * it is lost, if this box does not reach it.
+ * \return whether it was not taken to be lost until now
+ */
+bool NoteReachedElsewhere(HallReach& reach, absl::string_view endpoint);
+
+/** \brief No other box reaches the endpoint any more. */
+void NoteReachedNowhere(HallReach& reach, absl::string_view endpoint);
+
+/** \brief Whether the endpoint is reached by other boxes and not by this one.
+ */
+bool IsPathLost(const HallReach& reach, absl::string_view endpoint);
+
+/** \brief Those whose path is lost. */
+std::vector<std::string> LostEndpoints(const HallReach& reach);
+
+/** \brief Whether connections to the endpoint that are open seem to hang. */
+bool ConnectionsHang(const HallReach& reach, absl::string_view endpoint);
+
+/** \brief A second connection to an endpoint whose path is lost was not
+ * answered: it is not one lost packet.
+ * \return whether that was not known until now
+ */
+bool ConfirmHang(HallReach& reach, absl::string_view endpoint);
+
+/** \brief Forgets failures that no other box contradicted for a while. */
+void ForgetUnreached(HallReach& reach, Elapsed now);
+
 /** \brief Connections to endpoints that were tried at the same time. */
 struct PathTrial
 {
--- a/Source/Decision/wgRelayChoice.cxx
+++ b/Source/Decision/wgRelayChoice.cxx
@@ -38,12 +38,26 @@
          offer.open + offer.openHere < offer.most;
 }
 
+bool IsReachedByAny(absl::Span<const RelayOffer> offers,
+                    absl::string_view endpoint, Elapsed now)
+{
+  return std::any_of(
+    offers.begin(), offers.end(),
+    [reached = std::string(endpoint), now](const RelayOffer& offer) {
+      return offer.reached.count(reached) > 0 &&
+             now - offer.told <= OfferMemory;
+    });
+}
+
 std::optional<std::size_t> ChooseRelay(absl::Span<const RelayOffer> offers,
-                                       Elapsed now)
+                                       absl::string_view endpoint, Elapsed now)
 {
+  const std::string reached(endpoint);
   std::optional<std::size_t> best;
   for (std::size_t i = 0; i < offers.size(); ++i) {
-    const bool isBetter = IsUsable(offers[i], now) &&
+    const bool isReached =
+      reached.empty() || offers[i].reached.count(reached) > 0;
+    const bool isBetter = isReached && IsUsable(offers[i], now) &&
                           (!best || LoadOf(offers[i]) < LoadOf(offers[*best]));
     if (isBetter) {
       best = i;
--- a/Source/Decision/wgRelayChoice.h
+++ b/Source/Decision/wgRelayChoice.h
@@ -4,8 +4,10 @@
 #include <cstddef>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
+#include "absl/strings/string_view.h"
 #include "absl/types/span.h"
 
 #include "wgElapsed.h"
@@ -18,13 +20,14 @@
 struct RelayOffer
 {
   std::string box;
-  std::string address; // IP:port of its relay
-  bool isNear = false; // in this box's hall
-  int open = 0;        // calls of all boxes that it relayed
-  int most = 0;        // that it relays at once
-  int openHere = 0;    // of this box, since it told
-  Elapsed told;        // when it did
-  Elapsed avoidUntil;  // after it failed
+  std::string address;           // IP:port of its relay
+  bool isNear = false;           // in this box's hall
+  int open = 0;                  // calls of all boxes that it relayed
+  int most = 0;                  // that it relays at once
+  int openHere = 0;              // of this box, since it told
+  Elapsed told;                  // when it did
+  Elapsed avoidUntil;            // after it failed
+  std::set<std::string> reached; // endpoints that it was asked for, IP:port
 };
 
 /** \brief The calls that a box relays at once beside its own work, by its
@@ -36,10 +39,18 @@
 /** \brief Whether the box may be asked to relay one more call. */
 bool IsUsable(const RelayOffer& offer, Elapsed now);
 
+/** \brief Whether a box has told lately that it reaches the endpoint
+ * (IP:port), even if it takes no call now.
+ */
+bool IsReachedByAny(absl::Span<const RelayOffer> offers,
+                    absl::string_view endpoint, Elapsed now);
+
 /** \brief Of the offers, the least loaded one; one of another hall only where
  * those of this hall are loaded more by a quarter of what they take.
+ * \param endpoint that it must have reached, IP:port; empty: any
  */
 std::optional<std::size_t> ChooseRelay(absl::Span<const RelayOffer> offers,
+                                       absl::string_view endpoint,
                                        Elapsed now);
 
 } // namespace wg
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -108,6 +108,25 @@
     }
   });
   halls_.SetOnPath([this](bool hasPath) { OnPath(hasPath); });
+  halls_.SetOnUnreached([this](const std::string& endpoint) {
+    relays_->AskAbout(endpoint, nullptr);
+  });
+  relays_->SetOnPathLost([this](const std::string& endpoint) {
+    OnEndpointPath(endpoint, false);
+    halls_.WatchLost(endpoint);
+  });
+  halls_.SetOnRegained(
+    [this](const std::string& endpoint) { OnEndpointPath(endpoint, true); });
+  halls_.SetOnHanging(
+    [this](const std::string& endpoint) { OnEndpointHangs(endpoint); });
+  const StartEndpointCall call = [this](const DirectoryEndpoint& endpoint,
+                                        std::string request,
+                                        HttpCallHandler handler) {
+    return relays_->Start(endpoint, std::move(request), {},
+                          std::move(handler));
+  };
+  coordinator_.SetCalls(call);
+  releaser_.SetCalls(call);
   crashes_.SetConfirmPath(
     [this](HallProber::OnPath done) { halls_.ConfirmPath(std::move(done)); });
   coordinator_.SetTallies(tallies_);
@@ -468,8 +487,14 @@
     return;
   }
   if (request.path == "/relay-offer") {
-    boost::asio::post(loop_, [this, respond] {
-      respond(relayServer_->Offer().SerializeAsString());
+    boost::asio::post(loop_, [this, body = request.body, respond] {
+      wire::RelayAsk ask;
+      if (!ask.ParseFromString(body)) {
+        ask.Clear();
+      }
+      relayServer_->Offer(ask, [respond](const wire::RelayOffer& offer) {
+        respond(offer.SerializeAsString());
+      });
     });
     return;
   }
@@ -549,6 +574,35 @@
   });
 }
 
+void GatewayNode::OnEndpointPath(const std::string& endpoint, bool hasPath)
+{
+  DirectoryEndpoint* known = FindEndpoint(directory_, endpoint);
+  if (known == nullptr) {
+    return;
+  }
+  metrics_.Count(hasPath ? "endpoint_paths_regained" : "endpoint_paths_lost");
+  log_.Write(LogWeight::Notable,
+             hasPath ? "endpoint_path_regained" : "endpoint_path_lost",
+             { { "endpoint", endpoint }, { "service", known->service } });
+  known->avoidUntil = Elapsed();
+  known->failuresInRow = 0;
+  // Not at once: a call that is under way may have brought the news.
+  boost::asio::post(loop_, [this, endpoint] {
+    coordinator_.NoteEndpointPath(endpoint, false);
+  });
+}
+
+void GatewayNode::OnEndpointHangs(const std::string& endpoint)
+{
+  coordinator_.NoteEndpointPath(endpoint, true);
+  const auto open = requests_;
+  for (const std::shared_ptr<GatewayRequest>& request : open) {
+    if (request->IsSentTo(endpoint)) {
+      request->NotePathLost();
+    }
+  }
+}
+
 /** From now on nothing new is sent to endpoints of an evacuated hall. */
 void GatewayNode::OnHallOrders(const HallOrders& orders)
 {
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -179,10 +179,15 @@
 
   void Begin();
 
-  /** \brief This box reaches no endpoint any more, and the connections that
-   * are open carry nothing: the attempt is repeated if that is allowed.
+  /** \brief This box does not reach the endpoint of the attempt any more, and
+   * open connections carry nothing: it is repeated if that is allowed.
    */
   void NotePathLost();
+  /** \brief Whether its attempt is at the endpoint. */
+  bool IsSentTo(absl::string_view endpoint) const
+  {
+    return attempt_ && attempt_->endpoint == endpoint;
+  }
 
   /** \brief Answers now with what can be said: this box ends. */
   void GiveUp();
--- a/Source/Gateway/wgHallProber.cxx
+++ b/Source/Gateway/wgHallProber.cxx
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgHallProber.h"
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -18,6 +19,8 @@
 constexpr std::size_t TrialProbes = 6;
 /** At each period while no endpoint is reached. */
 constexpr std::size_t IsolatedProbes = 2;
+/** The same of endpoints that other boxes reach. */
+constexpr std::size_t LostProbes = 4;
 
 } // namespace
 
@@ -29,6 +32,9 @@
   , onCut_(std::move(onCut))
   , timer_(loop)
   , onPath_([](bool) {})
+  , onUnreached_([](const std::string&) {})
+  , onRegained_([](const std::string&) {})
+  , onHanging_([](const std::string&) {})
 {
 }
 
@@ -37,19 +43,77 @@
   if (result == ConnectResult::Connected) {
     NotePath();
     Reached(endpoint);
+    NoteRegained(endpoint);
     return;
   }
   if (directory_.reach.isIsolated) {
     return;
   }
-  if (result == ConnectResult::NoAnswer) {
+  const bool hangs = result == ConnectResult::NoAnswer;
+  if (hangs && !IsPathLost(directory_.reach, endpoint.id)) {
     Unreached(endpoint);
   }
+  if (NoteEndpointUnreached(directory_.reach, endpoint.id, hangs,
+                            ElapsedNow())) {
+    onUnreached_(endpoint.id);
+  }
   if (NoteConnectFailed(directory_.reach, endpoint.id, ElapsedNow())) {
     ConfirmPath(nullptr);
   }
 }
 
+void HallProber::NoteRegained(const DirectoryEndpoint& endpoint)
+{
+  if (NoteEndpointReached(directory_.reach, endpoint.id)) {
+    onRegained_(endpoint.id);
+    for (const std::string& lost : LostEndpoints(directory_.reach)) {
+      ProbeLost(lost); // most come back together
+    }
+  }
+}
+
+void HallProber::WatchLost(const std::string& endpoint)
+{
+  ProbeLost(endpoint);
+  Arm();
+}
+
+void HallProber::ProbeLost(const std::string& endpoint)
+{
+  const DirectoryEndpoint* known = FindEndpoint(directory_, endpoint);
+  if (known == nullptr || !IsCurrent(*known)) {
+    NoteEndpointReached(directory_.reach, endpoint); // it has left
+    return;
+  }
+  ProbeAddress(loop_, RouteTo(directory_.routes, known->address),
+               [this, endpoint](ConnectResult result) {
+                 const DirectoryEndpoint* tried =
+                   FindEndpoint(directory_, endpoint);
+                 if (tried == nullptr) {
+                   return;
+                 }
+                 if (result == ConnectResult::Connected) {
+                   Tried(*tried, result);
+                 } else if (result == ConnectResult::NoAnswer &&
+                            ConfirmHang(directory_.reach, endpoint)) {
+                   onHanging_(endpoint);
+                 }
+               });
+}
+
+/** \return whether any path is lost */
+bool HallProber::ProbeLost()
+{
+  std::vector<std::string> lost = LostEndpoints(directory_.reach);
+  const bool isAnyLost = !lost.empty();
+  std::shuffle(lost.begin(), lost.end(), random_);
+  lost.resize(std::min(lost.size(), LostProbes));
+  for (const std::string& endpoint : lost) {
+    ProbeLost(endpoint);
+  }
+  return isAnyLost;
+}
+
 void HallProber::NotePath()
 {
   NoteConnected(directory_.reach);
@@ -238,7 +302,7 @@
     ProbeIsolated();
     return;
   }
-  bool isAnyCut = false;
+  bool isAnyCut = ProbeLost();
   for (const auto& [hall, evidence] : directory_.reach.halls) {
     const std::size_t count =
       evidence.isCut ? CountInHall(directory_.index, hall) : 0;
--- a/Source/Gateway/wgHallProber.h
+++ b/Source/Gateway/wgHallProber.h
@@ -37,6 +37,21 @@
   using OnPath = std::function<void(bool hasPath)>;
   void SetOnPath(OnPath onPath) { onPath_ = std::move(onPath); }
 
+  /** \brief Told of endpoints that this box could not connect to, which may
+   * have ended.
+   */
+  using OnEndpoint = std::function<void(const std::string& endpoint)>;
+  void SetOnUnreached(OnEndpoint told) { onUnreached_ = std::move(told); }
+  /** \brief Told of endpoints whose path was lost and is there again. */
+  void SetOnRegained(OnEndpoint told) { onRegained_ = std::move(told); }
+  /** \brief Told of endpoints whose path is lost and did not answer a second
+   * connection either: those that are open hang as well.
+   */
+  void SetOnHanging(OnEndpoint told) { onHanging_ = std::move(told); }
+
+  /** \brief Another box reaches the endpoint, and this one does not. */
+  void WatchLost(const std::string& endpoint);
+
   /** \brief What came of a new connection of a call. */
   void Tried(const DirectoryEndpoint& endpoint, ConnectResult result);
   /** \brief An endpoint has answered, over whatever connection. */
@@ -70,6 +85,9 @@
   void TakeTried(ConnectResult result);
   void SettleTrial(bool hasPath);
   void ProbeIsolated();
+  bool ProbeLost();
+  void ProbeLost(const std::string& endpoint);
+  void NoteRegained(const DirectoryEndpoint& endpoint);
   void NotePath();
 
   EventLoop& loop_;
@@ -81,6 +99,9 @@
   bool armed_ = false;
   std::map<std::string, Elapsed> suspected_; // halls, when last
   OnPath onPath_;
+  OnEndpoint onUnreached_;
+  OnEndpoint onRegained_;
+  OnEndpoint onHanging_;
   PathTrial trial_;   // that is under way
   int trialOpen_ = 0; // its connections without a result
   std::uint64_t trialNumber_ = 0;
--- a/Source/Gateway/wgRelayClient.cxx
+++ b/Source/Gateway/wgRelayClient.cxx
@@ -23,6 +23,12 @@
 constexpr absl::Duration AskTimeout = absl::Milliseconds(300);
 /** With more boxes, these are drawn anew each time. */
 constexpr std::size_t MostAsked = 16;
+/** About single endpoints: with half of all boxes cut off from one, none of
+ * these reaches it one time in 64.
+ */
+constexpr std::size_t MostAskedAboutEndpoints = 6;
+/** Each box that is asked connects to all of them. */
+constexpr std::size_t MostEndpointsAsked = 16;
 /** After a box did not answer, or its connection was cut. */
 constexpr absl::Duration FailedPause = absl::Seconds(1);
 /** After it said that it takes no more. */
@@ -67,6 +73,7 @@
   , hall_(std::move(hall))
   , key_(std::move(key))
   , metrics_(metrics)
+  , onPathLost_([](const std::string&) {})
   , timer_(loop)
 {
 }
@@ -75,14 +82,30 @@
 {
   hasPath_ = hasPath;
   connectionsHang_ = connectionsHang;
-  timer_.cancel();
   if (!hasPath) {
     AskForOffers();
   }
 }
 
-/** Those of this hall first, then of others. */
-void RelayClient::AskForOffers()
+void RelayClient::AskAbout(const std::string& endpoint, OnAsked done)
+{
+  if (!hasPath_) {
+    if (done) {
+      done(false);
+    }
+    return;
+  }
+  auto [waiting, isNew] = awaitAsked_.try_emplace(endpoint);
+  if (done) {
+    waiting->second.push_back(std::move(done));
+  }
+  if (isNew) {
+    Ask({ endpoint });
+  }
+}
+
+/** Without a path, those of this hall first, then of others. */
+std::vector<const GatewayMember*> RelayClient::ChooseAsked()
 {
   std::vector<const GatewayMember*> asked;
   for (const GatewayMember& member : members_.Others()) {
@@ -91,28 +114,100 @@
     }
   }
   std::shuffle(asked.begin(), asked.end(), random_);
-  std::stable_partition(
-    asked.begin(), asked.end(),
-    [this](const GatewayMember* member) { return member->hall == hall_; });
-  asked.resize(std::min(asked.size(), MostAsked));
+  if (!hasPath_) {
+    std::stable_partition(
+      asked.begin(), asked.end(),
+      [this](const GatewayMember* member) { return member->hall == hall_; });
+  }
+  const std::size_t most = hasPath_ ? MostAskedAboutEndpoints : MostAsked;
+  asked.resize(std::min(asked.size(), most));
+  return asked;
+}
+
+wire::RelayAsk RelayClient::MakeAsk(
+  absl::Span<const std::string> endpoints) const
+{
+  wire::RelayAsk ask;
+  for (const std::string& endpoint : endpoints) {
+    const DirectoryEndpoint* known = FindEndpoint(directory_, endpoint);
+    if (known != nullptr) {
+      ask.add_endpoints(known->address);
+    }
+  }
+  return ask;
+}
+
+void RelayClient::Ask(absl::Span<const std::string> endpoints)
+{
+  const auto asked = ChooseAsked();
+  const std::string body = MakeAsk(endpoints).SerializeAsString();
+  const std::vector<std::string> about(endpoints.begin(), endpoints.end());
+  const auto open = std::make_shared<std::size_t>(asked.size());
   for (const GatewayMember* member : asked) {
-    peers_.Call(member->address, "/relay-offer", "", AskTimeout,
-                [this, box = member->box,
-                 isNear = member->hall == hall_](Outcome<std::string> reply) {
-                  boost::asio::post(
-                    loop_, [this, box, isNear, reply = std::move(reply)] {
-                      TakeOffer(box, isNear, reply);
-                    });
+    peers_.Call(member->address, "/relay-offer", body, AskTimeout,
+                [this, box = member->box, isNear = member->hall == hall_,
+                 about, open](Outcome<std::string> reply) {
+                  boost::asio::post(loop_, [this, box, isNear, about, open,
+                                            reply = std::move(reply)] {
+                    TakeOffer(box, isNear, reply);
+                    if (--*open == 0) {
+                      SettleAsked(about);
+                    }
+                  });
                 });
   }
+  if (asked.empty()) {
+    boost::asio::post(loop_, [this, about] { SettleAsked(about); });
+  }
+  Arm();
+}
+
+void RelayClient::Arm()
+{
+  if (std::exchange(armed_, true)) {
+    return;
+  }
   timer_.expires_after(AskPeriod);
   timer_.async_wait([this](boost::system::error_code error) {
-    if (!error && !hasPath_) {
+    if (!error) {
+      armed_ = false;
       AskForOffers();
     }
   });
 }
 
+/** While any endpoint is not reached: what boxes can take changes. */
+void RelayClient::AskForOffers()
+{
+  std::vector<std::string> lost = LostEndpoints(directory_.reach);
+  if (hasPath_ && lost.empty()) {
+    return;
+  }
+  std::shuffle(lost.begin(), lost.end(), random_);
+  lost.resize(std::min(lost.size(), hasPath_ ? MostEndpointsAsked : 0));
+  Ask(lost);
+}
+
+/** What was not reached by any of those asked is not known to be lost. */
+void RelayClient::SettleAsked(absl::Span<const std::string> endpoints)
+{
+  for (const std::string& endpoint : endpoints) {
+    const DirectoryEndpoint* known = FindEndpoint(directory_, endpoint);
+    const bool isReached =
+      known != nullptr &&
+      IsReachedByAny(offers_, known->address, ElapsedNow());
+    if (!isReached) {
+      NoteReachedNowhere(directory_.reach, endpoint);
+    }
+    auto waiting = awaitAsked_.extract(endpoint);
+    if (!waiting.empty()) {
+      for (const OnAsked& done : waiting.mapped()) {
+        done(isReached);
+      }
+    }
+  }
+}
+
 RelayOffer* RelayClient::Find(const std::string& box)
 {
   const auto found =
@@ -142,6 +237,34 @@
   offer->most = isOffer ? static_cast<int>(told.most()) : 0;
   offer->openHere = 0;
   offer->told = ElapsedNow();
+  offer->reached = { told.reached().begin(), told.reached().end() };
+  TakeReached(*offer);
+}
+
+void RelayClient::TakeReached(const RelayOffer& offer)
+{
+  for (const std::string& address : offer.reached) {
+    const DirectoryEndpoint* endpoint = FindByAddress(directory_, address);
+    if (endpoint != nullptr &&
+        NoteReachedElsewhere(directory_.reach, endpoint->id)) {
+      onPathLost_(endpoint->id);
+    }
+  }
+}
+
+/** The box said that it reaches the endpoint, and could not connect to it. */
+void RelayClient::NoteUnreached(const std::string& box,
+                                const std::string& endpoint)
+{
+  const DirectoryEndpoint* known = FindEndpoint(directory_, endpoint);
+  RelayOffer* offer = Find(box);
+  if (known == nullptr || offer == nullptr) {
+    return;
+  }
+  offer->reached.erase(known->address);
+  if (!IsReachedByAny(offers_, known->address, ElapsedNow())) {
+    NoteReachedNowhere(directory_.reach, endpoint);
+  }
 }
 
 bool RelayClient::HasWay() const
@@ -159,19 +282,28 @@
                                        HttpCallHandler handler)
 {
   const std::string& address = RouteTo(directory_.routes, endpoint.address);
+  const bool isLost = IsPathLost(directory_.reach, endpoint.id);
+  const bool hang = hasPath_ ? ConnectionsHang(directory_.reach, endpoint.id)
+                             : connectionsHang_;
   const bool isDirect =
-    hasPath_ ||
-    (!connectionsHang_ && client_.HasResting(address, options.maxRest));
-  if (isDirect) {
+    (hasPath_ && !isLost) ||
+    (!hang && client_.HasResting(address, options.maxRest));
+  const auto relay =
+    isDirect
+      ? std::nullopt
+      : ChooseRelay(offers_, hasPath_ ? endpoint.address : "", ElapsedNow());
+  if (relay) {
+    return StartRelayed(offers_[*relay], endpoint, std::move(request), options,
+                        std::move(handler));
+  }
+  if (!isDirect) {
+    metrics_.Count("relays_missing");
+  }
+  if (isDirect || hasPath_) {
     return {
       client_.Start(address, std::move(request), options, std::move(handler)), ""
     };
   }
-  if (const auto chosen = ChooseRelay(offers_, ElapsedNow())) {
-    return StartRelayed(offers_[*chosen], endpoint, std::move(request),
-                        options, std::move(handler));
-  }
-  metrics_.Count("relays_missing");
   boost::asio::post(loop_, [ended = std::move(handler.onEnd)] {
     ended(HttpCallEnd::NotConnected);
   });
@@ -239,11 +371,16 @@
       state->handler.onBody(bytes);
     }
   };
-  outer.onEnd = [this, state, box = offer.box](HttpCallEnd end) {
+  outer.onEnd = [this, state, box = offer.box,
+                 called = endpoint.id](HttpCallEnd end) {
     NoteOver(box);
     const bool isWhole = end == HttpCallEnd::Complete;
     if (!state->isAnswered && isWhole && !state->result.empty()) {
       NoteEnd(box, state->result);
+      if (state->result == relay::NotConnected ||
+          state->result == relay::Unreached) {
+        NoteUnreached(box, called);
+      }
       state->handler.onEnd(EndOf(state->result));
       return;
     }
--- a/Source/Gateway/wgRelayClient.h
+++ b/Source/Gateway/wgRelayClient.h
@@ -1,6 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -8,6 +10,7 @@
 #include "absl/random/random.h"
 
 #include "wgDirectory.h"
+#include "wgEndpointCall.h"
 #include "wgGatewayMetrics.h"
 #include "wgHttpClient.h"
 #include "wgLoopTimer.h"
@@ -17,16 +20,9 @@
 
 namespace wg {
 
-/** \brief A call of an endpoint, and the box that relays it; empty: none. */
-struct EndpointCallStarted
-{
-  std::unique_ptr<HttpCall> http;
-  std::string relay;
-};
-
 /** \class RelayClient
- * \brief Calls endpoints, directly or, while this box reaches none, by a box
- * that does. Who chooses, counts and retries is the caller of this.
+ * \brief Calls endpoints, directly or, while this box does not reach them, by
+ * a box that does. Who chooses, counts and retries is the caller of this.
  */
 class RelayClient
 {
@@ -40,6 +36,17 @@
    */
   void SetHasPath(bool hasPath, bool connectionsHang);
 
+  /** \brief Told of endpoints that other boxes reach and this one does not.
+   */
+  using OnPathLost = std::function<void(const std::string& endpoint)>;
+  void SetOnPathLost(OnPathLost told) { onPathLost_ = std::move(told); }
+
+  using OnAsked = std::function<void(bool isReachedElsewhere)>;
+  /** \brief Asks other boxes whether they reach an endpoint that this one
+   * could not connect to. `done` may be null.
+   */
+  void AskAbout(const std::string& endpoint, OnAsked done);
+
   /** \brief Whether an endpoint could be called now, by whatever way. */
   bool HasWay() const;
 
@@ -52,9 +59,16 @@
 private:
   struct Relayed;
 
+  void Arm();
   void AskForOffers();
+  std::vector<const GatewayMember*> ChooseAsked();
+  wire::RelayAsk MakeAsk(absl::Span<const std::string> endpoints) const;
+  void Ask(absl::Span<const std::string> endpoints);
   void TakeOffer(const std::string& box, bool isNear,
                  const Outcome<std::string>& reply);
+  void TakeReached(const RelayOffer& offer);
+  void SettleAsked(absl::Span<const std::string> endpoints);
+  void NoteUnreached(const std::string& box, const std::string& endpoint);
   RelayOffer* Find(const std::string& box);
   std::string MakeCall(const DirectoryEndpoint& endpoint, std::string request,
                        const HttpCallOptions& options) const;
@@ -79,7 +93,10 @@
   std::vector<RelayOffer> offers_;
   bool hasPath_ = true;
   bool connectionsHang_ = false;
+  OnPathLost onPathLost_;
+  std::map<std::string, std::vector<OnAsked>> awaitAsked_; // by endpoint
   LoopTimer timer_;
+  bool armed_ = false;
 };
 
 } // namespace wg
--- a/Source/Gateway/wgRelayServer.cxx
+++ b/Source/Gateway/wgRelayServer.cxx
@@ -1,15 +1,18 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgRelayServer.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 
 #include "absl/strings/str_cat.h"
 
+#include "wgConnectionProbe.h"
 #include "wgPeerAuth.h"
 #include "wgRelayFields.h"
 #include "wgSocket.h"
+#include "wgSocketAddress.h"
 
 namespace wg {
 namespace {
@@ -20,6 +23,9 @@
 constexpr absl::Duration IdleTimeout = absl::Minutes(1);
 constexpr std::size_t MaxHeaderBytes = 16U << 10U;
 constexpr std::size_t MaxBodyBytes = 8U << 20U;
+constexpr std::size_t MostEndpointsTried = 16; // for one question
+/** Several boxes ask about the same endpoints, twice a second each. */
+constexpr absl::Duration ConnectedMemory = absl::Seconds(1);
 
 std::string Text(absl::string_view text)
 {
@@ -71,6 +77,80 @@
   return offer;
 }
 
+/** Connections to endpoints that another box has asked for. */
+struct RelayServer::Trial
+{
+  wire::RelayOffer offer;
+  OnOffer done;
+  int open = 0;
+};
+
+/** Those known here, each once. */
+std::vector<const DirectoryEndpoint*> RelayServer::EndpointsOf(
+  const wire::RelayAsk& ask) const
+{
+  std::vector<const DirectoryEndpoint*> endpoints;
+  for (const std::string& address : ask.endpoints()) {
+    const DirectoryEndpoint* endpoint = FindByAddress(directory_, address);
+    const bool isNew =
+      endpoint != nullptr && std::find(endpoints.begin(), endpoints.end(),
+                                       endpoint) == endpoints.end();
+    if (isNew && endpoints.size() < MostEndpointsTried &&
+        Succeeded(
+          ParseTcpEndpoint(RouteTo(directory_.routes, endpoint->address)))) {
+      endpoints.push_back(endpoint);
+    }
+  }
+  return endpoints;
+}
+
+void RelayServer::Offer(const wire::RelayAsk& ask, const OnOffer& done)
+{
+  auto trial = std::make_shared<Trial>();
+  trial->offer = Offer();
+  trial->done = done;
+  const Elapsed now = ElapsedNow();
+  for (auto it = connected_.begin(); it != connected_.end();) {
+    const auto current = it++;
+    if (now - current->second > ConnectedMemory) {
+      connected_.erase(current);
+    }
+  }
+  std::vector<std::string> tried;
+  if (trial->offer.has_path()) {
+    for (const DirectoryEndpoint* endpoint : EndpointsOf(ask)) {
+      if (connected_.count(endpoint->address) > 0) {
+        trial->offer.add_reached(endpoint->address);
+      } else {
+        tried.push_back(endpoint->address);
+      }
+    }
+  }
+  trial->open = static_cast<int>(tried.size());
+  if (tried.empty()) {
+    done(trial->offer);
+    return;
+  }
+  for (const std::string& address : tried) {
+    Try(address, trial);
+  }
+}
+
+void RelayServer::Try(const std::string& address,
+                      const std::shared_ptr<Trial>& trial)
+{
+  ProbeAddress(loop_, RouteTo(directory_.routes, address),
+               [this, address, trial](ConnectResult result) {
+                 if (result == ConnectResult::Connected) {
+                   connected_[address] = ElapsedNow();
+                   trial->offer.add_reached(address);
+                 }
+                 if (--trial->open == 0) {
+                   trial->done(trial->offer);
+                 }
+               });
+}
+
 bool RelayServer::IsGenuine(const HttpRequest& request) const
 {
   const std::string expected =
--- a/Source/Gateway/wgRelayServer.h
+++ b/Source/Gateway/wgRelayServer.h
@@ -34,6 +34,10 @@
   /** \brief What this box offers now; without an address it relays nothing. */
   wire::RelayOffer Offer() const;
 
+  using OnOffer = std::function<void(const wire::RelayOffer&)>;
+  /** \brief The same, with those of some endpoints that it connects to. */
+  void Offer(const wire::RelayAsk& ask, const OnOffer& done);
+
   /** \brief Nothing new is taken. */
   void Stop() { most_ = 0; }
   bool IsIdle() const { return calls_.empty(); }
@@ -49,6 +53,11 @@
     Elapsed began;
   };
 
+  struct Trial;
+
+  std::vector<const DirectoryEndpoint*> EndpointsOf(
+    const wire::RelayAsk& ask) const;
+  void Try(const std::string& address, const std::shared_ptr<Trial>& trial);
   void OnRequest(const Exchange& exchange);
   bool IsGenuine(const HttpRequest& request) const;
   void Refuse(const Exchange& exchange, absl::string_view result);
@@ -66,6 +75,7 @@
   int most_ = 0;
   std::uint64_t nextCall_ = 1;
   std::map<std::uint64_t, Call> calls_;
+  std::map<std::string, Elapsed> connected_; // when, by endpoint's address
   std::unique_ptr<HttpServer> server_;
 };
 
--- a/Source/Gateway/wgResultReleaser.cxx
+++ b/Source/Gateway/wgResultReleaser.cxx
@@ -23,6 +23,7 @@
                                TermsTracker& terms, GatewayMetrics& metrics)
   : loop_(loop)
   , client_(client)
+  , startCall_(DirectCalls(client, directory))
   , directory_(directory)
   , dialect_(dialect)
   , terms_(terms)
@@ -107,9 +108,11 @@
       OnLate(number);
     }
   });
-  call.http =
-    client_.Start(RouteTo(directory_.routes, address),
-                  PrintRequest(std::move(request)), {}, std::move(handler));
+  std::string text = PrintRequest(std::move(request));
+  call.http = maker != nullptr
+                ? startCall_(*maker, std::move(text), std::move(handler)).http
+                : client_.Start(RouteTo(directory_.routes, address),
+                                std::move(text), {}, std::move(handler));
 }
 
 void ResultReleaser::OnBody(std::uint64_t number, std::size_t bytes)
--- a/Source/Gateway/wgResultReleaser.h
+++ b/Source/Gateway/wgResultReleaser.h
@@ -13,6 +13,7 @@
 
 #include "wgDialect.h"
 #include "wgDirectory.h"
+#include "wgEndpointCall.h"
 #include "wgHttpClient.h"
 #include "wgLoopTimer.h"
 #include "wgTermsTracker.h"
@@ -28,6 +29,8 @@
   ResultReleaser(EventLoop& loop, HttpClient& client, Directory& directory,
                  const Dialect& dialect, TermsTracker& terms,
                  GatewayMetrics& metrics);
+  /** \brief How endpoints are called; directly, unless this is set. */
+  void SetCalls(StartEndpointCall calls) { startCall_ = std::move(calls); }
   void Release(absl::Span<const std::string> handles);
 
   using Confirmed = std::function<void(absl::Span<const std::string>)>;
@@ -53,6 +56,7 @@
 
   EventLoop& loop_;
   HttpClient& client_;
+  StartEndpointCall startCall_;
   Directory& directory_;
   const Dialect& dialect_;
   TermsTracker& terms_;
--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -79,7 +79,7 @@
                                    SendPermits& permits,
                                    GatewayMetrics& metrics, DecisionLog& log)
   : loop_(loop)
-  , client_(client)
+  , startCall_(DirectCalls(client, directory))
   , directory_(directory)
   , dialect_(dialect)
   , releaser_(releaser)
@@ -375,6 +375,28 @@
   });
 }
 
+void StageCoordinator::NoteEndpointPath(const std::string& endpoint,
+                                        bool callsHang)
+{
+  for (auto& [key, pool] : pools_) {
+    for (StageServer& server : pool.servers) {
+      if (server.id == endpoint) {
+        server.avoidUntil = Elapsed();
+      }
+    }
+  }
+  std::vector<std::uint64_t> lost;
+  for (const auto& [number, open] : calls_) {
+    if (callsHang && open.call.server == endpoint && open.relay.empty()) {
+      lost.push_back(number);
+    }
+  }
+  for (const std::uint64_t number : lost) {
+    OnCallLate(number);
+  }
+  NoteDirectory();
+}
+
 /** Those whose pieces are in a call stay until it ends, so that nothing is
  * sent twice.
  */
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -13,6 +13,7 @@
 #include "wgDecisionLog.h"
 #include "wgDialect.h"
 #include "wgDirectory.h"
+#include "wgEndpointCall.h"
 #include "wgGatewayMetrics.h"
 #include "wgHallProber.h"
 #include "wgHttpClient.h"
@@ -48,6 +49,8 @@
                    GatewayMetrics& metrics, DecisionLog& log);
 
   void SetTable(std::shared_ptr<const RouteTable> table);
+  /** \brief How endpoints are called; directly, unless this is set. */
+  void SetCalls(StartEndpointCall calls) { startCall_ = std::move(calls); }
   /** \brief Where calls count for roll-outs of versions. */
   void SetTallies(VersionTallies& tallies) { tallies_ = &tallies; }
   void SetRetryRules(const RetryRules& rules) { rules_ = rules; }
@@ -91,6 +94,11 @@
    */
   void SetHasPath(bool hasPath, const std::string& self, bool callsHang);
 
+  /** \brief There is another way to an endpoint than before.
+   * \param callsHang whether calls that are under way there are lost
+   */
+  void NoteEndpointPath(const std::string& endpoint, bool callsHang);
+
   /** \brief A hall is cut off: what is at work there is made elsewhere. */
   void NoteHallCut(const std::string& hall);
 
@@ -126,6 +134,7 @@
     StageCall call;
     Elapsed started;
     std::unique_ptr<HttpCall> http;
+    std::string relay; // the box that relays it; empty: none
     std::unique_ptr<LoopTimer> timer;
     std::unique_ptr<LoopTimer> fetchedTimer; // until its inputs are fetched
     std::int64_t recordedAtSend = 0; // bytes at the endpoint, with its own
@@ -190,7 +199,7 @@
   static void BoundRoom(StagePool& pool, Elapsed now);
 
   EventLoop& loop_;
-  HttpClient& client_;
+  StartEndpointCall startCall_;
   Directory& directory_;
   const Dialect& dialect_;
   ResultReleaser& releaser_;
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -82,9 +82,10 @@
     }
   };
   handler.onEnd = [this, number](HttpCallEnd end) { OnCallEnd(number, end); };
-  open.http =
-    client_.Start(RouteTo(directory_.routes, endpoint->address),
-                  PrintRequest(std::move(request)), {}, std::move(handler));
+  EndpointCallStarted started = startCall_(
+    *endpoint, PrintRequest(std::move(request)), std::move(handler));
+  open.http = std::move(started.http);
+  open.relay = std::move(started.relay);
   for (const StagePiece& piece : open.call.pieces) {
     metrics_.NoteLatency("stage_wait", now - piece.arrived);
   }
@@ -283,6 +284,7 @@
   log_.Write(weight, "stage_call",
              { { "service", open.pool.service },
                { "endpoint", open.call.server },
+               { "relay", open.relay },
                { "end", std::string(end) },
                { "first_request", open.call.pieces.front().request },
                { "pieces", open.call.pieces.size() },
@@ -293,8 +295,10 @@
 
 void StageCoordinator::FailCall(OpenCall& open, bool sent)
 {
-  if (DirectoryEndpoint* endpoint =
-        FindEndpoint(directory_, open.call.server)) {
+  DirectoryEndpoint* endpoint = FindEndpoint(directory_, open.call.server);
+  const bool hasOtherWay =
+    !sent && IsPathLost(directory_.reach, open.call.server);
+  if (endpoint != nullptr && !hasOtherWay) {
     NoteAttempt(*endpoint, true, ElapsedNow());
   }
   const Elapsed until = ElapsedNow() + PoolOf(open.pool).limits.resultLifetime;
@@ -332,7 +336,9 @@
   if (DirectoryEndpoint* endpoint =
         FindEndpoint(directory_, open.call.server)) {
     NoteAttempt(*endpoint, false, now);
-    halls_.Reached(*endpoint);
+    if (open.relay.empty()) {
+      halls_.Reached(*endpoint);
+    }
   }
   metrics_.NoteLatency("stage_call", now - open.started);
   LogCall(open, "answered");
--- a/Tests/Decision/wgRelayChoiceTest.cxx
+++ b/Tests/Decision/wgRelayChoiceTest.cxx
@@ -1,4 +1,5 @@
 // SPDX-License-Identifier: Apache-2.0
+#include <string>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -27,9 +28,9 @@
 {
   std::vector<wg::RelayOffer> offers = { MakeOffer("far", false, 0),
                                          MakeOffer("near", true, 9) };
-  CHECK(wg::ChooseRelay(offers, Now) == 1U);
+  CHECK(wg::ChooseRelay(offers, "", Now) == 1U);
   offers[1].openHere = 2; // 11 of 40: more than a quarter above the far one
-  CHECK(wg::ChooseRelay(offers, Now) == 0U);
+  CHECK(wg::ChooseRelay(offers, "", Now) == 0U);
 }
 
 TEST_CASE("Relays that are full, silent or have failed are left out")
@@ -39,9 +40,9 @@
                                          MakeOffer("c", true, 0) };
   offers[1].told = Now - absl::Seconds(3);
   offers[2].avoidUntil = Now + absl::Milliseconds(1);
-  CHECK_FALSE(wg::ChooseRelay(offers, Now).has_value());
-  CHECK(wg::ChooseRelay(offers, Now + absl::Milliseconds(1)) == 2U);
-  CHECK_FALSE(wg::ChooseRelay({}, Now).has_value());
+  CHECK_FALSE(wg::ChooseRelay(offers, "", Now).has_value());
+  CHECK(wg::ChooseRelay(offers, "", Now + absl::Milliseconds(1)) == 2U);
+  CHECK_FALSE(wg::ChooseRelay({}, "", Now).has_value());
 }
 
 TEST_CASE("A box relays as many calls as its share of a core allows")
@@ -89,3 +90,63 @@
   CHECK_FALSE(wg::EndIsolation(reach));
   CHECK_FALSE(wg::IsCutOff(reach, "h2"));
 }
+
+TEST_CASE("A relay that does not reach the endpoint is asked to call it")
+{
+  std::vector<wg::RelayOffer> offers = { MakeOffer("idle", true, 0),
+                                         MakeOffer("busy", true, 30) };
+  offers[1].reached = { "10.0.0.1:80" };
+  CHECK(wg::ChooseRelay(offers, "10.0.0.1:80", Now) == 1U);
+  CHECK_FALSE(wg::ChooseRelay(offers, "10.0.0.2:80", Now).has_value());
+  CHECK(wg::IsReachedByAny(offers, "10.0.0.1:80", Now));
+  CHECK_FALSE(wg::IsReachedByAny(offers, "10.0.0.2:80", Now));
+  offers[1].open = offers[1].most; // full, and reaches it all the same
+  CHECK_FALSE(wg::ChooseRelay(offers, "10.0.0.1:80", Now).has_value());
+  CHECK(wg::IsReachedByAny(offers, "10.0.0.1:80", Now));
+  CHECK_FALSE(
+    wg::IsReachedByAny(offers, "10.0.0.1:80", Now + absl::Seconds(3)));
+}
+
+TEST_CASE("An endpoint that has ended is taken for one behind a lost path")
+{
+  wg::HallReach reach;
+  CHECK(wg::NoteEndpointUnreached(reach, "e", true, Now));
+  CHECK_FALSE(wg::IsPathLost(reach, "e"));
+  CHECK(wg::ConnectionsHang(reach, "e"));
+  CHECK_FALSE(wg::ConfirmHang(reach, "e")); // nobody reaches it
+  // Asked once for a series of failures, and again later.
+  CHECK_FALSE(wg::NoteEndpointUnreached(reach, "e", true, Now));
+  CHECK(wg::NoteEndpointUnreached(reach, "e", false, Now + absl::Seconds(3)));
+  CHECK_FALSE(wg::ConnectionsHang(reach, "e"));
+}
+
+TEST_CASE("A path that is back, or an endpoint that is gone, stays lost")
+{
+  wg::HallReach reach;
+  CHECK_FALSE(wg::NoteReachedElsewhere(reach, "e")); // reached from here
+  wg::NoteEndpointUnreached(reach, "e", true, Now);
+  CHECK(wg::NoteReachedElsewhere(reach, "e"));
+  CHECK_FALSE(wg::NoteReachedElsewhere(reach, "e"));
+  CHECK(wg::LostEndpoints(reach) == std::vector<std::string>{ "e" });
+  CHECK(wg::ConfirmHang(reach, "e"));
+  CHECK_FALSE(wg::ConfirmHang(reach, "e"));
+  wg::ForgetUnreached(reach, Now + absl::Seconds(60));
+  CHECK(wg::IsPathLost(reach, "e"));
+  SECTION("no other box reaches it any more")
+  {
+    wg::NoteReachedNowhere(reach, "e");
+    CHECK_FALSE(wg::IsPathLost(reach, "e"));
+  }
+  SECTION("a connection is made")
+  {
+    CHECK(wg::NoteEndpointReached(reach, "e"));
+    CHECK_FALSE(wg::IsPathLost(reach, "e"));
+    CHECK_FALSE(wg::NoteEndpointReached(reach, "e"));
+  }
+  SECTION("this box reached none at all, and does again")
+  {
+    wg::Isolate(reach);
+    wg::EndIsolation(reach);
+    CHECK_FALSE(wg::IsPathLost(reach, "e"));
+  }
+}
