Gateway: a lost path is not told to all boxes as an endpoint's end

Cause: after an answer was cut, a refused connection counted as the endpoint's end unless this box reached no endpoint at all. A box that had lost the path to one service told all boxes that its endpoints had ended, with the requests that ran there: evidence against sound requests.

Change: other boxes are asked whether they connect to the endpoint. It has ended if none does.

--- a/Source/Gateway/wgCrashWatch.cxx
+++ b/Source/Gateway/wgCrashWatch.cxx
@@ -73,7 +73,7 @@
                });
 }
 
-/** Where this box reaches no endpoint, a refusal says nothing of one. */
+/** Where this box does not reach it, a refusal says nothing of it. */
 void CrashWatch::ConfirmEnd(const std::string& endpoint)
 {
   const auto take = [this, endpoint](bool hasPath) {
@@ -84,7 +84,7 @@
     }
   };
   if (confirmPath_) {
-    confirmPath_(take);
+    confirmPath_(endpoint, take);
   } else {
     take(true);
   }
--- a/Source/Gateway/wgCrashWatch.h
+++ b/Source/Gateway/wgCrashWatch.h
@@ -27,9 +27,11 @@
   CrashWatch(EventLoop& loop, Directory& directory, DecisionLog& log,
              GatewayMetrics& metrics, OnEnded onEnded);
 
-  using ConfirmPath = std::function<void(std::function<void(bool hasPath)>)>;
-  /** \brief How it is found out whether this box reaches any endpoint; without
-   * it, it does.
+  using OnConfirmed = std::function<void(bool hasPath)>;
+  using ConfirmPath =
+    std::function<void(const std::string& endpoint, OnConfirmed)>;
+  /** \brief How it is found out whether this box has a path to an endpoint
+   * that refused a connection; without it, it has.
    */
   void SetConfirmPath(ConfirmPath confirm)
   {
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -128,7 +128,9 @@
   coordinator_.SetCalls(call);
   releaser_.SetCalls(call);
   crashes_.SetConfirmPath(
-    [this](HallProber::OnPath done) { halls_.ConfirmPath(std::move(done)); });
+    [this](const std::string& endpoint, const CrashWatch::OnConfirmed& done) {
+      ConfirmPath(endpoint, done);
+    });
   coordinator_.SetTallies(tallies_);
   coordinator_.SetRetryRules(settings_.retryRules);
   engineCoordinator_.SetColdBounds(settings_.coldBounds);
@@ -574,6 +576,23 @@
   });
 }
 
+/** A refused connection tells of the endpoint only where no other box makes
+ * one.
+ */
+void GatewayNode::ConfirmPath(const std::string& endpoint,
+                              const CrashWatch::OnConfirmed& done)
+{
+  halls_.ConfirmPath([this, endpoint, done](bool hasPath) {
+    if (!hasPath) {
+      done(false);
+      return;
+    }
+    relays_->AskAbout(endpoint, [done](bool isReachedElsewhere) {
+      done(!isReachedElsewhere);
+    });
+  });
+}
+
 void GatewayNode::OnEndpointPath(const std::string& endpoint, bool hasPath)
 {
   DirectoryEndpoint* known = FindEndpoint(directory_, endpoint);
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -80,6 +80,8 @@
   bool OnDocument(const ReceivedDocument& document);
   void OnHallCut(const std::string& hall);
   void OnPath(bool hasPath);
+  void ConfirmPath(const std::string& endpoint,
+                   const CrashWatch::OnConfirmed& done);
   void OnEndpointPath(const std::string& endpoint, bool hasPath);
   void OnEndpointHangs(const std::string& endpoint);
   void OnHallOrders(const HallOrders& orders);
--- a/Tests/Platform/wgPlatformNoPathTest.cxx
+++ b/Tests/Platform/wgPlatformNoPathTest.cxx
@@ -403,6 +403,14 @@
   {
     CheckWithoutService(f, { 0, 1, 2 }, "plain", 2, NoPath::Hang, { "/p/x" });
   }
+  SECTION("plain endpoints, connections are reset")
+  {
+    const std::vector<int> boxes = { 0, 1, 2 };
+    CheckWithoutService(f, boxes, "plain", 2, NoPath::Reset, { "/p/x" });
+    for (const int box : boxes) { // the others reach them
+      CHECK(f.Counter(box, "endpoints_ended") == 0);
+    }
+  }
   SECTION("engines")
   {
     CheckWithoutService(f, { 0, 1, 2 }, "llm", 2, NoPath::Hang,
