Decision: an answer outweighs one end of a part, seldom of a rare one

Cause: each answer cleared all ends of its parts, and such a part has an answer for each end. What parts with as many ends were held was decided by their names.

Change: an answer outweighs one end, with a chance of a quarter for a part that all requests have, and less in proportion for a rarer one, which hardly ever runs beside an end by chance. Of parts with as many ends the one that this box has seen answered least is held. A part that a box takes to be sound, by its answers, explains no ends there.

The simulation gives each box evidence of its own, which it tells the others, and the part that all requests share a name that comes first. NotePartAnswered of AnsweredParts is CountPart of PartCounts, as arrivals are counted, too.

--- a/Source/Control/wgBeatsAfterEnd.cxx
+++ b/Source/Control/wgBeatsAfterEnd.cxx
@@ -12,7 +12,7 @@
 } // namespace
 
 bool NoteBeatAfterEnd(BeatsAfterEnd& beats, CrashEvidence& evidence,
-                      const wire::Registration& heartbeat)
+                      const wire::Registration& heartbeat, Elapsed now)
 {
   if (evidence.records.empty()) {
     beats.first.clear();
@@ -28,7 +28,7 @@
     return false;
   }
   beats.first.erase(first);
-  return NoteLive(evidence, id);
+  return NoteLive(evidence, id, now);
 }
 
 } // namespace wg
--- a/Source/Control/wgBeatsAfterEnd.h
+++ b/Source/Control/wgBeatsAfterEnd.h
@@ -28,6 +28,6 @@
  * \return whether that was news
  */
 bool NoteBeatAfterEnd(BeatsAfterEnd& beats, CrashEvidence& evidence,
-                      const wire::Registration& heartbeat);
+                      const wire::Registration& heartbeat, Elapsed now);
 
 } // namespace wg
--- a/Source/Control/wgControlNodeDocuments.cxx
+++ b/Source/Control/wgControlNodeDocuments.cxx
@@ -414,12 +414,12 @@
 
 HeartbeatTaken ControlNode::Register(const wire::Registration& heartbeat)
 {
-  const HeartbeatTaken taken =
-    TakeHeartbeat(registry_, heartbeat, ElapsedNow());
+  const Elapsed now = ElapsedNow();
+  const HeartbeatTaken taken = TakeHeartbeat(registry_, heartbeat, now);
   const bool isSound =
     taken == HeartbeatTaken::News || taken == HeartbeatTaken::Known;
   if (isSound) {
-    NoteBeatAfterEnd(beatsAfterEnd_, crashes_, heartbeat);
+    NoteBeatAfterEnd(beatsAfterEnd_, crashes_, heartbeat, now);
   }
   return taken;
 }
--- a/Source/Decision/wgCrashEvidence.cxx
+++ b/Source/Decision/wgCrashEvidence.cxx
@@ -10,6 +10,11 @@
 /** Identities and fingerprints are far shorter. */
 constexpr std::size_t MaxNameBytes = 200;
 
+/** What is taken to be sound changes with time alone, too. */
+constexpr absl::Duration DerivePeriod = absl::Milliseconds(200);
+/** Under this name all requests are counted; no part has it. */
+constexpr absl::string_view AllRequests = "";
+
 using Ends = std::map<std::string, Elapsed>;        // when each start ended
 using EndsBySuspect = std::map<CrashSuspect, Ends>; // without outweighed ones
 
@@ -37,10 +42,30 @@
   return separate;
 }
 
+/** Whether this process has seen a part answered so often that it merely ran
+ * beside what ended endpoints.
+ */
+bool IsTakenForSound(const CrashEvidence& evidence,
+                     const CrashSuspect& suspect, std::size_t ends,
+                     Elapsed now)
+{
+  if (suspect.cause != wire::PROMPT_PART) {
+    return false;
+  }
+  const CrashRules& rules = evidence.rules;
+  const auto answers = static_cast<std::size_t>(
+    TimesCounted(evidence.answered, suspect.name, now));
+  const int arrived = TimesCounted(evidence.arrived, suspect.name, now);
+  const int all = TimesCounted(evidence.arrived, AllRequests, now);
+  const bool isCommon = all > 0 && arrived >= rules.commonShare * all;
+  return answers >= rules.answersForEnd * ends ||
+         (isCommon && answers >= ends);
+}
+
 /** Returns the ends of suspects that have enough for quarantine; most have one
  * or two. Records of a suspect are adjacent.
  */
-EndsBySuspect EndsForQuarantine(const CrashEvidence& evidence)
+EndsBySuspect EndsForQuarantine(const CrashEvidence& evidence, Elapsed now)
 {
   EndsBySuspect all;
   const auto& records = evidence.records;
@@ -52,7 +77,8 @@
         keys.push_back(&it->first);
       }
     }
-    if (keys.size() >= evidence.rules.endsToQuarantine) {
+    if (keys.size() >= evidence.rules.endsToQuarantine &&
+        !IsTakenForSound(evidence, suspect, keys.size(), now)) {
       for (const CrashKey* key : keys) {
         all[suspect][key->endpoint] = records.at(*key).noted;
       }
@@ -61,14 +87,24 @@
   return all;
 }
 
-/** Of those with the same ends a whole request is the narrowest. */
-EndsBySuspect::iterator MostEnds(EndsBySuspect& ends, const CrashRules& rules)
+/** Of those with as many ends a whole request is the narrowest, and comes
+ * first; of parts, the one that was answered least.
+ */
+EndsBySuspect::iterator MostEnds(EndsBySuspect& ends,
+                                 const CrashEvidence& evidence, Elapsed now)
 {
-  return std::max_element(
-    ends.begin(), ends.end(), [&rules](const auto& left, const auto& right) {
-      return CountSeparateEnds(left.first, left.second, rules) <
-             CountSeparateEnds(right.first, right.second, rules);
-    });
+  const auto rankOf = [&evidence, now](const auto& pair) {
+    const CrashSuspect& suspect = pair.first;
+    const int answers = suspect.cause == wire::PROMPT_PART
+                          ? TimesCounted(evidence.answered, suspect.name, now)
+                          : 0;
+    return std::make_pair(
+      CountSeparateEnds(suspect, pair.second, evidence.rules), -answers);
+  };
+  return std::max_element(ends.begin(), ends.end(),
+                          [&rankOf](const auto& left, const auto& right) {
+                            return rankOf(left) < rankOf(right);
+                          });
 }
 
 void RemoveEnds(EndsBySuspect& ends, const Ends& explained)
@@ -85,13 +121,14 @@
  * The quarantine is computed anew each time, so that it ends for an innocent
  * suspect once another has more ends.
  */
-void UpdateQuarantine(CrashEvidence& evidence)
+void UpdateQuarantine(CrashEvidence& evidence, Elapsed now)
 {
+  evidence.derived = now;
   evidence.quarantined.clear();
-  EndsBySuspect ends = EndsForQuarantine(evidence);
+  EndsBySuspect ends = EndsForQuarantine(evidence, now);
   while (!ends.empty()) {
     const CrashRules& rules = evidence.rules;
-    const auto cause = MostEnds(ends, rules);
+    const auto cause = MostEnds(ends, evidence, now);
     if (CountSeparateEnds(cause->first, cause->second, rules) <
         rules.endsToQuarantine) {
       return;
@@ -106,11 +143,11 @@
  * the change, the more of both
  */
 void NoteChange(CrashEvidence& evidence, CrashRecord& record,
-                std::size_t counted)
+                std::size_t counted, Elapsed now)
 {
   record.revision = ++evidence.revision;
   if (counted >= evidence.rules.endsToQuarantine) {
-    UpdateQuarantine(evidence); // with fewer, nothing is explained
+    UpdateQuarantine(evidence, now); // with fewer, nothing is explained
   }
 }
 
@@ -208,26 +245,68 @@
   record.outweighed |= crash.outweighed();
   if (isChanged) {
     const std::size_t removed = record.outweighed ? 1 : 0;
-    NoteChange(evidence, record, CountedEnds(evidence, key.suspect) + removed);
+    NoteChange(evidence, record, CountedEnds(evidence, key.suspect) + removed,
+               now);
   } else if (isEarlier && IsNearQuarantine(evidence, key.suspect)) {
-    UpdateQuarantine(evidence); // ends may lie further apart than before
+    UpdateQuarantine(evidence, now); // ends may lie further apart than before
   }
   return isChanged;
 }
 
-bool NoteAnswered(CrashEvidence& evidence, const CrashSuspect& suspect)
+bool NoteAnswered(CrashEvidence& evidence, const CrashSuspect& suspect,
+                  Elapsed now)
 {
   const std::size_t counted = CountedEnds(evidence, suspect);
   for (auto it = evidence.records.lower_bound({ suspect, "" });
        it != evidence.records.end() && it->first.suspect == suspect; ++it) {
     if (!it->second.outweighed) {
       it->second.outweighed = true;
-      NoteChange(evidence, it->second, counted);
+      NoteChange(evidence, it->second, counted, now);
     }
   }
   return counted > 0;
 }
 
+void NotePartsArrived(CrashEvidence& evidence,
+                      absl::Span<const CrashSuspect> parts, Elapsed now)
+{
+  if (parts.empty()) {
+    return;
+  }
+  CountPart(evidence.arrived, AllRequests, now);
+  for (const CrashSuspect& part : parts) {
+    CountPart(evidence.arrived, part.name, now);
+  }
+  if (!evidence.records.empty() && now - evidence.derived >= DerivePeriod) {
+    UpdateQuarantine(evidence, now);
+  }
+}
+
+bool NotePartAnswered(CrashEvidence& evidence, const CrashSuspect& part,
+                      double draw, Elapsed now)
+{
+  CountPart(evidence.answered, part.name, now);
+  const int arrived = TimesCounted(evidence.arrived, part.name, now);
+  const int all = TimesCounted(evidence.arrived, AllRequests, now);
+  if (draw * all >= evidence.rules.outweighChance * arrived) {
+    return false;
+  }
+  const std::size_t counted = CountedEnds(evidence, part);
+  CrashRecord* first = nullptr;
+  for (auto it = evidence.records.lower_bound({ part, "" });
+       it != evidence.records.end() && it->first.suspect == part; ++it) {
+    CrashRecord& record = it->second;
+    const bool isEarlier = first == nullptr || record.noted < first->noted;
+    first = !record.outweighed && isEarlier ? &record : first;
+  }
+  if (first == nullptr) {
+    return false;
+  }
+  first->outweighed = true;
+  NoteChange(evidence, *first, counted, now);
+  return true;
+}
+
 bool IsPresumedEnded(const CrashEvidence& evidence, absl::string_view endpoint)
 {
   const auto& records = evidence.records;
@@ -236,13 +315,14 @@
   });
 }
 
-bool NoteLive(CrashEvidence& evidence, absl::string_view endpoint)
+bool NoteLive(CrashEvidence& evidence, absl::string_view endpoint, Elapsed now)
 {
   bool isChanged = false;
   for (auto& [key, record] : evidence.records) {
     if (key.endpoint == endpoint && !record.outweighed) {
       record.outweighed = true;
-      NoteChange(evidence, record, CountedEnds(evidence, key.suspect) + 1);
+      NoteChange(evidence, record, CountedEnds(evidence, key.suspect) + 1,
+                 now);
       isChanged = true;
     }
   }
@@ -282,7 +362,7 @@
     }
   }
   if (isExpired) {
-    UpdateQuarantine(evidence);
+    UpdateQuarantine(evidence, now);
   }
 }
 
--- a/Source/Decision/wgCrashEvidence.h
+++ b/Source/Decision/wgCrashEvidence.h
@@ -10,8 +10,10 @@
 #include <vector>
 
 #include "absl/strings/string_view.h"
+#include "absl/types/span.h"
 
 #include "wgElapsed.h"
+#include "wgPartCounts.h"
 #include "wgPeer.pb.h"
 
 namespace wg {
@@ -57,6 +59,16 @@
    * power, than that as many requests with the part began at once.
    */
   absl::Duration separateEnds = absl::Milliseconds(500);
+  /** An answer outweighs an end of a part that all requests have with this
+   * chance, and of a rarer part as much less often: a common part ran beside
+   * an end by chance, a rare one hardly.
+   */
+  double outweighChance = 0.25;
+  /** This process takes a part to be sound that was answered so many times for
+   * each of its ends, or once if this share of all requests has it.
+   */
+  std::size_t answersForEnd = 3;
+  double commonShare = 0.2;
   /** Within this time, an innocent request that met a crash is answered or
    * cancelled by its caller.
    */
@@ -75,15 +87,19 @@
  * Each process has its own copy. Merging is commutative and idempotent. A
  * suspect that ran at three endpoints when they ended is quarantined: it is
  * sent to no endpoint any more. Others ran beside it, so an end counts only
- * against the suspect with the most ends, and not at all if a later answer
- * outweighs it. Parts that most requests have are answered all the time.
+ * against the suspect with the most ends, of parts with as many the one that
+ * this process has seen answered least, and not at all if a later answer
+ * outweighs it. Parts that this process takes to be sound do not count.
  */
 struct CrashEvidence
 {
   CrashRules rules;
   std::uint64_t revision = 0;
   std::map<CrashKey, CrashRecord> records;
-  std::set<CrashSuspect> quarantined; // derived from the records
+  PartCounts answered; // by this process
+  PartCounts arrived;  // at this process; "": all requests with parts
+  std::set<CrashSuspect> quarantined; // derived from all of the above
+  Elapsed derived;                    // when it was
 };
 
 /** \brief Merges a crash that this process noted or received.
@@ -96,7 +112,22 @@
  * crashes up to now.
  * \return whether the evidence changed
  */
-bool NoteAnswered(CrashEvidence& evidence, const CrashSuspect& suspect);
+bool NoteAnswered(CrashEvidence& evidence, const CrashSuspect& suspect,
+                  Elapsed now);
+
+/** \brief Counts a request that has come with these parts, and derives anew
+ * what is quarantined, if that was not done lately.
+ */
+void NotePartsArrived(CrashEvidence& evidence,
+                      absl::Span<const CrashSuspect> parts, Elapsed now);
+
+/** \brief Records that an endpoint went on to write an answer on a prompt with
+ * the part, which may outweigh the first of its ends that count.
+ * \param draw from 0 to 1
+ * \return whether the evidence changed
+ */
+bool NotePartAnswered(CrashEvidence& evidence, const CrashSuspect& part,
+                      double draw, Elapsed now);
 
 /** \brief Whether the end of this start counts against anything. */
 bool IsPresumedEnded(const CrashEvidence& evidence,
@@ -106,7 +137,8 @@
  * connections to it looked like its end.
  * \return whether the evidence changed
  */
-bool NoteLive(CrashEvidence& evidence, absl::string_view endpoint);
+bool NoteLive(CrashEvidence& evidence, absl::string_view endpoint,
+              Elapsed now);
 
 /** \brief Returns how many crashes count against the suspect. */
 std::size_t CountedEnds(const CrashEvidence& evidence,
--- a/Source/Gateway/wgCrashTracker.cxx
+++ b/Source/Gateway/wgCrashTracker.cxx
@@ -6,6 +6,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include "absl/random/distributions.h"
+
 #include <nlohmann/json.hpp>
 
 #include "wgRequestFingerprint.h"
@@ -60,7 +62,9 @@
 {
   const CrashSuspect request = RequestSuspect(fingerprint);
   if (CountedEnds(evidence_, request) > 0) {
-    Outweigh(request, ElapsedNow());
+    const Elapsed now = ElapsedNow();
+    NoteAnswered(evidence_, request, now);
+    NoteOutweighed(request, now);
     TellOutweighed();
   }
 }
@@ -70,9 +74,9 @@
   const Elapsed now = ElapsedNow();
   bool isChanged = false;
   for (const CrashSuspect& part : parts) {
-    NotePartAnswered(answered_, part.name, now);
-    if (!IsEmpty() && CountedEnds(evidence_, part) > 0) {
-      Outweigh(part, now);
+    const double draw = absl::Uniform<double>(random_, 0.0, 1.0);
+    if (NotePartAnswered(evidence_, part, draw, now)) {
+      NoteOutweighed(part, now);
       isChanged = true;
     }
   }
@@ -81,9 +85,8 @@
   }
 }
 
-void CrashTracker::Outweigh(const CrashSuspect& suspect, Elapsed now)
+void CrashTracker::NoteOutweighed(const CrashSuspect& suspect, Elapsed now)
 {
-  NoteAnswered(evidence_, suspect);
   metrics_.Count("suspicions_outweighed");
   for (auto it = evidence_.records.lower_bound({ suspect, "" });
        it != evidence_.records.end() && it->first.suspect == suspect; ++it) {
@@ -99,13 +102,10 @@
 
 bool CrashTracker::AreKeptAway(absl::Span<const CrashSuspect> parts) const
 {
-  const Elapsed now = ElapsedNow();
-  return std::any_of(
-    parts.begin(), parts.end(), [this, now](const CrashSuspect& part) {
-      return IsQuarantined(evidence_, part) &&
-             !IsProvedSound(answered_, part.name, CountedEnds(evidence_, part),
-                            now);
-    });
+  return std::any_of(parts.begin(), parts.end(),
+                     [this](const CrashSuspect& part) {
+                       return IsQuarantined(evidence_, part);
+                     });
 }
 
 std::size_t CrashTracker::KeptAway(wire::CrashCause cause) const
--- a/Source/Gateway/wgCrashTracker.h
+++ b/Source/Gateway/wgCrashTracker.h
@@ -6,9 +6,9 @@
 #include <set>
 #include <string>
 
+#include "absl/random/random.h"
 #include "absl/strings/string_view.h"
 
-#include "wgAnsweredParts.h"
 #include "wgCrashEvidence.h"
 #include "wgCrashWatch.h"
 #include "wgDecisionLog.h"
@@ -61,9 +61,12 @@
   {
     return IsQuarantined(evidence_, RequestSuspect(fingerprint));
   }
-  /** \brief Whether one of the parts ends endpoints. One that this box often
-   * sees answered does not.
-   */
+  /** \brief A request has come with these parts. */
+  void PartsArrived(absl::Span<const CrashSuspect> parts)
+  {
+    NotePartsArrived(evidence_, parts, ElapsedNow());
+  }
+  /** \brief Whether one of the parts ends endpoints. */
   bool AreKeptAway(absl::Span<const CrashSuspect> parts) const;
   /** \brief How many suspects of a kind are sent to no endpoint. */
   std::size_t KeptAway(wire::CrashCause cause) const;
@@ -78,7 +81,7 @@
   };
 
   void OnEnded(const EndedEndpoint& ended);
-  void Outweigh(const CrashSuspect& suspect, Elapsed now);
+  void NoteOutweighed(const CrashSuspect& suspect, Elapsed now);
   void TellOutweighed();
   void NoteChanges();
   void Forget();
@@ -94,7 +97,7 @@
   PeerClient* peers_ = nullptr;
   CrashEvidence evidence_;
   std::map<CrashKey, Elapsed> tellFrom_;
-  AnsweredParts answered_;
+  absl::BitGen random_;
   std::set<CrashSuspect> logged_;           // quarantined, as the log has it
   std::map<std::string, Control> controls_; // by address
   Elapsed forgetFrom_;
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -61,6 +61,7 @@
     }
   });
   ReadPrompt();
+  shared_.crashes.PartsArrived(sharedParts_);
   if (IsKeptAway()) {
     SayNotRun(KeptAwayReason);
     return;
--- a/Tests/Control/wgBeatsAfterEndTest.cxx
+++ b/Tests/Control/wgBeatsAfterEndTest.cxx
@@ -14,6 +14,8 @@
 
 namespace {
 
+const wg::Elapsed Now = absl::Hours(2);
+
 wg::wire::Registration Beat(const std::string& endpoint, int sequence,
                             std::int64_t born = 0)
 {
@@ -47,23 +49,24 @@
 {
   Site site;
   REQUIRE(IsQuarantined(site.evidence, wg::RequestSuspect("a")));
-  CHECK_FALSE(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 7)));
-  CHECK_FALSE(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 8)));
+  CHECK_FALSE(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 7), Now));
+  CHECK_FALSE(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 8), Now));
   CHECK(IsQuarantined(site.evidence, wg::RequestSuspect("a")));
-  CHECK(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 9)));
+  CHECK(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 9), Now));
   CHECK_FALSE(IsQuarantined(site.evidence, wg::RequestSuspect("a")));
-  CHECK_FALSE(NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 19)));
+  CHECK_FALSE(
+    NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 19), Now));
 }
 
 TEST_CASE("Heartbeats on their way, and those of a later start, show nothing",
           "[beats]")
 {
   Site site;
-  NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 7));
-  NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 8));
+  NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 7), Now);
+  NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", 8), Now);
   for (int sequence = 1; sequence < 20; ++sequence) {
-    NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", sequence, 99));
-    NoteBeatAfterEnd(site.beats, site.evidence, Beat("e9", sequence));
+    NoteBeatAfterEnd(site.beats, site.evidence, Beat("e1", sequence, 99), Now);
+    NoteBeatAfterEnd(site.beats, site.evidence, Beat("e9", sequence), Now);
   }
   CHECK(IsQuarantined(site.evidence, wg::RequestSuspect("a")));
 }
--- a/Tests/Decision/wgCrashEvidenceTest.cxx
+++ b/Tests/Decision/wgCrashEvidenceTest.cxx
@@ -43,7 +43,7 @@
 
 bool NoteAnswered(CrashEvidence& evidence, const std::string& request)
 {
-  return wg::NoteAnswered(evidence, RequestSuspect(request));
+  return wg::NoteAnswered(evidence, RequestSuspect(request), Start);
 }
 
 /** An endpoint ended with these requests. */
@@ -238,7 +238,7 @@
   EndWithParts(evidence, "e1", { "common", "bad" }, Start);
   EndWithParts(evidence, "e2", { "common", "bad" }, Start + absl::Seconds(1));
   CHECK(evidence.quarantined.empty());
-  wg::NoteAnswered(evidence, PartSuspect("common"));
+  wg::NoteAnswered(evidence, PartSuspect("common"), Start);
   EndWithParts(evidence, "e3", { "common", "bad" }, Start + absl::Seconds(2));
   CHECK(wg::IsQuarantined(evidence, PartSuspect("bad")));
   CHECK(evidence.quarantined.size() == 1);
@@ -288,3 +288,59 @@
   EndWithParts(evidence, "e1", { "part" }, Start);
   CHECK(wg::IsQuarantined(evidence, PartSuspect("part")));
 }
+
+TEST_CASE("Answers of a rare part outweigh its ends", "[crashes]")
+{
+  CrashEvidence evidence;
+  const std::vector<wg::CrashSuspect> common = { PartSuspect("common") };
+  const std::vector<wg::CrashSuspect> both = { PartSuspect("common"),
+                                               PartSuspect("rare") };
+  for (int i = 0; i < 10; ++i) {
+    wg::NotePartsArrived(evidence, i == 0 ? both : common, Start);
+  }
+  EndWithParts(evidence, "e1", { "common", "rare" }, Start);
+  // One in four for a part of all requests, one in forty for a tenth.
+  constexpr double draw = 0.1;
+  CHECK_FALSE(wg::NotePartAnswered(evidence, both[1], draw, Start));
+  CHECK(wg::NotePartAnswered(evidence, both[0], draw, Start));
+  CHECK_FALSE(wg::NotePartAnswered(evidence, both[0], draw, Start));
+  CHECK(wg::CountedEnds(evidence, both[0]) == 0);
+  CHECK(wg::CountedEnds(evidence, both[1]) == 1);
+  // Nothing is known of what came.
+  CrashEvidence fresh;
+  EndWithParts(fresh, "e1", { "rare" }, Start);
+  CHECK_FALSE(wg::NotePartAnswered(fresh, both[1], 0.0, Start));
+}
+
+TEST_CASE("A part of all requests is held for what one of them ends",
+          "[crashes]")
+{
+  CrashEvidence evidence;
+  const std::vector<wg::CrashSuspect> parts = { PartSuspect("a common part"),
+                                                PartSuspect("bad") };
+  const auto endThree = [&evidence] {
+    for (int i = 0; i < 3; ++i) {
+      EndWithParts(evidence, absl::StrCat("e", i), { "a common part", "bad" },
+                   Start + absl::Seconds(i));
+    }
+  };
+  SECTION("one answer tells them apart")
+  {
+    wg::NotePartAnswered(evidence, parts[0], 1.0, Start);
+    endThree();
+    CHECK(evidence.quarantined.size() == 1);
+    CHECK(wg::IsQuarantined(evidence, parts[1]));
+  }
+  SECTION("it is taken for sound once it was answered as often as it met ends")
+  {
+    endThree();
+    CHECK(wg::IsQuarantined(evidence, parts[0]));
+    for (int i = 0; i < 3; ++i) {
+      wg::NotePartsArrived(evidence, { parts[0] }, Start);
+      wg::NotePartAnswered(evidence, parts[0], 1.0, Start);
+    }
+    wg::NotePartsArrived(evidence, { parts[0] }, Start + absl::Seconds(3));
+    CHECK(evidence.quarantined.size() == 1);
+    CHECK(wg::IsQuarantined(evidence, parts[1]));
+  }
+}
--- a/Tests/Decision/wgCrashSimulationTest.cxx
+++ b/Tests/Decision/wgCrashSimulationTest.cxx
@@ -11,10 +11,8 @@
 
 #include "absl/strings/str_cat.h"
 
-#include "wgAnsweredParts.h"
 #include "wgCrashEvidence.h"
 
-using wg::AnsweredParts;
 using wg::CrashEvidence;
 using wg::CrashSuspect;
 using wg::Elapsed;
@@ -27,6 +25,10 @@
 constexpr int Engines = 18;
 constexpr int Middles = 200; // parts that some requests share
 constexpr double RequestsASecond = 20;
+/** That all requests have. Of suspects with the same ends the first by name
+ * would be taken, and it comes before the others.
+ */
+constexpr const char* SharedPart = "a part of all";
 const Elapsed Start = absl::Hours(100);
 const absl::Duration Step = absl::Milliseconds(10);
 const absl::Duration CrashAfter = absl::Milliseconds(60);
@@ -67,15 +69,22 @@
   std::vector<Run> runs;
 };
 
-/** Boxes whose evidence is one, told with a delay; what was answered each
- * knows by itself.
+/** A change of the evidence that one box tells the others. */
+struct News
+{
+  std::size_t box = 0;
+  wg::wire::Crash crash;
+};
+
+/** Boxes that tell each other of ends and of those that are outweighed; what
+ * was answered each knows by itself.
  */
 struct Simulation
 {
   explicit Simulation(unsigned seed)
     : random(seed)
     , engines(Engines)
-    , answered(Boxes)
+    , evidence(Boxes)
   {
   }
 
@@ -90,7 +99,7 @@
         crash.set_cause(part.cause);
         crash.set_request(part.name);
         crash.set_endpoint(absl::StrCat(index, "@", engine.starts));
-        untold.emplace(now + ToldAfter, crash);
+        Tell(run.box, crash);
       }
     }
     engine.runs.clear();
@@ -98,11 +107,42 @@
     engine.upAt = now + DownFor;
   }
 
+  void Tell(std::size_t box, const wg::wire::Crash& crash)
+  {
+    MergeCrash(evidence[box], crash, now);
+    untold.emplace(now + ToldAfter, News{ box, crash });
+  }
+
+  void TellOutweighed(std::size_t box, std::uint64_t since)
+  {
+    for (const wg::wire::Crash& crash :
+         CrashesSince(evidence[box], since, 100, now)) {
+      untold.emplace(now + ToldAfter, News{ box, crash });
+    }
+  }
+
   bool IsHeld(std::size_t box, const CrashSuspect& part) const
   {
-    return IsQuarantined(evidence, part) &&
-           !IsProvedSound(answered[box], part.name,
-                          CountedEnds(evidence, part), now);
+    return IsQuarantined(evidence[box], part);
+  }
+
+  void Hear(const News& news)
+  {
+    for (std::size_t box = 0; box < Boxes; ++box) {
+      if (box != news.box) {
+        MergeCrash(evidence[box], news.crash, now);
+      }
+    }
+  }
+
+  void Answer(const Run& run)
+  {
+    for (const CrashSuspect& part : run.parts) {
+      const std::uint64_t since = evidence[run.box].revision;
+      if (NotePartAnswered(evidence[run.box], part, Draw(), now)) {
+        TellOutweighed(run.box, since);
+      }
+    }
   }
 
   void Send(const Scene& scene)
@@ -110,7 +150,7 @@
     Run run;
     run.box = random() % Boxes;
     run.began = now;
-    run.parts.push_back(PartSuspect("first"));
+    run.parts.push_back(PartSuspect(SharedPart));
     run.parts.push_back(
       PartSuspect(absl::StrCat("middle", random() % Middles)));
     if (Draw() < scene.badShare) {
@@ -118,6 +158,7 @@
       run.isCrashing = Draw() < scene.crashChance;
       run.parts.push_back(PartSuspect(run.bad));
     }
+    NotePartsArrived(evidence[run.box], run.parts, now);
     for (const CrashSuspect& part : run.parts) {
       if (IsHeld(run.box, part)) {
         heldSound += run.bad.empty() ? 1 : 0;
@@ -140,7 +181,7 @@
     now += Step;
     for (; !untold.empty() && untold.begin()->first <= now;
          untold.erase(untold.begin())) {
-      MergeCrash(evidence, untold.begin()->second, now);
+      Hear(untold.begin()->second);
     }
     for (std::size_t i = 0; i < engines.size(); ++i) {
       bool isCrash =
@@ -154,10 +195,7 @@
           }
         }
         if (!it->isCrashing && now - it->began >= AnsweredAfter) {
-          for (const CrashSuspect& part : it->parts) {
-            NoteAnswered(evidence, part);
-            NotePartAnswered(answered[it->box], part.name, now);
-          }
+          Answer(*it);
           it = runs.erase(it);
         } else {
           ++it;
@@ -177,13 +215,12 @@
 
   std::mt19937 random;
   std::vector<Engine> engines;
-  CrashEvidence evidence;
-  std::multimap<Elapsed, wg::wire::Crash> untold;
+  std::vector<CrashEvidence> evidence; // by box
+  std::multimap<Elapsed, News> untold;
   Elapsed now = Start;
   std::map<std::string, int> ends;         // by bad part
   std::map<std::string, Elapsed> fifthEnd; // by bad part
   std::map<std::string, int> sentLate;     // by bad part, see ContactTime
-  std::vector<AnsweredParts> answered;     // by box
   int sound = 0;                           // sound requests that were sent
   int heldSound = 0;                       // and that were kept away
 };
@@ -210,7 +247,7 @@
     held += simulation.heldSound;
     sent += simulation.sound;
     for (std::size_t box = 0; box < Boxes; ++box) {
-      CHECK_FALSE(simulation.IsHeld(box, PartSuspect("first")));
+      CHECK_FALSE(simulation.IsHeld(box, PartSuspect(SharedPart)));
     }
   }
   // The stated aim: sound requests are served at .9 of what they were.
@@ -236,8 +273,14 @@
   }
 }
 
-// Each answer with the part outweighs the ends before it.
 TEST_CASE("A part that ends one endpoint of two goes on to end them", "[half]")
 {
   CheckScene({ { "bad" }, 0.08, 0.5 });
+  CheckScene({ { "bad-1", "bad-2" }, 0.08, 0.5 });
+}
+
+TEST_CASE("A part that ends one endpoint of two goes on beside kills",
+          "[half-kills]")
+{
+  CheckScene({ { "bad" }, 0.08, 0.5, 0.2 });
 }
