--- a/Tests/Platform/wgPlatformSoak.cxx
+++ b/Tests/Platform/wgPlatformSoak.cxx
@@ -167,6 +167,7 @@
   request.box = gateway;
   request.sent = absl::Now();
   request.id = absl::StrCat(run.seed, "-", ++run.next);
+  request.isStream = streams;
   request.expected = ExpectedBody(request.id, streams);
   const auto reply = client.Post(path, FieldsOf(request.id, streams),
                                  "body of " + request.id, "text/plain");
@@ -639,17 +640,19 @@
   std::multimap<absl::Time, std::function<void()>> undo_;
 };
 
-/** One or two of the boxes reach no endpoint for some seconds, in each of the
- * ways in which a path can be gone.
+/** One or two of the boxes reach no endpoint, or none of one service, for some
+ * seconds, in each of the ways in which a path can be gone.
  */
-void CutPaths(Run& run, absl::Duration time)
+void CutPaths(Run& run, absl::Duration time, bool ofServices)
 {
   using NoPath = Forwarder::NoPath;
   Random random(run.seed + 20);
-  const auto set = [&run](const std::set<int>& boxes, NoPath path) {
-    for (const int box : boxes) {
-      for (const auto& wire : run.ownWires[box]) {
-        wire->SetPath(path);
+  const auto set = [&run](const SoakCut& cut, NoPath path) {
+    for (const int box : cut.boxes) {
+      for (std::size_t i = 0; i < run.endpoints.size(); ++i) {
+        if (cut.service.empty() || cut.service == run.endpoints[i]->service) {
+          run.ownWires[box][i]->SetPath(path);
+        }
       }
     }
   };
@@ -665,11 +668,16 @@
       }
     }
     const NoPath ways[] = { NoPath::Hang, NoPath::Reset, NoPath::LiveOn };
+    if (ofServices) {
+      const int service = Draw(random, 0, static_cast<int>(Services) - 1);
+      cut.service =
+        run.endpoints[2 * static_cast<std::size_t>(service)]->service;
+    }
     cut.from = absl::Now();
-    set(cut.boxes, ways[Draw(random, 0, 2)]);
+    set(cut, ways[Draw(random, 0, 2)]);
     absl::SleepFor(absl::Milliseconds(Draw(random, 4500, 7000)));
     cut.until = absl::Now();
-    set(cut.boxes, NoPath::None);
+    set(cut, NoPath::None);
     const std::lock_guard<std::mutex> lock(run.mutex);
     run.record.cuts.push_back(cut);
   }
@@ -748,6 +756,7 @@
   bool unframed = false; // endpoints answer without lengths, some not whole
   bool brittle = false;  // endpoints are brittle at times
   bool paths = false;    // boxes lose all paths to endpoints; no other faults
+  bool servicePaths = false; // the same of one service at a time
   std::string daemon; // another program; empty: the one built with the tests
 };
 
@@ -762,7 +771,7 @@
       endpoint->standin.SetWork(WorkMs, UsualQueue);
     }
   }
-  if (options.paths) {
+  if (options.paths || options.servicePaths) {
     run.AddOwnWires();
   }
   run.cluster.AwaitServing();
@@ -788,8 +797,8 @@
        ++service) {
     threads.emplace_back([&run, service] { BeBrittle(run, service); });
   }
-  if (options.paths) {
-    CutPaths(run, absl::Seconds(options.seconds));
+  if (options.paths || options.servicePaths) {
+    CutPaths(run, absl::Seconds(options.seconds), options.servicePaths);
   } else {
     Faults(run).Go(absl::Seconds(options.seconds));
   }
@@ -848,6 +857,11 @@
       "", "paths",
       "Boxes lose all paths to endpoints; no other faults of boxes and wires.",
       line);
+    TCLAP::SwitchArg servicePaths(
+      "", "service-paths",
+      "Boxes lose the paths to one service's endpoints at a time; no other "
+      "faults of boxes and wires.",
+      line);
     TCLAP::ValueArg<std::string> daemon(
       "", "daemon", "Another program in place of the one built here.", false,
       "", "path", line);
@@ -859,6 +873,7 @@
     options.unframed = unframed.getValue();
     options.brittle = brittle.getValue();
     options.paths = paths.getValue();
+    options.servicePaths = servicePaths.getValue();
     options.daemon = daemon.getValue();
     int broken = 0;
     for (int i = 0; i < seeds.getValue(); ++i) {
--- a/Tests/Platform/wgPlatformSoakCheck.cxx
+++ b/Tests/Platform/wgPlatformSoakCheck.cxx
@@ -122,6 +122,54 @@
   int served = 0;
 };
 
+void Count(const SoakRequest& request, FirstTries& tries)
+{
+  ++tries.all;
+  tries.served += request.status == 200 ? 1 : 0;
+}
+
+bool IsOutsideCuts(const SoakRecord& record, absl::Time at)
+{
+  return std::none_of(record.cuts.begin(), record.cuts.end(),
+                      [at](const SoakCut& cut) {
+                        return cut.from <= at && at < cut.until + ContactTime;
+                      });
+}
+
+/** Requests that need the service are served at all boxes at least .95 times
+ * as often as at other times, which is the stated aim, but for three: one box
+ * may make the calls of all. A request that hangs keeps its caller from
+ * others.
+ */
+void CheckServiceCut(const SoakRecord& record, const SoakCut& cut,
+                     Findings& findings)
+{
+  constexpr int failuresAllowed = 3;
+  constexpr double aim = 0.95;
+  FirstTries during;
+  FirstTries before;
+  const bool needsStreams = cut.service != "plain";
+  for (const SoakRequest& request : record.requests) {
+    if (request.isStream != needsStreams) {
+      continue;
+    }
+    if (cut.from + ContactTime <= request.sent && request.sent < cut.until) {
+      Count(request, during);
+    } else if (IsOutsideCuts(record, request.sent)) {
+      Count(request, before);
+    }
+  }
+  const bool isMany = during.all - during.served > failuresAllowed;
+  const bool isRarer =
+    during.served * before.all < aim * before.served * during.all;
+  if (isMany && isRarer) {
+    findings.push_back(absl::StrCat(
+      "RECOVER: with boxes that reach no endpoint of ", cut.service, ", ",
+      during.served, " of ", during.all, " requests were served, without ",
+      before.served, " of ", before.all, "."));
+  }
+}
+
 /** The rule: boxes without a path serve at least two thirds as often as the
  * others, or no more than 10 and one in 50 of all first tries fail there.
  */
@@ -133,9 +181,7 @@
   FirstTries others;
   for (const SoakRequest& request : record.requests) {
     if (cut.from + ContactTime <= request.sent && request.sent < cut.until) {
-      FirstTries& tries = cut.boxes.count(request.box) > 0 ? away : others;
-      ++tries.all;
-      tries.served += request.status == 200 ? 1 : 0;
+      Count(request, cut.boxes.count(request.box) > 0 ? away : others);
     }
   }
   const int failed = away.all - away.served;
@@ -279,7 +325,11 @@
     CheckAsk(ask, findings);
   }
   for (const SoakCut& cut : record.cuts) {
-    CheckCut(record, cut, findings);
+    if (cut.service.empty()) {
+      CheckCut(record, cut, findings);
+    } else {
+      CheckServiceCut(record, cut, findings);
+    }
   }
   for (const SoakBrittle& brittle : record.brittle) {
     CheckBrittle(brittle, findings);
--- a/Tests/Platform/wgPlatformSoakCheck.h
+++ b/Tests/Platform/wgPlatformSoakCheck.h
@@ -21,6 +21,7 @@
   std::string sealedBy; // the endpoint that signed a success
   int box = 0;          // that it was sent to
   absl::Time sent;
+  bool isStream = false; // which needs engines and stages
 };
 
 /** \brief What one reader of the document saw. */
@@ -55,6 +56,7 @@
   std::set<int> boxes;
   absl::Time from;
   absl::Time until;
+  std::string service; // whose endpoints alone were out of reach; empty: all
 };
 
 /** \brief A time in which the endpoints of a service said that they are
