Test: an endpoint that is told to refuse midway has not run the request

Cause: the test's endpoint reads what it was told to do twice. Told to refuse between the two by another thread, it counts a run and then says that it did not run the request.

Change: it is read once. The check is as strict as before.

--- a/Tests/Platform/wgPlatformStandin.cxx
+++ b/Tests/Platform/wgPlatformStandin.cxx
@@ -333,8 +333,10 @@
   if (RefuseWithoutInputs(exchange)) {
     return;
   }
-  const bool mayRefuse = conduct_ == StandinConduct::Refuse ||
-                         (conduct_ == StandinConduct::Answer && workMs_ > 0);
+  // Another thread may set it meanwhile.
+  const StandinConduct conduct = conduct_;
+  const bool mayRefuse = conduct == StandinConduct::Refuse ||
+                         (conduct == StandinConduct::Answer && workMs_ > 0);
   if (!mayRefuse) {
     NoteRun(exchange);
   }
@@ -343,7 +345,7 @@
     End();
     return;
   }
-  switch (conduct_.load()) {
+  switch (conduct) {
     case StandinConduct::Answer:
       Work(exchange);
       return;
