--- a/Tests/Platform/wgPlatformSoakCheckTest.cxx
+++ b/Tests/Platform/wgPlatformSoakCheckTest.cxx
@@ -135,7 +135,7 @@
   constexpr int each = 60;
   SoakRecord record = Sound();
   const absl::Time from = absl::UnixEpoch() + absl::Seconds(100);
-  record.cuts = { { { 1, 2 }, from, from + absl::Seconds(8) } };
+  record.cuts = { { { 1, 2 }, from, from + absl::Seconds(8), "" } };
   const auto send = [&record](int box, absl::Time sent, int served) {
     for (int i = 0; i < each; ++i) {
       const std::string id = absl::StrCat("r", record.requests.size());
@@ -250,3 +250,37 @@
                             now - absl::Seconds(2), now } };
   CHECK(wg::test::CheckStreams(record).empty());
 }
+
+TEST_CASE("A service whose endpoints some boxes do not reach serves less")
+{
+  constexpr int each = 100;
+  SoakRecord record = Sound();
+  const absl::Time from = absl::UnixEpoch() + absl::Seconds(100);
+  record.cuts = { { { 1 }, from, from + absl::Seconds(8), "enc" } };
+  const auto send = [&record](absl::Time sent, bool isStream, int served) {
+    for (int i = 0; i < each; ++i) {
+      const std::string id = absl::StrCat("r", record.requests.size());
+      const bool isServed = i < served;
+      record.requests.push_back({ id, id, isServed ? 200 : 503,
+                                  isServed ? id : "", isServed ? "i-1" : "", 0,
+                                  sent, isStream });
+      if (isServed) {
+        record.runs[id] = 1;
+      }
+    }
+  };
+  const absl::Time judged = from + absl::Seconds(4);
+  send(from - absl::Seconds(5), true, each);
+  send(from + absl::Seconds(2), true, 0); // before all have found out
+  send(judged, false, 0);                 // these need another service
+  SECTION("the aim")
+  {
+    send(judged, true, each * 95 / 100);
+    CHECK(CheckSoak(record).empty());
+  }
+  SECTION("below the aim")
+  {
+    send(judged, true, each * 94 / 100);
+    CHECK(CheckSoak(record).size() == 1);
+  }
+}
