Gateway: an answer about one endpoint takes nothing back about another

Cause, found on reading the diff: each answer of a box replaced what it had told of other endpoints. Where several were asked about at the same time, one box each, a path that other boxes still had could count as gone, and nobody was asked again for two seconds.

Change: an answer changes what it was asked about; the rest holds for two seconds, as an offer does.

Measured: the new case of RelayChoice could not be written against the code before, which had no such function.

--- a/Source/Decision/wgRelayChoice.cxx
+++ b/Source/Decision/wgRelayChoice.cxx
@@ -15,6 +15,13 @@
 constexpr int MostRelayed = 512;
 constexpr double OtherHallLoad = 0.25;
 
+bool IsReachedBy(const RelayOffer& offer, const std::string& endpoint,
+                 Elapsed now)
+{
+  const auto told = offer.reached.find(endpoint);
+  return told != offer.reached.end() && now - told->second <= OfferMemory;
+}
+
 double LoadOf(const RelayOffer& offer)
 {
   const double share =
@@ -32,6 +39,24 @@
   return std::max(calls, LeastRelayed);
 }
 
+void NoteReached(RelayOffer& offer, absl::Span<const std::string> asked,
+                 absl::Span<const std::string> reached, Elapsed now)
+{
+  for (auto it = offer.reached.begin(); it != offer.reached.end();) {
+    const auto current = it++;
+    const bool isAsked =
+      std::find(asked.begin(), asked.end(), current->first) != asked.end();
+    if (isAsked || now - current->second > OfferMemory) {
+      offer.reached.erase(current);
+    }
+  }
+  for (const std::string& endpoint : asked) {
+    if (std::find(reached.begin(), reached.end(), endpoint) != reached.end()) {
+      offer.reached[endpoint] = now;
+    }
+  }
+}
+
 bool IsUsable(const RelayOffer& offer, Elapsed now)
 {
   return now - offer.told <= OfferMemory && now >= offer.avoidUntil &&
@@ -43,20 +68,19 @@
 {
   return std::any_of(
     offers.begin(), offers.end(),
-    [reached = std::string(endpoint), now](const RelayOffer& offer) {
-      return offer.reached.count(reached) > 0 &&
-             now - offer.told <= OfferMemory;
+    [address = std::string(endpoint), now](const RelayOffer& offer) {
+      return IsReachedBy(offer, address, now);
     });
 }
 
 std::optional<std::size_t> ChooseRelay(absl::Span<const RelayOffer> offers,
                                        absl::string_view endpoint, Elapsed now)
 {
-  const std::string reached(endpoint);
+  const std::string address(endpoint);
   std::optional<std::size_t> best;
   for (std::size_t i = 0; i < offers.size(); ++i) {
     const bool isReached =
-      reached.empty() || offers[i].reached.count(reached) > 0;
+      address.empty() || IsReachedBy(offers[i], address, now);
     const bool isBetter = isReached && IsUsable(offers[i], now) &&
                           (!best || LoadOf(offers[i]) < LoadOf(offers[*best]));
     if (isBetter) {
--- a/Source/Decision/wgRelayChoice.h
+++ b/Source/Decision/wgRelayChoice.h
@@ -3,8 +3,8 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <map>
 #include <optional>
-#include <set>
 #include <string>
 
 #include "absl/strings/string_view.h"
@@ -20,14 +20,14 @@
 struct RelayOffer
 {
   std::string box;
-  std::string address;           // IP:port of its relay
-  bool isNear = false;           // in this box's hall
-  int open = 0;                  // calls of all boxes that it relayed
-  int most = 0;                  // that it relays at once
-  int openHere = 0;              // of this box, since it told
-  Elapsed told;                  // when it did
-  Elapsed avoidUntil;            // after it failed
-  std::set<std::string> reached; // endpoints that it was asked for, IP:port
+  std::string address;                    // IP:port of its relay
+  bool isNear = false;                    // in this box's hall
+  int open = 0;                           // calls of all boxes that it relayed
+  int most = 0;                           // that it relays at once
+  int openHere = 0;                       // of this box, since it told
+  Elapsed told;                           // when it did
+  Elapsed avoidUntil;                     // after it failed
+  std::map<std::string, Elapsed> reached; // when it told, by IP:port
 };
 
 /** \brief The calls that a box relays at once beside its own work, by its
@@ -36,6 +36,12 @@
  */
 int MostRelayedCalls(std::uint32_t cpuMilli);
 
+/** \brief Takes in which endpoints (IP:port) of those that the box was asked
+ * about it reaches. What it has told of others lately still holds.
+ */
+void NoteReached(RelayOffer& offer, absl::Span<const std::string> asked,
+                 absl::Span<const std::string> reached, Elapsed now);
+
 /** \brief Whether the box may be asked to relay one more call. */
 bool IsUsable(const RelayOffer& offer, Elapsed now);
 
--- a/Source/Gateway/wgRelayClient.cxx
+++ b/Source/Gateway/wgRelayClient.cxx
@@ -124,36 +124,40 @@
   return asked;
 }
 
-wire::RelayAsk RelayClient::MakeAsk(
+std::vector<std::string> RelayClient::AddressesOf(
   absl::Span<const std::string> endpoints) const
 {
-  wire::RelayAsk ask;
+  std::vector<std::string> addresses;
   for (const std::string& endpoint : endpoints) {
     const DirectoryEndpoint* known = FindEndpoint(directory_, endpoint);
     if (known != nullptr) {
-      ask.add_endpoints(known->address);
+      addresses.push_back(known->address);
     }
   }
-  return ask;
+  return addresses;
 }
 
 void RelayClient::Ask(absl::Span<const std::string> endpoints)
 {
   const auto asked = ChooseAsked();
-  const std::string body = MakeAsk(endpoints).SerializeAsString();
+  const std::vector<std::string> addresses = AddressesOf(endpoints);
+  wire::RelayAsk ask;
+  *ask.mutable_endpoints() = { addresses.begin(), addresses.end() };
+  const std::string body = ask.SerializeAsString();
   const std::vector<std::string> about(endpoints.begin(), endpoints.end());
   const auto open = std::make_shared<std::size_t>(asked.size());
   for (const GatewayMember* member : asked) {
     peers_.Call(member->address, "/relay-offer", body, AskTimeout,
                 [this, box = member->box, isNear = member->hall == hall_,
-                 about, open](Outcome<std::string> reply) {
-                  boost::asio::post(loop_, [this, box, isNear, about, open,
-                                            reply = std::move(reply)] {
-                    TakeOffer(box, isNear, reply);
-                    if (--*open == 0) {
-                      SettleAsked(about);
-                    }
-                  });
+                 about, addresses, open](Outcome<std::string> reply) {
+                  boost::asio::post(loop_,
+                                    [this, box, isNear, about, addresses, open,
+                                     reply = std::move(reply)] {
+                                      TakeOffer(box, isNear, addresses, reply);
+                                      if (--*open == 0) {
+                                        SettleAsked(about);
+                                      }
+                                    });
                 });
   }
   if (asked.empty()) {
@@ -217,6 +221,7 @@
 }
 
 void RelayClient::TakeOffer(const std::string& box, bool isNear,
+                            absl::Span<const std::string> asked,
                             const Outcome<std::string>& reply)
 {
   wire::RelayOffer told;
@@ -237,13 +242,16 @@
   offer->most = isOffer ? static_cast<int>(told.most()) : 0;
   offer->openHere = 0;
   offer->told = ElapsedNow();
-  offer->reached = { told.reached().begin(), told.reached().end() };
+  NoteReached(
+    *offer, asked,
+    std::vector<std::string>(told.reached().begin(), told.reached().end()),
+    offer->told);
   TakeReached(*offer);
 }
 
 void RelayClient::TakeReached(const RelayOffer& offer)
 {
-  for (const std::string& address : offer.reached) {
+  for (const auto& [address, told] : offer.reached) {
     const DirectoryEndpoint* endpoint = FindByAddress(directory_, address);
     if (endpoint != nullptr &&
         NoteReachedElsewhere(directory_.reach, endpoint->id)) {
--- a/Source/Gateway/wgRelayClient.h
+++ b/Source/Gateway/wgRelayClient.h
@@ -62,9 +62,11 @@
   void Arm();
   void AskForOffers();
   std::vector<const GatewayMember*> ChooseAsked();
-  wire::RelayAsk MakeAsk(absl::Span<const std::string> endpoints) const;
+  std::vector<std::string> AddressesOf(
+    absl::Span<const std::string> endpoints) const;
   void Ask(absl::Span<const std::string> endpoints);
   void TakeOffer(const std::string& box, bool isNear,
+                 absl::Span<const std::string> asked,
                  const Outcome<std::string>& reply);
   void TakeReached(const RelayOffer& offer);
   void SettleAsked(absl::Span<const std::string> endpoints);
--- a/Tests/Decision/wgRelayChoiceTest.cxx
+++ b/Tests/Decision/wgRelayChoiceTest.cxx
@@ -95,7 +95,7 @@
 {
   std::vector<wg::RelayOffer> offers = { MakeOffer("idle", true, 0),
                                          MakeOffer("busy", true, 30) };
-  offers[1].reached = { "10.0.0.1:80" };
+  offers[1].reached["10.0.0.1:80"] = Now;
   CHECK(wg::ChooseRelay(offers, "10.0.0.1:80", Now) == 1U);
   CHECK_FALSE(wg::ChooseRelay(offers, "10.0.0.2:80", Now).has_value());
   CHECK(wg::IsReachedByAny(offers, "10.0.0.1:80", Now));
@@ -150,3 +150,25 @@
     CHECK_FALSE(wg::IsPathLost(reach, "e"));
   }
 }
+
+TEST_CASE("An answer about one endpoint takes back what was told of another")
+{
+  wg::RelayOffer offer = MakeOffer("a", true, 0);
+  const std::vector<std::string> first = { "10.0.0.1:80" };
+  const std::vector<std::string> second = { "10.0.0.2:80" };
+  wg::NoteReached(offer, first, first, Now);
+  wg::NoteReached(offer, second, second, Now + absl::Seconds(1));
+  const auto isReached = [&offer](const char* endpoint, wg::Elapsed now) {
+    return wg::IsReachedByAny({ offer }, endpoint, now);
+  };
+  CHECK(isReached("10.0.0.1:80", Now + absl::Seconds(1)));
+  CHECK(isReached("10.0.0.2:80", Now + absl::Seconds(1)));
+  // What it said holds as long as an offer.
+  CHECK_FALSE(isReached("10.0.0.1:80", Now + absl::Seconds(3)));
+  CHECK(isReached("10.0.0.2:80", Now + absl::Seconds(3)));
+  wg::NoteReached(offer, second, {}, Now + absl::Seconds(1));
+  CHECK_FALSE(isReached("10.0.0.2:80", Now + absl::Seconds(1)));
+  // What it was not asked about does not count.
+  wg::NoteReached(offer, first, second, Now + absl::Seconds(1));
+  CHECK(offer.reached.empty());
+}
