Gateway: a part without a name is no suspect

Cause, found on reading the change: requests that have any part are counted under the empty name, which a caller may send as a part (":5,..."). Such a part made all others seem rarer than they are, so that answers outweighed their ends less often. The evidence itself ignored it already.

Measured: the new case of RequestFingerprint failed on the code before and passes.

--- a/Source/Gateway/wgRequestFingerprint.cxx
+++ b/Source/Gateway/wgRequestFingerprint.cxx
@@ -66,6 +66,9 @@
   const std::size_t count = std::min(shared, MaxSuspectParts);
   suspects.reserve(count);
   for (const PromptPart& part : parts.first(count)) {
+    if (part.id.empty()) {
+      continue;
+    }
     const bool isLong = part.id.size() > MaxPartBytes;
     suspects.push_back(
       PartSuspect(isLong ? PrintFingerprint(DigestOf({ part.id })) : part.id));
--- a/Tests/Gateway/wgRequestFingerprintTest.cxx
+++ b/Tests/Gateway/wgRequestFingerprintTest.cxx
@@ -56,3 +56,13 @@
   }
   CHECK(ids == std::vector<std::string>{ "a", "c", "f", "" });
 }
+
+// Without a name it would count as what all requests have.
+TEST_CASE("A part without a name is suspected")
+{
+  const std::vector<wg::PromptPart> parts = { { "", 5 },
+                                              { "named", 5 },
+                                              { "last", 5 } };
+  CHECK(wg::SharedParts(parts) ==
+        std::vector<wg::CrashSuspect>{ wg::PartSuspect("named") });
+}
