--- a/Source/Gateway/wgHallProber.cxx
+++ b/Source/Gateway/wgHallProber.cxx
@@ -102,7 +102,7 @@
 }
 
 /** \return whether any path is lost */
-bool HallProber::ProbeLost()
+bool HallProber::ProbeLostEndpoints()
 {
   std::vector<std::string> lost = LostEndpoints(directory_.reach);
   const bool isAnyLost = !lost.empty();
@@ -302,14 +302,14 @@
     ProbeIsolated();
     return;
   }
-  bool isAnyCut = ProbeLost();
+  bool isAnyLost = ProbeLostEndpoints();
   for (const auto& [hall, evidence] : directory_.reach.halls) {
     const std::size_t count =
       evidence.isCut ? CountInHall(directory_.index, hall) : 0;
     if (count == 0) {
       continue;
     }
-    isAnyCut = true;
+    isAnyLost = true;
     const std::size_t drawn = absl::Uniform<std::size_t>(random_, 0, count);
     const DirectoryEndpoint& endpoint =
       EndpointInHall(directory_.index, hall, drawn);
@@ -317,7 +317,7 @@
       Connect(endpoint);
     }
   }
-  if (isAnyCut) {
+  if (isAnyLost) {
     Arm();
   }
 }
--- a/Source/Gateway/wgHallProber.h
+++ b/Source/Gateway/wgHallProber.h
@@ -85,7 +85,7 @@
   void TakeTried(ConnectResult result);
   void SettleTrial(bool hasPath);
   void ProbeIsolated();
-  bool ProbeLost();
+  bool ProbeLostEndpoints();
   void ProbeLost(const std::string& endpoint);
   void NoteRegained(const DirectoryEndpoint& endpoint);
   void NotePath();
