--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -10,8 +10,12 @@
 #include <httplib.h>
 #include <nlohmann/json.hpp>
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/string_view.h"
+#include "absl/strings/strip.h"
 
 #include "wgForwarder.h"
 #include "wgTestCluster.h"
@@ -324,6 +328,20 @@
     const auto reply = client.Get("/metrics");
     return reply && reply->status == 200 ? reply->body : "";
   }
+  /** How often a gateway has counted an event. */
+  int Counter(int gateway, absl::string_view event)
+  {
+    const std::string text = Metrics(gateway);
+    const std::string start =
+      absl::StrCat("weirgate_gateway_total{event=\"", event, "\"} ");
+    int value = 0;
+    for (absl::string_view line : absl::StrSplit(text, '\n')) {
+      if (absl::ConsumePrefix(&line, start)) {
+        (void)absl::SimpleAtoi(line, &value);
+      }
+    }
+    return value;
+  }
   int FreePort() { return ports_.Take(); }
   /** A path of a file in the cluster's folder. */
   std::string FileAt(const std::string& name) const
--- a/Tests/Platform/wgPlatformContinuationTest.cxx
+++ b/Tests/Platform/wgPlatformContinuationTest.cxx
@@ -13,7 +13,6 @@
 #include <httplib.h>
 
 #include "absl/strings/match.h"
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
@@ -112,19 +111,7 @@
     return stream;
   }
 
-  int Counter(absl::string_view name)
-  {
-    const std::string text = cluster.Metrics(0);
-    const std::string start =
-      absl::StrCat("weirgate_gateway_total{event=\"", name, "\"} ");
-    int value = 0;
-    for (absl::string_view line : absl::StrSplit(text, '\n')) {
-      if (absl::ConsumePrefix(&line, start)) {
-        (void)absl::SimpleAtoi(line, &value);
-      }
-    }
-    return value;
-  }
+  int Counter(absl::string_view name) { return cluster.Counter(0, name); }
 
   PlatformCluster cluster;
   PlatformStandin encoder;
--- a/Tests/Platform/wgPlatformNoPathTest.cxx
+++ b/Tests/Platform/wgPlatformNoPathTest.cxx
@@ -10,10 +10,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_split.h"
-#include "absl/strings/strip.h"
 #include "absl/time/clock.h"
 
 #include "wgPlatformCluster.h"
@@ -111,33 +108,19 @@
     }
   }
 
-  int Counter(int gateway, absl::string_view name)
-  {
-    const std::string text = cluster.Metrics(gateway);
-    const std::string start =
-      absl::StrCat("weirgate_gateway_total{event=\"", name, "\"} ");
-    int value = 0;
-    for (absl::string_view line : absl::StrSplit(text, '\n')) {
-      if (absl::ConsumePrefix(&line, start)) {
-        (void)absl::SimpleAtoi(line, &value);
-      }
-    }
-    return value;
-  }
-
   /** The gateway that makes the calls of stages. */
   int Coordinator()
   {
     std::vector<int> calls;
     for (int i = 0; i < Boxes; ++i) {
-      calls.push_back(Counter(i, "stage_calls"));
+      calls.push_back(cluster.Counter(i, "stage_calls"));
     }
     for (int i = 0; i < 5; ++i) {
       Send(0, "/s/x");
     }
     int most = 0;
     for (int i = 0; i < Boxes; ++i) {
-      calls[i] = Counter(i, "stage_calls") - calls[i];
+      calls[i] = cluster.Counter(i, "stage_calls") - calls[i];
       most = calls[i] > calls[most] ? i : most;
     }
     return most;
@@ -354,12 +337,12 @@
   absl::SleepFor(absl::Milliseconds(500));
   std::vector<int> relayed;
   for (const int box : boxes) {
-    relayed.push_back(f.Counter(box, "relayed_calls"));
+    relayed.push_back(f.cluster.Counter(box, "relayed_calls"));
   }
   const Tries after = Sum(SendToAll(f, absl::Seconds(1), paths));
   CHECK(after.Share() >= ServedBesideBefore * before.Share());
   for (std::size_t i = 0; i < boxes.size(); ++i) {
-    CHECK(f.Counter(boxes[i], "relayed_calls") == relayed[i]);
+    CHECK(f.cluster.Counter(boxes[i], "relayed_calls") == relayed[i]);
   }
   for (const auto& endpoint : f.endpoints) {
     CHECK(endpoint->UnsoundPieces() == 0);
@@ -408,7 +391,7 @@
     const std::vector<int> boxes = { 0, 1, 2 };
     CheckWithoutService(f, boxes, "plain", 2, NoPath::Reset, { "/p/x" });
     for (const int box : boxes) { // the others reach them
-      CHECK(f.Counter(box, "endpoints_ended") == 0);
+      CHECK(f.cluster.Counter(box, "endpoints_ended") == 0);
     }
   }
   SECTION("engines")
