Test: in a surge one box alone has a small part of a core

As committed first, all four boxes had a 25th of a core and 960 requests a second were offered, which is more than the four can serve together. In what the users tell most connections go to one box while the sum of requests stays: now 240 a second, and the other boxes have the room. The checks and their bounds stay.

--- a/Tests/Platform/wgPlatformSurgeTest.cxx
+++ b/Tests/Platform/wgPlatformSurgeTest.cxx
@@ -29,7 +29,7 @@
 constexpr int Callers = 240;
 constexpr int KeptCallers = 4; // with a connection each, to the same box
 constexpr absl::Duration UsualPause = absl::Seconds(4);
-constexpr absl::Duration SurgePause = absl::Milliseconds(250);
+constexpr absl::Duration SurgePause = absl::Seconds(1);
 constexpr absl::Duration KeptPause = absl::Milliseconds(250);
 constexpr int PatienceSeconds = 1;
 /** What the users allow boxes to take until they have adapted. */
@@ -40,14 +40,14 @@
  */
 constexpr double AimShare = 0.95;
 
-/** Gives each box a 25th of a core as quotas do: it stands still for the rest
- * of each 100 ms. It can serve some 150 requests a second so.
+/** Gives a box a 25th of a core as quotas do: it stands still for the rest of
+ * each 100 ms. It can serve some 100 requests a second so.
  */
 class Quota
 {
 public:
-  explicit Quota(PlatformCluster& cluster)
-    : cluster_(cluster)
+  explicit Quota(wg::test::Process& box)
+    : box_(box)
     , thread_([this] { Run(); })
   {
   }
@@ -60,24 +60,18 @@
   Quota& operator=(const Quota&) = delete;
 
 private:
-  void SignalAll(int number)
-  {
-    for (int box = 0; box < Boxes; ++box) {
-      cluster_.Gateway(box).Signal(number);
-    }
-  }
   void Run()
   {
     while (!stopping_) {
-      SignalAll(SIGCONT);
+      box_.Signal(SIGCONT);
       absl::SleepFor(absl::Milliseconds(4));
-      SignalAll(SIGSTOP);
+      box_.Signal(SIGSTOP);
       absl::SleepFor(absl::Milliseconds(96));
     }
-    SignalAll(SIGCONT);
+    box_.Signal(SIGCONT);
   }
 
-  PlatformCluster& cluster_;
+  wg::test::Process& box_;
   std::atomic<bool> stopping_{ false };
   std::thread thread_;
 };
@@ -234,7 +228,7 @@
     });
   }
   {
-    const Quota quota(cluster);
+    const Quota quota(cluster.Gateway(SurgedBox));
     Traffic traffic(cluster);
     absl::SleepFor(ContactTime);
     traffic.Take();
