Gateway: a surge of connections is taken as far as it can be served

Cause: the box takes whatever comes. One connection was accepted in each turn of the event loop, so that with a loop that is late all others waited in the listen queue, read by nobody, until their callers left. The class: work is taken without knowing whether it can be done.

Connections that wait are accepted together.

--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -52,6 +52,7 @@
                  crashes_, terms_, permits_, metrics_, log_)
   , engineCoordinator_(directory_, permits_, settings_.isRestarted, metrics_,
                        log_)
+  , limiter_(loop_, metrics_, log_)
   , stopTimer_(loop_)
 {
 }
@@ -212,6 +213,7 @@
   };
   callers_ = std::make_unique<HttpServer>(
     loop_, [this](const auto& exchange) { OnRequest(exchange); });
+  callers_->SetTakesConnection([this] { return limiter_.TryTake(); });
   readiness_ = std::make_unique<HttpServer>(loop_, onReady);
   metricsServer_ = std::make_unique<HttpServer>(loop_, onReady);
   const std::pair<HttpServer*, std::string> servers[] = {
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -6,6 +6,7 @@
 #include <unordered_set>
 #include <vector>
 
+#include "wgConnectionLimiter.h"
 #include "wgControlFollower.h"
 #include "wgCounters.h"
 #include "wgCrashTracker.h"
@@ -130,6 +131,7 @@
   std::unique_ptr<HttpServer> metricsServer_;
   std::shared_ptr<const RouteTable> table_;
   std::unordered_set<std::shared_ptr<GatewayRequest>> requests_;
+  ConnectionLimiter limiter_;
   LoopTimer stopTimer_;
   Elapsed stopBegan_;
   bool stopping_ = false;
--- a/Source/Http/wgHttpServer.cxx
+++ b/Source/Http/wgHttpServer.cxx
@@ -22,6 +22,10 @@
 
 constexpr int AcceptBacklog = 1024;
 constexpr auto SweepPeriod = std::chrono::milliseconds(500);
+/** Connections that are accepted in one turn of the loop. Those that wait for
+ * the next one are neither served nor free to go elsewhere.
+ */
+constexpr int MostAccepts = 64;
 
 } // namespace
 
@@ -181,6 +185,9 @@
   if (!error) {
     acceptor_.listen(AcceptBacklog, error);
   }
+  if (!error) {
+    acceptor_.non_blocking(true, error);
+  }
   if (error) {
     return Error{ absl::StrCat("Can't listen on ", host, ":", port, ": ",
                                error.message(),
@@ -199,20 +206,38 @@
 
 void HttpServer::Accept()
 {
-  acceptor_.async_accept([this, alive = std::weak_ptr<bool>(alive_)](
-                           error_code error, tcp::socket socket) {
-    if (alive.expired() || error == asio::error::operation_aborted) {
-      return;
-    }
-    if (!error && connections_.size() < limits_.connections) {
-      auto connection = std::make_shared<detail::HttpServerConnection>(
-        *this, std::move(socket));
-      connections_.emplace(connection.get(), connection);
-      connection->Start();
-      ArmSweep();
-    }
-    Accept();
-  });
+  acceptor_.async_wait(
+    tcp::acceptor::wait_read,
+    [this, alive = std::weak_ptr<bool>(alive_)](error_code error) {
+      if (alive.expired() || error == asio::error::operation_aborted) {
+        return;
+      }
+      int accepted = 0;
+      while (accepted < MostAccepts && AcceptNext()) {
+        ++accepted;
+      }
+      Accept();
+    });
+}
+
+/** \return whether there was a connection */
+bool HttpServer::AcceptNext()
+{
+  error_code error;
+  tcp::socket socket(loop_);
+  acceptor_.accept(socket, error);
+  if (error) {
+    return false;
+  }
+  const bool hasRoom = connections_.size() < limits_.connections;
+  if (hasRoom && (!takes_ || takes_())) {
+    auto connection =
+      std::make_shared<detail::HttpServerConnection>(*this, std::move(socket));
+    connections_.emplace(connection.get(), connection);
+    connection->Start();
+    ArmSweep();
+  }
+  return true;
 }
 
 void HttpServer::ArmSweep()
--- a/Source/Http/wgHttpServer.h
+++ b/Source/Http/wgHttpServer.h
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <utility>
 
 #include <boost/asio/ip/tcp.hpp>
 
@@ -80,6 +81,8 @@
 {
 public:
   using Handler = std::function<void(std::shared_ptr<HttpExchange>)>;
+  /** \brief Whether a new connection is taken, else it is closed unread. */
+  using TakesConnection = std::function<bool()>;
 
   HttpServer(EventLoop& loop, Handler handler);
   ~HttpServer();
@@ -91,6 +94,9 @@
   /** \brief Takes effect for what is read from now on. */
   void SetLimits(const HttpLimits& limits) { limits_ = limits; }
 
+  /** \brief Without it all are taken, up to HttpLimits::connections. */
+  void SetTakesConnection(TakesConnection takes) { takes_ = std::move(takes); }
+
   /** \brief From now on each answer ends its connection, and connections at
    * rest end after `rest`.
    */
@@ -104,11 +110,13 @@
 private:
   friend class detail::HttpServerConnection;
   void Accept();
+  bool AcceptNext();
   void Sweep();
   void ArmSweep();
 
   EventLoop& loop_;
   Handler handler_;
+  TakesConnection takes_;
   HttpLimits limits_;
   boost::asio::ip::tcp::acceptor acceptor_;
   LoopTimer sweepTimer_;
--- a/Tests/Gateway/wgHttpServerTest.cxx
+++ b/Tests/Gateway/wgHttpServerTest.cxx
@@ -388,6 +388,24 @@
   CHECK(second.ReadAll().empty());
 }
 
+TEST_CASE("A connection that is not taken is closed unread")
+{
+  std::atomic<int> came{ 0 };
+  Served served(Echo);
+  served.thread.Do([&] {
+    served.server->SetTakesConnection([&came] { return ++came != 2; });
+    return 0;
+  });
+  const std::string request = "GET /x HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const bool isTaken : { true, false, true }) {
+    RawCaller caller(served.port);
+    caller.Send(request);
+    const std::string answer = caller.ReadUntil("\r\n\r\n");
+    CHECK(absl::StrContains(answer, "200 OK") == isTaken);
+    CHECK(answer.empty() == !isTaken);
+  }
+}
+
 // Each caller that did not read could leave 8 MB waiting for it.
 TEST_CASE("What waits for callers is bounded for all of them together")
 {
