Decision: a few requests do not make a part of prompts common

At the other boxes it was in 1 of 20. The class: a share that is taken from a handful.

Change: the lower end of Wilson's interval decides, so that 7 of 24 are not above a fifth while 2 of 2 are.

--- a/Source/Decision/wgCrashEvidence.cxx
+++ b/Source/Decision/wgCrashEvidence.cxx
@@ -2,6 +2,7 @@
 #include "wgCrashEvidence.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace wg {
@@ -42,6 +43,18 @@
   return separate;
 }
 
+/** The least share that so many of all hardly exceed by chance: the lower end
+ * of Wilson's score interval, at two standard deviations.
+ */
+double LeastShare(int count, int all)
+{
+  constexpr double square = 4.0; // of the deviations
+  const double share = 1.0 * count / all;
+  const double spread = std::sqrt(square * share * (1.0 - share) / all +
+                                  square * square / (4.0 * all * all));
+  return (share + square / (2.0 * all) - spread) / (1.0 + square / all);
+}
+
 /** Whether this process has seen a part answered so often that it merely ran
  * beside what ended endpoints.
  */
@@ -55,9 +68,11 @@
   const CrashRules& rules = evidence.rules;
   const auto answers = static_cast<std::size_t>(
     TimesCounted(evidence.answered, suspect.name, now));
-  const int arrived = TimesCounted(evidence.arrived, suspect.name, now);
   const int all = TimesCounted(evidence.arrived, AllRequests, now);
-  const bool isCommon = all > 0 && arrived >= rules.commonShare * all;
+  const int arrived =
+    std::min(TimesCounted(evidence.arrived, suspect.name, now), all);
+  const bool isCommon =
+    all > 0 && LeastShare(arrived, all) >= rules.commonShare;
   return answers >= rules.answersForEnd * ends ||
          (isCommon && answers >= ends);
 }
--- a/Source/Decision/wgCrashEvidence.h
+++ b/Source/Decision/wgCrashEvidence.h
@@ -65,7 +65,8 @@
    */
   double outweighChance = 0.25;
   /** This process takes a part to be sound that was answered so many times for
-   * each of its ends, or once if this share of all requests has it.
+   * each of its ends, or once if this share of all requests has it. A few
+   * requests do not show such a share.
    */
   std::size_t answersForEnd = 3;
   double commonShare = 0.2;
--- a/Tests/Decision/wgCrashEvidenceTest.cxx
+++ b/Tests/Decision/wgCrashEvidenceTest.cxx
@@ -312,6 +312,28 @@
   CHECK_FALSE(wg::NotePartAnswered(fresh, both[1], 0.0, Start));
 }
 
+// A box that few requests had reached went on sending what all others held.
+TEST_CASE("A rare part of which a box got many by chance is held there",
+          "[crashes]")
+{
+  CrashEvidence evidence;
+  constexpr int came = 24;
+  constexpr int bad = 7;
+  constexpr int answered = 5;
+  for (int i = 0; i < came; ++i) {
+    wg::NotePartsArrived(evidence, { PartSuspect(i < bad ? "bad" : "sound") },
+                         Start);
+  }
+  for (int i = 0; i < answered; ++i) {
+    wg::NotePartAnswered(evidence, PartSuspect("bad"), 1.0, Start);
+  }
+  for (int i = 0; i < 4; ++i) {
+    EndWithParts(evidence, absl::StrCat("e", i), { "bad" },
+                 Start + absl::Seconds(i));
+  }
+  CHECK(wg::IsQuarantined(evidence, PartSuspect("bad")));
+}
+
 TEST_CASE("A part of all requests is held for what one of them ends",
           "[crashes]")
 {
