Decision: ends of all boxes are held against answers of all boxes

The class: a count of all boxes is compared with one of this box.

Change: a box that sees so many answers on a part that many requests have takes it that each of the others sees as many.

A case of CrashEvidence.

--- a/Source/Decision/wgCrashEvidence.cxx
+++ b/Source/Decision/wgCrashEvidence.cxx
@@ -73,8 +73,9 @@
     std::min(TimesCounted(evidence.arrived, suspect.name, now), all);
   const bool isCommon =
     all > 0 && LeastShare(arrived, all) >= rules.commonShare;
+  // All boxes have about as many requests with it, and ends are of all boxes.
   return answers >= rules.answersForEnd * ends ||
-         (isCommon && answers >= ends);
+         (isCommon && answers * evidence.boxes >= ends);
 }
 
 /** Returns the ends of suspects that have enough for quarantine; most have one
--- a/Source/Decision/wgCrashEvidence.h
+++ b/Source/Decision/wgCrashEvidence.h
@@ -64,9 +64,10 @@
    * an end by chance, a rare one hardly.
    */
   double outweighChance = 0.25;
-  /** This process takes a part to be sound that was answered so many times for
-   * each of its ends, or once if this share of all requests has it. A few
-   * requests do not show such a share.
+  /** This process takes a part to be sound that it saw answered so many times
+   * for each of its ends; or that this share of all requests has, if all boxes
+   * together are likely to have seen it answered once for each. A few requests
+   * do not show such a share.
    */
   std::size_t answersForEnd = 3;
   double commonShare = 0.2;
@@ -95,6 +96,7 @@
 struct CrashEvidence
 {
   CrashRules rules;
+  std::size_t boxes = 1; // that send requests, this one included
   std::uint64_t revision = 0;
   std::map<CrashKey, CrashRecord> records;
   PartCounts answered; // by this process
--- a/Source/Gateway/wgCrashTracker.h
+++ b/Source/Gateway/wgCrashTracker.h
@@ -35,6 +35,9 @@
   /** \brief Before anything is told; the client outlives this. */
   void SetPeers(PeerClient& peers) { peers_ = &peers; }
 
+  /** \brief How many boxes send requests, this one included. */
+  void SetBoxes(std::size_t boxes) { evidence_.boxes = boxes; }
+
   void SetConfirmPath(CrashWatch::ConfirmPath confirm)
   {
     watch_.SetConfirmPath(std::move(confirm));
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -181,6 +181,7 @@
   };
   handler.onMembers = [this](std::vector<GatewayMember> members) {
     stages_->SetMembers(std::move(members));
+    crashes_.SetBoxes(stages_->Members() + 1);
   };
   handler.onHallUnheard = [this](const std::string& hall) {
     halls_.Suspect(hall);
--- a/Tests/Decision/wgCrashEvidenceTest.cxx
+++ b/Tests/Decision/wgCrashEvidenceTest.cxx
@@ -312,6 +312,33 @@
   CHECK_FALSE(wg::NotePartAnswered(fresh, both[1], 0.0, Start));
 }
 
+// Ends of all boxes were held against the answers of one.
+TEST_CASE("A common part is taken for sound by answers of all boxes",
+          "[crashes]")
+{
+  CrashEvidence evidence;
+  wg::NotePartsArrived(evidence, { PartSuspect("common") }, Start);
+  wg::NotePartsArrived(evidence, { PartSuspect("common") }, Start);
+  wg::NotePartAnswered(evidence, PartSuspect("common"), 1.0, Start);
+  const auto endSeven = [&evidence] {
+    for (int i = 0; i < 7; ++i) {
+      EndWithParts(evidence, absl::StrCat("e", i), { "common" },
+                   Start + absl::Seconds(i));
+    }
+  };
+  SECTION("this box is the only one")
+  {
+    endSeven();
+    CHECK(wg::IsQuarantined(evidence, PartSuspect("common")));
+  }
+  SECTION("there are eight others")
+  {
+    evidence.boxes = 9;
+    endSeven();
+    CHECK(evidence.quarantined.empty());
+  }
+}
+
 // A box that few requests had reached went on sending what all others held.
 TEST_CASE("A rare part of which a box got many by chance is held there",
           "[crashes]")
--- a/Tests/Decision/wgCrashSimulationTest.cxx
+++ b/Tests/Decision/wgCrashSimulationTest.cxx
@@ -86,6 +86,9 @@
     , engines(Engines)
     , evidence(Boxes)
   {
+    for (CrashEvidence& known : evidence) {
+      known.boxes = Boxes;
+    }
   }
 
   double Draw() { return std::uniform_real_distribution<>(0.0, 1.0)(random); }
@@ -276,6 +279,14 @@
   }
 }
 
+// Five endpoints end within two seconds, before a box has seen as many
+// answers.
+TEST_CASE("The part of all requests is held for two bad ones", "[shared-part]")
+{
+  constexpr unsigned seed = 1457;
+  CheckScene({ { "bad-1", "bad-2" }, 0.08 }, seed, seed);
+}
+
 TEST_CASE("A part that ends one endpoint of two goes on to end them", "[half]")
 {
   CheckScene({ { "bad" }, 0.08, 0.5 });
