Decision: a box without answers holds the part that came least

Cause, by the log of such a run: 18 ms after its start the box quarantined "aa", the part that all requests have, with the same six endpoints that "dead" had been quarantined for before. Answers are counted by each process alone, so that after a restart both parts had six ends and no answer, and the first by name was taken. Nothing with the part was sent any more, so that no answer could clear it. The class: a verdict rests on what only this process has seen.

Evidence: a case of CrashEvidence failed before (seen); parts under the thread sanitizer 6 of 6, six at once.

--- a/Source/Decision/wgCrashEvidence.cxx
+++ b/Source/Decision/wgCrashEvidence.cxx
@@ -104,18 +104,21 @@
 }
 
 /** Of those with as many ends a whole request is the narrowest, and comes
- * first; of parts, the one that was answered least.
+ * first; of parts, the one that was answered least, and then the one that came
+ * least: a process that has just started has seen no answers.
  */
 EndsBySuspect::iterator MostEnds(EndsBySuspect& ends,
                                  const CrashEvidence& evidence, Elapsed now)
 {
   const auto rankOf = [&evidence, now](const auto& pair) {
     const CrashSuspect& suspect = pair.first;
-    const int answers = suspect.cause == wire::PROMPT_PART
-                          ? TimesCounted(evidence.answered, suspect.name, now)
-                          : 0;
-    return std::make_pair(
-      CountSeparateEnds(suspect, pair.second, evidence.rules), -answers);
+    const bool isPart = suspect.cause == wire::PROMPT_PART;
+    const auto timesOf = [&](const PartCounts& counts) {
+      return isPart ? TimesCounted(counts, suspect.name, now) : 0;
+    };
+    return std::make_tuple(
+      CountSeparateEnds(suspect, pair.second, evidence.rules),
+      -timesOf(evidence.answered), -timesOf(evidence.arrived));
   };
   return std::max_element(ends.begin(), ends.end(),
                           [&rankOf](const auto& left, const auto& right) {
--- a/Source/Decision/wgCrashEvidence.h
+++ b/Source/Decision/wgCrashEvidence.h
@@ -90,8 +90,9 @@
  * suspect that ran at three endpoints when they ended is quarantined: it is
  * sent to no endpoint any more. Others ran beside it, so an end counts only
  * against the suspect with the most ends, of parts with as many the one that
- * this process has seen answered least, and not at all if a later answer
- * outweighs it. Parts that this process takes to be sound do not count.
+ * this process has seen answered least, and then least at all, and not if a
+ * later answer outweighs it. Parts that this process takes to be sound do not
+ * count.
  */
 struct CrashEvidence
 {
--- a/Tests/Decision/wgCrashEvidenceTest.cxx
+++ b/Tests/Decision/wgCrashEvidenceTest.cxx
@@ -339,6 +339,25 @@
   }
 }
 
+// After all boxes were restarted none had seen an answer, and all held the
+// part that all requests have.
+TEST_CASE("A process that has seen no answers holds the part that came least",
+          "[crashes]")
+{
+  CrashEvidence evidence;
+  for (int i = 0; i < 6; ++i) {
+    EndWithParts(evidence, absl::StrCat("e", i), { "common", "dead" },
+                 Start + absl::Seconds(i));
+  }
+  const Elapsed later = Start + absl::Seconds(10);
+  wg::NotePartsArrived(evidence,
+                       { PartSuspect("common"), PartSuspect("dead") }, later);
+  wg::NotePartsArrived(evidence, { PartSuspect("common") },
+                       later + absl::Seconds(1));
+  CHECK(wg::IsQuarantined(evidence, PartSuspect("dead")));
+  CHECK(evidence.quarantined.size() == 1);
+}
+
 // A box that few requests had reached went on sending what all others held.
 TEST_CASE("A rare part of which a box got many by chance is held there",
           "[crashes]")
