Standin: threads are started as connections need them

What was seen: 37 tests under the thread sanitizer on AArch64: "The endpoints ended". weirgate-standin has up to eight engines in a process, and 160 threads for each are more than the 512 that the sanitizer bears there; with 48 for each 36 of 37 passed, and wgCostTest failed in 2 of 3 runs ("no_endpoint").

Change: RequestThreads, the library's task queue with threads that are started when the others are busy, 600 at the most as before, in all builds. The library has a pool of a fixed size only.

--- a/Utilities/Standin/wgStandinEngine.cxx
+++ b/Utilities/Standin/wgStandinEngine.cxx
@@ -12,6 +12,7 @@
 #include "absl/time/clock.h"
 
 #include "wgHttpListen.h"
+#include "wgRequestThreads.h"
 
 namespace wg {
 namespace {
@@ -22,12 +23,7 @@
 constexpr std::size_t BrokenStreamTokens = 3;
 constexpr double PrefillTokens = 4.0; // prefill costs as much as so many
 constexpr double CachedPrefillShare = 0.3;
-#ifdef __SANITIZE_THREAD__
-// On AArch64 the thread sanitizer ends a process of more than 512 threads.
-constexpr std::size_t ServerThreads = 160;
-#else
-constexpr std::size_t ServerThreads = 600;
-#endif
+constexpr std::size_t MostThreads = 600;
 constexpr int StatusOk = 200;
 constexpr int StatusNotFound = 404;
 constexpr int StatusConflict = 409;
@@ -121,9 +117,7 @@
 
 bool StandinEngine::Start()
 {
-  server_.new_task_queue = [] {
-    return new httplib::ThreadPool(ServerThreads);
-  };
+  server_.new_task_queue = [] { return new RequestThreads(MostThreads); };
   server_.set_tcp_nodelay(true);
   server_.set_keep_alive_max_count(1000000);
   AddRoutes();
