--- a/Tests/Platform/wgPlatformSurgeTest.cxx
+++ b/Tests/Platform/wgPlatformSurgeTest.cxx
@@ -7,6 +7,7 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <catch2/catch.hpp>
