--- a/review/common/wgReviewPipeline.cxx
+++ b/review/common/wgReviewPipeline.cxx
@@ -18,10 +18,10 @@
 constexpr int Pieces = 2; // of each stage of most requests
 constexpr int FirstStage = 0;
 constexpr int LastStage = 1;
-constexpr int Stages = 2;
 constexpr int Events = 6;
 constexpr int EventMs = 20;
 constexpr int CapacityOfModel = 64;
+constexpr std::size_t LongBytes = 70000;
 const char* const Key = "9dnn2ctnfzs989anu6ws";
 const char* const Zones[] = { "hall-a", "hall-b", "hall-c" };
 
@@ -82,12 +82,6 @@
   return found != keys_.end() && found->second == key;
 }
 
-void Ledger::NotePieces(const std::string& request, std::vector<int> pieces)
-{
-  const std::lock_guard<std::mutex> lock(mutex_);
-  pieces_[request] = std::move(pieces);
-}
-
 void Ledger::NoteResult(const std::string& handle, const Result& result)
 {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -100,7 +94,7 @@
   freed_.insert(handle);
 }
 
-std::string Ledger::Judge(const std::string& request, int stage,
+std::string Ledger::Judge(const std::string& request, int stage, int count,
                           const std::vector<std::string>& handles)
 {
   const std::lock_guard<std::mutex> lock(mutex_);
@@ -118,7 +112,7 @@
       return handle + " is of another stage, or comes twice";
     }
   }
-  if (static_cast<int>(handles.size()) != pieces_[request].at(stage)) {
+  if (static_cast<int>(handles.size()) != count) {
     return "only some inputs";
   }
   const bool isGone = std::any_of(
@@ -235,17 +229,19 @@
 {
   int sequence = 0;
   long next = 0;
-  while (!ending_) {
+  while (!ending_ && !hasLeft_) {
     if (NowMs() < next) {
       Pause(20);
       continue;
     }
     next = NowMs() + HeartbeatMs;
-    const Json beat{ { "service", plan_.service }, { "address", Address() },
-                     { "zone", plan_.zone },       { "version", "v1" },
-                     { "capacity", plan_.slots },  { "state", "ready" },
-                     { "warmupLeftMs", 0 },        { "born", bornMs_ },
-                     { "sequence", ++sequence } };
+    const Json beat{
+      { "service", plan_.service }, { "address", Address() },
+      { "zone", plan_.zone },       { "version", plan_.version },
+      { "capacity", plan_.slots },  { "state", "ready" },
+      { "warmupLeftMs", 0 },        { "born", bornMs_ },
+      { "sequence", ++sequence }
+    };
     const std::string body = beat.dump();
     for (const Machine& control : site_.Controls()) {
       const std::string call =
@@ -262,6 +258,24 @@
   }
 }
 
+bool Server::Leave()
+{
+  hasLeft_ = true;
+  const std::string body = Json{ { "born", bornMs_ } }.dump();
+  for (const Machine& control : site_.Controls()) {
+    const std::string call =
+      "DELETE /-/instances/" + id_ + " HTTP/1.1\r\nHost: " + control.ip +
+      "\r\nContent-Type: application/json\r\nContent-Length: " +
+      std::to_string(body.size()) + "\r\n\r\n" + body;
+    constexpr int limitMs = 1000;
+    if (CallOnce(control.ip, site_.ControlPort(), call, limitMs).Status() ==
+        200) {
+      return true;
+    }
+  }
+  return false;
+}
+
 std::string Server::AnswerTo(const Message& request, int status,
                              const std::string& fields,
                              const std::string& body) const
@@ -328,7 +342,7 @@
     }
   } else {
     const auto inputs = item.value("inputs", std::vector<std::string>());
-    const std::string why = ledger_.Judge(id, stage - 1, inputs);
+    const std::string why = ledger_.Judge(id, stage - 1, Pieces, inputs);
     if (why == "gone") {
       return Json{ { "reason", "gone" } };
     }
@@ -373,6 +387,13 @@
     }
     body = Json{ { "items", items } }.dump();
   }
+  if (fault == Fault::Long) {
+    for (Json& item : items) {
+      item =
+        Json{ { "handle", Address() + "/" + std::string(LongBytes, 'a') } };
+    }
+    body = Json{ { "items", items } }.dump();
+  }
   const std::string answer = AnswerTo(
     request, 200, "Content-Type: application/json\r\n" + Load(), body);
   if (fault == Fault::Twice) {
@@ -380,9 +401,11 @@
   }
   record_.Write("stage call at " + Id() + " (" + Plan().service +
                 ") for requests " + first +
-                (fault == Fault::Spoiled ? ", answer spoiled: " + body
-                 : fault == Fault::Twice ? ", answer will come twice"
-                                         : ""));
+                (fault == Fault::Long ? ", answer with handles of " +
+                                          std::to_string(LongBytes) + " bytes"
+                 : fault == Fault::Spoiled ? ", answer spoiled: " + body
+                 : fault == Fault::Twice   ? ", answer will come twice"
+                                           : ""));
   return SendAll(from.socket, answer);
 }
 
@@ -411,7 +434,7 @@
   if (handles.empty()) {
     return SendAll(from.socket, AnswerTo(request, 400, notRun, ""));
   }
-  const std::string why = ledger_.Judge(id, LastStage, handles);
+  const std::string why = ledger_.Judge(id, LastStage, Pieces, handles);
   if (why == "gone") {
     return SendAll(from.socket, AnswerTo(request, 409, notRun, ""));
   }
@@ -460,14 +483,12 @@
 }
 
 Caller::Caller(Site& site, std::size_t gateway, std::string kind, int pauseMs,
-               std::vector<int> pieces, Ledger& ledger, Outcomes& outcomes,
-               Record& record)
+               Ledger& ledger, Outcomes& outcomes, Record& record)
   : site_(site)
   , ip_(site.Gateways()[gateway].ip)
   , name_(site.Gateways()[gateway].name)
   , kind_(std::move(kind))
   , pauseMs_(pauseMs)
-  , pieces_(std::move(pieces))
   , ledger_(ledger)
   , outcomes_(outcomes)
   , record_(record)
@@ -505,9 +526,9 @@
     more = "X-Weirgate-Model: m\r\nX-Weirgate-Token-Usage: 400,30\r\n"
            "X-Weirgate-Prompt-Prefix: aa01:200," +
            id.substr(0, 8) +
-           ":200\r\nX-Weirgate-Chunk-Count: " + std::to_string(pieces_[0]) +
-           "," + std::to_string(pieces_[1]) +
-           "\r\nX-Weirgate-Chunk-Key: " + key + "\r\n";
+           ":200\r\nX-Weirgate-Chunk-Count: " + std::to_string(Pieces) + "," +
+           std::to_string(Pieces) + "\r\nX-Weirgate-Chunk-Key: " + key +
+           "\r\n";
   }
   return "POST /" + kind_ + "/x HTTP/1.1\r\nHost: " + kind_ +
          ".example\r\nX-Weirgate-Attempt-Id: " + id +
@@ -528,9 +549,8 @@
     return;
   }
   const std::string id = MakeId();
-  const std::string key = keyStart_ + MakeId().substr(0, 12);
+  const std::string key = MakeId().substr(0, 12);
   ledger_.NoteKey(id, key);
-  ledger_.NotePieces(id, pieces_);
   const long sent = NowMs();
   if (!SendAll(socket_, MakeRequest(id, key))) {
     socket_.Close();
@@ -586,7 +606,8 @@
                        site.ServerPort(),
                        slots,
                        queue,
-                       number };
+                       number,
+                       "v1" };
   };
   constexpr int stageServers = 5;
   constexpr int models = 6;
@@ -701,24 +722,12 @@
   for (std::size_t gateway = 0; gateway < site_.Gateways().size(); ++gateway) {
     for (int i = 0; i < perGateway; ++i) {
       callers_.push_back(std::make_unique<Caller>(
-        site_, gateway, kind, pauseMs, std::vector<int>(Stages, Pieces),
-        ledger_, outcomes_, record_));
+        site_, gateway, kind, pauseMs, ledger_, outcomes_, record_));
       callers_.back()->Begin();
     }
   }
 }
 
-void Pipeline::AddUnusualCaller(std::size_t gateway, int pauseMs,
-                                std::vector<int> pieces,
-                                const std::string& keyStart)
-{
-  callers_.push_back(std::make_unique<Caller>(site_, gateway, "sum", pauseMs,
-                                              std::move(pieces), ledger_,
-                                              outcomes_, record_));
-  callers_.back()->SetKeyStart(keyStart);
-  callers_.back()->Begin();
-}
-
 void Pipeline::End()
 {
   callers_.clear();
--- a/review/common/wgReviewPipeline.h
+++ b/review/common/wgReviewPipeline.h
@@ -43,15 +43,13 @@
   }
 
   void NoteKey(const std::string& request, const std::string& key);
-  /** \brief How many pieces each of its stages has. */
-  void NotePieces(const std::string& request, std::vector<int> pieces);
   bool IsKeyOf(const std::string& request, const std::string& key);
   void NoteResult(const std::string& handle, const Result& result);
   void Free(const std::string& handle);
   /** \brief Why these can't be the inputs of the request; empty: they are.
    * "gone": one of them is not there any more.
    */
-  std::string Judge(const std::string& request, int stage,
+  std::string Judge(const std::string& request, int stage, int count,
                     const std::vector<std::string>& handles);
   /** \brief A piece or a request got inputs of another one. */
   void NoteForeign(const std::string& what);
@@ -66,7 +64,6 @@
   std::map<std::string, Result> results_;
   std::set<std::string> freed_;
   std::map<std::string, std::string> keys_;
-  std::map<std::string, std::vector<int>> pieces_;
   std::set<std::string> arrived_;
   std::atomic<int> foreign_{ 0 };
 };
@@ -80,7 +77,8 @@
   int port = 0;
   int slots = 1;
   int queue = 2;
-  int number = 0; // of its service
+  int number = 0;             // of its service
+  std::string version = "v1"; // of its software
 };
 
 /** \brief A connection as its server sees it. */
@@ -104,6 +102,9 @@
 
   void Begin();
   void Stop();
+  /** \brief Tells that it ends, and serves on; whether it was acknowledged.
+   */
+  bool Leave();
   const std::string& Id() const { return id_; }
   const ServerPlan& Plan() const { return plan_; }
 
@@ -133,6 +134,7 @@
   std::string id_;
   long bornMs_;
   std::atomic<bool> ending_{ false };
+  std::atomic<bool> hasLeft_{ false };
   Socket listener_;
   std::mutex mutex_;
   std::condition_variable changed_;
@@ -147,8 +149,9 @@
 enum class Fault
 {
   None,
-  Twice,  // the same answer comes a second time, late
-  Spoiled // bytes that are no answer of the protocol
+  Twice,   // the same answer comes a second time, late
+  Spoiled, // a reason that is no text
+  Long     // handles of 70,000 bytes
 };
 
 class StageServer : public Server
@@ -216,14 +219,12 @@
 {
 public:
   Caller(Site& site, std::size_t gateway, std::string kind, int pauseMs,
-         std::vector<int> pieces, Ledger& ledger, Outcomes& outcomes,
-         Record& record);
+         Ledger& ledger, Outcomes& outcomes, Record& record);
   ~Caller();
   Caller(const Caller&) = delete;
   Caller& operator=(const Caller&) = delete;
 
   void Begin();
-  void SetKeyStart(std::string start) { keyStart_ = std::move(start); }
   /** \brief The gateway is in touch from then on, as far as the site knows;
    * one that ended by itself counts as running.
    */
@@ -239,8 +240,6 @@
   std::string name_;
   std::string kind_;
   int pauseMs_;
-  std::vector<int> pieces_; // of its requests' stages
-  std::string keyStart_;
   Ledger& ledger_;
   Outcomes& outcomes_;
   Record& record_;
@@ -263,11 +262,6 @@
   /** \brief Until all are ready and known. */
   void Begin();
   void AddCallers(const std::string& kind, int perGateway, int pauseMs);
-  /** \brief One caller at one gateway, with so many pieces of each stage, and
-   * keys that begin so.
-   */
-  void AddUnusualCaller(std::size_t gateway, int pauseMs,
-                        std::vector<int> pieces, const std::string& keyStart);
   void End();
 
   Ledger& Known() { return ledger_; }
