--- a/review/common/wgReviewPipeline.cxx
+++ b/review/common/wgReviewPipeline.cxx
@@ -235,13 +235,17 @@
       continue;
     }
     next = NowMs() + HeartbeatMs;
-    const Json beat{
-      { "service", plan_.service }, { "address", Address() },
-      { "zone", plan_.zone },       { "version", plan_.version },
-      { "capacity", plan_.slots },  { "state", "ready" },
-      { "warmupLeftMs", 0 },        { "born", bornMs_ },
-      { "sequence", ++sequence }
-    };
+    Json beat{ { "service", plan_.service }, { "address", Address() },
+               { "zone", plan_.zone },       { "version", plan_.version },
+               { "capacity", plan_.slots },  { "state", "ready" },
+               { "warmupLeftMs", 0 },        { "born", bornMs_ },
+               { "sequence", ++sequence } };
+    if (plan_.service == "llm") {
+      beat["phase"] = "combined";
+      beat["models"] = {
+        { { "name", "m" }, { "version", 1 }, { "adapters", Json::array() } }
+      };
+    }
     const std::string body = beat.dump();
     for (const Machine& control : site_.Controls()) {
       const std::string call =
