--- a/review/common/wgReviewPipeline.cxx
+++ b/review/common/wgReviewPipeline.cxx
@@ -228,13 +228,17 @@
 void Server::Beat()
 {
   int sequence = 0;
-  long next = 0;
+  long next = firstBeatAt_;
   while (!ending_ && !hasLeft_) {
     if (NowMs() < next) {
       Pause(20);
       continue;
     }
     next = NowMs() + HeartbeatMs;
+    const std::lock_guard<std::mutex> lock(beatMutex_);
+    if (hasLeft_) {
+      return;
+    }
     Json beat{ { "service", plan_.service }, { "address", Address() },
                { "zone", plan_.zone },       { "version", plan_.version },
                { "capacity", plan_.slots },  { "state", "ready" },
@@ -265,6 +269,7 @@
 bool Server::Leave()
 {
   hasLeft_ = true;
+  const std::lock_guard<std::mutex> lock(beatMutex_);
   const std::string body = Json{ { "born", bornMs_ } }.dump();
   for (const Machine& control : site_.Controls()) {
     const std::string call =
@@ -473,6 +478,9 @@
     return SendAll(from.socket, AnswerTo(request, 200, "", ""));
   }
   ledger_.NoteArrival(id);
+  if (onArrival) {
+    onArrival(id);
+  }
   if (!TakeSlot()) {
     return SendAll(
       from.socket,
@@ -629,8 +637,10 @@
       site, plan("llm", i, CapacityOfModel, 134), ledger_, record));
   }
   for (int i = 0; i < plains; ++i) {
-    servers_.push_back(std::make_unique<PlainServer>(
-      site, plan("plain", i, 6, 24), ledger_, record));
+    auto server = std::make_unique<PlainServer>(site, plan("plain", i, 6, 24),
+                                                ledger_, record);
+    plains_.push_back(server.get());
+    servers_.push_back(std::move(server));
   }
 }
 
--- a/review/common/wgReviewSite.cxx
+++ b/review/common/wgReviewSite.cxx
@@ -15,8 +15,6 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "wgReviewNet.h"
-
 namespace wg::review {
 namespace {
 
@@ -97,11 +95,15 @@
   std::random_device random;
   constexpr int networks = 200;
   constexpr int ports = 8000;
+  constexpr int reservedPlace = 250;
+  constexpr int basePortOfNetworks = 19999;
   bool isFree = false;
   for (int tries = 0; tries < 50 && !isFree; ++tries) {
     network_ = 20 + static_cast<int>(random() % networks);
     basePort_ = 20000 + static_cast<int>(random() % ports);
-    isFree = true;
+    // Cases that run at the same time: the port for metrics is fixed.
+    reservation_ = Listen(AddressOf(reservedPlace), basePortOfNetworks);
+    isFree = reservation_.IsOpen();
     for (int port = 0; port <= 40; ++port) {
       isFree = isFree && Listen(AddressOf(1), basePort_ + port).IsOpen();
     }
--- a/review/common/wgReviewSite.h
+++ b/review/common/wgReviewSite.h
@@ -10,6 +10,8 @@
 
 #include <sys/types.h>
 
+#include "wgReviewNet.h"
+
 namespace wg::review {
 
 /** \brief What was sent, answered and run, with the time in ms. */
@@ -76,6 +78,7 @@
   std::string folder_;
   Record& record_;
   int network_ = 0;
+  Socket reservation_; // of the network, while this lives
   int basePort_ = 0;
   std::vector<Machine> controls_;
   std::vector<Machine> gateways_;
--- a/review/common/wgReviewStreams.cxx
+++ b/review/common/wgReviewStreams.cxx
@@ -143,12 +143,14 @@
     const long left = until - NowMs();
     Message answer;
     MessageReader reader;
+    stream.tries.push_back({ NowMs(), before > 0, false });
     SendAll(socket, MakeRequest(id, origin, before, left));
     const ReadEnd end = reader.Read(socket, answer, until);
     if (answer.Status() == 200) {
       TakeEvents(answer.body, stream);
       origin = origin.empty() && stream.last > 0 ? id : origin;
       stream.isWhole = end == ReadEnd::Whole;
+      stream.tries.back().hasEvents = stream.last > before;
     }
     std::string line = "stream " + std::to_string(number) + ", try " +
                        std::to_string(tries) + " as " + id + " at " +
@@ -184,12 +186,17 @@
     plan.queue = 134;
     plan.number = number;
     plan.version = version;
-    engines.push_back(
-      std::make_unique<VersionedEngine>(site, plan, ledger, record));
+    engines.push_back(MakeEngine(site, plan, ledger, record));
   }
   return engines;
 }
 
+std::unique_ptr<Server> MakeEngine(Site& site, const ServerPlan& plan,
+                                   Ledger& ledger, Record& record)
+{
+  return std::make_unique<VersionedEngine>(site, plan, ledger, record);
+}
+
 std::string StreamDocument()
 {
   const Json route{ { "name", "brief" },         { "host", "brief.example" },
@@ -250,12 +257,17 @@
   }
 }
 
-int StreamCallers::End()
+void StreamCallers::Await()
 {
   for (std::thread& thread : threads_) {
     thread.join();
   }
   threads_.clear();
+}
+
+int StreamCallers::End()
+{
+  Await();
   int joined = 0;
   int whole = 0;
   for (const Stream& stream : streams_) {
@@ -271,6 +283,18 @@
   return joined > MostJoined ? 1 : 0;
 }
 
+void KillGateways(Site& site, Record& record)
+{
+  record.Write("all gateways are killed");
+  for (Machine& machine : site.Gateways()) {
+    site.Kill(machine);
+  }
+  Pause(DownMs);
+  for (Machine& machine : site.Gateways()) {
+    site.Start(machine, false);
+  }
+}
+
 void KillAll(Site& site, Record& record)
 {
   record.Write("all processes are killed");
--- a/review/common/wgReviewStreams.h
+++ b/review/common/wgReviewStreams.h
@@ -13,12 +13,21 @@
 
 namespace wg::review {
 
+/** \brief One request of a caller. */
+struct Try
+{
+  long sentMs = 0;
+  bool takesUp = false; // a stream that has begun
+  bool hasEvents = false;
+};
+
 /** \brief What one caller has of its stream, over its tries. */
 struct Stream
 {
   std::set<std::string> versions;
   int last = 0;
   bool isWhole = false;
+  std::vector<Try> tries;
 };
 
 using Engines = std::vector<std::unique_ptr<Server>>;
@@ -29,6 +38,10 @@
 Engines MakeEngines(Site& site, const std::string& version, int count,
                     int place, Ledger& ledger, Record& record);
 
+/** \brief One of them, to start in the place of another; it is not begun. */
+std::unique_ptr<Server> MakeEngine(Site& site, const ServerPlan& plan,
+                                   Ledger& ledger, Record& record);
+
 /** \brief One route, whose streams may be resumed. */
 std::string StreamDocument();
 
@@ -46,6 +59,9 @@
    * \return the exit code of the case
    */
   int End();
+  /** \brief Waits for all. */
+  void Await();
+  const std::vector<Stream>& Streams() const { return streams_; }
 
 private:
   Site& site_;
@@ -58,5 +74,7 @@
  * second with their disks.
  */
 void KillAll(Site& site, Record& record);
+/** \brief The same, of all gateways alone. */
+void KillGateways(Site& site, Record& record);
 
 } // namespace wg::review
