--- a/review/2/wgCaseCalm.cxx
+++ b/review/2/wgCaseCalm.cxx
@@ -12,11 +12,11 @@
 
 constexpr long CalmMs = 63000;
 constexpr long StreamMs = 3000; // before all are killed
-constexpr long BetweenMs = 210; // heartbeats come one after the other
+constexpr long BetweenMs = 200; // heartbeats come one after the other
 constexpr int LimitMs = 20000;
 constexpr std::size_t Streams = 144;
-constexpr int OlderServers = 5;
-constexpr int NewerServers = 1;
+constexpr int OlderServers = 3;
+constexpr int NewerServers = 3;
 
 void Pause(long ms)
 {
