--- a/review/common/wgReviewPipeline.cxx
+++ b/review/common/wgReviewPipeline.cxx
@@ -228,7 +228,7 @@
 void Server::Beat()
 {
   int sequence = 0;
-  long next = firstBeatAt_;
+  long next = 0;
   while (!ending_ && !hasLeft_) {
     if (NowMs() < next) {
       Pause(20);
@@ -478,9 +478,6 @@
     return SendAll(from.socket, AnswerTo(request, 200, "", ""));
   }
   ledger_.NoteArrival(id);
-  if (onArrival) {
-    onArrival(id);
-  }
   if (!TakeSlot()) {
     return SendAll(
       from.socket,
@@ -637,10 +634,8 @@
       site, plan("llm", i, CapacityOfModel, 134), ledger_, record));
   }
   for (int i = 0; i < plains; ++i) {
-    auto server = std::make_unique<PlainServer>(site, plan("plain", i, 6, 24),
-                                                ledger_, record);
-    plains_.push_back(server.get());
-    servers_.push_back(std::move(server));
+    servers_.push_back(std::make_unique<PlainServer>(
+      site, plan("plain", i, 6, 24), ledger_, record));
   }
 }
 
--- a/review/common/wgReviewPipeline.h
+++ b/review/common/wgReviewPipeline.h
@@ -102,10 +102,6 @@
 
   void Begin();
   void Stop();
-  /** \brief It starts again under the id that it had; before Begin. */
-  void SetId(const std::string& id) { id_ = id; }
-  /** \brief Its heartbeats reach nobody before; to be called before Begin. */
-  void SetFirstBeatAt(long ms) { firstBeatAt_ = ms; }
   /** \brief Tells that it ends, and serves on; whether it was acknowledged.
    */
   bool Leave();
@@ -137,7 +133,6 @@
   ServerPlan plan_;
   std::string id_;
   long bornMs_;
-  long firstBeatAt_ = 0;
   std::atomic<bool> ending_{ false };
   std::atomic<bool> hasLeft_{ false };
   std::mutex beatMutex_; // while a heartbeat is on its way
@@ -202,8 +197,6 @@
   ~PlainServer() override { Stop(); }
 
   int workMs = 100;
-  /** Called for each request that reaches it, at once. */
-  std::function<void(const std::string& request)> onArrival;
 
 private:
   bool Serve(const Message& request, ServedConnection& from) override;
@@ -273,7 +266,6 @@
   void End();
 
   Ledger& Known() { return ledger_; }
-  PlainServer& Plain(std::size_t number) { return *plains_.at(number); }
   Outcomes& Results() { return outcomes_; }
 
 private:
@@ -284,7 +276,6 @@
   Ledger ledger_;
   Outcomes outcomes_;
   std::vector<std::unique_ptr<Server>> servers_;
-  std::vector<PlainServer*> plains_; // among them
   std::vector<std::unique_ptr<Caller>> callers_;
 };
 
--- a/review/common/wgReviewStreams.cxx
+++ b/review/common/wgReviewStreams.cxx
@@ -186,17 +186,12 @@
     plan.queue = 134;
     plan.number = number;
     plan.version = version;
-    engines.push_back(MakeEngine(site, plan, ledger, record));
+    engines.push_back(
+      std::make_unique<VersionedEngine>(site, plan, ledger, record));
   }
   return engines;
 }
 
-std::unique_ptr<Server> MakeEngine(Site& site, const ServerPlan& plan,
-                                   Ledger& ledger, Record& record)
-{
-  return std::make_unique<VersionedEngine>(site, plan, ledger, record);
-}
-
 std::string StreamDocument()
 {
   const Json route{ { "name", "brief" },         { "host", "brief.example" },
--- a/review/common/wgReviewStreams.h
+++ b/review/common/wgReviewStreams.h
@@ -38,10 +38,6 @@
 Engines MakeEngines(Site& site, const std::string& version, int count,
                     int place, Ledger& ledger, Record& record);
 
-/** \brief One of them, to start in the place of another; it is not begun. */
-std::unique_ptr<Server> MakeEngine(Site& site, const ServerPlan& plan,
-                                   Ledger& ledger, Record& record);
-
 /** \brief One route, whose streams may be resumed. */
 std::string StreamDocument();
 
