--- a/review/common/wgReviewStreams.cxx
+++ b/review/common/wgReviewStreams.cxx
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <iostream>
+#include <map>
 #include <mutex>
 #include <random>
 
@@ -45,12 +46,7 @@
   {
     const std::string id = request.Field("X-Weirgate-Attempt-Id");
     if (request.Target().second == "/-/report") {
-      const Json report{ { "phase", "combined" },  { "utilization", false },
-                         { "sequence", 1 },        { "queued", 0 },
-                         { "active", 0 },          { "kvUsed", 0 },
-                         { "kvTotal", 600000 },    { "handles", 0 },
-                         { "runs", Json::array() } };
-      return SendAll(from.socket, AnswerTo(request, 200, "", report.dump()));
+      return SendAll(from.socket, AnswerTo(request, 200, "", Report()));
     }
     const std::string last = request.Field("Last-Event-Id");
     const std::string resumes = request.Field("Resumes");
@@ -59,6 +55,52 @@
       (last.empty()
          ? ""
          : ", which goes on after event " + last + " of " + resumes));
+    SetEvents(id, 0);
+    const bool isSent = Stream(id, last, from);
+    {
+      const std::lock_guard<std::mutex> lock(mutex_);
+      runs_.erase(id);
+    }
+    return isSent;
+  }
+
+  std::string Report()
+  {
+    constexpr int tokens = 400;
+    constexpr int priority = 5;
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Json runs = Json::array();
+    for (const auto& [id, events] : runs_) {
+      runs.push_back({ id, tokens, events, priority });
+    }
+    const auto used = static_cast<long>(runs_.size()) * tokens;
+    record_.Write("server " + Id() + " is asked for its report");
+    return Json{
+      { "phase", "combined" },
+      { "models",
+        { { { "name", "m" },
+            { "version", 1 },
+            { "adapters", Json::array() } } } },
+      { "utilization", false },
+      { "sequence", 1 },
+      { "queued", 0 },
+      { "active", runs_.size() },
+      { "kvUsed", used },
+      { "kvTotal", 600000 },
+      { "handles", 0 },
+      { "runs", runs }
+    }.dump();
+  }
+
+  void SetEvents(const std::string& id, int events)
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    runs_[id] = events;
+  }
+
+  bool Stream(const std::string& id, const std::string& last,
+              const ServedConnection& from)
+  {
     if (!SendAll(from.socket, "HTTP/1.1 200 OK\r\nX-Weirgate-Attempt-Id: " +
                                 id + "\r\nX-Weirgate-Server-Seal: seal." + id +
                                 "\r\nContent-Type: text/event-stream\r\n"
@@ -74,10 +116,14 @@
       if (!SendAll(from.socket, size + text + "\r\n")) {
         return false;
       }
+      SetEvents(id, event);
       Pause(EventMs);
     }
     return SendAll(from.socket, "0\r\n\r\n");
   }
+
+  std::mutex mutex_;
+  std::map<std::string, int> runs_; // events made, by request
 };
 
 /** A caller's own, before it tries again. */
