Gateway: a stream's line tells what its version is concluded from

Callers saw streams joined from two versions. The stream_taken_up line said only_version, and not which versions the box and the others took to be possible, how many others answered, or how old the news of control boxes was: what a control box forgot, what it told wrongly and what a box had not heard looked alike.

The line has asked, answered, possible and news_ms now. On a box that was suspended while a version joined it says asked 1, answered 1, possible "llm v1", news_ms 520: a reply that was written before the version joined is taken for news of half a second ago. No decision changes.

--- a/Source/Decision/wgStreamOrigin.cxx
+++ b/Source/Decision/wgStreamOrigin.cxx
@@ -201,10 +201,31 @@
             : own.isCurrent || IsAnyCurrent(answers);
   const auto only = FindOnlyOrigin(own, answers);
   if (only && isConfirmed) {
-    return { OriginEvidence::OnlyVersion, *only, true };
+    return { OriginEvidence::OnlyVersion, *only, true, {} };
   }
   verdict.isFinal &= own.isCurrent && (isComplete || !only);
   return verdict;
 }
 
+OriginBasis DescribeBasis(const OriginView& own,
+                          absl::Span<const OriginAnswer> answers)
+{
+  OriginBasis basis;
+  const auto add = [&basis](const std::vector<StreamOrigin>& possible) {
+    for (const StreamOrigin& origin : possible) {
+      if (std::find(basis.possible.begin(), basis.possible.end(), origin) ==
+          basis.possible.end()) {
+        basis.possible.push_back(origin);
+      }
+    }
+  };
+  add(own.possible);
+  for (const OriginAnswer& answer : answers) {
+    ++basis.asked;
+    basis.answered += answer.hasAnswered ? 1 : 0;
+    add(answer.view.possible);
+  }
+  return basis;
+}
+
 } // namespace wg
--- a/Source/Decision/wgStreamOrigin.h
+++ b/Source/Decision/wgStreamOrigin.h
@@ -138,11 +138,20 @@
 /** \return none, kept, reported or only_version */
 absl::string_view NameOf(OriginEvidence evidence);
 
+/** \brief What a verdict rests on, for the log. */
+struct OriginBasis
+{
+  std::size_t asked = 0;              // boxes
+  std::size_t answered = 0;           // of these
+  std::vector<StreamOrigin> possible; // distinct
+};
+
 struct OriginVerdict
 {
   OriginEvidence evidence = OriginEvidence::None;
   StreamOrigin origin;
   bool isFinal = true; // a retry does not help
+  OriginBasis basis;
 };
 
 /** \brief Evaluates what began a stream of which this box keeps no origin.
@@ -160,4 +169,7 @@
 OriginVerdict EvaluateOrigin(bool isNamed, const OriginView& own,
                              absl::Span<const OriginAnswer> answers);
 
+OriginBasis DescribeBasis(const OriginView& own,
+                          absl::Span<const OriginAnswer> answers);
+
 } // namespace wg
--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -151,6 +151,15 @@
     });
 }
 
+absl::Duration ControlFollower::OldestNews(Elapsed now) const
+{
+  absl::Duration oldest = absl::ZeroDuration();
+  for (const auto& [address, link] : links_) {
+    oldest = std::max(oldest, now - link.heard);
+  }
+  return oldest;
+}
+
 std::uint64_t ControlFollower::NewestDocument() const
 {
   std::uint64_t newest = held_;
--- a/Source/Gateway/wgControlFollower.h
+++ b/Source/Gateway/wgControlFollower.h
@@ -91,6 +91,10 @@
    * \param memory after which one that is not reached no longer counts
    */
   bool IsComplete(Elapsed now, absl::Duration memory) const;
+  /** \brief How long ago the control box that was not heard for the longest
+   * time was heard; infinite if one never was.
+   */
+  absl::Duration OldestNews(Elapsed now) const;
 
 private:
   struct Link
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -195,7 +195,8 @@
   follower_->AddControls(settings_.controls);
   origins_->SetChecks(
     [this] { return follower_->IsCurrent(ElapsedNow()); },
-    [this] { return follower_->IsComplete(ElapsedNow(), StreamMemory); });
+    [this] { return follower_->IsComplete(ElapsedNow(), StreamMemory); },
+    [this] { return follower_->OldestNews(ElapsedNow()); });
   if (!settings_.cpuShare.empty() && cpuMilli_ == 0) {
     metrics_.Count("cpu_share_unsound");
   }
--- a/Source/Gateway/wgGatewayRequestOrigin.cxx
+++ b/Source/Gateway/wgGatewayRequestOrigin.cxx
@@ -15,6 +15,18 @@
 constexpr absl::Duration RetryAfterOrigin = absl::Seconds(1);
 /** Longer than the stream may be taken up. */
 constexpr absl::Duration RetryAfterLostStream = MaxStreamTime;
+/** Versions that a log line names. */
+constexpr std::size_t MaxLoggedOrigins = 8;
+
+nlohmann::json DescribeOrigins(absl::Span<const StreamOrigin> origins)
+{
+  nlohmann::json names = nlohmann::json::array();
+  for (const StreamOrigin& origin :
+       origins.subspan(0, std::min(origins.size(), MaxLoggedOrigins))) {
+    names.push_back(absl::StrCat(origin.service, " ", origin.version));
+  }
+  return names;
+}
 
 } // namespace
 
@@ -68,7 +80,11 @@
                       { "resumes", origin_ },
                       { "evidence", std::string(NameOf(verdict.evidence)) },
                       { "service", verdict.origin.service },
-                      { "version", verdict.origin.version } });
+                      { "version", verdict.origin.version },
+                      { "asked", verdict.basis.asked },
+                      { "answered", verdict.basis.answered },
+                      { "possible", DescribeOrigins(verdict.basis.possible) },
+                      { "news_ms", shared_.origins.NewsAgeMs() } });
   isOriginFinal_ = verdict.isFinal;
   if (!isKnown) {
     SayNotRun(OriginUnknownReason);
--- a/Source/Gateway/wgStreamOrigins.cxx
+++ b/Source/Gateway/wgStreamOrigins.cxx
@@ -174,9 +174,9 @@
     const OriginEvidence evidence = kept->origin.version.empty()
                                       ? OriginEvidence::None
                                       : OriginEvidence::Kept;
-    boost::asio::post(loop_,
-                      [verdict = OriginVerdict{ evidence, kept->origin, true },
-                       found = std::move(found)] { found(verdict); });
+    boost::asio::post(
+      loop_, [verdict = OriginVerdict{ evidence, kept->origin, true, {} },
+              found = std::move(found)] { found(verdict); });
     return;
   }
   auto search = std::make_shared<Search>();
@@ -254,8 +254,11 @@
 void StreamOrigins::Finish(Search& search)
 {
   if (const Found found = std::exchange(search.found, nullptr)) {
-    found(
-      EvaluateOrigin(search.isNamed, View(search.services), search.answers));
+    const OriginView own = View(search.services);
+    OriginVerdict verdict =
+      EvaluateOrigin(search.isNamed, own, search.answers);
+    verdict.basis = DescribeBasis(own, search.answers);
+    found(verdict);
   }
 }
 
@@ -266,6 +269,12 @@
            isComplete_ && isComplete_() };
 }
 
+std::int64_t StreamOrigins::NewsAgeMs() const
+{
+  const absl::Duration age = newsAge_ ? newsAge_() : absl::InfiniteDuration();
+  return age == absl::InfiniteDuration() ? -1 : absl::ToInt64Milliseconds(age);
+}
+
 std::string StreamOrigins::Take(const wire::StreamOrigins& origins)
 {
   if (stopping_) {
--- a/Source/Gateway/wgStreamOrigins.h
+++ b/Source/Gateway/wgStreamOrigins.h
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
@@ -56,12 +57,19 @@
    * whether it holds the endpoints that all control boxes know.
    */
   void SetChecks(std::function<bool()> isCurrent,
-                 std::function<bool()> isComplete)
+                 std::function<bool()> isComplete,
+                 std::function<absl::Duration()> newsAge)
   {
     isCurrent_ = std::move(isCurrent);
     isComplete_ = std::move(isComplete);
+    newsAge_ = std::move(newsAge);
   }
 
+  /** \brief How long ago the control box that was not heard for the longest
+   * time was heard, in ms; -1: there is one that never was.
+   */
+  std::int64_t NewsAgeMs() const;
+
   /** \brief The first event of a stream passes to its caller.
    * \param request that brought it
    * \param left for which the stream may be taken up
@@ -108,6 +116,7 @@
   GatewayMetrics& metrics_;
   std::function<bool()> isCurrent_;
   std::function<bool()> isComplete_;
+  std::function<absl::Duration()> newsAge_;
   OriginRecords records_;
   bool stopping_ = false;
 };
