--- /dev/null
+++ b/Tests/Platform/wgPlatformJoinedStreamTest.cxx
@@ -0,0 +1,109 @@
+// SPDX-License-Identifier: Apache-2.0
+#include <csignal>
+#include <vector>
+
+#include <catch2/catch.hpp>
+
+#include "absl/time/clock.h"
+
+#include "wgStreamVersions.h"
+
+namespace {
+
+using wg::test::Await;
+using wg::test::Ok;
+using wg::test::OneHall;
+using wg::test::PlatformStandin;
+using wg::test::Stream;
+using wg::test::TwoHalls;
+using wg::test::TwoVersions;
+using wg::test::Versions;
+
+constexpr int Count = 12;
+constexpr int Rounds = 4;
+
+} // namespace
+
+// Control boxes that start again know no endpoints after a calm minute, and
+// boxes take the version that is heard first for the only one.
+TEST_CASE("All processes are killed after a calm minute", "[all-killed]")
+{
+  Versions f(OneHall, TwoVersions);
+  absl::SleepFor(absl::Seconds(62));
+  const auto begun = f.BeginMany(0, TwoVersions, Count);
+  f.AwaitCopies(0);
+  f.RestartAll();
+  for (const auto& engine : { f.engines[0].get(), f.engines[1].get() }) {
+    REQUIRE(engine->Register(f.cluster.Api(0), "llm"));
+  }
+  for (int round = 0; round < Rounds; ++round) {
+    absl::SleepFor(absl::Milliseconds(500));
+    f.CheckNoneJoined(begun, 0);
+    f.CheckNoneJoined(begun, 1);
+  }
+}
+
+// Control boxes that start again take a version that has just left for one
+// that left long ago.
+TEST_CASE("All processes are killed after a version has left", "[all-killed]")
+{
+  Versions f(OneHall, TwoVersions);
+  const auto begun = f.BeginMany(0, TwoVersions, Count);
+  f.AwaitCopies(0);
+  for (const auto& engine : { f.engines[0].get(), f.engines[1].get() }) {
+    REQUIRE(engine->Leave(f.cluster.Api(0)));
+  }
+  absl::SleepFor(absl::Seconds(2));
+  f.RestartAll();
+  for (int round = 0; round < Rounds; ++round) {
+    absl::SleepFor(absl::Milliseconds(500));
+    f.CheckNoneJoined(begun, 0);
+    f.CheckNoneJoined(begun, 1);
+  }
+}
+
+// A box that stood still takes what it hears of one control box for the whole.
+TEST_CASE("A box is suspended while endpoints of another version start",
+          "[out-of-step]")
+{
+  Versions f(OneHall, { "v1" }, 2, true);
+  f.cluster.Gateway(1).Signal(SIGSTOP);
+  Await("the box to get no more copies", [&f] {
+    f.Begin(0);
+    return f.cluster.Counter(0, "coordinators_suspected") > 0;
+  });
+  absl::SleepFor(absl::Seconds(2)); // calls to control boxes wait for 1 s
+  PlatformStandin other("engine-v2");
+  other.SetVersion("v2");
+  other.TellVersionInEvents();
+  other.BornAt(Versions::FirstBornMs);
+  REQUIRE(other.Register(f.cluster.Api(1), "llm"));
+  f.AwaitVersions(0, TwoVersions);
+  const auto begun = f.BeginMany(0, TwoVersions, Count);
+  f.cluster.ControlLink(1).Cut();
+  f.cluster.Gateway(0).Kill();
+  f.cluster.StartGateway(0);
+  Await("a ready gateway", [&f] { return f.cluster.Ready(0) == Ok; });
+  f.cluster.Gateway(1).Signal(SIGCONT);
+  for (int round = 0; round < Rounds; ++round) {
+    absl::SleepFor(absl::Milliseconds(500));
+    f.CheckNoneJoined(begun, 1);
+  }
+}
+
+// What began a stream is forgotten with all gateways, though control boxes run
+// on.
+TEST_CASE("All gateways are killed while two versions serve",
+          "[gateways-killed]")
+{
+  Versions f(TwoHalls, TwoVersions);
+  const auto begun = f.BeginMany(0, TwoVersions, Count);
+  f.AwaitCopies(0);
+  f.RestartGateways();
+  absl::SleepFor(absl::Seconds(3));
+  for (const Stream& first : begun) {
+    for (int gateway = 0; gateway < f.cluster.Gateways(); ++gateway) {
+      f.CheckGoesOn(first, gateway);
+    }
+  }
+}
