--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -97,14 +97,18 @@
 {
   endpointFile_ = std::make_unique<EndpointFile>(SystemFileOperations(),
                                                  settings_.dataFolder);
-  if (const auto remembered = endpointFile_->Read(absl::Now())) {
+  const auto remembered = endpointFile_->Read(absl::Now());
+  RecallVersions(versions_, remembered ? &*remembered : nullptr,
+                 settings_.foundAtStart, ElapsedNow());
+  if (remembered) {
     RecallEndpoints(registry_, *remembered, ElapsedNow());
     for (const wire::Crash& crash : remembered->crashes()) {
       MergeCrash(crashes_, crash, ElapsedNow());
     }
     LogChange("endpoints",
-              absl::StrCat(registry_.endpoints.size(),
-                           " are known from before the start, and ",
+              absl::StrCat(registry_.endpoints.size(), " of ",
+                           versions_.versions.size(),
+                           " versions are known from before the start, and ",
                            crashes_.quarantined.size(),
                            " requests or parts of prompts that end them"));
   }
@@ -117,14 +121,17 @@
     nextCrashExpiry_ = now + CrashExpiryPeriod;
     ExpireCrashes(crashes_, now);
   }
-  if (!TakeKeepTurn(keepTurns_, registry_.revision, crashes_.revision, now)) {
+  const KeptRevisions revisions{ registry_.revision, crashes_.revision,
+                                 versions_.revision };
+  if (!TakeKeepTurn(keepTurns_, revisions, now)) {
     return;
   }
   wire::RememberedEndpoints known = RememberEndpoints(registry_);
+  RememberVersions(versions_, known);
   for (const auto& [key, record] : crashes_.records) {
     *known.add_crashes() = MakeCrashMessage(key, record, now);
   }
-  endpointFile_->Keep(std::move(known), absl::Now());
+  endpointFile_->Keep(std::move(known), versions_.revision, absl::Now());
 }
 
 /** News that came together goes out together: at each of a thousand calls a
@@ -192,6 +199,10 @@
     CrashesCall call{ {}, std::move(respond) };
     sound = call.news.ParseFromString(request.body);
     Post(std::move(call));
+  } else if (isPeer && request.path == "/stream-origin") {
+    OriginCall call{ {}, std::move(respond) };
+    sound = call.ask.ParseFromString(request.body);
+    Post(std::move(call));
   } else if (isPeer && request.path == "/document") {
     Post(ReadCall{ std::move(respond) });
   } else if (isPeer && request.path == "/join") {
@@ -286,7 +297,9 @@
   const Elapsed now = ElapsedNow();
   TickFollowers(followers_, now);
   TickRegistry(registry_, now);
+  NoteVersions();
   KeepKnownEndpoints();
+  ReleaseHeartbeats();
   NoteControls();
   MoveRollouts();
   AnswerIfDue();
@@ -337,6 +350,7 @@
                [this](JoinCall& call) { OnJoin(call); },
                [this](StatusCall& call) { OnStatus(call); },
                [this](CrashesCall& call) { OnCrashes(call); },
+               [this](OriginCall& call) { OnOrigin(call); },
                [this](JoinAnswer& answer) { OnJoinAnswer(answer); },
                [this](const NotDeliveredMail& mail) {
                  OnDeliveryFailed(replica_, mail.to, mail.sentUs);
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -36,6 +36,7 @@
 #include "wgRolloutRunner.h"
 #include "wgServiceState.h"
 #include "wgVersionConductor.h"
+#include "wgVersionHistory.h"
 
 namespace wg {
 
@@ -157,6 +158,20 @@
   {
     Respond respond;
   };
+  /** \brief A box asks what began a stream. */
+  struct OriginCall
+  {
+    wire::StreamOriginAsk ask;
+    Respond respond;
+  };
+  /** \brief The newest heartbeat of an endpoint whose version is not written
+   * yet.
+   */
+  struct HeldHeartbeat
+  {
+    wire::Registration heartbeat;
+    Elapsed since;
+  };
   /** \brief A peer's answer to our own wish to join. */
   struct JoinAnswer
   {
@@ -171,7 +186,7 @@
   using Mail =
     std::variant<wire::AgreementBatch, FoundRequest, ChangeRequest,
                  FollowWaiter, JoinCall, StatusCall, JoinAnswer, ReadCall,
-                 ChunkCall, CrashesCall, NotDeliveredMail>;
+                 ChunkCall, CrashesCall, OriginCall, NotDeliveredMail>;
 
   /** \brief A proposed change whose author waits for the outcome. */
   struct Waiter
@@ -195,6 +210,7 @@
   void OnJoinAnswer(const JoinAnswer& answer);
   void OnCrashes(CrashesCall& call);
   void OnStatus(StatusCall& call);
+  void OnOrigin(OriginCall& call) const;
   void AskToJoin();
   void TickReplica();
   void CarryOutActions();
@@ -222,6 +238,9 @@
   void FoundIfAsked();
   void RecallKnownEndpoints();
   void KeepKnownEndpoints();
+  HeartbeatTaken TakeSound(const wire::Registration& heartbeat);
+  void NoteVersions();
+  void ReleaseHeartbeats();
   void StartRepairStep();
   void CompactIfDue();
   std::string LeaderAddress() const;
@@ -257,6 +276,9 @@
   VersionConductor conductor_;
   PackedDocuments packed_;
   EndpointRegistry registry_;
+  VersionHistory versions_;
+  Elapsed nextVersions_;
+  std::map<std::string, HeldHeartbeat> held_; // by identity
   CrashEvidence crashes_;
   BeatsAfterEnd beatsAfterEnd_;
   std::unique_ptr<EndpointFile> endpointFile_;
--- a/Source/Control/wgControlNodeDocuments.cxx
+++ b/Source/Control/wgControlNodeDocuments.cxx
@@ -126,6 +126,9 @@
   const Elapsed now = ElapsedNow();
   for (const wire::Registration& told : news.registrations()) {
     TakeTold(registry_, told, now);
+    if (told.state() != wire::Registration::GONE) {
+      NoteServing(versions_, told.service(), told.version(), now);
+    }
   }
   TakeListed(followers_, control, news, now);
   for (const wire::Crash& crash : news.crashes()) {
@@ -412,23 +415,6 @@
   return reply;
 }
 
-HeartbeatTaken ControlNode::Register(const wire::Registration& heartbeat)
-{
-  const Elapsed now = ElapsedNow();
-  const HeartbeatTaken taken = TakeHeartbeat(registry_, heartbeat, now);
-  const bool isSound =
-    taken == HeartbeatTaken::News || taken == HeartbeatTaken::Known;
-  if (isSound) {
-    NoteBeatAfterEnd(beatsAfterEnd_, crashes_, heartbeat, now);
-  }
-  return taken;
-}
-
-void ControlNode::Unregister(const EndpointStart& start)
-{
-  TakeLeave(registry_, start, ElapsedNow());
-}
-
 void ControlNode::AddControls(std::vector<std::string> addresses)
 {
   boost::asio::post(loop_, [this, addresses = std::move(addresses)] {
--- /dev/null
+++ b/Source/Control/wgControlNodeEndpoints.cxx
@@ -0,0 +1,135 @@
+// SPDX-License-Identifier: Apache-2.0
+// A control box's part for endpoints, and for streams that they have begun.
+#include "wgControlNode.h"
+
+#include <algorithm>
+
+#include "absl/strings/str_cat.h"
+
+#include "wgLog.h"
+
+namespace wg {
+namespace {
+
+/** A disk that takes nothing for longer keeps no endpoint from its work. */
+constexpr absl::Duration MaxHoldTime = absl::Seconds(2);
+
+} // namespace
+
+HeartbeatTaken ControlNode::Register(const wire::Registration& heartbeat)
+{
+  const Elapsed now = ElapsedNow();
+  if (!NoteServing(versions_, heartbeat.service(), heartbeat.version(), now)) {
+    return HeartbeatTaken::TooMany;
+  }
+  const std::string id = IdentityOf(StartOf(heartbeat));
+  const auto held = held_.find(id);
+  const bool isWritten =
+    IsWritten(versions_, heartbeat.service(), heartbeat.version());
+  if (held == held_.end() && isWritten) {
+    return TakeSound(heartbeat);
+  }
+  if (held == held_.end()) {
+    if (held_.size() >= MostEndpoints) {
+      return HeartbeatTaken::TooMany;
+    }
+    held_.emplace(id, HeldHeartbeat{ heartbeat, now });
+  } else if (heartbeat.sequence() > held->second.heartbeat.sequence()) {
+    held->second.heartbeat = heartbeat;
+  }
+  return HeartbeatTaken::Known;
+}
+
+HeartbeatTaken ControlNode::TakeSound(const wire::Registration& heartbeat)
+{
+  const Elapsed now = ElapsedNow();
+  const HeartbeatTaken taken = TakeHeartbeat(registry_, heartbeat, now);
+  const bool isSound =
+    taken == HeartbeatTaken::News || taken == HeartbeatTaken::Known;
+  if (isSound) {
+    NoteBeatAfterEnd(beatsAfterEnd_, crashes_, heartbeat, now);
+  }
+  return taken;
+}
+
+/** Boxes are told of an endpoint once a restart would not forget its version.
+ */
+void ControlNode::ReleaseHeartbeats()
+{
+  versions_.written =
+    std::max(versions_.written, endpointFile_->WrittenVersions());
+  const Elapsed now = ElapsedNow();
+  for (auto it = held_.begin(); it != held_.end();) {
+    auto current = it++;
+    const HeldHeartbeat& held = current->second;
+    const wire::Registration& heartbeat = held.heartbeat;
+    const bool isWritten =
+      IsWritten(versions_, heartbeat.service(), heartbeat.version());
+    if (!isWritten && now - held.since < MaxHoldTime) {
+      continue;
+    }
+    if (!isWritten) {
+      NoteToldUnwritten(versions_);
+      LogChange("endpoints",
+                absl::StrCat("boxes are told of version ", heartbeat.version(),
+                             " of ", heartbeat.service(),
+                             ", which the disk has not taken"));
+    }
+    TakeSound(heartbeat);
+    held_.erase(current);
+  }
+}
+
+void ControlNode::Unregister(const EndpointStart& start)
+{
+  for (auto it = held_.begin(); it != held_.end();) {
+    auto current = it++;
+    const EndpointStart other = StartOf(current->second.heartbeat);
+    const bool ends = other.name == start.name &&
+                      (start.bornMs == 0 || start.bornMs == other.bornMs);
+    if (ends) {
+      held_.erase(current);
+    }
+  }
+  TakeLeave(registry_, start, ElapsedNow());
+}
+
+/** Endpoints that are silent may serve on. */
+void ControlNode::NoteVersions()
+{
+  const Elapsed now = ElapsedNow();
+  if (now < nextVersions_) {
+    return;
+  }
+  nextVersions_ = now + VersionsPeriod;
+  for (const auto& [id, endpoint] : registry_.endpoints) {
+    const wire::Registration& registration = endpoint.registration;
+    if (registration.state() != wire::Registration::GONE) {
+      NoteServing(versions_, registration.service(), registration.version(),
+                  now);
+    }
+  }
+  ExpireVersions(versions_, now);
+}
+
+void ControlNode::OnOrigin(OriginCall& call) const
+{
+  wire::StreamOriginAnswer answer;
+  const std::vector<std::string> services(call.ask.services().begin(),
+                                          call.ask.services().end());
+  for (const StreamOrigin& served : ServedVersions(versions_, services)) {
+    wire::StreamOrigin& possible = *answer.add_possible();
+    possible.set_service(served.service);
+    possible.set_version(served.version);
+  }
+  answer.set_is_whole(IsWholeHistory(versions_, ElapsedNow()));
+  for (const auto* list :
+       { &replica_.voters.voters(), &replica_.voters.learners() }) {
+    for (const wire::Voter& voter : *list) {
+      answer.add_members(voter.address());
+    }
+  }
+  call.respond(answer.SerializeAsString());
+}
+
+} // namespace wg
--- a/Source/Control/wgEndpointFile.cxx
+++ b/Source/Control/wgEndpointFile.cxx
@@ -6,7 +6,6 @@
 #include "absl/strings/str_cat.h"
 
 #include "wgLog.h"
-#include "wgRecord.h"
 
 namespace wg {
 namespace {
@@ -18,35 +17,19 @@
 } // namespace
 
 EndpointFile::EndpointFile(FileOperations& files, std::string folder)
-  : files_(files)
-  , folder_(std::move(folder))
-  , thread_([this] { Run(); })
+  : file_(files, std::move(folder), FileName, RecordType::Endpoints)
 {
 }
 
-EndpointFile::~EndpointFile()
-{
-  {
-    absl::MutexLock lock(&mutex_);
-    stopping_ = true;
-  }
-  thread_.join();
-}
-
 std::optional<wire::RememberedEndpoints> EndpointFile::Read(
   absl::Time now) const
 {
-  const Outcome<std::string> bytes =
-    ReadWholeFile(absl::StrCat(folder_, "/", FileName));
-  if (!Succeeded(bytes)) {
-    return std::nullopt; // a fresh folder, or a new disk
+  const auto payload = file_.Read();
+  if (Succeeded(payload) && !Value(payload)) {
+    return std::nullopt;
   }
-  const auto read = ReadRecords(Value(bytes));
-  const bool isWhole = Succeeded(read) && Value(read).records.size() == 1 &&
-                       Value(read).records[0].type == RecordType::Endpoints;
   wire::RememberedEndpoints remembered;
-  if (!isWhole ||
-      !remembered.ParseFromString(Value(read).records[0].payload)) {
+  if (!Succeeded(payload) || !remembered.ParseFromString(*Value(payload))) {
     LogChange("endpoints", "the file of known endpoints is damaged; they are "
                            "waited for");
     return std::nullopt;
@@ -59,47 +42,27 @@
   return remembered;
 }
 
-void EndpointFile::Keep(wire::RememberedEndpoints endpoints, absl::Time now)
+void EndpointFile::Keep(wire::RememberedEndpoints endpoints,
+                        std::uint64_t versions, absl::Time now)
 {
   endpoints.set_kept_ms(absl::ToUnixMillis(now));
-  absl::MutexLock lock(&mutex_);
-  next_ = std::move(endpoints);
-}
-
-void EndpointFile::Run()
-{
-  bool failed = false;
-  while (true) {
-    wire::RememberedEndpoints endpoints;
-    {
-      absl::MutexLock lock(&mutex_);
-      mutex_.Await(absl::Condition(this, &EndpointFile::HasWork));
-      if (stopping_) {
-        return;
-      }
-      endpoints = *std::exchange(next_, std::nullopt);
-    }
-    std::string bytes;
-    AppendRecord(RecordType::Endpoints, endpoints.SerializeAsString(), bytes);
-    const auto written = ReplaceFile(files_, folder_, FileName, bytes);
-    if (Succeeded(written) == failed) {
-      failed = !Succeeded(written);
-      LogChange("endpoints",
-                failed ? absl::StrCat("can't be kept: ", Message(written))
-                       : "are kept again");
-    }
-  }
+  file_.Keep(endpoints.SerializeAsString(), versions);
 }
 
-bool TakeKeepTurn(KeepTurns& turns, std::uint64_t endpoints,
-                  std::uint64_t crashes, Elapsed now)
+bool TakeKeepTurn(KeepTurns& turns, const KeptRevisions& revisions,
+                  Elapsed now)
 {
-  const bool isKept = turns.endpoints == endpoints && turns.crashes == crashes;
-  if (isKept || now < turns.next) {
-    return false;
+  const KeptRevisions& kept = turns.revisions;
+  const bool hasVersions = kept.versions != revisions.versions;
+  const bool hasNews =
+    kept.endpoints != revisions.endpoints || kept.crashes != revisions.crashes;
+  const absl::Duration age = now - turns.kept;
+  const bool isDue = hasVersions || (hasNews && age >= KeepEndpointsPeriod) ||
+                     age >= RefreshEndpointsPeriod;
+  if (isDue) {
+    turns = { revisions, now };
   }
-  turns = { endpoints, crashes, now + KeepEndpointsPeriod };
-  return true;
+  return isDue;
 }
 
 } // namespace wg
--- a/Source/Decision/wgStreamOrigin.cxx
+++ b/Source/Decision/wgStreamOrigin.cxx
@@ -27,55 +27,60 @@
   return ranked;
 }
 
-/** The one origin that all views allow; none if they allow several. */
-std::optional<StreamOrigin> FindOnlyOrigin(
-  const OriginView& own, absl::Span<const OriginAnswer> answers)
+/** All origins that any answer allows, each once. */
+std::vector<StreamOrigin> MergePossible(absl::Span<const StreamOrigin> own,
+                                        absl::Span<const OriginAnswer> answers)
 {
-  std::vector<StreamOrigin> possible = own.possible;
+  std::vector<StreamOrigin> merged;
+  const auto add = [&merged](absl::Span<const StreamOrigin> possible) {
+    for (const StreamOrigin& origin : possible) {
+      if (std::find(merged.begin(), merged.end(), origin) == merged.end()) {
+        merged.push_back(origin);
+      }
+    }
+  };
+  add(own);
   for (const OriginAnswer& answer : answers) {
-    possible.insert(possible.end(), answer.view.possible.begin(),
-                    answer.view.possible.end());
+    add(answer.possible);
   }
-  const bool isOne = !possible.empty() && !possible.front().version.empty() &&
-                     std::all_of(possible.begin(), possible.end(),
-                                 [&possible](const StreamOrigin& origin) {
-                                   return origin == possible.front();
-                                 });
-  return isOne ? std::optional(possible.front()) : std::nullopt;
+  return merged;
 }
 
-bool IsAnyCurrent(absl::Span<const OriginAnswer> answers)
+bool IsWholeHistory(const OriginAnswer& answer)
 {
-  return std::any_of(answers.begin(), answers.end(),
-                     [](const OriginAnswer& answer) {
-                       return answer.hasAnswered && answer.view.isCurrent;
-                     });
+  return !answer.control.empty() && answer.hasAnswered && answer.isWhole;
 }
 
-/** Boxes that started during a cut know only the endpoints that register on
- * their side of it.
- */
-bool IsAnyComplete(const OriginView& own,
-                   absl::Span<const OriginAnswer> answers)
+/** The control boxes that may have told a box of an endpoint. */
+std::set<std::string> RequiredControls(absl::Span<const OriginAnswer> answers)
 {
-  return own.isComplete ||
-         std::any_of(answers.begin(), answers.end(),
-                     [](const OriginAnswer& answer) {
-                       return answer.hasAnswered && answer.view.isComplete;
-                     });
+  std::set<std::string> required;
+  for (const OriginAnswer& answer : answers) {
+    required.insert(answer.members.begin(), answer.members.end());
+    if (answer.isFollowed) {
+      required.insert(answer.control);
+    }
+  }
+  return required;
 }
 
-bool IsEachHallConfirmed(absl::Span<const OriginAnswer> answers)
+/** Whether the histories leave out no version that may have begun a stream. */
+bool AreHistoriesWhole(bool isNamed, absl::Span<const OriginAnswer> answers)
 {
-  std::set<std::string> asked;
-  std::set<std::string> confirmed;
+  std::set<std::string> whole;
+  bool isPart = false;
   for (const OriginAnswer& answer : answers) {
-    asked.insert(answer.hall);
-    if (answer.hasAnswered && answer.view.isCurrent) {
-      confirmed.insert(answer.hall);
+    if (IsWholeHistory(answer)) {
+      whole.insert(answer.control);
     }
+    isPart |= !answer.control.empty() && answer.hasAnswered && !answer.isWhole;
+  }
+  if (whole.empty() || isPart) {
+    return false;
   }
-  return asked == confirmed;
+  const std::set<std::string> required = RequiredControls(answers);
+  return !isNamed || std::includes(whole.begin(), whole.end(),
+                                   required.begin(), required.end());
 }
 
 } // namespace
@@ -175,7 +180,7 @@
   return "none";
 }
 
-OriginVerdict EvaluateOrigin(bool isNamed, const OriginView& own,
+OriginVerdict EvaluateOrigin(bool isNamed, absl::Span<const StreamOrigin> own,
                              absl::Span<const OriginAnswer> answers)
 {
   OriginVerdict verdict;
@@ -195,36 +200,26 @@
   if (verdict.evidence == OriginEvidence::Reported) {
     return verdict;
   }
-  const bool isComplete = !isNamed || IsAnyComplete(own, answers);
-  const bool isConfirmed =
-    isNamed ? own.isCurrent && isComplete && IsEachHallConfirmed(answers)
-            : own.isCurrent || IsAnyCurrent(answers);
-  const auto only = FindOnlyOrigin(own, answers);
-  if (only && isConfirmed) {
-    return { OriginEvidence::OnlyVersion, *only, true, {} };
+  const std::vector<StreamOrigin> possible = MergePossible(own, answers);
+  const bool isOne = possible.size() == 1 && !possible[0].version.empty();
+  const bool isWhole = AreHistoriesWhole(isNamed, answers);
+  if (isOne && isWhole) {
+    return { OriginEvidence::OnlyVersion, possible[0], true, {} };
   }
-  verdict.isFinal &= own.isCurrent && (isComplete || !only);
+  verdict.isFinal &= isWhole || possible.size() > 1;
   return verdict;
 }
 
-OriginBasis DescribeBasis(const OriginView& own,
+OriginBasis DescribeBasis(absl::Span<const StreamOrigin> own,
                           absl::Span<const OriginAnswer> answers)
 {
   OriginBasis basis;
-  const auto add = [&basis](const std::vector<StreamOrigin>& possible) {
-    for (const StreamOrigin& origin : possible) {
-      if (std::find(basis.possible.begin(), basis.possible.end(), origin) ==
-          basis.possible.end()) {
-        basis.possible.push_back(origin);
-      }
-    }
-  };
-  add(own.possible);
   for (const OriginAnswer& answer : answers) {
     ++basis.asked;
     basis.answered += answer.hasAnswered ? 1 : 0;
-    add(answer.view.possible);
+    basis.controls += IsWholeHistory(answer) ? 1 : 0;
   }
+  basis.possible = MergePossible(own, answers);
   return basis;
 }
 
--- a/Source/Decision/wgStreamOrigin.h
+++ b/Source/Decision/wgStreamOrigin.h
@@ -108,22 +108,23 @@
 std::vector<std::size_t> ChooseOriginSources(
   absl::Span<const OriginKeeper> boxes);
 
-/** \brief What a box knows of the endpoints that may have begun a stream. */
-struct OriginView
-{
-  bool isCurrent = false; // its directory is up to date
-  std::vector<StreamOrigin> possible;
-  /** Every control box that may know of endpoints has told it of them. */
-  bool isComplete = false;
-};
-
-/** \brief The answer of a box that was queried for an origin. */
+/** \brief The answer of a box that was asked what began a stream. */
 struct OriginAnswer
 {
-  std::string hall;
+  /** Of a control box, which keeps the versions that it has told boxes of;
+   * empty: a gateway.
+   */
+  std::string control;
   bool hasAnswered = false;
-  std::optional<StreamOrigin> origin;
-  OriginView view;
+  std::optional<StreamOrigin> origin; // if it is kept there
+  std::vector<StreamOrigin> possible; // as far as it knows
+  /** Of a control box: it has told boxes of no other version that may have
+   * begun the stream.
+   */
+  bool isWhole = false;
+  /** Of a control box: this box has heard it within StreamMemory. */
+  bool isFollowed = false;
+  std::vector<std::string> members; // control boxes of its cluster
 };
 
 /** \brief How an origin is known. */
@@ -141,8 +142,9 @@
 /** \brief What a verdict rests on, for the log. */
 struct OriginBasis
 {
-  std::size_t asked = 0;              // boxes
-  std::size_t answered = 0;           // of these
+  std::size_t asked = 0;    // boxes and control boxes
+  std::size_t answered = 0; // of these
+  std::size_t controls = 0; // of these, control boxes with a whole history
   std::vector<StreamOrigin> possible; // distinct
 };
 
@@ -157,19 +159,22 @@
 /** \brief Evaluates what began a stream of which this box keeps no origin.
  *
  * Without a record, the origin is known only if all endpoints that may have
- * begun the stream run one version of one service. If its caller has named the
- * request that began it, there was a record, and whoever kept it is gone or
- * cut off: boxes of every hall must confirm that there is one version, and one
- * of them must have heard from all control boxes. If it has not, one box whose
- * directory is up to date is enough.
+ * begun the stream run one version of one service. A box knows an endpoint
+ * from a control box, which keeps its version over restarts. All of them were
+ * asked after the question had come, so that no news can be on its way.
+ *
+ * If the caller has named the request that began the stream, there was a
+ * record, and whoever kept it is gone or cut off: each control box must have
+ * answered that is a member of the cluster or was heard lately. If it has not,
+ * those that answer are enough.
  * \param own what this box itself knows
- * \param answers of all boxes that were queried, and one without an answer
- * for each hall none of whose boxes could be queried
+ * \param answers of all boxes and control boxes that are known, and one
+ * without an answer for each that could not be asked
  */
-OriginVerdict EvaluateOrigin(bool isNamed, const OriginView& own,
+OriginVerdict EvaluateOrigin(bool isNamed, absl::Span<const StreamOrigin> own,
                              absl::Span<const OriginAnswer> answers);
 
-OriginBasis DescribeBasis(const OriginView& own,
+OriginBasis DescribeBasis(absl::Span<const StreamOrigin> own,
                           absl::Span<const OriginAnswer> answers);
 
 } // namespace wg
--- a/Source/Gateway/wgControlFollower.cxx
+++ b/Source/Gateway/wgControlFollower.cxx
@@ -132,32 +132,17 @@
   });
 }
 
-bool ControlFollower::IsCurrent(Elapsed now) const
+std::vector<KnownControl> ControlFollower::Controls(
+  Elapsed now, absl::Duration memory) const
 {
-  return std::any_of(links_.begin(), links_.end(), [now](const auto& pair) {
-    const Link& link = pair.second;
-    return link.isWhole && now - link.heard <= FollowWait + ReplyMargin;
-  });
-}
-
-bool ControlFollower::IsComplete(Elapsed now, absl::Duration memory) const
-{
-  return std::all_of(
-    links_.begin(), links_.end(), [now, memory](const auto& pair) {
-      const Link& link = pair.second;
-      const bool isLost =
-        !link.reached && now - std::max(link.heard, link.known) > memory;
-      return !link.isChosen || link.isWhole || isLost;
-    });
-}
-
-absl::Duration ControlFollower::OldestNews(Elapsed now) const
-{
-  absl::Duration oldest = absl::ZeroDuration();
+  std::vector<KnownControl> controls;
+  controls.reserve(links_.size());
   for (const auto& [address, link] : links_) {
-    oldest = std::max(oldest, now - link.heard);
+    const bool isLost =
+      !link.reached && now - std::max(link.heard, link.known) > memory;
+    controls.push_back({ address, link.hall, link.isChosen && !isLost });
   }
-  return oldest;
+  return controls;
 }
 
 std::uint64_t ControlFollower::NewestDocument() const
@@ -268,9 +253,7 @@
                            link.followers == reply.followers_revision();
   if (link.registry != reply.registry()) {
     link.members.clear();
-    link.isWhole = false;
   }
-  link.isWhole |= reply.registrations_size() < MaxRegistrationsInReply;
   link.registry = reply.registry();
   link.registrations = reply.registrations_revision();
   link.followers = reply.followers_revision();
--- a/Source/Gateway/wgControlFollower.h
+++ b/Source/Gateway/wgControlFollower.h
@@ -55,6 +55,14 @@
     onReply;
 };
 
+/** \brief A control box that a gateway may ask. */
+struct KnownControl
+{
+  std::string address;
+  std::string hall;        // empty: not known
+  bool isFollowed = false; // and reached lately
+};
+
 /** \class ControlFollower
  * \brief Follows control boxes with calls that are answered when there is
  * news: all of them where there are few, else those of ChooseControls.
@@ -82,19 +90,10 @@
   /** \brief The newest document that a control box has told of. */
   std::uint64_t NewestDocument() const;
   bool HearsAny(Elapsed now) const;
-  /** \brief Whether a control box has reported all endpoints up to now, but
-   * for the time in which a cut is noticed.
-   */
-  bool IsCurrent(Elapsed now) const;
-  /** \brief Whether all control boxes that are followed have reported their
-   * endpoints.
-   * \param memory after which one that is not reached no longer counts
-   */
-  bool IsComplete(Elapsed now, absl::Duration memory) const;
-  /** \brief How long ago the control box that was not heard for the longest
-   * time was heard; infinite if one never was.
+  /** \brief The control boxes that this box knows.
+   * \param memory after which one that is not reached is no longer followed
    */
-  absl::Duration OldestNews(Elapsed now) const;
+  std::vector<KnownControl> Controls(Elapsed now, absl::Duration memory) const;
 
 private:
   struct Link
@@ -115,8 +114,6 @@
     Elapsed followed; // since when it was last chosen
     int failures = 0;
     bool reached = true;
-    /** It has reported all endpoints since the start of its process. */
-    bool isWhole = false;
     std::uint64_t document = 0; // the newest number that it has told
     std::unique_ptr<LoopTimer> pause;
   };
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -193,10 +193,8 @@
                       cpuMilli_ },
     log_, std::move(handler));
   follower_->AddControls(settings_.controls);
-  origins_->SetChecks(
-    [this] { return follower_->IsCurrent(ElapsedNow()); },
-    [this] { return follower_->IsComplete(ElapsedNow(), StreamMemory); },
-    [this] { return follower_->OldestNews(ElapsedNow()); });
+  origins_->SetControls(
+    [this] { return follower_->Controls(ElapsedNow(), StreamMemory); });
   if (!settings_.cpuShare.empty() && cpuMilli_ == 0) {
     metrics_.Count("cpu_share_unsound");
   }
--- a/Source/Gateway/wgGatewayRequestOrigin.cxx
+++ b/Source/Gateway/wgGatewayRequestOrigin.cxx
@@ -74,17 +74,17 @@
   const bool isKnown = verdict.evidence != OriginEvidence::None;
   shared_.metrics.Count(
     absl::StrCat("stream_origins_", NameOf(verdict.evidence)));
-  shared_.log.Write(isKnown ? LogWeight::Routine : LogWeight::Notable,
-                    "stream_taken_up",
-                    { { "request", id_ },
-                      { "resumes", origin_ },
-                      { "evidence", std::string(NameOf(verdict.evidence)) },
-                      { "service", verdict.origin.service },
-                      { "version", verdict.origin.version },
-                      { "asked", verdict.basis.asked },
-                      { "answered", verdict.basis.answered },
-                      { "possible", DescribeOrigins(verdict.basis.possible) },
-                      { "news_ms", shared_.origins.NewsAgeMs() } });
+  shared_.log.Write(
+    isKnown ? LogWeight::Routine : LogWeight::Notable, "stream_taken_up",
+    { { "request", id_ },
+      { "resumes", origin_ },
+      { "evidence", std::string(NameOf(verdict.evidence)) },
+      { "service", verdict.origin.service },
+      { "version", verdict.origin.version },
+      { "asked", verdict.basis.asked },
+      { "answered", verdict.basis.answered },
+      { "controls", verdict.basis.controls },
+      { "possible", DescribeOrigins(verdict.basis.possible) } });
   isOriginFinal_ = verdict.isFinal;
   if (!isKnown) {
     SayNotRun(OriginUnknownReason);
--- a/Source/Gateway/wgStreamOrigins.cxx
+++ b/Source/Gateway/wgStreamOrigins.cxx
@@ -44,11 +44,9 @@
   }
 }
 
-OriginAnswer ReadOriginAnswer(const std::string& hall,
-                              const std::string& bytes)
+OriginAnswer ReadOriginAnswer(const std::string& bytes)
 {
   OriginAnswer answer;
-  answer.hall = hall;
   wire::StreamOriginAnswer told;
   if (bytes.empty() || !told.ParseFromString(bytes)) {
     return answer;
@@ -58,11 +56,11 @@
     answer.origin =
       StreamOrigin{ told.origin().service(), told.origin().version() };
   }
-  answer.view.isCurrent = told.is_current();
-  answer.view.isComplete = told.is_complete();
   for (const wire::StreamOrigin& possible : told.possible()) {
-    answer.view.possible.push_back({ possible.service(), possible.version() });
+    answer.possible.push_back({ possible.service(), possible.version() });
   }
+  answer.isWhole = told.is_whole();
+  answer.members.assign(told.members().begin(), told.members().end());
   return answer;
 }
 
@@ -73,6 +71,7 @@
 {
   bool isNamed = false;
   std::vector<std::string> services;
+  std::string body;
   std::vector<OriginAnswer> answers;
   std::size_t open = 0;
   Found found; // empty once it was called
@@ -183,67 +182,87 @@
   search->isNamed = !request.empty();
   search->services.assign(services.begin(), services.end());
   search->found = std::move(found);
-  const bool asks = search->isNamed || !isCurrent_ || !isCurrent_();
-  const absl::Span<const GatewayMember> others = members_.Others();
-  const std::vector<OriginKeeper> keepers = DescribeOthers(request);
-  const std::vector<std::size_t> sources =
-    asks ? ChooseOriginSources(keepers) : std::vector<std::size_t>();
   wire::StreamOriginAsk ask;
   ask.set_request(request);
   for (const std::string& service : services) {
     ask.add_services(service);
   }
-  const std::string body = ask.SerializeAsString();
-  search->open = sources.size();
-  search->answers.resize(sources.size());
-  for (const OriginKeeper& keeper : keepers) {
-    if (!keeper.isReachable) {
-      search->answers.push_back({ keeper.hall, false, std::nullopt, {} });
-    }
+  search->body = ask.SerializeAsString();
+  std::vector<Source> sources = GatewaySources(request, search->answers);
+  for (const KnownControl& control : controls_()) {
+    OriginAnswer answer;
+    answer.control = control.address;
+    answer.isFollowed = control.isFollowed;
+    sources.push_back({ control.address, "", search->answers.size() });
+    search->answers.push_back(std::move(answer));
   }
+  search->open = sources.size();
   metrics_.Count("stream_origins_asked", sources.size());
-  for (std::size_t i = 0; i < sources.size(); ++i) {
-    search->answers[i].hall = others[sources[i]].hall;
-    Ask(search, i, others[sources[i]], body, AskTries);
+  for (const Source& source : sources) {
+    Ask(search, source, AskTries);
   }
   if (sources.empty()) {
     boost::asio::post(loop_, [this, search] { Finish(*search); });
   }
 }
 
+/** Boxes that may keep a copy; those that can't be asked answer nothing. A
+ * request that was not named has no copy.
+ */
+std::vector<StreamOrigins::Source> StreamOrigins::GatewaySources(
+  const std::string& request, std::vector<OriginAnswer>& answers) const
+{
+  std::vector<Source> sources;
+  if (request.empty()) {
+    return sources;
+  }
+  const absl::Span<const GatewayMember> others = members_.Others();
+  const std::vector<OriginKeeper> keepers = DescribeOthers(request);
+  for (const std::size_t i : ChooseOriginSources(keepers)) {
+    sources.push_back({ others[i].address, others[i].box, answers.size() });
+    answers.emplace_back();
+  }
+  for (const OriginKeeper& keeper : keepers) {
+    if (!keeper.isReachable) {
+      answers.emplace_back();
+    }
+  }
+  return sources;
+}
+
 void StreamOrigins::Ask(const std::shared_ptr<Search>& search,
-                        std::size_t index, const GatewayMember& member,
-                        const std::string& body, int tries)
+                        const Source& source, int tries)
 {
-  peers_.Call(member.address, "/stream-origin", body, AskTimeout,
-              [this, search, index, member, body, tries,
+  peers_.Call(source.address, "/stream-origin", search->body, AskTimeout,
+              [this, search, source, tries,
                sent = ElapsedNow()](Outcome<std::string> reply) {
-                boost::asio::post(loop_, [this, search, index, member, body,
-                                          tries, sent,
+                boost::asio::post(loop_, [this, search, source, tries, sent,
                                           reply = std::move(reply)] {
                   // A connection that was reset is opened anew by the next
                   // call.
                   const bool isReset =
                     !Succeeded(reply) && ElapsedNow() - sent < AskTimeout / 2;
                   if (isReset && tries > 1) {
-                    Ask(search, index, member, body, tries - 1);
+                    Ask(search, source, tries - 1);
                     return;
                   }
-                  TakeAnswer(*search, index, member, reply);
+                  TakeAnswer(*search, source, reply);
                 });
               });
 }
 
-void StreamOrigins::TakeAnswer(Search& search, std::size_t index,
-                               const GatewayMember& member,
+void StreamOrigins::TakeAnswer(Search& search, const Source& source,
                                const Outcome<std::string>& reply)
 {
-  OriginAnswer& answer = search.answers[index];
+  OriginAnswer& answer = search.answers[source.answer];
   if (Succeeded(reply)) {
-    answer = detail::ReadOriginAnswer(member.hall, Value(reply));
+    OriginAnswer told = detail::ReadOriginAnswer(Value(reply));
+    told.control = answer.control;
+    told.isFollowed = answer.isFollowed;
+    answer = std::move(told);
   }
-  if (!answer.hasAnswered) {
-    members_.Doubt(member.box);
+  if (!answer.hasAnswered && !source.box.empty()) {
+    members_.Doubt(source.box);
   }
   --search.open;
   if (search.open == 0 || answer.origin) {
@@ -254,7 +273,7 @@
 void StreamOrigins::Finish(Search& search)
 {
   if (const Found found = std::exchange(search.found, nullptr)) {
-    const OriginView own = View(search.services);
+    const std::vector<StreamOrigin> own = Possible(search.services);
     OriginVerdict verdict =
       EvaluateOrigin(search.isNamed, own, search.answers);
     verdict.basis = DescribeBasis(own, search.answers);
@@ -262,17 +281,10 @@
   }
 }
 
-OriginView StreamOrigins::View(absl::Span<const std::string> services) const
-{
-  return { isCurrent_ && isCurrent_(),
-           PossibleOrigins(directory_, services, ElapsedNow() - StreamMemory),
-           isComplete_ && isComplete_() };
-}
-
-std::int64_t StreamOrigins::NewsAgeMs() const
+std::vector<StreamOrigin> StreamOrigins::Possible(
+  absl::Span<const std::string> services) const
 {
-  const absl::Duration age = newsAge_ ? newsAge_() : absl::InfiniteDuration();
-  return age == absl::InfiniteDuration() ? -1 : absl::ToInt64Milliseconds(age);
+  return PossibleOrigins(directory_, services, ElapsedNow() - StreamMemory);
 }
 
 std::string StreamOrigins::Take(const wire::StreamOrigins& origins)
@@ -295,10 +307,7 @@
   }
   const std::vector<std::string> services(ask.services().begin(),
                                           ask.services().end());
-  const OriginView view = View(services);
-  answer.set_is_current(view.isCurrent);
-  answer.set_is_complete(view.isComplete);
-  for (const StreamOrigin& possible : view.possible) {
+  for (const StreamOrigin& possible : Possible(services)) {
     wire::StreamOrigin& told = *answer.add_possible();
     told.set_service(possible.service);
     told.set_version(possible.version);
--- a/Source/Gateway/wgStreamOrigins.h
+++ b/Source/Gateway/wgStreamOrigins.h
@@ -1,7 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #pragma once
 
-#include <cstdint>
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
@@ -10,6 +10,7 @@
 #include "absl/time/time.h"
 #include "absl/types/span.h"
 
+#include "wgControlFollower.h"
 #include "wgDirectory.h"
 #include "wgGatewayMetrics.h"
 #include "wgHttpMessage.h"
@@ -30,8 +31,7 @@
                 Elapsed now);
 
 /** \brief Reads a box's answer; hasAnswered is false for damaged bytes. */
-OriginAnswer ReadOriginAnswer(const std::string& hall,
-                              const std::string& bytes);
+OriginAnswer ReadOriginAnswer(const std::string& bytes);
 
 } // namespace detail
 
@@ -53,23 +53,12 @@
                 const Directory& directory, std::string hall,
                 GatewayMetrics& metrics);
 
-  /** \brief Sets how to find out whether the directory is up to date, and
-   * whether it holds the endpoints that all control boxes know.
-   */
-  void SetChecks(std::function<bool()> isCurrent,
-                 std::function<bool()> isComplete,
-                 std::function<absl::Duration()> newsAge)
+  /** \brief Sets how to list the control boxes that are known. */
+  void SetControls(std::function<std::vector<KnownControl>()> controls)
   {
-    isCurrent_ = std::move(isCurrent);
-    isComplete_ = std::move(isComplete);
-    newsAge_ = std::move(newsAge);
+    controls_ = std::move(controls);
   }
 
-  /** \brief How long ago the control box that was not heard for the longest
-   * time was heard, in ms; -1: there is one that never was.
-   */
-  std::int64_t NewsAgeMs() const;
-
   /** \brief The first event of a stream passes to its caller.
    * \param request that brought it
    * \param left for which the stream may be taken up
@@ -95,18 +84,27 @@
 
 private:
   struct Search;
+  /** \brief A process that is asked. */
+  struct Source
+  {
+    std::string address;
+    std::string box;        // empty: a control box
+    std::size_t answer = 0; // place of its answer
+  };
 
   std::vector<OriginKeeper> DescribeOthers(const std::string& request) const;
   void SendCopies(const std::string& request, const OriginRecord& record);
   void SendCopy(const std::string& body, std::vector<GatewayMember> candidates,
                 std::size_t next, std::size_t tries);
-  void Ask(const std::shared_ptr<Search>& search, std::size_t index,
-           const GatewayMember& member, const std::string& body, int tries);
-  void TakeAnswer(Search& search, std::size_t index,
-                  const GatewayMember& member,
+  std::vector<Source> GatewaySources(const std::string& request,
+                                     std::vector<OriginAnswer>& answers) const;
+  void Ask(const std::shared_ptr<Search>& search, const Source& source,
+           int tries);
+  void TakeAnswer(Search& search, const Source& source,
                   const Outcome<std::string>& reply);
   void Finish(Search& search);
-  OriginView View(absl::Span<const std::string> services) const;
+  std::vector<StreamOrigin> Possible(
+    absl::Span<const std::string> services) const;
 
   EventLoop& loop_;
   PeerClient& peers_;
@@ -114,9 +112,7 @@
   const Directory& directory_;
   std::string hall_;
   GatewayMetrics& metrics_;
-  std::function<bool()> isCurrent_;
-  std::function<bool()> isComplete_;
-  std::function<absl::Duration()> newsAge_;
+  std::function<std::vector<KnownControl>()> controls_;
   OriginRecords records_;
   bool stopping_ = false;
 };
--- a/Tests/Control/wgEndpointFileTest.cxx
+++ b/Tests/Control/wgEndpointFileTest.cxx
@@ -68,7 +68,7 @@
     wg::EndpointFile file(disk, folder.path);
     CHECK_FALSE(file.Read(Now));
     for (int i = 0; i < 100; ++i) {
-      file.Keep(One("e" + std::to_string(i)), Now);
+      file.Keep(One("e" + std::to_string(i)), 0, Now);
     }
     CHECK(Holds(file, "e99"));
   }
@@ -82,7 +82,7 @@
 {
   Folder folder;
   wg::EndpointFile file(wg::SystemFileOperations(), folder.path);
-  file.Keep(One("e"), Now);
+  file.Keep(One("e"), 0, Now);
   REQUIRE(Holds(file, "e"));
   for (const absl::Duration age : { absl::Minutes(2), -absl::Minutes(2) }) {
     const auto read = file.Read(Now + age);
@@ -99,7 +99,7 @@
   wg::EndpointFile file(wg::SystemFileOperations(), folder.path);
   wg::wire::RememberedEndpoints known = One("e");
   known.add_crashes()->set_request("a");
-  file.Keep(known, Now);
+  file.Keep(known, 0, Now);
   REQUIRE(Holds(file, "e"));
   const auto read = file.Read(Now + absl::Hours(3));
   REQUIRE(read);
@@ -111,7 +111,7 @@
 {
   Folder folder;
   wg::EndpointFile file(wg::SystemFileOperations(), folder.path);
-  file.Keep(One("e"), Now);
+  file.Keep(One("e"), 0, Now);
   REQUIRE(Holds(file, "e"));
   const std::string path = folder.path + "/endpoints";
   for (const std::string& bytes :
@@ -132,10 +132,11 @@
   FullDisk disk;
   wg::EndpointFile file(disk, folder.path);
   for (int i = 0; i < 1000; ++i) {
-    file.Keep(One("e"), Now);
+    file.Keep(One("e"), 1, Now);
   }
   absl::SleepFor(absl::Milliseconds(50));
   CHECK_FALSE(file.Read(Now));
+  CHECK(file.WrittenVersions() == 0);
 }
 
 TEST_CASE("A first change after a quiet time waits for the end of a period")
@@ -144,22 +145,64 @@
   // of 1.5 s before all power was lost was not known after it.
   constexpr wg::Elapsed start = absl::Seconds(50);
   wg::KeepTurns turns;
-  CHECK(TakeKeepTurn(turns, 1, 0, start));
+  CHECK(TakeKeepTurn(turns, { 1, 0, 0 }, start));
   wg::Elapsed now = start;
   for (int i = 0; i < 1000; ++i) {
     now += absl::Milliseconds(15);
-    REQUIRE_FALSE(TakeKeepTurn(turns, 1, 0, now));
+    REQUIRE_FALSE(TakeKeepTurn(turns, { 1, 0, 0 }, now));
   }
   SECTION("of endpoints")
   {
-    CHECK(TakeKeepTurn(turns, 2, 0, now + absl::Milliseconds(15)));
+    CHECK(TakeKeepTurn(turns, { 2, 0, 0 }, now + absl::Milliseconds(15)));
   }
   SECTION("of what ends them")
   {
-    CHECK(TakeKeepTurn(turns, 1, 1, now + absl::Milliseconds(15)));
+    CHECK(TakeKeepTurn(turns, { 1, 1, 0 }, now + absl::Milliseconds(15)));
   }
 }
 
+TEST_CASE("A version that boxes are to be told of waits for no period")
+{
+  wg::KeepTurns turns;
+  const wg::Elapsed now = absl::Seconds(50);
+  CHECK(TakeKeepTurn(turns, { 1, 0, 1 }, now));
+  CHECK_FALSE(TakeKeepTurn(turns, { 2, 0, 1 }, now));
+  CHECK(TakeKeepTurn(turns, { 2, 0, 2 }, now));
+}
+
+TEST_CASE("Endpoints of a calm time are of use after a restart")
+{
+  // The age of the file is the time since its process last ran.
+  wg::KeepTurns turns;
+  wg::Elapsed now = absl::Seconds(50);
+  int written = 0;
+  for (int i = 0; i < 120; ++i) {
+    now += absl::Seconds(1);
+    written += TakeKeepTurn(turns, { 1, 0, 1 }, now) ? 1 : 0;
+  }
+  CHECK(written == 6);
+}
+
+TEST_CASE("Versions that served are known after a long time, too")
+{
+  Folder folder;
+  wg::EndpointFile file(wg::SystemFileOperations(), folder.path);
+  wg::wire::RememberedEndpoints known = One("e");
+  known.set_keeps_versions(true);
+  known.add_versions()->set_version("v1");
+  file.Keep(known, 3, Now);
+  REQUIRE(Holds(file, "e"));
+  const auto read = file.Read(Now + absl::Hours(3));
+  REQUIRE(read);
+  CHECK(read->endpoints().empty());
+  REQUIRE(read->versions_size() == 1);
+  CHECK(read->versions(0).version() == "v1");
+  for (int i = 0; i < 500 && file.WrittenVersions() != 3; ++i) {
+    absl::SleepFor(absl::Milliseconds(10));
+  }
+  CHECK(file.WrittenVersions() == 3);
+}
+
 TEST_CASE("Each change of a burst is written")
 {
   constexpr int ticks = 400;
@@ -170,11 +213,11 @@
   int written = 0;
   for (int i = 0; i < ticks; ++i) {
     now += tick;
-    written += TakeKeepTurn(turns, ++revision, 0, now) ? 1 : 0;
+    written += TakeKeepTurn(turns, { ++revision, 0, 0 }, now) ? 1 : 0;
   }
   CHECK(written <= ticks * tick / wg::KeepEndpointsPeriod + 1);
   // The last one is, too.
   now += wg::KeepEndpointsPeriod;
-  CHECK(TakeKeepTurn(turns, revision, 0, now));
-  CHECK(turns.endpoints == revision);
+  CHECK(TakeKeepTurn(turns, { revision, 0, 0 }, now));
+  CHECK(turns.revisions.endpoints == revision);
 }
--- a/Tests/Decision/wgStreamOriginTest.cxx
+++ b/Tests/Decision/wgStreamOriginTest.cxx
@@ -14,36 +14,62 @@
 using wg::OriginAnswer;
 using wg::OriginEvidence;
 using wg::OriginKeeper;
-using wg::OriginView;
 using wg::StreamOrigin;
 
 constexpr wg::Elapsed Now = absl::Seconds(100);
 const StreamOrigin V1{ "llm", "v1" };
 const StreamOrigin V2{ "llm", "v2" };
 
-OriginAnswer AnswerOf(const std::string& hall, OriginView view)
+using Origins = std::vector<StreamOrigin>;
+const Origins One{ V1 };
+const Origins Two{ V1, V2 };
+
+OriginAnswer AnswerOf(Origins possible)
 {
   OriginAnswer answer;
-  answer.hall = hall;
   answer.hasAnswered = true;
-  answer.view = std::move(view);
+  answer.possible = std::move(possible);
+  return answer;
+}
+
+/** Of a control box that is followed. */
+OriginAnswer HistoryOf(const std::string& control, Origins possible,
+                       bool isWhole = true)
+{
+  OriginAnswer answer = AnswerOf(std::move(possible));
+  answer.control = control;
+  answer.isFollowed = true;
+  answer.isWhole = isWhole;
   return answer;
 }
 
 OriginAnswer Reported(const StreamOrigin& origin)
 {
-  OriginAnswer answer = AnswerOf("h1", { true, { V1, V2 } });
+  OriginAnswer answer = AnswerOf(Two);
   answer.origin = origin;
   return answer;
 }
 
-OriginAnswer Silent(const std::string& hall)
+OriginAnswer Silent()
+{
+  return {};
+}
+
+OriginAnswer SilentControl(const std::string& control, bool isFollowed = true)
 {
   OriginAnswer answer;
-  answer.hall = hall;
+  answer.control = control;
+  answer.isFollowed = isFollowed;
   return answer;
 }
 
+OriginEvidence Judge(const Origins& own,
+                     const std::vector<OriginAnswer>& answers,
+                     bool isNamed = true)
+{
+  return wg::EvaluateOrigin(isNamed, own, answers).evidence;
+}
+
 } // namespace
 
 TEST_CASE("An origin is kept for as long as its stream may be taken up")
@@ -144,102 +170,98 @@
 
 TEST_CASE("An origin that a box keeps decides, whatever versions serve")
 {
-  const OriginView own{ true, { V1, V2 } };
-  const auto verdict = wg::EvaluateOrigin(
-    true, own, { Silent("h1"), Reported(V2), Silent("h2") });
+  const auto verdict =
+    wg::EvaluateOrigin(true, Two, { Silent(), Reported(V2), Silent() });
   CHECK(verdict.evidence == OriginEvidence::Reported);
   CHECK(verdict.origin == V2);
-  // It holds against a box that knows the other version alone.
-  CHECK(wg::EvaluateOrigin(true, { true, { V1 } }, { Reported(V2) }).origin ==
-        V2);
-  CHECK(
-    wg::EvaluateOrigin(true, own, { Reported(V1), Reported(V2) }).evidence ==
-    OriginEvidence::None);
-  CHECK(wg::EvaluateOrigin(true, own, { Reported({ "llm", "" }) }).evidence ==
-        OriginEvidence::None);
+  // It holds against boxes that know the other version alone.
+  CHECK(wg::EvaluateOrigin(true, One, { HistoryOf("c1", One), Reported(V2) })
+          .origin == V2);
+  CHECK(Judge(Two, { Reported(V1), Reported(V2) }) == OriginEvidence::None);
+  CHECK(Judge(Two, { Reported({ "llm", "" }) }) == OriginEvidence::None);
 }
 
-TEST_CASE("Without a record a stream goes on only if one version serves")
+TEST_CASE("Without a record a stream goes on only if one version has served")
 {
-  const OriginView one{ true, { V1 }, true };
-  const OriginView two{ true, { V1, V2 }, true };
-  const OriginView stale{ false, { V1 } };
-  const auto judge = [](const OriginView& own,
-                        const std::vector<OriginAnswer>& answers) {
-    return wg::EvaluateOrigin(true, own, answers).evidence;
-  };
-  CHECK(judge(one, {}) == OriginEvidence::OnlyVersion);
-  CHECK(judge(one, { AnswerOf("h1", one), AnswerOf("h2", one) }) ==
+  const OriginAnswer whole = HistoryOf("c1", One);
+  CHECK(Judge(One, { whole }) == OriginEvidence::OnlyVersion);
+  CHECK(Judge(One, { whole, AnswerOf(One), Silent() }) ==
         OriginEvidence::OnlyVersion);
-  CHECK(judge(two, { AnswerOf("h1", one) }) == OriginEvidence::None);
-  CHECK(judge(one, { AnswerOf("h1", two) }) == OriginEvidence::None);
-  CHECK(judge(one, { AnswerOf("h1", { false, { V1, V2 } }) }) ==
-        OriginEvidence::None);
-  // This box may not have heard of all.
-  CHECK(judge(stale, { AnswerOf("h1", one) }) == OriginEvidence::None);
-  CHECK(judge({ true, {}, true }, {}) == OriginEvidence::None);
-  CHECK(judge({ true, { { "llm", "" } }, true }, {}) == OriginEvidence::None);
-  CHECK(judge({ true, { V1, { "other", "v1" } }, true }, {}) ==
-        OriginEvidence::None);
-  // Of each hall one box confirms it.
-  CHECK(judge(one, { AnswerOf("h1", one), Silent("h1"), Silent("h2") }) ==
+  // A box that has just started knows no endpoint yet.
+  CHECK(Judge({}, { whole }) == OriginEvidence::OnlyVersion);
+  CHECK(Judge(Two, { whole }) == OriginEvidence::None);
+  CHECK(Judge(One, { whole, AnswerOf(Two) }) == OriginEvidence::None);
+  CHECK(Judge({}, { HistoryOf("c1", Two) }) == OriginEvidence::None);
+  CHECK(Judge({}, { HistoryOf("c1", {}) }) == OriginEvidence::None);
+  CHECK(Judge({}, { HistoryOf("c1", { { "llm", "" } }) }) ==
         OriginEvidence::None);
-  CHECK(judge(one, { AnswerOf("h1", one), AnswerOf("h2", stale) }) ==
+  CHECK(Judge({}, { HistoryOf("c1", { V1, { "other", "v1" } }) }) ==
         OriginEvidence::None);
-  CHECK(judge(one, { Silent("h1"), AnswerOf("h1", one) }) ==
-        OriginEvidence::OnlyVersion);
+  // What boxes know themselves is no evidence: news may be on its way.
+  CHECK(Judge(One, {}) == OriginEvidence::None);
+  CHECK(Judge(One, { AnswerOf(One), AnswerOf(One) }) == OriginEvidence::None);
 }
 
-TEST_CASE("Without a record one box must have heard from all control boxes")
+TEST_CASE("Without a record each control box must tell what has served")
 {
-  const OriginView complete{ true, { V1 }, true };
-  const OriginView partial{ true, { V1 }, false };
-  const auto evaluate = [](const OriginView& own,
-                           const std::vector<OriginAnswer>& answers) {
-    return wg::EvaluateOrigin(true, own, answers);
-  };
-  const auto alone = evaluate(partial, {});
-  CHECK(alone.evidence == OriginEvidence::None);
-  CHECK_FALSE(alone.isFinal);
-  CHECK(evaluate(partial, { AnswerOf("h1", partial) }).evidence ==
+  const OriginAnswer whole = HistoryOf("c1", One);
+  CHECK(Judge(One, { whole, HistoryOf("c2", One) }) ==
+        OriginEvidence::OnlyVersion);
+  CHECK(Judge(One, { whole, HistoryOf("c2", { V2 }) }) ==
         OriginEvidence::None);
-  CHECK(evaluate(partial, { AnswerOf("h1", complete) }).evidence ==
+  CHECK(Judge(One, { whole, SilentControl("c2") }) == OriginEvidence::None);
+  // One that lost its disk may have told of others before.
+  CHECK(Judge(One, { whole, HistoryOf("c2", One, false) }) ==
+        OriginEvidence::None);
+  // One that was not heard for long counts as a member of the cluster only.
+  CHECK(Judge(One, { whole, SilentControl("c2", false) }) ==
         OriginEvidence::OnlyVersion);
-  CHECK(evaluate(complete, { AnswerOf("h1", partial) }).evidence ==
+  OriginAnswer member = whole;
+  member.members = { "c1", "c2" };
+  CHECK(Judge(One, { member, SilentControl("c2", false) }) ==
+        OriginEvidence::None);
+  // This box does not know of it yet.
+  CHECK(Judge(One, { member }) == OriginEvidence::None);
+  CHECK(Judge(One, { member, HistoryOf("c2", One) }) ==
         OriginEvidence::OnlyVersion);
-  // Two versions stay two.
-  CHECK(evaluate({ true, { V1, V2 }, false }, {}).isFinal);
 }
 
-TEST_CASE("A stream whose request is not named needs one view up to date")
+TEST_CASE("A stream whose request is not named needs the control boxes that "
+          "answer")
 {
-  const OriginView one{ true, { V1 } };
-  const OriginView stale{ false, { V1 } };
-  const auto judge = [](const OriginView& own,
-                        const std::vector<OriginAnswer>& answers) {
-    return wg::EvaluateOrigin(false, own, answers).evidence;
-  };
-  CHECK(judge(one, {}) == OriginEvidence::OnlyVersion);
-  CHECK(judge(one, { Silent("h1"), Silent("h2") }) ==
-        OriginEvidence::OnlyVersion);
-  CHECK(judge(stale, {}) == OriginEvidence::None);
-  CHECK(judge(stale, { Silent("h1"), AnswerOf("h2", one) }) ==
+  const OriginAnswer whole = HistoryOf("c1", One);
+  CHECK(Judge(One, { whole, SilentControl("c2") }, false) ==
         OriginEvidence::OnlyVersion);
-  // A box that has just started knows no endpoint yet.
-  CHECK(judge({ false, {} }, { AnswerOf("h1", one) }) ==
-        OriginEvidence::OnlyVersion);
-  CHECK(judge(stale, { AnswerOf("h1", stale) }) == OriginEvidence::None);
-  CHECK(judge({ true, { V1, V2 } }, {}) == OriginEvidence::None);
-  CHECK(judge(one, { AnswerOf("h1", { false, { V2 } }) }) ==
+  CHECK(Judge({}, { whole, Silent() }, false) == OriginEvidence::OnlyVersion);
+  CHECK(Judge(One, { SilentControl("c1") }, false) == OriginEvidence::None);
+  CHECK(Judge(One, { AnswerOf(One) }, false) == OriginEvidence::None);
+  CHECK(Judge(Two, { whole }, false) == OriginEvidence::None);
+  CHECK(Judge(One, { whole, HistoryOf("c2", { V2 }) }, false) ==
+        OriginEvidence::None);
+  CHECK(Judge(One, { whole, HistoryOf("c2", One, false) }, false) ==
         OriginEvidence::None);
 }
 
 TEST_CASE("Asking again is worth it where boxes did not answer")
 {
-  const OriginView two{ true, { V1, V2 } };
-  CHECK(wg::EvaluateOrigin(true, two, { AnswerOf("h1", two) }).isFinal);
-  CHECK_FALSE(
-    wg::EvaluateOrigin(true, two, { AnswerOf("h1", two), Silent("h2") })
-      .isFinal);
-  CHECK_FALSE(wg::EvaluateOrigin(true, { false, { V1 } }, {}).isFinal);
+  const OriginAnswer whole = HistoryOf("c1", Two);
+  const auto isFinal = [](const Origins& own,
+                          const std::vector<OriginAnswer>& answers) {
+    return wg::EvaluateOrigin(true, own, answers).isFinal;
+  };
+  CHECK(isFinal(Two, { whole }));
+  CHECK_FALSE(isFinal(Two, { whole, Silent() }));
+  CHECK_FALSE(isFinal(Two, { whole, SilentControl("c2") }));
+  CHECK_FALSE(isFinal(One, { HistoryOf("c1", One, false) }));
+  CHECK_FALSE(isFinal(One, {}));
+}
+
+TEST_CASE("A verdict tells what it rests on")
+{
+  const wg::OriginBasis basis = wg::DescribeBasis(
+    One, { HistoryOf("c1", Two), SilentControl("c2"), AnswerOf(One) });
+  CHECK(basis.asked == 3);
+  CHECK(basis.answered == 2);
+  CHECK(basis.controls == 1);
+  CHECK(basis.possible == Two);
 }
--- a/Tests/Fuzz/wgFuzzTest.cxx
+++ b/Tests/Fuzz/wgFuzzTest.cxx
@@ -212,16 +212,16 @@
   Mutator mutate;
   wg::wire::StreamOriginAnswer answer;
   *answer.mutable_origin() = MakeOrigin("request-1");
-  answer.set_is_current(true);
+  answer.set_is_whole(true);
+  answer.add_members("c1");
   *answer.add_possible() = MakeOrigin("");
   const std::string bytes = answer.SerializeAsString();
   int known = 0;
   for (int i = 0; i < Rounds; ++i) {
-    const wg::OriginAnswer read =
-      wg::detail::ReadOriginAnswer("h1", mutate(bytes));
-    REQUIRE((read.hasAnswered || (!read.origin && !read.view.isCurrent)));
-    const wg::OriginVerdict verdict =
-      wg::EvaluateOrigin(true, { true, {} }, { read });
+    wg::OriginAnswer read = wg::detail::ReadOriginAnswer(mutate(bytes));
+    REQUIRE((read.hasAnswered || (!read.origin && !read.isWhole)));
+    read.control = "c1";
+    const wg::OriginVerdict verdict = wg::EvaluateOrigin(true, {}, { read });
     if (verdict.evidence == wg::OriginEvidence::None) {
       REQUIRE(verdict.origin.version.empty());
       continue;
