Test: heads of answers cut at any byte

cut-in-head cuts heads at each byte for all six kinds of answers, in three framings, by FIN and RST, every other cut after two answers that keep their connections (with a length or chunks). No cut head reached a caller as an answer; resumable streams went on at the other endpoint. Stage calls, reports, probes and relays are not cut here.

--- a/Tests/Platform/wgPlatformAnswerEndTest.cxx
+++ b/Tests/Platform/wgPlatformAnswerEndTest.cxx
@@ -354,6 +354,60 @@
   CHECK(f.resumed > 0);
 }
 
+// A head that stops in its middle is taken for the head of an empty answer.
+TEST_CASE("Heads cut at any byte are no answers", "[cut-in-head]")
+{
+  Cluster f;
+  std::map<std::string, int> faults;
+  int kept = 0;
+  const auto send = [&f](std::size_t cut, AnswerClose close) {
+    {
+      const std::lock_guard<std::mutex> lock(f.mutex);
+      f.cut = cut;
+      f.close = close;
+    }
+    return f.Send();
+  };
+  for (const Kind& kind : Kinds) {
+    for (const Framing framing :
+         { Framing::Length, Framing::Chunks, Framing::Close }) {
+      const Wire whole =
+        MakeAnswer(kind, framing, "request1000000", PartsOf(kind));
+      {
+        const std::lock_guard<std::mutex> lock(f.mutex);
+        f.kind = &kind;
+        f.framing = framing;
+      }
+      for (const AnswerClose close :
+           { AnswerClose::Finish, AnswerClose::Reset }) {
+        for (std::size_t cut = 0; cut < whole.headBytes; ++cut) {
+          // Both endpoints have a connection that has answered before.
+          const bool isLater = framing != Framing::Close && cut % 2 == 1;
+          if (isLater) {
+            const std::size_t all = std::string::npos;
+            kept += send(all, AnswerClose::KeepOpen).status == 200 ? 1 : 0;
+            kept += send(all, AnswerClose::KeepOpen).status == 200 ? 1 : 0;
+          }
+          const CallerAnswer answer = send(cut, close);
+          const bool isResumed = f.wasResumed && answer.status == 200 &&
+                                 answer.end == CallerEnd::Whole &&
+                                 answer.body == BodyOf(kind);
+          if (answer.status == 200 && !isResumed) {
+            ++faults[absl::StrCat(kind.name, ", cut at ", cut, " of ",
+                                  whole.headBytes)];
+          }
+        }
+      }
+    }
+  }
+  for (const auto& [fault, count] : faults) {
+    UNSCOPED_INFO(count << " times " << fault);
+  }
+  CHECK(faults.empty());
+  CHECK(kept > 0);
+  CHECK(f.resumed > 0);
+}
+
 // An event without an end was kept whole for each of its streams, and the
 // answer to a stage's call as well.
 TEST_CASE("An event without an end is kept", "[too-long]")
