Test: the soak of streams kills all gateways, all control boxes and both

--kill-all: about once in 5 s all gateways, all control boxes or both are killed and are back within 0.7 s; endpoints tell of themselves every 1.2 s, and callers try on for 10 s.

--- a/Tests/Platform/wgPlatformSoakCheck.cxx
+++ b/Tests/Platform/wgPlatformSoakCheck.cxx
@@ -234,29 +234,39 @@
   }
 }
 
-/** Tries that were sent to boxes in touch. */
-struct StreamTries
+/** Streams that were asked for at boxes in touch, each counted once. */
+struct StreamShare
 {
   int all = 0;
-  int goOn = 0; // at least one event came
+  int goOn = 0; // at least one event came there
 };
 
+void CountStream(const SoakStreams& record, const SoakStream& stream,
+                 bool takesUp, StreamShare& share)
+{
+  bool isAsked = false;
+  bool goesOn = false;
+  for (const SoakStreamTry& one : stream.tries) {
+    const bool counts =
+      one.takesUp == takesUp && IsInTouch(record, one.box, one.sent);
+    isAsked |= counts;
+    goesOn |= counts && (one.events > 0 || one.isWhole);
+  }
+  share.all += isAsked ? 1 : 0;
+  share.goOn += goesOn ? 1 : 0;
+}
+
 /** The rule: of 12 or more streams that are taken up, at least half as large a
  * share goes on as of new streams begins.
  */
 void CheckTakenUp(const SoakStreams& record, Findings& findings)
 {
   constexpr int least = 12;
-  StreamTries taken;
-  StreamTries fresh;
+  StreamShare taken;
+  StreamShare fresh;
   for (const SoakStream& stream : record.streams) {
-    for (const SoakStreamTry& one : stream.tries) {
-      if (IsInTouch(record, one.box, one.sent)) {
-        StreamTries& tries = one.takesUp ? taken : fresh;
-        ++tries.all;
-        tries.goOn += one.events > 0 || one.isWhole ? 1 : 0;
-      }
-    }
+    CountStream(record, stream, true, taken);
+    CountStream(record, stream, false, fresh);
   }
   const bool isRarer =
     2.0 * taken.goOn * fresh.all < 1.0 * fresh.goOn * taken.all;
--- a/Tests/Platform/wgPlatformStreamSoak.cxx
+++ b/Tests/Platform/wgPlatformStreamSoak.cxx
@@ -41,12 +41,25 @@
 constexpr int EnginesOfEach = 3; // one at a time starts again
 constexpr int StreamLength = 4;
 constexpr int EventMs = 120;
+/** Most streams that run have begun before what is on its way to disks. */
+constexpr int EventMsBesideKills = 500;
 constexpr int MostTries = 4;
+/** Where all processes may be down: until they have been back for long. */
+constexpr int MostTriesBesideKills = 60;
+constexpr absl::Duration Deadline = absl::Seconds(6);
+constexpr absl::Duration DeadlineBesideKills = absl::Seconds(10);
+constexpr int LongestPauseMs = 30;
+constexpr int LongestPauseBesideKillsMs = 300;
+/** Heartbeats of one endpoint after the other, each every 1.2 s. */
+constexpr int HeartbeatGapMs = 200;
 /** Of an answer, after which some callers' connections break. */
 constexpr int MostBytes = 150;
 constexpr absl::Duration RecoveryLimit = absl::Seconds(15);
 const std::vector<std::string> Halls{ "h1", "h1", "h1", "h2", "h2" };
 
+/** Whether all gateways, all control boxes and both are killed, too. */
+bool killsAll = false;
+
 int Draw(Random& random, int least, int most)
 {
   return std::uniform_int_distribution<int>(least, most)(random);
@@ -63,7 +76,7 @@
     standin.AppearAt(Local(port));
     standin.SetVersion(version);
     standin.TellVersionInEvents();
-    standin.SetEventMs(EventMs);
+    standin.SetEventMs(killsAll ? EventMsBesideKills : EventMs);
     standin.FallsFor(0);
   }
   PlatformStandin standin;
@@ -111,8 +124,11 @@
           break;
         }
       }
+      if (killsAll) {
+        absl::SleepFor(absl::Milliseconds(HeartbeatGapMs));
+      }
     }
-    absl::SleepFor(absl::Milliseconds(100));
+    absl::SleepFor(absl::Milliseconds(killsAll ? 0 : 100));
   }
 }
 
@@ -201,11 +217,14 @@
 {
   Random random(run.seed * 1000 + static_cast<std::uint64_t>(thread));
   const int boxes = run.cluster.Gateways();
+  const int most = killsAll ? MostTriesBesideKills : MostTries;
+  const int pause = killsAll ? LongestPauseBesideKillsMs : LongestPauseMs;
   while (!run.stopping) {
     SoakStream stream;
     stream.length = StreamLength;
-    const absl::Time deadline = absl::Now() + absl::Seconds(6);
-    for (int tries = 0; tries < MostTries && absl::Now() < deadline; ++tries) {
+    const absl::Time deadline =
+      absl::Now() + (killsAll ? DeadlineBesideKills : Deadline);
+    for (int tries = 0; tries < most && absl::Now() < deadline; ++tries) {
       const int box = Draw(random, 0, boxes - 1);
       const bool breaks = Draw(random, 0, 3) == 0;
       const int bytes = breaks ? Draw(random, 1, MostBytes) : 0;
@@ -214,7 +233,7 @@
       if (stream.tries.back().isWhole) {
         break;
       }
-      absl::SleepFor(absl::Milliseconds(Draw(random, 2, 30)));
+      absl::SleepFor(absl::Milliseconds(Draw(random, 2, pause)));
     }
     const std::lock_guard<std::mutex> lock(run.mutex);
     run.record.streams.push_back(std::move(stream));
@@ -263,6 +282,10 @@
   {
     const absl::Time end = absl::Now() + time;
     while (absl::Now() < end) {
+      if (killsAll && Draw(random_, 0, 2) == 0) {
+        KillAll();
+        continue;
+      }
       switch (Draw(random_, 0, 9)) {
         case 0:
         case 1:
@@ -312,6 +335,31 @@
     }
   }
 
+  /** All gateways, all control boxes, or both; their disks are kept. */
+  void KillAll()
+  {
+    const int kind = Draw(random_, 0, 2);
+    const int gateways = kind == 1 ? 0 : run_.cluster.Gateways();
+    const int controls = kind == 0 ? 0 : PlatformCluster::Controls;
+    const absl::Time from = absl::Now();
+    for (int i = 0; i < controls; ++i) {
+      run_.cluster.Control(i).Kill();
+    }
+    for (int i = 0; i < gateways; ++i) {
+      run_.cluster.Gateway(i).Kill();
+    }
+    absl::SleepFor(absl::Milliseconds(Draw(random_, 50, 700)));
+    for (int i = 0; i < controls; ++i) {
+      run_.cluster.StartControl(i, false);
+    }
+    for (int i = 0; i < gateways; ++i) {
+      run_.cluster.StartGateway(i);
+    }
+    run_.NoteDisturbance(SoakDisturbance::AllBoxes, from, absl::Now());
+    // Boxes are in touch 3 s after.
+    absl::SleepFor(absl::Milliseconds(Draw(random_, 3500, 6000)));
+  }
+
   void CutControlLink()
   {
     Forwarder& link = run_.cluster.ControlLink(
@@ -395,5 +443,8 @@
 int main(int argc, char** argv)
 {
   return wg::test::RunSoak(
-    argc, argv, "Soaks streams over endpoints of two versions.", &RunSeed);
+    argc, argv, "Soaks streams over endpoints of two versions.", &RunSeed,
+    { { "kill-all",
+        "All gateways, all control boxes and both are killed, too.",
+        &killsAll } });
 }
--- a/Tests/Platform/wgSoakMain.h
+++ b/Tests/Platform/wgSoakMain.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <cstdio>
 #include <functional>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -15,11 +16,20 @@
 using SoakSeed = std::function<std::vector<std::string>(
   std::uint64_t seed, int seconds, const std::string& daemon)>;
 
+/** \brief A switch of a soak's command line. */
+struct SoakSwitch
+{
+  std::string name;
+  std::string description;
+  bool* isSet = nullptr;
+};
+
 /** \brief The main function of a soak. Returns its exit code: 1 where a seed
  * broke a promise, 2 where it could not run.
  */
 inline int RunSoak(int argc, char** argv, const std::string& what,
-                   const SoakSeed& runSeed)
+                   const SoakSeed& runSeed,
+                   const std::vector<SoakSwitch>& switches = {})
 {
   try {
     TCLAP::CmdLine line(what);
@@ -32,7 +42,15 @@
     TCLAP::ValueArg<std::string> daemon(
       "", "daemon", "Another program in place of the one built here.", false,
       "", "path", line);
+    std::vector<std::unique_ptr<TCLAP::SwitchArg>> more;
+    for (const SoakSwitch& one : switches) {
+      more.push_back(std::make_unique<TCLAP::SwitchArg>(
+        "", one.name, one.description, line, false));
+    }
     line.parse(argc, argv);
+    for (std::size_t i = 0; i < switches.size(); ++i) {
+      *switches[i].isSet = more[i]->getValue();
+    }
     int broken = 0;
     for (int i = 0; i < seeds.getValue(); ++i) {
       const std::uint64_t now =
