Control: what a disk did not take is written again, with a test of the hold

A version that the disk did not take was written again at the next change or after 20 s; until then the control box's history was not whole. It is written again after a second.

wgPlatformJoinedStreamTest unwritten: a control box whose file can't be replaced tells boxes of a new version's endpoint a second later at the earliest, and tells them in the end.

--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -124,9 +124,13 @@
   }
   const KeptRevisions revisions{ registry_.revision, crashes_.revision,
                                  versions_.revision };
-  if (!TakeKeepTurn(keepTurns_, revisions, now)) {
+  const bool isUnwritten =
+    endpointFile_->WrittenVersions() < versions_.revision &&
+    now - keepTurns_.kept >= KeepEndpointsPeriod;
+  if (!TakeKeepTurn(keepTurns_, revisions, now) && !isUnwritten) {
     return;
   }
+  keepTurns_.kept = now;
   wire::RememberedEndpoints known = RememberEndpoints(registry_);
   RememberVersions(versions_, known);
   for (const auto& [key, record] : crashes_.records) {
--- a/Tests/Platform/wgPlatformJoinedStreamTest.cxx
+++ b/Tests/Platform/wgPlatformJoinedStreamTest.cxx
@@ -1,5 +1,8 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <csignal>
+#include <filesystem>
+#include <set>
+#include <string>
 #include <vector>
 
 #include <catch2/catch.hpp>
@@ -139,3 +142,24 @@
     }
   }
 }
+
+// A version that a restart would forget begins streams.
+TEST_CASE("A version starts while a disk takes nothing", "[unwritten]")
+{
+  Versions f(OneHall, { "v1" });
+  REQUIRE(
+    std::filesystem::create_directory(f.cluster.FileAt("c1/endpoints.new")));
+  PlatformStandin other("engine-v2");
+  other.SetVersion("v2");
+  other.TellVersionInEvents();
+  other.BornAt(Versions::FirstBornMs);
+  const absl::Time registered = absl::Now();
+  REQUIRE(other.Register(f.cluster.Api(1), "llm"));
+  for (bool isHeld = true; isHeld;) {
+    const Stream stream = f.Begin(0);
+    isHeld = absl::Now() < registered + absl::Seconds(1);
+    CHECK((!isHeld || stream.versions == std::set<std::string>{ "v1" }));
+  }
+  // The service does not wait for the disk for ever.
+  f.AwaitVersions(0, TwoVersions);
+}
