--- a/Tests/Platform/wgPlatformJoinedStreamTest.cxx
+++ b/Tests/Platform/wgPlatformJoinedStreamTest.cxx
@@ -16,7 +16,6 @@
 using wg::test::Await;
 using wg::test::Ok;
 using wg::test::OneHall;
-using wg::test::PlatformStandin;
 using wg::test::Stream;
 using wg::test::TwoHalls;
 using wg::test::TwoVersions;
@@ -86,11 +85,8 @@
     return f.cluster.Counter(0, "coordinators_suspected") > 0;
   });
   absl::SleepFor(absl::Seconds(2)); // calls to control boxes wait for 1 s
-  PlatformStandin other("engine-v2");
-  other.SetVersion("v2");
-  other.TellVersionInEvents();
-  other.BornAt(Versions::FirstBornMs);
-  REQUIRE(other.Register(f.cluster.Api(1), "llm"));
+  const auto other = Versions::MakeEngine("engine-v2", "v2");
+  REQUIRE(other->Register(f.cluster.Api(1), "llm"));
   f.AwaitVersions(0, TwoVersions);
   const auto begun = f.BeginMany(0, TwoVersions, Count);
   f.cluster.ControlLink(1).Cut();
@@ -127,11 +123,8 @@
 {
   Versions f(TwoHalls, { "v1" });
   const auto begun = f.BeginMany(0, { "v1" }, Count);
-  PlatformStandin other("engine-v2");
-  other.SetVersion("v2");
-  other.TellVersionInEvents();
-  other.BornAt(Versions::FirstBornMs);
-  REQUIRE(other.Register(f.cluster.Api(1), "llm"));
+  const auto other = Versions::MakeEngine("engine-v2", "v2");
+  REQUIRE(other->Register(f.cluster.Api(1), "llm"));
   f.AwaitVersions(0, TwoVersions);
   f.AwaitCopies(0);
   f.RestartGateways();
@@ -149,12 +142,9 @@
   Versions f(OneHall, { "v1" });
   REQUIRE(
     std::filesystem::create_directory(f.cluster.FileAt("c1/endpoints.new")));
-  PlatformStandin other("engine-v2");
-  other.SetVersion("v2");
-  other.TellVersionInEvents();
-  other.BornAt(Versions::FirstBornMs);
+  const auto other = Versions::MakeEngine("engine-v2", "v2");
   const absl::Time registered = absl::Now();
-  REQUIRE(other.Register(f.cluster.Api(1), "llm"));
+  REQUIRE(other->Register(f.cluster.Api(1), "llm"));
   for (bool isHeld = true; isHeld;) {
     const Stream stream = f.Begin(0);
     isHeld = absl::Now() < registered + absl::Seconds(1);
--- a/Tests/Platform/wgPlatformStreamSoak.cxx
+++ b/Tests/Platform/wgPlatformStreamSoak.cxx
@@ -58,7 +58,7 @@
 const std::vector<std::string> Halls{ "h1", "h1", "h1", "h2", "h2" };
 
 /** Whether all gateways, all control boxes and both are killed, too. */
-bool killsAll = false;
+bool KillsAll = false;
 
 int Draw(Random& random, int least, int most)
 {
@@ -76,7 +76,7 @@
     standin.AppearAt(Local(port));
     standin.SetVersion(version);
     standin.TellVersionInEvents();
-    standin.SetEventMs(killsAll ? EventMsBesideKills : EventMs);
+    standin.SetEventMs(KillsAll ? EventMsBesideKills : EventMs);
     standin.FallsFor(0);
   }
   PlatformStandin standin;
@@ -124,11 +124,11 @@
           break;
         }
       }
-      if (killsAll) {
+      if (KillsAll) {
         absl::SleepFor(absl::Milliseconds(HeartbeatGapMs));
       }
     }
-    absl::SleepFor(absl::Milliseconds(killsAll ? 0 : 100));
+    absl::SleepFor(absl::Milliseconds(KillsAll ? 0 : 100));
   }
 }
 
@@ -217,13 +217,13 @@
 {
   Random random(run.seed * 1000 + static_cast<std::uint64_t>(thread));
   const int boxes = run.cluster.Gateways();
-  const int most = killsAll ? MostTriesBesideKills : MostTries;
-  const int pause = killsAll ? LongestPauseBesideKillsMs : LongestPauseMs;
+  const int most = KillsAll ? MostTriesBesideKills : MostTries;
+  const int pause = KillsAll ? LongestPauseBesideKillsMs : LongestPauseMs;
   while (!run.stopping) {
     SoakStream stream;
     stream.length = StreamLength;
     const absl::Time deadline =
-      absl::Now() + (killsAll ? DeadlineBesideKills : Deadline);
+      absl::Now() + (KillsAll ? DeadlineBesideKills : Deadline);
     for (int tries = 0; tries < most && absl::Now() < deadline; ++tries) {
       const int box = Draw(random, 0, boxes - 1);
       const bool breaks = Draw(random, 0, 3) == 0;
@@ -282,7 +282,7 @@
   {
     const absl::Time end = absl::Now() + time;
     while (absl::Now() < end) {
-      if (killsAll && Draw(random_, 0, 2) == 0) {
+      if (KillsAll && Draw(random_, 0, 2) == 0) {
         KillAll();
         continue;
       }
@@ -446,5 +446,5 @@
     argc, argv, "Soaks streams over endpoints of two versions.", &RunSeed,
     { { "kill-all",
         "All gateways, all control boxes and both are killed, too.",
-        &killsAll } });
+        &KillsAll } });
 }
--- a/Tests/Platform/wgPlatformStreamVersionTest.cxx
+++ b/Tests/Platform/wgPlatformStreamVersionTest.cxx
@@ -219,11 +219,8 @@
           "[unknown-origin]")
 {
   Versions f(OneHall, { "v1" });
-  PlatformStandin other("engine-v2");
-  other.SetVersion("v2");
-  other.TellVersionInEvents();
-  other.BornAt(Versions::FirstBornMs);
-  REQUIRE(other.Register(f.cluster.Api(1), "llm"));
+  const auto other = Versions::MakeEngine("engine-v2", "v2");
+  REQUIRE(other->Register(f.cluster.Api(1), "llm"));
   f.AwaitVersions(1, TwoVersions);
   const auto begun = f.BeginMany(0, TwoVersions, 4);
   f.cluster.Control(1).Signal(SIGSTOP);
--- a/Tests/Platform/wgStreamVersions.h
+++ b/Tests/Platform/wgStreamVersions.h
@@ -52,11 +52,8 @@
     cluster.AwaitServing();
     for (const std::string& version : versions) {
       for (int i = 0; i < ofEach; ++i) {
-        engines.push_back(std::make_unique<PlatformStandin>(
-          absl::StrCat("engine-", version, "-", i)));
-        engines.back()->SetVersion(version);
-        engines.back()->TellVersionInEvents();
-        engines.back()->BornAt(FirstBornMs);
+        engines.push_back(
+          MakeEngine(absl::StrCat("engine-", version, "-", i), version));
         REQUIRE(engines.back()->Register(cluster.Api(0), "llm"));
       }
     }
@@ -65,6 +62,16 @@
     }
   }
 
+  static std::unique_ptr<PlatformStandin> MakeEngine(
+    const std::string& id, const std::string& version)
+  {
+    auto engine = std::make_unique<PlatformStandin>(id);
+    engine->SetVersion(version);
+    engine->TellVersionInEvents();
+    engine->BornAt(FirstBornMs);
+    return engine;
+  }
+
   void AwaitVersions(int gateway, const std::vector<std::string>& versions)
   {
     std::set<std::string> seen;
