Control: a heartbeat of another writer is refused before its version counts

wgPlatformProcessTest.foreign failed since: a heartbeat under a known endpoint's name that tells of another service was acknowledged with 200, and held until its version would be on the disk, where 400 is due.

--- a/Source/Control/wgControlNodeEndpoints.cxx
+++ b/Source/Control/wgControlNodeEndpoints.cxx
@@ -23,11 +23,20 @@
 HeartbeatTaken ControlNode::Register(const wire::Registration& heartbeat)
 {
   const Elapsed now = ElapsedNow();
+  const std::string id = IdentityOf(StartOf(heartbeat));
+  const auto known = registry_.endpoints.find(id);
+  const auto held = held_.find(id);
+  if (known != registry_.endpoints.end() &&
+      known->second.registration.service() != heartbeat.service()) {
+    return TakeSound(heartbeat); // it changes nothing
+  }
+  if (held != held_.end() &&
+      held->second.heartbeat.service() != heartbeat.service()) {
+    return HeartbeatTaken::Foreign;
+  }
   if (!NoteServing(versions_, heartbeat.service(), heartbeat.version(), now)) {
     return HeartbeatTaken::TooMany;
   }
-  const std::string id = IdentityOf(StartOf(heartbeat));
-  const auto held = held_.find(id);
   const bool isWritten =
     IsWritten(versions_, heartbeat.service(), heartbeat.version());
   if (held == held_.end() && isWritten) {
