Gateway: unsound items of a stage's answer concern one request

What callers saw: a gateway ended (SIGABRT), and with it the answers to all requests at work in it, when one endpoint of a stage answered an item with a reason that is no text, or with a handle that no field holds. The next gateway took the pool over and ended with the next such answer.

Cause: json.value() throws where a field has another type; the HTTP library's set() throws at values of more than 65,533 bytes. Nothing catches either between the reader and the loop. A sound request got there too, with 2,600 pieces in its last stage. A handle with a line's end would have begun a field of its own.

Change: items are read with wgJson.h; a handle must be visible ASCII without a comma, 1,024 bytes at most, else its item has failed, as any other failed item. What a request is to carry is set with SetField, which returns false where the library would throw; MakeForwardedRequest returns an outcome. Pieces whose handles a field can't be expected to hold (some 1,600 of one stage that needs them) are refused with 413 before any stage runs: callers do not come back after that, and coming back would not help. Handles that are longer than expected together end the request as not run.

Units: "Items of a stage's answer that are unsound have failed", "What no field can hold is not passed on"; the fuzz target drives the reader with its users.

--- a/Source/Base/wgJson.h
+++ b/Source/Base/wgJson.h
@@ -34,4 +34,12 @@
   return sound ? json[key].get<bool>() : fallback;
 }
 
+/** \brief JSON as text. Bytes that are no UTF-8 become U+FFFD, where
+ * nlohmann::json::dump by itself throws.
+ */
+inline std::string PrintJson(const nlohmann::json& json)
+{
+  return json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 } // namespace wg
--- a/Source/Gateway/wgForwardedRequest.cxx
+++ b/Source/Gateway/wgForwardedRequest.cxx
@@ -1,24 +1,15 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgForwardedRequest.h"
 
+#include <utility>
+
 #include "absl/strings/str_cat.h"
 
 namespace wg {
-namespace {
 
-void SetIfAny(HttpRequest& request, const std::string& name,
-              absl::string_view value)
-{
-  if (!value.empty()) {
-    request.set(name, std::string(value));
-  }
-}
-
-} // namespace
-
-HttpRequest MakeForwardedRequest(const HttpRequest& asked,
-                                 const FieldNames& names,
-                                 const ForwardFacts& facts)
+Outcome<HttpRequest> MakeForwardedRequest(const HttpRequest& asked,
+                                          const FieldNames& names,
+                                          const ForwardFacts& facts)
 {
   HttpRequest request = asked;
   RemoveConnectionFields(request, names.endToEnd);
@@ -32,10 +23,19 @@
   }
   request.set(names.deadline,
               absl::StrCat(absl::ToInt64Milliseconds(facts.left)));
-  SetIfAny(request, names.endpoint, facts.endpoint);
-  SetIfAny(request, names.account, facts.account);
-  SetIfAny(request, names.inputs, facts.inputs);
-  SetIfAny(request, names.lastEvent, facts.lastEvent);
+  const std::pair<absl::string_view, absl::string_view> said[] = {
+    { names.endpoint, facts.endpoint },
+    { names.account, facts.account },
+    { names.inputs, facts.inputs },
+    { names.lastEvent, facts.lastEvent },
+  };
+  for (const auto& [name, value] : said) {
+    if (!value.empty() && !SetField(request, name, value)) {
+      return Error{ absl::StrCat("The field ", name, " can't have a value of ",
+                                 value.size(),
+                                 " bytes, or one with control characters.") };
+    }
+  }
   return request;
 }
 
--- a/Source/Gateway/wgForwardedRequest.h
+++ b/Source/Gateway/wgForwardedRequest.h
@@ -8,6 +8,7 @@
 
 #include "wgDialect.h"
 #include "wgHttpMessage.h"
+#include "wgOutcome.h"
 
 namespace wg {
 
@@ -23,10 +24,10 @@
 
 /** \brief The request as an endpoint gets it: the caller's, without what
  * concerns the caller's connection or is weirgate's to say, and with what
- * weirgate says.
+ * weirgate says. The error names the field that can't have its value.
  */
-HttpRequest MakeForwardedRequest(const HttpRequest& asked,
-                                 const FieldNames& names,
-                                 const ForwardFacts& facts);
+Outcome<HttpRequest> MakeForwardedRequest(const HttpRequest& asked,
+                                          const FieldNames& names,
+                                          const ForwardFacts& facts);
 
 } // namespace wg
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -212,6 +212,7 @@
   bool ReadDeadline();
   void ReadPrompt();
   bool ReadStages();
+  bool CanNameResults() const;
   double OwnSeconds(std::size_t stage) const;
   double ReadSeconds() const;
   StagePlan MakePlan() const;
@@ -278,7 +279,7 @@
   void DenyLimited(const StagePoolKey& pool, absl::Duration wait);
   void EndRead(Attempt& attempt, const EngineReadResult& result);
   std::int64_t ResultBytes() const;
-  HttpRequest MakeForward(const DirectoryEndpoint& endpoint) const;
+  Outcome<HttpRequest> MakeForward(const DirectoryEndpoint& endpoint) const;
   void StartAttempt(DirectoryEndpoint& endpoint, double prefillSeconds,
                     const PlacedRead& placed);
   bool OnHead(std::size_t attempt, const HttpHead& head, BodyFraming framing);
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -215,7 +215,7 @@
   }
 }
 
-HttpRequest GatewayRequest::MakeForward(
+Outcome<HttpRequest> GatewayRequest::MakeForward(
   const DirectoryEndpoint& endpoint) const
 {
   ForwardFacts facts;
@@ -235,6 +235,12 @@
                                   double prefillSeconds,
                                   const PlacedRead& placed)
 {
+  Outcome<HttpRequest> forward = MakeForward(endpoint);
+  if (!Succeeded(forward)) {
+    shared_.engines.End(placed, {});
+    SayNotRun("unsendable");
+    return;
+  }
   if (!LeaveAttempt()) {
     shared_.engines.End(placed, {});
     return;
@@ -277,8 +283,8 @@
     }
   };
   EndpointCallStarted started =
-    shared_.calls.Start(endpoint, PrintRequest(MakeForward(endpoint)), options,
-                        std::move(handler));
+    shared_.calls.Start(endpoint, PrintRequest(std::move(Value(forward))),
+                        options, std::move(handler));
   attempt_->call = std::move(started.http);
   attempt_->relay = std::move(started.relay);
   relay_ = attempt_->relay;
--- a/Source/Gateway/wgGatewayRequestStages.cxx
+++ b/Source/Gateway/wgGatewayRequestStages.cxx
@@ -10,7 +10,7 @@
 #include "absl/strings/str_join.h"
 #include "absl/strings/str_split.h"
 
-namespace wg {
+#include "wgResultHandles.h"
 
 /** A stage of which the request names no number has one piece. */
 bool GatewayRequest::ReadStages()
@@ -18,6 +18,7 @@
   constexpr int maxPieces = 10000;
   constexpr unsigned badRequest = 400;
   if (route_->stages.empty()) {
+  constexpr unsigned contentTooLarge = 413;
     return true;
   }
   const HttpRequest& request = exchange_->Request();
@@ -44,9 +45,30 @@
 
 /** What a call of a stage takes for its pieces alone; nothing if it is left
  * out.
+  if (!CanNameResults()) {
+    Refuse(contentTooLarge, "too_many_pieces");
+    return false;
+  }
  */
 double GatewayRequest::OwnSeconds(std::size_t stage) const
 {
+/** Whether requests can name all results that one of them needs. */
+bool GatewayRequest::CanNameResults() const
+{
+  const auto areListable = [this](absl::Span<const std::size_t> made) {
+    std::size_t handles = 0;
+    for (const std::size_t stage : made) {
+      handles += static_cast<std::size_t>(stages_[stage].pieces);
+    }
+    return AreListable(handles);
+  };
+  return areListable(FinalStages(route_->stages)) &&
+         std::all_of(route_->stages.begin(), route_->stages.end(),
+                     [&areListable](const RouteStage& stage) {
+                       return areListable(stage.after);
+                     });
+}
+
   const auto service = table_->services.find(route_->stages[stage].service);
   const bool runs = stages_[stage].pieces > 0 &&
                     service != table_->services.end() &&
@@ -283,6 +305,11 @@
   state.done = true;
   state.doneAt = ElapsedNow();
   shared_.metrics.NoteLatency("stage", state.doneAt - state.submittedAt);
+  if (!AreListable(state.handles)) {
+    shared_.metrics.Count("stage_results_unsound");
+    SayNotRun("stage_results_unsound");
+    return;
+  }
   ReleaseConsumed();
   SubmitStages();
 }
--- a/Source/Http/wgHttpMessage.cxx
+++ b/Source/Http/wgHttpMessage.cxx
@@ -9,6 +9,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 
@@ -46,6 +47,32 @@
 } // namespace
 
 absl::string_view FieldOf(const HttpFields& fields, absl::string_view name)
+bool IsFieldValue(absl::string_view value)
+{
+  return value.size() <= MaxFieldBytes &&
+         std::none_of(value.begin(), value.end(), [](char c) {
+           return absl::ascii_iscntrl(static_cast<unsigned char>(c)) &&
+                  c != '\t';
+         });
+}
+
+bool IsAscii(absl::string_view value)
+{
+  return std::all_of(value.begin(), value.end(), [](char c) {
+    return absl::ascii_isascii(static_cast<unsigned char>(c));
+  });
+}
+
+bool SetField(HttpFields& fields, absl::string_view name,
+              absl::string_view value)
+{
+  if (!IsFieldValue(value)) {
+    return false;
+  }
+  fields.set(ToBeast(name), ToBeast(value));
+  return true;
+}
+
 {
   const auto found = fields.find(ToBeast(name));
   if (found == fields.end()) {
--- a/Source/Http/wgHttpMessage.h
+++ b/Source/Http/wgHttpMessage.h
@@ -43,6 +43,27 @@
   ByClose   // the orderly end of the connection
 };
 
+/** \brief The longest value that `HttpFields` holds, in bytes; a longer one
+ * makes its functions throw.
+ */
+constexpr std::size_t MaxFieldBytes = 65533;
+
+/** \brief Whether a field can have the value: it is not too long, and has no
+ * control character that would end it (RFC 9110, 5.5).
+ */
+bool IsFieldValue(absl::string_view value);
+
+/** \brief Whether all bytes are of US-ASCII. Other bytes are opaque in a
+ * field; JSON and messages between boxes hold nothing but UTF-8.
+ */
+bool IsAscii(absl::string_view value);
+
+/** \brief Sets a field to a value from outside.
+ * \return false, with nothing set, if no field can have the value
+ */
+[[nodiscard]] bool SetField(HttpFields& fields, absl::string_view name,
+                            absl::string_view value);
+
 /** \brief A field's value; empty when there is none. */
 absl::string_view FieldOf(const HttpFields& fields, absl::string_view name);
 
--- a/Tests/Fuzz/wgFuzzTest.cxx
+++ b/Tests/Fuzz/wgFuzzTest.cxx
@@ -17,16 +17,21 @@
 #include <catch2/catch.hpp>
 #include <google/protobuf/stubs/logging.h>
 
+#include "absl/strings/str_join.h"
+
 #include "wgConfigText.h"
 #include "wgEndlessEndpoint.h"
+#include "wgForwardedRequest.h"
 #include "wgHttpClient.h"
 #include "wgLanguage.h"
 #include "wgLoopThread.h"
 #include "wgMembership.h"
 #include "wgOriginMessages.h"
+#include "wgPlatformDialect.h"
 #include "wgPlatformHeartbeat.h"
 #include "wgRecord.h"
 #include "wgReplicaStore.h"
+#include "wgResultHandles.h"
 #include "wgScriptedEndpoint.h"
 #include "wgServiceState.h"
 #include "wgSocket.h"
@@ -138,6 +143,35 @@
   }
 }
 
+TEST_CASE("damaged answers to stage calls give handles that requests can name")
+{
+  Mutator mutate;
+  const nlohmann::json item{ { "handle", "10.1.64.7:8080/91bd3f06e44" } };
+  const nlohmann::json other{ { "reason", "late" } };
+  const std::string text =
+    nlohmann::json{ { "items", { item, other, item } } }.dump();
+  int read = 0;
+  for (int i = 0; i < Rounds; ++i) {
+    const auto answer = wg::detail::ReadPlatformStageAnswer(mutate(text));
+    if (!wg::Succeeded(answer)) {
+      continue;
+    }
+    ++read;
+    std::vector<std::string> handles;
+    for (const wg::wire::StageItemResult& result : wg::Value(answer)) {
+      if (result.state() == wg::wire::StageItemResult::DONE) {
+        handles.push_back(result.handle());
+      }
+    }
+    REQUIRE(wg::AreListable(handles));
+    wg::ForwardFacts facts;
+    facts.inputs = absl::StrJoin(handles, ",");
+    REQUIRE(wg::Succeeded(wg::MakeForwardedRequest({}, {}, facts)));
+    wg::detail::MakePlatformRelease(handles);
+  }
+  CHECK(read > 0);
+}
+
 TEST_CASE("damaged heartbeats are refused or sound")
 {
   Mutator mutate;
--- a/Tests/Gateway/wgForwardedRequestTest.cxx
+++ b/Tests/Gateway/wgForwardedRequestTest.cxx
@@ -42,7 +42,7 @@
 
 wg::HttpRequest Forward(const wg::HttpRequest& asked)
 {
-  return wg::MakeForwardedRequest(asked, Names(), Facts());
+  return wg::Value(wg::MakeForwardedRequest(asked, Names(), Facts()));
 }
 
 std::size_t Count(const wg::HttpRequest& request, const std::string& name)
@@ -95,7 +95,7 @@
   asked.set("Weirgate-Account", "forged");
   wg::ForwardFacts facts = Facts();
   facts.account = "";
-  const auto sent = wg::MakeForwardedRequest(asked, Names(), facts);
+  const auto sent = wg::Value(wg::MakeForwardedRequest(asked, Names(), facts));
   CHECK(Count(sent, "Weirgate-Account") == 0);
 }
 
@@ -123,12 +123,37 @@
   CHECK(Count(sent, "Connection") == 0);
 }
 
+// The library throws at values of more than 65,533 bytes; a line's end in one
+// would begin another field.
+TEST_CASE("What no field can hold is not passed on")
+{
+  const std::string longest(wg::MaxFieldBytes, 'h');
+  wg::ForwardFacts facts = Facts();
+  facts.inputs = longest;
+  CHECK(wg::Succeeded(wg::MakeForwardedRequest(Asked(), Names(), facts)));
+  for (const std::string& bad :
+       { longest + "h", std::string("a\r\nX-Other: 1"), std::string("a\n"),
+         std::string("a\0b", 3), std::string("a\x7f") }) {
+    CAPTURE(bad.size());
+    for (const int field : { 0, 1, 2, 3 }) {
+      facts = Facts();
+      facts.inputs = field == 0 ? bad : "";
+      facts.lastEvent = field == 1 ? absl::string_view(bad) : "";
+      facts.account = field == 2 ? absl::string_view(bad) : "";
+      facts.endpoint = field == 3 ? absl::string_view(bad) : "";
+      CHECK_FALSE(
+        wg::Succeeded(wg::MakeForwardedRequest(Asked(), Names(), facts)));
+    }
+  }
+}
+
 TEST_CASE("A stream that goes on names the event after which it does")
 {
   wg::ForwardFacts facts = Facts();
   facts.lastEvent = "17";
   facts.inputs = "10.0.0.1:1/a,10.0.0.1:1/b";
-  const auto sent = wg::MakeForwardedRequest(Asked(), Names(), facts);
+  const auto sent =
+    wg::Value(wg::MakeForwardedRequest(Asked(), Names(), facts));
   CHECK(wg::FieldOf(sent, "Last-Event-ID") == "17");
   CHECK(wg::FieldOf(sent, "Weirgate-Inputs") == facts.inputs);
 }
--- a/Tests/Platform/wgPlatformTest.cxx
+++ b/Tests/Platform/wgPlatformTest.cxx
@@ -119,7 +119,7 @@
   asked.insert("Connection", "x-weirgate-model, Kv-From");
   wg::ForwardFacts facts;
   facts.left = absl::Seconds(1);
-  const auto sent = wg::MakeForwardedRequest(asked, names, facts);
+  const auto sent = wg::Value(wg::MakeForwardedRequest(asked, names, facts));
   for (const std::string& name : reserved) {
     CAPTURE(name);
     CHECK(sent.count(name) == 0);
@@ -244,6 +244,30 @@
   }
 }
 
+// A reason that is no text threw; handles of any length and kind were taken.
+TEST_CASE("Items of a stage's answer that are unsound have failed")
+{
+  const std::string longest = "10.1.64.7:8080/" + std::string(1009, 'h');
+  const Json items[] = { { { "reason", nullptr } },
+                         { { "reason", 7 } },
+                         { { "reason", Json::array({ "late" }) } },
+                         { { "handle", nullptr } },
+                         { { "handle", "" } },
+                         { { "handle", longest + "h" } },
+                         { { "handle", "10.1.64.7:8080/1\r\nX-Other: 1" } },
+                         { { "handle", "10.1.64.7:8080/1,other" } },
+                         { { "handle", "10.1.64.7:8080/\u00e9" } } };
+  for (const Json& item : items) {
+    CAPTURE(item.dump());
+    const Json answer{ { "items", { item, { { "handle", longest } } } } };
+    const auto read = wg::detail::ReadPlatformStageAnswer(answer.dump());
+    REQUIRE(wg::Succeeded(read));
+    CHECK(wg::Value(read)[0].state() == wg::wire::StageItemResult::FAILED);
+    CHECK(wg::Value(read)[0].handle().empty());
+    CHECK(wg::Value(read)[1].handle() == longest);
+  }
+}
+
 TEST_CASE("Results are given up at their maker")
 {
   CHECK(wg::detail::AddressOfPlatformResult("10.1.64.7:8080/91bd") ==
