Gateway: a stream whose event id no request can name is not continued

What callers saw: the gateway ended, with all requests at work in it, when an engine sent an event with an id of 70,000 bytes and was cut off after it.

Cause: the id of the last event becomes a field of the request to the next engine; an event may have 256 kB, a field 65,533 bytes, and the library throws.

Change: an id of more than 1,024 bytes or with control characters leaves the stream without a position. A stream without one is broken off where it would have gone on elsewhere, after a cut as after silence; before, a cut stream without any id was begun anew within the same answer.

--- a/Source/Gateway/wgAttemptRules.cxx
+++ b/Source/Gateway/wgAttemptRules.cxx
@@ -7,7 +7,7 @@
 bool IsSafeToRepeat(const AttemptFacts& facts)
 {
   if (facts.answerBegun) {
-    return facts.repetition == Repetition::Resumable;
+    return facts.repetition == Repetition::Resumable && facts.hasPosition;
   }
   return !facts.anyMayHaveRun || facts.repetition != Repetition::RunOnce;
 }
--- a/Source/Gateway/wgAttemptRules.h
+++ b/Source/Gateway/wgAttemptRules.h
@@ -31,6 +31,7 @@
   AttemptKnowledge last = AttemptKnowledge::NotSent;
   bool anyMayHaveRun = false; // this attempt or an earlier one
   bool answerBegun = false;   // bytes of the answer went to the caller
+  bool hasPosition = true;    // the next endpoint can be told where to go on
   int endpointsTried = 0;     // to which it was sent
   int maxAttempts = 1;
   bool keptAway = false; // it is known to end endpoints
--- a/Source/Gateway/wgEventSplitter.cxx
+++ b/Source/Gateway/wgEventSplitter.cxx
@@ -7,9 +7,14 @@
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
 
+#include "wgHttpMessage.h"
+
 namespace wg {
 namespace {
 
+/** Ids are short numbers; a request names one in a field. */
+constexpr std::size_t MaxEventIdBytes = 1024;
+
 /** The end of the first whole event, or npos. Lines end with LF or CRLF. */
 std::size_t EventEnd(absl::string_view text, std::size_t from)
 {
@@ -29,8 +34,14 @@
 void NoteId(EventSplitter& reader, absl::string_view event)
 {
   for (absl::string_view line : absl::StrSplit(event, '\n')) {
-    if (absl::ConsumePrefix(&line, "id:")) {
-      reader.lastId = std::string(absl::StripAsciiWhitespace(line));
+    if (!absl::ConsumePrefix(&line, "id:")) {
+      continue;
+    }
+    const absl::string_view id = absl::StripAsciiWhitespace(line);
+    if (id.size() <= MaxEventIdBytes && IsFieldValue(id)) {
+      reader.lastId = std::string(id);
+    } else {
+      reader.hasUnusableId = true;
     }
   }
 }
--- a/Source/Gateway/wgEventSplitter.h
+++ b/Source/Gateway/wgEventSplitter.h
@@ -14,6 +14,8 @@
 {
   std::string partial; // what has come of the next event
   std::string lastId;  // of the last whole event that had one
+  /** An event had an id that no request can name. */
+  bool hasUnusableId = false;
   std::size_t events = 0;
 };
 
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -297,6 +297,7 @@
   void OnLifeSign(LifeSign sign);
   bool HasOtherEndpoint();
   std::vector<DirectoryEndpoint*> NextCandidates() const;
+  bool HasPosition() const;
   absl::string_view WhyNotContinued();
   void PrepareContinuation(absl::string_view why);
   bool LacksResults() const;
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -651,6 +651,7 @@
   facts.last = knowledge;
   facts.anyMayHaveRun = mayHaveRun_;
   facts.answerBegun = streamBegun_;
+  facts.hasPosition = HasPosition();
   facts.endpointsTried = endpointsTried_;
   facts.maxAttempts = route_->maxAttempts;
   facts.keptAway = IsKeptAway();
--- a/Source/Gateway/wgGatewayRequestContinuation.cxx
+++ b/Source/Gateway/wgGatewayRequestContinuation.cxx
@@ -185,13 +185,20 @@
   return endpoints;
 }
 
+/** Whether the next endpoint can be told after which event to go on. */
+bool GatewayRequest::HasPosition() const
+{
+  const bool isNamed = !reader_.lastId.empty() || TakesStreamUp();
+  return !streamBegun_ || (isNamed && !reader_.hasUnusableId);
+}
+
 /** What must hold to go on elsewhere; empty: it does. */
 absl::string_view GatewayRequest::WhyNotContinued()
 {
   if (endpointsTried_ + 1 >= route_->maxAttempts) {
     return "attempts_used";
   }
-  if (streamBegun_ && reader_.lastId.empty() && !TakesStreamUp()) {
+  if (!HasPosition()) {
     return "no_event_id";
   }
   if (!HasTimeLeft()) {
--- a/Tests/Gateway/wgRouteTableTest.cxx
+++ b/Tests/Gateway/wgRouteTableTest.cxx
@@ -150,6 +150,9 @@
     CHECK(wg::JudgeAttempt(facts) == AfterAttempt::BreakOff);
     facts.repetition = wg::Repetition::Resumable;
     CHECK(wg::JudgeAttempt(facts) == AfterAttempt::SendAgain);
+    facts.hasPosition = false;
+    CHECK(wg::JudgeAttempt(facts) == AfterAttempt::BreakOff);
+    facts.hasPosition = true;
     facts.timeLeft = false;
     CHECK(wg::JudgeAttempt(facts) == AfterAttempt::BreakOff);
   }
@@ -169,6 +172,21 @@
   CHECK(splitter.partial.empty());
 }
 
+TEST_CASE("An event's id that no request can name is not kept")
+{
+  for (const std::string& id :
+       { std::string(1025, '7'), std::string("7\rX: 1"),
+         std::string("7\0", 2) }) {
+    wg::EventSplitter splitter;
+    wg::TakeEvents(splitter, "id: " + std::string(1024, '6') + "\n\n");
+    CHECK_FALSE(splitter.hasUnusableId);
+    const std::string event = "id: " + id + "\ndata: a\n\n";
+    CHECK(wg::TakeEvents(splitter, event) == event);
+    CHECK(splitter.hasUnusableId);
+    CHECK(splitter.lastId == std::string(1024, '6'));
+  }
+}
+
 TEST_CASE("Repetitions are paid from this box's share of the window")
 {
   wg::RetryRules rules;
