Gateway: names that are no ASCII are refused before any work

What callers saw: the gateway that calls a stage ended, with all requests at work in it, at a request whose key for its pieces is not UTF-8.

Cause: a field's bytes are opaque, JSON has UTF-8 alone, and dump() throws at other bytes. Messages between boxes hold UTF-8 as well: with such an id they could not be read, and the box that was asked passed for one that fails.

Change: an id or a key of a piece with bytes beyond ASCII is refused with 400; parts of a prompt so named count as none. All JSON is printed by PrintJson, which replaces such bytes.

--- a/Source/Base/wgLog.cxx
+++ b/Source/Base/wgLog.cxx
@@ -13,6 +13,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "wgJson.h"
+
 namespace wg {
 namespace {
 
@@ -47,9 +49,7 @@
   }
   nlohmann::json line{ { "subject", std::string(subject) },
                        { "event", std::string(event) } };
-  LOG4CPLUS_INFO(
-    MainLogger(),
-    line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  LOG4CPLUS_INFO(MainLogger(), PrintJson(line));
 }
 
 } // namespace wg
--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -14,6 +14,7 @@
 
 #include "wgChangeAnswer.h"
 #include "wgControlStatus.h"
+#include "wgJson.h"
 #include "wgLog.h"
 
 namespace wg {
@@ -469,7 +470,7 @@
   status["rollouts"] = rollouts_->Describe();
   status["config"] = PrintPublicConfig(state_.config);
   wire::StatusReply reply;
-  reply.set_json(status.dump());
+  reply.set_json(PrintJson(status));
   call.respond(reply.SerializeAsString());
 }
 
--- a/Source/Entry/wgCallerServer.cxx
+++ b/Source/Entry/wgCallerServer.cxx
@@ -13,6 +13,7 @@
 #include "absl/strings/str_format.h"
 
 #include "wgHttpListen.h"
+#include "wgJson.h"
 
 namespace wg {
 namespace {
@@ -117,9 +118,7 @@
 
 std::string EventText(const Json& data)
 {
-  return absl::StrCat(
-    "data: ", data.dump(-1, ' ', false, Json::error_handler_t::replace),
-    "\n\n");
+  return absl::StrCat("data: ", PrintJson(data), "\n\n");
 }
 
 } // namespace
@@ -208,7 +207,7 @@
       board.counters.Add(failure.reason);
       Json problem = ProblemOf(failure);
       problem["status"] = response.status;
-      response.set_content(problem.dump(), ProblemType);
+      response.set_content(PrintJson(problem), ProblemType);
     });
 }
 
@@ -218,7 +217,7 @@
   context_.blackboard.counters.Add(failure.reason);
   response.status = HttpStatus(failure.reason);
   SetRetryAfter(failure, response);
-  response.set_content(ProblemOf(failure).dump(), ProblemType);
+  response.set_content(PrintJson(ProblemOf(failure)), ProblemType);
 }
 
 void CallerServer::NoteEnd(const std::string& id, Reason reason)
@@ -283,14 +282,12 @@
   if (const auto* failure = std::get_if<RequestFailure>(&outcome)) {
     response.status = HttpStatus(failure->reason);
     SetRetryAfter(*failure, response);
-    response.set_content(ProblemOf(*failure).dump(), ProblemType);
+    response.set_content(PrintJson(ProblemOf(*failure)), ProblemType);
     NoteEnd(id, failure->reason);
     return;
   }
   const Json& output = std::get<RequestAnswer>(outcome).output;
-  response.set_content(
-    output.dump(-1, ' ', false, Json::error_handler_t::replace),
-    "application/json");
+  response.set_content(PrintJson(output), "application/json");
   NoteEnd(id, Reason::None);
 }
 
--- a/Source/Entry/wgEntryStatus.cxx
+++ b/Source/Entry/wgEntryStatus.cxx
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 
 #include "wgConfigText.h"
+#include "wgJson.h"
 
 namespace wg {
 namespace {
@@ -210,7 +211,7 @@
   status["cost"] = DescribeCosts(board.accounts);
   status["boxes"] = DescribeMembers(board.members, board.hall, now);
   status["requests"] = DescribeRequests(board.requests, now);
-  return status.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return PrintJson(status);
 }
 
 } // namespace wg
--- a/Source/Entry/wgStageProtocol.cxx
+++ b/Source/Entry/wgStageProtocol.cxx
@@ -123,7 +123,7 @@
       body = { { "input", input }, { "text", TextOr(document, "text", "") } };
       break;
   }
-  return body.dump(-1, ' ', false, Json::error_handler_t::replace);
+  return PrintJson(body);
 }
 
 bool TakeStageAnswer(StageKind kind, const std::string& group,
--- a/Source/Gateway/wgDecisionLog.cxx
+++ b/Source/Gateway/wgDecisionLog.cxx
@@ -9,6 +9,8 @@
 
 #include "absl/time/clock.h"
 
+#include "wgJson.h"
+
 namespace wg {
 namespace {
 
@@ -70,9 +72,7 @@
   if (leftOut_ != toldLeftOut_) {
     fields["left_out"] = leftOut_ - toldLeftOut_;
   }
-  const std::string line =
-    fields.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
-    "\n";
+  const std::string line = PrintJson(fields) + "\n";
   if (line.size() > MaxLineBytes || !WriteAtOnce(line)) {
     ++leftOut_;
     return;
--- a/Source/Gateway/wgEndpointChoice.cxx
+++ b/Source/Gateway/wgEndpointChoice.cxx
@@ -10,6 +10,8 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
 
+#include "wgHttpMessage.h"
+
 namespace wg {
 namespace {
 
@@ -76,6 +78,9 @@
 std::vector<PromptPart> ParsePromptParts(absl::string_view text)
 {
   std::vector<PromptPart> parts;
+  if (!IsAscii(text)) { // boxes tell each other of them
+    return parts;
+  }
   for (absl::string_view piece :
        absl::StrSplit(text, ',', absl::SkipEmpty())) {
     const std::pair<absl::string_view, absl::string_view> pair =
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -134,6 +134,10 @@
     Refuse(badRequest, "no_request_id");
     return false;
   }
+  if (!IsAscii(id_)) {
+    Refuse(badRequest, "bad_request_id");
+    return false;
+  }
   if (!table_->hasAccounts || route_->isPublic) {
     return true;
   }
--- a/Source/Gateway/wgGatewayRequestStages.cxx
+++ b/Source/Gateway/wgGatewayRequestStages.cxx
@@ -12,17 +12,22 @@
 
 #include "wgResultHandles.h"
 
+namespace wg {
 /** A stage of which the request names no number has one piece. */
 bool GatewayRequest::ReadStages()
 {
   constexpr int maxPieces = 10000;
   constexpr unsigned badRequest = 400;
-  if (route_->stages.empty()) {
   constexpr unsigned contentTooLarge = 413;
+  if (route_->stages.empty()) {
     return true;
   }
   const HttpRequest& request = exchange_->Request();
   pieceKey_ = std::string(FieldOf(request, Fields().pieceKey));
+  if (!IsAscii(pieceKey_)) { // calls of stages are JSON
+    Refuse(badRequest, "bad_piece_key");
+    return false;
+  }
   const std::vector<absl::string_view> counts =
     absl::StrSplit(FieldOf(request, Fields().pieces), ',');
   stages_.resize(route_->stages.size());
@@ -40,18 +45,13 @@
     }
     stages_[i].done = stages_[i].pieces == 0;
   }
-  return true;
-}
-
-/** What a call of a stage takes for its pieces alone; nothing if it is left
- * out.
   if (!CanNameResults()) {
     Refuse(contentTooLarge, "too_many_pieces");
     return false;
   }
- */
-double GatewayRequest::OwnSeconds(std::size_t stage) const
-{
+  return true;
+}
+
 /** Whether requests can name all results that one of them needs. */
 bool GatewayRequest::CanNameResults() const
 {
@@ -69,6 +69,11 @@
                      });
 }
 
+/** What a call of a stage takes for its pieces alone; nothing if it is left
+ * out.
+ */
+double GatewayRequest::OwnSeconds(std::size_t stage) const
+{
   const auto service = table_->services.find(route_->stages[stage].service);
   const bool runs = stages_[stage].pieces > 0 &&
                     service != table_->services.end() &&
@@ -300,16 +305,16 @@
     FailStages(reply, stage);
     return;
   }
-  state.makers.assign(reply.makers().begin(), reply.makers().end());
-  state.roomScarce = reply.room_scarce();
-  state.done = true;
-  state.doneAt = ElapsedNow();
-  shared_.metrics.NoteLatency("stage", state.doneAt - state.submittedAt);
   if (!AreListable(state.handles)) {
     shared_.metrics.Count("stage_results_unsound");
     SayNotRun("stage_results_unsound");
     return;
   }
+  state.makers.assign(reply.makers().begin(), reply.makers().end());
+  state.roomScarce = reply.room_scarce();
+  state.done = true;
+  state.doneAt = ElapsedNow();
+  shared_.metrics.NoteLatency("stage", state.doneAt - state.submittedAt);
   ReleaseConsumed();
   SubmitStages();
 }
--- a/Source/Http/wgEndpointOrder.cxx
+++ b/Source/Http/wgEndpointOrder.cxx
@@ -6,6 +6,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include "wgJson.h"
+
 namespace wg {
 namespace {
 
@@ -25,7 +27,7 @@
   const nlohmann::json body{ { "fence", order.fence },
                              { order.what, order.name } };
   const httplib::Result result =
-    client.Post("/v1/orders", body.dump(), "application/json");
+    client.Post("/v1/orders", PrintJson(body), "application/json");
   const std::string place =
     absl::StrCat("The endpoint at ", address.host, ":", address.port);
   if (!result) {
--- a/Source/Http/wgHttpMessage.cxx
+++ b/Source/Http/wgHttpMessage.cxx
@@ -46,7 +46,6 @@
 
 } // namespace
 
-absl::string_view FieldOf(const HttpFields& fields, absl::string_view name)
 bool IsFieldValue(absl::string_view value)
 {
   return value.size() <= MaxFieldBytes &&
@@ -73,6 +72,7 @@
   return true;
 }
 
+absl::string_view FieldOf(const HttpFields& fields, absl::string_view name)
 {
   const auto found = fields.find(ToBeast(name));
   if (found == fields.end()) {
