Http: no field that a parser reads is longer than it holds

What callers saw: the gateway ended, with all requests at work in it, when an answer in chunks ended with a trailer of 65,600 bytes; by a caller's body in chunks, too.

Cause: trailers count to no bound of a head. What the parser has not used yet was bounded after a read, so that up to 8 kB more could complete a line of more than 65,533 bytes, at which the library throws.

Change: neither reader keeps more unparsed bytes than a field can have; beyond that the call ends as cut, or the caller is answered 431. A handler or parser that throws all the same closes its connection, and the call ends as cut.

--- a/Source/Http/wgHttpClientConnection.cxx
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -26,9 +26,10 @@
 using boost::system::error_code;
 
 constexpr std::size_t ReadBytes = 8192;
-constexpr std::size_t MaxHeaderBytes = 65536;
-/** What the parser has not used yet: a line of a chunk, or trailers. */
-constexpr std::size_t MaxUnparsedBytes = MaxHeaderBytes;
+/** What the parser has not used yet: a head, a line of a chunk, or trailers.
+ * No field in them can be longer than the parser holds.
+ */
+constexpr std::size_t MaxUnparsedBytes = MaxFieldBytes;
 /** Heads with a status of 1xx before the one of the answer. */
 constexpr int MaxInterimHeads = 16;
 constexpr absl::Duration MaxRest = absl::Seconds(30);
@@ -100,7 +101,7 @@
 {
   parser_.emplace();
   parser_->eager(true);
-  parser_->header_limit(MaxHeaderBytes);
+  parser_->header_limit(MaxUnparsedBytes);
   parser_->body_limit(boost::none);
   parser_->skip(!answerHasBody_);
 }
@@ -172,7 +173,7 @@
   }
   isReading_ = true;
   socket_.async_read_some(
-    input_.prepare(ReadBytes),
+    input_.prepare(std::min(ReadBytes, MaxUnparsedBytes - input_.size())),
     [self = shared_from_this()](error_code error, std::size_t bytes) {
       self->OnRead(error, bytes);
     });
@@ -193,7 +194,12 @@
     return;
   }
   input_.commit(bytes);
-  ParseInput();
+  try {
+    ParseInput();
+  } catch (...) { // none of these bytes is used again
+    EndCall(HttpCallEnd::Cut);
+    throw;
+  }
   Read();
 }
 
@@ -206,7 +212,7 @@
     const std::size_t used = parser_->put(input_.data(), error);
     input_.consume(used);
     const bool isTooLong =
-      input_.size() > MaxUnparsedBytes && error == http::error::need_more;
+      input_.size() >= MaxUnparsedBytes && error == http::error::need_more;
     const bool unsound =
       isTooLong || (error && error != http::error::need_more);
     if (unsound) {
--- a/Source/Http/wgHttpServerConnection.cxx
+++ b/Source/Http/wgHttpServerConnection.cxx
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgHttpServerConnection.h"
 
+#include <algorithm>
 #include <utility>
 
 #include <boost/asio/write.hpp>
@@ -15,11 +16,11 @@
 using boost::system::error_code;
 
 constexpr std::size_t ReadBytes = 8192;
-/** What a caller may send ahead while its request is being answered. */
-constexpr std::size_t MaxAheadBytes = 65536;
-/** What the parser has not used yet: a head, a line of a chunk, or trailers.
+/** What the parser has not used yet: a head, a line of a chunk, trailers, or
+ * what a caller sends ahead while its request is being answered. No field can
+ * be longer than the parser holds.
  */
-constexpr std::size_t MaxUnparsedBytes = 65536;
+constexpr std::size_t MaxUnparsedBytes = MaxFieldBytes;
 /** What may wait for a caller that reads slowly. */
 constexpr std::size_t MaxOutputBytes = 8U << 20U;
 /** Of all callers of a server; beyond it the fair amount waits all the same.
@@ -61,14 +62,14 @@
 
 void HttpServerConnection::Read()
 {
-  const bool tooFarAhead =
-    exchange_ != nullptr && input_.size() >= MaxAheadBytes;
-  if (isReading_ || closed_ || tooFarAhead) {
+  const bool isFull =
+    input_.size() >= MaxUnparsedBytes; // while it is answered
+  if (isReading_ || closed_ || isFull) {
     return;
   }
   isReading_ = true;
   socket_.async_read_some(
-    input_.prepare(ReadBytes),
+    input_.prepare(std::min(ReadBytes, MaxUnparsedBytes - input_.size())),
     [self = shared_from_this()](error_code error, std::size_t bytes) {
       self->OnRead(error, bytes);
     });
@@ -90,7 +91,12 @@
     return;
   }
   input_.commit(bytes);
-  ParseInput();
+  try {
+    ParseInput();
+  } catch (...) { // none of these bytes is used again
+    Close();
+    throw;
+  }
   Read();
 }
 
@@ -116,7 +122,7 @@
     error_code error;
     const std::size_t used = parser_->put(input_.data(), error);
     input_.consume(used);
-    if (error == http::error::need_more && input_.size() > MaxUnparsedBytes) {
+    if (error == http::error::need_more && input_.size() >= MaxUnparsedBytes) {
       error = http::error::header_limit;
     }
     if (error == http::error::need_more) {
