Gateway, control: a handler that throws ends alone

RunLoop is the last line: what a handler throws is counted (handlers_threw) and logged, and the loop goes on. The decision: such an exception is a fault of ours that one connection shows; ending the process would end the work of all others.

--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -16,6 +16,7 @@
 #include "wgControlStatus.h"
 #include "wgJson.h"
 #include "wgLog.h"
+#include "wgRunLoop.h"
 
 namespace wg {
 namespace {
@@ -91,7 +92,11 @@
   RecallOrigins();
   FoundIfAsked();
   ArmTick();
-  thread_ = std::thread([this] { loop_.run(); });
+  thread_ = std::thread([this] {
+    RunLoop(loop_, [](absl::string_view what) {
+      LogChange("handler threw", std::string(what));
+    });
+  });
   return Done{};
 }
 
--- a/Source/Gateway/wgDirectory.cxx
+++ b/Source/Gateway/wgDirectory.cxx
@@ -6,6 +6,8 @@
 
 #include "absl/strings/match.h"
 
+#include "wgHttpMessage.h"
+
 namespace wg {
 namespace {
 
@@ -139,6 +141,9 @@
                        Elapsed now)
 {
   const EndpointStart start = StartOf(news);
+  if (!IsFieldValue(start.name) || !IsFieldValue(news.address())) {
+    return false; // requests to it name both
+  }
   const std::string id = IdentityOf(start);
   auto [found, isNew] = directory.endpoints.try_emplace(id);
   DirectoryEndpoint& known = found->second;
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -1,13 +1,18 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgGatewayNode.h"
 
+#include <algorithm>
 #include <chrono>
+#include <iterator>
 #include <utility>
 
 #include <boost/asio/post.hpp>
 
 #include "absl/strings/str_cat.h"
 
+#include "wgResultHandles.h"
+#include "wgRunLoop.h"
+
 namespace wg {
 namespace {
 
@@ -237,6 +242,15 @@
   return Done{};
 }
 
+void GatewayNode::Run()
+{
+  RunLoop(loop_, [this](absl::string_view what) {
+    metrics_.Count("handlers_threw");
+    log_.Write(LogWeight::Notable, "handler_threw",
+               { { "what", std::string(what) } });
+  });
+}
+
 void GatewayNode::AddControls(const std::vector<std::string>& addresses)
 {
   follower_->AddControls(addresses);
@@ -483,8 +497,10 @@
     boost::asio::post(loop_, [this, body = request.body] {
       wire::ReleaseResults release;
       if (release.ParseFromString(body)) {
-        coordinator_.Release(std::vector<std::string>(
-          release.handles().begin(), release.handles().end()));
+        std::vector<std::string> handles;
+        std::copy_if(release.handles().begin(), release.handles().end(),
+                     std::back_inserter(handles), IsResultHandle);
+        coordinator_.Release(handles);
       }
     });
     respond("");
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -57,6 +57,9 @@
   Outcome<Done> Start();
   EventLoop& Loop() { return loop_; }
 
+  /** \brief Runs the loop until the node has stopped. */
+  void Run();
+
   /** \brief More addresses of control boxes. */
   void AddControls(const std::vector<std::string>& addresses);
 
--- a/Source/Gateway/wgRelayClient.cxx
+++ b/Source/Gateway/wgRelayClient.cxx
@@ -359,8 +359,10 @@
     }
     state->endsByClose = FieldOf(head, relay::Framing) == relay::ByClose;
     HttpHead shown = head;
+    constexpr unsigned maxStatus = 999;
     unsigned status = 0;
-    if (!absl::SimpleAtoi(FieldOf(head, relay::Status), &status)) {
+    if (!absl::SimpleAtoi(FieldOf(head, relay::Status), &status) ||
+        status > maxStatus) {
       return false;
     }
     shown.result(status);
--- /dev/null
+++ b/Source/Http/wgRunLoop.cxx
@@ -0,0 +1,21 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgRunLoop.h"
+
+#include <exception>
+
+namespace wg {
+
+void RunLoop(EventLoop& loop,
+             const std::function<void(absl::string_view what)>& onThrown)
+{
+  for (;;) {
+    try {
+      loop.run();
+      return;
+    } catch (const std::exception& error) {
+      onThrown(error.what());
+    }
+  }
+}
+
+} // namespace wg
--- a/Utilities/Daemon/wgDaemon.cxx
+++ b/Utilities/Daemon/wgDaemon.cxx
@@ -126,7 +126,7 @@
                           node.AddControls(controls);
                         });
   FollowSignals(signals, follower, [&node] { node.BeginStop(); });
-  node.Loop().run();
+  node.Run();
   return 0;
 }
 
