--- a/Utilities/CI/CheckSources.sh
+++ b/Utilities/CI/CheckSources.sh
@@ -20,6 +20,8 @@
   exit 1
 fi
 
+Utilities/CI/CheckThrowingCalls.sh
+
 generated=$(mktemp -d)
 trap 'rm -rf "$generated"' EXIT
 protoc --proto_path=Source/Wire --cpp_out="$generated" wgPeer.proto
