Gateway: a box that stops takes what it can answer before its end

What callers saw (a report of other operators): requests that came late in the grace time of a planned stop were passed on and cut at its end. Here: of requests of 6.5 s that began 0.5 to 2.6 s after SIGTERM, 30 of 30 had run and were answered 502 when the box gave up what was open.

Cause: requests were taken until a fixed second after SIGTERM, whatever they take and whatever is left of the grace time.

Change: in a stop a request is taken if its deadline or its route's time-out ends before what is open is given up; while callers are still sent to the box also if half as long again as the longest of its route lately ends before. Others are refused at once as not run, with a Retry-After of 0.05 s.

--- a/Source/Gateway/wgCallerDeadlines.cxx
+++ b/Source/Gateway/wgCallerDeadlines.cxx
@@ -3,8 +3,6 @@
 
 #include <algorithm>
 
-#include "absl/container/flat_hash_set.h"
-
 namespace wg {
 namespace {
 
@@ -43,18 +41,4 @@
   return arrived - (usual - useful);
 }
 
-void ForgetRoutes(CallerDeadlines& deadlines, const RouteTable& table)
-{
-  absl::flat_hash_set<absl::string_view> names;
-  for (const Route& route : table.routes) {
-    names.insert(route.name);
-  }
-  for (auto it = deadlines.begin(); it != deadlines.end();) {
-    auto current = it++;
-    if (!names.contains(current->first)) {
-      deadlines.erase(current);
-    }
-  }
-}
-
 } // namespace wg
--- a/Source/Gateway/wgCallerDeadlines.h
+++ b/Source/Gateway/wgCallerDeadlines.h
@@ -32,7 +32,4 @@
 Elapsed FirstTried(CallerDeadline& deadline, const Route& route,
                    Elapsed arrived, absl::Duration given);
 
-/** \brief Drops what is known of routes that a table no longer has. */
-void ForgetRoutes(CallerDeadlines& deadlines, const RouteTable& table);
-
 } // namespace wg
--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -18,8 +18,6 @@
 
 namespace http = boost::beast::http;
 
-/** Another box serves what this one no longer takes. */
-constexpr absl::string_view RetryAfterStop = "0.05";
 /** What answers given up at a stop's end need to be written. */
 constexpr absl::Duration LastAnswersTime = absl::Milliseconds(400);
 constexpr auto StopPeriod = std::chrono::milliseconds(50);
@@ -262,10 +260,6 @@
     RefuseNew(exchange, "no_document", RetryAfterStart);
     return;
   }
-  if (!TakesRequests()) {
-    RefuseNew(exchange, "stopping", RetryAfterStop);
-    return;
-  }
   auto request = std::make_shared<GatewayRequest>(
     *shared_, exchange, table_,
     [this](const std::shared_ptr<GatewayRequest>& over) {
@@ -286,14 +280,6 @@
   exchange->Respond(std::move(response));
 }
 
-/** A balancer may go on sending to a box that stops, as long as most boxes of
- * its hall do: what it could not finish it must not take.
- */
-bool GatewayNode::TakesRequests() const
-{
-  return !stopping_ || ElapsedNow() - stopBegan_ < settings_.settleTime;
-}
-
 bool GatewayNode::IsReady() const
 {
   return table_ != nullptr && !stopping_;
@@ -547,6 +533,7 @@
   coordinator_.SetTable(table_);
   engineCoordinator_.SetTable(table_);
   ForgetRoutes(shared_->deadlines, *table_);
+  ForgetRoutes(shared_->times, *table_);
   shared_->document = { number, ElapsedNow() };
   ApplyLimits();
   log_.Write(LogWeight::Notable, "document_in_force",
@@ -714,6 +701,11 @@
     return;
   }
   stopBegan_ = ElapsedNow();
+  shared_->stop = { stopBegan_ + settings_.settleTime,
+                    stopBegan_ + settings_.stopLimit - LastAnswersTime };
+  for (const std::shared_ptr<GatewayRequest>& request : requests_) {
+    request->NoteTime();
+  }
   log_.Write(LogWeight::Notable, "stop_begun",
              { { "requests_open", requests_.size() } });
   callers_->StartDraining(settings_.settleTime);
@@ -739,14 +731,14 @@
 /** Callers are still sent here until the balancer has asked twice. */
 void GatewayNode::CheckStop()
 {
-  const absl::Duration since = ElapsedNow() - stopBegan_;
-  const bool settled = since >= settings_.settleTime;
+  const Elapsed now = ElapsedNow();
+  const bool settled = now >= shared_->stop->settled;
   const bool idle = requests_.empty() && coordinator_.IsIdle() &&
                     relayServer_->IsIdle() && callers_->ActiveRequests() == 0;
-  if (since >= settings_.stopLimit - LastAnswersTime) {
+  if (now >= shared_->stop->giveUp) {
     GiveUpRequests();
   }
-  if ((settled && idle) || since >= settings_.stopLimit) {
+  if ((settled && idle) || now >= stopBegan_ + settings_.stopLimit) {
     log_.Write(LogWeight::Notable, "stop",
                { { "requests_cut", requests_.size() } });
     loop_.stop();
--- a/Source/Gateway/wgGatewayNode.h
+++ b/Source/Gateway/wgGatewayNode.h
@@ -95,7 +95,6 @@
   void ApplyLimits();
   void RefuseNew(const std::shared_ptr<HttpExchange>& exchange,
                  absl::string_view reason, absl::string_view retryAfter);
-  bool TakesRequests() const;
   void GiveUpRequests();
   void CheckStop();
   bool IsReady() const;
--- a/Source/Gateway/wgGatewayRequest.cxx
+++ b/Source/Gateway/wgGatewayRequest.cxx
@@ -24,6 +24,10 @@
 /** It stays away for a day; whoever mends what it meets tries then. */
 constexpr absl::Duration RetryAfterKeptAway = absl::Minutes(10);
 
+/** Another box serves what this one no longer takes. */
+constexpr absl::Duration RetryAfterStop = absl::Milliseconds(50);
+constexpr absl::string_view StoppingReason = "stopping";
+
 /** What a log line shows of a field that may hold anything. */
 constexpr std::size_t ShownBytes = 40;
 
@@ -55,6 +59,10 @@
   if (!FindRouteAndKey() || !ReadDeadline() || !ReadStages()) {
     return;
   }
+  if (!CanEndBeforeStop()) {
+    SayNotRun(StoppingReason);
+    return;
+  }
   exchange_->OnCallerLeft([weak = weak_from_this()] {
     if (auto self = weak.lock()) {
       self->OnCallerLeft();
@@ -80,6 +88,23 @@
   BeginWork();
 }
 
+bool GatewayRequest::CanEndBeforeStop() const
+{
+  if (!shared_.stop) {
+    return true;
+  }
+  LateRequest late;
+  late.now = ElapsedNow();
+  late.giveUp = giveUp_;
+  late.stopBy = shared_.stop->giveUp;
+  late.isSettling = late.now < shared_.stop->settled;
+  const auto times = shared_.times.find(route_->name);
+  if (times != shared_.times.end()) {
+    late.expected = ExpectedRouteTime(times->second, late.now);
+  }
+  return CanAnswerBeforeStop(late);
+}
+
 /** From the choice of its service on. */
 void GatewayRequest::BeginWork()
 {
@@ -339,7 +364,8 @@
   if (reason == KeptAwayReason) {
     wait = RetryAfterKeptAway;
   }
-  wait = std::max(wait, OriginRetry(reason));
+  wait = reason == StoppingReason ? RetryAfterStop
+                                  : std::max(wait, OriginRetry(reason));
   // Not all at the same moment.
   if (reason == EndpointsLimitedReason || reason == EndpointsRestReason) {
     const Elapsed now = ElapsedNow();
@@ -376,7 +402,16 @@
 
 void GatewayRequest::GiveUp()
 {
-  StopWaiting("stopping");
+  StopWaiting(StoppingReason);
+}
+
+void GatewayRequest::NoteTime()
+{
+  if (route_ != nullptr && attempts_ > 0) {
+    const Elapsed now = ElapsedNow();
+    NoteRouteTime(shared_.times[route_->name], now - exchange_->Arrived(),
+                  now);
+  }
 }
 
 void GatewayRequest::StopWaiting(absl::string_view reason)
@@ -417,6 +452,7 @@
   }
   EndReservations();
   ReleaseAll();
+  NoteTime();
   CountEnd(outcome, reason);
   LogOutcome(outcome, reason);
   over_(shared_from_this());
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -29,6 +29,7 @@
 #include "wgRelayClient.h"
 #include "wgReservationClient.h"
 #include "wgRetryWindow.h"
+#include "wgRouteTimes.h"
 #include "wgSendPermits.h"
 #include "wgSilence.h"
 #include "wgStageClient.h"
@@ -60,6 +61,13 @@
  */
 inline constexpr absl::Duration NearDocument = absl::Seconds(3);
 
+/** \brief The times of a stop that has begun. */
+struct StopTimes
+{
+  Elapsed settled; // callers are no longer sent here
+  Elapsed giveUp;  // what is open is given up
+};
+
 /** \brief What all requests of a box share; on its loop. */
 struct GatewayShared
 {
@@ -86,6 +94,8 @@
   absl::BitGen random{};
   std::map<std::string, RetryWindow> retries{}; // by service
   CallerDeadlines deadlines{};
+  RouteTimes times{};
+  std::optional<StopTimes> stop{};
   DocumentInForce document{};
   std::size_t answerBytes = 0; // of whole answers that are being read
 };
@@ -191,6 +201,8 @@
 
   /** \brief Answers now with what can be said: this box ends. */
   void GiveUp();
+  /** \brief Notes for how long it has been open. */
+  void NoteTime();
 
 private:
   using Stage = detail::RequestStage;
@@ -211,6 +223,7 @@
   bool IsKeptAway() const;
   bool ReadDeadline();
   void ReadPrompt();
+  bool CanEndBeforeStop() const;
   bool ReadStages();
   bool CanNameResults() const;
   double OwnSeconds(std::size_t stage) const;
--- a/Source/Gateway/wgRouteTable.h
+++ b/Source/Gateway/wgRouteTable.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "absl/container/flat_hash_map.h"
+#include "absl/container/flat_hash_set.h"
 #include "absl/strings/string_view.h"
 #include "absl/time/time.h"
 #include "absl/types/span.h"
@@ -170,4 +171,21 @@
 /** \brief Whether each stage comes after earlier ones only. */
 bool StagesAreOrdered(absl::Span<const RouteStage> stages);
 
+/** \brief Drops what is known, by route, of routes that a table no longer has.
+ */
+template <class ByRoute>
+void ForgetRoutes(ByRoute& known, const RouteTable& table)
+{
+  absl::flat_hash_set<absl::string_view> names;
+  for (const Route& route : table.routes) {
+    names.insert(route.name);
+  }
+  for (auto it = known.begin(); it != known.end();) {
+    const auto current = it++;
+    if (!names.contains(current->first)) {
+      known.erase(current);
+    }
+  }
+}
+
 } // namespace wg
--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -127,6 +127,9 @@
    */
   void SetDaemon(std::string path) { daemon_ = std::move(path); }
 
+  /** \brief For gateways that start from now on. */
+  void SetSettleMs(int ms) { settleMs_ = ms; }
+
   /** \brief All gateways that start from now on get these flags too. */
   void SetGatewayFlags(
     std::function<std::vector<std::string>(int gateway)> flags)
@@ -146,7 +149,8 @@
          { absl::StrCat("--peer=", Local(gatewayPeers_[index])),
            absl::StrCat("--listen=", Local(listens_[index])),
            absl::StrCat("--ready=", Local(readies_[index])),
-           std::string("--retry-slack=50"), std::string("--settle-ms=300"),
+           std::string("--retry-slack=50"),
+           absl::StrCat("--settle-ms=", settleMs_),
            std::string("--grace-s=8") }) {
       arguments.push_back(more);
     }
@@ -369,6 +373,7 @@
   }
 
   std::function<std::vector<std::string>(int)> gatewayFlags_;
+  int settleMs_ = 300;
   std::string daemon_; // empty: the one that was built with the tests
   std::vector<std::string> halls_;
   std::vector<std::string> controlHalls_;
