Http: bodies and answers that callers leave open are bounded together

What callers saw: nothing yet; by the report of other operators that bytes without end end a process, for the two rows of docs/design/reader-bounds.md that had no bound on the callers' side. The smallest boxes have 160 MB.

Cause: each body was bounded, all of them together were not. A whole answer waits for its caller as long as it is, was counted, and the count bounded only what came after it.

Change: beyond 24 MB of bodies that are read or answered, those of more than 64 kB are refused at once with 503, Retry-After 1 s (weirgate_bodies_refused). What waits for callers counts to the 48 MB of answers that are read; while half of that waits, a caller that takes less than 256 kB in 2 s is closed. A whole answer is no longer copied twice as it is passed on. Both sides of one class, in one commit, as they share the accounting of a connection.

--- a/Source/Gateway/wgGatewayNode.cxx
+++ b/Source/Gateway/wgGatewayNode.cxx
@@ -217,6 +217,7 @@
   callers_ = std::make_unique<HttpServer>(
     loop_, [this](const auto& exchange) { OnRequest(exchange); });
   callers_->SetTakesConnection([this] { return limiter_.TryTake(); });
+  shared_->callers = callers_.get();
   readiness_ = std::make_unique<HttpServer>(loop_, onReady);
   metricsServer_ = std::make_unique<HttpServer>(loop_, onReady);
   const std::pair<HttpServer*, std::string> servers[] = {
@@ -315,8 +316,9 @@
     requests_.size(), "\nweirgate_requests_kept_away ",
     crashes_.KeptAway(wire::WHOLE_REQUEST), "\nweirgate_parts_kept_away ",
     crashes_.KeptAway(wire::PROMPT_PART), "\nweirgate_peer_bytes_read ",
-    peerClient_->BytesRead(), "\nweirgate_log_lines_left_out ", log_.LeftOut(),
-    "\n");
+    peerClient_->BytesRead(), "\nweirgate_bodies_refused ",
+    callers_->RefusedBodies(), "\nweirgate_log_lines_left_out ",
+    log_.LeftOut(), "\n");
 }
 
 bool GatewayNode::OnEnginePeer(const PeerRequest& request,
--- a/Source/Gateway/wgGatewayRequest.h
+++ b/Source/Gateway/wgGatewayRequest.h
@@ -98,6 +98,7 @@
   std::optional<StopTimes> stop{};
   DocumentInForce document{};
   std::size_t answerBytes = 0; // of whole answers that are being read
+  const HttpServer* callers = nullptr;
 };
 
 namespace detail {
@@ -297,6 +298,7 @@
                     const PlacedRead& placed);
   bool OnHead(std::size_t attempt, const HttpHead& head, BodyFraming framing);
   void OnBody(std::size_t attempt, absl::string_view bytes);
+  std::size_t WaitingBytes() const;
   void EndTooLong(AttemptKnowledge knowledge, absl::string_view why);
   void OnEvents(const std::string& events);
   void WatchStream();
--- a/Source/Gateway/wgGatewayRequestAttempts.cxx
+++ b/Source/Gateway/wgGatewayRequestAttempts.cxx
@@ -29,9 +29,25 @@
 constexpr std::size_t FairAnswerBytes = 256U << 10U;
 /** Of what has come of an event: 200 such streams keep as much. */
 constexpr std::size_t MaxEventBytes = 256U << 10U;
+constexpr std::size_t HeadRoom = 16U << 10U;
 /** Results that cross between halls are weighed as time. */
 constexpr double CrossingSecondsPerByte = 11e-9;
 
+/** Moves the bytes piece by piece: long ones are not kept twice. There is room
+ * for a head before them.
+ */
+std::string TakeText(absl::Cord& cord)
+{
+  std::string text;
+  text.reserve(cord.size() + HeadRoom);
+  while (!cord.empty()) {
+    const absl::string_view piece = *cord.chunk_begin();
+    text.append(piece.data(), piece.size());
+    cord.RemovePrefix(piece.size());
+  }
+  return text;
+}
+
 } // namespace
 
 /** What the engine will have to fetch. */
@@ -355,10 +371,10 @@
   }
   NoteHeard();
   const std::size_t size = attempt_->body.size() + bytes.size();
-  const bool isTooLong =
-    size > MaxAnswerBytes ||
-    (shared_.answerBytes + bytes.size() > MaxAnswerBytesOfAll &&
-     size > FairAnswerBytes);
+  const bool isTooLong = size > MaxAnswerBytes ||
+                         (shared_.answerBytes + WaitingBytes() + bytes.size() >
+                            MaxAnswerBytesOfAll &&
+                          size > FairAnswerBytes);
   if (isTooLong) {
     EndTooLong(AttemptKnowledge::Ran, "answer_too_long");
     return;
@@ -368,6 +384,12 @@
   shared_.answerBytes += bytes.size();
 }
 
+/** Of answers that were read and wait for their callers. */
+std::size_t GatewayRequest::WaitingBytes() const
+{
+  return shared_.callers == nullptr ? 0 : shared_.callers->OutputBytes();
+}
+
 void GatewayRequest::EndTooLong(AttemptKnowledge knowledge,
                                 absl::string_view why)
 {
@@ -566,7 +588,7 @@
   const unsigned status = attempt_->head.result_int();
   constexpr unsigned serverError = 500;
   HttpResponse response{ attempt_->head };
-  response.body() = std::string(std::exchange(attempt_->body, {}));
+  response.body() = TakeText(attempt_->body);
   const BodyFraming framing = attempt_->framing;
   CloseAttempt(status >= serverError);
   const bool promises = status == 429 || status == 503 || status == 408;
--- a/Source/Http/wgHttpServer.cxx
+++ b/Source/Http/wgHttpServer.cxx
@@ -94,7 +94,9 @@
   started_ = true;
   over_ = true;
   onCallerLeft_ = nullptr;
-  Write(PrintHead(response) + (bodiless ? "" : response.body()));
+  std::string bytes = bodiless ? std::string() : std::move(response.body());
+  bytes.insert(0, PrintHead(response));
+  Write(std::move(bytes));
   if (auto connection = connection_.lock()) {
     connection->EndAnswer(keep);
   }
--- a/Source/Http/wgHttpServer.h
+++ b/Source/Http/wgHttpServer.h
@@ -105,6 +105,10 @@
   std::size_t OpenConnections() const { return connections_.size(); }
   /** \brief Requests that are being read or answered. */
   std::size_t ActiveRequests() const;
+  /** \brief Bytes of answers that wait for callers. */
+  std::size_t OutputBytes() const { return outputBytes_; }
+  /** \brief Requests that were refused for the bodies of others. */
+  std::uint64_t RefusedBodies() const { return refusedBodies_; }
   int Port() const;
 
 private:
@@ -123,7 +127,9 @@
   /** A completion may be queued already when the server is destroyed. */
   std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
   bool sweepArmed_ = false;
-  std::size_t outputBytes_ = 0; // that wait for callers
+  std::size_t outputBytes_ = 0;  // that wait for callers
+  std::size_t requestBytes_ = 0; // of bodies that are read or answered
+  std::uint64_t refusedBodies_ = 0;
   bool draining_ = false;
   Elapsed restUntil_ = absl::InfiniteDuration();
   std::unordered_map<detail::HttpServerConnection*,
--- a/Source/Http/wgHttpServerConnection.cxx
+++ b/Source/Http/wgHttpServerConnection.cxx
@@ -27,6 +27,18 @@
  */
 constexpr std::size_t MaxOutputBytesOfAll = 48U << 20U;
 constexpr std::size_t FairOutputBytes = 256U << 10U;
+/** Written at once: a caller that takes less within StalledTime stands still
+ * or is as slow as one that does.
+ */
+constexpr std::size_t WriteBytes = 256U << 10U;
+constexpr absl::Duration StalledTime = absl::Seconds(2);
+/** Of the bodies of all requests that are read or answered: the smallest boxes
+ * have 160 MB, and a request is kept a second time as it is passed on. Beyond
+ * it those of the fair amount go on.
+ */
+constexpr std::size_t MaxRequestBytesOfAll = 24U << 20U;
+constexpr std::size_t FairRequestBytes = 64U << 10U;
+constexpr absl::string_view RetryAfterCrowd = "1.00"; // seconds
 constexpr absl::Duration LingerTime = absl::Seconds(1);
 
 unsigned StatusFor(error_code error)
@@ -130,10 +142,18 @@
       return;
     }
     if (error) {
-      RefuseInput(error);
+      RefuseInput(MakeResponse(StatusFor(error), "", ""));
       return;
     }
     NoteHead();
+    if (!CountRequest()) {
+      ++server_->refusedBodies_;
+      constexpr unsigned unavailable = 503;
+      HttpResponse response = MakeResponse(unavailable, "", "");
+      response.set(http::field::retry_after, std::string(RetryAfterCrowd));
+      RefuseInput(std::move(response));
+      return;
+    }
     if (parser_->is_done()) {
       TakeRequest();
     } else {
@@ -142,6 +162,35 @@
   }
 }
 
+/** Of the body: what a length announces is as good as there. */
+std::size_t HttpServerConnection::RequestBytes() const
+{
+  if (exchange_ != nullptr) {
+    return exchange_->Request().body().size();
+  }
+  if (closed_ || !parser_ || !parser_->is_header_done()) {
+    return 0;
+  }
+  const auto length = parser_->content_length();
+  return std::max(length ? static_cast<std::size_t>(*length) : 0,
+                  parser_->get().body().size());
+}
+
+/**
+eturn false if the body is one too many beside those of the others */
+bool HttpServerConnection::CountRequest()
+{
+  const std::size_t bytes = RequestBytes();
+  if (server_ == nullptr) {
+    return true;
+  }
+  server_->requestBytes_ += bytes;
+  server_->requestBytes_ -= std::exchange(requestCounted_, bytes);
+  const std::size_t most =
+    std::max(MaxRequestBytesOfAll, server_->limits_.bodyBytes);
+  return bytes <= FairRequestBytes || server_->requestBytes_ <= most;
+}
+
 /** Fields after a body in chunks are not merged into those before it. */
 void HttpServerConnection::NoteHead()
 {
@@ -182,10 +231,10 @@
 /** The rest of what the caller sends is read for a while and dropped, or it
  * would lose the answer to a reset.
  */
-void HttpServerConnection::RefuseInput(error_code error)
+void HttpServerConnection::RefuseInput(HttpResponse response)
 {
   parser_.reset();
-  HttpResponse response = MakeResponse(StatusFor(error), "", "");
+  CountRequest();
   response.set(http::field::connection, "close");
   answerEnded_ = true;
   keepOpen_ = false;
@@ -235,15 +284,39 @@
   }
   isWriting_ = true;
   writing_ = std::exchange(output_, {});
+  written_ = 0;
+  WritePart();
+}
+
+void HttpServerConnection::WritePart()
+{
+  progressed_ = ElapsedNow();
   asio::async_write(
-    socket_, asio::buffer(writing_),
-    [self = shared_from_this()](error_code error, std::size_t /*bytes*/) {
-      self->OnWritten(error);
+    socket_,
+    asio::buffer(writing_.data() + written_,
+                 std::min(WriteBytes, writing_.size() - written_)),
+    [self = shared_from_this()](error_code error, std::size_t bytes) {
+      self->OnWritten(error, bytes);
     });
 }
 
-void HttpServerConnection::OnWritten(error_code error)
+/** Whether it holds up memory that others want, for a caller that does not
+ * read.
+ */
+bool HttpServerConnection::IsStalled(Elapsed now) const
+{
+  return isWriting_ && counted_ > FairOutputBytes && server_ != nullptr &&
+         server_->outputBytes_ > MaxOutputBytesOfAll / 2 &&
+         now - progressed_ >= StalledTime;
+}
+
+void HttpServerConnection::OnWritten(error_code error, std::size_t bytes)
 {
+  written_ += bytes;
+  if (!error && !closed_ && written_ < writing_.size()) {
+    WritePart();
+    return;
+  }
   isWriting_ = false;
   if (closed_) {
     return;
@@ -252,7 +325,7 @@
     Close();
     return;
   }
-  writing_.clear();
+  writing_ = {};
   CountOutput();
   if (!output_.empty()) {
     StartWrite();
@@ -282,6 +355,7 @@
 {
   answerEnded_ = false;
   exchange_.reset();
+  CountRequest();
   if (!keepOpen_) {
     Linger();
     return;
@@ -313,19 +387,26 @@
   }
   closed_ = true;
   CountOutput();
+  parser_.reset();
   error_code ignored;
   socket_.close(ignored);
   auto self = shared_from_this();
   if (server_ != nullptr) {
     server_->connections_.erase(this);
   }
-  if (auto exchange = std::exchange(exchange_, nullptr)) {
+  auto exchange = std::exchange(exchange_, nullptr);
+  CountRequest();
+  if (exchange != nullptr) {
     exchange->NoteCallerLeft();
   }
 }
 
 void HttpServerConnection::CheckTimeouts(Elapsed now)
 {
+  if (IsStalled(now)) {
+    Close();
+    return;
+  }
   const bool answering = exchange_ != nullptr;
   if (answering || server_ == nullptr) {
     return;
--- a/Source/Http/wgHttpServerConnection.h
+++ b/Source/Http/wgHttpServerConnection.h
@@ -58,11 +58,15 @@
   void NoteHead();
   void ContinueIfAsked();
   void TakeRequest();
-  void RefuseInput(boost::system::error_code error);
+  std::size_t RequestBytes() const;
+  bool CountRequest();
+  void RefuseInput(HttpResponse response);
   bool IsOutputTooLong() const;
+  bool IsStalled(Elapsed now) const;
   void CountOutput();
   void StartWrite();
-  void OnWritten(boost::system::error_code error);
+  void WritePart();
+  void OnWritten(boost::system::error_code error, std::size_t bytes);
   void AfterAnswer();
   void Linger();
 
@@ -75,8 +79,11 @@
   std::shared_ptr<HttpExchange> exchange_;
   std::string output_;
   std::string writing_;
+  std::size_t written_ = 0; // of `writing_`
   std::size_t counted_ = 0; // of what waits, in the server's sum
-  Elapsed due_;             // of what is being read, or of the rest
+  std::size_t requestCounted_ = 0;
+  Elapsed progressed_; // a part of the answer was written
+  Elapsed due_;        // of what is being read, or of the rest
   bool isReading_ = false;
   bool isWriting_ = false;
   bool answerEnded_ = false;
