Gateway: a relayed call has a time of its own

By reading: a call that is made for another box ended with that box's connection alone. A box that loses power closes nothing, so that an endpoint which sends without end, slowly, was read for as long as the kernel tried.

Change: ten minutes, the longest that any request is held. No test of its own: it would take as long.

--- a/Source/Gateway/wgRelayServer.cxx
+++ b/Source/Gateway/wgRelayServer.cxx
@@ -2,6 +2,7 @@
 #include "wgRelayServer.h"
 
 #include <algorithm>
+#include <chrono>
 #include <utility>
 
 #include <boost/asio/post.hpp>
@@ -23,6 +24,8 @@
 constexpr absl::Duration IdleTimeout = absl::Minutes(1);
 constexpr std::size_t MaxHeaderBytes = 16U << 10U;
 constexpr std::size_t MaxBodyBytes = 8U << 20U;
+/** No request is held for longer; the other box closes before, if it lives. */
+constexpr auto MaxCallTime = std::chrono::minutes(10);
 constexpr std::size_t MostEndpointsTried = 16; // for one question
 /** Several boxes ask about the same endpoints, twice a second each. */
 constexpr absl::Duration ConnectedMemory = absl::Seconds(1);
@@ -225,6 +228,12 @@
       node.mapped().http->Cancel();
     }
   });
+  call.timer = std::make_unique<LoopTimer>(loop_, MaxCallTime);
+  call.timer->async_wait([this, number](boost::system::error_code error) {
+    if (!error) {
+      OnLate(number);
+    }
+  });
   metrics_.Count("relay_carried");
   call.http = client_.Start(RouteTo(directory_.routes, endpoint.address),
                             request.body(), options, std::move(handler));
@@ -251,6 +260,15 @@
   found->second.exchange->StartStream(std::move(head));
 }
 
+void RelayServer::OnLate(std::uint64_t number)
+{
+  const auto found = calls_.find(number);
+  if (found != calls_.end()) {
+    found->second.http->Cancel();
+    OnEnd(number, HttpCallEnd::Cut);
+  }
+}
+
 void RelayServer::OnEnd(std::uint64_t number, HttpCallEnd end)
 {
   auto node = calls_.extract(number);
--- a/Source/Gateway/wgRelayServer.h
+++ b/Source/Gateway/wgRelayServer.h
@@ -11,6 +11,7 @@
 #include "wgGatewayMetrics.h"
 #include "wgHttpClient.h"
 #include "wgHttpServer.h"
+#include "wgLoopTimer.h"
 #include "wgPeer.pb.h"
 
 namespace wg {
@@ -48,6 +49,7 @@
   {
     Exchange exchange;
     std::unique_ptr<HttpCall> http;
+    std::unique_ptr<LoopTimer> timer;
     std::string from;
     std::string endpoint;
     Elapsed began;
@@ -63,6 +65,7 @@
   void Refuse(const Exchange& exchange, absl::string_view result);
   void MakeCall(const Exchange& exchange, const DirectoryEndpoint& endpoint);
   void OnHead(std::uint64_t number, HttpHead head, BodyFraming framing);
+  void OnLate(std::uint64_t number);
   void OnEnd(std::uint64_t number, HttpCallEnd end);
 
   EventLoop& loop_;
