Test: first tries that take streams up, against those that begin new ones

This one asks in the same seconds, 0 to 7 s after the gateways are back, at first tries, with 3 and 9 gateways and two kills.

--- a/Tests/Platform/wgPlatformJoinedStreamTest.cxx
+++ b/Tests/Platform/wgPlatformJoinedStreamTest.cxx
@@ -14,6 +14,7 @@
 namespace {
 
 using wg::test::Await;
+using wg::test::Names;
 using wg::test::Ok;
 using wg::test::OneHall;
 using wg::test::Stream;
@@ -117,6 +118,41 @@
   }
 }
 
+// Streams that go on only at a later try are lost to callers whose time is
+// short: what counts is the first try, whenever it comes.
+TEST_CASE("Streams are taken up as often as new ones begin after a kill",
+          "[first-tries]")
+{
+  const Names halls =
+    GENERATE(Names{ "h1", "h1", "h2" },
+             Names{ "h1", "h1", "h1", "h1", "h1", "h2", "h2", "h2", "h2" });
+  CAPTURE(halls.size());
+  Versions f(halls, TwoVersions);
+  for (int kill = 0; kill < 2; ++kill) { // some 8 s apart
+    const auto begun = f.BeginMany(0, TwoVersions, Count);
+    f.AwaitCopies(0);
+    f.RestartGateways();
+    const absl::Time started = absl::Now();
+    int asked = 0;
+    int goOn = 0;
+    int begin = 0;
+    while (absl::Now() - started < absl::Seconds(7)) {
+      const int gateway = asked % f.cluster.Gateways();
+      const Stream& first =
+        begun[static_cast<std::size_t>(asked) % begun.size()];
+      const Stream second = f.TakeUp(gateway, first.request);
+      CHECK((second.status != Ok || second.versions == first.versions));
+      goOn += second.status == Ok ? 1 : 0;
+      begin += f.Begin(gateway).status == Ok ? 1 : 0;
+      ++asked;
+      absl::SleepFor(absl::Milliseconds(50));
+    }
+    CAPTURE(asked, goOn, begin);
+    CHECK(begin > 0);
+    CHECK(10 * goOn >= 9 * begin);
+  }
+}
+
 // What began before another version came is sent to no control box.
 TEST_CASE("All gateways are killed after another version has come",
           "[gateways-killed]")
