Http: an answer whose head comes alone is read whole

What callers saw: a 502, a repetition at another endpoint or a stage's call made again, when an endpoint's answer with a length came in two segments, the first of which ended with its head. The endpoint counted as one that cuts its answers off, and the request as one that may have ended it.

Cause: with the body's limit lifted (boost::none) the library compares each length with nothing, and finds it too large; the error is overwritten where a byte of the body is there as well.

Change: the limit is the largest number.

--- a/Source/Http/wgHttpClientConnection.cxx
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdint>
+#include <limits>
 #include <utility>
 
 #include <netinet/tcp.h>
@@ -102,7 +104,9 @@
   parser_.emplace();
   parser_->eager(true);
   parser_->header_limit(MaxUnparsedBytes);
-  parser_->body_limit(boost::none);
+  // Without a limit the library takes each length for one too many, if the
+  // head comes alone.
+  parser_->body_limit(std::numeric_limits<std::uint64_t>::max());
   parser_->skip(!answerHasBody_);
 }
 
--- a/Tests/Gateway/wgHttpClientTest.cxx
+++ b/Tests/Gateway/wgHttpClientTest.cxx
@@ -34,6 +34,7 @@
     std::string bytes;
     bool closes = false;
     bool resets = false;
+    std::string later = {}; // in a segment of its own
   };
 
   explicit ScriptedEndpoint(std::vector<Answer> answers)
@@ -83,6 +84,10 @@
       input.consume(input.size());
       const Answer& answer = answers_[next_++];
       asio::write(socket, asio::buffer(answer.bytes), error);
+      if (!answer.later.empty()) {
+        absl::SleepFor(absl::Milliseconds(50));
+        asio::write(socket, asio::buffer(answer.later), error);
+      }
       if (answer.resets) {
         socket.set_option(asio::socket_base::linger(true, 0), error);
       }
@@ -199,6 +204,28 @@
   CHECK(endpoint.Connections() == 1);
 }
 
+// A head with a length, without the body's first byte, was taken for a cut
+// answer.
+TEST_CASE("Answers whose head comes alone are read whole")
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string byLength = ok + "Content-Length: 4\r\n\r\n";
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  ScriptedEndpoint endpoint(
+    { { byLength, false, false, "body" },
+      { chunked, false, false, "4\r\nbody\r\n0\r\n\r\n" },
+      { ok + "\r\n", true, false, "body" } });
+  Caller caller;
+  for (int i = 0; i < 3; ++i) {
+    CAPTURE(i);
+    const Result result = caller.Call(endpoint.Address());
+    CHECK(result.status == 200);
+    CHECK(result.body == "body");
+    CHECK(result.end ==
+          (i < 2 ? wg::HttpCallEnd::Complete : wg::HttpCallEnd::EndedByClose));
+  }
+}
+
 TEST_CASE("An answer that is cut off is not whole")
 {
   Caller caller;
