--- a/Source/Http/wgEndpointClient.cxx
+++ b/Source/Http/wgEndpointClient.cxx
@@ -9,6 +9,8 @@
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 
+#include "wgHttpFetch.h"
+
 namespace wg {
 namespace {
 
@@ -210,13 +212,14 @@
 std::string FetchText(const EndpointAddress& address, const std::string& path,
                       absl::Duration timeout)
 {
-  httplib::Client client(address.host, address.port);
-  ApplyTimeout(timeout, [&client](time_t s, time_t us) {
-    client.set_connection_timeout(s, us);
-    client.set_read_timeout(s, us);
-  });
-  const httplib::Result result = client.Get(path);
-  return result && result->status == StatusOk ? result->body : std::string();
+  constexpr int http11 = 11;
+  HttpRequest request(boost::beast::http::verb::get, path, http11);
+  Outcome<HttpResponse> answer =
+    Fetch(absl::StrCat(address.host, ":", address.port), std::move(request),
+          { timeout });
+  const bool isText = Succeeded(answer) &&
+                      Value(answer).result() == boost::beast::http::status::ok;
+  return isText ? std::move(Value(answer).body()) : std::string();
 }
 
 } // namespace wg
--- /dev/null
+++ b/Source/Http/wgHttpFetch.cxx
@@ -0,0 +1,69 @@
+// SPDX-License-Identifier: Apache-2.0
+#include "wgHttpFetch.h"
+
+#include <optional>
+#include <utility>
+
+#include "absl/strings/str_cat.h"
+
+#include "wgHttpClient.h"
+
+namespace wg {
+namespace {
+
+absl::string_view DescribeEnd(HttpCallEnd end)
+{
+  return end == HttpCallEnd::NotConnected || end == HttpCallEnd::Unreached
+           ? "can't be connected to"
+           : "cut its answer off";
+}
+
+} // namespace
+
+Outcome<HttpResponse> Fetch(const std::string& address, HttpRequest request,
+                            const FetchLimits& limits)
+{
+  EventLoop loop;
+  HttpClient client(loop);
+  HttpResponse response;
+  std::optional<HttpCallEnd> ended;
+  bool isTooLong = false;
+  HttpCallHandler handler;
+  handler.onHead = [&response](const HttpHead& head, BodyFraming) {
+    response.base() = head;
+    return true;
+  };
+  handler.onBody = [&](absl::string_view bytes) {
+    isTooLong |= response.body().size() + bytes.size() > limits.bodyBytes;
+    if (isTooLong) {
+      loop.stop();
+      return;
+    }
+    response.body().append(bytes.data(), bytes.size());
+  };
+  handler.onEnd = [&](HttpCallEnd end) {
+    ended = end;
+    loop.stop();
+  };
+  request.set(boost::beast::http::field::host, address);
+  request.set(boost::beast::http::field::connection, "close");
+  HttpCallOptions options;
+  options.connectTimeout = limits.timeout;
+  const auto call = client.Start(address, PrintRequest(std::move(request)),
+                                 options, std::move(handler));
+  loop.run_for(absl::ToChronoNanoseconds(limits.timeout));
+  if (isTooLong) {
+    return Error{ absl::StrCat(address, " sent more than ", limits.bodyBytes,
+                               " bytes") };
+  }
+  if (!ended) {
+    return Error{ absl::StrCat(address, " gave no whole answer within ",
+                               absl::FormatDuration(limits.timeout)) };
+  }
+  if (!IsAnswered(*ended)) {
+    return Error{ absl::StrCat(address, " ", DescribeEnd(*ended)) };
+  }
+  return response;
+}
+
+} // namespace wg
