--- a/Tests/Platform/wgPlatformStopTest.cxx
+++ b/Tests/Platform/wgPlatformStopTest.cxx
@@ -21,6 +21,7 @@
 #include "absl/time/clock.h"
 
 #include "wgPlatformCluster.h"
+#include "wgPlatformStandin.h"
 #include "wgRawCaller.h"
 #include "wgScriptedEndpoint.h"
 
@@ -29,6 +30,7 @@
 using Json = nlohmann::json;
 using wg::test::Await;
 using wg::test::PlatformCluster;
+using wg::test::PlatformStandin;
 using wg::test::RawCaller;
 using wg::test::ScriptedAnswer;
 using wg::test::ScriptedEndpoint;
@@ -329,3 +331,95 @@
   CHECK(site.Ask(0, "/s/3000").status == 200);
   CHECK(site.cluster.Gateway(0).Wait() == 0);
 }
+
+namespace {
+
+/** Callers of streams with stages, until told to end. */
+struct StreamCallers
+{
+  StreamCallers(PlatformCluster& cluster, int eachGateway)
+  {
+    for (int gateway = 0; gateway < cluster.Gateways(); ++gateway) {
+      for (int i = 0; i < eachGateway; ++i) {
+        threads.emplace_back([this, &cluster, gateway] {
+          while (!ending) {
+            Ask(cluster, gateway);
+            absl::SleepFor(absl::Milliseconds(10));
+          }
+        });
+      }
+    }
+  }
+  ~StreamCallers() { End(); }
+
+  void End()
+  {
+    ending = true;
+    for (std::thread& thread : threads) {
+      thread.join();
+    }
+    threads.clear();
+  }
+
+  void Ask(PlatformCluster& cluster, int gateway)
+  {
+    Outcome outcome;
+    outcome.id = absl::StrCat("stream-", ++requests);
+    const auto reply = cluster.Send(gateway, "/s/x", outcome.id);
+    outcome.status = reply ? reply->status : 0;
+    outcome.hasRetryAfter = reply && reply->has_header("Retry-After");
+    outcome.isWhole = reply && absl::StrContains(reply->body, "id: 4");
+    const std::lock_guard<std::mutex> lock(mutex);
+    outcomes.push_back(outcome);
+  }
+
+  std::atomic<int> requests{ 0 };
+  std::atomic<bool> ending{ false };
+  std::mutex mutex;
+  std::vector<Outcome> outcomes;
+  std::vector<std::thread> threads;
+};
+
+} // namespace
+
+// Two of three boxes stop at once, one of them coordinates the stages.
+TEST_CASE("Streams with stages are cut by no stop of two boxes", "[two-boxes]")
+{
+  PlatformCluster cluster(3);
+  PlatformStandin engine("engine");
+  PlatformStandin encoder("encoder");
+  engine.SetEventMs(100);
+  encoder.SetCallMs(50);
+  cluster.AwaitServing();
+  REQUIRE(engine.Register(cluster.Api(0), "llm"));
+  REQUIRE(encoder.Register(cluster.Api(0), "enc"));
+  for (int gateway = 0; gateway < cluster.Gateways(); ++gateway) {
+    Await("an answer", [&] {
+      const auto reply =
+        cluster.Send(gateway, "/s/x", absl::StrCat("warm-", gateway));
+      return reply && reply->status == 200;
+    });
+  }
+  StreamCallers callers(cluster, 3);
+  absl::SleepFor(absl::Seconds(1));
+  cluster.Gateway(0).Signal(SIGHUP);
+  absl::SleepFor(absl::Milliseconds(100));
+  cluster.Gateway(0).Signal(SIGTERM);
+  cluster.Gateway(1).Signal(SIGTERM);
+  CHECK(cluster.Gateway(0).Wait() == 0);
+  CHECK(cluster.Gateway(1).Wait() == 0);
+  callers.End();
+  int served = 0;
+  for (const Outcome& outcome : callers.outcomes) {
+    CAPTURE(outcome.id, outcome.status);
+    if (outcome.status == 200) {
+      ++served;
+      CHECK(outcome.isWhole);
+      continue;
+    }
+    CHECK((outcome.status == 0 || outcome.hasRetryAfter));
+    CHECK((outcome.status == 0 || outcome.status == 503));
+    CHECK(engine.Runs(outcome.id) == 0);
+  }
+  CHECK(served > 0);
+}
