--- a/Tests/Platform/wgPlatformJoinedStreamTest.cxx
+++ b/Tests/Platform/wgPlatformJoinedStreamTest.cxx
@@ -25,6 +25,15 @@
 constexpr int Count = 12;
 constexpr int Rounds = 4;
 
+/** How all processes are killed and come back. */
+struct KillOrder
+{
+  bool areControlsFirst; // 0.3 s before the others
+  int downMs;
+  int lateMs;     // one control box comes back so much later
+  bool losesDisk; // one control box does
+};
+
 } // namespace
 
 // Control boxes that start again know no endpoints after a calm minute, and
@@ -56,6 +65,59 @@
   }
 }
 
+// What tells the versions apart must not rest on which process comes first.
+TEST_CASE("All processes are killed in any order", "[kill-orders]")
+{
+  const KillOrder order = GENERATE(
+    KillOrder{ true, 100, 0, false }, KillOrder{ false, 700, 0, false },
+    KillOrder{ true, 3000, 0, false }, KillOrder{ true, 700, 5000, false },
+    KillOrder{ false, 700, 0, true });
+  CAPTURE(order.areControlsFirst, order.downMs, order.lateMs, order.losesDisk);
+  Versions f(OneHall, TwoVersions);
+  const auto begun = f.BeginMany(0, TwoVersions, Count);
+  f.AwaitCopies(0);
+  absl::SleepFor(absl::Seconds(2)); // disks of test machines may stall
+  if (!order.areControlsFirst) {
+    f.KillGateways();
+    absl::SleepFor(absl::Milliseconds(300));
+  }
+  f.KillControls();
+  if (order.areControlsFirst) {
+    absl::SleepFor(absl::Milliseconds(300));
+    f.KillGateways();
+  }
+  absl::SleepFor(absl::Milliseconds(order.downMs));
+  f.cluster.StartControl(0, false);
+  f.cluster.StartControl(1, false);
+  if (order.losesDisk) {
+    f.cluster.LoseDisk(2);
+  } else if (order.lateMs == 0) {
+    f.cluster.StartControl(2, false);
+  }
+  f.StartGateways();
+  for (const auto& engine : { f.engines[0].get(), f.engines[1].get() }) {
+    REQUIRE(engine->Register(f.cluster.Api(0), "llm"));
+  }
+  for (int round = 0; round < Rounds; ++round) {
+    absl::SleepFor(absl::Milliseconds(500));
+    f.CheckNoneJoined(begun, 0);
+    f.CheckNoneJoined(begun, 1);
+  }
+  if (order.lateMs > 0) {
+    absl::SleepFor(absl::Milliseconds(order.lateMs));
+    f.cluster.StartControl(2, false);
+  }
+  for (const auto& engine : { f.engines[2].get(), f.engines[3].get() }) {
+    REQUIRE(engine->Register(f.cluster.Api(0), "llm"));
+  }
+  for (int gateway = 0; gateway < f.cluster.Gateways(); ++gateway) {
+    f.AwaitVersions(gateway, TwoVersions);
+    for (const Stream& first : begun) {
+      f.CheckGoesOn(first, gateway);
+    }
+  }
+}
+
 // Control boxes that start again take a version that has just left for one
 // that left long ago.
 TEST_CASE("All processes are killed after a version has left", "[all-killed]")
--- a/Tests/Platform/wgStreamVersions.h
+++ b/Tests/Platform/wgStreamVersions.h
@@ -206,9 +206,7 @@
   /** All processes are killed and start again; their disks are kept. */
   void RestartAll()
   {
-    for (int i = 0; i < PlatformCluster::Controls; ++i) {
-      cluster.Control(i).Kill();
-    }
+    KillControls();
     KillGateways();
     for (int i = 0; i < PlatformCluster::Controls; ++i) {
       cluster.StartControl(i, false);
@@ -220,6 +218,12 @@
     KillGateways();
     StartGateways();
   }
+  void KillControls()
+  {
+    for (int i = 0; i < PlatformCluster::Controls; ++i) {
+      cluster.Control(i).Kill();
+    }
+  }
   void KillGateways()
   {
     for (int i = 0; i < cluster.Gateways(); ++i) {
