--- a/Source/Http/wgHttpFetch.cxx
+++ b/Source/Http/wgHttpFetch.cxx
@@ -45,7 +45,9 @@
     ended = end;
     loop.stop();
   };
-  request.set(boost::beast::http::field::host, address);
+  if (!SetField(request, "Host", address)) {
+    return Error{ "The address is no IP:port" };
+  }
   request.set(boost::beast::http::field::connection, "close");
   HttpCallOptions options;
   options.connectTimeout = limits.timeout;
