Http: only what a connection's bytes throw is passed over

Read afresh: RunLoop went on after anything that a handler threw, a timer's as well. A chain of timers that is not armed again leaves a process that looks alive and does nothing, which is worse than one that ends and is started again.

Change: connections turn what their bytes make a handler throw into a ConnectionError, after they have closed; RunLoop goes on after that alone. A request that was sent ahead is read under the same guard.

--- a/Source/Http/wgHttpClientConnection.cxx
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -16,6 +16,7 @@
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_split.h"
 
+#include "wgRunLoop.h"
 #include "wgSocketAddress.h"
 
 namespace wg {
@@ -200,9 +201,10 @@
   input_.commit(bytes);
   try {
     ParseInput();
-  } catch (...) { // none of these bytes is used again
+  } catch (const std::exception& error) {
+    const ConnectionError thrown(error.what());
     EndCall(HttpCallEnd::Cut);
-    throw;
+    throw thrown;
   }
   Read();
 }
--- a/Source/Http/wgHttpServerConnection.cxx
+++ b/Source/Http/wgHttpServerConnection.cxx
@@ -7,6 +7,8 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http/error.hpp>
 
+#include "wgRunLoop.h"
+
 namespace wg {
 namespace detail {
 namespace {
@@ -103,11 +105,17 @@
     return;
   }
   input_.commit(bytes);
+  TakeInput();
+}
+
+void HttpServerConnection::TakeInput()
+{
   try {
     ParseInput();
-  } catch (...) { // none of these bytes is used again
+  } catch (const std::exception& error) {
+    const ConnectionError thrown(error.what());
     Close();
-    throw;
+    throw thrown;
   }
   Read();
 }
@@ -363,10 +371,7 @@
   due_ = server_ == nullptr ? ElapsedNow()
                             : ElapsedNow() + server_->limits_.idleTimeout;
   auto self = shared_from_this();
-  asio::post(socket_.get_executor(), [self] {
-    self->ParseInput();
-    self->Read();
-  });
+  asio::post(socket_.get_executor(), [self] { self->TakeInput(); });
 }
 
 void HttpServerConnection::Linger()
--- a/Source/Http/wgHttpServerConnection.h
+++ b/Source/Http/wgHttpServerConnection.h
@@ -53,6 +53,7 @@
 
   void Read();
   void OnRead(boost::system::error_code error, std::size_t bytes);
+  void TakeInput();
   void ParseInput();
   void StartParser();
   void NoteHead();
--- a/Source/Http/wgRunLoop.cxx
+++ b/Source/Http/wgRunLoop.cxx
@@ -1,8 +1,6 @@
 // SPDX-License-Identifier: Apache-2.0
 #include "wgRunLoop.h"
 
-#include <exception>
-
 namespace wg {
 
 void RunLoop(EventLoop& loop,
@@ -12,7 +10,7 @@
     try {
       loop.run();
       return;
-    } catch (const std::exception& error) {
+    } catch (const ConnectionError& error) {
       onThrown(error.what());
     }
   }
--- a/Source/Http/wgRunLoop.h
+++ b/Source/Http/wgRunLoop.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <functional>
+#include <stdexcept>
 
 #include "absl/strings/string_view.h"
 
@@ -9,9 +10,19 @@
 
 namespace wg {
 
-/** \brief Runs a loop until it is stopped or has nothing left to do. A
- * handler that throws ends alone, after `onThrown` was told what it threw: a
- * fault that one connection's bytes show must not end the work for all others.
+/** \brief What a handler threw at the bytes of a connection, which has been
+ * closed.
+ */
+class ConnectionError : public std::runtime_error
+{
+public:
+  using std::runtime_error::runtime_error;
+};
+
+/** \brief Runs a loop until it is stopped or has nothing left to do. It goes
+ * on after a ConnectionError, of which `onThrown` was told: a fault that one
+ * connection's bytes show must not end the work for all others. What anything
+ * else throws, as a timer whose chain would end, is passed on.
  */
 void RunLoop(EventLoop& loop,
              const std::function<void(absl::string_view what)>& onThrown);
--- a/Tests/Gateway/wgHttpServerTest.cxx
+++ b/Tests/Gateway/wgHttpServerTest.cxx
@@ -1,7 +1,10 @@
 // SPDX-License-Identifier: Apache-2.0
 #include <atomic>
 #include <memory>
+#include <stdexcept>
 #include <string>
+#include <thread>
+#include <vector>
 
 #include <boost/asio/post.hpp>
 #include <catch2/catch.hpp>
@@ -13,6 +16,7 @@
 #include "wgHttpServer.h"
 #include "wgLoopThread.h"
 #include "wgRawCaller.h"
+#include "wgRunLoop.h"
 
 namespace {
 
@@ -406,6 +410,43 @@
   }
 }
 
+// What a handler threw at one caller's request ended the process.
+TEST_CASE("A handler that throws ends its connection alone")
+{
+  wg::EventLoop loop;
+  wg::HttpServer server(loop, [](const Exchange& exchange) {
+    if (exchange->Request().target() == "/throws") {
+      throw std::length_error("too long");
+    }
+    Echo(exchange);
+  });
+  REQUIRE(wg::Succeeded(server.Start("127.0.0.1", 0)));
+  const int port = server.Port();
+  std::vector<std::string> thrown;
+  std::thread thread([&] {
+    wg::RunLoop(
+      loop, [&thrown](absl::string_view what) { thrown.emplace_back(what); });
+  });
+  RawCaller beside(port);
+  RawCaller caller(port);
+  caller.Send("GET /throws HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(caller.ReadAll().empty());
+  beside.Send("GET /sound HTTP/1.1\r\nHost: h\r\n\r\n");
+  CHECK(absl::StrContains(beside.ReadUntil("|"), "200 OK"));
+  loop.stop();
+  thread.join();
+  CHECK(thrown == std::vector<std::string>{ "too long" });
+}
+
+// What a timer throws is no fault of a connection.
+TEST_CASE("What a timer throws is not passed over")
+{
+  wg::EventLoop loop;
+  boost::asio::post(loop, [] { throw std::logic_error("broken"); });
+  CHECK_THROWS_AS(wg::RunLoop(loop, [](absl::string_view) {}),
+                  std::logic_error);
+}
+
 // Each caller that did not read could leave 8 MB waiting for it.
 TEST_CASE("What waits for callers is bounded for all of them together")
 {
