Gateway: connections at rest are not tried one after the other

What callers saw: as the box that coordinates a pool of stages lost its path to the pool's endpoints, requests waited 1.4 s, and up to 2.5 s where calls had been open at once.

Cause: a call that was given up as late closed its connection alone, and the next one hung at the next connection at rest. And pieces waited for a probe to reach the hall where two silent endpoints had it count as cut off, though other boxes relay calls to them.

Both units fail on the code before.

An endpoint whose path is lost is called over other boxes, whatever its hall counts as.

--- a/Source/Gateway/wgStageCoordinator.cxx
+++ b/Source/Gateway/wgStageCoordinator.cxx
@@ -79,6 +79,7 @@
                                    SendPermits& permits,
                                    GatewayMetrics& metrics, DecisionLog& log)
   : loop_(loop)
+  , client_(client)
   , startCall_(DirectCalls(client, directory))
   , directory_(directory)
   , dialect_(dialect)
@@ -467,7 +468,9 @@
       servers.push_back(std::move(server));
     }
     StageServer* known = &servers[place->second];
-    const bool isCut = IsCutOff(directory_.reach, endpoint->hall);
+    // Other boxes relay calls to an endpoint whose path is lost.
+    const bool isCut = IsCutOff(directory_.reach, endpoint->hall) &&
+                       !IsPathLost(directory_.reach, endpoint->id);
     known->avoidUntil =
       std::max({ known->avoidUntil, endpoint->avoidUntil,
                  isCut ? ElapsedNow() + CutOffPause : Elapsed() });
--- a/Source/Gateway/wgStageCoordinator.h
+++ b/Source/Gateway/wgStageCoordinator.h
@@ -165,6 +165,7 @@
   void OnCallEnd(std::uint64_t number, HttpCallEnd end);
   void OnCallLate(std::uint64_t number);
   void OnCallTooLong(std::uint64_t number);
+  void ForgetResting(const OpenCall& open);
   void NoteTimeOf(const OpenCall& open, StageServer& server);
   void TakeAnswer(OpenCall& open, HttpCallEnd end);
   void TakeResultOf(OpenCall& open, StagePiece& piece,
@@ -199,6 +200,7 @@
   static void BoundRoom(StagePool& pool, Elapsed now);
 
   EventLoop& loop_;
+  HttpClient& client_;
   StartEndpointCall startCall_;
   Directory& directory_;
   const Dialect& dialect_;
--- a/Source/Gateway/wgStageCoordinatorCalls.cxx
+++ b/Source/Gateway/wgStageCoordinatorCalls.cxx
@@ -161,9 +161,22 @@
   }
   SettleCall(open, true);
   FailCall(open, true);
+  ForgetResting(open);
   Pump(key);
 }
 
+/** If a path carries nothing, its connections at rest don't either: a new one
+ * tells it soon.
+ */
+void StageCoordinator::ForgetResting(const OpenCall& open)
+{
+  const DirectoryEndpoint* endpoint =
+    FindEndpoint(directory_, open.call.server);
+  if (endpoint != nullptr && open.relay.empty()) {
+    client_.Forget(RouteTo(directory_.routes, endpoint->address));
+  }
+}
+
 void StageCoordinator::OnCallTooLong(std::uint64_t number)
 {
   auto found = calls_.find(number);
--- a/Tests/Gateway/wgStageCoordinatorTest.cxx
+++ b/Tests/Gateway/wgStageCoordinatorTest.cxx
@@ -819,3 +819,44 @@
     [&f] { return wg::FindEndpoint(f.directory, "e")->failuresInRow > 0; });
   CHECK(isInTrouble);
 }
+
+// A path that carried nothing was tried again at each connection at rest.
+TEST_CASE("A call after a late one goes over a new connection")
+{
+  Fixture f;
+  SetLimits(f, 2, 1, 1000, absl::Seconds(4));
+  int connects = 0;
+  f.thread.Do([&] {
+    f.client->OnConnect(
+      [&connects](const std::string&, wg::ConnectResult) { ++connects; });
+    return true;
+  });
+  f.Submit(1, 2);
+  REQUIRE(IsHeld(f, 2));
+  f.AnswerNext();
+  f.AnswerNext();
+  REQUIRE(f.Eventually([&] { return f.ended[1] == 1; }));
+  REQUIRE(f.thread.Do([&] { return connects; }) == 2);
+  f.Submit(2, 1);
+  REQUIRE(IsHeld(f));
+  CHECK(IsHeld(f, 2)); // again, after the first one was late
+  CHECK(f.thread.Do([&] { return connects; }) == 3);
+}
+
+// Pieces waited until the hall was reached, though other boxes relay calls.
+TEST_CASE("An endpoint of a hall that is cut off is called over a relay")
+{
+  Fixture f;
+  f.thread.Do([&] {
+    const wg::Elapsed now = wg::ElapsedNow();
+    wg::NoteUnreached(f.directory.reach, "h", "e", now);
+    wg::NoteUnreached(f.directory.reach, "h", "another", now);
+    REQUIRE(wg::IsCutOff(f.directory.reach, "h"));
+    wg::NoteEndpointUnreached(f.directory.reach, "e", true, now);
+    REQUIRE(wg::NoteReachedElsewhere(f.directory.reach, "e"));
+    return true;
+  });
+  f.Submit(1, 1);
+  f.AnswerNext();
+  CHECK(f.Eventually([&] { return f.ended[1] == 1; }));
+}
