HttpClient: answers are read 32 kB at a time

Cause: each read of an answer waits its turn behind those of all others, and 100 kB took 13 reads of 8 kB. With one core for the gateway and the test, 258 of the longest request's 329 ms were spent in the gateway, and 762 of 854 ms with three busy loops on that core.

Change: 32 kB a read.

The new unit fails before: 8 turns for 64 kB, 4 are allowed.

--- a/Source/Http/wgHttpClientConnection.cxx
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -28,7 +28,8 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t ReadBytes = 8192;
+/** Each read waits its turn behind those of all other answers. */
+constexpr std::size_t ReadBytes = 32U << 10U;
 /** What the parser has not used yet: a head, a line of a chunk, or trailers.
  * No field in them can be longer than the parser holds.
  */
--- a/Tests/Gateway/wgHttpClientTest.cxx
+++ b/Tests/Gateway/wgHttpClientTest.cxx
@@ -226,6 +226,44 @@
   }
 }
 
+// Beside answers without end, one of 100 kB waited behind all of them 13
+// times.
+TEST_CASE("An answer that has come is read in few turns of the loop")
+{
+  const std::string body(64U << 10U, 'b');
+  ScriptedEndpoint endpoint(
+    { { absl::StrCat("HTTP/1.1 200 OK\r\nContent-Length: ", body.size(),
+                     "\r\n\r\n"),
+        false, false, body } });
+  Caller caller;
+  std::promise<wg::HttpCallEnd> ended;
+  int turns = 0;
+  std::size_t bytes = 0;
+  wg::HttpCallHandler handler;
+  handler.onHead = [](const wg::HttpHead&, wg::BodyFraming) {
+    absl::SleepFor(absl::Milliseconds(500)); // the body comes meanwhile
+    return true;
+  };
+  handler.onBody = [&turns, &bytes](absl::string_view part) {
+    ++turns;
+    bytes += part.size();
+  };
+  handler.onEnd = [&ended](wg::HttpCallEnd end) { ended.set_value(end); };
+  std::unique_ptr<wg::HttpCall> call;
+  caller.thread.Do([&] {
+    call = caller.client->Start(endpoint.Address(), Request, {},
+                                std::move(handler));
+    return true;
+  });
+  CHECK(ended.get_future().get() == wg::HttpCallEnd::Complete);
+  caller.thread.Do([&] {
+    call.reset();
+    return true;
+  });
+  CHECK(bytes == body.size());
+  CHECK(turns <= 4);
+}
+
 TEST_CASE("An answer that is cut off is not whole")
 {
   Caller caller;
