--- a/Tests/Platform/wgPlatformJoinedStreamTest.cxx
+++ b/Tests/Platform/wgPlatformJoinedStreamTest.cxx
@@ -34,6 +34,13 @@
   bool losesDisk; // one control box does
 };
 
+/** How the endpoints of a version leave before all processes are killed. */
+struct VersionLeft
+{
+  int beforeMs;
+  bool drains; // else they are deleted
+};
+
 } // namespace
 
 // Control boxes that start again know no endpoints after a calm minute, and
@@ -137,6 +144,37 @@
   }
 }
 
+// What may have begun a stream must not hang on how long ago its version left.
+TEST_CASE("A version leaves some time before all processes are killed",
+          "[left-before]")
+{
+  const VersionLeft left = GENERATE(
+    VersionLeft{ 0, false }, VersionLeft{ 0, true }, VersionLeft{ 8000, true },
+    VersionLeft{ 18000, false }); // callers' deadlines are up to 20 s
+  CAPTURE(left.beforeMs, left.drains);
+  Versions f(OneHall, TwoVersions);
+  const auto begun = f.BeginMany(0, TwoVersions, Count);
+  f.AwaitCopies(0);
+  for (const auto& engine : { f.engines[0].get(), f.engines[1].get() }) {
+    REQUIRE((left.drains
+               ? engine->Register(f.cluster.Api(0), "llm", "draining")
+               : engine->Leave(f.cluster.Api(0))));
+  }
+  absl::SleepFor(absl::Milliseconds(left.beforeMs));
+  f.RestartAll();
+  for (const auto& engine : { f.engines[2].get(), f.engines[3].get() }) {
+    REQUIRE(engine->Register(f.cluster.Api(0), "llm"));
+  }
+  for (int gateway = 0; gateway < f.cluster.Gateways(); ++gateway) {
+    Await("a stream to begin", [&] { return f.Begin(gateway).status == Ok; });
+  }
+  for (int round = 0; round < Rounds; ++round) {
+    f.CheckNoneJoined(begun, 0);
+    f.CheckNoneJoined(begun, 1);
+    absl::SleepFor(absl::Milliseconds(500));
+  }
+}
+
 // A box that stood still takes what it hears of one control box for the whole.
 TEST_CASE("A box is suspended while endpoints of another version start",
           "[out-of-step]")
