Http: attempts of the project's own path are read within bounds

What callers could see: an endpoint of the project's own path that sends a head without end makes the entry keep all of it until the process has no memory left; the requests of other callers on that box end with it.

Cause: EndpointClient used cpp-httplib's client, which bounds neither the lines of a head nor the number of heads of 1xx.

Change: the attempts use HttpClient, as those of the gateway and what is fetched of endpoints do, each on a loop that runs while its thread waits. Connections are kept for the next attempt as before. RunCallLoop ends such a loop also where a handler throws at the connection's bytes; what is fetched uses it too.

--- a/Source/Http/wgEndpointClient.cxx
+++ b/Source/Http/wgEndpointClient.cxx
@@ -2,57 +2,61 @@
 #include "wgEndpointClient.h"
 
 #include <algorithm>
-
-#include <httplib.h>
+#include <optional>
+#include <utility>
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 
+#include "wgHttpClient.h"
 #include "wgHttpFetch.h"
+#include "wgRunLoop.h"
 
 namespace wg {
+
+/** A loop runs only while its thread waits for an answer. */
+struct EndpointClient::Link
+{
+  EventLoop loop;
+  HttpClient client{ loop };
+};
+
 namespace {
 
 constexpr std::size_t MaxIdlePerEndpoint = 64;
 constexpr std::size_t MaxAnswerBytes = 16U << 20U;
 constexpr absl::Duration ConnectTimeout = absl::Milliseconds(500);
 constexpr absl::Duration ReadGrace = absl::Seconds(1);
-constexpr int StatusOk = 200;
+constexpr unsigned StatusOk = 200;
 
-template <class SetTimeout>
-void ApplyTimeout(absl::Duration timeout, SetTimeout setTimeout)
+std::string PrintAddress(const EndpointAddress& address)
 {
-  const auto us =
-    std::max<std::int64_t>(absl::ToInt64Microseconds(timeout), 1000);
-  setTimeout(static_cast<time_t>(us / 1000000),
-             static_cast<time_t>(us % 1000000));
+  return absl::StrCat(address.host, ":", address.port);
 }
 
-int IntHeader(const httplib::Response& response, const char* name)
+int IntField(const HttpFields& fields, absl::string_view name)
 {
   int value = -1;
-  return absl::SimpleAtoi(response.get_header_value(name), &value) ? value
-                                                                   : -1;
+  return absl::SimpleAtoi(FieldOf(fields, name), &value) ? value : -1;
 }
 
 /** "running,waiting" */
-bool ParseLoad(const std::string& text, LoadReport& load)
+bool ParseLoad(absl::string_view text, LoadReport& load)
 {
-  const std::vector<std::string> words = absl::StrSplit(text, ',');
+  const std::vector<absl::string_view> words = absl::StrSplit(text, ',');
   return words.size() == 2 && absl::SimpleAtoi(words[0], &load.running) &&
          absl::SimpleAtoi(words[1], &load.waiting);
 }
 
-void TakeHeaders(const httplib::Response& response, EndpointReply& reply)
+void TakeHead(const HttpHead& head, EndpointReply& reply)
 {
-  reply.status = response.status;
-  reply.echoed = { response.get_header_value("Weirgate-Request"),
-                   IntHeader(response, "Weirgate-Stage"),
-                   IntHeader(response, "Weirgate-Attempt") };
-  reply.hasLoad =
-    ParseLoad(response.get_header_value("Weirgate-Load"), reply.load);
-  reply.version = response.get_header_value("Weirgate-Version");
+  reply.status = static_cast<int>(head.result_int());
+  reply.echoed = { std::string(FieldOf(head, "Weirgate-Request")),
+                   IntField(head, "Weirgate-Stage"),
+                   IntField(head, "Weirgate-Attempt") };
+  reply.hasLoad = ParseLoad(FieldOf(head, "Weirgate-Load"), reply.load);
+  reply.version = std::string(FieldOf(head, "Weirgate-Version"));
 }
 
 bool IsSame(const AttemptId& a, const AttemptId& b)
@@ -61,34 +65,42 @@
          a.attempt == b.attempt;
 }
 
-httplib::Request MakeRequest(const EndpointCall& call)
-{
-  httplib::Request request;
-  request.method = "POST";
-  request.path = call.path;
-  request.body = call.body;
-  request.headers = { { "Content-Type", "application/json" },
-                      { "Weirgate-Request", call.attempt.request },
-                      { "Weirgate-Stage", absl::StrCat(call.attempt.stage) },
-                      { "Weirgate-Attempt",
-                        absl::StrCat(call.attempt.attempt) },
-                      { "Weirgate-Priority", absl::StrCat(call.priority) } };
-  return request;
+/** Nothing if a field can't have its value. */
+std::optional<std::string> PrintCall(const EndpointCall& call)
+{
+  constexpr int http11 = 11;
+  HttpRequest request(boost::beast::http::verb::post, call.path, http11);
+  const std::pair<absl::string_view, std::string> fields[] = {
+    { "Host", PrintAddress(call.address) },
+    { "Content-Type", "application/json" },
+    { "Weirgate-Request", call.attempt.request },
+    { "Weirgate-Stage", absl::StrCat(call.attempt.stage) },
+    { "Weirgate-Attempt", absl::StrCat(call.attempt.attempt) },
+    { "Weirgate-Priority", absl::StrCat(call.priority) },
+  };
+  for (const auto& [name, value] : fields) {
+    if (!SetField(request, name, value)) {
+      return std::nullopt;
+    }
+  }
+  request.body() = call.body;
+  return PrintRequest(std::move(request));
 }
 
 /** Only a connection that never came to be is proof that nothing ran; an
  * endpoint that says it refused is not believed.
  */
-AttemptEnd EndOf(const httplib::Result& result)
+AttemptEnd EndOf(std::optional<HttpCallEnd> ended, const EndpointReply& reply)
 {
-  if (!result) {
-    const bool neverConnected =
-      result.error() == httplib::Error::Connection ||
-      result.error() == httplib::Error::ConnectionTimeout;
-    return neverConnected ? AttemptEnd::Unreached : AttemptEnd::Failed;
+  if (reply.isOtherVersion) {
+    return AttemptEnd::Cancelled;
   }
-  return result->status == StatusOk ? AttemptEnd::Answered
-                                    : AttemptEnd::Failed;
+  if (ended == HttpCallEnd::NotConnected || ended == HttpCallEnd::Unreached) {
+    return AttemptEnd::Unreached;
+  }
+  const bool isAnswered =
+    ended && IsAnswered(*ended) && reply.status == static_cast<int>(StatusOk);
+  return isAnswered ? AttemptEnd::Answered : AttemptEnd::Failed;
 }
 
 } // namespace
@@ -100,81 +112,100 @@
 {
   const Elapsed start = ElapsedNow();
   EndpointReply reply;
-  std::shared_ptr<httplib::Client> client = TakeClient(call);
+  std::optional<std::string> request = PrintCall(call);
+  if (!request) {
+    return reply;
+  }
+  std::shared_ptr<Link> link = TakeLink(call);
   std::uint64_t id = 0;
   {
     absl::MutexLock lock(&mutex_);
     id = nextId_++;
-    open_[id] = { client, call.deadline, false };
+    open_[id] = { link, call.deadline, false };
   }
-  httplib::Request request = MakeRequest(call);
-  bool headersOk = false;
-  request.response_handler = [&](const httplib::Response& response) {
-    TakeHeaders(response, reply);
-    headersOk = response.status == StatusOk;
-    reply.isForeign = headersOk && !IsSame(reply.echoed, call.attempt);
-    reply.isOtherVersion = headersOk && !reply.isForeign && call.version &&
-                           *call.version != reply.version;
-    return !reply.isForeign && !reply.isOtherVersion;
-  };
-  request.content_receiver = [&](const char* data, std::size_t length,
-                                 std::uint64_t, std::uint64_t) {
-    const absl::string_view bytes(data, length);
-    if (call.onBytes && headersOk) {
-      return call.onBytes(bytes);
-    }
-    reply.body.append(data, length);
-    return reply.body.size() <= MaxAnswerBytes;
-  };
-  const httplib::Result result = client->send(request);
-  reply.end = reply.isForeign        ? AttemptEnd::Failed
-              : reply.isOtherVersion ? AttemptEnd::Cancelled
-                                     : EndOf(result);
+  reply.end = EndOf(Exchange(call, std::move(*request), *link, reply), reply);
   reply.deadlinePassed = CloseCall(id);
   reply.seconds = absl::ToDoubleSeconds(ElapsedNow() - start);
   if (reply.end == AttemptEnd::Answered) {
-    ReturnClient(call, std::move(client));
+    ReturnLink(call, std::move(link));
   }
   return reply;
 }
 
-std::shared_ptr<httplib::Client> EndpointClient::TakeClient(
+/** Nothing if the call was broken off here. */
+std::optional<HttpCallEnd> EndpointClient::Exchange(const EndpointCall& call,
+                                                    std::string request,
+                                                    Link& link,
+                                                    EndpointReply& reply)
+{
+  std::optional<HttpCallEnd> ended;
+  bool isBroken = false;
+  HttpCallHandler handler;
+  handler.onHead = [&](const HttpHead& head, BodyFraming /*framing*/) {
+    TakeHead(head, reply);
+    const bool isOk = head.result_int() == StatusOk;
+    reply.isForeign = isOk && !IsSame(reply.echoed, call.attempt);
+    reply.isOtherVersion = isOk && !reply.isForeign && call.version &&
+                           *call.version != reply.version;
+    return !reply.isForeign && !reply.isOtherVersion;
+  };
+  handler.onBody = [&](absl::string_view bytes) {
+    if (isBroken) {
+      return;
+    }
+    if (call.onBytes && reply.status == static_cast<int>(StatusOk)) {
+      isBroken = !call.onBytes(bytes);
+    } else {
+      reply.body.append(bytes.data(), bytes.size());
+      isBroken = reply.body.size() > MaxAnswerBytes;
+    }
+    if (isBroken) {
+      link.loop.stop();
+    }
+  };
+  handler.onEnd = [&](HttpCallEnd end) {
+    ended = end;
+    link.loop.stop();
+  };
+  const absl::Duration left =
+    std::max(call.deadline - ElapsedNow(), absl::ZeroDuration());
+  HttpCallOptions options;
+  options.connectTimeout = std::min(left, ConnectTimeout);
+  const auto open =
+    link.client.Start(PrintAddress(call.address), std::move(request), options,
+                      std::move(handler));
+  // The deadline itself is kept by BreakOffLateCalls.
+  RunCallLoop(link.loop, left + ReadGrace);
+  return isBroken ? std::nullopt : ended;
+}
+
+std::shared_ptr<EndpointClient::Link> EndpointClient::TakeLink(
   const EndpointCall& call)
 {
-  std::shared_ptr<httplib::Client> client;
+  std::shared_ptr<Link> link;
   if (call.mayReuseConnection) {
     absl::MutexLock lock(&mutex_);
     auto& idle = idle_[call.address];
     if (!idle.empty()) {
-      client = std::move(idle.back());
+      link = std::move(idle.back());
       idle.pop_back();
     }
   }
-  if (client == nullptr) {
-    client =
-      std::make_shared<httplib::Client>(call.address.host, call.address.port);
-    client->set_keep_alive(true);
-    client->set_tcp_nodelay(true);
+  if (link == nullptr) {
+    return std::make_shared<Link>();
   }
-  const absl::Duration left = call.deadline - ElapsedNow();
-  ApplyTimeout(std::min(left, ConnectTimeout), [&client](time_t s, time_t us) {
-    client->set_connection_timeout(s, us);
-  });
-  // The deadline itself is kept by BreakOffLateCalls.
-  ApplyTimeout(left + ReadGrace, [&client](time_t s, time_t us) {
-    client->set_read_timeout(s, us);
-    client->set_write_timeout(s, us);
-  });
-  return client;
+  link->loop.restart();
+  link->loop.poll(); // a connection that has ended at rest is let go of
+  return link;
 }
 
-void EndpointClient::ReturnClient(const EndpointCall& call,
-                                  std::shared_ptr<httplib::Client> client)
+void EndpointClient::ReturnLink(const EndpointCall& call,
+                                std::shared_ptr<Link> link)
 {
   absl::MutexLock lock(&mutex_);
   auto& idle = idle_[call.address];
   if (idle.size() < MaxIdlePerEndpoint) {
-    idle.push_back(std::move(client));
+    idle.push_back(std::move(link));
   }
 }
 
@@ -188,19 +219,13 @@
 
 void EndpointClient::BreakOffLateCalls(Elapsed now)
 {
-  std::vector<std::shared_ptr<httplib::Client>> late;
-  {
-    absl::MutexLock lock(&mutex_);
-    for (auto& [id, call] : open_) {
-      if (!call.broken && call.deadline <= now) {
-        call.broken = true;
-        late.push_back(call.client);
-      }
+  absl::MutexLock lock(&mutex_);
+  for (auto& [id, call] : open_) {
+    if (!call.broken && call.deadline <= now) {
+      call.broken = true;
+      call.link->loop.stop();
     }
   }
-  for (const auto& client : late) {
-    client->stop();
-  }
 }
 
 std::size_t EndpointClient::CountOpenCalls()
@@ -215,8 +240,7 @@
   constexpr int http11 = 11;
   HttpRequest request(boost::beast::http::verb::get, path, http11);
   Outcome<HttpResponse> answer =
-    Fetch(absl::StrCat(address.host, ":", address.port), std::move(request),
-          { timeout });
+    Fetch(PrintAddress(address), std::move(request), { timeout });
   const bool isText = Succeeded(answer) &&
                       Value(answer).result() == boost::beast::http::status::ok;
   return isText ? std::move(Value(answer).body()) : std::string();
--- a/Source/Http/wgEndpointClient.h
+++ b/Source/Http/wgEndpointClient.h
@@ -16,10 +16,7 @@
 #include "wgAttempts.h"
 #include "wgElapsed.h"
 #include "wgEndpointState.h"
-
-namespace httplib {
-class Client;
-}
+#include "wgHttpClient.h"
 
 namespace wg {
 
@@ -85,21 +82,25 @@
   std::size_t CountOpenCalls();
 
 private:
+  struct Link;
+
   struct OpenCall
   {
-    std::shared_ptr<httplib::Client> client;
+    std::shared_ptr<Link> link;
     Elapsed deadline;
     bool broken = false;
   };
 
-  std::shared_ptr<httplib::Client> TakeClient(const EndpointCall& call);
-  void ReturnClient(const EndpointCall& call,
-                    std::shared_ptr<httplib::Client> client);
+  static std::optional<HttpCallEnd> Exchange(const EndpointCall& call,
+                                             std::string request, Link& link,
+                                             EndpointReply& reply);
+  std::shared_ptr<Link> TakeLink(const EndpointCall& call);
+  void ReturnLink(const EndpointCall& call, std::shared_ptr<Link> link);
   bool CloseCall(std::uint64_t id);
 
   absl::Mutex mutex_;
-  std::map<EndpointAddress, std::vector<std::shared_ptr<httplib::Client>>>
-    idle_ ABSL_GUARDED_BY(mutex_);
+  std::map<EndpointAddress, std::vector<std::shared_ptr<Link>>> idle_
+    ABSL_GUARDED_BY(mutex_);
   absl::flat_hash_map<std::uint64_t, OpenCall> open_ ABSL_GUARDED_BY(mutex_);
   std::uint64_t nextId_ ABSL_GUARDED_BY(mutex_) = 1;
 };
--- a/Source/Http/wgHttpFetch.cxx
+++ b/Source/Http/wgHttpFetch.cxx
@@ -7,6 +7,7 @@
 #include "absl/strings/str_cat.h"
 
 #include "wgHttpClient.h"
+#include "wgRunLoop.h"
 
 namespace wg {
 namespace {
@@ -53,7 +54,7 @@
   options.connectTimeout = limits.timeout;
   const auto call = client.Start(address, PrintRequest(std::move(request)),
                                  options, std::move(handler));
-  loop.run_for(absl::ToChronoNanoseconds(limits.timeout));
+  RunCallLoop(loop, limits.timeout);
   if (isTooLong) {
     return Error{ absl::StrCat(address, " sent more than ", limits.bodyBytes,
                                " bytes") };
--- a/Source/Http/wgRunLoop.cxx
+++ b/Source/Http/wgRunLoop.cxx
@@ -16,4 +16,13 @@
   }
 }
 
+void RunCallLoop(EventLoop& loop, absl::Duration time)
+{
+  try {
+    loop.run_for(absl::ToChronoNanoseconds(time));
+  } catch (const ConnectionError&) {
+    return;
+  }
+}
+
 } // namespace wg
--- a/Source/Http/wgRunLoop.h
+++ b/Source/Http/wgRunLoop.h
@@ -27,4 +27,9 @@
 void RunLoop(EventLoop& loop,
              const std::function<void(absl::string_view what)>& onThrown);
 
+/** \brief Runs the loop of one call until it is stopped, or `time` is over. A
+ * ConnectionError ends it too: the call has been told that it was cut.
+ */
+void RunCallLoop(EventLoop& loop, absl::Duration time);
+
 } // namespace wg
