Transport: a peer's request that does not become whole is reset

What could be seen: requests between processes are signed, and the signature covers the body, so that anyone who reaches the port can begin some and send a byte now and then: what has come is kept for as long as that goes on. docs/design/reader-bounds.md named it as missing.

Cause: only the bytes of such requests were bounded, not their time.

Change: a request that is not whole after a minute is reset and counted as rejected. The largest body, 64 MB, takes some 50 s over 10 Mbit/s. An answer may take as long as it takes.

--- a/Source/Transport/wgHttp2Session.cxx
+++ b/Source/Transport/wgHttp2Session.cxx
@@ -41,7 +41,11 @@
   static int OnBeginHeaders(nghttp2_session*, const nghttp2_frame* frame,
                             void* user)
   {
-    Self(user).streams_.try_emplace(frame->hd.stream_id);
+    const auto [found, isNew] =
+      Self(user).streams_.try_emplace(frame->hd.stream_id);
+    if (isNew) {
+      found->second.began = ElapsedNow();
+    }
     return 0;
   }
 
@@ -100,7 +104,9 @@
       frame->hd.type == NGHTTP2_DATA || frame->hd.type == NGHTTP2_HEADERS;
     const bool ends = (frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
     Http2Session& self = Self(user);
-    if (carriesMessage && ends && self.Find(frame->hd.stream_id) != nullptr) {
+    Http2Stream* stream = self.Find(frame->hd.stream_id);
+    if (carriesMessage && ends && stream != nullptr) {
+      stream->isWhole = true;
       self.listener_.OnMessage(self, frame->hd.stream_id);
     }
     return 0;
@@ -286,4 +292,16 @@
                             NGHTTP2_CANCEL);
 }
 
+std::size_t Http2Session::ResetUnfinished(Elapsed before)
+{
+  std::size_t count = 0;
+  for (const auto& [id, stream] : streams_) {
+    if (!stream.isWhole && stream.began < before) {
+      Cancel(id);
+      ++count;
+    }
+  }
+  return count;
+}
+
 } // namespace wg::detail
--- a/Source/Transport/wgHttp2Session.h
+++ b/Source/Transport/wgHttp2Session.h
@@ -10,6 +10,7 @@
 
 #include "absl/strings/string_view.h"
 
+#include "wgElapsed.h"
 #include "wgSocket.h"
 
 namespace wg::detail {
@@ -41,6 +42,8 @@
   std::string toSend;
   std::size_t sent = 0;
   int status = 0;
+  Elapsed began;
+  bool isWhole = false; // the peer has sent all of its message
 };
 
 /** \class Http2Session
@@ -88,6 +91,11 @@
   void StartReply(std::int32_t stream, absl::string_view signature, int status,
                   std::string body);
   void Cancel(std::int32_t stream);
+  /** \brief Resets the streams that the peer began before then and whose
+   * message is not whole.
+   * \return their number
+   */
+  std::size_t ResetUnfinished(Elapsed before);
 
 private:
   struct Callbacks;
--- a/Source/Transport/wgPeerServer.cxx
+++ b/Source/Transport/wgPeerServer.cxx
@@ -52,12 +52,13 @@
 } // namespace
 
 PeerServer::PeerServer(KeyRing keys, Handler handler, Counters& counters,
-                       std::size_t mostReceived)
+                       std::size_t mostReceived, absl::Duration requestTime)
   : keys_(std::move(keys))
   , handler_(std::move(handler))
   , counters_(counters)
   , events_(epoll_create1(EPOLL_CLOEXEC))
   , mostConnections_(FindMostConnections())
+  , requestTime_(requestTime)
   , room_{ mostReceived, 0 }
   , nextConnection_(FirstConnectionId)
 {
@@ -113,6 +114,7 @@
       }
     }
     SendReplies();
+    ResetLateRequests();
   }
 }
 
@@ -203,6 +205,30 @@
   }
 }
 
+/** A signature covers the whole request: who sends without end is not known
+ * and has to be given up by time.
+ */
+void PeerServer::ResetLateRequests()
+{
+  const Elapsed now = ElapsedNow();
+  if (now - lateChecked_ < absl::Milliseconds(PollMs)) {
+    return;
+  }
+  lateChecked_ = now;
+  std::vector<std::uint64_t> changed;
+  for (const auto& [id, connection] : connections_) {
+    const std::size_t count =
+      connection.session->ResetUnfinished(now - requestTime_);
+    if (count > 0) {
+      counters_.Add(Event::PeerRejected, count);
+      changed.push_back(id);
+    }
+  }
+  for (const std::uint64_t id : changed) {
+    OnEvents(id, EPOLLOUT);
+  }
+}
+
 void PeerServer::OnMessage(detail::Http2Session& session, std::int32_t id)
 {
   detail::Http2Stream& stream = *session.Find(id);
--- a/Source/Transport/wgPeerServer.h
+++ b/Source/Transport/wgPeerServer.h
@@ -12,8 +12,10 @@
 
 #include "absl/base/thread_annotations.h"
 #include "absl/synchronization/mutex.h"
+#include "absl/time/time.h"
 
 #include "wgCounters.h"
+#include "wgElapsed.h"
 #include "wgHttp2Session.h"
 #include "wgOutcome.h"
 #include "wgPeerAuth.h"
@@ -42,9 +44,17 @@
   /** \brief Runs on the poll loop: it must not block. */
   using Handler = std::function<void(PeerRequest request, Respond respond)>;
 
-  /** \param mostReceived bytes that are kept of all requests that come */
+  /** \brief Until a request is whole: the largest takes some 50 s over
+   * 10 Mbit/s.
+   */
+  static constexpr absl::Duration RequestTime = absl::Minutes(1);
+
+  /** \param mostReceived bytes that are kept of all requests that come
+   * \param requestTime what is not whole by then is reset
+   */
   PeerServer(KeyRing keys, Handler handler, Counters& counters,
-             std::size_t mostReceived = detail::MaxPeerBody);
+             std::size_t mostReceived = detail::MaxPeerBody,
+             absl::Duration requestTime = RequestTime);
   ~PeerServer() override;
   Outcome<Done> Start(const SocketAddress& address);
   void Stop();
@@ -74,6 +84,7 @@
   void Run();
   void Accept();
   void SendReplies();
+  void ResetLateRequests();
   void OnEvents(std::uint64_t id, std::uint32_t events);
   bool Await(std::uint64_t id, Connection& connection);
   void OnMessage(detail::Http2Session& session, std::int32_t stream) override;
@@ -86,6 +97,8 @@
   std::shared_ptr<Outbox> outbox_ = std::make_shared<Outbox>();
   FileDescriptor events_; // of all sockets
   std::size_t mostConnections_ = 0;
+  absl::Duration requestTime_;
+  Elapsed lateChecked_;
   detail::ReceiveRoom room_;
   std::map<std::uint64_t, Connection> connections_;
   std::uint64_t nextConnection_;
--- a/Tests/Transport/wgPeerClientTest.cxx
+++ b/Tests/Transport/wgPeerClientTest.cxx
@@ -289,3 +289,88 @@
   CHECK(ask("whole"));
   CHECK(ask("whole")); // what was kept before counts no more
 }
+
+namespace {
+
+/** A connection over which a request begins that gets on by a byte at a time.
+ */
+class SlowPeer
+{
+public:
+  explicit SlowPeer(int port)
+  {
+    auto connected = wg::StartConnectTcp({ "127.0.0.1", port });
+    REQUIRE(wg::Succeeded(connected));
+    socket_ = std::move(wg::Value(connected));
+    pollfd polled{ socket_.Get(), POLLOUT, 0 };
+    REQUIRE(poll(&polled, 1, 5000) == 1);
+    // SETTINGS, and the head of POST http://w/.
+    Send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" +
+         std::string("\0\0\0\4\0\0\0\0\0", 9) +
+         std::string("\0\0\6\1\4\0\0\0\1", 9) +
+         std::string("\x83\x86\x84\x01\x01w", 6));
+  }
+
+  /** Whether the request was reset before the time is over. */
+  bool IsResetWithin(absl::Duration time)
+  {
+    const absl::Time end = absl::Now() + time;
+    const std::string reset("\0\0\4\3\0\0\0\0\1", 9);
+    while (absl::Now() < end) {
+      Send(std::string("\0\0\1\0\0\0\0\0\1x", 10));
+      pollfd polled{ socket_.Get(), POLLIN, 0 };
+      poll(&polled, 1, 20);
+      std::array<char, 4096> bytes{};
+      const ssize_t got =
+        recv(socket_.Get(), bytes.data(), bytes.size(), MSG_DONTWAIT);
+      if (got > 0) {
+        read_.append(bytes.data(), static_cast<std::size_t>(got));
+      }
+      if (read_.find(reset) != std::string::npos) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+private:
+  void Send(const std::string& bytes)
+  {
+    (void)send(socket_.Get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+  }
+
+  wg::FileDescriptor socket_;
+  std::string read_;
+};
+
+} // namespace
+
+// A request that came a byte at a time was kept for as long as it came.
+TEST_CASE("A request that does not become whole is reset")
+{
+  wg::test::TestPorts ports;
+  const int port = ports.Take();
+  wg::Counters counters;
+  wg::PeerServer server(
+    Keys(),
+    [](const wg::PeerRequest& request,
+       const wg::PeerServer::Respond& respond) {
+      if (request.body != "late") {
+        respond(request.body);
+        return;
+      }
+      std::thread([respond] {
+        absl::SleepFor(absl::Milliseconds(1500));
+        respond("late");
+      }).detach();
+    },
+    counters, wg::detail::MaxPeerBody, absl::Milliseconds(400));
+  REQUIRE(wg::Succeeded(server.Start({ "127.0.0.1", port })));
+  wg::PeerClient client(Key, wg::PeerName);
+  SlowPeer slow(port);
+  CHECK(slow.IsResetWithin(absl::Seconds(5)));
+  // A request that is whole may be answered as late as it is.
+  const auto late = client.CallAndWait(absl::StrCat("127.0.0.1:", port),
+                                       "/ask", "late", absl::Seconds(5));
+  CHECK(wg::Succeeded(late));
+}
