Test: a version comes in the moment before all boxes are killed

The postmortem of streams over two versions named this as not played: records of streams go to control boxes only once boxes have heard of the second version. The version comes 30, 100, 300 and 1,000 ms before all gateways, or all processes, are killed; no stream of the first one is joined with what the second writes.

--- a/Tests/Platform/wgPlatformJoinedStreamTest.cxx
+++ b/Tests/Platform/wgPlatformJoinedStreamTest.cxx
@@ -272,6 +272,32 @@
   }
 }
 
+// Boxes that are killed as a version comes may not have told of it what they
+// know of streams before it.
+TEST_CASE("Another version comes in the moment before a kill",
+          "[comes-before]")
+{
+  const int beforeMs = GENERATE(30, 100, 300, 1000);
+  const bool areControlsKilled = GENERATE(false, true);
+  CAPTURE(beforeMs, areControlsKilled);
+  Versions f(TwoHalls, { "v1" });
+  const auto begun = f.BeginMany(0, { "v1" }, Count);
+  const auto other = Versions::MakeEngine("engine-v2", "v2");
+  REQUIRE(other->Register(f.cluster.Api(1), "llm"));
+  absl::SleepFor(absl::Milliseconds(beforeMs));
+  if (areControlsKilled) {
+    f.RestartAll();
+  } else {
+    f.RestartGateways();
+  }
+  // The version that came may be the first that boxes hear of.
+  REQUIRE(other->Register(f.cluster.Api(1), "llm"));
+  for (int round = 0; round < Rounds; ++round) {
+    f.CheckNoneJoined(begun, round % f.cluster.Gateways());
+    absl::SleepFor(absl::Milliseconds(300));
+  }
+}
+
 // A version that a restart would forget begins streams.
 TEST_CASE("A version starts while a disk takes nothing", "[unwritten]")
 {
