--- a/Source/Http/wgHttpServerConnection.cxx
+++ b/Source/Http/wgHttpServerConnection.cxx
@@ -184,8 +184,7 @@
                   parser_->get().body().size());
 }
 
-/**
-eturn false if the body is one too many beside those of the others */
+/** \return false if the body is one too many beside those of the others */
 bool HttpServerConnection::CountRequest()
 {
   const std::size_t bytes = RequestBytes();
--- a/Tests/Platform/wgPlatformJoinedStreamTest.cxx
+++ b/Tests/Platform/wgPlatformJoinedStreamTest.cxx
@@ -272,6 +272,29 @@
   }
 }
 
+// What began a stream must not be asked of control boxes alone.
+TEST_CASE("All control boxes are killed while two versions serve",
+          "[controls-killed]")
+{
+  Versions f(TwoHalls, TwoVersions);
+  const auto begun = f.BeginMany(0, TwoVersions, Count);
+  f.AwaitCopies(0);
+  f.KillControls();
+  for (int round = 0; round < Rounds; ++round) {
+    for (int gateway = 0; gateway < f.cluster.Gateways(); ++gateway) {
+      for (const Stream& first : begun) {
+        f.CheckGoesOn(first, gateway);
+      }
+    }
+    absl::SleepFor(absl::Seconds(1));
+    if (round == 1) {
+      for (int i = 0; i < wg::test::PlatformCluster::Controls; ++i) {
+        f.cluster.StartControl(i, false);
+      }
+    }
+  }
+}
+
 // Boxes that are killed as a version comes may not have told of it what they
 // know of streams before it.
 TEST_CASE("Another version comes in the moment before a kill",
