Daemon: a process that has stopped ends at once

What callers saw: boxes that are stopped one after the other for an update were away until they were killed at the end of the grace time, 8 s after SIGTERM, though each had logged `stop` after 2.6 to 4 s.

Cause: as static objects are destroyed, log4cplus waits for the four threads of its pool. On the users' platform that does not come to an end.

Evidence: marks in a trial copy. The gateway is destroyed 0.3 ms after `stop`, Logger::shutdown() returns, deinitialize() does not (9 of 9 boxes). On Linux here the same exit takes no time; why the pool's threads don't end on the platform isn't known.

Change: weirgated leaves by quick_exit once its role has ended. Roles close their files and join their threads before; nothing else is to be written.

Test: hanging-library preloads a library whose static object is never done with being destroyed. Before, gateway and control box outlast the grace time (4 of 4 checks fail); now they end.

--- a/Tests/Platform/wgPlatformStopTest.cxx
+++ b/Tests/Platform/wgPlatformStopTest.cxx
@@ -3,6 +3,7 @@
 // and what it could not answer it refuses at once.
 #include <atomic>
 #include <csignal>
+#include <cstdlib>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -423,3 +424,25 @@
   }
   CHECK(served > 0);
 }
+
+// The log's library waited for its threads until the process was killed.
+TEST_CASE("A process that has stopped ends whatever its libraries do",
+          "[hanging-library]")
+{
+  PlatformCluster cluster(1);
+  cluster.AwaitServing();
+  cluster.Gateway(0).Kill();
+  cluster.Control(0).Kill();
+  setenv("LD_PRELOAD", WG_HANGING_LIBRARY, 1);
+  cluster.StartGateway(0);
+  cluster.StartControl(0, false);
+  unsetenv("LD_PRELOAD");
+  cluster.AwaitServing();
+  for (wg::test::Process* process :
+       { &cluster.Gateway(0), &cluster.Control(0) }) {
+    process->Signal(SIGTERM);
+    CHECK(wg::test::WaitFor([&] { return !process->IsRunning(); }, Grace));
+    process->Kill(); // or the test would wait for it
+    CHECK(process->Wait() == 0);
+  }
+}
--- a/Utilities/Daemon/wgDaemon.cxx
+++ b/Utilities/Daemon/wgDaemon.cxx
@@ -4,6 +4,7 @@
 #include <atomic>
 #include <chrono>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 #include <thread>
 
@@ -170,6 +171,20 @@
   return 0;
 }
 
+/** Returns as the process has been told to stop, and has. */
+int Run(wg::DaemonSettings& settings)
+{
+  if (auto* entry = std::get_if<wg::EntrySettings>(&settings.role)) {
+    std::signal(SIGTERM, OnSignal);
+    std::signal(SIGINT, OnSignal);
+    return RunEntry(std::move(*entry));
+  }
+  if (auto* gateway = std::get_if<wg::GatewaySettings>(&settings.role)) {
+    return RunGateway(std::move(*gateway), settings.settingsFile);
+  }
+  return RunControl(settings);
+}
+
 } // namespace
 
 int main(int argc, char** argv)
@@ -186,13 +201,7 @@
   }
   std::signal(SIGPIPE, SIG_IGN);
   wg::StartLog(checked.logFormat);
-  if (auto* entry = std::get_if<wg::EntrySettings>(&checked.role)) {
-    std::signal(SIGTERM, OnSignal);
-    std::signal(SIGINT, OnSignal);
-    return RunEntry(std::move(*entry));
-  }
-  if (auto* gateway = std::get_if<wg::GatewaySettings>(&checked.role)) {
-    return RunGateway(std::move(*gateway), checked.settingsFile);
-  }
-  return RunControl(checked);
+  // Libraries end their threads as static objects are destroyed, which may
+  // take longer than the grace time. All that is to last is on disk by now.
+  std::quick_exit(Run(checked));
 }
