Test: sound callers begin before 200 others are started

Cause: each sound caller notes its first request, whatever it takes, if it begins it before the test's time is over; so none had begun one. The time counts from before 200 threads are started, and these were the last four.

Change: they are started first, and run beside the start of the others too.

--- a/Tests/Platform/wgPlatformEndlessTest.cxx
+++ b/Tests/Platform/wgPlatformEndlessTest.cxx
@@ -310,12 +310,13 @@
   SoundSeen soundSeen;
   const absl::Time end = absl::Now() + RunTime;
   std::vector<std::thread> callers;
-  for (int i = 0; i < Callers; ++i) {
-    callers.emplace_back([&, i] { AskOnAndOn(f, seen, i, end); });
-  }
+  // First: a busy machine may take until the end to start the others.
   for (int i = 0; i < SoundCallers; ++i) {
     callers.emplace_back([&, i] { AskSoundly(f, soundSeen, i, end); });
   }
+  for (int i = 0; i < Callers; ++i) {
+    callers.emplace_back([&, i] { AskOnAndOn(f, seen, i, end); });
+  }
   for (std::thread& caller : callers) {
     caller.join();
   }
