Test: names in the test of lost paths say what is compared

The two spans and the two services had one name each for two things. No check changes. Both tests pass under the thread sanitizer, pool-without-path in release too.

--- a/Tests/Platform/wgPlatformNoPathTest.cxx
+++ b/Tests/Platform/wgPlatformNoPathTest.cxx
@@ -323,26 +323,26 @@
   return sum;
 }
 
-/** What is served of the service, and beside it of another one, at boxes that
- * reach all endpoints: that tells how fast the machine of the test is
- * meanwhile.
+/** Tries of a service's requests and, at boxes that reach all endpoints, of
+ * another service's: these tell how fast the machine of the test is meanwhile.
  */
-struct Pair
+struct TriesOfBoth
 {
-  Tries cut;
+  Tries service;
   Tries other;
 };
 
-Pair SendBoth(WiredCluster& f, absl::Duration time,
-              const std::vector<std::string>& paths, const std::string& other,
-              const std::vector<int>& others)
+TriesOfBoth SendBoth(WiredCluster& f, absl::Duration time,
+                     const std::vector<std::string>& paths,
+                     const std::string& otherPath,
+                     const std::vector<int>& otherBoxes)
 {
-  Pair pair;
-  std::thread beside(
-    [&] { pair.other = Sum(SendToAll(f, time, { other }, others)); });
-  pair.cut = Sum(SendToAll(f, time, paths));
-  beside.join();
-  return pair;
+  TriesOfBoth tries;
+  std::thread others(
+    [&] { tries.other = Sum(SendToAll(f, time, { otherPath }, otherBoxes)); });
+  tries.service = Sum(SendToAll(f, time, paths));
+  others.join();
+  return tries;
 }
 
 /** The stated aim beside the same without a cut. */
@@ -354,30 +354,30 @@
 void CheckWithoutService(WiredCluster& f, const std::vector<int>& boxes,
                          const std::string& service, std::size_t count,
                          NoPath way, const std::vector<std::string>& paths,
-                         const std::string& other = "/p/x")
+                         const std::string& otherPath = "/p/x")
 {
   std::vector<int> others;
   std::set_difference(AllBoxes.begin(), AllBoxes.end(), boxes.begin(),
                       boxes.end(), std::back_inserter(others));
-  const Pair both = SendBoth(f, absl::Seconds(2), paths, other, others);
-  const Tries& before = both.cut;
+  const auto [before, otherBefore] =
+    SendBoth(f, absl::Seconds(2), paths, otherPath, others);
   for (const int box : boxes) {
     f.SetPathTo(box, service, count, way);
   }
   SendToAll(f, FoundOutTime, paths);
-  const auto [cut, beside] =
-    SendBoth(f, absl::Seconds(3), paths, other, others);
+  const auto [cut, other] =
+    SendBoth(f, absl::Seconds(3), paths, otherPath, others);
   {
     const double pace = absl::FDivDuration(
-      both.other.Mean(), std::max(beside.Mean(), absl::Microseconds(1)));
+      otherBefore.Mean(), std::max(other.Mean(), absl::Microseconds(1)));
     INFO(cut.served << " of " << cut.all << " served, before " << before.served
                     << " of " << before.all << "; the longest took "
                     << cut.longest << ", before " << before.longest
-                    << "; others took " << beside.Mean() << ", before "
-                    << both.other.Mean());
+                    << "; others took " << other.Mean() << ", before "
+                    << otherBefore.Mean());
     CHECK(cut.Share() >= ServedBesideBefore * before.Share());
     CHECK(cut.longest < FoundOutTime); // nothing is found out again
-    CHECK(beside.Share() >= ServedBesideBefore);
+    CHECK(other.Share() >= ServedBesideBefore);
     // In three seconds instead of two; less if the machine is slower now.
     CHECK(cut.served >= std::min(pace, 1.0) * before.served);
   }
