Test: a steady machine does not loosen the check of lost paths

What was wrong: multiplied what was served before by the machine's pace wherever that was below one. On a machine as fast in both spans the pace was .86 to 1.01, so that the check was looser there than before it: a hold of .75 to 1 s could pass.

Change: only a machine that is slower by a fifth or more counts. With less the check is the one before, and the bound on a single try stays.

The trials with loops and a suspended coordinator were not run again.

--- a/Tests/Platform/wgPlatformNoPathTest.cxx
+++ b/Tests/Platform/wgPlatformNoPathTest.cxx
@@ -350,6 +350,11 @@
 /** Until the boxes have found out which endpoints they do not reach. */
 constexpr absl::Duration FoundOutTime = absl::Seconds(1);
 
+/** Mean times of the same requests vary by a tenth on a machine that is as
+ * fast: only one that is slower than this is taken into account.
+ */
+constexpr double SteadyPace = 0.8;
+
 /** Some boxes reach none of a service's endpoints, or not all of them. */
 void CheckWithoutService(WiredCluster& f, const std::vector<int>& boxes,
                          const std::string& service, std::size_t count,
@@ -379,7 +384,7 @@
     CHECK(cut.longest < FoundOutTime); // nothing is found out again
     CHECK(other.Share() >= ServedBesideBefore);
     // In three seconds instead of two; less if the machine is slower now.
-    CHECK(cut.served >= std::min(pace, 1.0) * before.served);
+    CHECK(cut.served >= (pace < SteadyPace ? pace : 1.0) * before.served);
   }
   for (const int box : boxes) {
     f.SetPathTo(box, service, count, NoPath::None);
