--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,6 +7,7 @@
 cd "$(dirname "$0")/.."
 out=target/review-2
 mkdir -p "$out"
+rm -f "$out"/*.o
 flags=(-std=c++17 -O2 -Wall -Wextra -Werror -pthread)
 for source in wgCaseWire wgCaseSite; do
   "${CXX:-c++}" "${flags[@]}" -c "review/programs-2/$source.cxx" \
