--- a/review/programs-2/wgCaseWire.cxx
+++ b/review/programs-2/wgCaseWire.cxx
@@ -152,7 +152,7 @@
   return true;
 }
 
-std::optional<Message> Connection::ReadMessage(long untilMs)
+std::optional<Message> Connection::ReadHead(long untilMs)
 {
   std::size_t end = std::string::npos;
   while ((end = input_.find("\r\n\r\n")) == std::string::npos) {
@@ -162,10 +162,46 @@
   }
   Message message = ParseHead(input_.substr(0, end + 2));
   input_.erase(0, end + 4);
-  const bool isWhole = Lower(message.Header("transfer-encoding")) == "chunked"
-                         ? ReadChunks(message, untilMs)
-                         : ReadBody(message, untilMs);
-  return isWhole ? std::optional<Message>(std::move(message)) : std::nullopt;
+  return message;
+}
+
+std::optional<Message> Connection::ReadMessage(long untilMs)
+{
+  std::optional<Message> message = ReadHead(untilMs);
+  if (!message) {
+    return std::nullopt;
+  }
+  const bool isWhole = Lower(message->Header("transfer-encoding")) == "chunked"
+                         ? ReadChunks(*message, untilMs)
+                         : ReadBody(*message, untilMs);
+  return isWhole ? message : std::nullopt;
+}
+
+int Connection::ReadStream(long untilMs,
+                           const std::function<void(const std::string&)>& take,
+                           bool& isWhole, double& retryAfter)
+{
+  const std::optional<Message> head = ReadHead(untilMs);
+  if (!head) {
+    return 0;
+  }
+  retryAfter = std::strtod(head->Header("retry-after").c_str(), nullptr);
+  std::string text;
+  std::string chunk;
+  while (Lower(head->Header("transfer-encoding")) == "chunked" &&
+         ReadChunk(chunk, untilMs)) {
+    isWhole = chunk.empty();
+    if (isWhole) {
+      break;
+    }
+    text += chunk;
+    for (std::size_t end = text.find('\n'); end != std::string::npos;
+         end = text.find('\n')) {
+      take(text.substr(0, end));
+      text.erase(0, end + 1);
+    }
+  }
+  return head->Status();
 }
 
 bool Connection::ReadBody(Message& message, long untilMs)
@@ -182,29 +218,37 @@
   return true;
 }
 
-bool Connection::ReadChunks(Message& message, long untilMs)
+bool Connection::ReadChunk(std::string& chunk, long untilMs)
 {
-  for (;;) {
-    std::size_t line = std::string::npos;
-    while ((line = input_.find("\r\n")) == std::string::npos) {
-      if (!ReadMore(untilMs)) {
-        return false;
-      }
+  std::size_t line = std::string::npos;
+  while ((line = input_.find("\r\n")) == std::string::npos) {
+    if (!ReadMore(untilMs)) {
+      return false;
     }
-    constexpr int hex = 16;
-    const auto length =
-      static_cast<std::size_t>(std::strtol(input_.c_str(), nullptr, hex));
-    while (input_.size() < line + 2 + length + 2) {
-      if (!ReadMore(untilMs)) {
-        return false;
-      }
+  }
+  constexpr int hex = 16;
+  const auto length =
+    static_cast<std::size_t>(std::strtol(input_.c_str(), nullptr, hex));
+  while (input_.size() < line + 2 + length + 2) {
+    if (!ReadMore(untilMs)) {
+      return false;
     }
-    message.body += input_.substr(line + 2, length);
-    input_.erase(0, line + 2 + length + 2);
-    if (length == 0) {
+  }
+  chunk = input_.substr(line + 2, length);
+  input_.erase(0, line + 2 + length + 2);
+  return true;
+}
+
+bool Connection::ReadChunks(Message& message, long untilMs)
+{
+  std::string chunk;
+  while (ReadChunk(chunk, untilMs)) {
+    if (chunk.empty()) {
       return true;
     }
+    message.body += chunk;
   }
+  return false;
 }
 
 bool Connection::Write(const std::string& bytes)
--- a/review/programs-2/wgCaseWire.h
+++ b/review/programs-2/wgCaseWire.h
@@ -48,6 +48,14 @@
 
   /** \brief Nothing if it ended, or time was over, before a whole message. */
   std::optional<Message> ReadMessage(long untilMs);
+  /** \brief Hands on the lines of an answer's body as they come.
+   * \param isWhole whether its last chunk came
+   * \param retryAfter what its head says, in seconds
+   * \return its status; 0: there was no head
+   */
+  int ReadStream(long untilMs,
+                 const std::function<void(const std::string&)>& take,
+                 bool& isWhole, double& retryAfter);
   bool Write(const std::string& bytes);
   void Shutdown();
   /** \brief Held by who writes, where several threads do. */
@@ -57,6 +65,8 @@
   bool ReadMore(long untilMs);
   bool ReadBody(Message& message, long untilMs);
   bool ReadChunks(Message& message, long untilMs);
+  std::optional<Message> ReadHead(long untilMs);
+  bool ReadChunk(std::string& chunk, long untilMs);
 
   int socket_;
   std::string input_;
