--- a/review/programs-2/wgForeignWriterCase.cxx
+++ b/review/programs-2/wgForeignWriterCase.cxx
@@ -1,9 +1,14 @@
 // SPDX-License-Identifier: Apache-2.0
 // Heartbeats of another writer come under the names of sound servers, with a
-// service that no configuration names. Are the sound servers used?
+// service that no configuration names, while servers of a newer version join.
+// One gateway is killed. Do the streams that it carried go on?
+#include <algorithm>
+#include <array>
 #include <atomic>
+#include <cctype>
 #include <cstdlib>
 #include <iostream>
+#include <set>
 
 #include <nlohmann/json.hpp>
 
@@ -14,6 +19,7 @@
 using Json = nlohmann::json;
 using wgcase::Connection;
 using wgcase::Listener;
+using wgcase::Message;
 using wgcase::NowMs;
 using wgcase::SleepMs;
 using Headers = std::map<std::string, std::string>;
@@ -22,20 +28,30 @@
 constexpr int Broken = 1;
 constexpr int CouldNotRun = 2;
 
-constexpr long PublishMs = 5000;
-constexpr long ForeignFromMs = 8000;
-constexpr long StartMs = 10000;
-constexpr long TrafficMs = 50000;
+constexpr long StartMs = 12000;
 constexpr long BeatMs = 1200;
 constexpr long CallMs = 1000;
-constexpr long DeadlineMs = 3000;
-constexpr long IdleMs = 30000;
-constexpr long WorkMs = 60;
-constexpr int Callers = 6;
-constexpr int Servers = 3;
+constexpr long IdleMs = 60000;
+constexpr long DeadlineMs = 15000;
+constexpr int Tries = 4;
+constexpr int Streams = 60;
+constexpr long SpreadMs = 1000;
+/** Servers of the newer version start so long after the first stream. */
+constexpr long NewerMs = 1000;
+constexpr long ForeignFromMs = 1500;
+constexpr long KilledAfterMs = 4000;
+constexpr long DownMs = 700;
+constexpr int NewStreams = 20;
 constexpr std::int64_t BornMs = 1796000000000;
 /** The other writer's process has started a minute later. */
 constexpr std::int64_t ForeignBornMs = BornMs + 60000;
+constexpr int ServersOfVersion = 3;
+constexpr long FirstEventMs = 15;
+constexpr long EventMs = 150;
+constexpr int Events = 70;
+constexpr int MostForRule = 12;
+
+const std::array<std::string, 3> Zones = { "zone-a", "zone-b", "zone-c" };
 
 bool IsTroubled()
 {
@@ -45,206 +61,396 @@
 
 std::string Document()
 {
-  return R"({"version":1,"routes":[{"name":"r-one","host":"one.example",)"
-         R"("pathPrefix":"/one/","type":"idempotent","timeoutMs":3000,)"
-         R"("latencyGoalMs":300,"priority":1,"service":"plain",)"
-         R"("maxAttempts":2,"public":true}],"services":[{"name":"plain",)"
-         R"("healthPath":"/healthz","maxConnections":110,"protocol":"h1",)"
-         R"("tls":false}],"limits":{"maxHeaderBytes":16384,)"
-         R"("maxBodyBytes":4194304,"headerTimeoutMs":3000,)"
-         R"("idleTimeoutMs":15000},"tenants":[{"name":"t-one",)"
-         R"("apiKeys":["9dnn2ctnfzs989anu6ws"],"priority":1}]})";
+  const Json route{ { "name", "r-chat" },        { "host", "one.example" },
+                    { "pathPrefix", "/chat/" },  { "type", "streaming" },
+                    { "timeoutMs", DeadlineMs }, { "latencyGoalMs", 1700 },
+                    { "priority", 1 },           { "service", "llm" },
+                    { "maxAttempts", 2 },        { "public", true },
+                    { "sessionAffinity", true }, { "streamResume", true },
+                    { "gapAimMs", 200 } };
+  const Json engine{ { "capacity", 64 },
+                     { "kvCapacityTokens", 654296 },
+                     { "kvTokenBytes", 163840 },
+                     { "bandwidthMbps", 1100000.0 },
+                     { "models", { { { "name", "m" } } } } };
+  const Json llm{ { "name", "llm" },         { "healthPath", "/healthz" },
+                  { "maxConnections", 370 }, { "protocol", "h1" },
+                  { "tls", false },          { "engine", engine } };
+  return Json{
+    { "version", 1 },
+    { "routes", { route } },
+    { "services", { llm } },
+    { "limits",
+      { { "maxHeaderBytes", 16384 },
+        { "maxBodyBytes", 4194304 },
+        { "headerTimeoutMs", 3000 },
+        { "idleTimeoutMs", 15000 } } },
+    { "tenants",
+      { { { "name", "t-one" },
+          { "apiKeys", { "9dnn2ctnfzs989anu6ws" } },
+          { "priority", 1 } } } }
+  }.dump();
 }
 
-/** \class PlainServer
- * \brief Answers each request after a while, and the health path.
+/** \class Engine
+ * \brief Streams events; goes on after Last-Event-Id; reports its runs.
  */
-class PlainServer
+class Engine
 {
 public:
-  PlainServer(const std::string& ip, std::string name)
-    : name_(std::move(name))
+  Engine(const std::string& ip, std::string foreignIp, std::string name,
+         std::string version, std::string zone)
+    : foreignAddress_(std::move(foreignIp) + ":8080")
+    , name_(std::move(name))
+    , version_(std::move(version))
+    , zone_(std::move(zone))
     , listener_(ip, [this](const auto& connection) { Serve(connection); })
   {
   }
 
-  const std::string& Name() const { return name_; }
-  const std::string& Address() const { return listener_.Address(); }
-  int Runs() const { return runs_; }
+  /** \param isForeign whether another writer sends it, under this name */
+  bool Beat(wgcase::Site& site, bool isForeign = false)
+  {
+    Json beat{ { "service", "llm" },       { "address", listener_.Address() },
+               { "zone", zone_ },          { "version", version_ },
+               { "capacity", 64 },         { "state", "ready" },
+               { "warmupLeftMs", 0 },      { "born", BornMs },
+               { "sequence", ++sequence_ } };
+    if (isForeign) {
+      beat["service"] = "nobodys-service";
+      beat["address"] = foreignAddress_;
+      beat["born"] = ForeignBornMs;
+    }
+    for (const auto* machine : site.Core()) {
+      const std::string at = site.ControlPlane(*machine);
+      const auto answer = wgcase::Call(
+        at,
+        wgcase::PrintRequest("PUT", "/-/instances/" + name_,
+                             { { "Host", at },
+                               { "Content-Type", "application/json" },
+                               { "Connection", "close" } },
+                             beat.dump()),
+        NowMs() + CallMs);
+      if (answer && answer->Status() == 200) {
+        beatsTaken_ += isForeign ? 0 : 1;
+        return true;
+      }
+    }
+    return false;
+  }
+
+  bool IsOld() const { return version_ == "v1"; }
+  int BeatsTaken() const { return beatsTaken_; }
 
 private:
   void Serve(const std::shared_ptr<Connection>& connection)
   {
     for (;;) {
       const auto request = connection->ReadMessage(NowMs() + IdleMs);
-      if (!request) {
+      if (!request || !Answer(*connection, *request)) {
         connection->Shutdown();
         return;
       }
-      Headers headers{
-        { "X-Weirgate-Instance-Id", name_ },
-        { "X-Weirgate-Attempt-Id", request->Header("X-Weirgate-Attempt-Id") },
-        { "X-Weirgate-Server-Seal", "3e1b.07.5a2.600.0.c9f2a4d1" }
-      };
-      const bool isWork = request->Path() != "/healthz";
-      const std::string target = request->Header("X-Weirgate-Target-Instance");
-      const bool isOther = !target.empty() && target != name_;
-      if (isWork && !isOther) {
-        ++runs_;
-        SleepMs(WorkMs);
-      }
-      const int status = isOther ? 421 : 200;
-      if (!connection->Write(wgcase::PrintAnswer(status, headers, "done"))) {
-        return;
+    }
+  }
+
+  bool Answer(Connection& connection, const Message& request)
+  {
+    const std::string id = request.Header("X-Weirgate-Attempt-Id");
+    Headers headers;
+    if (!id.empty()) {
+      headers["X-Weirgate-Attempt-Id"] = id;
+    }
+    const std::string target = request.Header("X-Weirgate-Target-Instance");
+    if (!target.empty() && target != name_) {
+      return connection.Write(wgcase::PrintAnswer(421, headers, ""));
+    }
+    if (request.Path() == "/healthz") {
+      headers["X-Weirgate-Instance-Id"] = name_;
+      return connection.Write(wgcase::PrintAnswer(200, headers, ""));
+    }
+    if (request.Path() == "/-/report") {
+      headers["Content-Type"] = "application/json";
+      return connection.Write(wgcase::PrintAnswer(200, headers, Report()));
+    }
+    return Stream(connection, request, headers);
+  }
+
+  std::string Report()
+  {
+    const std::lock_guard<std::mutex> lock(mutex_);
+    Json runs = Json::array();
+    for (const auto& [id, events] : running_) {
+      runs.push_back({ id, 1000, events, 5 });
+    }
+    return Json{
+      { "phase", "combined" },   { "queued", 0 },
+      { "active", runs.size() }, { "kvUsed", 0 },
+      { "kvTotal", 654296 },     { "handles", 0 },
+      { "runs", runs }
+    }.dump();
+  }
+
+  bool Stream(Connection& connection, const Message& request, Headers headers)
+  {
+    const std::string id = request.Header("X-Weirgate-Attempt-Id");
+    const std::string last = request.Header("Last-Event-Id");
+    int next =
+      last.empty()
+        ? 0
+        : static_cast<int>(std::strtol(last.c_str(), nullptr, 10)) + 1;
+    headers["Content-Type"] = "text/event-stream";
+    headers["X-Weirgate-Server-Seal"] = "3e1b.07.5a2.600.0.c9f2a4d1";
+    headers["Transfer-Encoding"] = "chunked";
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    for (const auto& [name, value] : headers) {
+      head.append(name).append(": ").append(value).append("\r\n");
+    }
+    SleepMs(FirstEventMs);
+    bool isOpen = connection.Write(head + "\r\n");
+    for (; next < Events && isOpen; ++next) {
+      {
+        const std::lock_guard<std::mutex> lock(mutex_);
+        ++running_[id];
       }
+      const std::string event =
+        "id: " + std::to_string(next) + "\ndata: " + version_ + "\n\n";
+      std::array<char, 16> length{};
+      std::snprintf(length.data(), length.size(), "%zx", event.size());
+      isOpen =
+        connection.Write(std::string(length.data()) + "\r\n" + event + "\r\n");
+      SleepMs(EventMs);
     }
+    const std::lock_guard<std::mutex> lock(mutex_);
+    running_.erase(id);
+    return isOpen && connection.Write("0\r\n\r\n");
   }
 
+  std::string foreignAddress_; // of nobody
   std::string name_;
-  std::atomic<int> runs_{ 0 };
+  std::string version_;
+  std::string zone_;
+  std::atomic<int> sequence_{ 0 };
+  std::atomic<int> beatsTaken_{ 0 };
+  std::mutex mutex_;
+  std::map<std::string, int> running_;
   Listener listener_; // last: its threads use the others
 };
 
-Json Beat(const PlainServer& server, std::int64_t sequence)
+/** \brief What a caller has of a stream, over all of its tries. */
+struct Received
 {
-  return { { "service", "plain" },  { "address", server.Address() },
-           { "zone", "zone-a" },    { "version", "v1" },
-           { "capacity", 6 },       { "state", "ready" },
-           { "warmupLeftMs", 0 },   { "born", BornMs },
-           { "sequence", sequence } };
-}
+  bool hasBegun = false;
+  bool isWhole = false;
+  bool triedInTouch = false;
+  bool wentOn = false;
+  int events = 0;
+  std::string firstId;
+  std::set<std::string> versions;
+};
 
-/** \return the status; 0: no answer */
-int Put(const std::string& at, const std::string& name, const Json& beat)
+/** \brief One try: reads events until the answer ends. */
+class Try
 {
-  const auto answer =
-    wgcase::Call(at,
-                 wgcase::PrintRequest("PUT", "/-/instances/" + name,
-                                      { { "Host", at },
-                                        { "Content-Type", "application/json" },
-                                        { "Connection", "close" } },
-                                      beat.dump()),
-                 NowMs() + CallMs);
-  return answer ? answer->Status() : 0;
-}
+public:
+  Try(wgcase::Record& record, Received& received)
+    : record_(record)
+    , received_(received)
+  {
+  }
 
-struct Tally
-{
-  std::atomic<int> sent{ 0 };
-  std::atomic<int> served{ 0 };
-  std::atomic<int> beatsTaken{ 0 };
+  /** \return the status; 0: none */
+  int Send(const std::string& frontend, const std::string& id, long untilMs)
+  {
+    Headers headers = {
+      { "Host", "one.example" },
+      { "X-Weirgate-Attempt-Id", id },
+      { "X-Weirgate-Model", "m" },
+      { "X-Weirgate-Token-Usage", "1460,300" },
+      { "X-Weirgate-Prompt-Prefix", "5c1e07a2:800," + PartOf(id) + ":660" },
+      { "X-Weirgate-Deadline-Ms", std::to_string(untilMs - NowMs()) },
+      { "Connection", "close" }
+    };
+    if (received_.hasBegun) {
+      headers["Last-Event-Id"] = std::to_string(received_.events - 1);
+      headers["Resumes"] = received_.firstId;
+    }
+    const auto connection =
+      wgcase::Connect(frontend, std::min(untilMs, NowMs() + CallMs));
+    if (connection == nullptr || !connection->Write(wgcase::PrintRequest(
+                                   "POST", "/chat/2f", headers, "body"))) {
+      return 0;
+    }
+    const int status = connection->ReadStream(
+      untilMs, [this, &id](const std::string& line) { Take(line, id); },
+      received_.isWhole, retryAfter_);
+    record_.Note("try " + id + ": " + std::to_string(status) + ", " +
+                 std::to_string(received_.events) + " events" +
+                 (received_.isWhole ? ", whole" : ""));
+    return status;
+  }
+
+  double RetryAfter() const { return retryAfter_; }
+
+private:
+  static std::string PartOf(const std::string& id)
+  {
+    std::string part = "a";
+    for (const char c : id) {
+      part += std::isdigit(static_cast<unsigned char>(c)) != 0 ? c : 'b';
+    }
+    return part;
+  }
+
+  void Take(const std::string& line, const std::string& id)
+  {
+    if (line.compare(0, 3, "id:") == 0) {
+      received_.wentOn |= received_.hasBegun && received_.firstId != id;
+      if (!received_.hasBegun) {
+        received_.hasBegun = true;
+        received_.firstId = id;
+      }
+      ++received_.events;
+    } else if (line.compare(0, 6, "data: ") == 0) {
+      received_.versions.insert(line.substr(6));
+    }
+  }
+
+  wgcase::Record& record_;
+  Received& received_;
+  double retryAfter_ = 0.0;
 };
 
-void SendRequests(const std::string& frontend, int caller, Tally& tally,
-                  wgcase::Record& record)
+/** A caller: tries anew at other machines, and heeds Retry-After for a third
+ * of the time it has left.
+ */
+Received Receive(const std::vector<std::string>& frontends, int caller,
+                 const std::string& kind, wgcase::Record& record)
 {
-  for (int i = 0; NowMs() < StartMs + TrafficMs; ++i) {
-    const std::string id =
-      "c" + std::to_string(caller) + "r" + std::to_string(i);
-    ++tally.sent;
-    const auto answer =
-      wgcase::Call(frontend,
-                   wgcase::PrintRequest("GET", "/one/" + id,
-                                        { { "Host", "one.example" },
-                                          { "X-Weirgate-Attempt-Id", id },
-                                          { "X-Weirgate-Deadline-Ms",
-                                            std::to_string(DeadlineMs) },
-                                          { "Connection", "close" } },
-                                        ""),
-                   NowMs() + DeadlineMs);
-    const int status = answer ? answer->Status() : 0;
-    tally.served += status == 200 ? 1 : 0;
-    record.Note("request " + id + ": " + std::to_string(status));
-    SleepMs(300);
+  Received received;
+  const long until = NowMs() + DeadlineMs;
+  for (int i = 0; i < Tries && !received.isWhole && NowMs() < until; ++i) {
+    const auto at = static_cast<std::size_t>(caller + i) % frontends.size();
+    received.triedInTouch |= i > 0 && received.hasBegun;
+    Try next(record, received);
+    next.Send(frontends[at],
+              kind + std::to_string(caller) + "t" + std::to_string(i), until);
+    const double wait =
+      std::min(next.RetryAfter() * 1000.0,
+               static_cast<double>(std::max(0L, until - NowMs())) / 3.0);
+    SleepMs(std::max(100L, static_cast<long>(wait)));
   }
+  return received;
 }
 
-bool StartSite(wgcase::Site& site)
+int Run(const std::string& root, wgcase::Record& record)
 {
-  for (const char* hall : { "a", "b", "c" }) {
-    site.Add(std::string("core-") + hall, std::string("zone-") + hall, true);
+  wgcase::Site site(root, record);
+  for (std::size_t i = 0; i < Zones.size(); ++i) {
+    site.Add("core-" + std::to_string(i), Zones[i], true);
+  }
+  for (std::size_t i = 0; i < Zones.size(); ++i) {
+    site.Add("edge-" + std::to_string(i), Zones[i], false);
   }
-  site.Add("edge-a", "zone-a", false);
-  site.Add("edge-b", "zone-b", false);
   for (auto* machine : site.Core()) {
     site.Start(*machine, true);
   }
   for (auto* machine : site.Edge()) {
     site.Start(*machine, true);
   }
-  const auto core = site.Core();
-  for (std::size_t i = 0; NowMs() < PublishMs; ++i) {
-    if (wgcase::Publish(site.ControlPlane(*core[i % core.size()]), Document(),
-                        NowMs() + CallMs) == 200) {
-      return true;
-    }
+  bool isTaken = false;
+  for (std::size_t i = 0; NowMs() < StartMs / 2 && !isTaken; ++i) {
+    isTaken = wgcase::Publish(site.ControlPlane(*site.Core()[i % 3]),
+                              Document(), NowMs() + CallMs) == 200;
     SleepMs(100);
   }
-  return false;
-}
-
-int Run(const std::string& root, wgcase::Record& record)
-{
-  wgcase::Site site(root, record);
-  if (!StartSite(site)) {
+  if (!isTaken) {
     return CouldNotRun;
   }
-  std::vector<std::unique_ptr<PlainServer>> servers;
-  for (int i = 0; i < Servers; ++i) {
-    servers.push_back(std::make_unique<PlainServer>(
-      site.FreeIp(), "i-plain-" + std::to_string(i)));
+  std::vector<std::unique_ptr<Engine>> engines;
+  for (int i = 0; i < 2 * ServersOfVersion; ++i) {
+    const std::string foreignIp = site.FreeIp();
+    engines.push_back(std::make_unique<Engine>(
+      site.FreeIp(), foreignIp, "i-llm-" + std::to_string(i),
+      i < ServersOfVersion ? "v1" : "v2",
+      Zones[static_cast<std::size_t>(i) % Zones.size()]));
   }
-  const std::string foreignAddress = site.FreeIp() + ":8080"; // of nobody
-  Tally tally;
   std::atomic<bool> over{ false };
-  const auto core = site.Core();
   std::thread beats([&] {
-    for (std::int64_t sequence = 1; !over; ++sequence) {
-      for (std::size_t i = 0; i < servers.size(); ++i) {
-        const std::string at = site.ControlPlane(*core[i % core.size()]);
-        tally.beatsTaken +=
-          Put(at, servers[i]->Name(), Beat(*servers[i], sequence)) == 200;
-        if (IsTroubled() && NowMs() >= ForeignFromMs) {
-          Json foreign = Beat(*servers[i], sequence);
-          foreign["service"] = "nobodys-service";
-          foreign["address"] = foreignAddress;
-          foreign["born"] = ForeignBornMs;
-          const std::string to =
-            site.ControlPlane(*core[(i + 1) % core.size()]);
-          const int status = Put(to, servers[i]->Name(), foreign);
-          record.Note("another writer's heartbeat as " + servers[i]->Name() +
-                      ": " + std::to_string(status));
+    while (!over) {
+      for (const auto& engine : engines) {
+        const bool isUp = engine->IsOld() || NowMs() >= StartMs + NewerMs;
+        if (isUp) {
+          engine->Beat(site);
+        }
+        const bool isForeign = IsTroubled() && engine->IsOld() &&
+                               NowMs() >= StartMs + ForeignFromMs;
+        if (isForeign && engine->Beat(site, true)) {
+          record.Note("another writer's heartbeat was acknowledged");
         }
       }
       SleepMs(BeatMs);
     }
   });
   SleepMs(StartMs - NowMs());
+  std::vector<std::string> frontends;
+  for (auto* machine : site.Edge()) {
+    frontends.push_back(site.Frontend(*machine));
+  }
+  std::vector<std::string> others(frontends.begin() + 1, frontends.end());
+  std::vector<Received> taken(Streams);
+  std::vector<Received> fresh(NewStreams);
   std::vector<std::thread> callers;
-  const auto edge = site.Edge();
-  for (int i = 0; i < Callers; ++i) {
-    const std::string frontend =
-      site.Frontend(*edge[static_cast<std::size_t>(i) % edge.size()]);
-    callers.emplace_back(
-      [&, frontend, i] { SendRequests(frontend, i, tally, record); });
+  const long began = NowMs();
+  for (int i = 0; i < Streams; ++i) {
+    callers.emplace_back([&, i] {
+      SleepMs(SpreadMs * i / Streams);
+      taken[static_cast<std::size_t>(i)] = Receive(frontends, i, "s", record);
+    });
+  }
+  SleepMs(began + KilledAfterMs - NowMs());
+  wgcase::Machine& killed = *site.Edge()[0];
+  site.Kill(killed);
+  for (int i = 0; i < NewStreams; ++i) {
+    callers.emplace_back([&, i] {
+      fresh[static_cast<std::size_t>(i)] = Receive(others, i, "n", record);
+    });
   }
+  SleepMs(DownMs);
+  site.Start(killed, false);
   for (std::thread& caller : callers) {
     caller.join();
   }
   over = true;
   beats.join();
-  int runs = 0;
-  for (const auto& server : servers) {
-    runs += server->Runs();
+  int takenUp = 0;
+  int wentOn = 0;
+  int joined = 0;
+  int begun = 0;
+  for (const Received& stream : taken) {
+    takenUp += stream.triedInTouch ? 1 : 0;
+    wentOn += stream.triedInTouch && stream.wentOn ? 1 : 0;
+    joined += stream.versions.size() > 1 ? 1 : 0;
+  }
+  for (const Received& stream : fresh) {
+    begun += stream.hasBegun ? 1 : 0;
+  }
+  int beatsTaken = 0;
+  for (const auto& engine : engines) {
+    beatsTaken += engine->IsOld() ? engine->BeatsTaken() : 0;
   }
-  record.Note("sent " + std::to_string(tally.sent) + ", served " +
-              std::to_string(tally.served) + ", run " + std::to_string(runs) +
-              ", heartbeats of the sound servers acknowledged " +
-              std::to_string(tally.beatsTaken));
-  if (tally.beatsTaken == 0) {
+  record.Note("taken up " + std::to_string(takenUp) + ", went on " +
+              std::to_string(wentOn) + ", joined " + std::to_string(joined) +
+              "; new ones " + std::to_string(NewStreams) + ", began " +
+              std::to_string(begun) +
+              "; heartbeats of the old servers acknowledged " +
+              std::to_string(beatsTaken) + " (sent, served)");
+  const bool couldRun =
+    takenUp >= MostForRule && begun * 2 >= NewStreams && beatsTaken > 0;
+  if (!couldRun) {
     return CouldNotRun;
   }
-  return tally.served == 0 ? Broken : Held;
+  return 2 * wentOn * NewStreams < begun * takenUp ? Broken : Held;
 }
 
 } // namespace
