Http: an answer in another coding than chunks ends its call as cut

What callers saw: an endpoint's answer in a transfer coding that nobody had asked for reached them as a clean answer.

Cause: the library's parser takes an answer for chunked if the last name is `chunked`, and for one that its length or its connection ends otherwise. The field belongs to one connection and isn't passed on, so that nothing tells the caller. The same holds wherever answers are read: a load or a list that is fetched and an attempt of the project's own path took the coded bytes too (HttpFetch, EndpointClient, new cases), and so did a relay.

Change: FindUnsound refuses an answer with a body whose Transfer-Encoding is anything but `chunked` alone, over all lines of the field (RFC 9112, 6.1 and 7.4: no request of ours offers a coding). Answers without a body may name one (HEAD, 304), and empty elements of the list are sound (RFC 9110, 5.6.1). The call ends as cut, as for a status that is none.

Measured: [coding] and [relay] of wgPlatformBrokenAnswerTest, HttpFetch, EndpointClient, HttpClient and Fuzz pass. Without the check ([coding] on; the others with mutation coded-answers-are-taken) each of them fails: 83 of 128 requests, 3 of 59 over a relay, 2 checks of HttpFetch, 2 of EndpointClient, 3 of HttpClient, 1 of Fuzz. [sound-coding] passed before and stays as a guard.

--- a/Source/Http/wgAnswerHead.h
+++ b/Source/Http/wgAnswerHead.h
@@ -13,10 +13,11 @@
 /** \brief Why what an endpoint sent is not a sound answer. */
 enum class AnswerFault
 {
-  Syntax,      // the parser refuses a line, a length or a chunk
-  TooLong,     // a head, a line of a chunk or trailers beyond the bound
-  Status,      // see IsFinalStatus and IsInterimStatus
-  InterimHeads // more of them than the bound
+  Syntax,       // the parser refuses a line, a length or a chunk
+  TooLong,      // a head, a line of a chunk or trailers beyond the bound
+  Status,       // see IsFinalStatus and IsInterimStatus
+  InterimHeads, // more of them than the bound
+  Coding        // a transfer coding other than chunked
 };
 
 /** \brief An answer that is not sound. */
@@ -41,8 +42,13 @@
 
 /** \brief What is unsound in a head that the parser has taken; it has refused
  * names and values that no field can have.
+ *
+ * An answer with a body may be in chunks, and in no other transfer coding: no
+ * request offers one (RFC 9112, 7.4), and the field that names the coding is
+ * not passed on.
+ * \param hasBody false for the answer to HEAD
  * \return nothing if the head is sound
  */
-std::optional<UnsoundAnswer> FindUnsound(const HttpHead& head);
+std::optional<UnsoundAnswer> FindUnsound(const HttpHead& head, bool hasBody);
 
 } // namespace wg
--- a/Source/Http/wgHttpClientConnection.cxx
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -250,7 +250,7 @@
     return true;
   }
   const HttpHead& head = parser_->get().base();
-  if (const auto unsound = FindUnsound(head)) {
+  if (const auto unsound = FindUnsound(head, answerHasBody_)) {
     EndUnsound(*unsound);
     return false;
   }
--- a/Tests/Fuzz/wgFuzzTest.cxx
+++ b/Tests/Fuzz/wgFuzzTest.cxx
@@ -1,6 +1,7 @@
 // SPDX-License-Identifier: Apache-2.0
 // Every reader of bytes is given damaged ones; nothing may crash, and what is
 // read must be sound. A seeded mutation loop over a committed corpus.
+#include <algorithm>
 #include <chrono>
 #include <filesystem>
 #include <fstream>
@@ -17,9 +18,11 @@
 #include <catch2/catch.hpp>
 #include <google/protobuf/stubs/logging.h>
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 #include "absl/strings/str_join.h"
+#include "absl/strings/str_split.h"
 
 #include "wgAnswerHead.h"
 #include "wgConfigText.h"
@@ -311,7 +314,8 @@
       at += parser.put(boost::asio::buffer(left.data() + at, left.size() - at),
                        error);
     }
-    if (parser.is_header_done() && wg::FindUnsound(parser.get().base())) {
+    if (parser.is_header_done() &&
+        wg::FindUnsound(parser.get().base(), true)) {
       return wg::HttpCallEnd::Cut;
     }
     const bool isInterim =
@@ -407,8 +411,8 @@
   Mutator mutate;
   AnswerReader reader;
   std::map<wg::HttpCallEnd, int> ends;
-  for (const char* name :
-       { "http-length.txt", "http-chunks.txt", "http-close.txt" }) {
+  for (const char* name : { "http-length.txt", "http-chunks.txt",
+                            "http-close.txt", "http-codings.txt" }) {
     const std::string text = ReadCorpus(name);
     for (int i = 0; i < Rounds / 4; ++i) {
       const std::string bytes = mutate(text);
@@ -423,6 +427,34 @@
   CHECK(ends[wg::HttpCallEnd::Cut] > 0);
 }
 
+TEST_CASE("heads with damaged codings are sound only in chunks")
+{
+  namespace http = boost::beast::http;
+  Mutator mutate;
+  std::map<bool, int> found;
+  for (int i = 0; i < Rounds; ++i) {
+    const std::string value = mutate("gzip, chunked");
+    wg::HttpHead head;
+    head.result(http::status::ok);
+    if (!wg::SetField(head, "Transfer-Encoding", value)) {
+      continue;
+    }
+    CAPTURE(value);
+    std::vector<std::string> names =
+      absl::StrSplit(absl::AsciiStrToLower(value), ',', absl::SkipEmpty());
+    for (std::string& name : names) {
+      absl::StripAsciiWhitespace(&name);
+    }
+    names.erase(std::remove(names.begin(), names.end(), ""), names.end());
+    const bool isSound = names == std::vector<std::string>{ "chunked" };
+    REQUIRE(wg::FindUnsound(head, true).has_value() != isSound);
+    REQUIRE_FALSE(wg::FindUnsound(head, false));
+    ++found[isSound];
+  }
+  CHECK(found[true] > 0);
+  CHECK(found[false] > 0);
+}
+
 TEST_CASE("heads with any status are told only if it is one of an answer")
 {
   constexpr int statuses = 1000;
--- a/Tests/Gateway/wgEndpointClientTest.cxx
+++ b/Tests/Gateway/wgEndpointClientTest.cxx
@@ -146,6 +146,19 @@
 }
 
 // Another request's answer, or another version's, must not be read.
+// Its bytes were taken for the answer.
+TEST_CASE("An answer in a coding that is not known fails the attempt")
+{
+  CheckGivenUp({ Echo + "Transfer-Encoding: gzip\r\n"
+                        "Content-Length: 2\r\n\r\n{}",
+                 "",
+                 {} });
+  CheckGivenUp({ Echo + "Transfer-Encoding: gzip, chunked\r\n\r\n"
+                        "2\r\n{}\r\n0\r\n\r\n",
+                 "",
+                 {} });
+}
+
 TEST_CASE("A foreign answer is not read")
 {
   EndlessEndpoint endpoint([](const wg::HttpRequest&) {
--- a/Tests/Gateway/wgHttpClientTest.cxx
+++ b/Tests/Gateway/wgHttpClientTest.cxx
@@ -388,6 +388,34 @@
   CHECK(observed.empty());
 }
 
+// The library takes such a body for one without a length, or decodes the
+// chunks alone.
+TEST_CASE("Answers in another transfer coding than chunks are cut")
+{
+  Caller caller;
+  const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: ";
+  const std::string chunks = "\r\n\r\n2\r\nok\r\n0\r\n\r\n";
+  for (const std::string coding :
+       { "gzip", "gzip, chunked", "chunked, gzip", "xchunked", "identity",
+         "gzip\r\nTransfer-Encoding: chunked" }) {
+    CAPTURE(coding);
+    ScriptedEndpoint endpoint(
+      { { absl::StrCat(head, coding, chunks), true } });
+    const Result got = caller.Call(endpoint.Address());
+    CHECK(got.end == wg::HttpCallEnd::Cut);
+    CHECK(got.status == 0);
+    REQUIRE(got.unsound);
+    CHECK(got.unsound->fault == wg::AnswerFault::Coding);
+  }
+  for (const std::string coding : { "chunked", "Chunked", ", chunked," }) {
+    CAPTURE(coding);
+    ScriptedEndpoint endpoint({ { absl::StrCat(head, coding, chunks) } });
+    const Result got = caller.Call(endpoint.Address());
+    CHECK(got.end == wg::HttpCallEnd::Complete);
+    CHECK(got.body == "ok");
+  }
+}
+
 TEST_CASE("Answers that the library refuses are told with its reason")
 {
   Caller caller;
--- a/Tests/Gateway/wgHttpFetchTest.cxx
+++ b/Tests/Gateway/wgHttpFetchTest.cxx
@@ -3,6 +3,7 @@
 
 #include <catch2/catch.hpp>
 
+#include "absl/strings/match.h"
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 #include "absl/time/clock.h"
@@ -59,6 +60,23 @@
   CheckGivenUp({ Ok, "Field: x\r\n", {} });
 }
 
+// The coded bytes were taken for the text.
+TEST_CASE("A fetched answer in a coding that is not known is none")
+{
+  EndlessEndpoint endpoint([](const wg::HttpRequest&) {
+    return EndlessBytes{ Ok + "Transfer-Encoding: gzip\r\n"
+                              "Content-Length: 2\r\n\r\n{}",
+                         "",
+                         {} };
+  });
+  CHECK(
+    wg::FetchText(AddressOf(endpoint), "/v1/load", absl::Seconds(5)).empty());
+  const auto order = wg::SendOrder(AddressOf(endpoint), { 1, "adapter", "a" },
+                                   absl::Seconds(5));
+  REQUIRE_FALSE(wg::Succeeded(order));
+  CHECK(absl::StrContains(wg::Message(order), "coding gzip"));
+}
+
 TEST_CASE("A whole answer is fetched")
 {
   EndlessEndpoint endpoint([](const wg::HttpRequest&) {
--- a/Tests/Platform/wgPlatformBrokenAnswerTest.cxx
+++ b/Tests/Platform/wgPlatformBrokenAnswerTest.cxx
@@ -470,6 +470,79 @@
   }
 }
 
+// The field that named the coding was not passed on: callers took the coded
+// bytes, or the chunks themselves, for the content.
+TEST_CASE("Answers in a transfer coding that is not known reach no caller",
+          "[coding]")
+{
+  Site site;
+  Judge judge(site);
+  const std::string ok = "HTTP/1.1 200 OK\r\nECHO\r\n";
+  const std::string coded = "\x1f\x8b\x08 coded";
+  const std::string chunks = "6\r\nbroken\r\n0\r\n\r\n";
+  const std::string length =
+    absl::StrCat("Content-Length: ", coded.size(), "\r\n");
+  const auto field = [](const std::string& value) {
+    return "Transfer-Encoding: " + value + "\r\n";
+  };
+  const std::pair<std::string, std::string> answers[] = {
+    { "gzip before a length", ok + field("gzip") + length + "\r\n" + coded },
+    { "gzip after a length", ok + length + field("gzip") + "\r\n" + coded },
+    { "gzip by close", ok + field("gzip") + "\r\n" + coded },
+    { "gzip, chunked", ok + field("gzip, chunked") + "\r\n" + chunks },
+    { "two lines", ok + field("gzip") + field("chunked") + "\r\n" + chunks },
+    { "two lines, chunked first",
+      ok + field("chunked") + field("gzip") + "\r\n" + chunks },
+    { "chunked, gzip", ok + field("chunked, gzip") + "\r\n" + chunks },
+    { "chunked, chunked", ok + field("chunked, chunked") + "\r\n" + chunks },
+    { "xchunked", ok + field("xchunked") + "\r\n" + chunks },
+    { "chunkedx", ok + field("chunkedx") + "\r\n" + chunks },
+    { "a quoted name", ok + field("\"chunked\"") + "\r\n" + chunks },
+    { "a parameter", ok + field("chunked;a=b") + "\r\n" + chunks },
+    { "no name", ok + field("") + "\r\n" + chunks },
+    { "a length beside chunks",
+      ok + field("chunked") + length + "\r\n" + chunks },
+    { "two lengths",
+      ok + "Content-Length: 6\r\nContent-Length: 7\r\n\r\nbroken!" },
+    { "a signed length", ok + "Content-Length: +6\r\n\r\nbroken" },
+  };
+  for (const auto& [name, bytes] : answers) {
+    judge.CheckRefused(name, { bytes, AnswerClose::Finish });
+    judge.CheckRefused(
+      name + " of an error",
+      { "HTTP/1.1 404 Not Found" + bytes.substr(15), AnswerClose::Finish });
+  }
+  INFO(judge.Faults());
+  CHECK(judge.Faults().empty());
+  CHECK(judge.Served() > 0);
+  site.AwaitSound();
+}
+
+TEST_CASE("Answers in chunks arrive however the coding is written",
+          "[sound-coding]")
+{
+  Site site;
+  Judge judge(site);
+  for (const std::string value : { "chunked", "Chunked", "CHUNKED",
+                                   "\tchunked ", ", chunked", "chunked ," }) {
+    judge.CheckDelivered(value,
+                         { "HTTP/1.1 200 OK\r\nECHO\r\nTransfer-Encoding:" +
+                           value + "\r\n\r\n6\r\nbroken\r\n0\r\n\r\n" },
+                         "200");
+  }
+  judge.CheckDelivered(
+    "a length that is said twice",
+    { "HTTP/1.1 200 OK\r\nECHO\r\nContent-Length: 6, 6\r\n\r\nbroken" },
+    "200");
+  // RFC 9112, 6.1: it tells the coding that an answer to GET would have.
+  judge.CheckDelivered("304 that names a coding",
+                       { "HTTP/1.1 304 Not Modified\r\nECHO\r\n"
+                         "Transfer-Encoding: gzip, chunked\r\n\r\n" },
+                       "304", "");
+  INFO(judge.Faults());
+  CHECK(judge.Faults().empty());
+}
+
 // A box that reaches no endpoint reads the answers as another one passes them
 // on.
 TEST_CASE("Broken answers reach no caller over a relay", "[relay]")
@@ -482,6 +555,12 @@
                          MakeAnswer("HTTP/1.1 " + status + " Odd", framing));
     }
   }
+  const std::string ok = "HTTP/1.1 200 OK\r\nECHO\r\n";
+  judge.CheckRefused("gzip", { ok + "Transfer-Encoding: gzip\r\n"
+                                    "Content-Length: 6\r\n\r\nbroken" });
+  judge.CheckRefused(
+    "a blank in a name",
+    MakeAnswer("HTTP/1.1 200 OK", Framing::Length, "X Bad: 1\r\n"));
   judge.CheckDelivered("a sound answer",
                        MakeAnswer("HTTP/1.1 404 Odd", Framing::Chunks), "404");
   INFO(judge.Faults());
