Test: heads with a field's name that is none reach no caller

Reported of other systems: an answer in whose head the name of a field held a blank or a control byte came through, with that line passed on or with a body that was not the server's.

Handled before: the library's parser refuses such a head. Nothing is changed for it.

--- a/Tests/Platform/wgPlatformBrokenAnswerTest.cxx
+++ b/Tests/Platform/wgPlatformBrokenAnswerTest.cxx
@@ -551,6 +551,61 @@
   CHECK(judge.Faults().empty());
 }
 
+// Seen on other systems: the name of a field held a blank or a control byte,
+// and the line was passed on, or the body was another one.
+TEST_CASE("Answers with a field's name that is none reach no caller",
+          "[field-names]")
+{
+  Site site;
+  Judge judge(site);
+  const std::string nul(1, '\0');
+  const std::pair<std::string, std::string> lines[] = {
+    { "a blank in a name", "X Bad: 1" },
+    { "a blank before the colon", "X-Bad : 1" },
+    { "a tab in a name", "X\tBad: 1" },
+    { "a tab before the colon", "X-Bad\t: 1" },
+    { "a control byte in a name", "X\x01"
+                                  "Bad: 1" },
+    { "an escape in a name", "X\x1b"
+                             "Bad: 1" },
+    { "a NUL in a name", "X" + nul + "Bad: 1" },
+    { "a DEL in a name", "X\x7f"
+                         "Bad: 1" },
+    { "a byte over 0x7f in a name", "X\xc3\xa4: 1" },
+    { "the byte 0xff in a name", "X\xff: 1" },
+    { "a CR in a name", "X\rBad: 1" },
+    { "an LF in a name", "X\nBad: 1" },
+    { "no name", ": 1" },
+    { "no colon", "X-Bad" },
+    { "a blank alone before a colon", " : 1" },
+    { "a parenthesis in a name", "X(Bad): 1" },
+    { "a length with a blank before the colon", "Content-Length : 3" },
+    { "a coding with a control byte", "Transfer-Encoding\x0b: chunked" },
+    { "a control byte in a value", "X-Bad: 1\x01"
+                                   "2" },
+    { "a NUL in a value", "X-Bad: 1" + nul + "2" },
+    { "a bare CR in a value", "X-Bad: 1\rX-Other: 2" },
+  };
+  for (const auto& [name, line] : lines) {
+    for (const Framing framing : Framings) {
+      judge.CheckRefused(
+        name + NameOf(framing),
+        MakeAnswer("HTTP/1.1 200 OK", framing, line + "\r\n"));
+    }
+    ScriptedAnswer first = MakeAnswer("HTTP/1.1 200 OK", Framing::Length);
+    first.bytes.insert(first.bytes.find("ECHO"), line + "\r\n");
+    judge.CheckRefused(name + " in the first line", first);
+    judge.CheckRefused(
+      name + " in an interim head",
+      { "HTTP/1.1 103 Early Hints\r\n" + line + "\r\n\r\n" +
+        MakeAnswer("HTTP/1.1 200 OK", Framing::Length).bytes });
+  }
+  INFO(judge.Faults());
+  CHECK(judge.Faults().empty());
+  CHECK(judge.Served() > 0);
+  site.AwaitSound();
+}
+
 // An endpoint answered a long upload at once, without a length, and reset the
 // connection while the upload was being written. Its caller got what had come
 // as the whole answer.
