Test: the soak's endpoints send broken answers

Then one of two answers has a status that is none, a transfer coding, a head that can't be read, or no length and a reset, before or after the request was read; one plain request in three has 3 MB. The checker takes a status outside 200 to 599 for MIXED, beside a body that is not the request's own.

Without the flag a seed gives the faults that it always gave.

--- a/Tests/Platform/wgPlatformSoak.cxx
+++ b/Tests/Platform/wgPlatformSoak.cxx
@@ -24,6 +24,7 @@
 #include "wgPlatformCluster.h"
 #include "wgPlatformSoakCheck.h"
 #include "wgPlatformStandin.h"
+#include "wgTroubledEndpoint.h"
 
 namespace {
 
@@ -38,6 +39,7 @@
 using wg::test::SoakRecord;
 using wg::test::SoakRequest;
 using wg::test::StandinConduct;
+using wg::test::TroubledEndpoint;
 using Random = std::mt19937_64;
 
 constexpr int Gateways = 3;
@@ -56,6 +58,10 @@
 constexpr int WorkMs = 60;
 constexpr int UsualQueue = 4;
 constexpr int DownMs = 800;
+constexpr std::uint64_t TroubledEndpoints = 2;
+/** More than the buffers of a connection hold while its endpoint reads none.
+ */
+constexpr std::size_t LongBodyBytes = 3U << 20U;
 
 int Draw(Random& random, int least, int most)
 {
@@ -125,6 +131,7 @@
   PlatformCluster cluster;
   std::map<int, OwnWires> ownWires; // by gateway
   std::vector<std::unique_ptr<Endpoint>> endpoints;
+  std::vector<std::unique_ptr<TroubledEndpoint>> troubled; // of plain requests
   std::atomic<bool> stopping{ false };
   std::atomic<std::int64_t> acknowledged{ 1 };
   std::atomic<int> next{ 0 };
@@ -133,10 +140,16 @@
   SoakRecord record;
 };
 
-std::string ExpectedBody(const std::string& id, bool streams)
+std::string BodyOf(const std::string& id, std::size_t padding)
+{
+  return absl::StrCat("body of ", id, std::string(padding, '.'));
+}
+
+std::string ExpectedBody(const std::string& id, bool streams,
+                         std::size_t padding)
 {
   if (!streams) {
-    return absl::StrCat(id, "|body of ", id);
+    return absl::StrCat(id, "|", BodyOf(id, padding));
   }
   std::string events;
   for (int i = 1; i <= 4; ++i) {
@@ -160,18 +173,21 @@
   return fields;
 }
 
+/** \param padding bytes of its body beyond the usual ones */
 SoakRequest SendOne(Run& run, int gateway, httplib::Client& client,
-                    bool streams, const std::string& path)
+                    bool streams, const std::string& path,
+                    std::size_t padding = 0)
 {
   SoakRequest request;
   request.box = gateway;
   request.sent = absl::Now();
   request.id = absl::StrCat(run.seed, "-", ++run.next);
   request.isStream = streams;
-  request.expected = ExpectedBody(request.id, streams);
+  request.expected = ExpectedBody(request.id, streams, padding);
   const auto reply = client.Post(path, FieldsOf(request.id, streams),
-                                 "body of " + request.id, "text/plain");
+                                 BodyOf(request.id, padding), "text/plain");
   if (reply) {
+    request.hasAnswer = true;
     request.status = reply->status;
     request.body = reply->body;
     request.sealedBy = reply->get_header_value("X-Weirgate-Server-Seal");
@@ -201,9 +217,12 @@
   }
   while (!run.stopping) {
     const int gateway = Draw(random, 0, 2);
+    const bool streams = Draw(random, 0, 1) == 0;
+    const bool isLong =
+      !streams && !run.troubled.empty() && Draw(random, 0, 2) == 0;
     const SoakRequest request =
       SendOne(run, gateway, *clients[static_cast<std::size_t>(gateway)],
-              Draw(random, 0, 1) == 0);
+              streams, streams ? "/s/x" : "/p/x", isLong ? LongBodyBytes : 0);
     if (request.status != StatusOk) {
       absl::SleepFor(absl::Milliseconds(Draw(random, 5, 60)));
     }
@@ -223,6 +242,9 @@
         }
       }
     }
+    for (const auto& endpoint : run.troubled) {
+      endpoint->Register(run.cluster.Api(Draw(random, 0, 2)), "plain");
+    }
     absl::SleepFor(absl::Milliseconds(200));
   }
 }
@@ -280,6 +302,23 @@
   }
 }
 
+/** Some endpoints of plain requests send broken answers at times. Its draws
+ * are its own, as above.
+ */
+void BeInTrouble(Run& run)
+{
+  Random random(run.seed + 30);
+  while (!run.stopping) {
+    for (const auto& endpoint : run.troubled) {
+      endpoint->SetInTrouble(Draw(random, 0, 2) > 0);
+    }
+    absl::SleepFor(absl::Milliseconds(Draw(random, 200, 1500)));
+  }
+  for (const auto& endpoint : run.troubled) {
+    endpoint->SetInTrouble(false);
+  }
+}
+
 /** The endpoints of a service are brittle at times, and then let fewer wait.
  * Its draws are its own, as above.
  */
@@ -745,6 +784,11 @@
     }
     run.record.unsoundPieces += endpoint->standin.UnsoundPieces();
   }
+  for (const auto& endpoint : run.troubled) {
+    for (const auto& [id, runs] : endpoint->RunsByRequest()) {
+      run.record.runs[id] += runs;
+    }
+  }
 }
 
 /** \brief What a run does besides its faults. */
@@ -754,6 +798,7 @@
   bool starts = false;   // endpoints start again, others send heartbeats too
   bool terms = false;    // endpoints ask something of their senders
   bool unframed = false; // endpoints answer without lengths, some not whole
+  bool broken = false;   // endpoints of plain requests send broken answers
   bool brittle = false;  // endpoints are brittle at times
   bool paths = false;    // boxes lose all paths to endpoints; no other faults
   bool servicePaths = false; // the same of one service at a time
@@ -771,6 +816,10 @@
       endpoint->standin.SetWork(WorkMs, UsualQueue);
     }
   }
+  for (std::uint64_t i = 0; i < TroubledEndpoints && options.broken; ++i) {
+    run.troubled.push_back(std::make_unique<TroubledEndpoint>(
+      absl::StrCat("i-troubled", i), seed + 31 + i));
+  }
   if (options.paths || options.servicePaths) {
     run.AddOwnWires();
   }
@@ -789,6 +838,9 @@
   if (options.unframed) {
     threads.emplace_back([&run] { LeaveAnswersUnframed(run); });
   }
+  if (options.broken) {
+    threads.emplace_back([&run] { BeInTrouble(run); });
+  }
   for (std::size_t service = 0; service < Services && options.terms;
        ++service) {
     threads.emplace_back([&run, service] { Asks(run, service).Go(); });
@@ -818,11 +870,17 @@
   for (const SoakRequest& request : run.record.requests) {
     served += request.status == StatusOk ? 1 : 0;
   }
+  int broken = 0;
+  for (const auto& endpoint : run.troubled) {
+    broken += endpoint->Broken();
+  }
   std::printf(
     "seed %llu: %zu requests, %d served, %lld documents, %zu "
-    "reads\n",
+    "reads%s\n",
     static_cast<unsigned long long>(seed), run.record.requests.size(), served,
-    static_cast<long long>(run.record.acknowledged), run.record.reads.size());
+    static_cast<long long>(run.record.acknowledged), run.record.reads.size(),
+    options.broken ? absl::StrCat(", ", broken, " broken answers").c_str()
+                   : "");
   return CheckSoak(run.record);
 }
 
@@ -849,6 +907,11 @@
     TCLAP::SwitchArg unframed(
       "", "unframed",
       "Endpoints answer without lengths, and break some answers off.", line);
+    TCLAP::SwitchArg brokenAnswers(
+      "", "broken",
+      "Two more endpoints of plain requests send broken answers at times, and "
+      "some requests are long.",
+      line);
     TCLAP::SwitchArg brittle(
       "", "brittle",
       "Endpoints fall over at times when they refuse too much, and say so.",
@@ -871,6 +934,7 @@
     options.starts = starts.getValue();
     options.terms = terms.getValue();
     options.unframed = unframed.getValue();
+    options.broken = brokenAnswers.getValue();
     options.brittle = brittle.getValue();
     options.paths = paths.getValue();
     options.servicePaths = servicePaths.getValue();
--- a/Tests/Platform/wgPlatformSoakCheck.cxx
+++ b/Tests/Platform/wgPlatformSoakCheck.cxx
@@ -11,17 +11,30 @@
 
 using Findings = std::vector<std::string>;
 
+constexpr std::size_t MostBodyShown = 200;
+
 /** These answers promise that the request has not run and never will. */
 bool Promises(int status)
 {
   return status == 503 || status == 429 || status == 408 || status == 421;
 }
 
+/** The statuses that an answer may have. */
+bool IsStatus(int status)
+{
+  return status >= 200 && status <= 599;
+}
+
 void CheckRequest(const SoakRequest& request, int runs, Findings& findings)
 {
-  if (request.status == 200 && request.body != request.expected) {
+  if (request.hasAnswer && !IsStatus(request.status)) {
     findings.push_back(absl::StrCat("MIXED: the answer of ", request.id,
-                                    " is not its own: ", request.body));
+                                    " has the status ", request.status));
+  }
+  if (request.status == 200 && request.body != request.expected) {
+    findings.push_back(absl::StrCat(
+      "MIXED: the answer of ", request.id,
+      " is not its own: ", request.body.substr(0, MostBodyShown)));
   }
   if (request.status == 200 && request.sealedBy.empty()) {
     findings.push_back(
--- a/Tests/Platform/wgPlatformSoakCheck.h
+++ b/Tests/Platform/wgPlatformSoakCheck.h
@@ -21,7 +21,8 @@
   std::string sealedBy; // the endpoint that signed a success
   int box = 0;          // that it was sent to
   absl::Time sent;
-  bool isStream = false; // which needs engines and stages
+  bool isStream = false;  // which needs engines and stages
+  bool hasAnswer = false; // a whole one, whatever its status
 };
 
 /** \brief What one reader of the document saw. */
--- a/Tests/Platform/wgPlatformSoakCheckTest.cxx
+++ b/Tests/Platform/wgPlatformSoakCheckTest.cxx
@@ -53,6 +53,13 @@
     record.requests[0].body = "a|";
     CHECK(Found(record) == "MIXED");
   }
+  SECTION("an answer whose status is none")
+  {
+    record.requests[3].hasAnswer = true;
+    CHECK(Found(record) == "MIXED");
+    record.requests[3].status = 600;
+    CHECK(Found(record) == "MIXED");
+  }
   SECTION("an answer without a signature")
   {
     record.requests[0].sealedBy.clear();
