Http: an answer's first line names this server's version

What callers saw: an endpoint that answers with HTTP/1.0 had its first line passed on. Of a stream with a length or in chunks the caller got, with the code before (arm64, release):

HTTP/1.0 200 OK X-Weirgate-Attempt-Id: broken3 Content-Type: text/event-stream Connection: close Transfer-Encoding: chunked

f id: 1 data: e

A recipient must take the framing of such an answer for faulty (RFC 9112, 6.1), and one of HTTP/1.0 reads the sizes of the chunks as content. Found by a test of sound statuses.

Cause: HttpExchange prints the head that it is given, with its version.

Change: PrepareHead, which all answers pass, sets the version of this server (RFC 9110, 6.2). wgPlatformBrokenAnswerTest [http-1.0] failed before, for streams and for other answers, and passes.

--- a/Source/Http/wgHttpServer.cxx
+++ b/Source/Http/wgHttpServer.cxx
@@ -20,6 +20,7 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
+constexpr unsigned HttpVersion = 11; // HTTP/1.1
 constexpr int AcceptBacklog = 1024;
 constexpr auto SweepPeriod = std::chrono::milliseconds(500);
 /** Connections that are accepted in one turn of the loop. Those that wait for
@@ -66,8 +67,10 @@
   return !drains && request_.keep_alive() && framing_ == BodyFraming::Explicit;
 }
 
+/** The version is this server's, whatever an endpoint's is (RFC 9110, 6.2). */
 void HttpExchange::PrepareHead(HttpHead& head)
 {
+  head.version(HttpVersion);
   if (!KeepsConnection()) {
     head.set(http::field::connection, "close");
   }
--- a/Tests/Platform/wgPlatformBrokenAnswerTest.cxx
+++ b/Tests/Platform/wgPlatformBrokenAnswerTest.cxx
@@ -419,6 +419,31 @@
   site.AwaitSound();
 }
 
+// A first line of HTTP/1.0 was passed on, before chunks that it rules out.
+TEST_CASE("Answers of HTTP/1.0 reach callers as those of HTTP/1.1",
+          "[http-1.0]")
+{
+  Site site;
+  const std::string event = "id: 1\ndata: e\n\n";
+  for (const Framing framing : Framings) {
+    CAPTURE(NameOf(framing));
+    ScriptedAnswer stream =
+      MakeAnswer("HTTP/1.0 200 OK", framing,
+                 "Content-Type: text/event-stream\r\n", event);
+    stream.close = AnswerClose::Finish;
+    const Reply events = site.Ask(Stream, stream);
+    INFO(events.bytes);
+    CHECK(events.Status() == "HTTP/1.1 200");
+    CHECK(absl::StrContains(events.bytes, event));
+    CHECK_FALSE(events.isReset);
+    const Reply plain =
+      site.Ask(Idempotent, MakeAnswer("HTTP/1.0 404 Odd", framing));
+    INFO(plain.bytes);
+    CHECK(plain.Status() == "HTTP/1.1 404");
+    CHECK(plain.HasBody(BrokenBody));
+  }
+}
+
 // Nothing asks for another protocol.
 TEST_CASE("Answers that switch protocols reach no caller", "[switch]")
 {
