--- a/Tests/Platform/wgPlatformUnsoundAnswerTest.cxx
+++ b/Tests/Platform/wgPlatformUnsoundAnswerTest.cxx
@@ -106,18 +106,24 @@
     const Json call = Json::parse(request.body(), nullptr, false);
     MakeItem make;
     std::string ends;
+    std::string start;
     {
       const std::lock_guard<std::mutex> lock(mutex);
       make = std::exchange(nextItem, nullptr);
       ends = std::exchange(nextTrailers, "");
+      start = std::exchange(nextStart, "");
     }
     Json items = Json::array();
     for (std::size_t i = 0; i < call["items"].size(); ++i) {
       const int number = ++handles;
       items.push_back(make ? make(number) : SoundItem(number));
     }
-    return { Answer(id, "application/json", Json{ { "items", items } }.dump(),
-                    ends) };
+    std::string answer =
+      Answer(id, "application/json", Json{ { "items", items } }.dump(), ends);
+    if (!start.empty()) {
+      answer.replace(0, answer.find("Content-Type"), start);
+    }
+    return { answer };
   }
 
   /** The first attempt of a stream is cut after the event that a test gave. */
@@ -164,6 +170,7 @@
   std::mutex mutex;
   MakeItem nextItem;
   std::string nextTrailers;
+  std::string nextStart; // of a stage's answer, in place of its status line
   std::string firstEvent;
   std::string lastEvent;
   std::map<std::string, int> attempts;
@@ -218,6 +225,31 @@
   CHECK(f.cluster.Counter(0, "handlers_threw") == 0);
 }
 
+// The call fails as one that is cut, and its pieces are made by another.
+TEST_CASE("Stages' answers with an unsound head are none", "[stage-heads]")
+{
+  Cluster f;
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::pair<std::string, std::string> starts[] = {
+    { "HTTP/1.1 000 Odd\r\n", "unsound_answer_status" },
+    { "HTTP/1.1 600 Odd\r\n", "unsound_answer_status" },
+    { ok + "Transfer-Encoding: gzip\r\n", "unsound_answer_coding" },
+    { ok + "X Bad: 1\r\n", "unsound_answer_syntax" },
+  };
+  for (const auto& [start, counter] : starts) {
+    CAPTURE(start);
+    const int before = f.cluster.Counter(0, counter);
+    const int failed = f.cluster.Counter(0, "stage_calls_failed");
+    {
+      const std::lock_guard<std::mutex> lock(f.mutex);
+      f.nextStart = start;
+    }
+    CHECK(f.IsServed("/s/x"));
+    CHECK(f.cluster.Counter(0, counter) == before + 1);
+    CHECK(f.cluster.Counter(0, "stage_calls_failed") == failed + 1);
+  }
+}
+
 // Handles that are sound one by one, and together too long for a field.
 TEST_CASE("Requests whose results no field can name are refused",
           "[many-pieces]")
