Test: the soak's endpoints leave bytes unread only of long requests

Their early answer was to end by a close with bytes unread, but such a request comes with its head in one read; nothing is unread, and the close is an orderly end, which ends an answer without a length. The stand-in now does so only where a request has more than 1 MB, and resets otherwise; finding and bound stay. The checker says how many bytes of how many came.

--- a/Tests/Platform/wgPlatformSoakCheck.cxx
+++ b/Tests/Platform/wgPlatformSoakCheck.cxx
@@ -33,8 +33,9 @@
   }
   if (request.status == 200 && request.body != request.expected) {
     findings.push_back(absl::StrCat(
-      "MIXED: the answer of ", request.id,
-      " is not its own: ", request.body.substr(0, MostBodyShown)));
+      "MIXED: the answer of ", request.id, ", ", request.body.size(),
+      " bytes of ", request.expected.size(),
+      ", is not its own: ", request.body.substr(0, MostBodyShown)));
   }
   if (request.status == 200 && request.sealedBy.empty()) {
     findings.push_back(
--- a/Tests/Platform/wgTroubledEndpoint.cxx
+++ b/Tests/Platform/wgTroubledEndpoint.cxx
@@ -12,6 +12,8 @@
 /** Of the faults that a draw can give, the first is none. */
 constexpr int Faults = 6;
 constexpr int MostPauseMs = 20;
+/** Of a shorter request nothing may be unread, and a close is orderly. */
+constexpr std::int64_t LeastUnreadBytes = 1 << 20;
 
 std::string Fields(const std::string& request, const std::string& endpoint)
 {
@@ -54,7 +56,12 @@
     return std::nullopt;
   }
   ++runs_[request];
-  return MakeBroken(fault, request);
+  ScriptedAnswer answer = MakeBroken(fault, request);
+  const bool isLong = NumberOf(head, "Content-Length", 0) > LeastUnreadBytes;
+  if (isLong && answer.pause > absl::Milliseconds(MostPauseMs / 2)) {
+    answer.close = AnswerClose::CloseUnread;
+  }
+  return answer;
 }
 
 ScriptedAnswer TroubledEndpoint::Answer(const HttpRequest& request)
@@ -99,9 +106,7 @@
                             fields, length, "\r\n", body) };
     default:
       return { absl::StrCat("HTTP/1.1 200 OK\r\n", fields, "\r\n", body),
-               draw(1) == 0 || fault == Fault::Cut ? AnswerClose::Reset
-                                                   : AnswerClose::CloseUnread,
-               absl::Milliseconds(draw(MostPauseMs)) };
+               AnswerClose::Reset, absl::Milliseconds(draw(MostPauseMs)) };
   }
 }
 
