Http: the end of an answer waits for a write that has met a reset

What callers saw: with the error of the write kept, a part of an answer without a length still arrived as whole now and then.

Cause, by reading of the loop: a write that goes on from its own handler meets the reset at once and is queued. If the loop has already queued the socket's readiness before it, the read meets the end and its handler runs within that turn, before the one of the write that has the error.

Change: the end of an answer without a length is judged by a handler that is posted when it has been read, which runs after all that was queued by then.

One of the cases was the stand-in's: a close with bytes unread is orderly as long as nothing has come. It now waits until there is something to leave unread; the check stays.

--- a/Source/Http/wgHttpClientConnection.cxx
+++ b/Source/Http/wgHttpClientConnection.cxx
@@ -290,9 +290,6 @@
   handler_.onBody({ static_cast<const char*>(bytes.data()), bytes.size() });
 }
 
-/** A socket reports a reset to one operation. If that was the write, the read
- * sees an end that looks orderly.
- */
 void HttpClientConnection::OnInputEnd(error_code error)
 {
   if (!inCall_) {
@@ -301,17 +298,30 @@
   }
   const bool endsByClose =
     headTold_ && parser_->need_eof() && !parser_->is_done();
-  if (endsByClose && sendError_) {
-    EndUnsound({ AnswerFault::SendFailed, sendError_.message() });
+  if (!endsByClose || error != asio::error::eof) {
+    EndCall(HttpCallEnd::Cut);
     return;
   }
-  if (endsByClose && error == asio::error::eof) {
-    error_code ended;
-    parser_->put_eof(ended);
-    EndCall(ended ? HttpCallEnd::Cut : HttpCallEnd::EndedByClose);
+  // A write that has met a reset may wait for its turn behind this read.
+  asio::post(loop_, [self = shared_from_this()] {
+    if (!self->closed_) {
+      self->EndByClose();
+    }
+  });
+}
+
+/** A socket reports a reset to one operation. If that was the write, the read
+ * has seen an end that looks orderly.
+ */
+void HttpClientConnection::EndByClose()
+{
+  if (sendError_) {
+    EndUnsound({ AnswerFault::SendFailed, sendError_.message() });
     return;
   }
-  EndCall(HttpCallEnd::Cut);
+  error_code ended;
+  parser_->put_eof(ended);
+  EndCall(ended ? HttpCallEnd::Cut : HttpCallEnd::EndedByClose);
 }
 
 /** The connection may rest only if nothing more came, or is to be sent. */
--- a/Source/Http/wgHttpClientConnection.h
+++ b/Source/Http/wgHttpClientConnection.h
@@ -61,6 +61,7 @@
   bool TellHead();
   void TellBody();
   void OnInputEnd(boost::system::error_code error);
+  void EndByClose();
   void CompleteCall();
   void EndUnsound(const UnsoundAnswer& answer);
   void EndCall(HttpCallEnd end);
--- a/Tests/Platform/wgScriptedEndpoint.cxx
+++ b/Tests/Platform/wgScriptedEndpoint.cxx
@@ -23,6 +23,7 @@
 
 constexpr int Slots = 4;
 constexpr int Ok = 200;
+constexpr absl::Duration UnreadLimit = absl::Seconds(5);
 constexpr int EarlyBufferBytes = 64 << 10;
 constexpr std::uint64_t MaxRequestBytes = 64U << 20U;
 
@@ -36,6 +37,16 @@
   }
 }
 
+/** With nothing unread a close would be orderly. */
+void AwaitUnread(const tcp::socket& socket)
+{
+  const absl::Time end = absl::Now() + UnreadLimit;
+  error_code error;
+  while (socket.available(error) == 0 && !error && absl::Now() < end) {
+    absl::SleepFor(absl::Milliseconds(1));
+  }
+}
+
 } // namespace
 
 ScriptedEndpoint::ScriptedEndpoint(std::string id, Script script,
@@ -160,6 +171,9 @@
   if (answer.close == AnswerClose::Reset) {
     socket.set_option(asio::socket_base::linger(true, 0), error);
   }
+  if (answer.close == AnswerClose::CloseUnread) {
+    AwaitUnread(socket);
+  }
   if (answer.close == AnswerClose::Drain) {
     socket.shutdown(tcp::socket::shutdown_send, error);
     ReadToEnd(socket);
