Control: the end of an endpoint is acknowledged once enough disks have it

Callers saw: requests were sent to endpoints that had said that they end or drain, and were told yes, later than drainMs.

Cause: the yes was given from one process's memory. The file of endpoints is written once a second at most, and with six control boxes or fewer no other one is told. After its start the box told gateways that the endpoint was ready.

Change: a JournalFile appends records and syncs them in groups. An end or a draining is acknowledged once as many control boxes have synced it as may lose their disks, and one more; gateways are told at once, as before. The other control boxes know of it, and take a heartbeat that comes late there for late. Without so many disks within 0.8 s the answer is 503, and the endpoint tells the next box. An end that names no start ends what was known by then.

Why it works: each process that a gateway may ask after any loss that is tolerated has the end on its disk or hears it from one that has.

--- a/Source/Base/wgCounters.cxx
+++ b/Source/Base/wgCounters.cxx
@@ -18,7 +18,7 @@
     "endpoint_ejected",  "endpoint_readmitted", "peer_rejected",
     "peer_message",      "peer_bytes",          "claim_taken",
     "claim_released",    "config_in_force",     "cut_at_stop",
-    "heartbeat_refused",
+    "heartbeat_refused", "end_kept",            "end_not_kept",
   } };
 
 template <class E>
--- a/Source/Base/wgCounters.h
+++ b/Source/Base/wgCounters.h
@@ -36,6 +36,8 @@
   ConfigInForce,
   CutAtStop,
   HeartbeatRefused, // of another writer
+  EndKept,          // on as many disks as it must outlast, and acknowledged
+  EndNotKept,       // in time; its endpoint calls another control box
   Count
 };
 
--- a/Source/Control/wgControlMetrics.cxx
+++ b/Source/Control/wgControlMetrics.cxx
@@ -53,7 +53,8 @@
       "\nweirgate_hall_orders ", gauges.hallOrders,
       "\nweirgate_halls_evacuated ", gauges.hallsEvacuated,
       "\nweirgate_box_shares_unsound ", gauges.unsoundShares,
-      "\nweirgate_controls_exchanged ", gauges.controlsExchanged, "\n")));
+      "\nweirgate_controls_exchanged ", gauges.controlsExchanged,
+      "\nweirgate_endpoint_ends_waiting ", gauges.endsWaiting, "\n")));
 }
 
 } // namespace wg
--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -89,6 +89,7 @@
   registry_.timing = settings_.registry;
   registry_.incarnation = identity;
   RecallKnownEndpoints();
+  RecallEnds();
   RecallOrigins();
   FoundIfAsked();
   ArmTick();
@@ -179,6 +180,7 @@
   rollouts_.reset();
   endpointFile_.reset();
   originFile_.reset();
+  endFile_.reset();
   server_.reset();
   client_.reset();
   exchange_.reset(); // the client's thread posts its answers
@@ -219,6 +221,10 @@
     OriginCopies call{ {}, std::move(respond) };
     sound = call.copies.ParseFromString(request.body);
     Post(std::move(call));
+  } else if (isPeer && request.path == "/endpoint-ends") {
+    EndsCall call{ {}, std::move(respond), 0, {} };
+    sound = call.ends.ParseFromString(request.body);
+    Post(std::move(call));
   } else if (isPeer && request.path == "/document") {
     Post(ReadCall{ std::move(respond) });
   } else if (isPeer && request.path == "/join") {
@@ -282,6 +288,15 @@
   }
 }
 
+/** Has the next step taken soon. From any thread. */
+void ControlNode::Wake()
+{
+  absl::MutexLock lock(&mutex_);
+  if (!std::exchange(stepPosted_, true)) {
+    boost::asio::post(loop_, [this] { Step(); });
+  }
+}
+
 std::vector<ControlNode::Mail> ControlNode::TakeMail()
 {
   absl::MutexLock lock(&mutex_);
@@ -316,6 +331,7 @@
   NoteVersions();
   KeepKnownEndpoints();
   ReleaseHeartbeats();
+  KeepEnds();
   KeepOrigins();
   NoteControls();
   MoveRollouts();
@@ -369,6 +385,8 @@
                [this](CrashesCall& call) { OnCrashes(call); },
                [this](OriginCall& call) { OnOrigin(call); },
                [this](OriginCopies& call) { OnOriginCopies(call); },
+               [this](EndsCall& call) { OnEnds(std::move(call)); },
+               [this](EndsAnswer& answer) { OnEndsAnswer(answer); },
                [this](JoinAnswer& answer) { OnJoinAnswer(answer); },
                [this](const NotDeliveredMail& mail) {
                  OnDeliveryFailed(replica_, mail.to, mail.sentUs);
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <variant>
@@ -21,9 +22,11 @@
 #include "wgCounters.h"
 #include "wgCrashEvidence.h"
 #include "wgElapsed.h"
+#include "wgEndpointEnds.h"
 #include "wgEndpointFile.h"
 #include "wgEndpointRegistry.h"
 #include "wgFollowers.h"
+#include "wgJournalFile.h"
 #include "wgLoopTimer.h"
 #include "wgOutcome.h"
 #include "wgPackedDocuments.h"
@@ -73,8 +76,14 @@
   std::size_t hallsEvacuated = 0;
   std::uint64_t unsoundShares = 0;
   std::size_t controlsExchanged = 0; // other control boxes that are heard
+  std::size_t endsWaiting = 0;       // that are not acknowledged yet
 };
 
+/** \brief For so long an end may wait to be kept; its endpoint calls another
+ * control box after a second.
+ */
+constexpr absl::Duration KeepEndTimeout = absl::Milliseconds(800);
+
 /** \class ControlNode
  * \brief One replica of the durable state, as a process runs it.
  *
@@ -118,7 +127,15 @@
   /** \brief Reads the newest document, if it is sure to be the newest. */
   void ReadDocument(const ReadAnswer& answer);
   HeartbeatTaken Register(const wire::Registration& heartbeat);
-  void Unregister(const EndpointStart& start);
+  /** \brief Whether enough control boxes have an end on their disks; told
+   * within KeepEndTimeout.
+   */
+  using KeptAnswer = std::function<void(bool isKept)>;
+  /** \brief An endpoint that has registered drains. Boxes are told at once.
+   */
+  void KeepDraining(const wire::Registration& heartbeat, KeptAnswer answer);
+  /** \brief An endpoint ends. Boxes are told at once. */
+  void Unregister(const EndpointStart& start, KeptAnswer answer);
   ControlGauges Gauges() const;
   /** \brief More addresses of control boxes. From any thread. */
   void AddControls(std::vector<std::string> addresses);
@@ -170,6 +187,34 @@
     wire::StreamOrigins copies;
     Respond respond;
   };
+  /** \brief A control box tells of endpoints that drain or have ended. */
+  struct EndsCall
+  {
+    wire::EndpointEnds ends;
+    Respond respond;
+    std::uint64_t revision = 0; // that has to be synced
+    Elapsed since;
+  };
+  /** \brief A control box has answered what it was told of ends. */
+  struct EndsAnswer
+  {
+    std::string address;
+    std::uint64_t upTo = 0;
+    std::optional<std::string> reply; // empty: none came
+  };
+  /** \brief An endpoint waits for its end to be kept. */
+  struct EndWaiter
+  {
+    std::uint64_t revision = 0;
+    Elapsed until;
+    KeptAnswer answer;
+  };
+  /** \brief Calls to one other control box, one at a time. */
+  struct EndLink
+  {
+    bool isCalling = false;
+    Elapsed next;
+  };
   /** \brief The newest heartbeat of an endpoint whose version is not written
    * yet.
    */
@@ -189,10 +234,11 @@
     std::uint64_t to = 0;
     std::int64_t sentUs = 0;
   };
-  using Mail = std::variant<wire::AgreementBatch, FoundRequest, ChangeRequest,
-                            FollowWaiter, JoinCall, StatusCall, JoinAnswer,
-                            ReadCall, ChunkCall, CrashesCall, OriginCall,
-                            OriginCopies, NotDeliveredMail>;
+  using Mail =
+    std::variant<wire::AgreementBatch, FoundRequest, ChangeRequest,
+                 FollowWaiter, JoinCall, StatusCall, JoinAnswer, ReadCall,
+                 ChunkCall, CrashesCall, OriginCall, OriginCopies, EndsCall,
+                 EndsAnswer, NotDeliveredMail>;
 
   /** \brief A proposed change whose author waits for the outcome. */
   struct Waiter
@@ -205,6 +251,7 @@
   void HandleChange(const PeerRequest& request, Respond respond);
   void ProposeOwn(wire::Change change, RolloutRunner::Answer answer);
   void Post(Mail mail);
+  void Wake();
   void Step();
   void ArmTick();
   std::vector<Mail> TakeMail();
@@ -220,6 +267,16 @@
   void OnOriginCopies(OriginCopies& call);
   void RecallOrigins();
   void KeepOrigins();
+  void OnEnds(EndsCall call);
+  void OnEndsAnswer(const EndsAnswer& answer);
+  void RecallEnds();
+  std::uint64_t KeepEnd(const wire::Registration& end, bool isOwn);
+  void KeepEnds();
+  void TakeSyncedEnds();
+  void SendEnds();
+  void AnswerEnds();
+  std::size_t EndCopiesNeeded() const;
+  std::vector<std::string> EndHolders() const;
   void AskToJoin();
   void TickReplica();
   void CarryOutActions();
@@ -296,6 +353,12 @@
   std::uint64_t originsTaken_ = 0; // messages
   std::uint64_t originsKept_ = 0;  // of these, when the file was last handed
   Elapsed nextOrigins_;
+  EndpointEnds ends_;
+  std::unique_ptr<JournalFile> endFile_;
+  Elapsed nextEndRewrite_;
+  std::vector<EndsCall> unsyncedEnds_;
+  std::vector<EndWaiter> endWaiters_;
+  std::map<std::string, EndLink> endLinks_; // by address
   KeepTurns keepTurns_;
   Elapsed nextCrashExpiry_;
   std::map<std::uint64_t, JoiningReplica> joining_;
--- a/Source/Control/wgControlNodeDocuments.cxx
+++ b/Source/Control/wgControlNodeDocuments.cxx
@@ -54,6 +54,7 @@
                   [](const auto& pair) { return pair.second.evacuated; }));
   gauges.unsoundShares = followers_.unsoundShares;
   gauges.controlsExchanged = exchange_->Reached();
+  gauges.endsWaiting = endWaiters_.size();
   return gauges;
 }
 
--- a/Source/Control/wgControlNodeEndpoints.cxx
+++ b/Source/Control/wgControlNodeEndpoints.cxx
@@ -93,7 +93,7 @@
   }
 }
 
-void ControlNode::Unregister(const EndpointStart& start)
+void ControlNode::Unregister(const EndpointStart& start, KeptAnswer answer)
 {
   for (auto it = held_.begin(); it != held_.end();) {
     auto current = it++;
@@ -104,7 +104,14 @@
       held_.erase(current);
     }
   }
-  TakeLeave(registry_, start, ElapsedNow());
+  const Elapsed now = ElapsedNow();
+  TakeLeave(registry_, start, now);
+  std::uint64_t revision = 0;
+  for (const wire::Registration& ended : EndedStarts(registry_, start)) {
+    revision = std::max(revision, KeepEnd(ended, true));
+  }
+  endWaiters_.push_back({ revision, now + KeepEndTimeout, std::move(answer) });
+  Wake();
 }
 
 /** Endpoints that are silent may serve on. */
--- a/Source/Control/wgEndpointRegistry.cxx
+++ b/Source/Control/wgEndpointRegistry.cxx
@@ -40,6 +40,15 @@
          endpoint.registration.state() == Registration::SILENT;
 }
 
+/** Only the control box that hears an endpoint knows whether it still drains.
+ */
+bool IsForgottenLater(const RegisteredEndpoint& endpoint)
+{
+  return IsEnded(endpoint) ||
+         (!endpoint.isOwn &&
+          endpoint.registration.state() == Registration::LEAVING);
+}
+
 void RemoveFromIndex(EndpointRegistry& registry, const std::string& id,
                      const RegisteredEndpoint& endpoint)
 {
@@ -58,7 +67,7 @@
   if (endpoint.isOwn) {
     index.own[endpoint.registration.revision()] = &endpoint;
   }
-  if (IsEnded(endpoint)) {
+  if (IsForgottenLater(endpoint)) {
     index.ended.insert({ endpoint.heard, id });
   } else if (endpoint.isOwn) {
     index.watched.insert({ endpoint.heard, id });
@@ -97,6 +106,21 @@
   return true;
 }
 
+/** All starts of a name, by identity; of a map or a constant one. */
+template <class Endpoints>
+auto StartsOf(Endpoints& endpoints, const std::string& name)
+{
+  std::vector<std::pair<std::string, decltype(&endpoints.begin()->second)>>
+    starts;
+  for (auto it = endpoints.lower_bound(name);
+       it != endpoints.end() && absl::StartsWith(it->first, name); ++it) {
+    if (it->second.registration.endpoint() == name) {
+      starts.emplace_back(it->first, &it->second);
+    }
+  }
+  return starts;
+}
+
 void EndOne(EndpointRegistry& registry, const std::string& id,
             RegisteredEndpoint& endpoint, bool isOwn, Elapsed ended)
 {
@@ -107,7 +131,8 @@
   });
 }
 
-/** Ends the named start, or all that are known where it was not told. */
+/** Ends the named start, or all that were known by then where it was not told.
+ */
 bool EndStarts(EndpointRegistry& registry, const EndpointStart& start,
                bool isOwn, Elapsed ended)
 {
@@ -119,19 +144,17 @@
     RegisteredEndpoint& endpoint = registry.endpoints[id];
     endpoint.registration.set_endpoint(start.name);
     endpoint.registration.set_born_ms(start.bornMs);
+    endpoint.known = ended;
   }
   bool isNews = false;
-  for (auto it = registry.endpoints.lower_bound(start.name);
-       it != registry.endpoints.end() &&
-       absl::StartsWith(it->first, start.name);
-       ++it) {
-    const Registration& registration = it->second.registration;
+  for (auto& [known, endpoint] : StartsOf(registry.endpoints, start.name)) {
+    const Registration& registration = endpoint->registration;
     const bool ends =
-      registration.endpoint() == start.name &&
-      (start.bornMs == 0 || registration.born_ms() == start.bornMs) &&
+      (start.bornMs == 0 ? endpoint->known <= ended
+                         : registration.born_ms() == start.bornMs) &&
       registration.state() != Registration::GONE;
     if (ends) {
-      EndOne(registry, it->first, it->second, isOwn, ended);
+      EndOne(registry, known, *endpoint, isOwn, ended);
       isNews = true;
     }
   }
@@ -161,6 +184,7 @@
   // The other control boxes learn who watches it from now on.
   const bool isNews = isNew || !known.isOwn || IsAfterGap(known, heartbeat) ||
                       !SaysTheSame(known.registration, heartbeat);
+  known.known = isNew ? now : known.known;
   Update(registry, id, known, isNews, [&] {
     known.registration = heartbeat;
     known.heard = now;
@@ -176,6 +200,30 @@
   return EndStarts(registry, start, true, now);
 }
 
+std::vector<Registration> EndedStarts(const EndpointRegistry& registry,
+                                      const EndpointStart& start)
+{
+  std::vector<Registration> ended;
+  for (const auto& [id, endpoint] : StartsOf(registry.endpoints, start.name)) {
+    const Registration& registration = endpoint->registration;
+    const bool isNamed =
+      start.bornMs == 0 || registration.born_ms() == start.bornMs;
+    if (isNamed && registration.state() == Registration::GONE) {
+      ended.push_back(registration);
+    }
+  }
+  return ended;
+}
+
+bool TakeEnd(EndpointRegistry& registry, const Registration& told, Elapsed now)
+{
+  if (told.state() != Registration::GONE) {
+    return TakeTold(registry, told, now);
+  }
+  return EndStarts(registry, StartOf(told), true,
+                   now - absl::Milliseconds(told.ended_ago_ms()));
+}
+
 bool TakeTold(EndpointRegistry& registry, const Registration& told,
               Elapsed now)
 {
@@ -191,6 +239,7 @@
       return false;
     }
     found = registry.endpoints.try_emplace(id).first;
+    found->second.known = now;
   } else {
     const Registration& known = found->second.registration;
     const bool isSilence = told.state() == Registration::SILENT &&
@@ -251,6 +300,7 @@
     }
     const std::string id = IdentityOf(StartOf(registration));
     RegisteredEndpoint& known = registry.endpoints[id];
+    known.known = now;
     const bool isGone = registration.state() == Registration::GONE;
     Update(registry, id, known, true, [&] {
       known.registration = registration;
--- a/Source/Control/wgEndpointRegistry.h
+++ b/Source/Control/wgEndpointRegistry.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "absl/container/btree_map.h"
 #include "absl/container/btree_set.h"
@@ -31,6 +32,7 @@
 {
   wire::Registration registration;
   Elapsed heard;
+  Elapsed known; // since
   /** Its next heartbeat is news, whatever it says: what is known is from
    * before this process, or may no longer hold.
    */
@@ -51,7 +53,7 @@
   ByRevision all;
   ByRevision own; // of these, the own ones
   ByTime watched; // own ones that may fall silent, by when they were heard
-  ByTime ended;   // silent and gone ones, by when they were heard
+  ByTime ended;   // those that are forgotten, by when they were heard
 };
 
 /** \brief The endpoints that have registered with one control process, or
@@ -96,6 +98,21 @@
 bool TakeLeave(EndpointRegistry& registry, const EndpointStart& start,
                Elapsed now);
 
+/** \brief The starts of the name that have ended; of those where `start`
+ * tells when it was born, that one alone.
+ */
+std::vector<wire::Registration> EndedStarts(const EndpointRegistry& registry,
+                                            const EndpointStart& start);
+
+/** \brief Takes in the end or the draining of an endpoint that another control
+ * box has acknowledged, or this one before a restart. Where boxes tell each
+ * other what they hear, an end is told as an own one, as the other box may be
+ * lost with it.
+ * \return whether it is news
+ */
+bool TakeEnd(EndpointRegistry& registry, const wire::Registration& told,
+             Elapsed now);
+
 /** \brief Takes in what another control box tells of an endpoint. It is told
  * to gateways that follow this box, but to no other control box. \return
  * whether it is news
--- a/Source/Storage/wgRecord.h
+++ b/Source/Storage/wgRecord.h
@@ -21,7 +21,8 @@
   Snapshot = 5,
   Identity = 6,
   Endpoints = 7,
-  Origins = 8
+  Origins = 8,
+  EndpointEnds = 9
 };
 
 /** \brief A unit of a file with its own checksum. */
