Control: a box that stops hands its vote to a spare, and spares always learn

Callers saw: a control box was replaced as planned, its successor running for 6 s before; one disk that was lost 1 s later ended the quorum for good.

Cause: a box without a vote became a learner only beyond six control boxes or once a voter had been silent for spare-after-s, and a control box that got SIGTERM ended at once and gave its vote to nobody. So each planned replacement left two of three voters for 2 to 2.5 s.

Change: each box that asks to join learns at once.

Why it works: by the time the old box ends, three of the boxes that stay vote, and any one of them may be lost.

--- a/Source/Agreement/wgRepair.cxx
+++ b/Source/Agreement/wgRepair.cxx
@@ -18,6 +18,18 @@
          now - found->second.ackedSendTime < leader.timing.maxElection;
 }
 
+/** Returns whether a replica may yet prove responsive: one that this leader
+ * has not sent to for long has had no time to answer.
+ */
+bool MayBeResponsive(const Replica& leader, std::uint64_t id, Elapsed now)
+{
+  auto found = leader.peers.find(id);
+  return found != leader.peers.end() &&
+         now - std::max(found->second.ackedSendTime,
+                        found->second.trackedSince) <
+           leader.timing.maxElection;
+}
+
 bool IsCaughtUp(const Replica& leader, std::uint64_t id, Elapsed now)
 {
   auto found = leader.peers.find(id);
@@ -110,9 +122,20 @@
   return onBox == nullptr || onBox->id() == joiner.id() ? nullptr : onBox;
 }
 
+const wire::Voter* FindStopping(const Replica& leader,
+                                const RepairRules& rules)
+{
+  const auto& voters = leader.voters.voters();
+  const auto found = std::find_if(
+    voters.begin(), voters.end(), [&rules](const wire::Voter& voter) {
+      return rules.stopping.count(voter.id()) > 0;
+    });
+  return found == voters.end() ? nullptr : &*found;
+}
+
 /** Returns the voter that a box without one may replace, or null: the one that
- * an operator declared lost, or one unresponsive for standbyAfter. It may
- * still be running, and stays until the other is a voter.
+ * an operator declared lost, one that is about to end, or one unresponsive for
+ * standbyAfter. It may still be running, and stays until the other is a voter.
  */
 const wire::Voter* FindReplaceable(const Replica& leader,
                                    const std::string& standby,
@@ -123,8 +146,12 @@
   if (lost != nullptr && rules.replacement.standby == standby) {
     return lost;
   }
-  return standby == rules.replacement.lost
-           ? nullptr
+  if (standby == rules.replacement.lost) {
+    return nullptr;
+  }
+  const wire::Voter* stopping = FindStopping(leader, rules);
+  return stopping != nullptr
+           ? stopping
            : FindUnresponsive(leader, rules.standbyAfter, now);
 }
 
@@ -150,6 +177,7 @@
     const std::uint64_t id = joiner.who.id();
     const bool isNew = !IsVoter(leader.voters, id) &&
                        !IsLearner(leader.voters, id) &&
+                       rules.stopping.count(id) == 0 &&
                        now - joiner.lastRequest < JoinRequestLifetime &&
                        HasNewestRequestOfBox(joining, joiner);
     const bool hasPlace =
@@ -192,7 +220,9 @@
                                           Elapsed now)
 {
   for (const wire::Voter& learner : leader.voters.learners()) {
-    if (!IsCaughtUp(leader, learner.id(), now)) {
+    const bool isReady = IsCaughtUp(leader, learner.id(), now) &&
+                         rules.stopping.count(learner.id()) == 0;
+    if (!isReady) {
       continue;
     }
     wire::VoterSet next = leader.voters;
@@ -228,8 +258,8 @@
   return next;
 }
 
-/** Removes an excess voter: one declared lost or unresponsive, else the
- * newest.
+/** Removes an excess voter: one declared lost, about to end or unresponsive,
+ * else the newest. Only one that is about to end removes itself.
  */
 std::optional<wire::VoterSet> StepRemoveExcess(const Replica& leader,
                                                const RepairRules& rules,
@@ -241,13 +271,20 @@
   }
   const wire::Voter* excess = FindOnBox(voters, rules.replacement.lost);
   if (excess == nullptr || excess->id() == leader.self.id()) {
+    excess = FindStopping(leader, rules);
+  }
+  if (excess == nullptr) {
     excess = FindUnresponsive(leader, rules.standbyAfter, now);
   }
+  wire::VoterSet next = leader.voters;
   if (excess == nullptr) {
     const wire::Voter& newest = voters[voters.size() - 1];
     excess = newest.id() == leader.self.id() ? &voters[0] : &newest;
+    // A leader that has just been elected may not know yet who is to end.
+    if (rules.standbysLearn) {
+      *next.add_learners() = *excess;
+    }
   }
-  wire::VoterSet next = leader.voters;
   RemoveId(*next.mutable_voters(), excess->id());
   return HasWorkingMajority(leader, next, now) ? std::optional(next)
                                                : std::nullopt;
@@ -260,6 +297,24 @@
   return !IsVoter(replica.voters, replica.self.id()) || replica.leader == 0;
 }
 
+bool IsHandingOver(const Replica& leader, std::uint64_t id,
+                   const RepairRules& rules, Elapsed now)
+{
+  const wire::VoterSet& voters = leader.voters;
+  if (!IsVoter(voters, id)) {
+    return leader.votersIndex > leader.commit;
+  }
+  const bool hasStandby =
+    std::any_of(voters.learners().begin(), voters.learners().end(),
+                [&](const wire::Voter& learner) {
+                  return rules.stopping.count(learner.id()) == 0 &&
+                         MayBeResponsive(leader, learner.id(), now);
+                });
+  const bool isReplaced =
+    static_cast<std::size_t>(voters.voters_size()) > rules.wanted;
+  return hasStandby || isReplaced;
+}
+
 std::optional<wire::VoterSet> NextRepairStep(
   const Replica& leader, absl::Span<const JoiningReplica> joining,
   const RepairRules& rules, Elapsed now)
--- a/Source/Control/wgControlNode.cxx
+++ b/Source/Control/wgControlNode.cxx
@@ -227,6 +227,10 @@
     Post(std::move(call));
   } else if (isPeer && request.path == "/document") {
     Post(ReadCall{ std::move(respond) });
+  } else if (isPeer && request.path == "/stopping") {
+    StoppingCall call{ {}, std::move(respond) };
+    sound = call.request.ParseFromString(request.body);
+    Post(std::move(call));
   } else if (isPeer && request.path == "/join") {
     JoinCall call{ {}, std::move(respond) };
     sound = call.request.ParseFromString(request.body);
@@ -321,6 +325,7 @@
   for (Mail& mail : TakeMail()) {
     Handle(std::move(mail));
   }
+  HandOverVote();
   TickReplica();
   CarryOutActions();
   ApplyCommitted();
@@ -387,6 +392,8 @@
                [this](OriginCopies& call) { OnOriginCopies(call); },
                [this](EndsCall& call) { OnEnds(std::move(call)); },
                [this](EndsAnswer& answer) { OnEndsAnswer(answer); },
+               [this](StoppingCall& call) { OnStopping(call); },
+               [this](StoppingAnswer& answer) { OnStoppingAnswer(answer); },
                [this](JoinAnswer& answer) { OnJoinAnswer(answer); },
                [this](const NotDeliveredMail& mail) {
                  OnDeliveryFailed(replica_, mail.to, mail.sentUs);
--- a/Source/Control/wgControlNode.h
+++ b/Source/Control/wgControlNode.h
@@ -55,6 +55,8 @@
   std::vector<std::string> controls; // addresses of all control boxes
   std::size_t wantedVoters = 3;
   absl::Duration standbyAfter = absl::Seconds(60); // infinite: never
+  /** A box that stops waits so long at the most to hand its vote over. */
+  absl::Duration handOverLimit = absl::Seconds(4);
   std::uint64_t compactAfter = 2000; // applied entries between snapshots
   /** The first of `controls` founds the cluster if its folder is fresh. */
   bool foundAtStart = false;
@@ -96,6 +98,11 @@
   ControlNode(ControlSettings settings, Counters& counters);
   ~ControlNode();
   Outcome<Done> Start();
+  /** \brief Hands this box's vote to a standby, if there is one; the box goes
+   * on with its work meanwhile. From any thread, once.
+   * \param done called on the loop once Stop may be
+   */
+  void BeginStop(std::function<void()> done);
   void Stop();
 
   /** \brief The loop that the replica runs on; others may use it as well. */
@@ -161,6 +168,17 @@
     wire::JoinRequest request;
     Respond respond;
   };
+  /** \brief A control box says that it is about to end. */
+  struct StoppingCall
+  {
+    wire::StoppingRequest request;
+    Respond respond;
+  };
+  /** \brief The leader's answer to our own word that we end. */
+  struct StoppingAnswer
+  {
+    std::optional<wire::StoppingReply> reply; // empty: none came
+  };
   struct ChunkCall
   {
     wire::DocumentChunkRequest request;
@@ -238,7 +256,7 @@
     std::variant<wire::AgreementBatch, FoundRequest, ChangeRequest,
                  FollowWaiter, JoinCall, StatusCall, JoinAnswer, ReadCall,
                  ChunkCall, CrashesCall, OriginCall, OriginCopies, EndsCall,
-                 EndsAnswer, NotDeliveredMail>;
+                 EndsAnswer, StoppingCall, StoppingAnswer, NotDeliveredMail>;
 
   /** \brief A proposed change whose author waits for the outcome. */
   struct Waiter
@@ -278,6 +296,12 @@
   std::size_t EndCopiesNeeded() const;
   std::vector<std::string> EndHolders() const;
   void AskToJoin();
+  void OnStopping(StoppingCall& call);
+  void OnStoppingAnswer(const StoppingAnswer& answer);
+  void HandOverVote();
+  void TellStopping();
+  void FinishHandOver(absl::string_view why);
+  RepairRules MakeRepairRules();
   void TickReplica();
   void CarryOutActions();
   bool WritePending();
@@ -362,6 +386,11 @@
   KeepTurns keepTurns_;
   Elapsed nextCrashExpiry_;
   std::map<std::uint64_t, JoiningReplica> joining_;
+  std::map<std::uint64_t, Elapsed> stoppingReplicas_; // by id, when they said
+  std::function<void()> stopDone_; // empty: this box does not stop
+  Elapsed stopUntil_;
+  Elapsed nextStoppingCall_;
+  bool isStoppingCalled_ = false;                  // and has no answer yet
   std::map<std::uint64_t, std::string> addresses_; // of replicas, by id
   std::map<std::uint64_t, std::uint32_t> levels_;  // of those heard, by id
   HallOrders notedHalls_; // as endpoints' followers were told
--- a/Source/Control/wgControlNodeReplica.cxx
+++ b/Source/Control/wgControlNodeReplica.cxx
@@ -16,6 +16,10 @@
 
 constexpr absl::Duration CallTimeout = absl::Seconds(2);
 constexpr absl::Duration JoinPeriod = absl::Milliseconds(500);
+/** A box that stops says so several times a second. One that has not for
+ * longer has ended, and may have started again.
+ */
+constexpr absl::Duration StoppingMemory = absl::Seconds(1);
 constexpr absl::Duration ResendLinePeriod = absl::Seconds(1);
 constexpr std::uint64_t RetainedEntries = 500;
 /** What the retained entries, and those since the last snapshot, may take. */
@@ -50,6 +54,7 @@
   reply.set_member(IsVoter(replica_.voters, id) ||
                    IsLearner(replica_.voters, id));
   joining_[id] = { call.request.who(), ElapsedNow() };
+  stoppingReplicas_.erase(id); // it has started again
   call.respond(reply.SerializeAsString());
 }
 
@@ -96,7 +101,7 @@
 
 void ControlNode::TickReplica()
 {
-  if (ShouldRequestJoin(replica_)) {
+  if (ShouldRequestJoin(replica_) && !stopDone_) {
     AskToJoin();
   }
   if (replica_.cluster.empty() || writeFailed_) {
@@ -106,6 +111,27 @@
   StartRepairStep();
 }
 
+RepairRules ControlNode::MakeRepairRules()
+{
+  RepairRules rules;
+  rules.wanted = settings_.wantedVoters;
+  rules.standbyAfter = settings_.standbyAfter;
+  rules.replacement = { state_.replacement.lost(),
+                        state_.replacement.spare() };
+  // A spare that holds the log can take a vote at once.
+  rules.standbysLearn = true;
+  const Elapsed now = ElapsedNow();
+  for (auto it = stoppingReplicas_.begin(); it != stoppingReplicas_.end();) {
+    auto current = it++;
+    if (now - current->second > StoppingMemory) {
+      stoppingReplicas_.erase(current);
+    } else {
+      rules.stopping.insert(current->first);
+    }
+  }
+  return rules;
+}
+
 void ControlNode::StartRepairStep()
 {
   if (replica_.role != ReplicaRole::Leader) {
@@ -116,13 +142,7 @@
     joining.push_back(joiner);
   }
   const Elapsed now = ElapsedNow();
-  RepairRules rules;
-  rules.wanted = settings_.wantedVoters;
-  rules.standbyAfter = settings_.standbyAfter;
-  rules.replacement = { state_.replacement.lost(),
-                        state_.replacement.spare() };
-  // Each box follows a few of the control boxes, which may all be spares.
-  rules.standbysLearn = KnownControls().size() > MaxFollowedByAll;
+  const RepairRules rules = MakeRepairRules();
   const auto step = NextRepairStep(replica_, joining, rules, now);
   if (step && ProposeVoters(replica_, *step, now)) {
     LogChange("voters",
--- a/Tests/Agreement/wgAgreementSchedules.cxx
+++ b/Tests/Agreement/wgAgreementSchedules.cxx
@@ -29,6 +29,9 @@
     sum_.voterChanges += counts.voterChanges;
     sum_.snapshots += counts.snapshots;
     sum_.elections += counts.elections;
+    sum_.plannedEnds += counts.plannedEnds;
+    sum_.handedOver += counts.handedOver;
+    sum_.calmEnds += counts.calmEnds;
   }
   const wg::test::ScheduleCounts& Sum() const { return sum_; }
 
@@ -46,6 +49,10 @@
                                        "number", line);
   TCLAP::ValueArg<std::uint64_t> count("", "schedules", "how many", false,
                                        1000, "number", line);
+  TCLAP::SwitchArg planned("", "planned-ends",
+                           "boxes are also told to end, with a standby that "
+                           "takes their votes",
+                           line);
   line.parse(argc, argv);
   std::atomic<std::uint64_t> next{ first.getValue() };
   const std::uint64_t end = first.getValue() + count.getValue();
@@ -55,8 +62,10 @@
   const auto work = [&] {
     for (std::uint64_t seed = next++; seed < end && failures < 5;
          seed = next++) {
+      const bool plansEnds = planned.getValue();
       wg::test::FakeCluster cluster(
-        seed, seed % 4 == 0 ? LargeCluster : SmallCluster, seed % 3);
+        seed, seed % 4 == 0 ? LargeCluster : SmallCluster,
+        plansEnds ? 1 + seed % 2 : seed % 3, plansEnds);
       const std::string failure = cluster.Run(StepsPerSchedule);
       totals.Add(cluster.Counts());
       if (!failure.empty()) {
@@ -77,8 +86,10 @@
   std::cout << count.getValue() << " schedules: " << sum.acknowledged
             << " acknowledged entries, " << sum.elections << " elections, "
             << sum.crashes << " crashes, " << sum.wipes << " lost disks, "
-            << sum.removed << " lost boxes, " << sum.voterChanges
-            << " voter changes, " << sum.snapshots << " snapshots, "
-            << failures << " failures\n";
+            << sum.removed << " lost boxes, " << sum.plannedEnds
+            << " planned ends (" << sum.handedOver << " votes handed over, "
+            << sum.calmEnds << " while nothing else happened), "
+            << sum.voterChanges << " voter changes, " << sum.snapshots
+            << " snapshots, " << failures << " failures\n";
   return failures == 0 ? 0 : 1;
 }
--- a/Tests/Agreement/wgFakeCluster.cxx
+++ b/Tests/Agreement/wgFakeCluster.cxx
@@ -19,6 +19,13 @@
 // Crashes continue meanwhile, and a standby needs a stable leader.
 constexpr int ConvergeRounds = 12000;
 constexpr std::uint64_t CompactAfter = 8;
+/** A box that was told to end is killed after this. */
+constexpr absl::Duration GraceTime = absl::Seconds(2);
+constexpr int CalmDeliveries = 40;
+/** A standby that has run undisturbed for so long has caught up. */
+constexpr absl::Duration CatchUpTime = absl::Milliseconds(300);
+/** One that has not said for longer that it ends has ended. */
+constexpr absl::Duration StoppingMemory = absl::Seconds(1);
 
 std::uint64_t Chain(std::uint64_t before, const std::string& bytes)
 {
@@ -28,12 +35,14 @@
 } // namespace
 
 FakeCluster::FakeCluster(std::uint64_t seed, std::size_t voters,
-                         std::size_t standbys)
+                         std::size_t standbys, bool plansEnds)
   : wanted_(voters)
-  , spareLearns_(seed % 4 == 3)
+  , spareLearns_(plansEnds || seed % 4 == 3)
+  , plansEnds_(plansEnds)
 {
   // Not absl::BitGen, whose sequence differs between processes.
   random_.seed(seed);
+  planned_.seed(seed);
   boxes_.resize(voters + standbys);
   for (std::size_t i = 0; i < boxes_.size(); ++i) {
     FakeBox& box = boxes_[i];
@@ -96,11 +105,16 @@
   }
   StartReplica(box.process, Now(box), random_);
   box.up = true;
+  box.upSince = time_;
+  disturbed_ = time_;
 }
 
 void FakeCluster::Crash(FakeBox& box)
 {
   box.up = false;
+  box.stopUntil.reset();
+  box.stopping.clear();
+  disturbed_ = time_;
   ++counts_.crashes;
 }
 
@@ -167,10 +181,15 @@
 bool FakeCluster::MayReplaceLostVoter(const FakeBox& box,
                                       const wire::VoterSet& voters) const
 {
-  const bool anyLost = std::any_of(
+  return boxes_.size() > wanted_ && AnyLost(voters) &&
+         !IsVoter(voters, box.disk.id);
+}
+
+bool FakeCluster::AnyLost(const wire::VoterSet& voters) const
+{
+  return std::any_of(
     voters.voters().begin(), voters.voters().end(),
     [this](const wire::Voter& v) { return lostIdentities_.count(v.id()); });
-  return boxes_.size() > wanted_ && anyLost && !IsVoter(voters, box.disk.id);
 }
 
 /** A disk may be lost only if a majority survives in every possible voter set.
@@ -210,10 +229,11 @@
   std::string out;
   for (const FakeBox& box : boxes_) {
     const Replica& r = box.process;
-    absl::StrAppend(&out, "\n  ", box.name, " id ", box.disk.id, " role ",
-                    static_cast<int>(r.role), " term ", r.hard.term(),
-                    " commit ", r.commit, " log ", r.log.FirstIndex(), "..",
-                    r.log.LastIndex());
+    absl::StrAppend(&out, "\n  ", box.name,
+                    box.removed ? " removed" : (box.up ? "" : " down"), " id ",
+                    box.disk.id, " role ", static_cast<int>(r.role), " term ",
+                    r.hard.term(), " commit ", r.commit, " log ",
+                    r.log.FirstIndex(), "..", r.log.LastIndex());
     absl::StrAppend(&out, " voters");
     for (const wire::Voter& voter : r.voters.voters()) {
       absl::StrAppend(&out, " ", voter.id());
@@ -239,36 +259,211 @@
   for (int i = 0; i < deliveries; ++i) {
     DeliverOne();
   }
+  if (IsCalm()) { // the network is no worse than the rest
+    for (int i = 0; i < CalmDeliveries; ++i) {
+      DeliverOne();
+    }
+  }
   if (Chance(0.2)) {
     Propose();
   }
-  if (Chance(0.012) && box.up) {
+  if (plansEnds_) {
+    PlanEnd(boxes_[absl::Uniform<std::size_t>(planned_, 0, boxes_.size())]);
+  }
+  if (Chance(0.012) && box.up && !IsCalm()) {
     Crash(box);
   }
   if (Chance(0.05) && !box.up && !box.removed) {
     Start(box);
   }
-  if (Chance(0.006) && !box.removed && MayWipe(box)) {
+  if (Chance(0.006) && !box.removed && MayWipe(box) && !IsCalm()) {
     Wipe(box);
   }
-  if (Chance(0.006) && !box.removed && HasStandby() && MayWipe(box)) {
+  if (Chance(0.006) && !box.removed && HasStandby() && MayWipe(box) &&
+      !IsCalm()) {
     RemoveBox(box);
   }
-  if (Chance(0.015)) {
+  if (Chance(0.015) && !IsCalm()) {
     cutLinks_.insert({ box.name, other.name });
+    disturbed_ = time_;
   }
   if (Chance(0.03)) {
     cutLinks_.clear();
   }
 }
 
+bool FakeCluster::IsCalm() const
+{
+  return !calmEnd_.empty();
+}
+
+/** One without a vote that the leader knows to follow it closely. */
+bool FakeCluster::HasCaughtUpStandby() const
+{
+  const auto leader =
+    std::find_if(boxes_.begin(), boxes_.end(), [](const FakeBox& box) {
+      return box.up && box.process.role == ReplicaRole::Leader;
+    });
+  if (leader == boxes_.end()) {
+    return false;
+  }
+  const Replica& r = leader->process;
+  return std::any_of(boxes_.begin(), boxes_.end(), [&](const FakeBox& box) {
+    const auto peer = r.peers.find(box.disk.id);
+    return box.up && !box.stopUntil && time_ - box.upSince > CatchUpTime &&
+           IsLearner(r.voters, box.disk.id) && peer != r.peers.end() &&
+           Now(*leader) - peer->second.ackedSendTime < r.timing.minElection;
+  });
+}
+
+/** Nothing is wrong, and the box has a vote that a standby can take. */
+bool FakeCluster::IsWhole(const FakeBox& box) const
+{
+  const bool allUp =
+    std::all_of(boxes_.begin(), boxes_.end(), [](const FakeBox& other) {
+      return other.removed || (other.up && !other.stopUntil);
+    });
+  return allUp && cutLinks_.empty() && time_ - disturbed_ > CatchUpTime &&
+         HasCaughtUpStandby() && !AnyLost(committedVoters_) &&
+         static_cast<std::size_t>(committedVoters_.voters_size()) == wanted_ &&
+         IsVoter(committedVoters_, box.disk.id);
+}
+
+/** Some boxes end for good, others come back; some while nothing else goes
+ * wrong.
+ */
+void FakeCluster::PlanEnd(FakeBox& box)
+{
+  const bool isWhole = IsWhole(box);
+  const bool isDue = absl::Bernoulli(planned_, isWhole ? 0.2 : 0.02);
+  const bool isReplaced = absl::Bernoulli(planned_, 0.5);
+  const bool isCalm = absl::Bernoulli(planned_, 0.7);
+  const bool mayPlan = isDue && box.up && !box.stopUntil && !IsCalm() &&
+                       !box.process.cluster.empty();
+  const bool mayReplace = HasStandby() && MayWipe(box);
+  if (!mayPlan || (isReplaced && !mayReplace)) {
+    return;
+  }
+  box.stopUntil = time_ + GraceTime;
+  box.isReplaced = isReplaced;
+  box.hadVote = IsVoter(committedVoters_, box.disk.id);
+  if (isReplaced && isCalm && isWhole) {
+    calmEnd_ = box.name;
+  }
+}
+
+/** As ControlNode does: it tells the leader until that has nothing to wait
+ * for.
+ */
+bool FakeCluster::MayEnd(FakeBox& box)
+{
+  const std::uint64_t id = box.disk.id;
+  for (FakeBox& leader : boxes_) {
+    const bool isTold = leader.up &&
+                        leader.process.role == ReplicaRole::Leader &&
+                        cutLinks_.count({ box.name, leader.name }) == 0 &&
+                        cutLinks_.count({ leader.name, box.name }) == 0 &&
+                        (&leader == &box || absl::Bernoulli(planned_, 0.5));
+    if (!isTold) {
+      continue;
+    }
+    leader.stopping[id] = time_;
+    return !IsHandingOver(leader.process, id, MakeRules(leader), Now(leader));
+  }
+  return !IsVoter(box.process.voters, id) &&
+         !IsLearner(box.process.voters, id) &&
+         box.process.votersIndex <= box.process.commit;
+}
+
+void FakeCluster::ContinueEnds()
+{
+  for (FakeBox& box : boxes_) {
+    if (!box.up || !box.stopUntil) {
+      continue;
+    }
+    if (MayEnd(box)) {
+      EndAsPlanned(box);
+    } else if (time_ >= *box.stopUntil) {
+      if (box.name == calmEnd_) {
+        Fail(absl::StrCat(box.name,
+                          " did not hand its vote over in time:", Describe()));
+      }
+      EndAsPlanned(box);
+    }
+  }
+}
+
+/** A box that has handed its vote over may go for good at any time; another
+ * one as if its disk was lost.
+ */
+void FakeCluster::EndAsPlanned(FakeBox& box)
+{
+  const bool wasCalm = box.name == calmEnd_;
+  const std::vector<wire::VoterSet> sets = PossibleVoterSets();
+  const bool mayVote = std::any_of(sets.begin(), sets.end(),
+                                   [&box](const wire::VoterSet& voters) {
+                                     return IsVoter(voters, box.disk.id);
+                                   });
+  const bool hasHandedOver = box.hadVote && !mayVote;
+  const bool isReplaced = box.isReplaced && HasStandby() &&
+                          (hasHandedOver || wasCalm || MayWipe(box));
+  calmEnd_ = wasCalm ? "" : calmEnd_;
+  ++counts_.plannedEnds;
+  counts_.calmEnds += wasCalm ? 1 : 0;
+  counts_.handedOver += hasHandedOver ? 1 : 0;
+  Crash(box);
+  if (!isReplaced) {
+    return;
+  }
+  box.removed = true;
+  lostIdentities_.insert(box.disk.id);
+  lastWipe_ = mayVote ? time_ : lastWipe_;
+  if (wasCalm) {
+    CheckOneLossIsBorne(box);
+  }
+}
+
+/** A box that has been replaced no longer counts: then any other disk may be
+ * lost.
+ */
+void FakeCluster::CheckOneLossIsBorne(const FakeBox& ended)
+{
+  for (const wire::Voter& voter : committedVoters_.voters()) {
+    if (!SurvivesLossOf(committedVoters_, voter.id())) {
+      Fail(absl::StrCat("the loss of replica ", voter.id(),
+                        " ends the quorum, after ", ended.name,
+                        " was replaced:", Describe()));
+    }
+  }
+  const auto at =
+    absl::Uniform<int>(planned_, 0, committedVoters_.voters_size());
+  FakeBox* lost = BoxOf(committedVoters_.voters(at).id());
+  if (lost != nullptr && failure_.empty() && absl::Bernoulli(planned_, 0.5)) {
+    Wipe(*lost);
+  }
+}
+
+RepairRules FakeCluster::MakeRules(FakeBox& leader) const
+{
+  RepairRules rules;
+  rules.wanted = wanted_;
+  rules.standbyAfter = StandbyAfter;
+  rules.standbysLearn = spareLearns_;
+  for (const auto& [id, heard] : leader.stopping) {
+    if (time_ - heard < StoppingMemory) {
+      rules.stopping.insert(id);
+    }
+  }
+  return rules;
+}
+
 void FakeCluster::TickAll()
 {
   for (FakeBox& box : boxes_) {
     if (!box.up) {
       continue;
     }
-    if (ShouldRequestJoin(box.process)) {
+    if (ShouldRequestJoin(box.process) && !box.stopUntil) {
       RequestToJoin(box);
     }
     if (box.process.cluster.empty()) {
@@ -280,17 +475,15 @@
       for (auto& [id, joiner] : joining_) {
         joining.push_back({ joiner.who, joiner.lastRequest * box.clockRate });
       }
-      RepairRules rules;
-      rules.wanted = wanted_;
-      rules.standbyAfter = StandbyAfter;
-      rules.standbysLearn = spareLearns_;
-      const auto step = NextRepairStep(box.process, joining, rules, Now(box));
+      const auto step =
+        NextRepairStep(box.process, joining, MakeRules(box), Now(box));
       if (step && ProposeVoters(box.process, *step, Now(box))) {
         ++counts_.voterChanges;
       }
     }
     ExecuteActions(box);
   }
+  ContinueEnds();
 }
 
 void FakeCluster::RequestToJoin(FakeBox& box)
@@ -300,6 +493,9 @@
     box.disk.cluster = "c";
   }
   joining_[box.disk.id] = { box.process.self, time_ };
+  for (FakeBox& other : boxes_) {
+    other.stopping.erase(box.disk.id);
+  }
 }
 
 void FakeCluster::DeliverOne()
@@ -381,7 +577,7 @@
       network_.push_back(outgoing.message);
     }
   }
-  if (actions.NeedsSync() && Chance(0.01)) {
+  if (actions.NeedsSync() && Chance(0.01) && !IsCalm()) {
     if (Chance(0.5) && !actions.install && !actions.append.empty()) {
       // A torn write: only the first entries reached the disk.
       actions.append.resize(
@@ -397,7 +593,7 @@
     Fail("an installed state can't be read");
   }
   WriteToDisk(box, actions);
-  if (Chance(0.003)) {
+  if (Chance(0.003) && !IsCalm()) {
     Crash(box);
     return;
   }
@@ -492,6 +688,10 @@
 bool FakeCluster::Converge()
 {
   cutLinks_.clear();
+  calmEnd_.clear();
+  for (FakeBox& box : boxes_) {
+    box.stopUntil.reset();
+  }
   const std::uint64_t before =
     committed_.empty() ? 0 : committed_.rbegin()->first;
   for (int round = 0; round < ConvergeRounds && failure_.empty(); ++round) {
--- a/Tests/Agreement/wgFakeCluster.h
+++ b/Tests/Agreement/wgFakeCluster.h
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -32,6 +33,13 @@
   std::uint64_t chain = 0; // hash of all entries that the process has applied
   bool up = false;
   bool removed = false; // permanently
+  absl::Duration upSince;
+  /** It was told to end, and is killed then. */
+  std::optional<absl::Duration> stopUntil;
+  bool isReplaced = false; // it does not come back from its stop
+  bool hadVote = false;    // when it was told
+  /** Replicas that say that they are about to end, and when they last did. */
+  std::map<std::uint64_t, absl::Duration> stopping;
   double clockRate = 1.0;
 };
 
@@ -45,6 +53,9 @@
   int voterChanges = 0;
   int snapshots = 0;
   int elections = 0;
+  int plannedEnds = 0;
+  int handedOver = 0; // of these, votes
+  int calmEnds = 0; // of these, nothing else happened meanwhile
 };
 
 /** \class FakeCluster
@@ -56,9 +67,10 @@
 {
 public:
   /** \brief Creates a cluster with the target number of voters. The standbys
-   * join as learners for one seed in four.
+   * join as learners for one seed in four, or always if boxes end as planned.
    */
-  FakeCluster(std::uint64_t seed, std::size_t voters, std::size_t standbys);
+  FakeCluster(std::uint64_t seed, std::size_t voters, std::size_t standbys,
+              bool plansEnds = false);
   /** \brief Returns the first violated invariant, or an empty text. */
   std::string Run(int steps);
   const ScheduleCounts& Counts() const { return counts_; }
@@ -88,6 +100,16 @@
   void Propose();
   void TickAll();
   void RequestToJoin(FakeBox& box);
+  RepairRules MakeRules(FakeBox& leader) const;
+  void PlanEnd(FakeBox& box);
+  void ContinueEnds();
+  bool MayEnd(FakeBox& box);
+  void EndAsPlanned(FakeBox& box);
+  void CheckOneLossIsBorne(const FakeBox& ended);
+  bool IsCalm() const;
+  bool IsWhole(const FakeBox& box) const;
+  bool HasCaughtUpStandby() const;
+  bool AnyLost(const wire::VoterSet& voters) const;
   void ExecuteActions(FakeBox& box);
   void WriteToDisk(FakeBox& box, const ReplicaActions& actions);
   void Apply(FakeBox& box);
@@ -104,6 +126,12 @@
   std::vector<FakeBox> boxes_;
   std::size_t wanted_ = 0;
   bool spareLearns_ = false; // see RepairRules
+  bool plansEnds_ = false;
+  /** Of planned ends alone, so that other schedules of a seed stay the same.
+   */
+  std::mt19937_64 planned_;
+  std::string calmEnd_;      // box that ends while nothing else happens
+  absl::Duration disturbed_; // when a box or a link last went or came
   std::vector<wire::AgreementMessage> network_;
   std::set<std::pair<std::string, std::string>> cutLinks_;
   std::map<std::uint64_t, Committed> committed_;
--- a/Tests/Agreement/wgRepairTest.cxx
+++ b/Tests/Agreement/wgRepairTest.cxx
@@ -152,3 +152,80 @@
   CHECK(step->learners_size() == 0);
   CHECK(step->voters_size() == 3);
 }
+
+// A box that ends keeps its vote, and the next lost disk ends the quorum.
+TEST_CASE("a voter that is about to end gives its vote to a standby")
+{
+  const absl::Duration now = absl::Seconds(100);
+  wg::Replica leader = Leader(now);
+  leader.peers[3].ackedSendTime = now;
+  wg::RepairRules rules;
+  rules.standbysLearn = true;
+  *leader.voters.add_learners() = Voter(7, "d");
+  leader.peers[7].trackedSince = now;
+  CHECK_FALSE(wg::NextRepairStep(leader, {}, rules, now));
+  for (const std::uint64_t stopping : { 2, 1 }) { // a follower, the leader
+    CAPTURE(stopping);
+    wg::Replica r = leader;
+    rules.stopping = { stopping };
+    CHECK(wg::IsHandingOver(r, stopping, rules, now));
+    CHECK_FALSE(wg::NextRepairStep(r, {}, rules, now)); // not caught up
+    r.peers[7].ackedSendTime = now;
+    r.peers[7].match = 10;
+    auto step = wg::NextRepairStep(r, {}, rules, now);
+    REQUIRE(step);
+    CHECK(wg::IsVoter(*step, 7));
+    CHECK(wg::IsVoter(*step, stopping));
+    r.voters = *step;
+    CHECK(wg::IsHandingOver(r, stopping, rules, now));
+    step = wg::NextRepairStep(r, {}, rules, now);
+    REQUIRE(step);
+    CHECK_FALSE(wg::IsVoter(*step, stopping));
+    CHECK(step->voters_size() == 3);
+    r.voters = *step;
+    r.votersIndex = r.commit + 1;
+    CHECK(wg::IsHandingOver(r, stopping, rules, now)); // not committed
+    r.votersIndex = r.commit;
+    CHECK_FALSE(wg::IsHandingOver(r, stopping, rules, now));
+    CHECK_FALSE(wg::NextRepairStep(r, {}, rules, now));
+  }
+}
+
+TEST_CASE("a voter that is about to end does not wait for a silent standby")
+{
+  const absl::Duration now = absl::Seconds(100);
+  wg::Replica leader = Leader(now);
+  wg::RepairRules rules;
+  rules.standbysLearn = true;
+  rules.stopping = { 2 };
+  CHECK_FALSE(wg::IsHandingOver(leader, 2, rules, now));
+  *leader.voters.add_learners() = Voter(7, "d");
+  leader.peers[7].trackedSince = now - absl::Seconds(1);
+  leader.peers[7].ackedSendTime = now - absl::Seconds(1);
+  CHECK_FALSE(wg::IsHandingOver(leader, 2, rules, now));
+  leader.peers[7].ackedSendTime = now;
+  CHECK(wg::IsHandingOver(leader, 2, rules, now));
+  // Nor for one that is about to end too, and this one gets no vote.
+  rules.stopping = { 2, 7 };
+  leader.peers[7].match = 10;
+  CHECK_FALSE(wg::IsHandingOver(leader, 2, rules, now));
+  CHECK_FALSE(wg::NextRepairStep(leader, {}, rules, now));
+}
+
+// A new leader drops the standby that has just got the vote of a box that
+// ends, which then finds none.
+TEST_CASE("a voter in excess that responds stays as a learner")
+{
+  const absl::Duration now = absl::Seconds(100);
+  wg::Replica leader = Leader(now);
+  leader.peers[3].ackedSendTime = now;
+  *leader.voters.add_voters() = Voter(7, "d");
+  leader.peers[7].ackedSendTime = now;
+  leader.peers[7].match = 10;
+  wg::RepairRules rules;
+  rules.standbysLearn = true;
+  const auto step = wg::NextRepairStep(leader, {}, rules, now);
+  REQUIRE(step);
+  CHECK(step->voters_size() == 3);
+  CHECK(wg::IsLearner(*step, 7));
+}
--- a/Tests/Platform/wgPlatformCluster.h
+++ b/Tests/Platform/wgPlatformCluster.h
@@ -42,15 +42,17 @@
    * \param daemon the program at first, see SetDaemon
    * \param controlHalls of the control boxes; three in h1 where none is named
    * \param toleratedLosses of control boxes' disks at once
+   * \param controlFlags that all control boxes get too
    */
   explicit PlatformCluster(
     int gateways, bool links = false, std::vector<std::string> halls = {},
     std::string daemon = {},
     std::vector<std::string> controlHalls = { "h1", "h1", "h1" },
-    int toleratedLosses = 1)
+    int toleratedLosses = 1, std::vector<std::string> controlFlags = {})
     : daemon_(std::move(daemon))
     , halls_(std::move(halls))
     , controlHalls_(std::move(controlHalls))
+    , controlFlags_(std::move(controlFlags))
     , toleratedLosses_(toleratedLosses)
   {
     const int controls = static_cast<int>(controlHalls_.size());
@@ -111,10 +113,27 @@
     if (daemon_.empty()) {
       arguments.emplace_back("--halls=h1,h2");
     }
+    arguments.insert(arguments.end(), controlFlags_.begin(),
+                     controlFlags_.end());
     arguments.insert(arguments.end(), more.begin(), more.end());
     controls_[index] = std::make_unique<Process>(
       arguments, (folder_ / (Name("c", index) + ".log")).string());
   }
+  /** \brief Starts one more control box, which the others are not told of;
+   * without links.
+   * \return its index
+   */
+  int AddControl()
+  {
+    peers_.push_back(ports_.Take());
+    reached_ = peers_;
+    apis_.push_back(ports_.Take());
+    controlHalls_.push_back(controlHalls_.front());
+    controls_.emplace_back();
+    const int index = static_cast<int>(controls_.size()) - 1;
+    StartControl(index, false);
+    return index;
+  }
   /** \brief Kills a control box; it starts again with an empty disk. */
   void LoseDisk(int index, const std::vector<std::string>& more = {})
   {
@@ -377,6 +396,7 @@
   std::string daemon_; // empty: the one that was built with the tests
   std::vector<std::string> halls_;
   std::vector<std::string> controlHalls_;
+  std::vector<std::string> controlFlags_;
   int toleratedLosses_;
   TestPorts ports_;
   std::filesystem::path folder_;
--- a/Utilities/Daemon/wgDaemon.cxx
+++ b/Utilities/Daemon/wgDaemon.cxx
@@ -7,6 +7,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <thread>
+#include <utility>
 
 #include <poll.h>
 
@@ -164,7 +165,14 @@
                         [&node](const std::vector<std::string>& controls) {
                           node.AddControls(controls);
                         });
-  FollowSignals(signals, follower, [&signalLoop] { signalLoop.stop(); });
+  bool isStopping = false;
+  FollowSignals(signals, follower, [&signalLoop, &node, &isStopping] {
+    if (std::exchange(isStopping, true)) {
+      signalLoop.stop(); // told twice
+      return;
+    }
+    node.BeginStop([&signalLoop] { signalLoop.stop(); });
+  });
   signalLoop.run();
   node.Stop();
   wg::LogChange("stop", "done");
--- a/Utilities/Daemon/wgSettings.cxx
+++ b/Utilities/Daemon/wgSettings.cxx
@@ -154,8 +154,8 @@
     , retryWindow_(Real("retry-window-s",
                         "gateway: seconds over which repetitions count", 10))
     , graceS_(Real("grace-s",
-                   "gateway: seconds after which a stop ends it; 0: as "
-                   "--stop-limit-ms says",
+                   "seconds after which a stop ends it; 0: as "
+                   "--stop-limit-ms says, 4 for control",
                    0))
     , heartbeat_(Number("heartbeat-ms",
                         "control: period of endpoints' heartbeats, 1 to "
@@ -585,6 +585,10 @@
   control.standbyAfter = spare_.getValue() == 0
                            ? absl::InfiniteDuration()
                            : absl::Seconds(spare_.getValue());
+  if (graceS_.getValue() > 0) {
+    control.handOverLimit = std::min(
+      control.handOverLimit, absl::Seconds(graceS_.getValue()) - GraceMargin);
+  }
   control.compactAfter = static_cast<std::uint64_t>(compact_.getValue());
   control.changeLevel = static_cast<ChangeLevel>(changeLevel_.getValue());
   control.foundAtStart = found_.getValue() == "true";
