--- a/Source/Base/wgCounters.cxx
+++ b/Source/Base/wgCounters.cxx
@@ -12,13 +12,17 @@
 
 constexpr std::array<absl::string_view, static_cast<std::size_t>(Event::Count)>
   EventNames = { {
-    "request_accepted",  "request_answered",    "stage_started",
-    "stage_finished",    "answer_late",         "answer_duplicate",
-    "answer_foreign",    "stream_resumed",      "stage_cancelled",
-    "endpoint_ejected",  "endpoint_readmitted", "peer_rejected",
-    "peer_message",      "peer_bytes",          "claim_taken",
-    "claim_released",    "config_in_force",     "cut_at_stop",
-    "heartbeat_refused", "end_kept",            "end_not_kept",
+    "request_accepted",    "request_answered",
+    "stage_started",       "stage_finished",
+    "answer_late",         "answer_duplicate",
+    "answer_foreign",      "stream_resumed",
+    "stage_cancelled",     "endpoint_ejected",
+    "endpoint_readmitted", "peer_rejected",
+    "peer_message",        "peer_bytes",
+    "claim_taken",         "claim_released",
+    "config_in_force",     "cut_at_stop",
+    "heartbeat_refused",   "end_kept",
+    "end_not_kept",
   } };
 
 template <class E>
--- a/Source/Control/wgEndpointEnds.cxx
+++ b/Source/Control/wgEndpointEnds.cxx
@@ -74,9 +74,9 @@
        it != ends.byRevision.end() && message.ends_size() < MaxEndsInMessage;
        ++it) {
     upTo = it->first;
-    const EndpointEnd& end = ends.ends.at(it->second);
-    if (end.isOwn) {
-      *message.add_ends() = Describe(end, now);
+    const auto end = ends.ends.find(it->second);
+    if (end != ends.ends.end() && end->second.isOwn) {
+      *message.add_ends() = Describe(end->second, now);
     }
   }
   return message;
--- a/Source/Storage/wgJournalFile.cxx
+++ b/Source/Storage/wgJournalFile.cxx
@@ -62,7 +62,7 @@
     return;
   }
   if (!next_) {
-    next_.emplace();
+    next_ = Work{};
   }
   AppendRecord(type_, payload, next_->append);
   next_->revision = revision;
@@ -71,8 +71,9 @@
 void JournalFile::Rewrite(absl::string_view payload, std::uint64_t revision)
 {
   Work work;
-  work.rewrite.emplace();
-  AppendRecord(type_, payload, *work.rewrite);
+  std::string bytes;
+  AppendRecord(type_, payload, bytes);
+  work.rewrite = std::move(bytes);
   work.revision = revision;
   absl::MutexLock lock(&mutex_);
   next_ = std::move(work);
--- a/Tests/Agreement/wgFakeCluster.h
+++ b/Tests/Agreement/wgFakeCluster.h
@@ -55,7 +55,7 @@
   int elections = 0;
   int plannedEnds = 0;
   int handedOver = 0; // of these, votes
-  int calmEnds = 0; // of these, nothing else happened meanwhile
+  int calmEnds = 0;   // of these, nothing else happened meanwhile
 };
 
 /** \class FakeCluster
--- a/Tests/Platform/wgPlatformEndTest.cxx
+++ b/Tests/Platform/wgPlatformEndTest.cxx
@@ -26,7 +26,6 @@
 using wg::test::PlatformStandin;
 
 constexpr int Gateways = 2;
-constexpr int Controls = 3;
 /** From an acknowledgement on, for so long requests may still come. */
 constexpr absl::Duration DrainTime = absl::Seconds(2);
 /** One that ends soon after another one. */
